--- /dev/null
+++ b/src/base/metrics.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <sstream> // extended_p_square_quantile.hpp uses std::ostringstream without including it.
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace lacewing {
+
+/// Label pairs of one time series, for example {{"reason", "rate_limited"}}.
+using MetricLabels = std::map<std::string, std::string>;
+
+/// Distribution of a value, estimated in constant memory by the extended P-square method.
+class Summary {
+public:
+    Summary();
+
+    /// Adds one observation.
+    void observe(double value) { m_accumulator(value); }
+
+    int64_t count() const;
+    double sum() const;
+    double maximum() const;
+    /// @param probability one of 0.5, 0.95 and 0.99.
+    /// @return the estimated quantile, or 0 without observations.
+    double quantile(double probability) const;
+
+private:
+    using Accumulator = boost::accumulators::accumulator_set<double,
+        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
+            boost::accumulators::tag::max, boost::accumulators::tag::extended_p_square_quantile>>;
+    Accumulator m_accumulator;
+};
+
+/// All metrics of one process, written in the Prometheus text format.
+class MetricsRegistry {
+public:
+    /// @param name metric name with its unit as suffix, for example "lacewing_refusals_total".
+    /// @return the counter, created at 0 on first use. The reference stays valid.
+    int64_t& counter(const std::string& name, const MetricLabels& labels = {});
+
+    /// @return a value that may go up and down. The reference stays valid.
+    double& gauge(const std::string& name, const MetricLabels& labels = {});
+
+    /// @return a distribution. The reference stays valid.
+    Summary& summary(const std::string& name, const MetricLabels& labels = {});
+
+    /// @return all metrics in the Prometheus text exposition format 0.0.4, sorted by name.
+    std::string text() const;
+
+private:
+    template <typename Value> using Family = std::map<std::string, std::map<std::string, Value>>;
+
+    Family<int64_t> m_counters;
+    Family<double> m_gauges;
+    Family<Summary> m_summaries;
+};
+
+} // namespace lacewing
--- /dev/null
+++ b/src/state/peer_messages.h
@@ -0,0 +1,170 @@
+#pragma once
+
+#include "base/ids.h"
+#include "state/outcome.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lacewing {
+
+/// What a daemon says about its own readiness.
+enum class DaemonState {
+    Starting,
+    Live,
+    /// Stopping gracefully: takes no new work.
+    Leaving,
+};
+
+/// Queueing class of a request.
+enum class RequestClass {
+    Interactive,
+    Batch,
+};
+
+/// Sent once a second to each connected peer.
+struct Heartbeat {
+    uint64_t seq = 0;
+    Incarnation incarnation;
+    DaemonState state = DaemonState::Starting;
+    Revision revision;
+    ContentHash configurationHash;
+    /// How old the sender's knowledge is that no higher revision exists, in milliseconds.
+    int64_t headAgeMs = 0;
+    /// Whether the sender's last call to the table succeeded.
+    bool tableUp = false;
+    /// Requests in progress.
+    int64_t load = 0;
+};
+
+/// Answers a heartbeat.
+struct HeartbeatAck {
+    uint64_t seq = 0;
+    Incarnation incarnation;
+    /// Incarnation of the heartbeat that is acknowledged.
+    Incarnation peerIncarnation;
+    /// True if the sender is the guardian of the receiver's session and promises not to end it for the guard
+    /// time.
+    bool guarding = false;
+    Revision revision;
+    ContentHash configurationHash;
+    int64_t headAgeMs = 0;
+    bool tableUp = false;
+};
+
+/// Asks the owner of an upstream to run a request.
+struct RunRequest {
+    StreamId stream;
+    RequestId requestId;
+    WorkspaceId workspace;
+    RouteId route;
+    AdapterId adapter;
+    AdapterVersion version;
+    UpstreamId upstream;
+    RequestClass requestClass = RequestClass::Interactive;
+    /// Time left in which the request must have started, in milliseconds.
+    int64_t deadlineMs = 0;
+    /// Index of the first token wanted; greater than 0 for a resumed stream.
+    int64_t resumeFrom = 0;
+    bool streaming = false;
+    bool repeatable = true;
+    /// Method and path for a plain service; empty for a model engine.
+    std::string method;
+    std::string path;
+    std::string body;
+};
+
+/// Part of an answer.
+struct RunChunk {
+    StreamId stream;
+    /// Index of the first token in this chunk.
+    int64_t firstToken = 0;
+    /// Number of tokens in this chunk.
+    int64_t tokens = 0;
+    std::string bytes;
+};
+
+/// End of an answer.
+struct RunEnd {
+    StreamId stream;
+    Outcome outcome = Outcome::Unknown;
+    /// Reason code, empty if answered.
+    std::string code;
+    /// HTTP status for the caller.
+    int status = 0;
+    int64_t retryAfterMs = 0;
+    int64_t promptTokens = 0;
+    int64_t generatedTokens = 0;
+};
+
+/// Cancels a request because its caller left.
+struct RunCancel {
+    StreamId stream;
+};
+
+/// Allows the owner to send more bytes of a stream.
+struct RunWindow {
+    StreamId stream;
+    int64_t bytes = 0;
+};
+
+/// An amount of tokens of one workspace.
+struct TokenAmount {
+    WorkspaceId workspace;
+    Tokens tokens;
+};
+
+/// Asks a peer for amounts out of its buckets.
+struct AllotAsk {
+    uint64_t seq = 0;
+    std::vector<TokenAmount> wanted;
+};
+
+/// Answers an AllotAsk. The amounts expire a fixed time after the ask was sent.
+struct AllotGrant {
+    uint64_t seq = 0;
+    std::vector<TokenAmount> granted;
+    /// What is left in the sender's buckets.
+    std::vector<TokenAmount> levels;
+};
+
+/// Reports what became of earlier grants.
+struct AllotReturn {
+    uint64_t seq = 0;
+    /// Amounts that were charged to requests.
+    std::vector<TokenAmount> spent;
+    /// Amounts that go back into the bucket.
+    std::vector<TokenAmount> unused;
+};
+
+/// Asks a peer for a configuration.
+struct ConfigFetch {
+    ContentHash hash;
+};
+
+/// Answers a ConfigFetch; empty if the peer does not have it.
+struct ConfigData {
+    ContentHash hash;
+    std::string content;
+};
+
+/// Said before a link is closed on purpose.
+struct Goodbye {
+    Incarnation incarnation;
+};
+
+using PeerMessage = std::variant<Heartbeat, HeartbeatAck, RunRequest, RunChunk, RunEnd, RunCancel, RunWindow,
+    AllotAsk, AllotGrant, AllotReturn, ConfigFetch, ConfigData, Goodbye>;
+
+/// Sends messages to peers. A message may be lost if its link breaks; on one link order is kept.
+class PeerMessenger {
+public:
+    virtual ~PeerMessenger() = default;
+
+    /// @return false if there is no link to the peer; nothing was sent then.
+    virtual bool send(const HostId& peer, const PeerMessage& message) = 0;
+};
+
+} // namespace lacewing
