--- /dev/null
+++ b/src/daemon/answer_writer.cc
@@ -0,0 +1,139 @@
+#include "daemon/answer_writer.h"
+
+namespace lacewing {
+
+namespace {
+
+constexpr int statusOk = 200;
+
+HttpHeaders headersFor(const char* contentType, Outcome outcome)
+{
+    return { { "Content-Type", contentType }, { "Lacewing-Outcome", toString(outcome) } };
+}
+
+/// Sends a completion as server-sent events while it arrives.
+class StreamWriter : public AnswerWriter {
+public:
+    StreamWriter(std::shared_ptr<HttpExchange> exchange, AnswerIdentity identity)
+        : m_exchange(std::move(exchange))
+        , m_identity(std::move(identity))
+    {
+    }
+
+    void write(std::string_view bytes) override
+    {
+        begin();
+        m_exchange->sendChunk(formatTextEvent(m_identity, bytes));
+    }
+
+    void finish(const AnswerEnd& end) override
+    {
+        begin();
+        m_exchange->sendChunk(formatFinishEvents(m_identity, end.finishReason, end.usage));
+        m_exchange->endStream();
+    }
+
+    void fail(const RefusalAnswer& refusal) override
+    {
+        if (!m_hasBegun)
+            return sendRefusal(*m_exchange, refusal);
+        m_exchange->sendChunk(formatErrorEvent(refusal.code, refusal.message, refusal.outcome));
+        m_exchange->endStream();
+    }
+
+    bool hasBegun() const override { return m_hasBegun; }
+    const std::string& body() const override { return m_empty; }
+
+private:
+    void begin()
+    {
+        if (m_hasBegun)
+            return;
+        m_hasBegun = true;
+        // The outcome is not known yet; it follows from the last event of the stream.
+        m_exchange->startStream(
+            statusOk, { { "Content-Type", "text/event-stream" }, { "Cache-Control", "no-store" } });
+    }
+
+    std::shared_ptr<HttpExchange> m_exchange;
+    AnswerIdentity m_identity;
+    bool m_hasBegun = false;
+    std::string m_empty;
+};
+
+/// Collects a completion and sends it as a whole.
+class WholeCompletionWriter : public AnswerWriter {
+public:
+    WholeCompletionWriter(std::shared_ptr<HttpExchange> exchange, AnswerIdentity identity)
+        : m_exchange(std::move(exchange))
+        , m_identity(std::move(identity))
+    {
+    }
+
+    void write(std::string_view bytes) override { m_text += bytes; }
+
+    void finish(const AnswerEnd& end) override
+    {
+        m_exchange->reply(statusOk, headersFor("application/json", Outcome::Answered),
+            formatAnswer(m_identity, m_text, end.finishReason, end.usage));
+    }
+
+    void fail(const RefusalAnswer& refusal) override { sendRefusal(*m_exchange, refusal); }
+    bool hasBegun() const override { return false; }
+    const std::string& body() const override { return m_text; }
+
+private:
+    std::shared_ptr<HttpExchange> m_exchange;
+    AnswerIdentity m_identity;
+    std::string m_text;
+};
+
+/// Collects the answer of a plain service and sends it as a whole.
+class ServiceWriter : public AnswerWriter {
+public:
+    explicit ServiceWriter(std::shared_ptr<HttpExchange> exchange)
+        : m_exchange(std::move(exchange))
+    {
+    }
+
+    void write(std::string_view bytes) override { m_body += bytes; }
+
+    void finish(const AnswerEnd& end) override
+    {
+        m_exchange->reply(end.status, headersFor(end.contentType.c_str(), Outcome::Answered), m_body);
+    }
+
+    void fail(const RefusalAnswer& refusal) override { sendRefusal(*m_exchange, refusal); }
+    bool hasBegun() const override { return false; }
+    const std::string& body() const override { return m_body; }
+
+private:
+    std::shared_ptr<HttpExchange> m_exchange;
+    std::string m_body;
+};
+
+} // namespace
+
+std::unique_ptr<AnswerWriter> AnswerWriter::create(
+    std::shared_ptr<HttpExchange> exchange, const AdmittedRequest& request, const std::string& id)
+{
+    if (request.service)
+        return std::make_unique<ServiceWriter>(std::move(exchange));
+    AnswerIdentity identity { id, request.completion->kind, request.adapter };
+    if (request.completion->streaming)
+        return std::make_unique<StreamWriter>(std::move(exchange), std::move(identity));
+    return std::make_unique<WholeCompletionWriter>(std::move(exchange), std::move(identity));
+}
+
+void sendRefusal(HttpExchange& exchange, const RefusalAnswer& refusal)
+{
+    HttpHeaders headers = headersFor("application/json", refusal.outcome);
+    if (refusal.retryAfter) {
+        // Rounded up, since a caller that returns a moment too early is refused again.
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(*refusal.retryAfter);
+        headers.add("Retry-After", std::to_string(std::max<int64_t>(1, seconds.count())));
+    }
+    exchange.reply(refusal.status, headers, formatError(refusal.code, refusal.message, refusal.outcome));
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/daemon/caller_gate.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "daemon/admitted_request.h"
+#include "state/refusal_answer.h"
+#include "transport/http_server.h"
+
+#include <functional>
+#include <optional>
+
+namespace lacewing {
+
+/// The key that a request was presented with, resolved.
+struct ResolvedKey {
+    WorkspaceId workspace;
+    std::string hash;
+};
+
+/// Checks a caller's request against the configuration: route, key, workspace, adapter, version and body.
+class CallerGate {
+public:
+    /// Finds the workspace of a key, or nothing if the key is unknown.
+    using KeyResolver = std::function<std::optional<ResolvedKey>(const std::string& key)>;
+
+    /// @param keys must stay callable as long as the gate is used.
+    explicit CallerGate(KeyResolver keys);
+
+    /// @return nothing if the request is refused; refusal() then says why.
+    std::optional<AdmittedRequest> admit(const HttpExchange& exchange, const Configuration& configuration);
+
+    const RefusalAnswer& refusal() const { return m_refusal; }
+
+private:
+    bool admitCompletion(
+        const HttpExchange& exchange, const Configuration& configuration, AdmittedRequest& request);
+    bool admitService(const HttpExchange& exchange, const std::string& key, AdmittedRequest& request);
+    bool resolveKey(
+        const HttpExchange& exchange, const RouteConfig& route, std::string& key, AdmittedRequest& request);
+    bool pinAdapter(const Configuration& configuration, AdmittedRequest& request);
+    bool refuse(int status, std::string_view code, std::string message);
+
+    KeyResolver m_keys;
+    RefusalAnswer m_refusal;
+};
+
+} // namespace lacewing
