Add HTTP server and client

Cause: the daemon, the stand-ins and the tools need the transport behind http_server.h and http_client.h.

The server parses a request only when the one before has its whole answer, and keeps reading meanwhile, so that it notices a client that leaves.

--- /dev/null
+++ b/src/transport/http_server_exchange.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "transport/http_parser.h"
+#include "transport/http_server.h"
+
+namespace lacewing {
+
+class HttpServerConnection;
+struct HttpServerContext;
+
+/// A request and its answer on a connection of this server. A request that is dropped without an answer gets
+/// 500, or a cut-off answer if that had started.
+class HttpServerExchange : public HttpExchange, public std::enable_shared_from_this<HttpServerExchange> {
+public:
+    HttpServerExchange(
+        HttpServerContext& context, HttpServerConnection& connection, HttpHead head, std::string body);
+    ~HttpServerExchange() override;
+
+    const std::string& method() const override { return m_head.method; }
+    const std::string& path() const override { return m_head.path; }
+    const std::string& query() const override { return m_head.query; }
+    const HttpHeaders& headers() const override { return m_head.headers; }
+    const std::string& body() const override { return m_body; }
+    const std::string& remoteIp() const override { return m_remoteIp; }
+
+    void reply(int status, const HttpHeaders& headers, std::string_view body) override;
+    void startStream(int status, const HttpHeaders& headers) override;
+    void sendChunk(std::string_view bytes) override;
+    void endStream() override;
+    void abort() override;
+
+    size_t bufferedBytes() const override;
+    bool isOpen() const override { return m_connection != nullptr; }
+    void onClientLeft(std::function<void()> callback) override;
+    void onDrained(std::function<void()> callback) override;
+
+    /// Detaches the exchange from its connection, which is closing.
+    ///
+    /// @param notify whether to call the client-left callback.
+    void connectionClosed(bool notify);
+    /// Tells that the connection's output buffer has run empty.
+    void outputDrained();
+
+private:
+    HttpServerConnection* detach();
+
+    HttpServerContext* m_context;
+    HttpServerConnection* m_connection;
+    HttpHead m_head;
+    std::string m_body;
+    std::string m_remoteIp;
+    bool m_isStreaming = false;
+    std::function<void()> m_onClientLeft;
+    std::function<void()> m_onDrained;
+};
+
+} // namespace lacewing
