Add engine orders, runs on upstreams and upstream reports

Cause: the owner needs to run requests on engines and plain services and to order adapters. Change: EngineClient, EngineRun (drops tokens that a resumed stream repeats, fails on a gap), ServiceRun (new connection for non-repeatable calls unless proven live within 1 s), UpstreamReports message; the codec takes lists of any structure.

--- /dev/null
+++ b/src/daemon/engine_run.cc
@@ -0,0 +1,189 @@
+#include "daemon/upstream_run.h"
+#include "protocol/completion_request.h"
+#include "state/refusal.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lacewing {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr Duration retryLater = std::chrono::seconds(1);
+constexpr size_t longestErrorBody = 4096;
+
+int priorityOf(RequestClass requestClass)
+{
+    return requestClass == RequestClass::Interactive ? 0 : 1;
+}
+
+/// The path at the engine follows from the kind of prompt in the body.
+const char* enginePath(const RunRequest& request)
+{
+    return request.path == "/v1/chat/completions" ? "/v1/chat/completions" : "/v1/completions";
+}
+
+class EngineRun : public UpstreamRun {
+public:
+    EngineRun(HttpClient& client, const UpstreamTarget& target, const RunRequest& request, Listener listener)
+        : m_client(client)
+        , m_target(target)
+        , m_request(request)
+        , m_listener(std::move(listener))
+        , m_nextToken(request.resumeFrom)
+    {
+    }
+
+    void start() override
+    {
+        HttpClientRequest request;
+        request.server = m_target.address;
+        request.method = "POST";
+        request.target = enginePath(m_request);
+        request.headers.add("Content-Type", "application/json");
+        request.body = buildEngineBody(m_request.body, m_target.residentName, m_request.requestId.value(),
+            priorityOf(m_request.requestClass), m_request.resumeFrom, m_request.workspace)
+                           .value_or("{}");
+        request.progressTimeout = m_target.progressTimeout;
+        HttpClientHandlers handlers;
+        handlers.onHeaders = [this](int status, const HttpHeaders&) { m_status = status; };
+        handlers.onBody = [this](std::string_view bytes) { receive(bytes); };
+        handlers.onDone = [this](const HttpClientResult& result) { finish(result); };
+        m_call = m_client.send(std::move(request), std::move(handlers));
+    }
+
+    void addWindow(int64_t bytes) override
+    {
+        const bool wasClosed = m_window <= 0;
+        m_window += bytes;
+        if (wasClosed && m_window > 0 && m_call)
+            m_call->resumeReading();
+    }
+
+private:
+    void receive(std::string_view bytes)
+    {
+        if (m_status != statusOk) {
+            m_errorBody += bytes.substr(0, longestErrorBody - std::min(longestErrorBody, m_errorBody.size()));
+            return;
+        }
+        if (m_isBroken)
+            return;
+        const auto tokens = m_parser.feed(bytes);
+        if (!tokens || !relay(*tokens)) {
+            m_isBroken = true;
+            m_call->cancel();
+        }
+    }
+
+    /// @return false if a token is missing.
+    bool relay(const std::vector<EngineToken>& tokens)
+    {
+        RunChunk chunk;
+        chunk.stream = m_request.stream;
+        chunk.firstToken = m_nextToken;
+        for (const EngineToken& token : tokens) {
+            // An engine that ignores resume_from starts at token 0 again.
+            if (token.index < m_nextToken)
+                continue;
+            if (token.index > m_nextToken)
+                return false;
+            chunk.bytes += token.text;
+            ++chunk.tokens;
+            ++m_nextToken;
+        }
+        if (chunk.tokens == 0)
+            return true;
+        m_window -= static_cast<int64_t>(chunk.bytes.size());
+        if (m_window <= 0)
+            m_call->pauseReading();
+        m_listener.onChunk(chunk);
+        return true;
+    }
+
+    void finish(const HttpClientResult& result)
+    {
+        RunEnd end;
+        if (m_status == statusOk && m_parser.finish() && !m_isBroken)
+            end = answered(*m_parser.finish());
+        else if (!result.requestSent)
+            end = refusedRun(m_request.stream, refusal::upstreamUnreachable, statusUnavailable, retryLater);
+        else if (!result.error && m_status != statusOk)
+            end = refused();
+        else
+            end = lost();
+        const auto onEnd = m_listener.onEnd;
+        onEnd(end);
+    }
+
+    RunEnd answered(const EngineFinish& finish) const
+    {
+        RunEnd end;
+        end.stream = m_request.stream;
+        end.outcome = Outcome::Answered;
+        end.status = statusOk;
+        end.finishReason = finish.reason;
+        end.promptTokens = finish.promptTokens.value();
+        end.generatedTokens = finish.generatedTokens.value();
+        return end;
+    }
+
+    /// An engine's error answer promises that nothing was run.
+    RunEnd refused() const
+    {
+        const auto json = nlohmann::json::parse(m_errorBody, nullptr, false);
+        const nlohmann::json::json_pointer pointer("/error/code");
+        std::string code(refusal::upstreamRefused);
+        if (json.is_object() && json.contains(pointer) && json[pointer].is_string())
+            code = json[pointer].get<std::string>();
+        return refusedRun(m_request.stream, code, statusUnavailable, retryLater);
+    }
+
+    RunEnd lost() const
+    {
+        RunEnd end;
+        end.stream = m_request.stream;
+        end.outcome = Outcome::Unknown;
+        end.code = refusal::upstreamLost;
+        end.status = statusBadGateway;
+        end.retryAfterMs = toMilliseconds(retryLater);
+        end.generatedTokens = m_nextToken;
+        return end;
+    }
+
+    HttpClient& m_client;
+    UpstreamTarget m_target;
+    RunRequest m_request;
+    Listener m_listener;
+    int64_t m_nextToken;
+    int64_t m_window = initialWindowBytes;
+    int m_status = 0;
+    bool m_isBroken = false;
+    std::string m_errorBody;
+    EngineStreamParser m_parser;
+    // Last, so that the call ends before what its callbacks use.
+    std::unique_ptr<HttpClientCall> m_call;
+};
+
+} // namespace
+
+std::unique_ptr<UpstreamRun> makeEngineRun(HttpClient& client, const UpstreamTarget& target,
+    const RunRequest& request, UpstreamRun::Listener listener)
+{
+    return std::make_unique<EngineRun>(client, target, request, std::move(listener));
+}
+
+RunEnd refusedRun(StreamId stream, std::string_view code, int status, Duration retryAfter)
+{
+    RunEnd end;
+    end.stream = stream;
+    end.outcome = Outcome::RefusedNotRun;
+    end.code = code;
+    end.status = status;
+    end.retryAfterMs = toMilliseconds(retryAfter);
+    return end;
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/daemon/service_run.cc
@@ -0,0 +1,111 @@
+#include "daemon/upstream_run.h"
+#include "state/refusal.h"
+
+namespace lacewing {
+
+namespace {
+
+constexpr int statusTooManyRequests = 429;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr Duration retryLater = std::chrono::seconds(1);
+/// A connection that was idle for longer is not proven live, so a non-repeatable call gets a new one.
+constexpr Duration provenLiveAge = std::chrono::seconds(1);
+constexpr Duration pooledIdleAge = std::chrono::seconds(30);
+
+class ServiceRun : public UpstreamRun {
+public:
+    ServiceRun(HttpClient& client, const UpstreamTarget& target, const RunRequest& request, Listener listener)
+        : m_client(client)
+        , m_target(target)
+        , m_request(request)
+        , m_listener(std::move(listener))
+    {
+    }
+
+    void start() override
+    {
+        HttpClientRequest request;
+        request.server = m_target.address;
+        request.method = m_request.method;
+        request.target = m_request.path;
+        request.headers.add("Content-Type", m_request.contentType);
+        request.headers.add("Lacewing-Workspace", m_request.workspace.value());
+        if (!m_request.requestId.empty())
+            request.headers.add("Idempotency-Key", m_request.requestId.value());
+        request.body = m_request.body;
+        request.progressTimeout = m_target.progressTimeout;
+        request.maximumIdleAge = m_request.repeatable ? pooledIdleAge : provenLiveAge;
+        HttpClientHandlers handlers;
+        handlers.onHeaders = [this](int status, const HttpHeaders& headers) {
+            m_status = status;
+            m_contentType = headers.find("Content-Type").value_or("application/octet-stream");
+            m_isNotRun = headers.find("Lacewing-Not-Run") == "1"
+                && (status == statusTooManyRequests || status == statusUnavailable);
+        };
+        handlers.onBody = [this](std::string_view bytes) { receive(bytes); };
+        handlers.onDone = [this](const HttpClientResult& result) { finish(result); };
+        m_call = m_client.send(std::move(request), std::move(handlers));
+    }
+
+    void addWindow(int64_t bytes) override
+    {
+        const bool wasClosed = m_window <= 0;
+        m_window += bytes;
+        if (wasClosed && m_window > 0 && m_call)
+            m_call->resumeReading();
+    }
+
+private:
+    void receive(std::string_view bytes)
+    {
+        if (m_isNotRun)
+            return;
+        RunChunk chunk;
+        chunk.stream = m_request.stream;
+        chunk.bytes = bytes;
+        m_window -= static_cast<int64_t>(bytes.size());
+        if (m_window <= 0)
+            m_call->pauseReading();
+        m_listener.onChunk(chunk);
+    }
+
+    void finish(const HttpClientResult& result)
+    {
+        RunEnd end;
+        if (!result.requestSent) {
+            end = refusedRun(m_request.stream, refusal::upstreamUnreachable, statusUnavailable, retryLater);
+        } else if (m_isNotRun) {
+            end = refusedRun(m_request.stream, refusal::upstreamRefused, m_status, retryLater);
+        } else {
+            end.stream = m_request.stream;
+            end.outcome = result.error ? Outcome::Unknown : Outcome::Answered;
+            end.code = result.error ? refusal::upstreamLost : std::string_view();
+            end.status = result.error ? statusBadGateway : m_status;
+            end.contentType = m_contentType;
+        }
+        const auto onEnd = m_listener.onEnd;
+        onEnd(end);
+    }
+
+    HttpClient& m_client;
+    UpstreamTarget m_target;
+    RunRequest m_request;
+    Listener m_listener;
+    int64_t m_window = initialWindowBytes;
+    int m_status = 0;
+    bool m_isNotRun = false;
+    std::string m_contentType;
+    // Last, so that the call ends before what its callbacks use.
+    std::unique_ptr<HttpClientCall> m_call;
+};
+
+} // namespace
+
+std::unique_ptr<UpstreamRun> makeServiceRun(HttpClient& client, const UpstreamTarget& target,
+    const RunRequest& request, UpstreamRun::Listener listener)
+{
+    return std::make_unique<ServiceRun>(client, target, request, std::move(listener));
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/protocol/engine_client.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "base/ids.h"
+#include "transport/http_client.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lacewing {
+
+/// An adapter that an engine holds.
+struct ResidentAdapter {
+    /// Name under which it was loaded.
+    std::string name;
+    /// Requests that run on it.
+    int running = 0;
+};
+
+/// What an engine says about itself.
+struct EngineStatus {
+    /// Differs after each restart.
+    std::string bootId;
+    /// Highest fencing number that the engine has seen.
+    FencingNumber fencingNumber;
+    int slots = 0;
+    std::vector<ResidentAdapter> adapters;
+    /// Lagging load report.
+    int running = 0;
+    int waiting = 0;
+};
+
+/// Why an order to an engine failed.
+enum class EngineOrderError {
+    StaleFencingNumber,
+    LoadFailed,
+    NoFreeSlot,
+    NotLoaded,
+    /// The engine has not seen the order.
+    NotSent,
+    /// The order may or may not have been carried out.
+    Unknown,
+};
+
+/// @return the error's name in snake_case, for logs and metrics.
+const char* toString(EngineOrderError error);
+
+/// Orders to one model engine, over the HTTP protocol of docs/upstream-protocol.md.
+class EngineClient {
+public:
+    using StatusCallback = std::function<void(const std::optional<EngineStatus>& status)>;
+    using OrderCallback = std::function<void(std::optional<EngineOrderError> error)>;
+
+    /// @param client must outlive the object.
+    EngineClient(HttpClient& client, SocketAddress engine);
+    ~EngineClient();
+
+    /// Reads the engine's status; nothing if it does not answer.
+    void readStatus(StatusCallback callback);
+
+    /// Orders the engine to load an adapter.
+    ///
+    /// @param deadline after which the outcome counts as unknown.
+    void load(const std::string& name, const ModelId& model, const AdapterKey& adapter, FencingNumber number,
+        Duration deadline, OrderCallback callback);
+
+    /// Orders the engine to evict an adapter.
+    void unload(const std::string& name, FencingNumber number, Duration deadline, OrderCallback callback);
+
+private:
+    struct Call;
+    using AnswerCallback = std::function<void(const HttpClientResult& result, const std::string& body)>;
+
+    void send(
+        const char* method, const char* target, std::string body, Duration deadline, AnswerCallback callback);
+    void order(const char* target, std::string body, Duration deadline, OrderCallback callback);
+
+    HttpClient& m_client;
+    SocketAddress m_engine;
+    uint64_t m_nextCall = 1;
+    std::map<uint64_t, std::unique_ptr<Call>> m_calls;
+};
+
+} // namespace lacewing
--- a/src/protocol/peer_codec.cc
+++ b/src/protocol/peer_codec.cc
@@ -74,14 +74,16 @@
     }
     template <typename Tag> static json convert(const StrongId<Tag>& id) { return id.value(); }
     template <typename Tag> static json convert(const StrongNumber<Tag>& number) { return number.value(); }
-    static json convert(const std::vector<TokenAmount>& amounts)
+    static json convert(const std::vector<std::string>& texts) { return texts; }
+    /// Writes a list of structures that have PeerFields of their own.
+    template <typename Item> static json convert(const std::vector<Item>& items)
     {
         json list = json::array();
-        for (const TokenAmount& amount : amounts) {
-            json item = json::object();
-            FieldWriter writer(item);
-            PeerFields<TokenAmount>::visit(writer, amount);
-            list.push_back(std::move(item));
+        for (const Item& item : items) {
+            json map = json::object();
+            FieldWriter writer(map);
+            PeerFields<Item>::visit(writer, item);
+            list.push_back(std::move(map));
         }
         return list;
     }
@@ -203,25 +205,32 @@
         fail(PeerCodecReason::OutOfRange, name);
     }
 
-    void read(const char* name, json& field, std::vector<TokenAmount>& amounts)
+    template <typename Item> void read(const char* name, json& field, std::vector<Item>& items)
     {
         if (!field.is_array()) {
             fail(PeerCodecReason::WrongKind, name);
             return;
         }
-        amounts.reserve(field.size());
+        items.reserve(field.size());
         for (json& item : field) {
-            if (!item.is_object()) {
-                fail(PeerCodecReason::WrongKind, name);
-                return;
-            }
-            FieldReader reader(item, m_error);
-            PeerFields<TokenAmount>::visit(reader, amounts.emplace_back());
+            readItem(name, item, items.emplace_back());
             if (failed())
                 return;
         }
     }
 
+    void readItem(const char* name, json& item, std::string& value) { read(name, item, value); }
+
+    template <typename Item> void readItem(const char* name, json& item, Item& value)
+    {
+        if (!item.is_object()) {
+            fail(PeerCodecReason::WrongKind, name);
+            return;
+        }
+        FieldReader reader(item, m_error);
+        PeerFields<Item>::visit(reader, value);
+    }
+
     json& m_map;
     PeerCodecError& m_error;
 };
--- a/src/protocol/peer_fields.h
+++ b/src/protocol/peer_fields.h
@@ -48,7 +48,9 @@
         visitor("route", message.route);
         visitor("adapter", message.adapter);
         visitor("version", message.version);
+        visitor("model", message.model);
         visitor("upstream", message.upstream);
+        visitor("cost", message.cost);
         visitor("class", message.requestClass);
         visitor("deadlineMs", message.deadlineMs);
         visitor("resumeFrom", message.resumeFrom);
@@ -56,6 +58,7 @@
         visitor("repeatable", message.repeatable);
         visitor("method", message.method);
         visitor("path", message.path);
+        visitor("contentType", message.contentType);
         visitor.bytes("body", message.body);
     }
 };
@@ -82,6 +85,8 @@
         visitor("retryAfterMs", message.retryAfterMs);
         visitor("promptTokens", message.promptTokens);
         visitor("generatedTokens", message.generatedTokens);
+        visitor("finishReason", message.finishReason);
+        visitor("contentType", message.contentType);
     }
 };
 
@@ -139,6 +144,25 @@
     }
 };
 
+template <> struct PeerFields<UpstreamReport> {
+    template <typename Visitor, typename Message> static void visit(Visitor& visitor, Message& message)
+    {
+        visitor("upstream", message.upstream);
+        visitor("fencingNumber", message.fencingNumber);
+        visitor("running", message.running);
+        visitor("queued", message.queued);
+        visitor("residents", message.residents);
+    }
+};
+
+template <> struct PeerFields<UpstreamReports> {
+    static constexpr const char* type = "UpstreamReports";
+    template <typename Visitor, typename Message> static void visit(Visitor& visitor, Message& message)
+    {
+        visitor("upstreams", message.upstreams);
+    }
+};
+
 template <> struct PeerFields<ConfigFetch> {
     static constexpr const char* type = "ConfigFetch";
     template <typename Visitor, typename Message> static void visit(Visitor& visitor, Message& message)
--- a/src/state/peer_messages.h
+++ b/src/state/peer_messages.h
@@ -62,7 +62,11 @@
     RouteId route;
     AdapterId adapter;
     AdapterVersion version;
+    /// Base model of the adapter.
+    ModelId model;
     UpstreamId upstream;
+    /// The most tokens that the request may cost.
+    Tokens cost;
     RequestClass requestClass = RequestClass::Interactive;
     /// Time left in which the request must have started, in milliseconds.
     int64_t deadlineMs = 0;
@@ -72,7 +76,9 @@
     bool repeatable = true;
     /// Method and path for a plain service; empty for a model engine.
     std::string method;
+    /// Path with query; for a model engine the caller's path, which tells the kind of completion.
     std::string path;
+    std::string contentType;
     std::string body;
 };
 
@@ -97,6 +103,10 @@
     int64_t retryAfterMs = 0;
     int64_t promptTokens = 0;
     int64_t generatedTokens = 0;
+    /// Why an engine stopped to generate: "stop" or "length".
+    std::string finishReason;
+    /// Of a plain service's answer.
+    std::string contentType;
 };
 
 /// Cancels a request because its caller left.
@@ -139,6 +149,23 @@
     std::vector<TokenAmount> unused;
 };
 
+/// What the owner of an upstream tells entries about it.
+struct UpstreamReport {
+    UpstreamId upstream;
+    FencingNumber fencingNumber;
+    /// Requests that run on the upstream or wait at its owner.
+    int64_t running = 0;
+    int64_t queued = 0;
+    /// Resident adapters as "adapter@version".
+    std::vector<std::string> residents;
+};
+
+/// Sent when an owner's upstreams change, at most every few hundred milliseconds.
+struct UpstreamReports {
+    /// All upstreams that the sender owns; others it owns no more.
+    std::vector<UpstreamReport> upstreams;
+};
+
 /// Asks a peer for a configuration.
 struct ConfigFetch {
     ContentHash hash;
@@ -156,7 +183,7 @@
 };
 
 using PeerMessage = std::variant<Heartbeat, HeartbeatAck, RunRequest, RunChunk, RunEnd, RunCancel, RunWindow,
-    AllotAsk, AllotGrant, AllotReturn, ConfigFetch, ConfigData, Goodbye>;
+    AllotAsk, AllotGrant, AllotReturn, UpstreamReports, ConfigFetch, ConfigData, Goodbye>;
 
 /// Sends messages to peers. A message may be lost if its link breaks; on one link order is kept.
 class PeerMessenger {
