--- a/src/transport/socket_address.cc
+++ b/src/transport/socket_address.cc
@@ -24,6 +24,15 @@
     return sizeof(*v6);
 }
 
+std::optional<NativeAddress> toNative(const SocketAddress& address)
+{
+    NativeAddress native;
+    native.size = toSystemAddress(address, native.storage);
+    if (native.size == 0)
+        return std::nullopt;
+    return native;
+}
+
 SocketAddress fromSystemAddress(const sockaddr* address)
 {
     char text[INET6_ADDRSTRLEN] = "";
@@ -41,6 +50,15 @@
     return result;
 }
 
+SocketAddress boundAddress(int socket)
+{
+    NativeAddress native;
+    native.size = sizeof(native.storage);
+    if (getsockname(socket, native.pointer(), &native.size) != 0)
+        return {};
+    return fromSystemAddress(native.pointer());
+}
+
 void disableDelay(int socket)
 {
     const int enabled = 1;
