--- a/cmake/lacewing.cmake
+++ b/cmake/lacewing.cmake
@@ -18,7 +18,8 @@
   if(tests)
     add_executable(${folder}_test ${tests} ${CMAKE_SOURCE_DIR}/src/base/test_runner_test.cc)
     target_compile_definitions(${folder}_test PRIVATE BOOST_TEST_DYN_LINK
-      LACEWING_TESTDATA="${CMAKE_SOURCE_DIR}/testdata" LACEWING_BIN="${CMAKE_BINARY_DIR}/bin")
+      LACEWING_TESTDATA="${CMAKE_SOURCE_DIR}/testdata"
+      LACEWING_EXAMPLES="${CMAKE_SOURCE_DIR}/examples" LACEWING_BIN="${CMAKE_BINARY_DIR}/bin")
     target_link_libraries(${folder}_test PRIVATE lacewing_${folder} Boost::unit_test_framework)
     add_test(NAME ${folder} COMMAND ${folder}_test)
     set_tests_properties(${folder} PROPERTIES TIMEOUT 600)
