Add sessions with a guardian, leases and membership

Cause: daemons need exclusive ownership of upstreams and allotment partitions without a coordination service of their own (section 4.1 and 4.2 of the design page).

--- /dev/null
+++ b/src/coordination/guardian_duty.cc
@@ -0,0 +1,134 @@
+#include "coordination/guardian_duty.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+constexpr Duration tickInterval = std::chrono::milliseconds(500);
+/// A guardian that was itself paused finds all its wards silent; it gives them this time to be heard.
+constexpr Duration ownPause = std::chrono::seconds(2);
+constexpr Duration retryInterval = std::chrono::milliseconds(700);
+
+} // namespace
+
+GuardianDuty::GuardianDuty(HostId host, std::function<Incarnation()> incarnation, Duration guardTtl,
+    TableService& table, Scheduler& scheduler, SessionDirectory& directory, const SafetyRules& rules,
+    uint64_t seed)
+    : m_host(std::move(host))
+    , m_incarnation(std::move(incarnation))
+    , m_guardTtl(guardTtl)
+    , m_table(table)
+    , m_scheduler(scheduler)
+    , m_directory(directory)
+    , m_rules(rules)
+    , m_random(seed)
+    , m_timer(
+          scheduler, [] { return tickInterval; }, [this] { tick(); })
+    , m_lastTick(scheduler.now())
+{
+}
+
+bool GuardianDuty::promise(const HostId& peer, Incarnation incarnation)
+{
+    if (incarnation == Incarnation(0) || m_incarnation() == Incarnation(0))
+        return false;
+    Ward& known = ward(peer, incarnation);
+    if (known.incarnation != incarnation || !mayPromise(peer, known))
+        return false;
+    known.ending = false;
+    known.promisedAt = m_scheduler.now();
+    return true;
+}
+
+void GuardianDuty::tick()
+{
+    const MonotonicTime now = m_scheduler.now();
+    if (now - m_lastTick > ownPause)
+        m_graceUntil = now + ownPause;
+    m_lastTick = now;
+    if (now < m_graceUntil)
+        return;
+    for (const auto& [host, entry] : m_directory.entries())
+        consider(entry, now);
+}
+
+void GuardianDuty::consider(const SessionEntry& entry, MonotonicTime now)
+{
+    if (entry.row.host == m_host || entry.row.state == SessionState::Ended || !mayEnd(entry, now))
+        return;
+    const Ward& known = ward(entry.row.host, entry.row.incarnation);
+    if (known.incarnation == entry.row.incarnation && !known.calling && now >= known.retryAt)
+        endSession(entry);
+}
+
+bool GuardianDuty::mayEnd(const SessionEntry& entry, MonotonicTime now)
+{
+    if (now - entry.firstSeen >= m_rules.promise(entry.row.ttl))
+        return true;
+    const Incarnation self = m_incarnation();
+    if (entry.row.guardian != m_host || entry.row.guardianIncarnation != self || self == Incarnation(0))
+        return false;
+    const Ward& known = ward(entry.row.host, entry.row.incarnation);
+    return now - std::max(known.promisedAt, entry.firstSeen) >= m_rules.promise(m_guardTtl);
+}
+
+GuardianDuty::Ward& GuardianDuty::ward(const HostId& host, Incarnation incarnation)
+{
+    Ward& known = m_wards[host];
+    if (known.incarnation < incarnation) {
+        const bool calling = known.calling;
+        known = Ward {};
+        known.incarnation = incarnation;
+        known.calling = calling;
+    }
+    return known;
+}
+
+void GuardianDuty::endSession(const SessionEntry& entry)
+{
+    const HostId host = entry.row.host;
+    Ward& known = ward(host, entry.row.incarnation);
+    known.ending = true;
+    known.calling = true;
+    known.endingVersion = entry.version;
+    LogEvent(LogLevel::Warning, "session_ending")
+        .with("host", host)
+        .with("incarnation", entry.row.incarnation)
+        .with("by", m_host);
+    SessionRow row = entry.row;
+    row.state = SessionState::Ended;
+    TableTransaction transaction;
+    transaction.writeId = m_host.value() + "/" + std::to_string(m_incarnation().value()) + "/g"
+        + std::to_string(++m_writeCount) + "/" + std::to_string(m_random.next());
+    transaction.conditions = { { sessionKey(host), entry.version } };
+    transaction.writes = { { sessionKey(host), encode(row) } };
+    m_table.commit(std::move(transaction),
+        m_lifetime.guard([this, host](std::optional<TableError>) { endingAnswered(host); }));
+}
+
+void GuardianDuty::endingAnswered(const HostId& host)
+{
+    Ward& known = m_wards[host];
+    known.calling = false;
+    known.retryAt = m_scheduler.now() + retryInterval
+        + Duration(static_cast<int64_t>(m_random.uniform() * static_cast<double>(retryInterval.count())));
+    // After an answer of Unavailable the promise could be renewed, but an earlier attempt may have had no
+    // answer. So only a newer version of the row, which defeats all attempts, allows new promises.
+    m_directory.refresh(host);
+}
+
+bool GuardianDuty::mayPromise(const HostId& host, const Ward& known) const
+{
+    if (!known.ending)
+        return true;
+    const SessionEntry* entry = m_directory.find(host);
+    return entry && entry->row.incarnation == known.incarnation && entry->row.state != SessionState::Ended
+        && entry->version > known.endingVersion;
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/coordination/guardian_duty.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "base/lifetime.h"
+#include "base/periodic_timer.h"
+#include "base/random.h"
+#include "coordination/safety_rules.h"
+#include "coordination/session_directory.h"
+#include "state/table_service.h"
+
+#include <map>
+
+namespace lacewing {
+
+/// Ends sessions of other daemons: of those that name this daemon as guardian and are silent, and of those
+/// whose row was unchanged for its ttl.
+///
+/// Every acknowledgement to any peer is a promise, whether or not the peer's row names this daemon yet. So a
+/// newly named guardian counts for the holder at once, without waiting until it has read the row.
+class GuardianDuty {
+public:
+    /// All references must outlive the object.
+    ///
+    /// @param self this daemon's current host and incarnation (0 without a session).
+    GuardianDuty(HostId host, std::function<Incarnation()> incarnation, Duration guardTtl,
+        TableService& table, Scheduler& scheduler, SessionDirectory& directory, const SafetyRules& rules,
+        uint64_t seed);
+
+    void start() { m_timer.start(); }
+
+    /// Called for each heartbeat, right before it is acknowledged.
+    ///
+    /// @return the value for HeartbeatAck::guarding: true promises not to end this incarnation's session for
+    /// the guard time from now.
+    bool promise(const HostId& peer, Incarnation incarnation);
+
+private:
+    struct Ward {
+        Incarnation incarnation;
+        MonotonicTime promisedAt {};
+        /// An attempt to end the session was made and may have succeeded or may still succeed.
+        bool ending = false;
+        bool calling = false;
+        /// Row version that the attempt depends on.
+        RowVersion endingVersion;
+        MonotonicTime retryAt {};
+    };
+
+    void tick();
+    void consider(const SessionEntry& entry, MonotonicTime now);
+    bool mayEnd(const SessionEntry& entry, MonotonicTime now);
+    Ward& ward(const HostId& host, Incarnation incarnation);
+    void endSession(const SessionEntry& entry);
+    void endingAnswered(const HostId& host);
+    bool mayPromise(const HostId& host, const Ward& known) const;
+
+    HostId m_host;
+    std::function<Incarnation()> m_incarnation;
+    Duration m_guardTtl;
+    TableService& m_table;
+    Scheduler& m_scheduler;
+    SessionDirectory& m_directory;
+    const SafetyRules& m_rules;
+    Random m_random;
+    PeriodicTimer m_timer;
+    MonotonicTime m_lastTick {};
+    MonotonicTime m_graceUntil {};
+    std::map<HostId, Ward> m_wards;
+    uint64_t m_writeCount = 0;
+    Lifetime m_lifetime;
+};
+
+} // namespace lacewing
--- /dev/null
+++ b/src/coordination/host_ranking.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "base/random.h"
+#include "coordination/fleet_member.h"
+
+#include <string>
+#include <vector>
+
+namespace lacewing {
+
+/// One line of the answer to GET /v1/hosts.
+struct RankedHost {
+    HostId host;
+    std::string address;
+    DataCentreId dataCentre;
+    /// Share of callers that should use the host, relative to the others.
+    double weight = 0;
+};
+
+/// Ranks hosts for callers: those of the caller's data centre first, within a data centre in random order
+/// weighted by load. Leaving hosts and hosts that don't answer are omitted.
+class HostRanking {
+public:
+    /// How long callers may keep an answer.
+    static constexpr Duration lifetime = std::chrono::seconds(5);
+
+    /// @param member must outlive the object.
+    HostRanking(FleetMember& member, uint64_t seed)
+        : m_member(member)
+        , m_random(seed)
+    {
+    }
+
+    /// @param caller data centre of the caller; empty if it is not known.
+    std::vector<RankedHost> rank(const DataCentreId& caller);
+
+private:
+    FleetMember& m_member;
+    Random m_random;
+};
+
+} // namespace lacewing
--- /dev/null
+++ b/src/coordination/lease_manager.h
@@ -0,0 +1,180 @@
+#pragma once
+
+#include "base/lifetime.h"
+#include "base/periodic_timer.h"
+#include "base/random.h"
+#include "coordination/backoff.h"
+#include "coordination/lease_assignment.h"
+#include "coordination/lease_row.h"
+#include "coordination/safety_rules.h"
+#include "coordination/session_directory.h"
+#include "coordination/session_manager.h"
+#include "state/table_service.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lacewing {
+
+struct LeaseSettings {
+    /// A holder hands over when another daemon was preferred for this long.
+    Duration handOverDelay = std::chrono::seconds(5);
+    /// Time after the start in which nothing is taken, so that daemons that start together share the leases
+    /// instead of handing them over later.
+    Duration startDelay = std::chrono::milliseconds(1500);
+};
+
+/// Hears of changes of this daemon's leases.
+class LeaseListener {
+public:
+    virtual ~LeaseListener() = default;
+
+    virtual void leaseAcquired(const std::string& name, FencingNumber fencingNumber) = 0;
+    /// The lease is gone, by release or because the session ended. Nothing may be done under it any more.
+    virtual void leaseLost(const std::string& name) = 0;
+    /// Another daemon should hold the lease, or none if it is not configured any more. The listener finishes
+    /// its work under the lease and calls LeaseManager::release().
+    virtual void handOverWanted(const std::string& name) = 0;
+};
+
+/// What the fleet looks like to the lease manager.
+class LeaseFleetView {
+public:
+    virtual ~LeaseFleetView() = default;
+
+    /// @return the daemons that may hold leases. It includes this daemon only if it may take some.
+    virtual std::vector<LeaseHost> leaseHosts() const = 0;
+    /// @return whether a peer answers now.
+    virtual bool isAlive(const HostId& peer) const = 0;
+    /// @return daemons of the fleet, at least 1.
+    virtual size_t fleetSize() const = 0;
+};
+
+/// Takes, holds and hands over leases on behalf of this daemon's session (section 4.1 of docs/design.md).
+///
+/// One table operation runs at a time, so that no answer is older than the operation before it.
+class LeaseManager : public SessionListener {
+public:
+    /// All references must outlive the manager.
+    LeaseManager(LeaseSettings settings, SessionManager& session, SessionDirectory& directory,
+        TableService& table, Scheduler& scheduler, const LeaseAssignment& assignment,
+        const LeaseFleetView& fleet, const SafetyRules& rules, LeaseListener& listener, uint64_t seed);
+
+    void start();
+    /// Sets which leases exist. This daemon takes those that it is the preferred holder of.
+    void setNames(std::vector<LeaseName> names);
+    /// Looks at the fleet again; called after changes of peers or sessions.
+    void fleetChanged();
+
+    /// @return whether this daemon holds the lease and may act under it now and for at least the margin.
+    bool mayAct(const std::string& name, Duration margin = Duration::zero());
+    /// @return the fencing number of a lease that is held.
+    std::optional<FencingNumber> fencingNumber(const std::string& name) const;
+    /// @return the names and fencing numbers of the leases that are held, whether or not the session is
+    /// valid.
+    std::map<std::string, FencingNumber> held() const;
+
+    /// Gives a lease up. It can be taken by another daemon at once.
+    void release(const std::string& name);
+    /// Gives all leases up and takes no more.
+    ///
+    /// @param done is called when all rows are written, or when the session has ended.
+    void releaseAll(std::function<void()> done);
+
+    /// @return who holds the lease as far as is known, or nothing. Between two reads of the rows the answer
+    /// may be out of date.
+    std::optional<LeaseRow> holderOf(const std::string& name) const;
+    /// @return who should hold the lease; empty if there is no daemon for it.
+    HostId preferredHolder(const std::string& name) const;
+    /// Counts changes of held().
+    uint64_t changeCount() const { return m_changeCount; }
+
+    void sessionEnded() override;
+
+private:
+    struct HeldLease {
+        FencingNumber fencingNumber;
+        /// Since when another daemon is preferred.
+        std::optional<MonotonicTime> foreignSince;
+        bool handOverAsked = false;
+    };
+    struct KnownLease {
+        LeaseRow row;
+        RowVersion version;
+    };
+    /// A transaction that takes leases.
+    struct Take {
+        TableTransaction transaction;
+        std::vector<std::pair<std::string, LeaseRow>> leases;
+    };
+
+    void tick();
+    void work();
+    void updatePreferred();
+    void considerHandOver();
+    void considerHandOver(const std::string& name, HeldLease& lease, MonotonicTime now);
+    std::vector<std::string> wantedNames() const;
+    bool mayTake();
+
+    void poll();
+    void polled(const std::vector<std::string>& names, const std::vector<TableRow>& rows);
+    std::vector<std::string> pollKeys(const std::vector<std::string>& names) const;
+    void takeFree(const std::vector<std::string>& names);
+    void addToTake(Take& take, const std::string& name);
+    bool holderIsGone(const LeaseRow& row, std::vector<TableCondition>& conditions) const;
+    void taken(const Take& take, std::optional<TableError> error);
+    void listAll();
+
+    void writeReleases();
+    void commitReleases(const std::vector<TableRow>& rows);
+    void released(const std::string& name);
+    void finishReleaseAll();
+
+    void learn(const TableRow& row);
+    void adopt(const std::string& name, FencingNumber fencingNumber);
+    bool isMine(const LeaseRow& row) const;
+    template <typename Function> auto answer(Function function);
+    std::string newWriteId();
+    Duration jittered(Duration interval);
+    void failed();
+
+    LeaseSettings m_settings;
+    SessionManager& m_session;
+    SessionDirectory& m_directory;
+    TableService& m_table;
+    Scheduler& m_scheduler;
+    const LeaseAssignment& m_assignment;
+    const LeaseFleetView& m_fleet;
+    const SafetyRules& m_rules;
+    LeaseListener& m_listener;
+    Random m_random;
+    Backoff m_backoff;
+    PeriodicTimer m_timer;
+
+    std::vector<LeaseName> m_names;
+    std::vector<LeaseHost> m_hosts;
+    std::map<std::string, HostId> m_preferred;
+    std::map<std::string, HeldLease> m_held;
+    std::set<std::string> m_releasing;
+    std::map<std::string, KnownLease> m_known;
+    std::function<void()> m_releasedAll;
+    bool m_busy = false;
+    bool m_stopping = false;
+    bool m_namesChanged = false;
+    size_t m_batchSize;
+    MonotonicTime m_startedAt {};
+    MonotonicTime m_wantedSince {};
+    MonotonicTime m_nextPoll {};
+    MonotonicTime m_nextList {};
+    MonotonicTime m_retryAt {};
+    /// Distinguishes answers to calls made for an earlier session.
+    uint64_t m_epoch = 0;
+    uint64_t m_writeCount = 0;
+    uint64_t m_changeCount = 0;
+    Lifetime m_lifetime;
+};
+
+} // namespace lacewing
--- /dev/null
+++ b/src/coordination/membership.cc
@@ -0,0 +1,327 @@
+#include "coordination/membership.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+constexpr Duration shortestReconnect = std::chrono::milliseconds(500);
+constexpr Duration longestReconnect = std::chrono::seconds(4);
+/// Longer than any acknowledgement can be of use for.
+constexpr size_t rememberedHeartbeats = 32;
+/// Ended sessions may be rows of hosts that are gone for good. Those that lost their session a short time ago
+/// still keep their links, since a living daemon starts a new incarnation within seconds.
+constexpr Duration endedLinkTime = std::chrono::seconds(30);
+
+uint64_t ringPosition(const HostId& host)
+{
+    uint64_t hash = 0xcbf29ce484222325ULL;
+    for (const char c : host.value())
+        hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+    return Random(hash).next();
+}
+
+} // namespace
+
+Membership::Membership(MembershipSettings settings, Scheduler& scheduler, PeerMessenger& messenger,
+    PeerConnector& connector, SessionDirectory& directory, std::function<LocalStatus()> status,
+    std::function<Incarnation()> incarnation, std::function<bool()> tableUp, uint64_t seed)
+    : m_settings(std::move(settings))
+    , m_scheduler(scheduler)
+    , m_messenger(messenger)
+    , m_connector(connector)
+    , m_directory(directory)
+    , m_status(std::move(status))
+    , m_incarnation(std::move(incarnation))
+    , m_tableUp(std::move(tableUp))
+    , m_random(seed)
+    , m_timer(
+          scheduler, [this] { return m_settings.heartbeatInterval; }, [this] { tick(); })
+{
+    for (const PeerSeed& seedPeer : m_settings.seeds) {
+        if (seedPeer.host != m_settings.host)
+            peer(seedPeer.host).address = seedPeer.address;
+    }
+    m_directory.addListener([this](const SessionEntry& entry) { sessionSeen(entry); });
+}
+
+void Membership::start()
+{
+    m_timer.start();
+    updateLinks();
+}
+
+void Membership::connected(const HostId& host)
+{
+    PeerInfo& info = peer(host);
+    info.linked = true;
+    info.tried = true;
+    info.lastAnswer = m_scheduler.now();
+    Attempt& tried = attempt(host);
+    tried.connecting = false;
+    tried.backoff.reset();
+    setState(info, PeerState::Alive);
+    m_messenger.send(host, makeHeartbeat());
+}
+
+void Membership::disconnected(const HostId& host, DisconnectReason reason)
+{
+    PeerInfo& info = peer(host);
+    info.linked = false;
+    Attempt& tried = attempt(host);
+    tried.connecting = false;
+    tried.notBefore = m_scheduler.now() + tried.backoff.afterFailure(m_random);
+    // A refusal shows that no process listens; after a goodbye, a link that breaks adds nothing.
+    if (reason == DisconnectReason::Refused || info.state == PeerState::Stopped)
+        setState(info, PeerState::Stopped);
+    else
+        setState(info, PeerState::Unreachable);
+}
+
+void Membership::heartbeatReceived(const HostId& host, const Heartbeat& heartbeat, bool guarding)
+{
+    PeerInfo& info = peer(host);
+    const bool changed = info.incarnation != heartbeat.incarnation || info.daemonState != heartbeat.state;
+    info.incarnation = heartbeat.incarnation;
+    info.daemonState = heartbeat.state;
+    info.revision = heartbeat.revision;
+    info.configurationHash = heartbeat.configurationHash;
+    info.headAgeMs = heartbeat.headAgeMs;
+    info.headAgeAt = m_scheduler.now();
+    info.tableUp = heartbeat.tableUp;
+    info.load = heartbeat.load;
+    const LocalStatus status = m_status();
+    HeartbeatAck ack;
+    ack.seq = heartbeat.seq;
+    ack.incarnation = m_incarnation();
+    ack.peerIncarnation = heartbeat.incarnation;
+    ack.guarding = guarding;
+    ack.revision = status.revision;
+    ack.configurationHash = status.configurationHash;
+    ack.headAgeMs = status.headAgeMs;
+    ack.tableUp = m_tableUp();
+    m_messenger.send(host, ack);
+    if (changed)
+        notify(info);
+}
+
+std::optional<MonotonicTime> Membership::ackReceived(const HostId& host, const HeartbeatAck& ack)
+{
+    PeerInfo& info = peer(host);
+    info.lastAnswer = m_scheduler.now();
+    info.incarnation = std::max(info.incarnation, ack.incarnation);
+    info.revision = ack.revision;
+    info.configurationHash = ack.configurationHash;
+    info.headAgeMs = ack.headAgeMs;
+    info.headAgeAt = m_scheduler.now();
+    info.tableUp = ack.tableUp;
+    if (info.linked && info.state != PeerState::Stopped)
+        setState(info, PeerState::Alive);
+    for (const auto& [seq, sentAt] : m_sent) {
+        if (seq == ack.seq)
+            return sentAt;
+    }
+    return std::nullopt;
+}
+
+void Membership::goodbyeReceived(const HostId& host, const Goodbye& goodbye)
+{
+    PeerInfo& info = peer(host);
+    if (goodbye.incarnation >= info.incarnation)
+        setState(info, PeerState::Stopped);
+}
+
+void Membership::sayGoodbye()
+{
+    for (const auto& [host, info] : m_peers) {
+        if (info.linked)
+            m_messenger.send(host, Goodbye { m_incarnation() });
+    }
+}
+
+void Membership::use(const HostId& host)
+{
+    if (++m_uses[host] == 1)
+        updateLinks();
+}
+
+void Membership::unuse(const HostId& host)
+{
+    const auto found = m_uses.find(host);
+    if (found != m_uses.end() && --found->second == 0)
+        m_uses.erase(found);
+}
+
+const PeerInfo* Membership::find(const HostId& host) const
+{
+    const auto found = m_peers.find(host);
+    return found == m_peers.end() ? nullptr : &found->second;
+}
+
+size_t Membership::fleetSize() const
+{
+    return m_directory.activeCountExcept(m_settings.host) + 1;
+}
+
+void Membership::tick()
+{
+    updateStates();
+    updateLinks();
+    sendHeartbeats();
+}
+
+void Membership::sendHeartbeats()
+{
+    const Heartbeat heartbeat = makeHeartbeat();
+    for (const auto& [host, info] : m_peers) {
+        if (info.linked)
+            m_messenger.send(host, heartbeat);
+    }
+}
+
+Heartbeat Membership::makeHeartbeat()
+{
+    const LocalStatus status = m_status();
+    Heartbeat heartbeat;
+    heartbeat.seq = ++m_seq;
+    heartbeat.incarnation = m_incarnation();
+    heartbeat.state = status.state;
+    heartbeat.revision = status.revision;
+    heartbeat.configurationHash = status.configurationHash;
+    heartbeat.headAgeMs = status.headAgeMs;
+    heartbeat.tableUp = m_tableUp();
+    heartbeat.load = status.load;
+    m_sent.emplace_back(heartbeat.seq, m_scheduler.now());
+    if (m_sent.size() > rememberedHeartbeats)
+        m_sent.pop_front();
+    return heartbeat;
+}
+
+void Membership::updateStates()
+{
+    const MonotonicTime now = m_scheduler.now();
+    for (auto& [host, info] : m_peers) {
+        if (info.linked && info.state == PeerState::Alive && now - info.lastAnswer >= m_settings.silenceBound)
+            setState(info, PeerState::Paused);
+        if (info.state == PeerState::Alive || !info.tried)
+            continue;
+        const SessionEntry* entry = m_directory.find(host);
+        // Its guardian needs the newest version of the row, and everyone else is to hear of the end soon.
+        if (entry && entry->row.state != SessionState::Ended
+            && now - info.stateSince < m_settings.silenceBound * 10)
+            m_directory.refresh(host);
+    }
+}
+
+void Membership::updateLinks()
+{
+    const std::set<HostId> wanted = wantedLinks();
+    for (auto& [host, info] : m_peers)
+        updateLink(info, wanted.count(host) != 0);
+}
+
+void Membership::updateLink(PeerInfo& info, bool wanted)
+{
+    Attempt& tried = attempt(info.host);
+    if (!wanted || info.linked || tried.connecting || info.address.empty()
+        || m_scheduler.now() < tried.notBefore)
+        return;
+    tried.connecting = true;
+    info.tried = true;
+    m_connector.connect(info.host, info.address);
+}
+
+std::set<HostId> Membership::wantedLinks() const
+{
+    std::set<HostId> wanted;
+    std::vector<HostId> hosts;
+    for (const auto& [host, info] : m_peers) {
+        if (isCandidate(host))
+            hosts.push_back(host);
+        if (m_uses.count(host) != 0)
+            wanted.insert(host);
+    }
+    if (hosts.size() + 1 <= m_settings.fullMeshLimit)
+        wanted.insert(hosts.begin(), hosts.end());
+    else
+        addRingNeighbours(std::move(hosts), wanted);
+    return wanted;
+}
+
+void Membership::addRingNeighbours(std::vector<HostId> hosts, std::set<HostId>& wanted) const
+{
+    std::vector<std::pair<uint64_t, HostId>> ring;
+    ring.reserve(hosts.size());
+    for (const HostId& host : hosts)
+        ring.emplace_back(ringPosition(host), host);
+    std::sort(ring.begin(), ring.end());
+    const std::pair<uint64_t, HostId> self(ringPosition(m_settings.host), m_settings.host);
+    const auto after = static_cast<size_t>(std::lower_bound(ring.begin(), ring.end(), self) - ring.begin());
+    const size_t side = std::min(m_settings.ringNeighbours / 2, ring.size() / 2);
+    for (size_t step = 0; step < side; ++step) {
+        wanted.insert(ring[(after + step) % ring.size()].second);
+        wanted.insert(ring[(after + ring.size() - 1 - step) % ring.size()].second);
+    }
+}
+
+bool Membership::isCandidate(const HostId& host) const
+{
+    const SessionEntry* entry = m_directory.find(host);
+    if (entry) {
+        return entry->row.state != SessionState::Ended
+            || m_scheduler.now() - entry->firstSeen < endedLinkTime;
+    }
+    return !m_directory.isLoaded();
+}
+
+void Membership::sessionSeen(const SessionEntry& entry)
+{
+    if (entry.row.host == m_settings.host)
+        return;
+    PeerInfo& info = peer(entry.row.host);
+    info.address = entry.row.address;
+    info.dataCentre = entry.row.dataCentre;
+    info.region = entry.row.region;
+    if (entry.row.incarnation > info.incarnation && info.state == PeerState::Stopped)
+        attempt(entry.row.host).notBefore = MonotonicTime {};
+    notify(info);
+}
+
+void Membership::setState(PeerInfo& info, PeerState state)
+{
+    if (info.state == state)
+        return;
+    LogEvent(LogLevel::Info, "peer_state_changed")
+        .with("host", m_settings.host)
+        .with("peer", info.host)
+        .with("from", toString(info.state))
+        .with("to", toString(state));
+    info.state = state;
+    info.stateSince = m_scheduler.now();
+    notify(info);
+}
+
+void Membership::notify(const PeerInfo& info)
+{
+    for (const Listener& listener : m_listeners)
+        listener(info);
+}
+
+PeerInfo& Membership::peer(const HostId& host)
+{
+    PeerInfo& info = m_peers[host];
+    info.host = host;
+    return info;
+}
+
+Membership::Attempt& Membership::attempt(const HostId& host)
+{
+    return m_attempts.try_emplace(host, Attempt { Backoff(shortestReconnect, longestReconnect) })
+        .first->second;
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/coordination/membership.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "base/lifetime.h"
+#include "base/periodic_timer.h"
+#include "base/random.h"
+#include "coordination/backoff.h"
+#include "coordination/peer_info.h"
+#include "coordination/session_directory.h"
+#include "state/peer_messages.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace lacewing {
+
+/// Makes links to peers. Attempts end with Membership::connected() or Membership::disconnected().
+class PeerConnector {
+public:
+    virtual ~PeerConnector() = default;
+
+    virtual void connect(const HostId& peer, const std::string& address) = 0;
+    virtual void disconnect(const HostId& peer) = 0;
+};
+
+/// A peer from the settings.
+struct PeerSeed {
+    HostId host;
+    std::string address;
+};
+
+struct MembershipSettings {
+    HostId host;
+    std::vector<PeerSeed> seeds;
+    Duration heartbeatInterval = std::chrono::seconds(1);
+    /// A linked peer that has not answered for this long counts as paused.
+    Duration silenceBound = std::chrono::seconds(3);
+    /// Up to this many daemons all are linked with each other.
+    size_t fullMeshLimit = 16;
+    /// Neighbours on the ring in a larger fleet, half of them on each side.
+    size_t ringNeighbours = 8;
+};
+
+/// The peers of this daemon: which to link with, and in which state each is (section 4.2 of docs/design.md).
+class Membership {
+public:
+    using Listener = std::function<void(const PeerInfo& peer)>;
+
+    /// All references must outlive the object.
+    ///
+    /// @param status describes this daemon; asked for each heartbeat.
+    /// @param incarnation this daemon's current incarnation, 0 without a session.
+    /// @param tableUp whether the last call to the table reached it.
+    Membership(MembershipSettings settings, Scheduler& scheduler, PeerMessenger& messenger,
+        PeerConnector& connector, SessionDirectory& directory, std::function<LocalStatus()> status,
+        std::function<Incarnation()> incarnation, std::function<bool()> tableUp, uint64_t seed);
+
+    void start();
+
+    void connected(const HostId& peer);
+    void disconnected(const HostId& peer, DisconnectReason reason);
+
+    /// Records a heartbeat and acknowledges it.
+    ///
+    /// @param guarding the value for HeartbeatAck::guarding.
+    void heartbeatReceived(const HostId& peer, const Heartbeat& heartbeat, bool guarding);
+    /// Records an acknowledgement.
+    ///
+    /// @return when the acknowledged heartbeat was sent, or nothing if it is not known any more.
+    std::optional<MonotonicTime> ackReceived(const HostId& peer, const HeartbeatAck& ack);
+    void goodbyeReceived(const HostId& peer, const Goodbye& goodbye);
+
+    /// Sends a heartbeat at once, because the state in it has changed.
+    void announce() { sendHeartbeats(); }
+    /// Tells all linked peers that this daemon stops.
+    void sayGoodbye();
+
+    /// Keeps a link to a peer in a fleet beyond the full-mesh limit. Calls are counted.
+    void use(const HostId& peer);
+    void unuse(const HostId& peer);
+
+    const std::map<HostId, PeerInfo>& peers() const { return m_peers; }
+    /// @return nullptr for an unknown peer.
+    const PeerInfo* find(const HostId& peer) const;
+    /// @return sessions of the fleet that have not ended, with this daemon's own; at least 1.
+    size_t fleetSize() const;
+    /// @param listener is called after each change of a peer's state, incarnation or daemon state.
+    void addListener(Listener listener) { m_listeners.push_back(std::move(listener)); }
+
+private:
+    struct Attempt {
+        Backoff backoff;
+        MonotonicTime notBefore {};
+        bool connecting = false;
+    };
+
+    void tick();
+    void sendHeartbeats();
+    Heartbeat makeHeartbeat();
+    void updateStates();
+    void updateLinks();
+    void updateLink(PeerInfo& peer, bool wanted);
+    std::set<HostId> wantedLinks() const;
+    void addRingNeighbours(std::vector<HostId> hosts, std::set<HostId>& wanted) const;
+    bool isCandidate(const HostId& host) const;
+    void sessionSeen(const SessionEntry& entry);
+    void setState(PeerInfo& peer, PeerState state);
+    void notify(const PeerInfo& peer);
+    PeerInfo& peer(const HostId& host);
+    Attempt& attempt(const HostId& host);
+
+    MembershipSettings m_settings;
+    Scheduler& m_scheduler;
+    PeerMessenger& m_messenger;
+    PeerConnector& m_connector;
+    SessionDirectory& m_directory;
+    std::function<LocalStatus()> m_status;
+    std::function<Incarnation()> m_incarnation;
+    std::function<bool()> m_tableUp;
+    Random m_random;
+    PeriodicTimer m_timer;
+    std::map<HostId, PeerInfo> m_peers;
+    std::map<HostId, Attempt> m_attempts;
+    std::map<HostId, int> m_uses;
+    std::vector<Listener> m_listeners;
+    uint64_t m_seq = 0;
+    /// Sequence numbers and times of the last heartbeats.
+    std::deque<std::pair<uint64_t, MonotonicTime>> m_sent;
+};
+
+} // namespace lacewing
--- /dev/null
+++ b/src/coordination/peer_info.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "state/peer_messages.h"
+
+#include <string>
+
+namespace lacewing {
+
+/// What heartbeats show of a peer.
+enum class PeerState {
+    /// It answers heartbeats.
+    Alive,
+    /// The connection is open, but the peer does not answer.
+    Paused,
+    /// Connecting fails or times out, or no link was tried yet.
+    Unreachable,
+    /// The connection is refused, or the peer said goodbye.
+    Stopped,
+};
+
+/// @return the state's name in snake_case, for logs and metrics.
+constexpr const char* toString(PeerState state)
+{
+    switch (state) {
+    case PeerState::Alive:
+        return "alive";
+    case PeerState::Paused:
+        return "paused";
+    case PeerState::Unreachable:
+        return "unreachable";
+    case PeerState::Stopped:
+        return "stopped";
+    }
+    return "invalid";
+}
+
+/// Why a link ended or could not be made.
+enum class DisconnectReason {
+    Refused,
+    Unreachable,
+};
+
+/// How this daemon describes itself in heartbeats.
+struct LocalStatus {
+    DaemonState state = DaemonState::Starting;
+    Revision revision;
+    ContentHash configurationHash;
+    int64_t headAgeMs = 0;
+    int64_t load = 0;
+};
+
+/// A peer as this daemon sees it.
+struct PeerInfo {
+    HostId host;
+    std::string address;
+    DataCentreId dataCentre;
+    RegionId region;
+    PeerState state = PeerState::Unreachable;
+    bool linked = false;
+    /// Whether a link was ever made or attempted. In a large fleet most peers are known by their rows only.
+    bool tried = false;
+    /// When it entered its state.
+    MonotonicTime stateSince {};
+    /// When its last answer to a heartbeat arrived.
+    MonotonicTime lastAnswer {};
+    /// From its last message; 0 while it has no session.
+    Incarnation incarnation;
+    DaemonState daemonState = DaemonState::Starting;
+    Revision revision;
+    ContentHash configurationHash;
+    int64_t headAgeMs = 0;
+    /// When headAgeMs was received.
+    MonotonicTime headAgeAt {};
+    bool tableUp = false;
+    int64_t load = 0;
+};
+
+} // namespace lacewing
--- /dev/null
+++ b/src/coordination/session_manager.h
@@ -0,0 +1,176 @@
+#pragma once
+
+#include "base/lifetime.h"
+#include "base/periodic_timer.h"
+#include "base/random.h"
+#include "coordination/backoff.h"
+#include "coordination/safety_rules.h"
+#include "coordination/session_directory.h"
+#include "coordination/session_row.h"
+#include "state/peer_messages.h"
+#include "state/table_service.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace lacewing {
+
+struct SessionSettings {
+    HostId host;
+    DataCentreId dataCentre;
+    RegionId region;
+    std::string address;
+    Duration guardTtl = std::chrono::seconds(6);
+    /// A guardian that has not acknowledged for this long is replaced.
+    Duration guardianPatience = std::chrono::seconds(2);
+    Duration ttl = std::chrono::minutes(20);
+    Duration renewInterval = std::chrono::minutes(5);
+    /// For a session without a guardian.
+    Duration soloTtl = std::chrono::seconds(10);
+    Duration soloRenewInterval = std::chrono::seconds(3);
+    /// A daemon whose guardian is silent and that reaches no other peer goes on without a guardian only after
+    /// this time. By then a living guardian has ended the session, so that a daemon that is cut off from its
+    /// peers but not from the table does not keep its leases.
+    Duration soloFallbackDelay = std::chrono::seconds(12);
+};
+
+/// A peer that answers and could guard this daemon's session.
+struct GuardianCandidate {
+    HostId host;
+    Incarnation incarnation;
+    DataCentreId dataCentre;
+    RegionId region;
+};
+
+/// Hears of changes of this daemon's own session.
+class SessionListener {
+public:
+    virtual ~SessionListener() = default;
+
+    virtual void sessionBecameValid() { }
+    /// The daemon must not act. The session may become valid again; what it holds is still its own.
+    virtual void sessionLostValidity() { }
+    /// The session is over for good, and with it all that it held.
+    virtual void sessionEnded() { }
+};
+
+/// This daemon's own session row (section 4.1 of docs/design.md).
+///
+/// A write whose answer is lost may have taken effect. Until that is settled by reading the row back, the
+/// session counts as valid only if it is so both under the row before the write and under the row after it.
+class SessionManager {
+public:
+    using Candidates = std::function<std::vector<GuardianCandidate>()>;
+
+    /// All references must outlive the manager.
+    ///
+    /// @param candidates peers that have answered within the guardian patience and are not leaving.
+    SessionManager(SessionSettings settings, TableService& table, Scheduler& scheduler,
+        SessionDirectory& directory, const SafetyRules& rules, Candidates candidates, uint64_t seed);
+
+    /// Creates the session as a new incarnation. The daemon's listening socket must be bound already: it is
+    /// the proof that the process of the earlier incarnation is gone.
+    void start();
+    /// Writes that the daemon is leaving. The session stays valid.
+    void leave();
+    /// Ends the session. All that it held must have been given up.
+    ///
+    /// @param done is called when the row is written.
+    void end(std::function<void()> done);
+
+    /// @return whether the daemon may act now and for at least the given time from now. It reads the clock,
+    /// so that a daemon notices that it was paused.
+    bool isValid(Duration margin = Duration::zero());
+
+    /// Records an acknowledged heartbeat.
+    ///
+    /// @param sentAt when this daemon sent the heartbeat.
+    void heartbeatAcknowledged(const HostId& peer, const HeartbeatAck& ack, MonotonicTime sentAt);
+
+    void addListener(SessionListener& listener) { m_listeners.push_back(&listener); }
+
+    /// @return the incarnation, or 0 while there is no session.
+    Incarnation incarnation() const { return m_confirmed ? m_confirmed->row.incarnation : Incarnation(0); }
+    /// @return the version of the row, or nothing while there is no session or a write is not settled.
+    std::optional<RowVersion> settledVersion() const;
+    /// @return the guardian named in the row; empty without one.
+    HostId guardian() const { return m_confirmed ? m_confirmed->row.guardian : HostId(); }
+    bool isLeaving() const { return m_leaving; }
+    /// @return whether another process has taken over this host's session. The daemon must stop then.
+    bool wasReplaced() const { return m_phase == Phase::Replaced; }
+    const SessionSettings& settings() const { return m_settings; }
+
+private:
+    enum class Phase { Idle, Creating, Live, Ending, Ended, Replaced };
+
+    struct Acknowledgement {
+        Incarnation incarnation;
+        MonotonicTime validFrom;
+        MonotonicTime receivedAt;
+    };
+    struct WrittenRow {
+        SessionRow row;
+        MonotonicTime sentAt;
+        RowVersion version;
+    };
+    struct PendingWrite {
+        WrittenRow written;
+        TableTransaction transaction;
+        RowVersion expectedVersion;
+        /// An attempt ended without an answer, so that later attempts can't disprove it.
+        bool uncertain = false;
+        /// It was read back as not written so far.
+        bool repeat = false;
+    };
+
+    void tick();
+    void create();
+    void maintain();
+    void write(SessionRow row, RowVersion expectedVersion);
+    void sendPending();
+    void committed(std::optional<TableError> error);
+    void readBack();
+    void settle(const std::vector<TableRow>& rows);
+    void pendingTookEffect(RowVersion version);
+    void settleForeignRow(const TableRow& row);
+    void callFailed();
+    void callSucceeded();
+    void ownRowSeen(const SessionEntry& entry);
+    void lose(Phase next);
+    void updateValidity();
+
+    MonotonicTime validUntil(const WrittenRow& written) const;
+    bool computeValid(Duration margin) const;
+    void chooseGuardian(SessionRow& row) const;
+    std::optional<GuardianCandidate> bestCandidate(const HostId& except) const;
+    int tier(const DataCentreId& dataCentre, const RegionId& region) const;
+    int guardianTier(const HostId& guardian) const;
+    bool guardianAnswers(const SessionRow& row) const;
+
+    SessionSettings m_settings;
+    TableService& m_table;
+    Scheduler& m_scheduler;
+    SessionDirectory& m_directory;
+    const SafetyRules& m_rules;
+    Candidates m_candidates;
+    Random m_random;
+    Backoff m_backoff;
+    PeriodicTimer m_timer;
+    std::vector<SessionListener*> m_listeners;
+    std::map<HostId, Acknowledgement> m_acknowledgements;
+    std::optional<WrittenRow> m_confirmed;
+    std::optional<PendingWrite> m_pending;
+    std::function<void()> m_ended;
+    Phase m_phase = Phase::Idle;
+    MonotonicTime m_retryAt {};
+    /// Distinguishes answers to calls made before the session was lost.
+    uint64_t m_epoch = 0;
+    uint64_t m_writeCount = 0;
+    bool m_calling = false;
+    bool m_leaving = false;
+    bool m_wasValid = false;
+    Lifetime m_lifetime;
+};
+
+} // namespace lacewing
