--- /dev/null
+++ b/src/fakes/fake_platform_main.cc
@@ -0,0 +1,54 @@
+#include "fakes/fake_program.h"
+#include "fakes/platform_http.h"
+
+#include <absl/flags/flag.h>
+
+ABSL_FLAG(std::string, listen, "127.0.0.1:0", "IP:PORT to listen on; port 0 takes a free one");
+ABSL_FLAG(double, loads_per_second, 2, "adapter loads that may start in a second");
+ABSL_FLAG(double, load_burst, 4, "adapter loads that may start at once after a quiet time");
+ABSL_FLAG(double, load_time_ms, 250, "duration of an adapter load, in milliseconds");
+ABSL_FLAG(int64_t, full_speed_loads, 8, "loads in flight up to which a load is not slowed down");
+ABSL_FLAG(double, host_list_lag_ms, 3000, "age of the host list, in milliseconds");
+ABSL_FLAG(uint64_t, seed, 1, "decides which answers are lost and which loads fail");
+
+using namespace lacewing;
+
+namespace {
+
+constexpr const char* description
+    = "Stand-in for the platform: table service, object store, weight store and host list.\n"
+      "The protocol is in docs/upstream-protocol.md. POST /control takes a JSON object of faults, GET /control\n"
+      "shows them, GET /metrics shows counters. Faults of each of table, objects, weights and hosts, for\n"
+      "example {\"table\":{\"down\":true}}:\n"
+      "  down          answers 503, nothing takes effect\n"
+      "  silent        accepts requests and never answers them; nothing takes effect\n"
+      "  slow_ms       delay of each call in milliseconds, half before and half after its effect\n"
+      "  lose_answers  probability that a write takes effect and its connection is closed without an answer\n"
+      "  fail          (weights) probability that a load fails after its time";
+
+Duration milliseconds(double value)
+{
+    return Duration(static_cast<int64_t>(value * 1e6));
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    startFakeProgram(argc, argv, "fake-platform", description);
+    PlatformOptions options;
+    options.weights.loadsPerSecond = absl::GetFlag(FLAGS_loads_per_second);
+    options.weights.burst = absl::GetFlag(FLAGS_load_burst);
+    options.weights.loadTime = milliseconds(absl::GetFlag(FLAGS_load_time_ms));
+    options.weights.fullSpeedLoads = absl::GetFlag(FLAGS_full_speed_loads);
+    options.hostListLag = milliseconds(absl::GetFlag(FLAGS_host_list_lag_ms));
+    options.seed = absl::GetFlag(FLAGS_seed);
+
+    EventLoop loop;
+    FaultSettings faults;
+    PlatformHttp platform(loop, options, faults);
+    FakeServer server(
+        loop, faults, [&] { return platform.metricsText(); },
+        [&](const std::shared_ptr<HttpExchange>& exchange) { platform.handle(exchange); });
+    return runFakeProgram(loop, server, absl::GetFlag(FLAGS_listen));
+}
--- /dev/null
+++ b/src/fakes/fake_server.cc
@@ -0,0 +1,112 @@
+#include "fakes/fake_server.h"
+
+#include "base/log.h"
+#include "fakes/json_fields.h"
+#include "fakes/silenceable_exchange.h"
+
+#include <utility>
+
+namespace lacewing {
+
+FakeServer::FakeServer(
+    EventLoop& loop, FaultSettings& faults, std::function<std::string()> metrics, Handler handler)
+    : m_loop(loop)
+    , m_faults(faults)
+    , m_metrics(std::move(metrics))
+    , m_handler(std::move(handler))
+    , m_held(loop)
+{
+}
+
+bool FakeServer::listen(const SocketAddress& address, std::string& error)
+{
+    m_options.address = address;
+    return startGroup(error);
+}
+
+bool FakeServer::startGroup(std::string& error)
+{
+    auto group = std::make_unique<Group>();
+    Group& accepted = *group;
+    group->server = HttpServer::listen(
+        m_loop, m_options,
+        [this, &accepted](const std::shared_ptr<HttpExchange>& exchange) { serve(accepted, exchange); },
+        [](const std::string& reason) {
+            LogEvent(LogLevel::Warning, "request_rejected").with("reason", reason);
+        },
+        error);
+    if (!group->server)
+        return false;
+    // Later groups must get the same port.
+    m_options.address = group->server->address();
+    m_groups.push_back(std::move(group));
+    return true;
+}
+
+void FakeServer::resumeListening()
+{
+    std::string error;
+    if (!startGroup(error))
+        LogEvent(LogLevel::Error, "listen_failed").with("address", address().text()).with("reason", error);
+}
+
+void FakeServer::setSilent(bool silent)
+{
+    if (silent == m_groups.back()->silent)
+        return;
+    if (silent) {
+        m_groups.back()->silent = true;
+        return;
+    }
+    m_groups.back()->server->stopListening();
+    if (!isRefusing())
+        resumeListening();
+}
+
+void FakeServer::silenceOpenConnections()
+{
+    for (const auto& group : m_groups)
+        group->silent = true;
+    m_groups.back()->server->stopListening();
+    if (!isRefusing())
+        resumeListening();
+}
+
+void FakeServer::refuseNewFor(Duration time)
+{
+    if (isRefusing())
+        m_loop.cancel(m_refusalTimer);
+    else
+        m_groups.back()->server->stopListening();
+    m_refusalTimer = m_loop.runAfter(time, [this] {
+        m_refusalTimer = 0;
+        resumeListening();
+    });
+}
+
+void FakeServer::serve(Group& group, const std::shared_ptr<HttpExchange>& exchange)
+{
+    if (exchange->path() == "/control")
+        return serveControl(*exchange);
+    if (exchange->path() == "/metrics")
+        return exchange->reply(200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics());
+    if (group.silent)
+        return m_held.hold(exchange);
+    m_handler(std::make_shared<SilenceableExchange>(exchange, group.silent));
+}
+
+void FakeServer::serveControl(HttpExchange& exchange)
+{
+    const HttpHeaders headers { { "Content-Type", "application/json" } };
+    if (exchange.method() == "POST") {
+        const auto faults = nlohmann::json::parse(exchange.body(), nullptr, false);
+        if (const auto error = m_faults.apply(faults))
+            return exchange.reply(400, headers, errorBody("invalid_request", *error));
+        LogEvent(LogLevel::Info, "faults_changed").with("faults", toText(m_faults.show()));
+    } else if (exchange.method() != "GET") {
+        return exchange.reply(405, headers, errorBody("method_not_allowed", "use GET or POST"));
+    }
+    exchange.reply(200, headers, toText(m_faults.show()));
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/fakes/silenceable_exchange.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "transport/http_server.h"
+
+#include <memory>
+#include <utility>
+
+namespace lacewing {
+
+/// An exchange on a connection that may go silent. From then on all output is discarded, and the connection
+/// stays open until the client closes it.
+class SilenceableExchange : public HttpExchange {
+public:
+    /// @param silent must outlive the exchange.
+    SilenceableExchange(std::shared_ptr<HttpExchange> exchange, const bool& silent)
+        : m_exchange(std::move(exchange))
+        , m_silent(silent)
+    {
+    }
+
+    const std::string& method() const override { return m_exchange->method(); }
+    const std::string& path() const override { return m_exchange->path(); }
+    const std::string& query() const override { return m_exchange->query(); }
+    const HttpHeaders& headers() const override { return m_exchange->headers(); }
+    const std::string& body() const override { return m_exchange->body(); }
+    const std::string& remoteIp() const override { return m_exchange->remoteIp(); }
+
+    void reply(int status, const HttpHeaders& headers, std::string_view body) override
+    {
+        if (!m_silent)
+            m_exchange->reply(status, headers, body);
+    }
+    void startStream(int status, const HttpHeaders& headers) override
+    {
+        if (!m_silent)
+            m_exchange->startStream(status, headers);
+    }
+    void sendChunk(std::string_view bytes) override
+    {
+        if (!m_silent)
+            m_exchange->sendChunk(bytes);
+    }
+    void endStream() override
+    {
+        if (!m_silent)
+            m_exchange->endStream();
+    }
+    void abort() override
+    {
+        if (!m_silent)
+            m_exchange->abort();
+    }
+    size_t bufferedBytes() const override { return m_exchange->bufferedBytes(); }
+    bool isOpen() const override { return m_exchange->isOpen(); }
+    void onClientLeft(std::function<void()> callback) override
+    {
+        m_exchange->onClientLeft(std::move(callback));
+    }
+    void onDrained(std::function<void()> callback) override { m_exchange->onDrained(std::move(callback)); }
+
+private:
+    std::shared_ptr<HttpExchange> m_exchange;
+    const bool& m_silent;
+};
+
+} // namespace lacewing
