--- /dev/null
+++ b/src/fakes/fake_engine_main.cc
@@ -0,0 +1,115 @@
+#include "fakes/boot_id.h"
+#include "fakes/engine_http.h"
+#include "fakes/fake_program.h"
+#include "fakes/weight_store_loader.h"
+
+#include <absl/flags/flag.h>
+
+#include <unistd.h>
+
+ABSL_FLAG(std::string, listen, "127.0.0.1:0", "IP:PORT to listen on; port 0 takes a free one");
+ABSL_FLAG(std::string, base_model, "base", "name of the base model");
+ABSL_FLAG(std::string, weights, "",
+    "IP:PORT of the platform whose weight store loads adapters; empty: a load takes --load-time-ms");
+ABSL_FLAG(double, load_time_ms, 250, "duration of a load without --weights, in milliseconds");
+ABSL_FLAG(int64_t, slots, 8, "adapters that can be resident at once");
+ABSL_FLAG(uint64_t, max_batch, 32, "sequences in a batch at most");
+ABSL_FLAG(uint64_t, queue_limit, 256, "requests that may wait for a place in the batch");
+ABSL_FLAG(double, step_ms, 29.2, "duration of a decoding step without sequences, in milliseconds");
+ABSL_FLAG(double, step_per_sequence_ms, 0.2, "added to a step by each sequence, in milliseconds");
+ABSL_FLAG(double, step_per_adapter_ms, 0.6, "added to a step by each distinct adapter, in milliseconds");
+ABSL_FLAG(double, prefill_per_token_ms, 0.1, "added to a step by each prompt token, in milliseconds");
+ABSL_FLAG(int64_t, prefill_tokens_per_step, 512, "prompt tokens that a step processes at most");
+ABSL_FLAG(double, load_stall_ms, 5, "added to the next step by each finished load, in milliseconds");
+ABSL_FLAG(double, time_scale, 1, "divides the durations of steps, prefill and load stalls");
+ABSL_FLAG(int64_t, cache_tokens, 65536, "capacity of the prefix cache, in tokens");
+ABSL_FLAG(double, cache_event_lag_ms, 2000, "delay of cache events, in milliseconds");
+ABSL_FLAG(double, cache_event_gaps, 0.02, "share of cache events that are never published, 0 to 1");
+ABSL_FLAG(double, report_lag_ms, 500, "age of load reports, in milliseconds");
+ABSL_FLAG(bool, check_fencing, true, "refuse orders with an old fencing number; if false they are obeyed");
+ABSL_FLAG(uint64_t, seed, 1, "decides which loads fail and which cache events are lost");
+ABSL_FLAG(std::vector<std::string>, forbidden_text, {},
+    "comma-separated texts; occurrences in requests are counted as forbidden_text_seen");
+
+using namespace lacewing;
+
+namespace {
+
+constexpr const char* description
+    = "Stand-in for a model engine with continuous batching on one accelerator.\n"
+      "The protocol is in docs/upstream-protocol.md. GET /metrics shows counters, POST /control takes a JSON\n"
+      "object of faults, GET /control shows them:\n"
+      "  silent                   flag: nothing is sent on any connection; those that were open meanwhile stay\n"
+      "                           silent for good\n"
+      "  silent_open_connections  true: connections that are open now stay silent for good, new ones work\n"
+      "  refuse_new_ms            milliseconds for which new connections are refused, from now\n"
+      "  crash                    true: exits at once with status 1, without an answer\n"
+      "  slow_factor              multiplies the duration of steps\n"
+      "  load_failures            probability that a load fails after its time\n"
+      "  not_ready                flag: completions are refused with 503 not_ready\n"
+      "  drop_after_tokens        streams are cut after this many tokens; 0: never";
+
+Duration milliseconds(double value)
+{
+    return Duration(static_cast<int64_t>(value * 1e6));
+}
+
+EngineOptions optionsFromFlags()
+{
+    EngineOptions options;
+    options.baseModel = absl::GetFlag(FLAGS_base_model);
+    options.bootId = newBootId();
+    options.slots = absl::GetFlag(FLAGS_slots);
+    options.maximumBatch = absl::GetFlag(FLAGS_max_batch);
+    options.queueLimit = absl::GetFlag(FLAGS_queue_limit);
+    options.baseStep = milliseconds(absl::GetFlag(FLAGS_step_ms));
+    options.stepPerSequence = milliseconds(absl::GetFlag(FLAGS_step_per_sequence_ms));
+    options.stepPerAdapter = milliseconds(absl::GetFlag(FLAGS_step_per_adapter_ms));
+    options.prefillPerToken = milliseconds(absl::GetFlag(FLAGS_prefill_per_token_ms));
+    options.prefillTokensPerStep = absl::GetFlag(FLAGS_prefill_tokens_per_step);
+    options.loadStall = milliseconds(absl::GetFlag(FLAGS_load_stall_ms));
+    options.timeScale = absl::GetFlag(FLAGS_time_scale);
+    options.cacheTokens = absl::GetFlag(FLAGS_cache_tokens);
+    options.cacheEventLag = milliseconds(absl::GetFlag(FLAGS_cache_event_lag_ms));
+    options.cacheEventGaps = absl::GetFlag(FLAGS_cache_event_gaps);
+    options.reportLag = milliseconds(absl::GetFlag(FLAGS_report_lag_ms));
+    options.checkFencing = absl::GetFlag(FLAGS_check_fencing);
+    options.seed = absl::GetFlag(FLAGS_seed);
+    return options;
+}
+
+std::unique_ptr<AdapterLoader> loaderFromFlags(EventLoop& loop)
+{
+    const std::string weights = absl::GetFlag(FLAGS_weights);
+    if (weights.empty())
+        return std::make_unique<TimedAdapterLoader>(loop, milliseconds(absl::GetFlag(FLAGS_load_time_ms)));
+    const auto address = SocketAddress::parse(weights);
+    if (!address)
+        return nullptr;
+    return std::make_unique<WeightStoreLoader>(loop, *address);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    startFakeProgram(argc, argv, "fake-engine", description);
+    EventLoop loop;
+    const std::unique_ptr<AdapterLoader> loader = loaderFromFlags(loop);
+    if (!loader) {
+        LogEvent(LogLevel::Error, "invalid_flag").with("flag", "weights");
+        return 1;
+    }
+    FaultSettings faults;
+    EngineHttp engine(loop, optionsFromFlags(), *loader, absl::GetFlag(FLAGS_forbidden_text), faults);
+    FakeServer server(
+        loop, faults, [&] { return engine.metricsText(); },
+        [&](const std::shared_ptr<HttpExchange>& exchange) { engine.handle(exchange); });
+    bool silent = false;
+    faults.addFlag("silent", silent);
+    faults.onChange([&] { server.setSilent(silent); });
+    faults.addAction("silent_open_connections", 1, [&](double) { server.silenceOpenConnections(); });
+    faults.addAction("refuse_new_ms", 600'000, [&](double value) { server.refuseNewFor(milliseconds(value)); });
+    faults.addAction("crash", 1, [](double) { _exit(1); });
+    return runFakeProgram(loop, server, absl::GetFlag(FLAGS_listen));
+}
