--- a/src/fakes/adapter_slots.cc
+++ b/src/fakes/adapter_slots.cc
@@ -69,9 +69,8 @@
     slot.started = m_scheduler.now();
     slot.waiting.push_back(std::move(done));
     m_loader.load(order.adapter, order.version,
-        [this, name = order.name, load = slot.load](const std::optional<std::string>& error) {
-            finishLoad(name, load, error);
-        });
+        [this, name = order.name, load = slot.load](
+            const std::optional<std::string>& error) { finishLoad(name, load, error); });
 }
 
 void AdapterSlots::finishLoad(
@@ -134,8 +133,7 @@
 
 void AdapterSlots::answerLater(Callback done, std::optional<EngineError> error)
 {
-    m_scheduler.runAfter(
-        Duration(0), [done = std::move(done), error = std::move(error)] { done(error); });
+    m_scheduler.runAfter(Duration(0), [done = std::move(done), error = std::move(error)] { done(error); });
 }
 
 } // namespace lacewing
--- a/src/fakes/answer_text.cc
+++ b/src/fakes/answer_text.cc
@@ -13,7 +13,8 @@
 {
     // One answer in five would be longer than the maximum, so that both finish reasons occur.
     const int64_t range = maximumTokens + std::max<int64_t>(1, maximumTokens / 4);
-    const auto wanted = static_cast<int64_t>(1 + Random(hashBytes(prompt)).below(static_cast<uint64_t>(range)));
+    const auto wanted
+        = static_cast<int64_t>(1 + Random(hashBytes(prompt)).below(static_cast<uint64_t>(range)));
     m_length = std::min(wanted, maximumTokens);
     m_isCutOff = wanted > maximumTokens;
 }
--- a/src/fakes/engine_batch.h
+++ b/src/fakes/engine_batch.h
@@ -97,7 +97,8 @@
         int64_t nextToken = 0;
         /// Tokens that must still be processed before the first one is generated.
         int64_t prefillLeft = 0;
-        std::vector<uint64_t> blocks;
+        /// Blocks of the prefix cache that the sequence uses.
+        std::vector<uint64_t> blocks {};
         int64_t* workspaceTokens = nullptr;
     };
     /// What the running step does.
--- a/src/fakes/engine_http.cc
+++ b/src/fakes/engine_http.cc
@@ -195,7 +195,8 @@
         return refuse(exchange, *end.error);
     if (!answer.isStream)
         return exchange.reply(200, jsonHeaders(),
-            toText({ { "text", answer.text }, { "usage", usageOf(end) }, { "finish_reason", end.finishReason } }));
+            toText({ { "text", answer.text }, { "usage", usageOf(end) },
+                { "finish_reason", end.finishReason } }));
     if (!answer.hasStarted)
         exchange.startStream(200, { { "Content-Type", "text/event-stream" } });
     exchange.sendChunk(event({ { "usage", usageOf(end) }, { "finish_reason", end.finishReason } }));
@@ -254,9 +255,8 @@
     const std::string& query = exchange.query();
     int64_t after = 0;
     if (!query.empty()) {
-        const json number = query.compare(0, 6, parameter) == 0
-            ? json::parse(query.substr(6), nullptr, false)
-            : json();
+        const json number
+            = query.compare(0, 6, parameter) == 0 ? json::parse(query.substr(6), nullptr, false) : json();
         if (!number.is_number_unsigned() || number.get<uint64_t>() > static_cast<uint64_t>(INT64_MAX))
             return refuse(exchange, { 400, "invalid_request", "the query must be after=<number>" });
         after = number.get<int64_t>();
--- a/src/fakes/fake_engine_main.cc
+++ b/src/fakes/fake_engine_main.cc
@@ -37,9 +37,11 @@
 
 constexpr const char* description
     = "Stand-in for a model engine with continuous batching on one accelerator.\n"
-      "The protocol is in docs/upstream-protocol.md. GET /metrics shows counters, POST /control takes a JSON\n"
+      "The protocol is in docs/upstream-protocol.md. GET /metrics shows counters, POST /control takes a "
+      "JSON\n"
       "object of faults, GET /control shows them:\n"
-      "  silent                   flag: nothing is sent on any connection; those that were open meanwhile stay\n"
+      "  silent                   flag: nothing is sent on any connection; those that were open meanwhile "
+      "stay\n"
       "                           silent for good\n"
       "  silent_open_connections  true: connections that are open now stay silent for good, new ones work\n"
       "  refuse_new_ms            milliseconds for which new connections are refused, from now\n"
@@ -109,7 +111,8 @@
     faults.addFlag("silent", silent);
     faults.onChange([&] { server.setSilent(silent); });
     faults.addAction("silent_open_connections", 1, [&](double) { server.silenceOpenConnections(); });
-    faults.addAction("refuse_new_ms", 600'000, [&](double value) { server.refuseNewFor(milliseconds(value)); });
+    faults.addAction(
+        "refuse_new_ms", 600'000, [&](double value) { server.refuseNewFor(milliseconds(value)); });
     faults.addAction("crash", 1, [](double) { _exit(1); });
     return runFakeProgram(loop, server, absl::GetFlag(FLAGS_listen));
 }
--- a/src/fakes/fake_platform_main.cc
+++ b/src/fakes/fake_platform_main.cc
@@ -17,7 +17,8 @@
 
 constexpr const char* description
     = "Stand-in for the platform: table service, object store, weight store and host list.\n"
-      "The protocol is in docs/upstream-protocol.md. POST /control takes a JSON object of faults, GET /control\n"
+      "The protocol is in docs/upstream-protocol.md. POST /control takes a JSON object of faults, GET "
+      "/control\n"
       "shows them, GET /metrics shows counters. Faults of each of table, objects, weights and hosts, for\n"
       "example {\"table\":{\"down\":true}}:\n"
       "  down          answers 503, nothing takes effect\n"
--- a/src/fakes/fake_program.h
+++ b/src/fakes/fake_program.h
@@ -20,9 +20,8 @@
 {
     absl::SetProgramUsageMessage(description);
     absl::FlagsUsageConfig usage;
-    usage.contains_help_flags = [](absl::string_view file) {
-        return file.find("src/fakes/") != absl::string_view::npos;
-    };
+    usage.contains_help_flags
+        = [](absl::string_view file) { return file.find("src/fakes/") != absl::string_view::npos; };
     usage.contains_helpshort_flags = usage.contains_help_flags;
     usage.version_string = [name] { return name + " " LACEWING_VERSION "\n"; };
     absl::SetFlagsUsageConfig(usage);
--- a/src/fakes/fake_server.cc
+++ b/src/fakes/fake_server.cc
@@ -21,6 +21,8 @@
 bool FakeServer::listen(const SocketAddress& address, std::string& error)
 {
     m_options.address = address;
+    // A silent connection must stay open longer than any timeout of its client.
+    m_options.readTimeout = std::chrono::minutes(10);
     return startGroup(error);
 }
 
--- a/src/fakes/fake_service_main.cc
+++ b/src/fakes/fake_service_main.cc
@@ -16,9 +16,12 @@
 
 constexpr const char* description
     = "Stand-in for a plain service. It runs any call and counts the runs by Lacewing-Workspace and\n"
-      "Idempotency-Key, or without a key by a hash of method, path and body. GET /runs shows the counts and how\n"
-      "many calls ran more than once (doubled). GET /admin/status shows boot id and load, GET /metrics counters.\n"
-      "POST /control takes a JSON object of faults, GET /control shows them. Faults are probabilities from 0 to\n"
+      "Idempotency-Key, or without a key by a hash of method, path and body. GET /runs shows the counts and "
+      "how\n"
+      "many calls ran more than once (doubled). GET /admin/status shows boot id and load, GET /metrics "
+      "counters.\n"
+      "POST /control takes a JSON object of faults, GET /control shows them. Faults are probabilities from 0 "
+      "to\n"
       "1, or true and false:\n"
       "  silent_before_run, silent_after_run  the call is never answered\n"
       "  close_before_run, close_after_run    the connection is closed without an answer\n"
--- a/src/fakes/fault_settings.cc
+++ b/src/fakes/fault_settings.cc
@@ -87,7 +87,8 @@
         if (setting.action)
             continue;
         const size_t dot = name.find('.');
-        json& place = dot == std::string::npos ? shown[name] : shown[name.substr(0, dot)][name.substr(dot + 1)];
+        json& place
+            = dot == std::string::npos ? shown[name] : shown[name.substr(0, dot)][name.substr(dot + 1)];
         if (setting.flag)
             place = *setting.flag;
         else
--- a/src/fakes/held_exchanges.h
+++ b/src/fakes/held_exchanges.h
@@ -23,8 +23,9 @@
         const uint64_t number = m_next++;
         m_exchanges[number] = exchange;
         // The exchange must not be destroyed within its own callback.
-        exchange->onClientLeft(
-            [this, number] { m_scheduler.runAfter(Duration(0), [this, number] { m_exchanges.erase(number); }); });
+        exchange->onClientLeft([this, number] {
+            m_scheduler.runAfter(Duration(0), [this, number] { m_exchanges.erase(number); });
+        });
     }
 
     size_t count() const { return m_exchanges.size(); }
--- a/src/fakes/json_fields.cc
+++ b/src/fakes/json_fields.cc
@@ -1,18 +1,16 @@
 #include "fakes/json_fields.h"
 
-#include <utility>
-
 namespace lacewing {
 
 using nlohmann::json;
 
-JsonFields::JsonFields(std::string_view body)
-    : JsonFields(json::parse(body.begin(), body.end(), nullptr, false))
+JsonFields::JsonFields(const std::string& body)
+    : JsonFields(json::parse(body, nullptr, false))
 {
 }
 
-JsonFields::JsonFields(json value)
-    : m_object(std::move(value))
+JsonFields::JsonFields(const json& value)
+    : m_object(value)
 {
     if (!m_object.is_object())
         m_lastError = "a JSON object is expected";
--- a/src/fakes/json_fields.h
+++ b/src/fakes/json_fields.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <string_view>
+#include <vector>
 
 namespace lacewing {
 
@@ -14,9 +14,9 @@
 class JsonFields {
 public:
     /// @param body the text; anything but a JSON object leaves an error.
-    explicit JsonFields(std::string_view body);
+    explicit JsonFields(const std::string& body);
     /// @param value anything but an object leaves an error.
-    explicit JsonFields(nlohmann::json value);
+    explicit JsonFields(const nlohmann::json& value);
 
     bool has(const char* name) const { return m_object.is_object() && m_object.contains(name); }
     std::string requiredText(const char* name);
--- a/src/fakes/platform_http.cc
+++ b/src/fakes/platform_http.cc
@@ -65,8 +65,9 @@
     if (method == "POST" && path == "/weights/load")
         return serveWeights(exchange);
     if (method == "GET" && path == "/hosts")
-        return serve(m_hostList, false, exchange,
-            [this](const Reply& reply) { reply({ 200, toText(m_hosts.show()) }); });
+        return serve(m_hostList, false, exchange, [this](const Reply& reply) {
+            reply({ 200, toText(m_hosts.show()) });
+        });
     exchange->reply(404, { { "Content-Type", "application/json" } },
         errorBody("not_found", "no such call: " + method + " " + path));
 }
@@ -86,10 +87,8 @@
         action([this, &service, isWrite, exchange](const Answer& answer) {
             if (service.slowMilliseconds == 0)
                 return finish(service, isWrite, exchange, answer);
-            m_scheduler.runAfter(
-                halfOf(service.slowMilliseconds), [this, &service, isWrite, exchange, answer] {
-                    finish(service, isWrite, exchange, answer);
-                });
+            m_scheduler.runAfter(halfOf(service.slowMilliseconds),
+                [this, &service, isWrite, exchange, answer] { finish(service, isWrite, exchange, answer); });
         });
     };
     if (service.slowMilliseconds == 0)
--- a/src/fakes/platform_http.h
+++ b/src/fakes/platform_http.h
@@ -48,6 +48,11 @@
 
     /// One of the services, with its faults.
     struct Service {
+        explicit Service(const char* serviceName)
+            : name(serviceName)
+        {
+        }
+
         std::string name;
         bool down = false;
         bool silent = false;
@@ -60,8 +65,8 @@
 
     void addFaults(FaultSettings& faults, Service& service);
     void serve(Service& service, bool isWrite, const std::shared_ptr<HttpExchange>& exchange, Action action);
-    void finish(Service& service, bool isWrite, const std::shared_ptr<HttpExchange>& exchange,
-        const Answer& answer);
+    void finish(
+        Service& service, bool isWrite, const std::shared_ptr<HttpExchange>& exchange, const Answer& answer);
     void count(Service& service, bool isWrite);
 
     void serveTable(const std::shared_ptr<HttpExchange>& exchange);
--- a/src/fakes/prefix_cache.h
+++ b/src/fakes/prefix_cache.h
@@ -8,9 +8,9 @@
 
 namespace lacewing {
 
-/// An engine's cache of processed prompt prefixes, in blocks of 16 tokens (64 bytes). The id of a block is the
-/// FNV-1a hash of "<identity>\n" and the text from its beginning to the end of the block, so a block is only
-/// shared by prompts of the same adapter and version with the same beginning.
+/// An engine's cache of processed prompt prefixes, in blocks of 16 tokens (64 bytes). The id of a block is
+/// the FNV-1a hash of "<identity>\n" and the text from its beginning to the end of the block, so a block is
+/// only shared by prompts of the same adapter and version with the same beginning.
 class PrefixCache {
 public:
     static constexpr int64_t blockTokens = 16;
--- a/src/fakes/table_store.h
+++ b/src/fakes/table_store.h
@@ -31,8 +31,8 @@
     /// @return all rows whose key starts with the prefix, in key order.
     std::vector<Row> list(const std::string& prefix) const;
 
-    /// Makes all writes, or none if a condition does not hold. Version 0 stands for a row that does not exist.
-    /// Versions are never used twice, also not for a row that was deleted.
+    /// Makes all writes, or none if a condition does not hold. Version 0 stands for a row that does not
+    /// exist. Versions are never used twice, also not for a row that was deleted.
     ///
     /// @return false if a condition did not hold.
     bool commit(const std::string& writeId, const std::vector<Condition>& conditions,
