--- a/src/fakes/fake_engine_main.cc
+++ b/src/fakes/fake_engine_main.cc
@@ -10,22 +10,23 @@
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "IP:PORT to listen on; port 0 takes a free one");
 ABSL_FLAG(std::string, base_model, "base", "name of the base model");
 ABSL_FLAG(std::string, weights, "",
-    "IP:PORT of the platform whose weight store loads adapters; empty: a load takes --load-time-ms");
-ABSL_FLAG(double, load_time_ms, 250, "duration of a load without --weights, in milliseconds");
+    "IP:PORT of the platform whose weight store loads adapters; empty: a load takes --load-time");
+ABSL_FLAG(absl::Duration, load_time, absl::Milliseconds(250), "duration of a load without --weights");
 ABSL_FLAG(int64_t, slots, 8, "adapters that can be resident at once");
 ABSL_FLAG(uint64_t, max_batch, 32, "sequences in a batch at most");
 ABSL_FLAG(uint64_t, queue_limit, 256, "requests that may wait for a place in the batch");
-ABSL_FLAG(double, step_ms, 29.2, "duration of a decoding step without sequences, in milliseconds");
-ABSL_FLAG(double, step_per_sequence_ms, 0.2, "added to a step by each sequence, in milliseconds");
-ABSL_FLAG(double, step_per_adapter_ms, 0.6, "added to a step by each distinct adapter, in milliseconds");
-ABSL_FLAG(double, prefill_per_token_ms, 0.1, "added to a step by each prompt token, in milliseconds");
+ABSL_FLAG(absl::Duration, step, absl::Microseconds(29200), "duration of a decoding step without sequences");
+ABSL_FLAG(absl::Duration, step_per_sequence, absl::Microseconds(200), "added to a step by each sequence");
+ABSL_FLAG(
+    absl::Duration, step_per_adapter, absl::Microseconds(600), "added to a step by each distinct adapter");
+ABSL_FLAG(absl::Duration, prefill_per_token, absl::Microseconds(100), "added to a step by each prompt token");
 ABSL_FLAG(int64_t, prefill_tokens_per_step, 512, "prompt tokens that a step processes at most");
-ABSL_FLAG(double, load_stall_ms, 5, "added to the next step by each finished load, in milliseconds");
+ABSL_FLAG(absl::Duration, load_stall, absl::Milliseconds(5), "added to the next step by each finished load");
 ABSL_FLAG(double, time_scale, 1, "divides the durations of steps, prefill and load stalls");
 ABSL_FLAG(int64_t, cache_tokens, 65536, "capacity of the prefix cache, in tokens");
-ABSL_FLAG(double, cache_event_lag_ms, 2000, "delay of cache events, in milliseconds");
+ABSL_FLAG(absl::Duration, cache_event_lag, absl::Seconds(2), "delay of cache events");
 ABSL_FLAG(double, cache_event_gaps, 0.02, "share of cache events that are never published, 0 to 1");
-ABSL_FLAG(double, report_lag_ms, 500, "age of load reports, in milliseconds");
+ABSL_FLAG(absl::Duration, report_lag, absl::Milliseconds(500), "age of load reports");
 ABSL_FLAG(bool, check_fencing, true, "refuse orders with an old fencing number; if false they are obeyed");
 ABSL_FLAG(uint64_t, seed, 1, "decides which loads fail and which cache events are lost");
 ABSL_FLAG(std::vector<std::string>, forbidden_text, {},
@@ -64,17 +65,17 @@
     options.slots = absl::GetFlag(FLAGS_slots);
     options.maximumBatch = absl::GetFlag(FLAGS_max_batch);
     options.queueLimit = absl::GetFlag(FLAGS_queue_limit);
-    options.baseStep = milliseconds(absl::GetFlag(FLAGS_step_ms));
-    options.stepPerSequence = milliseconds(absl::GetFlag(FLAGS_step_per_sequence_ms));
-    options.stepPerAdapter = milliseconds(absl::GetFlag(FLAGS_step_per_adapter_ms));
-    options.prefillPerToken = milliseconds(absl::GetFlag(FLAGS_prefill_per_token_ms));
+    options.baseStep = durationOf(FLAGS_step);
+    options.stepPerSequence = durationOf(FLAGS_step_per_sequence);
+    options.stepPerAdapter = durationOf(FLAGS_step_per_adapter);
+    options.prefillPerToken = durationOf(FLAGS_prefill_per_token);
     options.prefillTokensPerStep = absl::GetFlag(FLAGS_prefill_tokens_per_step);
-    options.loadStall = milliseconds(absl::GetFlag(FLAGS_load_stall_ms));
+    options.loadStall = durationOf(FLAGS_load_stall);
     options.timeScale = absl::GetFlag(FLAGS_time_scale);
     options.cacheTokens = absl::GetFlag(FLAGS_cache_tokens);
-    options.cacheEventLag = milliseconds(absl::GetFlag(FLAGS_cache_event_lag_ms));
+    options.cacheEventLag = durationOf(FLAGS_cache_event_lag);
     options.cacheEventGaps = absl::GetFlag(FLAGS_cache_event_gaps);
-    options.reportLag = milliseconds(absl::GetFlag(FLAGS_report_lag_ms));
+    options.reportLag = durationOf(FLAGS_report_lag);
     options.checkFencing = absl::GetFlag(FLAGS_check_fencing);
     options.seed = absl::GetFlag(FLAGS_seed);
     return options;
@@ -84,7 +85,7 @@
 {
     const std::string weights = absl::GetFlag(FLAGS_weights);
     if (weights.empty())
-        return std::make_unique<TimedAdapterLoader>(loop, milliseconds(absl::GetFlag(FLAGS_load_time_ms)));
+        return std::make_unique<TimedAdapterLoader>(loop, durationOf(FLAGS_load_time));
     const auto address = SocketAddress::parse(weights);
     if (!address)
         return nullptr;
--- a/src/fakes/fake_platform_main.cc
+++ b/src/fakes/fake_platform_main.cc
@@ -6,9 +6,9 @@
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "IP:PORT to listen on; port 0 takes a free one");
 ABSL_FLAG(double, loads_per_second, 2, "adapter loads that may start in a second");
 ABSL_FLAG(double, load_burst, 4, "adapter loads that may start at once after a quiet time");
-ABSL_FLAG(double, load_time_ms, 250, "duration of an adapter load, in milliseconds");
+ABSL_FLAG(absl::Duration, load_time, absl::Milliseconds(250), "duration of an adapter load");
 ABSL_FLAG(int64_t, full_speed_loads, 8, "loads in flight up to which a load is not slowed down");
-ABSL_FLAG(double, host_list_lag_ms, 3000, "age of the host list, in milliseconds");
+ABSL_FLAG(absl::Duration, host_list_lag, absl::Seconds(3), "age of the host list");
 ABSL_FLAG(uint64_t, seed, 1, "decides which answers are lost and which loads fail");
 
 using namespace lacewing;
@@ -27,11 +27,6 @@
       "  lose_answers  probability that a write takes effect and its connection is closed without an answer\n"
       "  fail          (weights) probability that a load fails after its time";
 
-Duration milliseconds(double value)
-{
-    return Duration(static_cast<int64_t>(value * 1e6));
-}
-
 } // namespace
 
 int main(int argc, char** argv)
@@ -40,9 +35,9 @@
     PlatformOptions options;
     options.weights.loadsPerSecond = absl::GetFlag(FLAGS_loads_per_second);
     options.weights.burst = absl::GetFlag(FLAGS_load_burst);
-    options.weights.loadTime = milliseconds(absl::GetFlag(FLAGS_load_time_ms));
+    options.weights.loadTime = durationOf(FLAGS_load_time);
     options.weights.fullSpeedLoads = absl::GetFlag(FLAGS_full_speed_loads);
-    options.hostListLag = milliseconds(absl::GetFlag(FLAGS_host_list_lag_ms));
+    options.hostListLag = durationOf(FLAGS_host_list_lag);
     options.seed = absl::GetFlag(FLAGS_seed);
 
     EventLoop loop;
--- a/src/fakes/fake_program.h
+++ b/src/fakes/fake_program.h
@@ -4,10 +4,13 @@
 #include "fakes/fake_server.h"
 #include "transport/event_loop.h"
 
+#include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
+#include <absl/time/time.h>
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
 #include <string>
@@ -15,6 +18,26 @@
 
 namespace lacewing {
 
+/// @return the value of a flag such as --report-lag=500ms.
+inline Duration durationOf(const absl::Flag<absl::Duration>& flag)
+{
+    return absl::ToChronoNanoseconds(absl::GetFlag(flag));
+}
+
+/// Abseil's flags have underscores in their names; this lets --report-lag stand for --report_lag.
+inline void acceptDashes(int argc, char** argv)
+{
+    for (int i = 1; i < argc; ++i) {
+        const std::string_view argument = argv[i];
+        if (argument == "--")
+            return;
+        if (argument.compare(0, 2, "--") != 0)
+            continue;
+        const size_t end = std::min(argument.find('='), argument.size());
+        std::replace(argv[i] + 2, argv[i] + end, '-', '_');
+    }
+}
+
 /// Parses the flags of a stand-in. --help shows all flags that are defined below src/fakes.
 inline void startFakeProgram(int argc, char** argv, const std::string& name, const std::string& description)
 {
@@ -25,6 +48,7 @@
     usage.contains_helpshort_flags = usage.contains_help_flags;
     usage.version_string = [name] { return name + " " LACEWING_VERSION "\n"; };
     absl::SetFlagsUsageConfig(usage);
+    acceptDashes(argc, argv);
     absl::ParseCommandLine(argc, argv);
     initializeLogging(argv[0]);
 }
--- a/src/fakes/fake_service_main.cc
+++ b/src/fakes/fake_service_main.cc
@@ -5,7 +5,7 @@
 #include <absl/flags/flag.h>
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "IP:PORT to listen on; port 0 takes a free one");
-ABSL_FLAG(double, service_time_ms, 20, "duration of each run, in milliseconds");
+ABSL_FLAG(absl::Duration, service_time, absl::Milliseconds(20), "duration of each run");
 ABSL_FLAG(uint64_t, seed, 1, "decides which calls a fault strikes");
 ABSL_FLAG(std::vector<std::string>, forbidden_text, {},
     "comma-separated texts; occurrences in requests are counted as forbidden_text_seen");
@@ -34,7 +34,7 @@
 {
     startFakeProgram(argc, argv, "fake-service", description);
     ServiceOptions options;
-    options.serviceTime = Duration(static_cast<int64_t>(absl::GetFlag(FLAGS_service_time_ms) * 1e6));
+    options.serviceTime = durationOf(FLAGS_service_time);
     options.bootId = newBootId();
     options.seed = absl::GetFlag(FLAGS_seed);
     options.forbiddenTexts = absl::GetFlag(FLAGS_forbidden_text);
