--- a/src/fakes/engine_batch.cc
+++ b/src/fakes/engine_batch.cc
@@ -170,6 +170,9 @@
     m_step = Step();
     std::set<std::string> adapters;
     int64_t prefillBudget = m_options.prefillTokensPerStep;
+    // Interactive prompts are processed first, because a step processes a limited number of prompt tokens.
+    std::stable_partition(m_running.begin(), m_running.end(),
+        [this](uint64_t number) { return m_sequences.at(number).request.isInteractive; });
     for (const uint64_t number : m_running) {
         Sequence& sequence = m_sequences.at(number);
         if (sequence.request.usesAdapter)
--- a/src/fakes/fake_engine_main.cc
+++ b/src/fakes/fake_engine_main.cc
@@ -5,8 +5,6 @@
 
 #include <absl/flags/flag.h>
 
-#include <unistd.h>
-
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "IP:PORT to listen on; port 0 takes a free one");
 ABSL_FLAG(std::string, base_model, "base", "name of the base model");
 ABSL_FLAG(std::string, weights, "",
@@ -41,20 +39,21 @@
       "The protocol is in docs/upstream-protocol.md. GET /metrics shows counters, POST /control takes a "
       "JSON\n"
       "object of faults, GET /control shows them:\n"
-      "  silent                   flag: nothing is sent on any connection; those that were open meanwhile "
-      "stay\n"
-      "                           silent for good\n"
-      "  silent_open_connections  true: connections that are open now stay silent for good, new ones work\n"
-      "  refuse_new_ms            milliseconds for which new connections are refused, from now\n"
-      "  crash                    true: exits at once with status 1, without an answer\n"
       "  slow_factor              multiplies the duration of steps\n"
       "  load_failures            probability that a load fails after its time\n"
       "  not_ready                flag: completions are refused with 503 not_ready\n"
-      "  drop_after_tokens        streams are cut after this many tokens; 0: never";
+      "  drop_after_tokens        streams are cut after this many tokens; 0: never\n";
 
-Duration milliseconds(double value)
+/// @return the first flag whose value the model can't work with, or nothing.
+std::optional<std::string> invalidFlag(const EngineOptions& options)
 {
-    return Duration(static_cast<int64_t>(value * 1e6));
+    if (!(options.timeScale >= 0.001 && options.timeScale <= 1e6))
+        return "time_scale";
+    if (options.prefillTokensPerStep < 1)
+        return "prefill_tokens_per_step";
+    if (options.maximumBatch < 1)
+        return "max_batch";
+    return std::nullopt;
 }
 
 EngineOptions optionsFromFlags()
@@ -96,24 +95,21 @@
 
 int main(int argc, char** argv)
 {
-    startFakeProgram(argc, argv, "fake-engine", description);
+    startFakeProgram(argc, argv, "fake-engine", std::string(description) + connectionFaultsHelp);
     EventLoop loop;
+    const EngineOptions options = optionsFromFlags();
+    std::optional<std::string> invalid = invalidFlag(options);
     const std::unique_ptr<AdapterLoader> loader = loaderFromFlags(loop);
-    if (!loader) {
-        LogEvent(LogLevel::Error, "invalid_flag").with("flag", "weights");
+    if (!loader)
+        invalid = "weights";
+    if (invalid) {
+        LogEvent(LogLevel::Error, "invalid_flag").with("flag", *invalid);
         return 1;
     }
     FaultSettings faults;
-    EngineHttp engine(loop, optionsFromFlags(), *loader, absl::GetFlag(FLAGS_forbidden_text), faults);
+    EngineHttp engine(loop, options, *loader, absl::GetFlag(FLAGS_forbidden_text), faults);
     FakeServer server(
         loop, faults, [&] { return engine.metricsText(); },
         [&](const std::shared_ptr<HttpExchange>& exchange) { engine.handle(exchange); });
-    bool silent = false;
-    faults.addFlag("silent", silent);
-    faults.onChange([&] { server.setSilent(silent); });
-    faults.addAction("silent_open_connections", 1, [&](double) { server.silenceOpenConnections(); });
-    faults.addAction(
-        "refuse_new_ms", 600'000, [&](double value) { server.refuseNewFor(milliseconds(value)); });
-    faults.addAction("crash", 1, [](double) { _exit(1); });
     return runFakeProgram(loop, server, absl::GetFlag(FLAGS_listen));
 }
--- a/src/fakes/fake_platform_main.cc
+++ b/src/fakes/fake_platform_main.cc
@@ -20,18 +20,18 @@
       "The protocol is in docs/upstream-protocol.md. POST /control takes a JSON object of faults, GET "
       "/control\n"
       "shows them, GET /metrics shows counters. Faults of each of table, objects, weights and hosts, for\n"
-      "example {\"table\":{\"down\":true}}:\n"
+      "example {\"table\":{\"down\":true}}, and after them those of all connections:\n"
       "  down          answers 503, nothing takes effect\n"
       "  silent        accepts requests and never answers them; nothing takes effect\n"
       "  slow_ms       delay of each call in milliseconds, half before and half after its effect\n"
       "  lose_answers  probability that a write takes effect and its connection is closed without an answer\n"
-      "  fail          (weights) probability that a load fails after its time";
+      "  fail          (weights) probability that a load fails after its time\n";
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    startFakeProgram(argc, argv, "fake-platform", description);
+    startFakeProgram(argc, argv, "fake-platform", std::string(description) + connectionFaultsHelp);
     PlatformOptions options;
     options.weights.loadsPerSecond = absl::GetFlag(FLAGS_loads_per_second);
     options.weights.burst = absl::GetFlag(FLAGS_load_burst);
--- a/src/fakes/fake_server.cc
+++ b/src/fakes/fake_server.cc
@@ -4,10 +4,27 @@
 #include "fakes/json_fields.h"
 #include "fakes/silenceable_exchange.h"
 
+#include <unistd.h>
+
 #include <utility>
 
 namespace lacewing {
 
+namespace {
+
+constexpr double longestRefusal = 600'000;
+
+} // namespace
+
+const char* const connectionFaultsHelp
+    = "  silent                   flag: nothing is sent on any connection; connections that were open "
+      "meanwhile\n"
+      "                           stay silent for good\n"
+      "  silent_open_connections  true: connections that are open now stay silent for good, new ones work\n"
+      "  refuse_new_ms            milliseconds for which new connections are refused, from now\n"
+      "  crash                    true: exits at once with status 1, without an answer\n"
+      "/control and /metrics are answered on silent connections too.";
+
 FakeServer::FakeServer(
     EventLoop& loop, FaultSettings& faults, std::function<std::string()> metrics, Handler handler)
     : m_loop(loop)
@@ -16,6 +33,17 @@
     , m_handler(std::move(handler))
     , m_held(loop)
 {
+    addFaults();
+}
+
+void FakeServer::addFaults()
+{
+    m_faults.addFlag("silent", m_isSilent);
+    m_faults.onChange([this] { applySilence(); });
+    m_faults.addAction("silent_open_connections", 1, [this](double) { silenceOpenConnections(); });
+    m_faults.addAction("refuse_new_ms", longestRefusal,
+        [this](double value) { refuseNewFor(Duration(static_cast<int64_t>(value * 1e6))); });
+    m_faults.addAction("crash", 1, [](double) { _exit(1); });
 }
 
 bool FakeServer::listen(const SocketAddress& address, std::string& error)
@@ -29,6 +57,7 @@
 bool FakeServer::startGroup(std::string& error)
 {
     auto group = std::make_unique<Group>();
+    group->silent = std::make_shared<bool>(m_isSilent);
     Group& accepted = *group;
     group->server = HttpServer::listen(
         m_loop, m_options,
@@ -52,23 +81,21 @@
         LogEvent(LogLevel::Error, "listen_failed").with("address", address().text()).with("reason", error);
 }
 
-void FakeServer::setSilent(bool silent)
+void FakeServer::applySilence()
 {
-    if (silent == m_groups.back()->silent)
-        return;
-    if (silent) {
-        m_groups.back()->silent = true;
+    const bool wasSilent = *m_groups.back()->silent;
+    if (m_isSilent == wasSilent)
         return;
-    }
-    m_groups.back()->server->stopListening();
-    if (!isRefusing())
-        resumeListening();
+    if (m_isSilent)
+        *m_groups.back()->silent = true;
+    else
+        silenceOpenConnections();
 }
 
 void FakeServer::silenceOpenConnections()
 {
     for (const auto& group : m_groups)
-        group->silent = true;
+        *group->silent = true;
     m_groups.back()->server->stopListening();
     if (!isRefusing())
         resumeListening();
@@ -92,9 +119,9 @@
         return serveControl(*exchange);
     if (exchange->path() == "/metrics")
         return exchange->reply(200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics());
-    if (group.silent)
+    if (*group.silent)
         return m_held.hold(exchange);
-    m_handler(std::make_shared<SilenceableExchange>(exchange, group.silent));
+    m_handler(std::make_shared<SilenceableExchange>(exchange, group.silent, m_held));
 }
 
 void FakeServer::serveControl(HttpExchange& exchange)
--- a/src/fakes/fake_server.h
+++ b/src/fakes/fake_server.h
@@ -12,9 +12,12 @@
 
 namespace lacewing {
 
+/// The faults of connections, for --help.
+extern const char* const connectionFaultsHelp;
+
 /// HTTP server of a stand-in. It serves GET and POST /control and GET /metrics itself, and shows faults of
-/// connections: silence and refusal. /control and /metrics are answered on silent connections too, so that a
-/// fault can be ended.
+/// connections (see connectionFaultsHelp). /control and /metrics are answered on silent connections too, so
+/// that a fault can be ended.
 class FakeServer {
 public:
     using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
@@ -30,22 +33,19 @@
     /// @return the address with the port that was bound.
     const SocketAddress& address() const { return m_options.address; }
 
-    /// While silent, nothing is sent on any connection. Connections that were open at any time while silent
-    /// stay silent for good; those made later work.
-    void setSilent(bool silent);
-    /// Makes the connections that are open now silent for good, while new ones work.
-    void silenceOpenConnections();
-    /// Refuses new connections for some time. Open ones go on.
-    void refuseNewFor(Duration time);
-
 private:
     /// The connections that were accepted by one listening socket. They share one fate, because an exchange
     /// does not tell on which connection it came.
     struct Group {
         std::unique_ptr<HttpServer> server;
-        bool silent = false;
+        std::shared_ptr<bool> silent;
     };
 
+    void addFaults();
+    /// Makes the connections that are open now silent for good.
+    void silenceOpenConnections();
+    void refuseNewFor(Duration time);
+    void applySilence();
     bool startGroup(std::string& error);
     void resumeListening();
     void serve(Group& group, const std::shared_ptr<HttpExchange>& exchange);
@@ -60,6 +60,7 @@
     HeldExchanges m_held;
     std::vector<std::unique_ptr<Group>> m_groups;
     TimerId m_refusalTimer = 0;
+    bool m_isSilent = false;
 };
 
 } // namespace lacewing
--- a/src/fakes/fake_service_main.cc
+++ b/src/fakes/fake_service_main.cc
@@ -26,13 +26,13 @@
       "  silent_before_run, silent_after_run  the call is never answered\n"
       "  close_before_run, close_after_run    the connection is closed without an answer\n"
       "  refuse_not_run                       503 with Lacewing-Not-Run: 1, not run\n"
-      "  slow_ms                              added to the duration of each run, in milliseconds";
+      "  slow_ms                              added to the duration of each run, in milliseconds\n";
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    startFakeProgram(argc, argv, "fake-service", description);
+    startFakeProgram(argc, argv, "fake-service", std::string(description) + connectionFaultsHelp);
     ServiceOptions options;
     options.serviceTime = durationOf(FLAGS_service_time);
     options.bootId = newBootId();
--- a/src/fakes/held_exchanges.h
+++ b/src/fakes/held_exchanges.h
@@ -20,6 +20,8 @@
 
     void hold(const std::shared_ptr<HttpExchange>& exchange)
     {
+        if (!exchange->isOpen())
+            return;
         const uint64_t number = m_next++;
         m_exchanges[number] = exchange;
         // The exchange must not be destroyed within its own callback.
--- a/src/fakes/silenceable_exchange.h
+++ b/src/fakes/silenceable_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fakes/held_exchanges.h"
 #include "transport/http_server.h"
 
 #include <memory>
@@ -11,13 +12,23 @@
 /// stays open until the client closes it.
 class SilenceableExchange : public HttpExchange {
 public:
-    /// @param silent must outlive the exchange.
-    SilenceableExchange(std::shared_ptr<HttpExchange> exchange, const bool& silent)
+    /// @param silent tells whether the connection is silent now.
+    /// @param held keeps the exchange once its handler has finished; must outlive the server.
+    SilenceableExchange(
+        std::shared_ptr<HttpExchange> exchange, std::shared_ptr<const bool> silent, HeldExchanges& held)
         : m_exchange(std::move(exchange))
-        , m_silent(silent)
+        , m_silent(std::move(silent))
+        , m_held(held)
     {
     }
 
+    /// An exchange that is destroyed without an answer is answered by the server, so a silent one is kept.
+    ~SilenceableExchange() override
+    {
+        if (m_exchange->isOpen() && *m_silent)
+            m_held.hold(m_exchange);
+    }
+
     const std::string& method() const override { return m_exchange->method(); }
     const std::string& path() const override { return m_exchange->path(); }
     const std::string& query() const override { return m_exchange->query(); }
@@ -27,27 +38,27 @@
 
     void reply(int status, const HttpHeaders& headers, std::string_view body) override
     {
-        if (!m_silent)
+        if (!*m_silent)
             m_exchange->reply(status, headers, body);
     }
     void startStream(int status, const HttpHeaders& headers) override
     {
-        if (!m_silent)
+        if (!*m_silent)
             m_exchange->startStream(status, headers);
     }
     void sendChunk(std::string_view bytes) override
     {
-        if (!m_silent)
+        if (!*m_silent)
             m_exchange->sendChunk(bytes);
     }
     void endStream() override
     {
-        if (!m_silent)
+        if (!*m_silent)
             m_exchange->endStream();
     }
     void abort() override
     {
-        if (!m_silent)
+        if (!*m_silent)
             m_exchange->abort();
     }
     size_t bufferedBytes() const override { return m_exchange->bufferedBytes(); }
@@ -60,7 +71,8 @@
 
 private:
     std::shared_ptr<HttpExchange> m_exchange;
-    const bool& m_silent;
+    std::shared_ptr<const bool> m_silent;
+    HeldExchanges& m_held;
 };
 
 } // namespace lacewing
