--- a/src/protocol/engine_client.h
+++ b/src/protocol/engine_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "state/engine_status.h"
 #include "transport/http_client.h"
 
 #include <functional>
@@ -12,27 +13,6 @@
 
 namespace lacewing {
 
-/// An adapter that an engine holds.
-struct ResidentAdapter {
-    /// Name under which it was loaded.
-    std::string name;
-    /// Requests that run on it.
-    int running = 0;
-};
-
-/// What an engine says about itself.
-struct EngineStatus {
-    /// Differs after each restart.
-    std::string bootId;
-    /// Highest fencing number that the engine has seen.
-    FencingNumber fencingNumber;
-    int slots = 0;
-    std::vector<ResidentAdapter> adapters;
-    /// Lagging load report.
-    int running = 0;
-    int waiting = 0;
-};
-
 /// Why an order to an engine failed.
 enum class EngineOrderError {
     StaleFencingNumber,
