--- /dev/null
+++ b/src/coordination/adapter_residency.cc
@@ -0,0 +1,418 @@
+#include "coordination/adapter_residency.h"
+
+#include <algorithm>
+#include <set>
+
+namespace lacewing {
+
+AdapterResidency::AdapterResidency(Options options, std::unique_ptr<EvictionPolicy> policy)
+    : m_options(options)
+    , m_policy(std::move(policy))
+    , m_random(options.seed)
+    , m_fenceKnown(!options.checksFencing)
+{
+}
+
+bool AdapterResidency::observe(const EngineStatus& status, MonotonicTime askedAt)
+{
+    if (status.fencingNumber > m_options.fence)
+        m_superseded = true;
+    const bool restarted = !m_bootId.empty() && m_bootId != status.bootId;
+    if (restarted)
+        forgetBoot(askedAt);
+    if (status.fencingNumber >= m_options.fence)
+        m_fenceKnown = true;
+    m_bootId = status.bootId;
+    removeUnlisted(status, askedAt);
+    for (const EngineAdapter& listed : status.adapters)
+        takeListed(listed, askedAt);
+    for (auto it = m_evictedAt.begin(); it != m_evictedAt.end();)
+        it = it->second < askedAt ? m_evictedAt.erase(it) : std::next(it);
+    return restarted;
+}
+
+std::string AdapterResidency::nameOf(const AdapterKey& adapter) const
+{
+    AdapterName name { adapter, std::nullopt };
+    if (!m_options.checksFencing)
+        name.fence = m_options.fence;
+    return name.toString();
+}
+
+bool AdapterResidency::isReady(const AdapterKey& adapter, RequestClass requestClass) const
+{
+    const auto slot = m_slots.find(nameOf(adapter));
+    if (slot == m_slots.end() || slot->second.state != ResidencyState::Resident || slot->second.foreign)
+        return false;
+    if (!m_fenceKnown || m_superseded)
+        return false;
+    return requestClass == RequestClass::Interactive || batchMayPin(adapter);
+}
+
+void AdapterResidency::recordUse(const AdapterKey& adapter, MonotonicTime now)
+{
+    m_policy->recordUse(adapter, now);
+}
+
+bool AdapterResidency::acquire(const AdapterKey& adapter, RequestClass requestClass, MonotonicTime now)
+{
+    if (!isReady(adapter, requestClass))
+        return false;
+    References& references = m_references[adapter];
+    ++(requestClass == RequestClass::Interactive ? references.interactive : references.batch);
+    m_slots.at(nameOf(adapter)).lastUse = now;
+    return true;
+}
+
+void AdapterResidency::release(const AdapterKey& adapter, RequestClass requestClass, MonotonicTime now)
+{
+    const auto found = m_references.find(adapter);
+    if (found == m_references.end())
+        return;
+    size_t& count
+        = requestClass == RequestClass::Interactive ? found->second.interactive : found->second.batch;
+    if (count > 0)
+        --count;
+    if (found->second.total() == 0)
+        m_references.erase(found);
+    const auto slot = m_slots.find(nameOf(adapter));
+    if (slot != m_slots.end())
+        slot->second.lastUse = now;
+}
+
+std::optional<AdapterOrder> AdapterResidency::nextOrder(
+    MonotonicTime now, const RequestQueue& queue, const std::function<bool(RequestClass)>& mayLoad)
+{
+    if (m_superseded)
+        return std::nullopt;
+    if (auto order = evictUnusable(now))
+        return order;
+    if (countInState(ResidencyState::Loading) >= m_options.maximumLoads)
+        return std::nullopt;
+    const auto isReadyHere = [this](const AdapterKey& adapter, RequestClass requestClass) {
+        return isReady(adapter, requestClass);
+    };
+    // Adapters that can't be loaded yet must not hide those behind them, so more than one per slot is asked
+    // for.
+    const size_t limit = 4 * m_options.slots + m_backoffs.size();
+    size_t roomPromised = 0;
+    for (const WaitingAdapter& waiting : queue.waitingAdapters(isReadyHere, limit)) {
+        const bool isBatch = waiting.requestClass == RequestClass::Batch;
+        if (!mayLoadNow(waiting.adapter, now) || (isBatch && !batchMayPin(waiting.adapter)))
+            continue;
+        if (!mayLoad(waiting.requestClass))
+            continue;
+        if (auto order = orderFor(waiting, queue, roomPromised, now))
+            return order;
+    }
+    return std::nullopt;
+}
+
+void AdapterResidency::finished(const AdapterOrder& order, OrderResult result, MonotonicTime now)
+{
+    if (result == OrderResult::StaleFence)
+        m_superseded = true;
+    if (result == OrderResult::Done)
+        m_fenceKnown = true;
+    const auto slot = m_slots.find(order.name);
+    if (slot == m_slots.end())
+        return;
+    if (order.kind == AdapterOrder::Kind::Load && slot->second.state == ResidencyState::Loading)
+        loadFinished(slot, result, now);
+    else if (order.kind == AdapterOrder::Kind::Evict && slot->second.state == ResidencyState::Evicting)
+        evictFinished(slot, result, now);
+}
+
+std::optional<MonotonicTime> AdapterResidency::retryAt(const AdapterKey& adapter, MonotonicTime now) const
+{
+    const auto found = m_backoffs.find(adapter);
+    if (found == m_backoffs.end() || found->second.until <= now)
+        return std::nullopt;
+    return found->second.until;
+}
+
+std::vector<AdapterKey> AdapterResidency::resident() const
+{
+    std::vector<AdapterKey> adapters;
+    for (const auto& [name, slot] : m_slots) {
+        const bool usable = slot.state == ResidencyState::Resident || slot.state == ResidencyState::Loading;
+        if (usable && !slot.foreign)
+            adapters.push_back(slot.adapter);
+    }
+    return adapters;
+}
+
+size_t AdapterResidency::references(const AdapterKey& adapter) const
+{
+    const auto found = m_references.find(adapter);
+    return found == m_references.end() ? 0 : found->second.total();
+}
+
+void AdapterResidency::forgetBoot(MonotonicTime askedAt)
+{
+    // Orders that were sent after the status was asked for may have reached the new process.
+    for (auto it = m_slots.begin(); it != m_slots.end();)
+        it = it->second.changedAt < askedAt ? m_slots.erase(it) : std::next(it);
+    m_lostEvictions.clear();
+    m_fenceKnown = !m_options.checksFencing;
+}
+
+void AdapterResidency::removeUnlisted(const EngineStatus& status, MonotonicTime askedAt)
+{
+    std::set<std::string> listed;
+    for (const EngineAdapter& adapter : status.adapters)
+        listed.insert(adapter.name);
+    for (auto it = m_slots.begin(); it != m_slots.end();) {
+        const Slot& slot = it->second;
+        const bool orderInFlight
+            = slot.state == ResidencyState::Loading || slot.state == ResidencyState::Evicting;
+        // A load whose answer was lost may still complete, so its slot stays reserved.
+        const bool mayAppear = slot.state == ResidencyState::Uncertain && !slot.lostEviction;
+        const bool gone
+            = !orderInFlight && !mayAppear && slot.changedAt < askedAt && listed.count(it->first) == 0;
+        it = gone ? m_slots.erase(it) : std::next(it);
+    }
+}
+
+void AdapterResidency::takeListed(const EngineAdapter& listed, MonotonicTime askedAt)
+{
+    const auto known = m_slots.find(listed.name);
+    if (known != m_slots.end()) {
+        refresh(known->second, listed, askedAt);
+        return;
+    }
+    const auto evicted = m_evictedAt.find(listed.name);
+    if (evicted != m_evictedAt.end() && evicted->second >= askedAt)
+        return;
+    const std::optional<AdapterName> name = AdapterName::parse(listed.name);
+    if (name && name->fence && *name->fence > m_options.fence)
+        m_superseded = true;
+    Slot slot;
+    slot.adapter = name ? name->adapter : AdapterKey { AdapterId(listed.name), {} };
+    slot.state = ResidencyState::Resident;
+    slot.foreign = isForeign(name);
+    slot.mayBeInUse = listed.running > 0;
+    slot.lastUse = askedAt;
+    slot.changedAt = askedAt;
+    m_slots.emplace(listed.name, slot);
+}
+
+void AdapterResidency::refresh(Slot& slot, const EngineAdapter& listed, MonotonicTime askedAt) const
+{
+    if (slot.changedAt > askedAt)
+        return;
+    if (slot.foreign || slot.mayBeInUse)
+        slot.mayBeInUse = listed.running > 0;
+    // A name whose eviction was lost stays uncertain: the late order may still arrive.
+    if (slot.state == ResidencyState::Uncertain && !slot.lostEviction)
+        slot.state = ResidencyState::Resident;
+}
+
+bool AdapterResidency::isForeign(const std::optional<AdapterName>& name) const
+{
+    if (!name)
+        return true;
+    return m_options.checksFencing ? name->fence.has_value() : name->fence != m_options.fence;
+}
+
+size_t AdapterResidency::pinnedByBatch() const
+{
+    const auto referenced = std::count_if(
+        m_references.begin(), m_references.end(), [](const auto& entry) { return entry.second.batch > 0; });
+    const auto loading = std::count_if(m_slots.begin(), m_slots.end(), [](const auto& entry) {
+        return entry.second.state == ResidencyState::Loading && entry.second.loadingForBatch;
+    });
+    return static_cast<size_t>(referenced + loading);
+}
+
+bool AdapterResidency::batchMayPin(const AdapterKey& adapter) const
+{
+    const auto found = m_references.find(adapter);
+    if (found != m_references.end() && found->second.batch > 0)
+        return true;
+    return pinnedByBatch() + m_options.interactiveSlots < m_options.slots;
+}
+
+bool AdapterResidency::isIdle(const Slot& slot) const
+{
+    return !slot.mayBeInUse && (slot.foreign || references(slot.adapter) == 0);
+}
+
+bool AdapterResidency::mayLoadNow(const AdapterKey& adapter, MonotonicTime now) const
+{
+    if (retryAt(adapter, now))
+        return false;
+    const std::string name = nameOf(adapter);
+    const auto lost = m_lostEvictions.find(name);
+    if (lost != m_lostEvictions.end() && now < lost->second)
+        return false;
+    const auto slot = m_slots.find(name);
+    if (slot == m_slots.end())
+        return true;
+    if (slot->second.state == ResidencyState::Resident)
+        return !m_fenceKnown;
+    return slot->second.state == ResidencyState::Uncertain && !slot->second.lostEviction;
+}
+
+size_t AdapterResidency::countInState(ResidencyState state) const
+{
+    return static_cast<size_t>(std::count_if(
+        m_slots.begin(), m_slots.end(), [=](const auto& entry) { return entry.second.state == state; }));
+}
+
+std::optional<AdapterOrder> AdapterResidency::evictUnusable(MonotonicTime now)
+{
+    for (auto& entry : m_slots) {
+        const Slot& slot = entry.second;
+        const bool lost = slot.state == ResidencyState::Uncertain && slot.lostEviction
+            && now >= slot.changedAt + m_options.initialBackoff;
+        const bool unusable = slot.state == ResidencyState::Resident && slot.foreign;
+        if ((lost || unusable || slot.state == ResidencyState::Draining) && isIdle(slot))
+            return evict(entry, now);
+    }
+    return std::nullopt;
+}
+
+std::optional<AdapterOrder> AdapterResidency::orderFor(
+    const WaitingAdapter& waiting, const RequestQueue& queue, size_t& roomPromised, MonotonicTime now)
+{
+    const bool hasSlot = m_slots.count(nameOf(waiting.adapter)) > 0;
+    if (hasSlot || m_slots.size() < m_options.slots)
+        return load(waiting, now);
+    const size_t roomComing = countInState(ResidencyState::Evicting) + countInState(ResidencyState::Draining);
+    if (roomPromised < roomComing) {
+        ++roomPromised;
+        return std::nullopt;
+    }
+    return makeRoom(waiting, queue, now);
+}
+
+AdapterOrder AdapterResidency::load(const WaitingAdapter& waiting, MonotonicTime now)
+{
+    const std::string name = nameOf(waiting.adapter);
+    const auto [entry, isNew] = m_slots.try_emplace(name);
+    Slot& slot = entry->second;
+    slot.wasResident = !isNew && slot.state == ResidencyState::Resident;
+    slot.adapter = waiting.adapter;
+    slot.state = ResidencyState::Loading;
+    slot.loadingForBatch = waiting.requestClass == RequestClass::Batch;
+    slot.changedAt = now;
+    m_lostEvictions.erase(name);
+    return { AdapterOrder::Kind::Load, name, waiting.adapter };
+}
+
+AdapterOrder AdapterResidency::evict(Slots::value_type& entry, MonotonicTime now)
+{
+    entry.second.state = ResidencyState::Evicting;
+    entry.second.changedAt = now;
+    return { AdapterOrder::Kind::Evict, entry.first, entry.second.adapter };
+}
+
+std::optional<AdapterOrder> AdapterResidency::makeRoom(
+    const WaitingAdapter& waiting, const RequestQueue& queue, MonotonicTime now)
+{
+    if (Slots::value_type* idle = chooseIdle(queue, now))
+        return evict(*idle, now);
+    if (now - waiting.arrival < m_options.drainAfter)
+        return std::nullopt;
+    Slots::value_type* victim = chooseToDrain(waiting, now);
+    if (!victim)
+        return std::nullopt;
+    if (isIdle(victim->second))
+        return evict(*victim, now);
+    victim->second.state = ResidencyState::Draining;
+    victim->second.changedAt = now;
+    return std::nullopt;
+}
+
+AdapterResidency::Slots::value_type* AdapterResidency::chooseIdle(
+    const RequestQueue& queue, MonotonicTime now)
+{
+    std::vector<Slots::value_type*> idle;
+    for (auto& entry : m_slots) {
+        const Slot& slot = entry.second;
+        const bool settled
+            = slot.state == ResidencyState::Resident || slot.state == ResidencyState::Uncertain;
+        if (settled && isIdle(slot) && !queue.isWaitedFor(slot.adapter))
+            idle.push_back(&entry);
+    }
+    return choose(idle, now);
+}
+
+AdapterResidency::Slots::value_type* AdapterResidency::chooseToDrain(
+    const WaitingAdapter& waiting, MonotonicTime now)
+{
+    std::vector<Slots::value_type*> used;
+    for (auto& entry : m_slots) {
+        const Slot& slot = entry.second;
+        if (slot.state != ResidencyState::Resident || now < slot.changedAt + m_options.drainAfter)
+            continue;
+        const auto references = m_references.find(slot.adapter);
+        const bool urgent = references != m_references.end() && references->second.interactive > 0;
+        if (waiting.requestClass == RequestClass::Batch && urgent)
+            continue;
+        used.push_back(&entry);
+    }
+    return choose(used, now);
+}
+
+AdapterResidency::Slots::value_type* AdapterResidency::choose(
+    const std::vector<Slots::value_type*>& slots, MonotonicTime now) const
+{
+    if (slots.empty())
+        return nullptr;
+    std::vector<EvictionCandidate> candidates;
+    candidates.reserve(slots.size());
+    for (const Slots::value_type* entry : slots)
+        candidates.push_back({ entry->second.adapter, entry->second.lastUse });
+    return slots[m_policy->choose(candidates, now)];
+}
+
+void AdapterResidency::loadFinished(Slots::iterator entry, OrderResult result, MonotonicTime now)
+{
+    Slot& slot = entry->second;
+    slot.changedAt = now;
+    if (result == OrderResult::Done) {
+        slot.state = ResidencyState::Resident;
+        slot.lastUse = now;
+        m_backoffs.erase(slot.adapter);
+        return;
+    }
+    backOff(slot.adapter, now);
+    if (result == OrderResult::Lost || slot.wasResident) {
+        slot.state = ResidencyState::Uncertain;
+        slot.lostEviction = false;
+        return;
+    }
+    m_slots.erase(entry);
+}
+
+void AdapterResidency::evictFinished(Slots::iterator entry, OrderResult result, MonotonicTime now)
+{
+    Slot& slot = entry->second;
+    slot.changedAt = now;
+    if (result == OrderResult::Done) {
+        m_evictedAt[entry->first] = now;
+        m_slots.erase(entry);
+        return;
+    }
+    slot.state = ResidencyState::Uncertain;
+    slot.lostEviction = true;
+    if (result == OrderResult::Lost)
+        m_lostEvictions[entry->first] = now + m_options.lostOrderTime;
+}
+
+void AdapterResidency::backOff(const AdapterKey& adapter, MonotonicTime now)
+{
+    for (auto it = m_backoffs.begin(); it != m_backoffs.end();) {
+        const bool old = it->second.until + m_options.maximumBackoff < now;
+        it = old && it->first != adapter ? m_backoffs.erase(it) : std::next(it);
+    }
+    Backoff& backoff = m_backoffs[adapter];
+    const int doublings = std::min(backoff.failures++, 16);
+    const Duration longest = std::min(m_options.initialBackoff * (1 << doublings), m_options.maximumBackoff);
+    const double jittered = static_cast<double>(longest.count()) * (0.5 + 0.5 * m_random.uniform());
+    backoff.until = now + Duration(static_cast<Duration::rep>(jittered));
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/coordination/fifo_request_queue.cc
@@ -0,0 +1,76 @@
+#include "coordination/fifo_request_queue.h"
+
+#include <algorithm>
+#include <set>
+
+namespace lacewing {
+
+bool FifoRequestQueue::push(const QueuedRequest& request)
+{
+    if (m_requests.size() >= m_capacity)
+        return false;
+    m_requests.push_back(request);
+    return true;
+}
+
+bool FifoRequestQueue::erase(QueuedRequestId id)
+{
+    const auto found = std::find_if(m_requests.begin(), m_requests.end(),
+        [id](const QueuedRequest& request) { return request.id == id; });
+    if (found == m_requests.end())
+        return false;
+    m_requests.erase(found);
+    return true;
+}
+
+std::optional<QueuedRequest> FifoRequestQueue::pop(MonotonicTime, const AdapterReady& isReady)
+{
+    if (m_requests.empty() || !isReady(m_requests.front().adapter, m_requests.front().requestClass))
+        return std::nullopt;
+    QueuedRequest request = m_requests.front();
+    m_requests.pop_front();
+    return request;
+}
+
+std::vector<QueuedRequest> FifoRequestQueue::expire(MonotonicTime now, const AdapterWait& leastWait)
+{
+    std::vector<QueuedRequest> expired;
+    for (auto it = m_requests.begin(); it != m_requests.end();) {
+        const Duration wait = leastWait ? leastWait(it->adapter) : Duration::zero();
+        if (it->startDeadline >= now + wait) {
+            ++it;
+            continue;
+        }
+        expired.push_back(*it);
+        it = m_requests.erase(it);
+    }
+    return expired;
+}
+
+std::vector<WaitingAdapter> FifoRequestQueue::waitingAdapters(const AdapterReady& isReady, size_t limit) const
+{
+    std::vector<WaitingAdapter> waiting;
+    std::set<AdapterKey> seen;
+    for (const QueuedRequest& request : m_requests) {
+        if (waiting.size() >= limit)
+            break;
+        if (!seen.insert(request.adapter).second || isReady(request.adapter, request.requestClass))
+            continue;
+        waiting.push_back({ request.adapter, request.requestClass, request.arrival });
+    }
+    return waiting;
+}
+
+bool FifoRequestQueue::isWaitedFor(const AdapterKey& adapter) const
+{
+    return std::any_of(m_requests.begin(), m_requests.end(),
+        [&](const QueuedRequest& request) { return request.adapter == adapter; });
+}
+
+size_t FifoRequestQueue::size(RequestClass requestClass) const
+{
+    return static_cast<size_t>(std::count_if(m_requests.begin(), m_requests.end(),
+        [=](const QueuedRequest& request) { return request.requestClass == requestClass; }));
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/coordination/fifo_request_queue.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "coordination/request_queue.h"
+
+#include <list>
+
+namespace lacewing {
+
+/// The baseline: requests start in order of arrival, and one that waits for a load blocks all behind it.
+class FifoRequestQueue : public RequestQueue {
+public:
+    explicit FifoRequestQueue(size_t capacity)
+        : m_capacity(capacity)
+    {
+    }
+
+    bool push(const QueuedRequest& request) override;
+    bool erase(QueuedRequestId id) override;
+    std::optional<QueuedRequest> pop(MonotonicTime now, const AdapterReady& isReady) override;
+    void settle(QueuedRequestId, Tokens) override { }
+    void charge(const WorkspaceId&, RequestClass, Tokens) override { }
+    std::vector<QueuedRequest> expire(MonotonicTime now, const AdapterWait& leastWait) override;
+    std::vector<WaitingAdapter> waitingAdapters(const AdapterReady& isReady, size_t limit) const override;
+    bool isWaitedFor(const AdapterKey& adapter) const override;
+    size_t size(RequestClass requestClass) const override;
+
+private:
+    size_t m_capacity;
+    std::list<QueuedRequest> m_requests;
+};
+
+} // namespace lacewing
--- /dev/null
+++ b/src/coordination/in_flight_tracker.cc
@@ -0,0 +1,48 @@
+#include "coordination/in_flight_tracker.h"
+
+#include <algorithm>
+
+namespace lacewing {
+
+namespace {
+
+// Reports older than this are useless for balancing anyway; it bounds the memory of changes.
+constexpr Duration longestLag = std::chrono::seconds(30);
+
+} // namespace
+
+void InFlightTracker::started(const UpstreamId& upstream, MonotonicTime now)
+{
+    change(upstream, 1, now);
+}
+
+void InFlightTracker::finished(const UpstreamId& upstream, MonotonicTime now)
+{
+    change(upstream, -1, now);
+}
+
+int InFlightTracker::load(const UpstreamView& view) const
+{
+    const int reported = view.running + view.queued;
+    const auto found = m_upstreams.find(view.upstream);
+    if (found == m_upstreams.end())
+        return reported;
+    int load = reported;
+    for (auto it = found->second.changes.rbegin(); it != found->second.changes.rend(); ++it) {
+        if (it->at < view.reportedAt)
+            break;
+        load += it->difference;
+    }
+    return std::max(load, found->second.inFlight);
+}
+
+void InFlightTracker::change(const UpstreamId& upstream, int difference, MonotonicTime now)
+{
+    Upstream& entry = m_upstreams[upstream];
+    entry.inFlight = std::max(0, entry.inFlight + difference);
+    entry.changes.push_back({ now, difference });
+    while (entry.changes.front().at + longestLag < now)
+        entry.changes.pop_front();
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/coordination/in_flight_tracker.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "coordination/upstream_selector.h"
+
+#include <deque>
+#include <map>
+
+namespace lacewing {
+
+/// Corrects lagging load reports with the requests that this entry has started and finished since.
+class InFlightTracker {
+public:
+    void started(const UpstreamId& upstream, MonotonicTime now);
+    void finished(const UpstreamId& upstream, MonotonicTime now);
+
+    /// @return the estimated number of requests that run or wait on the upstream.
+    int load(const UpstreamView& view) const;
+
+private:
+    struct Change {
+        MonotonicTime at;
+        int difference = 0;
+    };
+
+    struct Upstream {
+        int inFlight = 0;
+        std::deque<Change> changes;
+    };
+
+    void change(const UpstreamId& upstream, int difference, MonotonicTime now);
+
+    std::map<UpstreamId, Upstream> m_upstreams;
+};
+
+} // namespace lacewing
--- /dev/null
+++ b/src/coordination/upstream_selector.cc
@@ -0,0 +1,14 @@
+#include "coordination/upstream_selector.h"
+
+namespace lacewing {
+
+bool isEligible(const UpstreamView& view, const Selection& selection)
+{
+    if (view.state == UpstreamState::Leaving || view.weight <= 0 || view.owner.empty())
+        return false;
+    if (selection.excluded.count(view.upstream) > 0)
+        return false;
+    return view.baseModel == selection.baseModel && view.service == selection.service;
+}
+
+} // namespace lacewing
