--- a/src/coordination/adapter_residency.cc
+++ b/src/coordination/adapter_residency.cc
@@ -89,6 +89,10 @@
         return order;
     if (countInState(ResidencyState::Loading) >= m_options.maximumLoads)
         return std::nullopt;
+    if (m_loadsTaken == 0 && !mayLoad(RequestClass::Interactive))
+        return std::nullopt;
+    if (auto order = evictDrained(mayLoad, now))
+        return order;
     const auto isReadyHere = [this](const AdapterKey& adapter, RequestClass requestClass) {
         return isReady(adapter, requestClass);
     };
@@ -100,7 +104,8 @@
         const bool isBatch = waiting.requestClass == RequestClass::Batch;
         if (!mayLoadNow(waiting.adapter, now) || (isBatch && !batchMayPin(waiting.adapter)))
             continue;
-        if (!mayLoad(waiting.requestClass))
+        const bool hasRoom = m_slots.size() < m_options.slots && m_loadsTaken > 0;
+        if (!hasRoom && !mayLoad(waiting.requestClass))
             continue;
         if (auto order = orderFor(waiting, queue, roomPromised, now))
             return order;
@@ -267,12 +272,23 @@
         const bool lost = slot.state == ResidencyState::Uncertain && slot.lostEviction
             && now >= slot.changedAt + m_options.initialBackoff;
         const bool unusable = slot.state == ResidencyState::Resident && slot.foreign;
-        if ((lost || unusable || slot.state == ResidencyState::Draining) && isIdle(slot))
+        if ((lost || unusable) && isIdle(slot))
             return evict(entry, now);
     }
     return std::nullopt;
 }
 
+std::optional<AdapterOrder> AdapterResidency::evictDrained(
+    const std::function<bool(RequestClass)>& mayLoad, MonotonicTime now)
+{
+    for (auto& entry : m_slots) {
+        const Slot& slot = entry.second;
+        if (slot.state == ResidencyState::Draining && isIdle(slot) && mayLoad(RequestClass::Interactive))
+            return evictForLoad(entry, now);
+    }
+    return std::nullopt;
+}
+
 std::optional<AdapterOrder> AdapterResidency::orderFor(
     const WaitingAdapter& waiting, const RequestQueue& queue, size_t& roomPromised, MonotonicTime now)
 {
@@ -284,6 +300,8 @@
         ++roomPromised;
         return std::nullopt;
     }
+    if (roomComing + countInState(ResidencyState::Loading) >= m_options.maximumLoads)
+        return std::nullopt;
     return makeRoom(waiting, queue, now);
 }
 
@@ -298,28 +316,38 @@
     slot.loadingForBatch = waiting.requestClass == RequestClass::Batch;
     slot.changedAt = now;
     m_lostEvictions.erase(name);
-    return { AdapterOrder::Kind::Load, name, waiting.adapter };
+    const bool taken = m_loadsTaken > 0;
+    m_loadsTaken -= taken ? 1 : 0;
+    return { AdapterOrder::Kind::Load, name, waiting.adapter, !taken };
 }
 
 AdapterOrder AdapterResidency::evict(Slots::value_type& entry, MonotonicTime now)
 {
     entry.second.state = ResidencyState::Evicting;
     entry.second.changedAt = now;
-    return { AdapterOrder::Kind::Evict, entry.first, entry.second.adapter };
+    return { AdapterOrder::Kind::Evict, entry.first, entry.second.adapter, false };
+}
+
+AdapterOrder AdapterResidency::evictForLoad(Slots::value_type& entry, MonotonicTime now)
+{
+    AdapterOrder order = evict(entry, now);
+    order.takesLoad = true;
+    ++m_loadsTaken;
+    return order;
 }
 
 std::optional<AdapterOrder> AdapterResidency::makeRoom(
     const WaitingAdapter& waiting, const RequestQueue& queue, MonotonicTime now)
 {
     if (Slots::value_type* idle = chooseIdle(queue, now))
-        return evict(*idle, now);
+        return evictForLoad(*idle, now);
     if (now - waiting.arrival < m_options.drainAfter)
         return std::nullopt;
     Slots::value_type* victim = chooseToDrain(waiting, now);
     if (!victim)
         return std::nullopt;
     if (isIdle(victim->second))
-        return evict(*victim, now);
+        return evictForLoad(*victim, now);
     victim->second.state = ResidencyState::Draining;
     victim->second.changedAt = now;
     return std::nullopt;
--- a/src/coordination/adapter_residency.h
+++ b/src/coordination/adapter_residency.h
@@ -47,6 +47,9 @@
     /// Name on the engine.
     std::string name;
     AdapterKey adapter;
+    /// Whether the owner must take one load from the fleet-wide limit now. An eviction that makes room takes
+    /// the load that follows it, so that no adapter is evicted for a load that the limit then holds back.
+    bool takesLoad = false;
 };
 
 /// Answer of the engine to an order.
@@ -185,11 +188,14 @@
     bool isIdle(const Slot& slot) const;
     bool mayLoadNow(const AdapterKey& adapter, MonotonicTime now) const;
     size_t countInState(ResidencyState state) const;
+    std::optional<AdapterOrder> evictDrained(
+        const std::function<bool(RequestClass)>& mayLoad, MonotonicTime now);
     std::optional<AdapterOrder> evictUnusable(MonotonicTime now);
     std::optional<AdapterOrder> orderFor(
         const WaitingAdapter& waiting, const RequestQueue& queue, size_t& roomPromised, MonotonicTime now);
     AdapterOrder load(const WaitingAdapter& waiting, MonotonicTime now);
     AdapterOrder evict(Slots::value_type& slot, MonotonicTime now);
+    AdapterOrder evictForLoad(Slots::value_type& slot, MonotonicTime now);
     std::optional<AdapterOrder> makeRoom(
         const WaitingAdapter& waiting, const RequestQueue& queue, MonotonicTime now);
     Slots::value_type* chooseIdle(const RequestQueue& queue, MonotonicTime now);
@@ -208,6 +214,8 @@
     bool m_fenceKnown;
     bool m_superseded = false;
     Slots m_slots;
+    /// Loads that evictions have taken from the fleet-wide limit and that have not started yet.
+    size_t m_loadsTaken = 0;
     std::map<AdapterKey, References> m_references;
     std::map<AdapterKey, Backoff> m_backoffs;
     /// When names were evicted, so that a status that was asked for earlier does not bring them back.
--- a/src/coordination/fair_request_queue.cc
+++ b/src/coordination/fair_request_queue.cc
@@ -25,6 +25,7 @@
     activate(classState, request.workspace).lines[request.adapter].emplace(sequence, request);
     ++classState.waiting;
     ++m_waitingPerAdapter[request.adapter];
+    m_deadlines.emplace(request.startDeadline, request.id);
     m_locations[request.id] = { request.requestClass, request.workspace, request.adapter, sequence };
     return true;
 }
@@ -79,20 +80,21 @@
 
 std::vector<QueuedRequest> FairRequestQueue::expire(MonotonicTime now, const AdapterWait& leastWait)
 {
-    std::map<AdapterKey, Duration> waits;
-    std::vector<Location> late;
-    for (const auto& [id, location] : m_locations) {
-        const auto [wait, isNew] = waits.emplace(location.adapter, Duration::zero());
-        if (isNew && leastWait)
-            wait->second = leastWait(location.adapter);
-        const Line& line
-            = state(location.requestClass).workspaces.at(location.workspace).lines.at(location.adapter);
-        if (line.at(location.sequence).startDeadline < now + wait->second)
-            late.push_back(location);
-    }
     std::vector<QueuedRequest> expired;
-    for (const Location& location : late)
-        expired.push_back(remove(location));
+    while (!m_deadlines.empty() && m_deadlines.begin()->first < now)
+        expired.push_back(remove(Location(m_locations.at(m_deadlines.begin()->second))));
+    if (!leastWait)
+        return expired;
+    std::vector<QueuedRequestId> late;
+    for (const auto& [adapter, count] : m_waitingPerAdapter) {
+        const Duration wait = leastWait(adapter);
+        if (wait <= Duration::zero())
+            continue;
+        collectLate(m_interactive, adapter, now + wait, late);
+        collectLate(m_batch, adapter, now + wait, late);
+    }
+    for (const QueuedRequestId id : late)
+        expired.push_back(remove(Location(m_locations.at(id))));
     return expired;
 }
 
@@ -176,6 +178,20 @@
     return best;
 }
 
+void FairRequestQueue::collectLate(const ClassState& classState, const AdapterKey& adapter,
+    MonotonicTime earliestStart, std::vector<QueuedRequestId>& late)
+{
+    for (const auto& [id, workspace] : classState.workspaces) {
+        const auto line = workspace.lines.find(adapter);
+        if (line == workspace.lines.end())
+            continue;
+        for (const auto& [sequence, request] : line->second) {
+            if (request.startDeadline < earliestStart)
+                late.push_back(request.id);
+        }
+    }
+}
+
 bool FairRequestQueue::batchMayStart() const
 {
     return m_options.maximumBatchRunning == 0 || m_batch.running < m_options.maximumBatchRunning;
@@ -195,6 +211,7 @@
     const auto count = m_waitingPerAdapter.find(request.adapter);
     if (--count->second == 0)
         m_waitingPerAdapter.erase(count);
+    m_deadlines.erase({ request.startDeadline, request.id });
     m_locations.erase(request.id);
     return request;
 }
--- a/src/coordination/fair_request_queue.h
+++ b/src/coordination/fair_request_queue.h
@@ -86,6 +86,8 @@
     WorkspaceState& activate(ClassState& state, const WorkspaceId& workspace);
     std::optional<Location> best(RequestClass requestClass, const AdapterReady& isReady) const;
     bool batchMayStart() const;
+    static void collectLate(const ClassState& classState, const AdapterKey& adapter,
+        MonotonicTime earliestStart, std::vector<QueuedRequestId>& late);
     QueuedRequest remove(const Location& location);
     void start(const QueuedRequest& request);
     std::vector<WaitingAdapter> waitingInClass(
@@ -98,6 +100,7 @@
     double m_batchCredit = 0;
     Sequence m_nextSequence = 1;
     std::map<QueuedRequestId, Location> m_locations;
+    std::set<std::pair<MonotonicTime, QueuedRequestId>> m_deadlines;
     std::map<QueuedRequestId, Running> m_running;
     std::map<AdapterKey, size_t> m_waitingPerAdapter;
 };
