--- a/src/coordination/adapter_residency.h
+++ b/src/coordination/adapter_residency.h
@@ -4,6 +4,7 @@
 #include "coordination/adapter_name.h"
 #include "coordination/eviction_policy.h"
 #include "coordination/request_queue.h"
+#include "state/engine_status.h"
 
 #include <map>
 #include <memory>
@@ -24,21 +25,6 @@
     Uncertain,
 };
 
-/// An adapter in the list of an engine.
-struct EngineAdapter {
-    std::string name;
-    /// Requests that run on it.
-    int running = 0;
-};
-
-/// What an engine says about its adapters.
-struct EngineStatus {
-    std::string bootId;
-    /// Highest fencing number the engine has seen.
-    FencingNumber fencingNumber;
-    std::vector<EngineAdapter> adapters;
-};
-
 /// An order that the owner should send to the engine.
 struct AdapterOrder {
     enum class Kind { Load, Evict };
--- /dev/null
+++ b/src/daemon/engine_owner.cc
@@ -0,0 +1,211 @@
+#include "daemon/engine_owner.h"
+
+#include "base/log.h"
+#include "coordination/adapter_name.h"
+#include "coordination/cost_aware_eviction.h"
+#include "coordination/fair_request_queue.h"
+#include "state/refusal.h"
+
+namespace lacewing {
+
+namespace {
+
+constexpr Duration statusInterval = std::chrono::seconds(1);
+constexpr Duration statusRetry = std::chrono::milliseconds(200);
+/// Deadline of an order to evict. It is sent only if the lease is valid for all of it.
+constexpr Duration evictDeadline = std::chrono::seconds(2);
+/// Deadline of an order to load. A late load costs a slot at worst.
+constexpr Duration loadDeadline = std::chrono::seconds(20);
+/// Waiting requests of an adapter whose loads fail are refused when the next attempt is further away.
+constexpr Duration longestLoadBackoff = std::chrono::seconds(2);
+/// Share of an engine's concurrency that batch requests may occupy.
+constexpr double batchConcurrencyShare = 0.75;
+
+std::unique_ptr<RequestQueue> makeQueue(const UpstreamConfig& config)
+{
+    FairRequestQueue::Options options;
+    options.maximumBatchRunning
+        = std::max<size_t>(1, static_cast<size_t>(config.maximumConcurrency * batchConcurrencyShare));
+    return std::make_unique<FairRequestQueue>(options);
+}
+
+AdapterResidency::Options residencyOptions(const UpstreamConfig& config, FencingNumber fencingNumber)
+{
+    AdapterResidency::Options options;
+    options.slots = static_cast<size_t>(std::max(1, config.adapterSlots));
+    options.fence = fencingNumber;
+    options.checksFencing = config.checksFencing;
+    options.seed = std::hash<UpstreamId>()(config.id);
+    return options;
+}
+
+OrderResult resultOf(const std::optional<EngineOrderError>& error)
+{
+    if (!error)
+        return OrderResult::Done;
+    switch (*error) {
+    case EngineOrderError::StaleFencingNumber:
+        return OrderResult::StaleFence;
+    case EngineOrderError::NoFreeSlot:
+        return OrderResult::NoFreeSlot;
+    case EngineOrderError::NotLoaded:
+        // Only an order to evict is answered so, and what it wanted is the case.
+        return OrderResult::Done;
+    case EngineOrderError::LoadFailed:
+    case EngineOrderError::NotSent:
+        return OrderResult::Failed;
+    case EngineOrderError::Unknown:
+        return OrderResult::Lost;
+    }
+    return OrderResult::Lost;
+}
+
+} // namespace
+
+EngineOwner::EngineOwner(OwnerContext context, const UpstreamConfig& config, SocketAddress address,
+    FencingNumber fencingNumber, LeaseCheck mayAct, LoadGate& gate, std::function<void()> superseded)
+    : UpstreamOwner(context, config, makeQueue(config), std::move(mayAct))
+    , m_address(std::move(address))
+    , m_fencingNumber(fencingNumber)
+    , m_gate(gate)
+    , m_superseded(std::move(superseded))
+    , m_engine(context.client, m_address)
+    , m_residency(residencyOptions(config, fencingNumber),
+          std::make_unique<CostAwareEviction>(CostAwareEviction::Options()))
+{
+    armStatus(Duration::zero());
+}
+
+EngineOwner::~EngineOwner()
+{
+    context().scheduler.cancel(m_statusTimer);
+}
+
+UpstreamReport EngineOwner::report() const
+{
+    UpstreamReport report = UpstreamOwner::report();
+    for (const AdapterKey& adapter : m_residency.resident())
+        report.residents.push_back(AdapterName { adapter, std::nullopt }.toString());
+    return report;
+}
+
+bool EngineOwner::isReady(const AdapterKey& adapter, RequestClass requestClass) const
+{
+    return m_isKnown && m_residency.isReady(adapter, requestClass);
+}
+
+bool EngineOwner::acquire(const QueuedRequest& request)
+{
+    return m_residency.acquire(request.adapter, request.requestClass, now());
+}
+
+void EngineOwner::release(const QueuedRequest& request)
+{
+    m_residency.release(request.adapter, request.requestClass, now());
+}
+
+std::unique_ptr<UpstreamRun> EngineOwner::makeRun(const RunRequest& request, UpstreamRun::Listener listener)
+{
+    const UpstreamTarget target { config().id, m_address,
+        m_residency.nameOf({ request.adapter, request.version }), upstreamProgressTimeout };
+    return makeEngineRun(context().client, target, request, std::move(listener));
+}
+
+Duration EngineOwner::leastWait(const AdapterKey& adapter) const
+{
+    const auto retry = m_residency.retryAt(adapter, now());
+    return retry ? *retry - now() : Duration::zero();
+}
+
+void EngineOwner::afterChange()
+{
+    sendOrders();
+}
+
+void EngineOwner::recordUse(const AdapterKey& adapter)
+{
+    m_residency.recordUse(adapter, now());
+}
+
+void EngineOwner::armStatus(Duration delay)
+{
+    context().scheduler.cancel(m_statusTimer);
+    m_statusTimer = context().scheduler.runAfter(delay, [this] {
+        m_statusTimer = 0;
+        readStatus();
+    });
+}
+
+void EngineOwner::readStatus()
+{
+    m_engine.readStatus([this, askedAt = now()](const auto& status) { statusRead(status, askedAt); });
+}
+
+void EngineOwner::statusRead(const std::optional<EngineStatus>& status, MonotonicTime askedAt)
+{
+    armStatus(status || m_isKnown ? statusInterval : statusRetry);
+    if (!status)
+        return;
+    if (m_residency.observe(*status, askedAt)) {
+        ++context().metrics.counter("lacewing_engine_restarts_total");
+        LogEvent(LogLevel::Warning, "engine_restarted")
+            .with("upstream", config().id)
+            .with("boot_id", status->bootId);
+    }
+    if (m_residency.superseded())
+        return m_superseded();
+    m_isKnown = true;
+    pump();
+    sendOrders();
+}
+
+void EngineOwner::sendOrders()
+{
+    if (!m_isKnown || !mayAct(evictDeadline))
+        return;
+    const auto mayLoad = [this](RequestClass) { return m_gate.isOpen(); };
+    while (const auto order = m_residency.nextOrder(now(), queue(), mayLoad))
+        sendOrder(*order);
+}
+
+void EngineOwner::sendOrder(const AdapterOrder& order)
+{
+    const auto answered
+        = [this, order](std::optional<EngineOrderError> error) { orderAnswered(order, error); };
+    if (order.kind == AdapterOrder::Kind::Evict) {
+        ++context().metrics.counter("lacewing_adapter_evictions_total");
+        m_engine.unload(order.name, m_fencingNumber, evictDeadline, answered);
+        return;
+    }
+    m_gate.take();
+    ++context().metrics.counter("lacewing_adapter_loads_total");
+    m_engine.load(order.name, config().baseModel, order.adapter, m_fencingNumber, loadDeadline, answered);
+}
+
+void EngineOwner::orderAnswered(const AdapterOrder& order, std::optional<EngineOrderError> error)
+{
+    const bool isLoad = order.kind == AdapterOrder::Kind::Load;
+    if (isLoad)
+        m_gate.finished();
+    m_residency.finished(order, resultOf(error), now());
+    if (error) {
+        ++context().metrics.counter("lacewing_adapter_order_failures_total",
+            { { "order", isLoad ? "load" : "evict" }, { "reason", toString(*error) } });
+        LogEvent(LogLevel::Warning, "adapter_order_failed")
+            .with("upstream", config().id)
+            .with("order", isLoad ? "load" : "evict")
+            .with("name", order.name)
+            .with("reason", toString(*error));
+    }
+    if (m_residency.superseded())
+        return m_superseded();
+    if (isLoad && error) {
+        const auto retry = m_residency.retryAt(order.adapter, now());
+        if (retry && *retry - now() > longestLoadBackoff)
+            refuseWaiting(order.adapter, refusal::loadFailed, *retry - now());
+    }
+    pump();
+    sendOrders();
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/daemon/engine_owner.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "coordination/adapter_residency.h"
+#include "daemon/load_gate.h"
+#include "daemon/upstream_owner.h"
+#include "protocol/engine_client.h"
+
+namespace lacewing {
+
+/// Owner of a model engine: besides the work it orders which adapters the engine loads and evicts.
+class EngineOwner : public UpstreamOwner {
+public:
+    /// @param address of the engine.
+    /// @param fencingNumber of the upstream's lease.
+    /// @param gate must outlive the owner.
+    /// @param superseded called when the engine has seen a higher fencing number; the lease must be released.
+    EngineOwner(OwnerContext context, const UpstreamConfig& config, SocketAddress address,
+        FencingNumber fencingNumber, LeaseCheck mayAct, LoadGate& gate, std::function<void()> superseded);
+    ~EngineOwner() override;
+
+    UpstreamReport report() const override;
+
+protected:
+    bool isReady(const AdapterKey& adapter, RequestClass requestClass) const override;
+    bool acquire(const QueuedRequest& request) override;
+    void release(const QueuedRequest& request) override;
+    std::unique_ptr<UpstreamRun> makeRun(const RunRequest& request, UpstreamRun::Listener listener) override;
+    Duration leastWait(const AdapterKey& adapter) const override;
+    void afterChange() override;
+    void recordUse(const AdapterKey& adapter) override;
+
+private:
+    void readStatus();
+    void statusRead(const std::optional<EngineStatus>& status, MonotonicTime askedAt);
+    void armStatus(Duration delay);
+    /// Sends all orders that are due.
+    void sendOrders();
+    void sendOrder(const AdapterOrder& order);
+    void orderAnswered(const AdapterOrder& order, std::optional<EngineOrderError> error);
+
+    SocketAddress m_address;
+    FencingNumber m_fencingNumber;
+    LoadGate& m_gate;
+    std::function<void()> m_superseded;
+    EngineClient m_engine;
+    AdapterResidency m_residency;
+    /// Nothing is ordered or started before the engine has told what it holds.
+    bool m_isKnown = false;
+    TimerId m_statusTimer = 0;
+};
+
+} // namespace lacewing
--- a/src/daemon/upstream_owner.cc
+++ b/src/daemon/upstream_owner.cc
@@ -36,7 +36,8 @@
     if (m_isDraining || m_config.state == UpstreamState::Leaving)
         return refuse(entry, refusedRun(message.stream, refusal::leaving, statusUnavailable, retrySoon));
     if (!m_mayAct(Duration::zero()))
-        return refuse(entry, refusedRun(message.stream, refusal::sessionInvalid, statusUnavailable, retrySoon));
+        return refuse(
+            entry, refusedRun(message.stream, refusal::sessionInvalid, statusUnavailable, retrySoon));
     auto request = std::make_unique<Request>();
     request->entry = entry;
     request->message = message;
@@ -49,7 +50,8 @@
     queued.arrival = now();
     queued.startDeadline = now() + std::chrono::milliseconds(message.deadlineMs);
     if (!m_queue->push(queued))
-        return refuse(entry, refusedRun(message.stream, refusal::queueFull, statusTooManyRequests, retrySoon));
+        return refuse(
+            entry, refusedRun(message.stream, refusal::queueFull, statusTooManyRequests, retrySoon));
     recordUse(queued.adapter);
     m_origins[{ entry, message.stream }] = queued.id;
     m_requests.emplace(queued.id, std::move(request));
@@ -103,7 +105,8 @@
             waiting.push_back(id);
     }
     for (const QueuedRequestId id : waiting)
-        end(id, refusedRun(m_requests.at(id)->message.stream, refusal::leaving, statusUnavailable, retrySoon));
+        end(id,
+            refusedRun(m_requests.at(id)->message.stream, refusal::leaving, statusUnavailable, retrySoon));
     finishDrain();
 }
 
@@ -134,14 +137,17 @@
 {
     if (!m_mayAct(Duration::zero()))
         return;
-    const auto ready = [this](const AdapterKey& adapter) { return isReady(adapter); };
+    const auto ready = [this](const AdapterKey& adapter, RequestClass requestClass) {
+        return isReady(adapter, requestClass);
+    };
     while (m_running < static_cast<size_t>(m_config.maximumConcurrency)) {
         const auto next = m_queue->pop(now(), ready);
         if (!next)
             return;
         Request& request = *m_requests.at(next->id);
         if (!acquire(*next)) {
-            end(next->id, refusedRun(request.message.stream, refusal::notOwner, statusUnavailable, retrySoon));
+            end(next->id,
+                refusedRun(request.message.stream, refusal::notOwner, statusUnavailable, retrySoon));
             continue;
         }
         start(request);
@@ -152,10 +158,12 @@
 {
     const QueuedRequestId id = request.queued.id;
     UpstreamRun::Listener listener;
-    listener.onChunk = [this, entry = request.entry](const RunChunk& chunk) { m_context.peers.send(entry, chunk); };
+    listener.onChunk
+        = [this, entry = request.entry](const RunChunk& chunk) { m_context.peers.send(entry, chunk); };
     listener.onEnd = [this, id](const RunEnd& end) { ended(id, end); };
     ++m_running;
-    m_context.metrics.summary("lacewing_queue_wait_seconds").observe(toSeconds(now() - request.queued.arrival));
+    m_context.metrics.summary("lacewing_queue_wait_seconds")
+        .observe(toSeconds(now() - request.queued.arrival));
     request.run = makeRun(request.message, std::move(listener));
     request.run->start();
 }
--- a/src/daemon/upstream_owner.h
+++ b/src/daemon/upstream_owner.h
@@ -31,8 +31,8 @@
     using LeaseCheck = std::function<bool(Duration margin)>;
 
     /// @param context its members must outlive the owner.
-    UpstreamOwner(OwnerContext context, UpstreamConfig config, std::unique_ptr<RequestQueue> queue,
-        LeaseCheck mayAct);
+    UpstreamOwner(
+        OwnerContext context, UpstreamConfig config, std::unique_ptr<RequestQueue> queue, LeaseCheck mayAct);
     virtual ~UpstreamOwner();
     UpstreamOwner(const UpstreamOwner&) = delete;
     UpstreamOwner& operator=(const UpstreamOwner&) = delete;
@@ -63,14 +63,15 @@
 
 protected:
     /// @return whether a request for the adapter could start on the upstream now.
-    virtual bool isReady(const AdapterKey& adapter) const = 0;
+    virtual bool isReady(const AdapterKey& adapter, RequestClass requestClass) const = 0;
     /// Called right before a request is sent.
     ///
     /// @return false if the adapter is not ready after all.
     virtual bool acquire(const QueuedRequest& request) = 0;
     /// Called when a request that was acquired has ended.
     virtual void release(const QueuedRequest& request) = 0;
-    virtual std::unique_ptr<UpstreamRun> makeRun(const RunRequest& request, UpstreamRun::Listener listener) = 0;
+    virtual std::unique_ptr<UpstreamRun> makeRun(const RunRequest& request, UpstreamRun::Listener listener)
+        = 0;
     /// @return a lower bound of the wait for the adapter, by which requests are shed early.
     virtual Duration leastWait(const AdapterKey& adapter) const = 0;
     /// Called after requests were added or have ended.
