--- /dev/null
+++ b/src/coordination/grant_ledger.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "coordination/allotment_limit.h"
+#include "state/peer_messages.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace lacewing {
+
+/// What one wallet holds out of grants, and what it has to report about them.
+///
+/// Of each grant an amount is available, charged, or given back. An available amount can be charged only
+/// before the grant expires, which is checked against the clock at every use, so that a wallet that was
+/// paused charges nothing that has expired.
+class GrantLedger {
+public:
+    /// Sends a report. Called once per changed grant from flush().
+    using Reporter = std::function<void(const HostId& holder, const AllotReturn& report)>;
+
+    /// A grant of one workspace's amount from one holder.
+    struct Grant {
+        HostId holder;
+        uint64_t seq = 0;
+        WorkspaceId workspace;
+        AllotmentKind kind = AllotmentKind::Rate;
+        MonotonicTime expiry;
+        Tokens available;
+        Tokens charged;
+        /// Given back without having been charged.
+        Tokens unused;
+        /// Given back after having been charged.
+        Tokens refunded;
+        bool isChanged = false;
+    };
+    /// An amount charged out of one grant.
+    struct Part {
+        std::shared_ptr<Grant> grant;
+        Tokens tokens;
+    };
+
+    GrantLedger(const Clock& clock, Reporter reporter);
+
+    /// Adds an amount that was granted.
+    ///
+    /// @param expiry from when it may not be charged any more.
+    void add(const HostId& holder, uint64_t seq, const TokenAmount& amount, AllotmentKind kind,
+        MonotonicTime expiry);
+
+    /// @return what can be charged now.
+    Tokens available(const WorkspaceId& workspace);
+
+    /// Charges an amount, those that expire first before others.
+    ///
+    /// @param tokens at most available().
+    std::vector<Part> charge(const WorkspaceId& workspace, Tokens tokens);
+
+    /// Gives back what was charged and not used, the last part first.
+    void refund(const std::vector<Part>& parts, Tokens unused);
+
+    /// Gives back all available amounts of a workspace that expire before a time.
+    void releaseExpiringBefore(const WorkspaceId& workspace, MonotonicTime time);
+    /// Gives back all available amounts of all workspaces that expire before a time.
+    void releaseExpiringBefore(MonotonicTime time);
+
+    /// @return true if anything is available or to be reported.
+    bool isActive() const { return !m_available.empty() || !m_changed.empty(); }
+
+    /// Reports all changes.
+    void flush();
+
+private:
+    using Pieces = std::deque<std::shared_ptr<Grant>>;
+
+    void release(Pieces& pieces, MonotonicTime time);
+    void change(const std::shared_ptr<Grant>& grant);
+
+    const Clock& m_clock;
+    Reporter m_reporter;
+    /// Grants with an available amount, by expiry.
+    std::map<WorkspaceId, Pieces> m_available;
+    std::vector<std::shared_ptr<Grant>> m_changed;
+};
+
+} // namespace lacewing
--- /dev/null
+++ b/src/coordination/level_hints.cc
@@ -0,0 +1,124 @@
+#include "coordination/level_hints.h"
+
+#include <algorithm>
+
+namespace lacewing {
+
+namespace {
+
+// A peer's level may have grown by refunds or by the loss of other askers' grants after this time.
+constexpr Duration hintLifetime = std::chrono::seconds(1);
+
+// A bucket is asked again when it has gathered this much refill, or all that is missing. Under overload it
+// bounds the asks to 10 a second per peer and workspace.
+constexpr Duration quantumTime = std::chrono::milliseconds(100);
+
+Tokens share(Tokens whole, int partitions)
+{
+    return Tokens(whole.value() * partitions / allotmentPartitions);
+}
+
+Tokens refill(Tokens rate, Duration duration)
+{
+    return Tokens(static_cast<int64_t>(static_cast<double>(rate.value()) * toSeconds(duration)));
+}
+
+} // namespace
+
+void LevelHints::setHolders(const std::map<HostId, int>& holders)
+{
+    for (auto hint = m_hints.begin(); hint != m_hints.end();)
+        hint = holders.count(hint->first) == 0 ? m_hints.erase(hint) : std::next(hint);
+    for (const auto& [peer, partitions] : holders)
+        m_hints[peer].partitions = partitions;
+}
+
+void LevelHints::asked(const HostId& peer, Tokens amount)
+{
+    const auto found = m_hints.find(peer);
+    if (found != m_hints.end())
+        found->second.inFlight = amount;
+}
+
+void LevelHints::heard(const HostId& peer, Tokens level, MonotonicTime now)
+{
+    const auto found = m_hints.find(peer);
+    if (found == m_hints.end())
+        return;
+    found->second.inFlight = Tokens();
+    found->second.level = level;
+    found->second.heardAt = now;
+}
+
+Tokens LevelHints::inFlight() const
+{
+    Tokens sum;
+    for (const auto& [peer, hint] : m_hints)
+        sum += hint.inFlight;
+    return sum;
+}
+
+bool LevelHints::hasStale(MonotonicTime now) const
+{
+    return std::any_of(m_hints.begin(), m_hints.end(),
+        [&](const auto& entry) { return entry.second.inFlight == Tokens() && isStale(entry.second, now); });
+}
+
+Tokens LevelHints::estimate(MonotonicTime time) const
+{
+    Tokens sum;
+    for (const auto& [peer, hint] : m_hints)
+        sum += estimate(hint, time);
+    return sum;
+}
+
+std::map<HostId, Tokens> LevelHints::plan(Tokens wanted, MonotonicTime now) const
+{
+    std::vector<std::pair<Tokens, HostId>> known;
+    std::vector<HostId> stale;
+    for (const auto& [peer, hint] : m_hints) {
+        if (hint.inFlight > Tokens())
+            continue;
+        if (isStale(hint, now))
+            stale.push_back(peer);
+        else if (estimate(hint, now) >= std::min(wanted, quantum(hint)))
+            known.emplace_back(estimate(hint, now), peer);
+    }
+    std::sort(known.rbegin(), known.rend());
+    std::map<HostId, Tokens> asks;
+    for (const auto& [level, peer] : known) {
+        const Tokens amount = std::min(wanted, level);
+        if (amount > Tokens())
+            asks[peer] = amount;
+        wanted -= amount;
+    }
+    // Nothing is known about the rest, so each is asked for an equal part.
+    for (size_t index = 0; index < stale.size() && wanted > Tokens(); ++index) {
+        const auto left = static_cast<int64_t>(stale.size() - index);
+        const Tokens amount((wanted.value() + left - 1) / left);
+        asks[stale[index]] = amount;
+        wanted -= amount;
+    }
+    return asks;
+}
+
+bool LevelHints::isStale(const Hint& hint, MonotonicTime now) const
+{
+    return hint.heardAt == MonotonicTime::min() || now - hint.heardAt >= hintLifetime;
+}
+
+Tokens LevelHints::estimate(const Hint& hint, MonotonicTime time) const
+{
+    if (hint.heardAt == MonotonicTime::min())
+        return Tokens();
+    const Tokens refilled = refill(share(m_limit.rate, hint.partitions), time - hint.heardAt);
+    const Tokens level = std::min(hint.level + refilled, share(m_limit.burst, hint.partitions));
+    return std::max(Tokens(), level - hint.inFlight);
+}
+
+Tokens LevelHints::quantum(const Hint& hint) const
+{
+    return std::max(Tokens(1), refill(share(m_limit.rate, hint.partitions), quantumTime));
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/coordination/level_hints.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "coordination/allotment_limit.h"
+
+#include <map>
+#include <vector>
+
+namespace lacewing {
+
+/// What an entry knows about one workspace's buckets at its peers. Estimates are upper bounds but for
+/// refunds: the last level heard plus the refill since, less what is being asked for.
+class LevelHints {
+public:
+    /// Sets the peers that hold partitions, with their numbers of partitions.
+    void setHolders(const std::map<HostId, int>& holders);
+    void setLimit(const AllotmentLimit& limit) { m_limit = limit; }
+
+    /// Notes an ask, until heard() or its timeout.
+    void asked(const HostId& peer, Tokens amount);
+    /// Notes an answer, or that there was none (level 0).
+    void heard(const HostId& peer, Tokens level, MonotonicTime now);
+
+    /// @return the sum of the amounts asked for and not answered.
+    Tokens inFlight() const;
+    /// @return true if some peer was not heard recently and is not being asked.
+    bool hasStale(MonotonicTime now) const;
+    /// @return an estimate of what all peers together have at a time.
+    Tokens estimate(MonotonicTime time) const;
+
+    /// Divides a wanted amount over the peers that are worth asking now.
+    std::map<HostId, Tokens> plan(Tokens wanted, MonotonicTime now) const;
+
+private:
+    struct Hint {
+        int partitions = 0;
+        Tokens level;
+        MonotonicTime heardAt = MonotonicTime::min();
+        Tokens inFlight;
+    };
+
+    bool isStale(const Hint& hint, MonotonicTime now) const;
+    Tokens estimate(const Hint& hint, MonotonicTime time) const;
+    /// @return the smallest amount for which a message is worth while.
+    Tokens quantum(const Hint& hint) const;
+
+    AllotmentLimit m_limit;
+    std::map<HostId, Hint> m_hints;
+};
+
+} // namespace lacewing
--- /dev/null
+++ b/src/coordination/load_permits.cc
@@ -0,0 +1,65 @@
+#include "coordination/load_permits.h"
+
+#include <cmath>
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+constexpr int64_t amountPerLoad = 1000;
+// A load takes about 0.25 s.
+constexpr int64_t expectedLoadsPerSlotAndSecond = 4;
+
+// '/' can't occur in a configured workspace's name.
+const WorkspaceId& slotWorkspace()
+{
+    static const WorkspaceId id("loads/slots");
+    return id;
+}
+
+const WorkspaceId& startWorkspace()
+{
+    static const WorkspaceId id("loads/starts");
+    return id;
+}
+
+} // namespace
+
+AllotmentLimits LoadPermits::limits(const LoadLimits& loadLimits)
+{
+    const int64_t slots = loadLimits.maximumInFlight * amountPerLoad;
+    const auto rate = static_cast<int64_t>(loadLimits.loadsPerSecond * static_cast<double>(amountPerLoad));
+    // One second's loads may start at once, but at least one.
+    const int64_t burst = std::max(amountPerLoad, rate);
+    return {
+        { slotWorkspace(),
+            { AllotmentKind::Slots, Tokens(slots * expectedLoadsPerSlotAndSecond), Tokens(slots) } },
+        { startWorkspace(), { AllotmentKind::Rate, Tokens(rate), Tokens(burst) } },
+    };
+}
+
+void LoadPermits::acquire(MonotonicTime deadline, AcquireCallback callback)
+{
+    // The start comes first: a slot must not be occupied while its load waits for the rate.
+    m_wallet.reserve(startWorkspace(), Tokens(amountPerLoad), deadline,
+        [this, deadline, callback = std::move(callback)](const ReserveResult& start) {
+            if (!start.reservation)
+                return callback(std::nullopt, start.retryAfter);
+            m_wallet.reserve(slotWorkspace(), Tokens(amountPerLoad), deadline,
+                [this, callback, start = *start.reservation](const ReserveResult& slot) {
+                    if (slot.reservation)
+                        return callback(Permit { *slot.reservation, start }, Duration::zero());
+                    m_wallet.settle(start, Tokens());
+                    callback(std::nullopt, slot.retryAfter);
+                });
+        });
+}
+
+void LoadPermits::finish(const Permit& permit, bool wasStarted)
+{
+    m_wallet.settle(permit.slot, Tokens());
+    m_wallet.settle(permit.start, wasStarted ? permit.start.tokens : Tokens());
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/coordination/token_wallet.cc
@@ -0,0 +1,453 @@
+#include "coordination/token_wallet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Asks of all workspaces to one peer within this time share a message.
+constexpr Duration askBatchTime = 2ms;
+
+// A peer that has not answered by then counts as empty until its hint is stale. It is several round trips
+// between two regions.
+constexpr Duration askTimeout = 300ms;
+
+// Reports are held back to share messages. Held back reports delay refill only in a bucket that is nearly
+// full.
+constexpr Duration reportDelay = 50ms;
+
+// How often a waiting request looks again at the own bucket and at the estimates of the peers' buckets.
+constexpr Duration waitStep = 20ms;
+constexpr Duration debtStep = 1s;
+
+// Amounts that are not used within this time go back, so that they don't lie idle here.
+constexpr Duration releaseAfter = 500ms;
+constexpr Duration maintenancePeriod = 250ms;
+constexpr Duration idleTime = 10s;
+
+constexpr double recentUseSeconds = 1;
+// Amounts are asked for ahead of the use of this time, if the peers have several times as much.
+constexpr double aheadSeconds = 0.1;
+constexpr int64_t aheadReserve = 8;
+
+constexpr Duration shortestRetryAfter = 100ms;
+constexpr int seqBitsPerIncarnation = 40;
+
+Duration timeToRefill(Tokens missing, Tokens rate)
+{
+    if (rate <= Tokens())
+        return Duration::zero();
+    const double seconds = static_cast<double>(missing.value()) / static_cast<double>(rate.value());
+    return std::max(shortestRetryAfter, std::chrono::duration_cast<Duration>(seconds * 1s));
+}
+
+} // namespace
+
+const char* toString(ReserveError error)
+{
+    switch (error) {
+    case ReserveError::RateLimited:
+        return "rate_limited";
+    case ReserveError::ExceedsBurst:
+        return "exceeds_burst";
+    case ReserveError::UnknownWorkspace:
+        return "unknown_workspace";
+    case ReserveError::Stopping:
+        return "stopping";
+    }
+    return "invalid";
+}
+
+TokenWallet::TokenWallet(Scheduler& scheduler, PeerMessenger& messenger, PartitionHolder& holder, HostId self,
+    Incarnation incarnation)
+    : m_scheduler(scheduler)
+    , m_messenger(messenger)
+    , m_holder(holder)
+    , m_self(std::move(self))
+    , m_nextSeq((static_cast<uint64_t>(incarnation.value()) << seqBitsPerIncarnation) + 1)
+    , m_ledger(scheduler, [this](const HostId& peer, const AllotReturn& report) { sendReport(peer, report); })
+{
+}
+
+TokenWallet::~TokenWallet()
+{
+    *m_alive = false;
+    for (const auto& [id, state] : m_workspaces)
+        m_scheduler.cancel(state.timer);
+    m_scheduler.cancel(m_askTimer);
+    m_scheduler.cancel(m_reportTimer);
+    m_scheduler.cancel(m_maintenanceTimer);
+}
+
+void TokenWallet::setLimits(const AllotmentLimits& limits)
+{
+    m_limits = limits;
+    for (auto& [id, state] : m_workspaces) {
+        const auto limit = m_limits.find(id);
+        if (limit != m_limits.end()) {
+            state.hints.setLimit(limit->second);
+            continue;
+        }
+        for (Waiting& waiting : std::exchange(state.queue, {}))
+            refuse(waiting, ReserveError::UnknownWorkspace, Duration::zero());
+        state.debt = Tokens();
+    }
+    finish();
+}
+
+void TokenWallet::setHolders(const std::map<HostId, int>& partitionsByHost)
+{
+    m_partitionsByHost = partitionsByHost;
+    m_partitionsByHost.erase(m_self);
+    for (auto& [id, state] : m_workspaces)
+        state.hints.setHolders(m_partitionsByHost);
+}
+
+void TokenWallet::reserve(
+    const WorkspaceId& workspace, Tokens tokens, MonotonicTime deadline, ReserveCallback callback)
+{
+    Waiting waiting { std::max(tokens, Tokens()), deadline, std::move(callback) };
+    const auto limit = m_limits.find(workspace);
+    if (m_isStopped) {
+        refuse(waiting, ReserveError::Stopping, shortestRetryAfter);
+    } else if (limit == m_limits.end()) {
+        refuse(waiting, ReserveError::UnknownWorkspace, Duration::zero());
+    } else if (tokens > limit->second.burst) {
+        refuse(waiting, ReserveError::ExceedsBurst, Duration::zero());
+    } else {
+        this->workspace(workspace)->queue.push_back(std::move(waiting));
+        pump(workspace);
+    }
+    finish();
+}
+
+void TokenWallet::settle(const Reservation& reservation, Tokens used)
+{
+    const auto found = m_reservations.find(reservation.id);
+    if (found == m_reservations.end())
+        return;
+    const auto limit = m_limits.find(reservation.workspace);
+    const bool isSlots = limit != m_limits.end() && limit->second.kind == AllotmentKind::Slots;
+    if (isSlots)
+        used = Tokens();
+    if (used < reservation.tokens)
+        m_ledger.refund(found->second, reservation.tokens - used);
+    m_reservations.erase(found);
+    if (used > reservation.tokens && limit != m_limits.end() && !m_isStopped) {
+        workspace(reservation.workspace)->debt += used - reservation.tokens;
+        pump(reservation.workspace);
+    }
+    finish();
+}
+
+void TokenWallet::handleGrant(const HostId& peer, const AllotGrant& grant)
+{
+    const auto found = m_asks.find(grant.seq);
+    if (found == m_asks.end() || found->second.peer != peer)
+        return;
+    const Ask ask = std::move(found->second);
+    m_asks.erase(found);
+    for (const TokenAmount& amount : grant.granted) {
+        const auto limit = m_limits.find(amount.workspace);
+        const AllotmentLimit known = limit == m_limits.end() ? AllotmentLimit() : limit->second;
+        m_ledger.add(peer, grant.seq, amount, known.kind, ask.sentAt + known.ttl());
+    }
+    for (const TokenAmount& level : grant.levels) {
+        const auto state = m_workspaces.find(level.workspace);
+        if (state != m_workspaces.end())
+            state->second.hints.heard(peer, level.tokens, m_scheduler.now());
+    }
+    if (m_isStopped)
+        m_ledger.releaseExpiringBefore(MonotonicTime::max());
+    for (const WorkspaceId& id : ask.workspaces)
+        pump(id);
+    finish();
+}
+
+void TokenWallet::stop()
+{
+    m_isStopped = true;
+    for (auto& [id, state] : m_workspaces) {
+        for (Waiting& waiting : std::exchange(state.queue, {}))
+            refuse(waiting, ReserveError::Stopping, shortestRetryAfter);
+    }
+    m_ledger.releaseExpiringBefore(MonotonicTime::max());
+    m_ledger.flush();
+    finish();
+}
+
+Tokens TokenWallet::debt(const WorkspaceId& workspace) const
+{
+    const auto found = m_workspaces.find(workspace);
+    return found == m_workspaces.end() ? Tokens() : found->second.debt;
+}
+
+TokenWallet::Workspace* TokenWallet::workspace(const WorkspaceId& id)
+{
+    const auto added = m_workspaces.try_emplace(id);
+    Workspace& state = added.first->second;
+    if (added.second) {
+        state.hints.setHolders(m_partitionsByHost);
+        state.hints.setLimit(m_limits[id]);
+        armMaintenance();
+    }
+    return &state;
+}
+
+void TokenWallet::pump(const WorkspaceId& id)
+{
+    const auto found = m_workspaces.find(id);
+    if (found == m_workspaces.end() || m_limits.count(id) == 0)
+        return;
+    Workspace& state = found->second;
+    serve(id, state);
+    if (askOwnHolder(id, state))
+        serve(id, state);
+    refuseHopeless(id, state);
+    askPeers(id, state);
+    armTimer(id, state);
+}
+
+void TokenWallet::serve(const WorkspaceId& id, Workspace& state)
+{
+    payDebt(id, state);
+    while (state.debt == Tokens() && !state.queue.empty()
+        && state.queue.front().tokens <= m_ledger.available(id))
+        chargeFront(id, state);
+}
+
+void TokenWallet::payDebt(const WorkspaceId& id, Workspace& state)
+{
+    const Tokens payment = std::min(state.debt, m_ledger.available(id));
+    if (payment == Tokens())
+        return;
+    m_ledger.charge(id, payment);
+    state.debt -= payment;
+    if (m_chargeObserver)
+        m_chargeObserver(id, payment, std::nullopt);
+}
+
+void TokenWallet::chargeFront(const WorkspaceId& id, Workspace& state)
+{
+    const MonotonicTime now = m_scheduler.now();
+    Waiting waiting = std::move(state.queue.front());
+    state.queue.pop_front();
+    if (state.usedAt != MonotonicTime::min())
+        state.recentUse *= std::exp(-toSeconds(now - state.usedAt) / recentUseSeconds);
+    state.recentUse += static_cast<double>(waiting.tokens.value());
+    state.usedAt = now;
+    const Reservation reservation { m_nextReservation++, id, waiting.tokens };
+    m_reservations.emplace(reservation.id, m_ledger.charge(id, waiting.tokens));
+    if (m_chargeObserver)
+        m_chargeObserver(id, waiting.tokens, reservation.id);
+    m_done.emplace_back(std::move(waiting.callback), ReserveResult { reservation, std::nullopt, {} });
+}
+
+void TokenWallet::refuseHopeless(const WorkspaceId& id, Workspace& state)
+{
+    const MonotonicTime now = m_scheduler.now();
+    const bool isKnown = !state.hints.hasStale(now);
+    const Tokens held = m_ledger.available(id) + state.hints.inFlight();
+    Tokens needed = state.debt;
+    std::deque<Waiting> kept;
+    for (Waiting& waiting : state.queue) {
+        const Tokens missing = needed + waiting.tokens - held;
+        const Tokens reachable
+            = state.hints.estimate(waiting.deadline) + ownRefill(id, waiting.deadline - now);
+        if (now < waiting.deadline && (!isKnown || missing <= reachable)) {
+            needed += waiting.tokens;
+            kept.push_back(std::move(waiting));
+            continue;
+        }
+        const Tokens lacking = std::max(Tokens(1), missing - state.hints.estimate(now));
+        refuse(waiting, ReserveError::RateLimited, timeToRefill(lacking, m_limits[id].rate));
+    }
+    state.queue = std::move(kept);
+}
+
+void TokenWallet::refuse(Waiting& waiting, ReserveError error, Duration retryAfter)
+{
+    m_done.emplace_back(std::move(waiting.callback), ReserveResult { std::nullopt, error, retryAfter });
+}
+
+Tokens TokenWallet::wanted(const WorkspaceId& id, const Workspace& state)
+{
+    Tokens sum = state.debt;
+    for (const Waiting& waiting : state.queue)
+        sum += waiting.tokens;
+    return sum - m_ledger.available(id) - state.hints.inFlight();
+}
+
+Tokens TokenWallet::wantedAhead(const WorkspaceId& id, const Workspace& state)
+{
+    const MonotonicTime now = m_scheduler.now();
+    if (state.usedAt != now || m_limits[id].kind == AllotmentKind::Slots)
+        return Tokens();
+    const Tokens ahead(static_cast<int64_t>(state.recentUse / recentUseSeconds * aheadSeconds));
+    const Tokens held = m_ledger.available(id) + state.hints.inFlight();
+    if (2 * held.value() > ahead.value())
+        return Tokens();
+    if (state.hints.estimate(now).value() < aheadReserve * ahead.value())
+        return Tokens();
+    return ahead - held;
+}
+
+bool TokenWallet::askOwnHolder(const WorkspaceId& id, Workspace& state)
+{
+    const Tokens amount = wanted(id, state);
+    if (amount <= Tokens() || m_holder.partitionCount() == 0)
+        return false;
+    const AllotAsk ask { m_nextSeq++, { { id, amount } } };
+    const std::optional<AllotGrant> grant = m_holder.answer(m_self, ask);
+    if (!grant || grant->granted.empty())
+        return false;
+    const AllotmentLimit& limit = m_limits[id];
+    m_ledger.add(m_self, ask.seq, grant->granted.front(), limit.kind, m_scheduler.now() + limit.ttl());
+    return true;
+}
+
+void TokenWallet::askPeers(const WorkspaceId& id, Workspace& state)
+{
+    if (m_isStopped)
+        return;
+    Tokens amount = wanted(id, state);
+    if (amount <= Tokens())
+        amount = wantedAhead(id, state);
+    if (amount <= Tokens())
+        return;
+    for (const auto& [peer, tokens] : state.hints.plan(amount, m_scheduler.now())) {
+        state.hints.asked(peer, tokens);
+        m_outbox[peer].push_back({ id, tokens });
+    }
+    if (!m_outbox.empty() && m_askTimer == 0)
+        m_askTimer = m_scheduler.runAfter(askBatchTime, [this] { sendAsks(); });
+}
+
+Tokens TokenWallet::ownRefill(const WorkspaceId& id, Duration duration) const
+{
+    const double rate = static_cast<double>(m_limits.at(id).rate.value());
+    const double share = static_cast<double>(m_holder.partitionCount()) / allotmentPartitions;
+    return Tokens(static_cast<int64_t>(rate * share * std::max(0.0, toSeconds(duration))));
+}
+
+void TokenWallet::armTimer(const WorkspaceId& id, Workspace& state)
+{
+    m_scheduler.cancel(std::exchange(state.timer, 0));
+    const MonotonicTime now = m_scheduler.now();
+    Duration wait = debtStep;
+    if (state.queue.empty() && (state.debt == Tokens() || m_isStopped))
+        return;
+    if (!state.queue.empty())
+        wait = waitStep;
+    for (const Waiting& waiting : state.queue)
+        wait = std::min(wait, std::max(waiting.deadline - now, Duration::zero()));
+    state.timer = m_scheduler.runAfter(wait, [this, id] {
+        m_workspaces[id].timer = 0;
+        pump(id);
+        finish();
+    });
+}
+
+void TokenWallet::sendAsks()
+{
+    m_askTimer = 0;
+    std::vector<WorkspaceId> unanswered;
+    for (auto& [peer, wanted] : std::exchange(m_outbox, {})) {
+        Ask ask { peer, m_scheduler.now(), {} };
+        for (const TokenAmount& amount : wanted)
+            ask.workspaces.push_back(amount.workspace);
+        const uint64_t seq = m_nextSeq++;
+        m_asks.emplace(seq, std::move(ask));
+        if (!m_messenger.send(peer, AllotAsk { seq, std::move(wanted) })) {
+            m_scheduler.runAfter(Duration::zero(), [this, seq, alive = m_alive] {
+                if (*alive)
+                    timeOut(seq);
+            });
+            continue;
+        }
+        m_scheduler.runAfter(askTimeout, [this, seq, alive = m_alive] {
+            if (*alive)
+                timeOut(seq);
+        });
+    }
+}
+
+void TokenWallet::timeOut(uint64_t seq)
+{
+    const auto found = m_asks.find(seq);
+    if (found == m_asks.end())
+        return;
+    // The ask stays known, because a grant that comes late may still be used.
+    const Ask ask = found->second;
+    for (const WorkspaceId& id : ask.workspaces) {
+        const auto state = m_workspaces.find(id);
+        if (state != m_workspaces.end())
+            state->second.hints.heard(ask.peer, Tokens(), m_scheduler.now());
+        pump(id);
+    }
+    armMaintenance();
+    finish();
+}
+
+void TokenWallet::sendReport(const HostId& holder, const AllotReturn& report)
+{
+    if (holder == m_self)
+        m_holder.report(m_self, report);
+    else
+        m_messenger.send(holder, report);
+}
+
+void TokenWallet::scheduleReports()
+{
+    if (m_reportTimer != 0 || !m_ledger.isActive())
+        return;
+    armMaintenance();
+    m_reportTimer = m_scheduler.runAfter(reportDelay, [this] {
+        m_reportTimer = 0;
+        m_ledger.flush();
+    });
+}
+
+void TokenWallet::armMaintenance()
+{
+    if (m_maintenanceTimer == 0)
+        m_maintenanceTimer = m_scheduler.runAfter(maintenancePeriod, [this] { maintain(); });
+}
+
+void TokenWallet::maintain()
+{
+    m_maintenanceTimer = 0;
+    const MonotonicTime now = m_scheduler.now();
+    m_ledger.releaseExpiringBefore(now);
+    for (auto entry = m_workspaces.begin(); entry != m_workspaces.end();) {
+        const auto& [id, state] = *entry;
+        const auto limit = m_limits.find(id);
+        if (state.queue.empty() && limit != m_limits.end())
+            m_ledger.releaseExpiringBefore(id, now + limit->second.ttl() - releaseAfter);
+        const bool isIdle = state.queue.empty() && state.debt == Tokens()
+            && state.hints.inFlight() == Tokens()
+            && (state.usedAt == MonotonicTime::min() || now - state.usedAt > idleTime);
+        if (isIdle)
+            m_scheduler.cancel(state.timer);
+        entry = isIdle ? m_workspaces.erase(entry) : std::next(entry);
+    }
+    for (auto ask = m_asks.begin(); ask != m_asks.end();)
+        ask = now - ask->second.sentAt > slotTtl ? m_asks.erase(ask) : std::next(ask);
+    scheduleReports();
+    if (!m_workspaces.empty() || !m_asks.empty() || m_ledger.isActive())
+        armMaintenance();
+}
+
+void TokenWallet::finish()
+{
+    scheduleReports();
+    for (Done& done : std::exchange(m_done, {}))
+        done.first(done.second);
+}
+
+} // namespace lacewing
