Decode only the objects in which two configurations differ

Change: ConfigurationEncoding::update() walks both trees and replaces the entries of differing leaves.

--- a/src/protocol/configuration_codec.cc
+++ b/src/protocol/configuration_codec.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace lacewing {
@@ -118,6 +119,12 @@
     return value;
 }
 
+const json* findMember(const json& object, const char* name)
+{
+    const auto found = object.find(name);
+    return found == object.end() ? nullptr : &*found;
+}
+
 /// Reads trees top down.
 class ObjectReader {
 public:
@@ -126,42 +133,100 @@
     {
     }
 
-    bool readTree(const std::string& section, const json& reference, size_t depth, Configuration& target)
+    std::optional<json> load(const ContentHash& hash) const
     {
-        const std::optional<json> node = load(reference);
-        if (!node)
-            return false;
-        const auto entries = node->find("entries");
-        if (entries != node->end())
-            return m_json.decodeSection(section, *entries, target);
-        const auto children = node->find("children");
-        if (children == node->end() || !children->is_array() || depth >= maximumDepth)
+        const auto found = m_objects.find(hash);
+        if (found == m_objects.end())
+            return std::nullopt;
+        return parseObject(found->second);
+    }
+
+    std::optional<json> loadRoot(const ContentHash& hash) const
+    {
+        std::optional<json> root = load(hash);
+        if (!root || root->value("format", json()) != formatVersion || root->count("loadLimits") == 0)
+            return std::nullopt;
+        return root;
+    }
+
+    /// Gathers all entries of a tree.
+    bool readTree(const json* reference, json& entries, size_t depth = 0) const
+    {
+        const std::optional<json> node = loadReference(reference);
+        if (!node || depth > maximumDepth)
             return false;
-        return std::all_of(children->begin(), children->end(),
-            [&](const json& child) { return readTree(section, child, depth + 1, target); });
+        if (const json* leaf = findMember(*node, "entries")) {
+            if (!leaf->is_object())
+                return false;
+            entries.update(*leaf);
+            return true;
+        }
+        const json* children = findMember(*node, "children");
+        return children != nullptr && children->is_array()
+            && std::all_of(children->begin(), children->end(),
+                [&](const json& child) { return readTree(&child, entries, depth + 1); });
     }
 
-    bool readLoadLimits(const json& value, Configuration& target)
+    /// Gathers the entries of the subtrees in which two trees differ.
+    bool readDifference(
+        const json* before, const json* after, json& removed, json& added, size_t depth = 0) const
     {
-        return m_json.decodeSection("loadLimits", value, target);
+        if (before == nullptr || after == nullptr || depth > maximumDepth)
+            return false;
+        if (*before == *after)
+            return true;
+        const std::optional<json> oldNode = loadReference(before);
+        const std::optional<json> newNode = loadReference(after);
+        if (!oldNode || !newNode)
+            return false;
+        const json* oldChildren = findMember(*oldNode, "children");
+        const json* newChildren = findMember(*newNode, "children");
+        if (oldChildren == nullptr || newChildren == nullptr || oldChildren->size() != newChildren->size())
+            return readTree(before, removed, depth) && readTree(after, added, depth);
+        for (size_t i = 0; i < oldChildren->size(); ++i) {
+            if (!readDifference(&(*oldChildren)[i], &(*newChildren)[i], removed, added, depth + 1))
+                return false;
+        }
+        return true;
     }
 
 private:
-    std::optional<json> load(const json& reference) const
+    std::optional<json> loadReference(const json* reference) const
     {
-        const std::optional<ContentHash> hash = unpackHash(reference);
-        if (!hash)
-            return std::nullopt;
-        const auto found = m_objects.find(*hash);
-        if (found == m_objects.end())
-            return std::nullopt;
-        return parseObject(found->second);
+        const std::optional<ContentHash> hash = reference == nullptr ? std::nullopt : unpackHash(*reference);
+        return hash ? load(*hash) : std::nullopt;
     }
 
     const ConfigurationObjects& m_objects;
-    ConfigurationJson m_json { ConfigurationJson::UnknownMembers::Ignore };
 };
 
+ConfigurationJson lenientJson()
+{
+    return ConfigurationJson(ConfigurationJson::UnknownMembers::Ignore);
+}
+
+template <typename Id, typename Entry>
+void replaceEntries(
+    const std::map<Id, Entry>& removed, const std::map<Id, Entry>& added, std::map<Id, Entry>& target)
+{
+    for (const auto& [id, entry] : removed)
+        target.erase(id);
+    for (const auto& [id, entry] : added)
+        target[id] = entry;
+}
+
+template <typename Entry>
+void replaceEntries(
+    const std::vector<Entry>& removed, const std::vector<Entry>& added, std::vector<Entry>& target)
+{
+    std::set<decltype(Entry::id)> ids;
+    for (const Entry& entry : removed)
+        ids.insert(entry.id);
+    const auto isRemoved = [&](const Entry& entry) { return ids.count(entry.id) != 0; };
+    target.erase(std::remove_if(target.begin(), target.end(), isRemoved), target.end());
+    target.insert(target.end(), added.begin(), added.end());
+}
+
 /// Subtrees are in the order of hashes; lists are kept in the order of ids.
 void sortLists(Configuration& configuration)
 {
@@ -217,22 +282,53 @@
 std::optional<Configuration> ConfigurationCodec::decode(
     const ContentHash& root, const ConfigurationObjects& objects) const
 {
-    const auto found = objects.find(root);
-    if (found == objects.end())
-        return std::nullopt;
-    const std::optional<json> value = parseObject(found->second);
-    if (!value || value->value("format", json()) != formatVersion || value->count("loadLimits") == 0)
+    const ObjectReader reader(objects);
+    const std::optional<json> node = reader.loadRoot(root);
+    if (!node)
         return std::nullopt;
+    ConfigurationJson decoder = lenientJson();
     Configuration configuration;
-    ObjectReader reader(objects);
-    if (!reader.readLoadLimits(value->at("loadLimits"), configuration))
+    if (!decoder.decodeSection("loadLimits", node->at("loadLimits"), configuration))
         return std::nullopt;
     for (const char* section : sectionNames) {
-        if (value->count(section) == 0 || !reader.readTree(section, value->at(section), 0, configuration))
+        json entries = json::object();
+        if (!reader.readTree(findMember(*node, section), entries)
+            || !decoder.decodeSection(section, entries, configuration))
             return std::nullopt;
     }
     sortLists(configuration);
     return configuration;
 }
 
+std::optional<ConfigurationDelta> ConfigurationCodec::update(Configuration& target, const ContentHash& from,
+    const ContentHash& to, const ConfigurationObjects& objects) const
+{
+    const ObjectReader reader(objects);
+    const std::optional<json> before = reader.loadRoot(from);
+    const std::optional<json> after = reader.loadRoot(to);
+    if (!before || !after)
+        return std::nullopt;
+    ConfigurationJson decoder = lenientJson();
+    ConfigurationDelta delta;
+    if (!decoder.decodeSection("loadLimits", after->at("loadLimits"), delta.after))
+        return std::nullopt;
+    delta.before.loadLimits = target.loadLimits;
+    for (const char* section : sectionNames) {
+        json removed = json::object();
+        json added = json::object();
+        if (!reader.readDifference(findMember(*before, section), findMember(*after, section), removed, added)
+            || !decoder.decodeSection(section, removed, delta.before)
+            || !decoder.decodeSection(section, added, delta.after))
+            return std::nullopt;
+    }
+    replaceEntries(delta.before.workspaces, delta.after.workspaces, target.workspaces);
+    replaceEntries(delta.before.adapters, delta.after.adapters, target.adapters);
+    replaceEntries(delta.before.upstreams, delta.after.upstreams, target.upstreams);
+    replaceEntries(delta.before.keys, delta.after.keys, target.keys);
+    replaceEntries(delta.before.routes, delta.after.routes, target.routes);
+    target.loadLimits = delta.after.loadLimits;
+    sortLists(target);
+    return delta;
+}
+
 } // namespace lacewing
--- a/src/protocol/configuration_codec.h
+++ b/src/protocol/configuration_codec.h
@@ -18,6 +18,8 @@
     std::optional<std::vector<ContentHash>> references(const std::string& object) const override;
     std::optional<Configuration> decode(
         const ContentHash& root, const ConfigurationObjects& objects) const override;
+    std::optional<ConfigurationDelta> update(Configuration& target, const ContentHash& from,
+        const ContentHash& to, const ConfigurationObjects& objects) const override;
 };
 
 } // namespace lacewing
--- a/src/protocol/configuration_codec_bench.cc
+++ b/src/protocol/configuration_codec_bench.cc
@@ -70,11 +70,18 @@
     configuration.adapters.begin()->second.versions.emplace_back("v3");
     const EncodedConfiguration adapter = codec.encode(configuration);
 
+    EncodedConfiguration both = adapter;
+    both.objects.insert(before.objects.begin(), before.objects.end());
+    std::optional<Configuration> target = codec.decode(before.root, before.objects);
+    const double update
+        = milliseconds([&] { codec.update(*target, before.root, adapter.root, both.objects); });
+
     std::cout << "objects=" << before.objects.size() << " bytes=" << all.size()
               << " json_bytes=" << json.size() << "\nmoved_bytes: key=" << movedBytes(before, key)
               << " adapter=" << movedBytes(key, adapter) << "\nsha256_ms=" << digest
               << " relative to it: encode=" << encode / digest << " decode=" << decode / digest
-              << " json_encode=" << toJson / digest << " json_decode=" << fromJson / digest << '\n';
+              << " update=" << update / digest << " json_encode=" << toJson / digest
+              << " json_decode=" << fromJson / digest << '\n';
 }
 
 } // namespace
--- a/src/protocol/configuration_codec_test.cc
+++ b/src/protocol/configuration_codec_test.cc
@@ -1,5 +1,6 @@
 #include "protocol/configuration_codec.h"
 
+#include "base/random.h"
 #include "protocol/configuration_json.h"
 #include "state/configuration_diff.h"
 
@@ -88,6 +89,32 @@
     BOOST_TEST(bytes < 6000U);
 }
 
+// Guards against an update that differs from decoding everything, also when trees are split and joined.
+BOOST_AUTO_TEST_CASE(UpdateEqualsDecoding)
+{
+    const ConfigurationCodec codec;
+    Random random(7);
+    Configuration current = manyAdapters(300);
+    EncodedConfiguration encoded = codec.encode(current);
+    for (int step = 0; step < 60; ++step) {
+        Configuration next = manyAdapters(static_cast<int>(random.below(600)));
+        next.loadLimits.maximumInFlight = step;
+        next.keys.resize(random.below(next.keys.size() + 1));
+        if (!next.adapters.empty())
+            next.adapters.begin()->second.defaultVersion = AdapterVersion(std::to_string(step));
+        const EncodedConfiguration later = codec.encode(next);
+        ConfigurationObjects objects = encoded.objects;
+        objects.insert(later.objects.begin(), later.objects.end());
+        const auto expected = diffConfigurations(current, next).size();
+        const auto delta = codec.update(current, encoded.root, later.root, objects);
+        BOOST_REQUIRE(delta);
+        BOOST_TEST(diffConfigurations(delta->before, delta->after).size() == expected);
+        BOOST_TEST(diffConfigurations(next, current).empty());
+        BOOST_TEST(codec.encode(current).root == later.root);
+        encoded = later;
+    }
+}
+
 // Guards against crashes on objects that are not what they claim to be.
 BOOST_AUTO_TEST_CASE(MalformedObjectsAreRefused)
 {
--- a/src/state/configuration_encoding.h
+++ b/src/state/configuration_encoding.h
@@ -18,6 +18,12 @@
     ConfigurationObjects objects;
 };
 
+/// The entries in which two configurations may differ; entries that both parts share are equal in both.
+struct ConfigurationDelta {
+    Configuration before;
+    Configuration after;
+};
+
 /// Port to the form in which configurations are kept in the object store. Equal configurations have equal
 /// objects, and a small change shares most objects with its predecessor.
 class ConfigurationEncoding {
@@ -34,6 +40,15 @@
     /// @return the configuration with revision 0, or nothing if an object is missing or malformed.
     virtual std::optional<Configuration> decode(
         const ContentHash& root, const ConfigurationObjects& objects) const = 0;
+
+    /// Turns a configuration into another by decoding only the objects in which they differ.
+    ///
+    /// @param target content of the root `from`. Its revision is kept.
+    /// @param objects those of both configurations.
+    /// @return what was replaced, or nothing if an object is missing or malformed; the target is unchanged
+    /// then.
+    virtual std::optional<ConfigurationDelta> update(Configuration& target, const ContentHash& from,
+        const ContentHash& to, const ConfigurationObjects& objects) const = 0;
 };
 
 } // namespace lacewing
