--- /dev/null
+++ b/src/coordination/peer_vouchers.cc
@@ -0,0 +1,114 @@
+#include "coordination/peer_vouchers.h"
+
+#include <algorithm>
+
+namespace lacewing {
+
+namespace {
+
+/// A report older than this doesn't count. Keys stop working within 5 s of a withdrawal, and 2 s are left for
+/// the report of the peer that knows of it.
+constexpr Duration reportLifetime = std::chrono::seconds(3);
+
+/// Sessions are noted now and then. One that ended shortly before a time may have accepted something after
+/// the last note.
+constexpr Duration sessionMargin = std::chrono::seconds(10);
+
+} // namespace
+
+void PeerVouchers::noteSessions(const std::vector<SessionPeer>& peers, MonotonicTime now)
+{
+    m_sessionsKnown = true;
+    for (const SessionPeer& peer : peers) {
+        Peer& entry = m_peers[peer.host];
+        entry.inSessionUntil = now;
+        entry.stoppedSince = peer.stoppedSince;
+    }
+}
+
+PeerVouchers::Peer& PeerVouchers::peerOf(const HostId& host, Incarnation incarnation)
+{
+    Peer& peer = m_peers[host];
+    if (incarnation <= peer.incarnation)
+        return peer;
+    // After a goodbye the earlier incarnation is accounted for. Otherwise it may have accepted something
+    // between its last report and its end.
+    const bool successive = incarnation == peer.incarnation + Incarnation(1);
+    if (!peer.saidGoodbye || !successive)
+        peer.coveredSince.reset();
+    peer.incarnation = incarnation;
+    peer.saidGoodbye = false;
+    peer.saidNoEarlierThan.reset();
+    return peer;
+}
+
+void PeerVouchers::report(const HostId& host, Incarnation incarnation, Revision revision, bool tableUp,
+    MonotonicTime saidNoEarlierThan, MonotonicTime now)
+{
+    Peer& peer = peerOf(host, incarnation);
+    if (incarnation != peer.incarnation)
+        return;
+    if (peer.saidNoEarlierThan && saidNoEarlierThan <= *peer.saidNoEarlierThan)
+        return;
+    peer.saidNoEarlierThan = saidNoEarlierThan;
+    peer.revision = std::max(peer.revision, revision);
+    peer.tableUp = tableUp;
+    if (!peer.coveredSince)
+        peer.coveredSince = now;
+}
+
+void PeerVouchers::heartbeat(const HostId& host, Incarnation incarnation, Revision revision)
+{
+    Peer& peer = peerOf(host, incarnation);
+    peer.revision = std::max(peer.revision, revision);
+}
+
+void PeerVouchers::sayGoodbye(const HostId& host, Incarnation incarnation)
+{
+    const auto found = m_peers.find(host);
+    if (found != m_peers.end() && found->second.incarnation == incarnation)
+        found->second.saidGoodbye = true;
+}
+
+bool PeerVouchers::vouches(const Peer& peer, Revision revision, MonotonicTime asOf, MonotonicTime now)
+{
+    if (!peer.coveredSince || *peer.coveredSince > asOf || peer.revision > revision)
+        return false;
+    if (peer.saidGoodbye)
+        return true;
+    return peer.saidNoEarlierThan && now - *peer.saidNoEarlierThan <= reportLifetime;
+}
+
+bool PeerVouchers::excludeAcceptance(Revision revision, MonotonicTime asOf, MonotonicTime now) const
+{
+    if (!m_sessionsKnown)
+        return false;
+    int unaccounted = 0;
+    for (const auto& [host, peer] : m_peers) {
+        const bool stoppedBefore = peer.stoppedSince && *peer.stoppedSince <= asOf;
+        if (peer.inSessionUntil + sessionMargin < asOf || stoppedBefore)
+            continue;
+        if (!vouches(peer, revision, asOf, now)) {
+            if (++unaccounted > 1)
+                return false;
+        } else if (peer.tableUp && !peer.saidGoodbye) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool PeerVouchers::confirmAcceptance(Revision revision, MonotonicTime now) const
+{
+    bool isAlone = m_sessionsKnown;
+    for (const auto& [host, peer] : m_peers) {
+        if (peer.inSessionUntil + sessionMargin < now || peer.stoppedSince)
+            continue;
+        if (peer.revision >= revision)
+            return true;
+        isAlone = false;
+    }
+    return isAlone;
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/coordination/peer_vouchers.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "state/peer_messages.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace lacewing {
+
+/// A peer that has a session in the table.
+struct SessionPeer {
+    HostId host;
+    /// Since when each attempt to connect was refused, so that no process runs there.
+    std::optional<MonotonicTime> stoppedSince;
+};
+
+/// Port to the membership.
+class SessionPeers {
+public:
+    virtual ~SessionPeers() = default;
+
+    /// @return all other daemons with a session, or nothing if the table could not be read yet.
+    virtual std::optional<std::vector<SessionPeer>> sessionPeers() const = 0;
+};
+
+/// Decides whether the peers rule out that a submission was accepted unnoticed while the table is down.
+///
+/// A submission counts as accepted only when the submitter and at least one more daemon have put it in force.
+/// A peer vouches for a revision if it has just reported that no higher one is in force there, and if none of
+/// its incarnations since a given time has gone without such a report. If all peers but one vouch, at most
+/// one daemon can be in the know, so nothing was accepted.
+class PeerVouchers {
+public:
+    /// Notes the peers that have a session now.
+    void noteSessions(const std::vector<SessionPeer>& peers, MonotonicTime now);
+
+    /// Notes what a peer said.
+    ///
+    /// @param saidNoEarlierThan a time before the peer said it.
+    void report(const HostId& peer, Incarnation incarnation, Revision revision, bool tableUp,
+        MonotonicTime saidNoEarlierThan, MonotonicTime now);
+
+    /// Notes that a peer has stopped gracefully. Its heartbeat just before must have told its last revision.
+    void sayGoodbye(const HostId& peer, Incarnation incarnation);
+    /// Notes the revision in a heartbeat, whose age is not known.
+    void heartbeat(const HostId& peer, Incarnation incarnation, Revision revision);
+
+    /// @param revision the revision in force here.
+    /// @param asOf a time at which no higher revision existed.
+    /// @return whether at most one peer with a session since then does not vouch for the revision, and all
+    /// who vouch and run report the table down.
+    bool excludeAcceptance(Revision revision, MonotonicTime asOf, MonotonicTime now) const;
+
+    /// @return whether a peer with a session has put a revision in force, or no peer with a session runs.
+    bool confirmAcceptance(Revision revision, MonotonicTime now) const;
+
+private:
+    struct Peer {
+        MonotonicTime inSessionUntil {};
+        std::optional<MonotonicTime> stoppedSince;
+        Incarnation incarnation;
+        /// All incarnations since this time have told their revisions; nothing before the first report.
+        std::optional<MonotonicTime> coveredSince;
+        Revision revision;
+        bool tableUp = true;
+        bool saidGoodbye = false;
+        std::optional<MonotonicTime> saidNoEarlierThan;
+    };
+
+    static bool vouches(const Peer& peer, Revision revision, MonotonicTime asOf, MonotonicTime now);
+    Peer& peerOf(const HostId& host, Incarnation incarnation);
+
+    bool m_sessionsKnown = false;
+    std::map<HostId, Peer> m_peers;
+};
+
+} // namespace lacewing
