--- /dev/null
+++ b/src/coordination/fleet_checker_test.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "coordination/lease_row.h"
+#include "coordination/simulated_fleet.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace lacewing {
+
+/// Checks a SimulatedFleet after every step for exclusive leases, growing fencing numbers and unique
+/// incarnations.
+class FleetChecker {
+public:
+    explicit FleetChecker(SimulatedFleet& fleet)
+        : m_fleet(fleet)
+        , m_views(fleet.size())
+    {
+        fleet.table().setWriteObserver([this](const TableRow& row) { rowWritten(row); });
+    }
+
+    /// @return false if a rule was broken at this instant; violation() tells which.
+    bool check()
+    {
+        for (size_t i = 0; i < m_fleet.size(); ++i) {
+            if (m_fleet.isRunning(i))
+                checkDaemon(i);
+            else
+                m_views[i] = View {};
+        }
+        return m_violation.empty();
+    }
+
+    const std::string& violation() const { return m_violation; }
+
+    /// @return the daemon that may act under the lease now, or the fleet's size if there is none.
+    size_t actor(const std::string& lease)
+    {
+        for (size_t i = 0; i < m_fleet.size(); ++i) {
+            if (m_fleet.isRunning(i) && !m_fleet.isPaused(i) && m_fleet.member(i).leases().mayAct(lease))
+                return i;
+        }
+        return m_fleet.size();
+    }
+    /// @return a lease under which no daemon may act, or nothing if there is none.
+    std::string idleLease()
+    {
+        for (const LeaseName& lease : m_fleet.leases()) {
+            if (actor(lease.name) == m_fleet.size())
+                return lease.name;
+        }
+        return {};
+    }
+
+private:
+    /// What was last seen of a running daemon.
+    struct View {
+        const FleetMember* member = nullptr;
+        Incarnation incarnation;
+        uint64_t changes = 0;
+        bool valid = false;
+    };
+    struct Holding {
+        size_t daemon = 0;
+        Incarnation incarnation;
+        FencingNumber fencingNumber;
+    };
+
+    void checkDaemon(size_t index)
+    {
+        FleetMember& member = m_fleet.member(index);
+        View& view = m_views[index];
+        if (view.member != &member)
+            view = View { &member };
+        const Incarnation incarnation = member.session().incarnation();
+        if (incarnation != view.incarnation) {
+            view.incarnation = incarnation;
+            if (incarnation != Incarnation(0) && incarnation <= m_usedIncarnations[index])
+                fail("incarnation used twice", member, "");
+            m_usedIncarnations[index] = std::max(m_usedIncarnations[index], incarnation);
+        }
+        const bool valid = member.session().isValid();
+        const uint64_t changes = member.leases().changeCount();
+        if (valid && (!view.valid || changes != view.changes))
+            checkHeld(index, member);
+        view.valid = valid;
+        view.changes = changes;
+    }
+
+    void checkHeld(size_t index, FleetMember& member)
+    {
+        const Incarnation incarnation = member.session().incarnation();
+        for (const auto& [name, fencingNumber] : member.leases().held()) {
+            const auto [found, isNew] = m_holdings.try_emplace(name, Holding { index, incarnation, fencingNumber });
+            Holding& last = found->second;
+            const bool sameHolder = last.daemon == index && last.incarnation == incarnation;
+            if (!sameHolder && m_fleet.isRunning(last.daemon) && last.daemon != index
+                && m_fleet.member(last.daemon).leases().mayAct(name))
+                fail("two daemons may act", member, name);
+            if (fencingNumber < last.fencingNumber)
+                fail("fencing number went back", member, name);
+            if (!sameHolder && !isNew && fencingNumber == last.fencingNumber)
+                fail("fencing number held twice", member, name);
+            last = Holding { index, incarnation, fencingNumber };
+        }
+    }
+
+    void rowWritten(const TableRow& row)
+    {
+        if (row.key.rfind(leasePrefix, 0) == 0) {
+            const FencingNumber fencingNumber = decodeLeaseRow(row.value)->fencingNumber;
+            FencingNumber& last = m_fencingNumbers[row.key];
+            if (fencingNumber < last)
+                m_violation = "fencing number went back in row " + row.key;
+            last = fencingNumber;
+            return;
+        }
+        const Incarnation incarnation = decodeSessionRow(row.value)->incarnation;
+        Incarnation& last = m_incarnations[row.key];
+        if (incarnation < last)
+            m_violation = "incarnation went back in row " + row.key;
+        last = incarnation;
+    }
+
+    void fail(const std::string& what, FleetMember& member, const std::string& lease)
+    {
+        m_violation = what + " lease=" + lease + " host=" + member.session().settings().host.value()
+            + " at_ms=" + std::to_string(toMilliseconds(m_fleet.scheduler().now().time_since_epoch()));
+    }
+
+    SimulatedFleet& m_fleet;
+    std::vector<View> m_views;
+    std::map<size_t, Incarnation> m_usedIncarnations;
+    std::map<std::string, Holding> m_holdings;
+    std::map<std::string, FencingNumber> m_fencingNumbers;
+    std::map<std::string, Incarnation> m_incarnations;
+    std::string m_violation;
+};
+
+} // namespace lacewing
--- a/src/state/simulated_table.cc
+++ b/src/state/simulated_table.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Duration callTimeout = std::chrono::seconds(2);
+constexpr Duration longestLateDelay = std::chrono::seconds(8);
 
 } // namespace
 
@@ -57,6 +58,14 @@
         const auto timeOut = [this, callback] {
             m_table.m_scheduler.runAfter(callTimeout, [callback] { callback(TableError::Unknown); });
         };
+        if (m_table.m_random.chance(m_table.m_lateCommitProbability)) {
+            timeOut();
+            m_table.m_scheduler.runAfter(m_table.lateDelay(), [this, transaction = std::move(transaction)] {
+                if (m_table.isReachable(m_host) && !m_table.m_down)
+                    m_table.apply(transaction);
+            });
+            return;
+        }
         m_table.m_scheduler.runAfter(
             m_table.delay(), [this, transaction = std::move(transaction), answer, timeOut] {
                 if (!m_table.isReachable(m_host))
@@ -129,6 +138,12 @@
     return m_shortestDelay + Duration(static_cast<int64_t>(m_random.below(spread + 1)));
 }
 
+Duration SimulatedTable::lateDelay()
+{
+    const auto spread = static_cast<uint64_t>((longestLateDelay - callTimeout).count());
+    return callTimeout + Duration(static_cast<int64_t>(m_random.below(spread)));
+}
+
 std::optional<TableError> SimulatedTable::apply(const TableTransaction& transaction)
 {
     for (const TableCondition& condition : transaction.conditions) {
@@ -142,8 +157,10 @@
             m_rows.erase(write.key);
             continue;
         }
-        m_rows[write.key]
-            = TableRow { write.key, RowVersion(++m_lastVersion), *write.value, transaction.writeId };
+        TableRow& row = m_rows[write.key];
+        row = TableRow { write.key, RowVersion(++m_lastVersion), *write.value, transaction.writeId };
+        if (m_writeObserver)
+            m_writeObserver(row);
     }
     return std::nullopt;
 }
--- a/src/state/simulated_table.h
+++ b/src/state/simulated_table.h
@@ -27,6 +27,13 @@
     void setReachable(const HostId& host, bool reachable);
     /// @param probability share of commits that take effect but whose answer is lost.
     void setLostAnswerProbability(double probability) { m_lostAnswerProbability = probability; }
+    /// @param probability share of commits that reach the table only after the caller was told Unknown.
+    void setLateCommitProbability(double probability) { m_lateCommitProbability = probability; }
+    /// @param observer is called for each row that is written.
+    void setWriteObserver(std::function<void(const TableRow&)> observer)
+    {
+        m_writeObserver = std::move(observer);
+    }
     /// @param shortest, longest bounds of the one-way delay of each call and each answer.
     void setDelay(Duration shortest, Duration longest);
 
@@ -39,6 +46,7 @@
     friend class SimulatedTableClient;
 
     Duration delay();
+    Duration lateDelay();
     bool isReachable(const HostId& host) const { return m_unreachable.count(host) == 0; }
     std::optional<TableError> apply(const TableTransaction& transaction);
 
@@ -46,6 +54,8 @@
     Random m_random;
     bool m_down = false;
     double m_lostAnswerProbability = 0;
+    double m_lateCommitProbability = 0;
+    std::function<void(const TableRow&)> m_writeObserver;
     Duration m_shortestDelay = std::chrono::milliseconds(1);
     Duration m_longestDelay = std::chrono::milliseconds(5);
     std::set<HostId> m_unreachable;
