--- a/src/coordination/lease_manager.cc
+++ b/src/coordination/lease_manager.cc
@@ -11,8 +11,8 @@
 
 constexpr Duration tickInterval = std::chrono::milliseconds(200);
 constexpr Duration reviewInterval = std::chrono::seconds(1);
-/// Daemons that see different peers may each prefer the other for a lease. One that has had no holder for this
-/// long is taken by any daemon, which then keeps it for a while.
+/// Daemons that see different peers may each prefer the other for a lease. One that has had no holder for
+/// this long is taken by any daemon, which then keeps it for a while.
 constexpr Duration orphanDelay = std::chrono::seconds(10);
 constexpr Duration orphanHandOverDelay = std::chrono::seconds(60);
 /// How often a wanted lease that another daemon holds is read while a hand-over is likely, and later.
--- /dev/null
+++ b/src/daemon/entry_request.cc
@@ -0,0 +1,361 @@
+#include "daemon/entry_request.h"
+
+#include "state/refusal.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lacewing {
+
+namespace {
+
+constexpr int statusTooManyRequests = 429;
+constexpr int statusBadRequest = 400;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+/// How long a request waits for its workspace's tokens before it is refused.
+constexpr Duration reserveWait = std::chrono::milliseconds(200);
+constexpr Duration retryAfterFault = std::chrono::seconds(1);
+/// Pause between attempts when no upstream can be chosen.
+constexpr Duration noUpstreamPause = std::chrono::milliseconds(100);
+/// Attempts of one request, the first one included.
+constexpr int maximumAttempts = 6;
+/// A started answer that makes no progress for this long is resumed elsewhere, or ends as unknown.
+constexpr Duration progressBound = std::chrono::seconds(15);
+constexpr Duration progressCheckInterval = std::chrono::seconds(1);
+/// Bytes waiting for the caller's socket above which the owner gets no more credit.
+constexpr size_t callerBufferBytes = 256 * 1024;
+constexpr int64_t creditStepBytes = 32 * 1024;
+/// Start deadline of routes that set none.
+constexpr Duration defaultStartDeadline = std::chrono::seconds(30);
+
+bool isBadRequest(std::string_view code)
+{
+    return code == refusal::invalidRequest;
+}
+
+} // namespace
+
+EntryRequest::EntryRequest(EntryContext context, std::shared_ptr<HttpExchange> exchange,
+    AdmittedRequest request, std::string id, std::function<void()> finished)
+    : m_context(std::move(context))
+    , m_exchange(std::move(exchange))
+    , m_request(std::move(request))
+    , m_id(std::move(id))
+    , m_finished(std::move(finished))
+    , m_writer(AnswerWriter::create(m_exchange, m_request, m_id))
+    , m_arrival(now())
+    , m_lastProgress(now())
+{
+    const int64_t deadline = m_request.route.startDeadlineMs;
+    m_startDeadline = now() + (deadline > 0 ? std::chrono::milliseconds(deadline) : defaultStartDeadline);
+}
+
+EntryRequest::~EntryRequest()
+{
+    m_context.scheduler.cancel(m_retryTimer);
+    m_context.scheduler.cancel(m_progressTimer);
+}
+
+void EntryRequest::start()
+{
+    m_exchange->onClientLeft(m_guard.wrap([this] { callerLeft(); }));
+    m_exchange->onDrained(m_guard.wrap([this] { giveCredit(); }));
+    if (m_request.cost == Tokens(0))
+        return dispatch();
+    m_context.wallet.reserve(m_request.workspace, m_request.cost, now() + reserveWait,
+        m_guard.wrap([this](const ReserveResult& result) { reserved(result); }));
+}
+
+void EntryRequest::reserved(const ReserveResult& result)
+{
+    if (m_isFinished) {
+        // The caller left while the request waited for its tokens.
+        if (result.reservation)
+            m_context.wallet.settle(*result.reservation, Tokens(0));
+        return;
+    }
+    if (result.reservation) {
+        m_reservation = result.reservation;
+        return dispatch();
+    }
+    RefusalAnswer refused { statusTooManyRequests, toString(*result.error),
+        "the workspace has used up its rate and burst", Outcome::RefusedNotRun, result.retryAfter };
+    if (*result.error == ReserveError::ExceedsBurst) {
+        refused.message = "the request may cost more tokens than the workspace's burst";
+        refused.retryAfter.reset();
+    }
+    fail(refused);
+}
+
+void EntryRequest::dispatch()
+{
+    if (m_isFinished)
+        return;
+    if (m_nextToken == 0 && now() >= m_startDeadline) {
+        return fail({ statusUnavailable, std::string(refusal::deadlineExceeded),
+            "the request could not be started in time", Outcome::RefusedNotRun, retryAfterFault });
+    }
+    const auto target = m_context.router.choose(m_request, m_excluded);
+    if (!target) {
+        // Upstreams that failed may serve a later attempt.
+        m_excluded.clear();
+        return retryOrFail(refusal::noUpstream,
+            { statusUnavailable, std::string(refusal::noUpstream), "no upstream can take the request now",
+                mayHaveRun() ? Outcome::Unknown : Outcome::RefusedNotRun, retryAfterFault });
+    }
+    ++m_attempts;
+    m_target = *target;
+    m_stream = m_context.newStream();
+    m_lastProgress = now();
+    if (!m_context.peers.send(m_target.owner, makeRunRequest())) {
+        m_context.streamEnded(std::exchange(m_stream, StreamId(0)));
+        m_excluded.insert(m_target.upstream);
+        return retryOrFail(refusal::noOwner,
+            { statusUnavailable, std::string(refusal::noOwner), "the owner of the upstream can't be reached",
+                mayHaveRun() ? Outcome::Unknown : Outcome::RefusedNotRun, retryAfterFault });
+    }
+    m_context.router.started(m_target, m_request);
+    if (m_progressTimer == 0)
+        checkProgress();
+}
+
+RunRequest EntryRequest::makeRunRequest() const
+{
+    RunRequest run;
+    run.stream = m_stream;
+    run.requestId = m_request.requestId.empty() ? RequestId(m_id) : m_request.requestId;
+    run.workspace = m_request.workspace;
+    run.route = m_request.route.id;
+    run.adapter = m_request.adapter.adapter;
+    run.version = m_request.adapter.version;
+    run.model = m_request.baseModel;
+    run.upstream = m_target.upstream;
+    run.cost = m_request.cost;
+    run.requestClass = m_request.route.requestClass;
+    // A resumed stream is under way; it may wait for its turn again for as long as a new one.
+    const Duration left = m_nextToken > 0 ? defaultStartDeadline : m_startDeadline - now();
+    run.deadlineMs = std::max<int64_t>(1, toMilliseconds(left));
+    run.resumeFrom = m_nextToken;
+    run.repeatable = m_request.route.repeatable;
+    if (m_request.completion) {
+        run.streaming = m_request.completion->streaming;
+        run.path
+            = m_request.completion->kind == CompletionKind::Chat ? "/v1/chat/completions" : "/v1/completions";
+        run.body = m_request.completion->engineBody;
+    } else {
+        run.method = m_request.service->method;
+        run.path = m_request.service->target;
+        run.contentType = m_request.service->contentType;
+        run.body = m_request.service->body;
+    }
+    return run;
+}
+
+void EntryRequest::received(const HostId&, const RunChunk& chunk)
+{
+    if (m_isFinished || chunk.stream != m_stream)
+        return;
+    m_lastProgress = now();
+    if (m_request.completion && chunk.firstToken != m_nextToken) {
+        // A token is missing, so the rest of this attempt is useless.
+        m_context.peers.send(m_target.owner, RunCancel { m_stream });
+        return lost(refusal::upstreamLost);
+    }
+    if (m_nextToken == 0 && chunk.tokens > 0)
+        m_context.metrics.summary("lacewing_first_token_seconds").observe(toSeconds(now() - m_arrival));
+    m_nextToken += chunk.tokens;
+    m_mayHaveRun = true;
+    if (!m_callerIsGone)
+        m_writer->write(chunk.bytes);
+    m_creditOwed += static_cast<int64_t>(chunk.bytes.size());
+    giveCredit();
+}
+
+void EntryRequest::giveCredit()
+{
+    const bool isCallerSlow = !m_callerIsGone && m_exchange->bufferedBytes() > callerBufferBytes;
+    if (m_isFinished || m_stream == StreamId(0) || m_creditOwed < creditStepBytes || isCallerSlow)
+        return;
+    m_context.peers.send(m_target.owner, RunWindow { m_stream, m_creditOwed });
+    m_creditOwed = 0;
+}
+
+void EntryRequest::received(const HostId&, const RunEnd& end)
+{
+    if (m_isFinished || end.stream != m_stream)
+        return;
+    m_lastProgress = now();
+    switch (end.outcome) {
+    case Outcome::Answered:
+        return answered(end);
+    case Outcome::RefusedNotRun:
+        return notRun(end);
+    case Outcome::Unknown:
+        return lost(end.code);
+    }
+}
+
+void EntryRequest::ownerLost(const HostId& owner)
+{
+    if (m_isFinished || m_stream == StreamId(0) || m_target.owner != owner)
+        return;
+    lost(refusal::ownerLost);
+}
+
+void EntryRequest::attemptEnded(RunVerdict verdict)
+{
+    m_context.streamEnded(std::exchange(m_stream, StreamId(0)));
+    m_creditOwed = 0;
+    m_context.router.finished(m_target, m_request, verdict);
+}
+
+void EntryRequest::answered(const RunEnd& end)
+{
+    if (m_request.completion && end.generatedTokens != m_nextToken)
+        return lost(refusal::upstreamLost);
+    attemptEnded(RunVerdict::Succeeded);
+    const AnswerUsage usage { Tokens(end.promptTokens), Tokens(end.generatedTokens) };
+    if (!m_callerIsGone)
+        m_writer->finish({ end.status, end.contentType, end.finishReason, usage });
+    const Tokens used = m_request.completion ? usage.promptTokens + usage.generatedTokens : m_request.cost;
+    finish(Outcome::Answered, "", used);
+}
+
+void EntryRequest::notRun(const RunEnd& end)
+{
+    const bool isUpstreamAtFault
+        = end.code == refusal::upstreamUnreachable || end.code == refusal::loadFailed;
+    attemptEnded(isUpstreamAtFault ? RunVerdict::Failed : RunVerdict::Neutral);
+    m_excluded.insert(m_target.upstream);
+    RefusalAnswer failure { end.status, end.code, "the upstream or its owner refused the request",
+        mayHaveRun() ? Outcome::Unknown : Outcome::RefusedNotRun,
+        std::chrono::milliseconds(end.retryAfterMs) };
+    if (isBadRequest(end.code)) {
+        failure.status = statusBadRequest;
+        failure.retryAfter.reset();
+        return fail(failure);
+    }
+    if (end.code == refusal::deadlineExceeded)
+        return fail(failure);
+    retryOrFail(end.code, failure);
+}
+
+void EntryRequest::lost(std::string_view code)
+{
+    m_mayHaveRun = true;
+    attemptEnded(code == refusal::upstreamLost ? RunVerdict::Failed : RunVerdict::Neutral);
+    m_excluded.insert(m_target.upstream);
+    const RefusalAnswer failure { statusBadGateway, std::string(code),
+        "the connection was lost after sending", Outcome::Unknown,
+        m_request.route.repeatable ? std::optional(retryAfterFault) : std::nullopt };
+    if (!m_request.route.repeatable)
+        return fail(failure);
+    retryOrFail(code, failure);
+}
+
+void EntryRequest::retryOrFail(std::string_view code, const RefusalAnswer& failure)
+{
+    // A service's answer has no positions at which it could be resumed.
+    const bool isPartial = m_request.service && m_writer->body().size() > 0;
+    if (isPartial || m_callerIsGone)
+        return fail(failure);
+    if (code == refusal::noUpstream || code == refusal::noOwner) {
+        // Nothing was sent, so waiting for an upstream needs no retry budget, only time.
+        const MonotonicTime giveUpAt = m_nextToken > 0 ? m_lastProgress + progressBound : m_startDeadline;
+        return now() + noUpstreamPause < giveUpAt ? retryLater(noUpstreamPause) : fail(failure);
+    }
+    if (m_attempts >= maximumAttempts)
+        return fail(failure);
+    if (!m_context.takeRetry()) {
+        ++m_context.metrics.counter(
+            "lacewing_retries_denied_total", { { "reason", std::string(refusal::retryBudgetExhausted) } });
+        return fail(failure);
+    }
+    ++m_context.metrics.counter("lacewing_retries_total", { { "reason", std::string(code) } });
+    retryLater(Duration::zero());
+}
+
+void EntryRequest::retryLater(Duration delay)
+{
+    m_context.scheduler.cancel(m_retryTimer);
+    m_retryTimer = m_context.scheduler.runAfter(delay, [this] {
+        m_retryTimer = 0;
+        dispatch();
+    });
+}
+
+void EntryRequest::checkProgress()
+{
+    m_progressTimer = m_context.scheduler.runAfter(progressCheckInterval, [this] {
+        checkProgress();
+        const MonotonicTime bound
+            = std::max(m_nextToken == 0 ? m_startDeadline : m_lastProgress, m_lastProgress);
+        if (m_stream == StreamId(0) || now() < bound + progressBound)
+            return;
+        // A slow caller holds the stream up; the server's write timeout decides about it.
+        if (!m_callerIsGone && m_exchange->bufferedBytes() > callerBufferBytes)
+            return;
+        m_context.peers.send(m_target.owner, RunCancel { m_stream });
+        lost(refusal::ownerLost);
+    });
+}
+
+void EntryRequest::callerLeft()
+{
+    if (m_isFinished)
+        return;
+    m_callerIsGone = true;
+    // A call that may not be repeated goes on, so that a repeat by the caller gets its answer.
+    if (!m_request.route.repeatable && m_stream != StreamId(0))
+        return;
+    if (m_stream != StreamId(0)) {
+        m_context.peers.send(m_target.owner, RunCancel { m_stream });
+        m_mayHaveRun = true;
+        attemptEnded(RunVerdict::Neutral);
+    }
+    finish(mayHaveRun() ? Outcome::Unknown : Outcome::RefusedNotRun, refusal::callerLeft, tokensSoFar());
+}
+
+void EntryRequest::stop(int status, std::string_view code, std::string message)
+{
+    if (m_isFinished)
+        return;
+    if (m_stream != StreamId(0)) {
+        m_context.peers.send(m_target.owner, RunCancel { m_stream });
+        m_mayHaveRun = true;
+        attemptEnded(RunVerdict::Neutral);
+    }
+    fail({ status, std::string(code), std::move(message),
+        mayHaveRun() ? Outcome::Unknown : Outcome::RefusedNotRun, std::nullopt });
+}
+
+Tokens EntryRequest::tokensSoFar() const
+{
+    if (!mayHaveRun())
+        return Tokens(0);
+    return m_request.completion ? m_request.completion->promptTokens + Tokens(m_nextToken) : m_request.cost;
+}
+
+void EntryRequest::fail(const RefusalAnswer& refusal)
+{
+    if (!m_callerIsGone)
+        m_writer->fail(refusal);
+    finish(refusal.outcome, refusal.code, tokensSoFar());
+}
+
+void EntryRequest::finish(Outcome outcome, std::string_view code, Tokens used)
+{
+    m_isFinished = true;
+    m_context.scheduler.cancel(m_retryTimer);
+    m_context.scheduler.cancel(m_progressTimer);
+    if (m_reservation)
+        m_context.wallet.settle(*m_reservation, used);
+    ++m_context.metrics.counter("lacewing_requests_total", { { "outcome", toString(outcome) } });
+    if (outcome != Outcome::Answered)
+        ++m_context.metrics.counter("lacewing_refusals_total", { { "reason", std::string(code) } });
+    m_context.metrics.summary("lacewing_request_seconds").observe(toSeconds(now() - m_arrival));
+    m_finished();
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/daemon/owner_service.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "daemon/load_gate.h"
+#include "daemon/upstream_owner.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace lacewing {
+
+/// Owner role of a daemon: one UpstreamOwner for each upstream whose lease the daemon holds.
+class OwnerService {
+public:
+    /// What the service needs of the leases.
+    struct Leases {
+        /// @return whether the lease allows to act now and for at least the margin.
+        std::function<bool(const UpstreamId& upstream, Duration margin)> mayAct;
+        /// Gives a lease up.
+        std::function<void(const UpstreamId& upstream)> release;
+    };
+
+    /// @param gate must outlive the service.
+    OwnerService(OwnerContext context, LoadGate& gate, Leases leases);
+
+    void setConfiguration(const Configuration& configuration);
+    void leaseAcquired(const UpstreamId& upstream, FencingNumber fencingNumber);
+    void leaseLost(const UpstreamId& upstream);
+    /// Finishes what runs on the upstream, then gives the lease up.
+    void handOver(const UpstreamId& upstream);
+
+    void received(const HostId& entry, const RunRequest& request);
+    void received(const HostId& entry, const RunCancel& cancel);
+    void received(const HostId& entry, const RunWindow& window);
+    void entryLost(const HostId& entry);
+
+    /// @return what entries are told about all upstreams that this daemon owns and that take requests.
+    UpstreamReports reports() const;
+    /// @return requests that run or wait at this owner.
+    size_t requestCount() const;
+
+private:
+    struct Owned {
+        FencingNumber fencingNumber;
+        std::unique_ptr<UpstreamOwner> owner;
+        bool isHandingOver = false;
+    };
+
+    void create(const UpstreamId& upstream, Owned& owned);
+    UpstreamOwner* find(const UpstreamId& upstream);
+    /// Destroys an owner in the next round of the loop, since it may be in the middle of a call.
+    void discard(std::unique_ptr<UpstreamOwner> owner);
+
+    OwnerContext m_context;
+    LoadGate& m_gate;
+    Leases m_leases;
+    std::map<UpstreamId, UpstreamConfig> m_configs;
+    std::map<UpstreamId, Owned> m_owned;
+};
+
+} // namespace lacewing
--- a/src/daemon/upstream_owner.h
+++ b/src/daemon/upstream_owner.h
@@ -52,6 +52,9 @@
     /// Ends everything because the lease is lost. Nothing is sent to the upstream any more.
     void abandon();
 
+    /// A load of an adapter may be allowed now.
+    void permitAvailable() { afterChange(); }
+
     /// Takes in a changed configuration of the same upstream.
     virtual void setConfig(const UpstreamConfig& config) { m_config = config; }
 
