--- a/src/coordination/host_ranking.cc
+++ b/src/coordination/host_ranking.cc
@@ -10,7 +10,7 @@
 
 RankedHost ranked(const SessionRow& row, int64_t load)
 {
-    return RankedHost { row.host, row.address, row.dataCentre,
+    return RankedHost { row.host, row.callerAddress, row.dataCentre,
         1.0 / (1.0 + static_cast<double>(std::max<int64_t>(load, 0))) };
 }
 
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -121,9 +121,14 @@
     info.tableUp = ack.tableUp;
     if (info.linked && (info.state != PeerState::Stopped || ack.incarnation > info.goodbyeIncarnation))
         setState(info, PeerState::Alive);
-    for (const auto& [seq, sentAt] : m_sent) {
-        if (seq == ack.seq)
-            return sentAt;
+    return sentAt(ack.seq);
+}
+
+std::optional<MonotonicTime> Membership::sentAt(uint64_t seq) const
+{
+    for (const auto& [sentSeq, time] : m_sent) {
+        if (sentSeq == seq)
+            return time;
     }
     return std::nullopt;
 }
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -70,6 +70,8 @@
     ///
     /// @return when the acknowledged heartbeat was sent, or nothing if it is not known any more.
     std::optional<MonotonicTime> ackReceived(const HostId& peer, const HeartbeatAck& ack);
+    /// @return when a heartbeat was sent, or nothing if it is not known any more.
+    std::optional<MonotonicTime> sentAt(uint64_t seq) const;
     void goodbyeReceived(const HostId& peer, const Goodbye& goodbye);
 
     /// Sends a heartbeat at once, because the state in it has changed.
--- a/src/coordination/session_manager.cc
+++ b/src/coordination/session_manager.cc
@@ -42,6 +42,12 @@
     });
 }
 
+void SessionManager::setAddresses(std::string address, std::string callerAddress)
+{
+    m_settings.address = std::move(address);
+    m_settings.callerAddress = std::move(callerAddress);
+}
+
 void SessionManager::start()
 {
     m_phase = Phase::Creating;
@@ -133,6 +139,7 @@
             }
             row.state = m_leaving ? SessionState::Leaving : SessionState::Live;
             row.address = m_settings.address;
+            row.callerAddress = m_settings.callerAddress;
             row.dataCentre = m_settings.dataCentre;
             row.region = m_settings.region;
             row.ttl = m_settings.soloTtl;
--- a/src/coordination/session_manager.h
+++ b/src/coordination/session_manager.h
@@ -21,6 +21,7 @@
     DataCentreId dataCentre;
     RegionId region;
     std::string address;
+    std::string callerAddress;
     Duration guardTtl = std::chrono::seconds(6);
     /// A guardian that has not acknowledged for this long is replaced.
     Duration guardianPatience = std::chrono::seconds(2);
@@ -69,6 +70,8 @@
     SessionManager(SessionSettings settings, TableService& table, Scheduler& scheduler,
         SessionDirectory& directory, const SafetyRules& rules, Candidates candidates, uint64_t seed);
 
+    /// Sets where this daemon listens. Call it before start().
+    void setAddresses(std::string address, std::string callerAddress);
     /// Creates the session as a new incarnation. The daemon's listening socket must be bound already: it is
     /// the proof that the process of the earlier incarnation is gone.
     void start();
--- a/src/coordination/session_row.cc
+++ b/src/coordination/session_row.cc
@@ -33,7 +33,7 @@
 auto fields(const SessionRow& row)
 {
     return std::tie(row.host, row.incarnation, row.state, row.guardian, row.guardianIncarnation, row.address,
-        row.dataCentre, row.region, row.ttl);
+        row.callerAddress, row.dataCentre, row.region, row.ttl);
 }
 
 } // namespace
@@ -57,6 +57,7 @@
         { "guardian", row.guardian.value() },
         { "guardianIncarnation", row.guardianIncarnation.value() },
         { "address", row.address },
+        { "callerAddress", row.callerAddress },
         { "dataCentre", row.dataCentre.value() },
         { "region", row.region.value() },
         { "ttlMs", toMilliseconds(row.ttl) },
@@ -78,6 +79,7 @@
         row.guardian = HostId(json.at("guardian").get<std::string>());
         row.guardianIncarnation = Incarnation(json.at("guardianIncarnation").get<int64_t>());
         row.address = json.at("address").get<std::string>();
+        row.callerAddress = json.at("callerAddress").get<std::string>();
         row.dataCentre = DataCentreId(json.at("dataCentre").get<std::string>());
         row.region = RegionId(json.at("region").get<std::string>());
         row.ttl = std::chrono::milliseconds(json.at("ttlMs").get<int64_t>());
--- a/src/coordination/session_row.h
+++ b/src/coordination/session_row.h
@@ -30,6 +30,8 @@
     Incarnation guardianIncarnation;
     /// Where the daemon listens for peers: IP number and port.
     std::string address;
+    /// Where the daemon listens for callers: IP number and port.
+    std::string callerAddress;
     DataCentreId dataCentre;
     RegionId region;
     /// Anyone may end the session when its row was unchanged for this long.
--- /dev/null
+++ b/src/daemon/allotment_service.cc
@@ -0,0 +1,79 @@
+#include "daemon/allotment_service.h"
+
+namespace lacewing {
+
+namespace {
+
+std::string leaseNameOf(int partition)
+{
+    return "allotment/" + std::to_string(partition);
+}
+
+} // namespace
+
+AllotmentService::AllotmentService(Scheduler& scheduler, PeerMessenger& peers, HostId self,
+    Incarnation incarnation, PartitionHolder::ValidityCheck isSessionValid)
+    : m_scheduler(scheduler)
+    , m_peers(peers)
+    , m_holder(scheduler, std::move(isSessionValid))
+    , m_wallet(scheduler, peers, m_holder, std::move(self), incarnation)
+{
+}
+
+std::vector<LeaseName> AllotmentService::leaseNames()
+{
+    std::vector<LeaseName> names;
+    for (int partition = 0; partition < allotmentPartitions; ++partition)
+        names.push_back({ leaseNameOf(partition), DataCentreId() });
+    return names;
+}
+
+void AllotmentService::setConfiguration(const Configuration& configuration)
+{
+    const AllotmentLimits limits = allotmentLimits(configuration);
+    m_holder.setLimits(limits);
+    m_wallet.setLimits(limits);
+}
+
+void AllotmentService::refreshHolders(const LeaseManager& leases)
+{
+    std::map<HostId, int> holders;
+    for (int partition = 0; partition < allotmentPartitions; ++partition) {
+        const auto holder = leases.holderOf(leaseNameOf(partition));
+        if (holder && !holder->isReleased())
+            ++holders[holder->host];
+    }
+    m_wallet.setHolders(holders);
+}
+
+void AllotmentService::partitionAcquired(int partition)
+{
+    m_partitions.insert(partition);
+    m_holder.setPartitions(m_partitions, m_scheduler.now() + grantTtl);
+}
+
+void AllotmentService::partitionLost(int partition)
+{
+    m_partitions.erase(partition);
+    m_holder.setPartitions(m_partitions, m_scheduler.now() + grantTtl);
+}
+
+bool AllotmentService::received(const HostId& peer, const PeerMessage& message)
+{
+    if (const auto* ask = std::get_if<AllotAsk>(&message)) {
+        if (const auto grant = m_holder.answer(peer, *ask))
+            m_peers.send(peer, *grant);
+        return true;
+    }
+    if (const auto* grant = std::get_if<AllotGrant>(&message)) {
+        m_wallet.handleGrant(peer, *grant);
+        return true;
+    }
+    if (const auto* report = std::get_if<AllotReturn>(&message)) {
+        m_holder.report(peer, *report);
+        return true;
+    }
+    return false;
+}
+
+} // namespace lacewing
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "base/metrics.h"
+#include "base/periodic_timer.h"
+#include "coordination/configuration_store.h"
+#include "coordination/fleet_member.h"
+#include "coordination/host_ranking.h"
+#include "coordination/key_ring.h"
+#include "coordination/retry_budget.h"
+#include "daemon/allotment_service.h"
+#include "daemon/entry_service.h"
+#include "daemon/owner_service.h"
+#include "daemon/peer_network.h"
+#include "daemon/permit_load_gate.h"
+#include "daemon/settings.h"
+#include "protocol/configuration_codec.h"
+#include "protocol/http_object_store.h"
+#include "protocol/http_table_service.h"
+#include "transport/event_loop.h"
+#include "transport/http_server.h"
+
+namespace lacewing {
+
+/// One host's daemon: connects the entry and owner roles with the fleet, the platform and the network.
+class Daemon : private LeaseListener, private SessionListener, private SessionPeers {
+public:
+    /// @param loop must outlive the daemon.
+    Daemon(EventLoop& loop, DaemonSettings settings);
+    ~Daemon() override;
+
+    /// Binds both addresses and begins to take part in the fleet.
+    ///
+    /// @return false if an address can't be bound; error then says which and why.
+    bool start(std::string& error);
+
+    /// Stops gracefully: finishes every request, hands everything over, then calls back.
+    void stop(std::function<void()> done);
+
+    SocketAddress callerAddress() const { return m_server->address(); }
+    SocketAddress peerAddress() { return m_network.links().address(); }
+
+private:
+    friend class DaemonHttp;
+
+    void leaseAcquired(const std::string& name, FencingNumber fencingNumber) override;
+    void leaseLost(const std::string& name) override;
+    void handOverWanted(const std::string& name) override;
+    void sessionEnded() override;
+    std::optional<std::vector<SessionPeer>> sessionPeers() const override;
+
+    void received(const HostId& peer, const PeerMessage& message);
+    void receivedFleet(const HostId& peer, const PeerMessage& message);
+    void peerDisconnected(const HostId& peer, DisconnectReason reason);
+    void configurationApplied();
+    LocalStatus localStatus() const;
+    bool takeRetry();
+    void refresh();
+    void updatePolling();
+    void sendReports();
+    void updateGauges();
+    bool isReady();
+
+    void finishRequests();
+    void handOverAll();
+    void finishStop();
+
+    EventLoop& m_loop;
+    DaemonSettings m_settings;
+    Incarnation m_start;
+    MetricsRegistry m_metrics;
+    std::unique_ptr<HttpClient> m_client;
+    HttpTableService m_tableService;
+    HttpObjectStore m_objectStore;
+    ConfigurationCodec m_codec;
+    PeerNetwork m_network;
+    SafetyRules m_safetyRules;
+    FleetMember m_member;
+    HostRanking m_ranking;
+    ConfigurationStore m_configurations;
+    KeyRing m_keys;
+    RetryBudget m_retryBudget;
+    AllotmentService m_allotment;
+    PermitLoadGate m_loadGate;
+    UpstreamRouter m_router;
+    OwnerService m_owners;
+    EntryService m_entries;
+    std::unique_ptr<class DaemonHttp> m_http;
+    std::unique_ptr<HttpServer> m_server;
+    PeriodicTimer m_refreshTimer;
+    PeriodicTimer m_reportTimer;
+    std::string m_lastReports;
+    int m_reportRounds = 0;
+    std::function<void()> m_stopped;
+    TimerId m_stopTimer = 0;
+};
+
+} // namespace lacewing
--- /dev/null
+++ b/src/daemon/daemon_http.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "transport/http_server.h"
+
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+namespace lacewing {
+
+class Daemon;
+
+/// HTTP paths of a daemon: health, metrics, discovery, the operator interface; all others are callers'
+/// requests.
+class DaemonHttp {
+public:
+    /// @param daemon must outlive the object.
+    explicit DaemonHttp(Daemon& daemon)
+        : m_daemon(daemon)
+    {
+    }
+
+    void handle(const std::shared_ptr<HttpExchange>& exchange);
+
+private:
+    void answerHosts(HttpExchange& exchange);
+    void handleOperator(const std::shared_ptr<HttpExchange>& exchange);
+    bool isOperator(const HttpExchange& exchange) const;
+    void answerStatus(HttpExchange& exchange);
+    void answerConfiguration(HttpExchange& exchange);
+    void submit(const std::shared_ptr<HttpExchange>& exchange);
+    nlohmann::json upstreamStatus() const;
+    nlohmann::json hostStatus() const;
+
+    Daemon& m_daemon;
+};
+
+} // namespace lacewing
--- a/src/daemon/entry_request.cc
+++ b/src/daemon/entry_request.cc
@@ -59,6 +59,7 @@
 
 void EntryRequest::start()
 {
+    m_context.countRequest();
     m_exchange->onClientLeft(m_guard.wrap([this] { callerLeft(); }));
     m_exchange->onDrained(m_guard.wrap([this] { giveCredit(); }));
     if (m_request.cost == Tokens(0))
--- a/src/daemon/entry_request.h
+++ b/src/daemon/entry_request.h
@@ -21,6 +21,8 @@
     UpstreamRouter& router;
     /// @return whether a retry is within the budget; it is counted then.
     std::function<bool()> takeRetry;
+    /// Counts a request for the retry budget.
+    std::function<void()> countRequest;
     /// Gives each attempt a stream number that was never used before.
     std::function<StreamId()> newStream;
     /// Called when the stream of an attempt has ended.
