--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -194,8 +194,6 @@
     }
     if (!body.empty())
         exchange->deliverBody(body);
-    if (!isCurrent(exchange.get()))
-        return false;
     const int status = m_parser.head().status;
     if (result == HttpParser::Result::HeadDone) {
         if (status == statusSwitchingProtocols) {
