Place cold adapters where the eviction costs least

Cause: requests that wait for loads counted as load, so adapters were spread and loaded more often. Change: only requests that could start count; popularity counts when a request starts.

--- a/src/coordination/adapter_residency.cc
+++ b/src/coordination/adapter_residency.cc
@@ -1,6 +1,7 @@
 #include "coordination/adapter_residency.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 namespace lacewing {
@@ -49,11 +50,6 @@
     return requestClass == RequestClass::Interactive || batchMayPin(adapter);
 }
 
-void AdapterResidency::recordUse(const AdapterKey& adapter, MonotonicTime now)
-{
-    m_policy->recordUse(adapter, now);
-}
-
 bool AdapterResidency::acquire(const AdapterKey& adapter, RequestClass requestClass, MonotonicTime now)
 {
     if (!isReady(adapter, requestClass))
@@ -61,6 +57,7 @@
     References& references = m_references[adapter];
     ++(requestClass == RequestClass::Interactive ? references.interactive : references.batch);
     m_slots.at(nameOf(adapter)).lastUse = now;
+    m_policy->recordUse(adapter, now);
     return true;
 }
 
@@ -89,7 +86,7 @@
         return order;
     if (countInState(ResidencyState::Loading) >= m_options.maximumLoads)
         return std::nullopt;
-    if (m_loadsTaken == 0 && !mayLoad(RequestClass::Interactive))
+    if (m_loadsTaken == 0 && !mayLoad(RequestClass::Interactive) && !mayLoad(RequestClass::Batch))
         return std::nullopt;
     if (auto order = evictDrained(mayLoad, now))
         return order;
@@ -147,6 +144,24 @@
     return adapters;
 }
 
+double AdapterResidency::evictionCost(const RequestQueue& queue, MonotonicTime now) const
+{
+    if (m_slots.size() < m_options.slots)
+        return 0;
+    double least = std::numeric_limits<double>::infinity();
+    for (const auto& [name, slot] : m_slots) {
+        if (mayGiveWay(slot, queue))
+            least = std::min(least, m_policy->value({ slot.adapter, slot.lastUse }, now));
+    }
+    return least;
+}
+
+bool AdapterResidency::mayGiveWay(const Slot& slot, const RequestQueue& queue) const
+{
+    const bool settled = slot.state == ResidencyState::Resident || slot.state == ResidencyState::Uncertain;
+    return settled && isIdle(slot) && !queue.isWaitedFor(slot.adapter);
+}
+
 size_t AdapterResidency::references(const AdapterKey& adapter) const
 {
     const auto found = m_references.find(adapter);
@@ -283,8 +298,8 @@
 {
     for (auto& entry : m_slots) {
         const Slot& slot = entry.second;
-        if (slot.state == ResidencyState::Draining && isIdle(slot) && mayLoad(RequestClass::Interactive))
-            return evictForLoad(entry, now);
+        if (slot.state == ResidencyState::Draining && isIdle(slot) && mayLoad(slot.drainedFor))
+            return evictForLoad(entry, slot.drainedFor, now);
     }
     return std::nullopt;
 }
@@ -318,19 +333,21 @@
     m_lostEvictions.erase(name);
     const bool taken = m_loadsTaken > 0;
     m_loadsTaken -= taken ? 1 : 0;
-    return { AdapterOrder::Kind::Load, name, waiting.adapter, !taken };
+    return { AdapterOrder::Kind::Load, name, waiting.adapter, !taken, waiting.requestClass };
 }
 
 AdapterOrder AdapterResidency::evict(Slots::value_type& entry, MonotonicTime now)
 {
     entry.second.state = ResidencyState::Evicting;
     entry.second.changedAt = now;
-    return { AdapterOrder::Kind::Evict, entry.first, entry.second.adapter, false };
+    return { AdapterOrder::Kind::Evict, entry.first, entry.second.adapter, false, RequestClass::Interactive };
 }
 
-AdapterOrder AdapterResidency::evictForLoad(Slots::value_type& entry, MonotonicTime now)
+AdapterOrder AdapterResidency::evictForLoad(
+    Slots::value_type& entry, RequestClass requestClass, MonotonicTime now)
 {
     AdapterOrder order = evict(entry, now);
+    order.requestClass = requestClass;
     order.takesLoad = true;
     ++m_loadsTaken;
     return order;
@@ -340,15 +357,16 @@
     const WaitingAdapter& waiting, const RequestQueue& queue, MonotonicTime now)
 {
     if (Slots::value_type* idle = chooseIdle(queue, now))
-        return evictForLoad(*idle, now);
+        return evictForLoad(*idle, waiting.requestClass, now);
     if (now - waiting.arrival < m_options.drainAfter)
         return std::nullopt;
     Slots::value_type* victim = chooseToDrain(waiting, now);
     if (!victim)
         return std::nullopt;
     if (isIdle(victim->second))
-        return evictForLoad(*victim, now);
+        return evictForLoad(*victim, waiting.requestClass, now);
     victim->second.state = ResidencyState::Draining;
+    victim->second.drainedFor = waiting.requestClass;
     victim->second.changedAt = now;
     return std::nullopt;
 }
@@ -358,10 +376,7 @@
 {
     std::vector<Slots::value_type*> idle;
     for (auto& entry : m_slots) {
-        const Slot& slot = entry.second;
-        const bool settled
-            = slot.state == ResidencyState::Resident || slot.state == ResidencyState::Uncertain;
-        if (settled && isIdle(slot) && !queue.isWaitedFor(slot.adapter))
+        if (mayGiveWay(entry.second, queue))
             idle.push_back(&entry);
     }
     return choose(idle, now);
--- a/src/coordination/adapter_residency.h
+++ b/src/coordination/adapter_residency.h
@@ -50,6 +50,8 @@
     /// Whether the owner must take one load from the fleet-wide limit now. An eviction that makes room takes
     /// the load that follows it, so that no adapter is evicted for a load that the limit then holds back.
     bool takesLoad = false;
+    /// Class of the request that the load is for.
+    RequestClass requestClass = RequestClass::Interactive;
 };
 
 /// Answer of the engine to an order.
@@ -107,10 +109,8 @@
     /// @return true if a request of the class for the adapter may start now.
     bool isReady(const AdapterKey& adapter, RequestClass requestClass) const;
 
-    /// Counts one request for the adapter, when it arrives at the owner.
-    void recordUse(const AdapterKey& adapter, MonotonicTime now);
-
-    /// Takes a reference for a request that starts.
+    /// Takes a reference for a request that starts. Only now does the request count for the adapter's value:
+    /// a workspace that sends more than is served must not push the adapters of others out.
     ///
     /// @return false if the adapter is not ready; no reference was taken then.
     bool acquire(const AdapterKey& adapter, RequestClass requestClass, MonotonicTime now);
@@ -140,6 +140,10 @@
     /// @return adapters that are ready or loading, for the view that entries get.
     std::vector<AdapterKey> resident() const;
 
+    /// @return the value of the adapter that would give way to another one, in requests a second; 0 if a slot
+    /// is free, and infinity if none can give way now.
+    double evictionCost(const RequestQueue& queue, MonotonicTime now) const;
+
     /// @return references to an adapter.
     size_t references(const AdapterKey& adapter) const;
 
@@ -159,6 +163,8 @@
         /// The load was ordered to show the fencing number; the adapter was listed as resident before.
         bool wasResident = false;
         bool lostEviction = false;
+        /// Class of the request that a draining slot is wanted for.
+        RequestClass drainedFor = RequestClass::Interactive;
         MonotonicTime lastUse;
         /// When an order for it was last sent or answered.
         MonotonicTime changedAt;
@@ -195,9 +201,10 @@
         const WaitingAdapter& waiting, const RequestQueue& queue, size_t& roomPromised, MonotonicTime now);
     AdapterOrder load(const WaitingAdapter& waiting, MonotonicTime now);
     AdapterOrder evict(Slots::value_type& slot, MonotonicTime now);
-    AdapterOrder evictForLoad(Slots::value_type& slot, MonotonicTime now);
+    AdapterOrder evictForLoad(Slots::value_type& slot, RequestClass requestClass, MonotonicTime now);
     std::optional<AdapterOrder> makeRoom(
         const WaitingAdapter& waiting, const RequestQueue& queue, MonotonicTime now);
+    bool mayGiveWay(const Slot& slot, const RequestQueue& queue) const;
     Slots::value_type* chooseIdle(const RequestQueue& queue, MonotonicTime now);
     Slots::value_type* chooseToDrain(const WaitingAdapter& waiting, MonotonicTime now);
     Slots::value_type* choose(const std::vector<Slots::value_type*>& slots, MonotonicTime now) const;
--- a/src/coordination/bounded_load_selector.cc
+++ b/src/coordination/bounded_load_selector.cc
@@ -17,25 +17,23 @@
 std::optional<UpstreamId> BoundedLoadSelector::select(
     const Selection& selection, const std::vector<UpstreamView>& views, MonotonicTime now)
 {
-    const std::vector<Candidate> ranked = candidates(selection, views, now);
+    const Candidates ranked = candidates(selection, views, now);
     if (ranked.empty())
         return std::nullopt;
-    const size_t own = replicas(selection.adapter, ranked.size(), now);
-    // Order: within the bound; holds the adapter; one of the adapter's own candidates; load among those, and
-    // rank among the others; same data centre.
-    const auto order = [own](const Candidate& candidate) {
-        const bool isOwn = candidate.rank < own;
-        const size_t rank = isOwn ? 0 : candidate.rank;
-        // Whole steps of load, so that the data centre decides between nearly equal ones.
-        const double load
-            = candidate.withinBound && !isOwn && !candidate.resident ? 0 : std::floor(candidate.load * 8);
-        return std::make_tuple(!candidate.withinBound, candidate.withinBound ? !candidate.resident : false,
-            candidate.withinBound && !candidate.resident ? rank : 0, load, !candidate.local, candidate.load,
-            candidate.rank);
-    };
-    const auto best = std::min_element(ranked.begin(), ranked.end(),
-        [&](const Candidate& a, const Candidate& b) { return order(a) < order(b); });
-    return best->view->upstream;
+    const Candidate* chosen = nullptr;
+    if (selection.adapter) {
+        const auto holders = static_cast<size_t>(std::count_if(
+            ranked.begin(), ranked.end(), [](const Candidate& candidate) { return candidate.holds; }));
+        if (holders >= replicas(*selection.adapter, ranked.size(), now))
+            chosen = leastLoaded(ranked, true);
+        if (!chosen)
+            chosen = cheapestHome(ranked);
+        if (!chosen)
+            chosen = leastLoaded(ranked, true);
+    }
+    if (!chosen)
+        chosen = leastLoaded(ranked, false);
+    return chosen->view->upstream;
 }
 
 void BoundedLoadSelector::started(
@@ -55,33 +53,69 @@
     m_inFlight.finished(upstream, now);
 }
 
-std::vector<BoundedLoadSelector::Candidate> BoundedLoadSelector::candidates(
+BoundedLoadSelector::Candidates BoundedLoadSelector::candidates(
     const Selection& selection, const std::vector<UpstreamView>& views, MonotonicTime now) const
 {
-    std::vector<Candidate> result;
+    Candidates result;
     double total = 1; // The request itself.
-    double weight = 0;
+    double capacity = 0;
     for (const UpstreamView* view : rankByRendezvous(selection, views)) {
         Candidate candidate;
         candidate.view = view;
         candidate.load = m_inFlight.load(*view);
-        candidate.resident = holds(*view, selection.adapter, now);
+        candidate.holds = holds(*view, selection.adapter, now);
         candidate.local = view->dataCentre == selection.dataCentre;
         candidate.rank = result.size();
         total += candidate.load;
-        weight += view->weight * view->maximumConcurrency;
+        capacity += view->weight * std::max(1, view->maximumConcurrency);
         result.push_back(candidate);
     }
     for (Candidate& candidate : result) {
-        const double capacity = std::max(1, candidate.view->maximumConcurrency) * candidate.view->weight;
-        const double fair = total * capacity / std::max(weight, 1.0);
-        const double bound = std::max(m_options.loadBound * fair, m_options.idleShare * capacity);
+        const double own = candidate.view->weight * std::max(1, candidate.view->maximumConcurrency);
+        const double bound
+            = std::max(m_options.loadBound * total * own / capacity, m_options.idleShare * own);
         candidate.withinBound = candidate.load + 1 <= std::ceil(bound);
-        candidate.load /= capacity;
+        candidate.load /= own;
     }
     return result;
 }
 
+const BoundedLoadSelector::Candidate* BoundedLoadSelector::leastLoaded(
+    const Candidates& candidates, bool onlyHolders)
+{
+    const Candidate* best = nullptr;
+    // Loads are compared in steps of an eighth, so that the data centre decides between nearly equal ones.
+    const auto order = [](const Candidate& candidate) {
+        return std::make_tuple(
+            std::floor(candidate.load * 8), !candidate.local, candidate.load, candidate.rank);
+    };
+    for (const Candidate& candidate : candidates) {
+        if (onlyHolders && !(candidate.holds && candidate.withinBound))
+            continue;
+        if (!best || order(candidate) < order(*best))
+            best = &candidate;
+    }
+    return best;
+}
+
+const BoundedLoadSelector::Candidate* BoundedLoadSelector::cheapestHome(const Candidates& candidates) const
+{
+    const Candidate* best = nullptr;
+    size_t seen = 0;
+    for (const Candidate& candidate : candidates) {
+        if (candidate.holds || !candidate.withinBound)
+            continue;
+        const auto order = [](const Candidate& home) {
+            return std::make_tuple(home.view->evictionCost, home.load, home.rank);
+        };
+        if (!best || order(candidate) < order(*best))
+            best = &candidate;
+        if (++seen >= m_options.homes)
+            break;
+    }
+    return best;
+}
+
 bool BoundedLoadSelector::holds(
     const UpstreamView& view, const std::optional<AdapterKey>& adapter, MonotonicTime now) const
 {
@@ -94,14 +128,13 @@
         && now <= choice->second.at + m_options.choiceMemory;
 }
 
-size_t BoundedLoadSelector::replicas(
-    const std::optional<AdapterKey>& adapter, size_t upstreams, MonotonicTime now) const
+size_t BoundedLoadSelector::replicas(const AdapterKey& adapter, size_t upstreams, MonotonicTime now) const
 {
-    if (!adapter)
-        return upstreams;
-    const double share = m_popularity.share(*adapter, now) * static_cast<double>(upstreams);
-    const double wanted = std::ceil(share / m_options.shareOfUpstream);
-    return static_cast<size_t>(std::clamp(wanted, 1.0, static_cast<double>(upstreams)));
+    if (m_popularity.count(adapter, now) < m_options.leastUses)
+        return 1;
+    const double share = m_popularity.share(adapter, now) * static_cast<double>(upstreams);
+    const double wanted = 1 + std::floor(share / m_options.shareOfUpstream);
+    return static_cast<size_t>(std::min(wanted, static_cast<double>(upstreams)));
 }
 
 } // namespace lacewing
--- a/src/coordination/bounded_load_selector.h
+++ b/src/coordination/bounded_load_selector.h
@@ -20,9 +20,13 @@
         /// ... and this share of its maximum concurrency. Below that nothing waits, so spreading only costs
         /// loads.
         double idleShare = 0.6;
-        /// An adapter gets a candidate for each such part of one upstream's fair share of all requests.
-        double shareOfUpstream = 1.0;
-        Duration popularityTimeConstant = std::chrono::seconds(30);
+        /// An adapter gets another upstream for each such part of one upstream's fair share of all requests.
+        double shareOfUpstream = 2.0;
+        /// Uses within the time constant below which an adapter counts as unpopular: an entry sees few.
+        double leastUses = 4;
+        Duration popularityTimeConstant = std::chrono::seconds(60);
+        /// Upstreams that an adapter may be loaded on; the one whose eviction costs least is taken.
+        size_t homes = 3;
         /// How long an upstream that this entry chose for an adapter counts as holding it, in spite of
         /// reports.
         Duration choiceMemory = std::chrono::seconds(3);
@@ -44,17 +48,22 @@
 
     struct Candidate {
         const UpstreamView* view = nullptr;
+        /// Requests per maximum concurrency.
         double load = 0;
         bool withinBound = false;
-        bool resident = false;
+        bool holds = false;
         bool local = false;
         size_t rank = 0;
     };
 
-    std::vector<Candidate> candidates(
+    using Candidates = std::vector<Candidate>;
+
+    Candidates candidates(
         const Selection& selection, const std::vector<UpstreamView>& views, MonotonicTime now) const;
+    static const Candidate* leastLoaded(const Candidates& candidates, bool onlyHolders);
+    const Candidate* cheapestHome(const Candidates& candidates) const;
     bool holds(const UpstreamView& view, const std::optional<AdapterKey>& adapter, MonotonicTime now) const;
-    size_t replicas(const std::optional<AdapterKey>& adapter, size_t upstreams, MonotonicTime now) const;
+    size_t replicas(const AdapterKey& adapter, size_t upstreams, MonotonicTime now) const;
 
     Options m_options;
     InFlightTracker m_inFlight;
--- a/src/coordination/cost_aware_eviction.cc
+++ b/src/coordination/cost_aware_eviction.cc
@@ -1,33 +1,28 @@
 #include "coordination/cost_aware_eviction.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace lacewing {
 
 CostAwareEviction::CostAwareEviction(Options options)
-    : m_fast(options.fastTimeConstant)
-    , m_slow(options.slowTimeConstant)
+    : m_options(options)
+    , m_popularity(options.timeConstant)
 {
 }
 
 void CostAwareEviction::recordUse(const AdapterKey& adapter, MonotonicTime now)
 {
-    m_fast.record(adapter, now);
-    m_slow.record(adapter, now);
+    m_popularity.record(adapter, now);
 }
 
-size_t CostAwareEviction::choose(const std::vector<EvictionCandidate>& candidates, MonotonicTime now) const
+double CostAwareEviction::value(const EvictionCandidate& candidate, MonotonicTime now) const
 {
-    size_t best = 0;
-    double least = 0;
-    for (size_t i = 0; i < candidates.size(); ++i) {
-        const AdapterKey& adapter = candidates[i].adapter;
-        const double rate = m_fast.rate(adapter, now) + m_slow.rate(adapter, now);
-        const bool older = candidates[i].lastUse < candidates[best].lastUse;
-        if (i > 0 && (rate > least || (rate == least && !older)))
-            continue;
-        best = i;
-        least = rate;
-    }
-    return best;
+    const double idle = toSeconds(std::max(now - candidate.lastUse, Duration::zero()));
+    // The rate as of the last use: decay and idleness must not count the same silence twice.
+    const double rate = m_popularity.rate(candidate.adapter, std::min(now, candidate.lastUse));
+    const double excess = std::max(0.0, rate * idle - m_options.idleGaps);
+    return m_popularity.rate(candidate.adapter, now) * std::exp(-excess);
 }
 
 } // namespace lacewing
--- a/src/coordination/cost_aware_eviction.h
+++ b/src/coordination/cost_aware_eviction.h
@@ -5,24 +5,26 @@
 
 namespace lacewing {
 
-/// Evicts the adapter whose absence is expected to cost the fewest stalled requests: the one with the lowest
-/// rate of requests. The rate is the sum of a fast and a slow estimate, so that a sudden shift in popularity
-/// takes effect within seconds while adapters with long gaps between requests are still told apart.
+/// Evicts the adapter whose absence is expected to stall the fewest requests. That is the decayed rate of its
+/// requests, lowered once it has been idle for much longer than this rate explains. So rarely used adapters
+/// are told apart by a long history, and yet one that falls out of use gives way soon, the sooner the more
+/// popular it was.
 class CostAwareEviction : public EvictionPolicy {
 public:
     struct Options {
-        Duration fastTimeConstant = std::chrono::seconds(30);
-        Duration slowTimeConstant = std::chrono::seconds(300);
+        Duration timeConstant = std::chrono::seconds(120);
+        /// Idle time, in mean gaps between requests, after which the value falls.
+        double idleGaps = 3;
     };
 
     explicit CostAwareEviction(Options options);
 
     void recordUse(const AdapterKey& adapter, MonotonicTime now) override;
-    size_t choose(const std::vector<EvictionCandidate>& candidates, MonotonicTime now) const override;
+    double value(const EvictionCandidate& candidate, MonotonicTime now) const override;
 
 private:
-    PopularityTracker m_fast;
-    PopularityTracker m_slow;
+    Options m_options;
+    PopularityTracker m_popularity;
 };
 
 } // namespace lacewing
--- a/src/coordination/eviction_policy.h
+++ b/src/coordination/eviction_policy.h
@@ -21,9 +21,12 @@
     /// Counts one request for an adapter, whether it is resident or not.
     virtual void recordUse(const AdapterKey& adapter, MonotonicTime now) = 0;
 
+    /// @return how much is lost if the adapter is evicted, as an estimate of requests a second.
+    virtual double value(const EvictionCandidate& candidate, MonotonicTime now) const = 0;
+
     /// @param candidates at least one.
-    /// @return the index of the candidate to evict.
-    virtual size_t choose(const std::vector<EvictionCandidate>& candidates, MonotonicTime now) const = 0;
+    /// @return the index of the candidate with the lowest value; among equal ones the least recently used.
+    size_t choose(const std::vector<EvictionCandidate>& candidates, MonotonicTime now) const;
 };
 
 } // namespace lacewing
--- a/src/coordination/fifo_request_queue.cc
+++ b/src/coordination/fifo_request_queue.cc
@@ -67,6 +67,12 @@
         [&](const QueuedRequest& request) { return request.adapter == adapter; });
 }
 
+size_t FifoRequestQueue::readyCount(const AdapterReady& isReady) const
+{
+    return static_cast<size_t>(std::count_if(m_requests.begin(), m_requests.end(),
+        [&](const QueuedRequest& request) { return isReady(request.adapter, request.requestClass); }));
+}
+
 size_t FifoRequestQueue::size(RequestClass requestClass) const
 {
     return static_cast<size_t>(std::count_if(m_requests.begin(), m_requests.end(),
--- a/src/coordination/in_flight_tracker.cc
+++ b/src/coordination/in_flight_tracker.cc
@@ -9,6 +9,9 @@
 // Reports older than this are useless for balancing anyway; it bounds the memory of changes.
 constexpr Duration longestLag = std::chrono::seconds(30);
 
+// Without a report for this long, the entry's own requests are the better estimate.
+constexpr Duration reportTimeout = std::chrono::seconds(5);
+
 } // namespace
 
 void InFlightTracker::started(const UpstreamId& upstream, MonotonicTime now)
@@ -33,6 +36,9 @@
             break;
         load += it->difference;
     }
+    const auto& changes = found->second.changes;
+    if (changes.empty() || changes.back().at < view.reportedAt + reportTimeout)
+        return std::max(load, 0);
     return std::max(load, found->second.inFlight);
 }
 
--- a/src/coordination/lru_eviction.cc
+++ b/src/coordination/lru_eviction.cc
@@ -4,11 +4,9 @@
 
 namespace lacewing {
 
-size_t LruEviction::choose(const std::vector<EvictionCandidate>& candidates, MonotonicTime) const
+double LruEviction::value(const EvictionCandidate& candidate, MonotonicTime now) const
 {
-    const auto oldest = std::min_element(candidates.begin(), candidates.end(),
-        [](const EvictionCandidate& a, const EvictionCandidate& b) { return a.lastUse < b.lastUse; });
-    return static_cast<size_t>(oldest - candidates.begin());
+    return 1 / std::max(toSeconds(now - candidate.lastUse), 1e-9);
 }
 
 } // namespace lacewing
--- a/src/coordination/lru_eviction.h
+++ b/src/coordination/lru_eviction.h
@@ -8,7 +8,7 @@
 class LruEviction : public EvictionPolicy {
 public:
     void recordUse(const AdapterKey&, MonotonicTime) override { }
-    size_t choose(const std::vector<EvictionCandidate>& candidates, MonotonicTime now) const override;
+    double value(const EvictionCandidate& candidate, MonotonicTime now) const override;
 };
 
 } // namespace lacewing
--- a/src/coordination/request_queue.h
+++ b/src/coordination/request_queue.h
@@ -83,6 +83,11 @@
     /// @return true if any request waits for the adapter.
     virtual bool isWaitedFor(const AdapterKey& adapter) const = 0;
 
+    /// @return the number of waiting requests that could start if the upstream had room for them. Requests
+    /// that wait for a load are not counted: they would wait on another upstream as well, so they are no
+    /// reason to send others elsewhere.
+    virtual size_t readyCount(const AdapterReady& isReady) const = 0;
+
     /// @return the number of waiting requests of a class.
     virtual size_t size(RequestClass requestClass) const = 0;
 
--- a/src/coordination/upstream_selector.h
+++ b/src/coordination/upstream_selector.h
@@ -25,12 +25,15 @@
     /// Share of full work it may get, from UpstreamHealth::weight(); 0 while ejected.
     double weight = 1;
     int running = 0;
+    /// Requests that wait for room although their adapter is ready: RequestQueue::readyCount().
     int queued = 0;
     int maximumConcurrency = 1;
     /// When the load was current, on the entry's clock.
     MonotonicTime reportedAt;
     /// Adapters that were resident or loading then.
     std::set<AdapterKey> resident;
+    /// What a load of another adapter would cost it then: AdapterResidency::evictionCost().
+    double evictionCost = 0;
 };
 
 /// What an upstream is wanted for.
--- a/src/replay/load_limiter.h
+++ b/src/replay/load_limiter.h
@@ -17,11 +17,11 @@
     {
     }
 
-    /// @param reserve loads that must be left over.
-    bool mayLoad(MonotonicTime now, double reserve)
+    /// @return the number of loads that may start now.
+    double available(MonotonicTime now)
     {
         refill(now);
-        return m_inFlight < m_maximumInFlight && m_level >= 1 + reserve;
+        return std::min(m_level, static_cast<double>(m_maximumInFlight - m_inFlight));
     }
 
     /// Takes one load from the bucket.
--- a/src/replay/placement_simulation.cc
+++ b/src/replay/placement_simulation.cc
@@ -5,6 +5,7 @@
 #include "coordination/cost_aware_eviction.h"
 #include "coordination/fair_request_queue.h"
 #include "coordination/fifo_request_queue.h"
+#include "coordination/load_priority.h"
 #include "coordination/lru_eviction.h"
 
 #include <utility>
@@ -21,8 +22,6 @@
 constexpr size_t dataCentres = 3;
 constexpr int maximumLoadsInFlight = 8;
 constexpr double loadBurst = 8;
-// Loads that batch must leave to urgent requests.
-constexpr double batchLoadReserve = 3;
 constexpr double loadFailureRate = 0.1;
 constexpr int maximumMoves = 2;
 constexpr size_t queueCapacity = 4000;
@@ -48,6 +47,7 @@
     std::unique_ptr<RequestQueue> queue;
     std::unique_ptr<AdapterResidency> residency;
     std::unique_ptr<BatchEngine> batch;
+    LoadPriority loadPriority { LoadPriority::Options {} };
     /// Requests in the queue.
     std::set<size_t> waiting;
     bool up = true;
@@ -188,7 +188,7 @@
     options.slots = static_cast<size_t>(m_deployment.slots);
     options.fence = fence;
     options.checksFencing = engine % 2 == 0;
-    options.interactiveSlots = m_policy.fairQueue ? options.slots * 3 / 8 : 0;
+    options.interactiveSlots = m_policy.fairQueue ? options.slots * 5 / 8 : 0;
     options.seed = m_random.next();
     std::unique_ptr<EvictionPolicy> eviction;
     if (m_policy.costAwareEviction)
@@ -258,7 +258,6 @@
     queued.cost = Tokens(record.request.promptTokens + m_requests[index].remainingTokens);
     queued.arrival = now;
     queued.startDeadline = *record.arrivedAt + (interactive ? interactiveDeadline : batchDeadline);
-    engine.residency->recordUse(adapter, now);
     if (!engine.queue->push(queued)) {
         refuse(index, "queue_full");
         return;
@@ -307,8 +306,8 @@
         return;
     const MonotonicTime now = m_scheduler.now();
     const auto mayLoad = [&](RequestClass requestClass) {
-        const bool reserve = m_policy.fairQueue && requestClass == RequestClass::Batch;
-        return m_limiter.mayLoad(now, reserve ? batchLoadReserve : 0);
+        const double available = m_limiter.available(now);
+        return m_policy.fairQueue ? engine.loadPriority.mayLoad(requestClass, available) : available >= 1;
     };
     while (const auto order = engine.residency->nextOrder(now, *engine.queue, mayLoad))
         sendOrder(number, *order);
@@ -340,8 +339,10 @@
 {
     Engine& engine = *m_engines[number];
     const int boots = engine.boots;
-    if (order.takesLoad)
+    if (order.takesLoad) {
         m_limiter.take(m_scheduler.now());
+        engine.loadPriority.taken(order.requestClass);
+    }
     if (order.kind == AdapterOrder::Kind::Evict) {
         ++m_result.evictions;
         m_scheduler.runAfter(evictTime, [this, number, order, boots] {
@@ -457,8 +458,12 @@
             continue;
         UpstreamView reported;
         reported.running = static_cast<int>(engine.batch->running());
-        reported.queued = static_cast<int>(engine.queue->size());
+        reported.queued = static_cast<int>(
+            engine.queue->readyCount([&](const AdapterKey& adapter, RequestClass requestClass) {
+                return engine.residency->isReady(adapter, requestClass);
+            }));
         reported.reportedAt = m_scheduler.now();
+        reported.evictionCost = engine.residency->evictionCost(*engine.queue, m_scheduler.now());
         for (const AdapterKey& adapter : engine.residency->resident())
             reported.resident.insert(adapter);
         const std::string bootId = std::to_string(engine.boots);
@@ -469,6 +474,7 @@
                 view.queued = reported.queued;
                 view.reportedAt = reported.reportedAt;
                 view.resident = reported.resident;
+                view.evictionCost = reported.evictionCost;
                 entry->health.noteBoot(view.upstream, bootId, m_scheduler.now());
             }
         });
--- a/src/replay/placement_trace.cc
+++ b/src/replay/placement_trace.cc
@@ -16,8 +16,7 @@
 constexpr int shiftedAdapters = 50;
 // Shares of the adapters: a few workspaces are large.
 constexpr double workspaceShares[traceWorkspaces] = { 0.4, 0.3, 0.15, 0.1, 0.05 };
-// In GreedyWorkspace all workspaces send this multiple, so that five times one of them exceeds the capacity.
-constexpr double greedyScale = 2.5;
+constexpr double greedyFactor = 5;
 
 class TraceGenerator {
 public:
@@ -100,7 +99,7 @@
     {
         if (m_scenario == TraceScenario::FridayWave)
             return 10;
-        return m_scenario == TraceScenario::GreedyWorkspace ? 5 * greedyScale : 1;
+        return m_scenario == TraceScenario::GreedyWorkspace ? greedyFactor : 1;
     }
 
     double factor(const TraceRequest& request, const PlacementTrace& trace) const
@@ -109,7 +108,7 @@
         if (m_scenario == TraceScenario::FridayWave)
             return disturbed && request.requestClass == RequestClass::Batch ? 10 : 1;
         if (m_scenario == TraceScenario::GreedyWorkspace)
-            return request.workspace == greedyWorkspace && disturbed ? 5 * greedyScale : greedyScale;
+            return request.workspace == greedyWorkspace && disturbed ? greedyFactor : 1;
         return 1;
     }
 
--- a/src/replay/placement_trace.h
+++ b/src/replay/placement_trace.h
@@ -22,7 +22,7 @@
     Steady,
     /// Batch requests come at ten times their rate for half an hour.
     FridayWave,
-    /// One workspace sends five times its rate, and the upstreams are overloaded by it.
+    /// One workspace sends five times its rate, which needs more loads than the limit allows.
     GreedyWorkspace,
     /// The 50 most popular adapters are replaced at once, every five minutes.
     PopularityShift,
