--- a/src/coordination/configuration_submission.cc
+++ b/src/coordination/configuration_submission.cc
@@ -12,7 +12,7 @@
 constexpr Duration totalTimeout = std::chrono::seconds(30);
 constexpr Duration changesTimeout = std::chrono::seconds(2);
 constexpr Duration confirmationTimeout = std::chrono::seconds(10);
-constexpr Duration checkInterval = std::chrono::milliseconds(20);
+constexpr Duration checkInterval = std::chrono::milliseconds(50);
 
 } // namespace
 
--- a/src/coordination/peer_vouchers.cc
+++ b/src/coordination/peer_vouchers.cc
@@ -22,7 +22,7 @@
     for (const SessionPeer& peer : peers) {
         Peer& entry = m_peers[peer.host];
         entry.inSessionUntil = now;
-        entry.stoppedSince = peer.stoppedSince;
+        entry.stopped = peer.stopped;
     }
 }
 
@@ -70,12 +70,18 @@
         found->second.saidGoodbye = true;
 }
 
+bool PeerVouchers::isStopped(const Peer& peer, MonotonicTime now)
+{
+    // A process may have started since an older attempt, for example while this one was paused.
+    return peer.stopped && now - peer.stopped->last <= reportLifetime;
+}
+
 bool PeerVouchers::vouches(const Peer& peer, Revision revision, MonotonicTime asOf, MonotonicTime now)
 {
     if (!peer.coveredSince || *peer.coveredSince > asOf || peer.revision > revision)
         return false;
     if (peer.saidGoodbye)
-        return true;
+        return isStopped(peer, now);
     return peer.saidNoEarlierThan && now - *peer.saidNoEarlierThan <= reportLifetime;
 }
 
@@ -85,7 +91,7 @@
         return false;
     int unaccounted = 0;
     for (const auto& [host, peer] : m_peers) {
-        const bool stoppedBefore = peer.stoppedSince && *peer.stoppedSince <= asOf;
+        const bool stoppedBefore = isStopped(peer, now) && peer.stopped->first <= asOf;
         if (peer.inSessionUntil + sessionMargin < asOf || stoppedBefore)
             continue;
         if (!vouches(peer, revision, asOf, now)) {
@@ -102,7 +108,7 @@
 {
     bool isAlone = m_sessionsKnown;
     for (const auto& [host, peer] : m_peers) {
-        if (peer.inSessionUntil + sessionMargin < now || peer.stoppedSince)
+        if (peer.inSessionUntil + sessionMargin < now || isStopped(peer, now))
             continue;
         if (peer.revision >= revision)
             return true;
--- a/src/coordination/peer_vouchers.h
+++ b/src/coordination/peer_vouchers.h
@@ -10,11 +10,18 @@
 
 namespace lacewing {
 
+/// Time in which each attempt to connect to a peer was refused, so that no process ran there.
+struct StoppedPeriod {
+    /// First and last refused attempt.
+    MonotonicTime first;
+    MonotonicTime last;
+};
+
 /// A peer that has a session in the table.
 struct SessionPeer {
     HostId host;
-    /// Since when each attempt to connect was refused, so that no process runs there.
-    std::optional<MonotonicTime> stoppedSince;
+    /// Nothing if the last attempt to connect was not refused.
+    std::optional<StoppedPeriod> stopped;
 };
 
 /// Port to the membership.
@@ -60,7 +67,7 @@
 private:
     struct Peer {
         MonotonicTime inSessionUntil {};
-        std::optional<MonotonicTime> stoppedSince;
+        std::optional<StoppedPeriod> stopped;
         Incarnation incarnation;
         /// All incarnations since this time have told their revisions; nothing before the first report.
         std::optional<MonotonicTime> coveredSince;
@@ -70,6 +77,7 @@
         std::optional<MonotonicTime> saidNoEarlierThan;
     };
 
+    static bool isStopped(const Peer& peer, MonotonicTime now);
     static bool vouches(const Peer& peer, Revision revision, MonotonicTime asOf, MonotonicTime now);
     Peer& peerOf(const HostId& host, Incarnation incarnation);
 
