Speed up the fleet simulation

Change: the session keeps the end of its validity instead of deriving it at each question; the virtual scheduler uses a heap instead of two trees; a guardian in the best place is not compared with others.

--- a/src/base/pausable_scheduler.h
+++ b/src/base/pausable_scheduler.h
@@ -3,6 +3,7 @@
 #include "base/scheduler.h"
 
 #include <map>
+#include <unordered_map>
 
 namespace lacewing {
 
@@ -38,7 +39,7 @@
     Scheduler& m_scheduler;
     bool m_paused = false;
     TimerId m_nextTimer = 1;
-    std::map<TimerId, Timer> m_timers;
+    std::unordered_map<TimerId, Timer> m_timers;
     /// Timers that fell due during the pause, in order.
     std::map<uint64_t, TimerId> m_overdue;
     uint64_t m_overdueCount = 0;
--- a/src/base/virtual_scheduler.cc
+++ b/src/base/virtual_scheduler.cc
@@ -8,39 +8,40 @@
 {
     const TimerId timer = m_nextTimer++;
     const MonotonicTime due = m_now + std::max(delay, Duration::zero());
-    m_timers.emplace(Due { due, timer }, std::move(callback));
-    m_dueTimes.emplace(timer, due);
+    m_due.emplace(due, timer);
+    m_callbacks.emplace(timer, std::move(callback));
     return timer;
 }
 
-void VirtualScheduler::cancel(TimerId timer)
-{
-    const auto found = m_dueTimes.find(timer);
-    if (found == m_dueTimes.end())
-        return;
-    m_timers.erase(Due { found->second, timer });
-    m_dueTimes.erase(found);
-}
+void VirtualScheduler::cancel(TimerId timer) { m_callbacks.erase(timer); }
 
 void VirtualScheduler::advance(Duration duration)
 {
     const MonotonicTime end = m_now + duration;
-    while (!m_timers.empty() && m_timers.begin()->first.first <= end)
+    for (dropCancelled(); !m_due.empty() && m_due.top().first <= end; dropCancelled())
         runNext();
     m_now = end;
 }
 
 bool VirtualScheduler::runNext()
 {
-    if (m_timers.empty())
+    dropCancelled();
+    if (m_due.empty())
         return false;
-    auto first = m_timers.begin();
-    m_now = first->first.first;
-    m_dueTimes.erase(first->first.second);
-    const std::function<void()> callback = std::move(first->second);
-    m_timers.erase(first);
+    const auto [due, timer] = m_due.top();
+    m_due.pop();
+    m_now = due;
+    const auto found = m_callbacks.find(timer);
+    const std::function<void()> callback = std::move(found->second);
+    m_callbacks.erase(found);
     callback();
     return true;
 }
 
+void VirtualScheduler::dropCancelled()
+{
+    while (!m_due.empty() && m_callbacks.count(m_due.top().second) == 0)
+        m_due.pop();
+}
+
 } // namespace lacewing
--- a/src/base/virtual_scheduler.h
+++ b/src/base/virtual_scheduler.h
@@ -2,8 +2,10 @@
 
 #include "base/scheduler.h"
 
-#include <map>
+#include <queue>
+#include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace lacewing {
 
@@ -24,15 +26,18 @@
     bool runNext();
 
     /// @return the number of pending timers.
-    size_t pendingCount() const { return m_timers.size(); }
+    size_t pendingCount() const { return m_callbacks.size(); }
 
 private:
     using Due = std::pair<MonotonicTime, TimerId>;
 
+    void dropCancelled();
+
     MonotonicTime m_now {};
     TimerId m_nextTimer = 1;
-    std::map<Due, std::function<void()>> m_timers;
-    std::map<TimerId, MonotonicTime> m_dueTimes;
+    /// May hold cancelled timers, which have no callback any more.
+    std::priority_queue<Due, std::vector<Due>, std::greater<Due>> m_due;
+    std::unordered_map<TimerId, std::function<void()>> m_callbacks;
 };
 
 } // namespace lacewing
--- a/src/coordination/session_manager.cc
+++ b/src/coordination/session_manager.cc
@@ -57,14 +57,14 @@
 {
     m_ended = std::move(done);
     m_phase = Phase::Ending;
-    updateValidity();
+    recomputeValidity();
     tick();
 }
 
 bool SessionManager::isValid(Duration margin)
 {
-    updateValidity();
-    return computeValid(margin);
+    noticeValidity();
+    return m_scheduler.now() + margin < m_validUntil;
 }
 
 void SessionManager::heartbeatAcknowledged(const HostId& peer, const HeartbeatAck& ack, MonotonicTime sentAt)
@@ -80,7 +80,7 @@
         known = Acknowledgement { ack.incarnation, validFrom, now };
     known.validFrom = std::max(known.validFrom, validFrom);
     known.receivedAt = now;
-    updateValidity();
+    recomputeValidity();
 }
 
 std::optional<RowVersion> SessionManager::settledVersion() const
@@ -92,7 +92,7 @@
 
 void SessionManager::tick()
 {
-    updateValidity();
+    noticeValidity();
     if (m_calling || m_scheduler.now() < m_retryAt)
         return;
     if (m_pending) {
@@ -168,6 +168,7 @@
     pending.transaction.writes = { { key, encode(row) } };
     pending.written = WrittenRow { std::move(row), m_scheduler.now(), RowVersion(0) };
     m_pending = std::move(pending);
+    recomputeValidity();
     sendPending();
 }
 
@@ -188,6 +189,7 @@
     if (error == TableError::Unavailable || error == TableError::Throttled) {
         if (!m_pending->uncertain)
             m_pending.reset();
+        recomputeValidity();
         return callFailed();
     }
     // A conflict is read back too: an HTTP client that repeats a call gets one from its own first attempt.
@@ -242,7 +244,7 @@
     }
     if (m_confirmed->row.state == SessionState::Ended)
         return lose(Phase::Ended);
-    updateValidity();
+    recomputeValidity();
 }
 
 void SessionManager::settleForeignRow(const TableRow& row)
@@ -289,7 +291,7 @@
     m_pending.reset();
     m_acknowledgements.clear();
     m_phase = next;
-    updateValidity();
+    recomputeValidity();
     if (had) {
         for (SessionListener* listener : m_listeners)
             listener->sessionEnded();
@@ -298,9 +300,20 @@
         std::exchange(m_ended, nullptr)();
 }
 
-void SessionManager::updateValidity()
+void SessionManager::recomputeValidity()
 {
-    const bool valid = computeValid(Duration::zero());
+    m_validUntil = MonotonicTime::min();
+    if (m_phase == Phase::Live && m_confirmed) {
+        m_validUntil = validUntil(*m_confirmed);
+        if (m_pending)
+            m_validUntil = std::min(m_validUntil, validUntil(m_pending->written));
+    }
+    noticeValidity();
+}
+
+void SessionManager::noticeValidity()
+{
+    const bool valid = m_scheduler.now() < m_validUntil;
     if (valid == m_wasValid)
         return;
     m_wasValid = valid;
@@ -324,25 +337,15 @@
     return std::min(ttlEnd, guardedFrom + m_settings.guardTtl);
 }
 
-bool SessionManager::computeValid(Duration margin) const
-{
-    if (m_phase != Phase::Live || !m_confirmed)
-        return false;
-    MonotonicTime until = validUntil(*m_confirmed);
-    if (m_pending)
-        until = std::min(until, validUntil(m_pending->written));
-    return m_scheduler.now() + margin < until;
-}
-
 void SessionManager::chooseGuardian(SessionRow& row) const
 {
     const bool answers = !row.guardian.empty() && guardianAnswers(row);
+    const int current = answers ? guardianTier(row.guardian) : 0;
+    if (answers && (current == 0 || m_scheduler.now() - m_confirmed->sentAt < guardianSettleTime))
+        return;
     const auto best = bestCandidate(answers ? HostId() : row.guardian);
-    if (answers) {
-        const bool settled = m_scheduler.now() - m_confirmed->sentAt >= guardianSettleTime;
-        if (!settled || !best || tier(best->dataCentre, best->region) >= guardianTier(row.guardian))
-            return;
-    }
+    if (answers && (!best || tier(best->dataCentre, best->region) >= current))
+        return;
     if (best) {
         row.guardian = best->host;
         row.guardianIncarnation = best->incarnation;
--- a/src/coordination/session_manager.h
+++ b/src/coordination/session_manager.h
@@ -138,10 +138,10 @@
     void callSucceeded();
     void ownRowSeen(const SessionEntry& entry);
     void lose(Phase next);
-    void updateValidity();
+    void recomputeValidity();
+    void noticeValidity();
 
     MonotonicTime validUntil(const WrittenRow& written) const;
-    bool computeValid(Duration margin) const;
     void chooseGuardian(SessionRow& row) const;
     std::optional<GuardianCandidate> bestCandidate(const HostId& except) const;
     int tier(const DataCentreId& dataCentre, const RegionId& region) const;
@@ -169,6 +169,8 @@
     uint64_t m_writeCount = 0;
     bool m_calling = false;
     bool m_leaving = false;
+    /// End of the validity as far as is known now; in the past without a session.
+    MonotonicTime m_validUntil = MonotonicTime::min();
     bool m_wasValid = false;
     Lifetime m_lifetime;
 };
