Forget a lease row once it was released

A released lease was kept in memory as free under the row version that a successor had written, so the daemon took it from the successor. Change: what is known of a row is dropped on release and read again before a take.

--- a/src/coordination/lease_manager.cc
+++ b/src/coordination/lease_manager.cc
@@ -443,7 +443,9 @@
 void LeaseManager::released(const std::string& name)
 {
     m_releasing.erase(name);
-    m_known[name].row.host = HostId();
+    // What is known of the row must match its version: a changed value under a version that is still current
+    // would let a later take replace a holder.
+    m_known.erase(name);
     m_nextPoll = m_scheduler.now();
     LogEvent(LogLevel::Info, "lease_released").with("host", m_session.settings().host).with("lease", name);
 }
