--- a/src/coordination/allotment_simulation_test.cc
+++ b/src/coordination/allotment_simulation_test.cc
@@ -299,10 +299,9 @@
     {
         const bool checksPotential = ++m_steps % 4 == 0;
         for (auto& [workspace, history] : m_histories) {
-            const int64_t spare = history.spareUnits(m_scheduler.now());
-            if (spare < 0)
+            if (history.excess() > Tokens())
                 return "interval rule broken for " + workspace.value();
-            if (checksPotential && potential(workspace) > spare)
+            if (checksPotential && potential(workspace) > history.spareUnits(m_scheduler.now()))
                 return "more can be charged than the rule allows for " + workspace.value();
         }
         return "";
--- a/src/coordination/charge_history.cc
+++ b/src/coordination/charge_history.cc
@@ -39,7 +39,7 @@
     replay();
     State state = m_states.back();
     advance(state, now);
-    return state.lowest < 0 ? state.lowest : state.level;
+    return state.level;
 }
 
 Tokens ChargeHistory::spare(MonotonicTime now)
--- a/src/coordination/charge_history.h
+++ b/src/coordination/charge_history.h
@@ -24,7 +24,7 @@
     void amend(size_t index, Tokens tokens);
 
     /// @return what may still be charged at a time not before the last charge, in units of 1/64 of 10^-9
-    ///     tokens. Negative if the rule was broken by the charges so far.
+    ///     tokens. May be negative if the rule was broken.
     int64_t spareUnits(MonotonicTime now);
     Tokens spare(MonotonicTime now);
 
--- a/src/coordination/headroom_history.cc
+++ b/src/coordination/headroom_history.cc
@@ -6,8 +6,8 @@
 
 namespace {
 
-// Older minima are merged beyond this, which can only make a refund smaller.
-constexpr size_t maximumEntries = 24;
+// Beyond this, the two neighbours that differ least are merged. That can only make a refund smaller.
+constexpr size_t maximumEntries = 32;
 
 } // namespace
 
@@ -16,13 +16,23 @@
     while (!m_entries.empty() && m_entries.back().headroom >= headroom)
         m_entries.pop_back();
     m_entries.push_back({ ++m_lastMark, headroom });
-    if (m_entries.size() > maximumEntries) {
-        m_entries[1].headroom = m_entries[0].headroom;
-        m_entries.erase(m_entries.begin());
-    }
+    if (m_entries.size() > maximumEntries)
+        mergeClosest();
     return m_lastMark;
 }
 
+void HeadroomHistory::mergeClosest()
+{
+    size_t closest = 0;
+    for (size_t index = 0; index + 1 < m_entries.size(); ++index) {
+        const int64_t step = m_entries[index + 1].headroom - m_entries[index].headroom;
+        if (step < m_entries[closest + 1].headroom - m_entries[closest].headroom)
+            closest = index;
+    }
+    m_entries[closest + 1].headroom = m_entries[closest].headroom;
+    m_entries.erase(m_entries.begin() + static_cast<std::ptrdiff_t>(closest));
+}
+
 int64_t HeadroomHistory::minimumSince(Mark mark, int64_t current) const
 {
     const auto first = std::upper_bound(m_entries.begin(), m_entries.end(), mark,
--- a/src/coordination/headroom_history.h
+++ b/src/coordination/headroom_history.h
@@ -34,6 +34,7 @@
     };
 
     void keepSuffixMinima();
+    void mergeClosest();
 
     Mark m_lastMark = 0;
     /// Suffix minima: both fields increase strictly.
--- a/src/coordination/level_hints.cc
+++ b/src/coordination/level_hints.cc
@@ -9,9 +9,9 @@
 // A peer's level may have grown by refunds or by the loss of other askers' grants after this time.
 constexpr Duration hintLifetime = std::chrono::seconds(1);
 
-// A bucket is asked again when it has gathered this much refill, or all that is missing. Under overload it
-// bounds the asks to 10 a second per peer and workspace.
-constexpr Duration quantumTime = std::chrono::milliseconds(100);
+// A bucket is asked again when it has gathered this much refill. Under overload it bounds the asks to 10 a
+// second per peer and workspace.
+constexpr Duration quantumTime = std::chrono::milliseconds(200);
 
 Tokens share(Tokens whole, int partitions)
 {
@@ -72,7 +72,7 @@
     return sum;
 }
 
-std::map<HostId, Tokens> LevelHints::plan(Tokens wanted, MonotonicTime now) const
+std::map<HostId, Tokens> LevelHints::plan(Tokens wanted, bool isUrgent, MonotonicTime now) const
 {
     std::vector<std::pair<Tokens, HostId>> known;
     std::vector<HostId> stale;
@@ -81,7 +81,7 @@
             continue;
         if (isStale(hint, now))
             stale.push_back(peer);
-        else if (estimate(hint, now) >= std::min(wanted, quantum(hint)))
+        else if (estimate(hint, now) >= (isUrgent ? std::min(wanted, quantum(hint)) : quantum(hint)))
             known.emplace_back(estimate(hint, now), peer);
     }
     std::sort(known.rbegin(), known.rend());
--- a/src/coordination/level_hints.h
+++ b/src/coordination/level_hints.h
@@ -28,7 +28,9 @@
     Tokens estimate(MonotonicTime time) const;
 
     /// Divides a wanted amount over the peers that are worth asking now.
-    std::map<HostId, Tokens> plan(Tokens wanted, MonotonicTime now) const;
+    ///
+    /// @param isUrgent ask also for amounts that would normally be left to grow to the usual size of an ask.
+    std::map<HostId, Tokens> plan(Tokens wanted, bool isUrgent, MonotonicTime now) const;
 
 private:
     struct Hint {
--- a/src/coordination/token_wallet.cc
+++ b/src/coordination/token_wallet.cc
@@ -19,11 +19,13 @@
 
 // Reports are held back to share messages. Held back reports delay refill only in a bucket that is nearly
 // full.
-constexpr Duration reportDelay = 50ms;
+constexpr Duration reportDelay = 200ms;
 
 // How often a waiting request looks again at the own bucket and at the estimates of the peers' buckets.
 constexpr Duration waitStep = 20ms;
 constexpr Duration debtStep = 1s;
+// Asks are made in larger amounts while the front of the queue has more time left than this.
+constexpr Duration urgentTime = 100ms;
 
 // Amounts that are not used within this time go back, so that they don't lie idle here.
 constexpr Duration releaseAfter = 500ms;
@@ -286,15 +288,16 @@
 Tokens TokenWallet::wantedAhead(const WorkspaceId& id, const Workspace& state)
 {
     const MonotonicTime now = m_scheduler.now();
-    if (state.usedAt != now || m_limits[id].kind == AllotmentKind::Slots)
+    const bool isInUse = !state.queue.empty() || state.usedAt == now;
+    if (!isInUse || m_limits[id].kind == AllotmentKind::Slots)
         return Tokens();
     const Tokens ahead(static_cast<int64_t>(state.recentUse / recentUseSeconds * aheadSeconds));
+    // A waiting request is a reason to ask anyway, so the amount ahead costs no further message.
+    if (!state.queue.empty())
+        return ahead;
     const Tokens held = m_ledger.available(id) + state.hints.inFlight();
-    if (2 * held.value() > ahead.value())
-        return Tokens();
-    if (state.hints.estimate(now).value() < aheadReserve * ahead.value())
-        return Tokens();
-    return ahead - held;
+    const bool isPlenty = state.hints.estimate(now).value() >= aheadReserve * ahead.value();
+    return isPlenty && 2 * held.value() <= ahead.value() ? ahead - held : Tokens();
 }
 
 bool TokenWallet::askOwnHolder(const WorkspaceId& id, Workspace& state)
@@ -315,12 +318,12 @@
 {
     if (m_isStopped)
         return;
-    Tokens amount = wanted(id, state);
-    if (amount <= Tokens())
-        amount = wantedAhead(id, state);
-    if (amount <= Tokens())
+    const Tokens amount = std::max(wanted(id, state), Tokens()) + wantedAhead(id, state);
+    if (amount == Tokens())
         return;
-    for (const auto& [peer, tokens] : state.hints.plan(amount, m_scheduler.now())) {
+    const MonotonicTime now = m_scheduler.now();
+    const bool isUrgent = !state.queue.empty() && state.queue.front().deadline - now <= urgentTime;
+    for (const auto& [peer, tokens] : state.hints.plan(amount, isUrgent, now)) {
         state.hints.asked(peer, tokens);
         m_outbox[peer].push_back({ id, tokens });
     }
