--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -60,6 +60,7 @@
     PeerInfo& info = peer(host);
     info.linked = true;
     info.tried = true;
+    info.refusedSince.reset();
     info.lastAnswer = m_scheduler.now();
     Attempt& tried = attempt(host);
     tried.connecting = false;
@@ -72,6 +73,12 @@
 {
     PeerInfo& info = peer(host);
     info.linked = false;
+    if (reason != DisconnectReason::Refused) {
+        info.refusedSince.reset();
+    } else {
+        info.lastRefused = m_scheduler.now();
+        info.refusedSince = info.refusedSince.value_or(info.lastRefused);
+    }
     Attempt& tried = attempt(host);
     tried.connecting = false;
     tried.notBefore = m_scheduler.now() + tried.backoff.afterFailure(m_random);
--- a/src/coordination/peer_info.h
+++ b/src/coordination/peer_info.h
@@ -4,6 +4,7 @@
 #include "base/ids.h"
 #include "state/peer_messages.h"
 
+#include <optional>
 #include <string>
 
 namespace lacewing {
@@ -63,6 +64,9 @@
     bool tried = false;
     /// When it entered its state.
     MonotonicTime stateSince {};
+    /// First and last of the attempts to connect that were refused without another event between them.
+    std::optional<MonotonicTime> refusedSince;
+    MonotonicTime lastRefused {};
     /// When its last answer to a heartbeat arrived.
     MonotonicTime lastAnswer {};
     /// From its last message; 0 while it has no session.
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -197,8 +197,8 @@
             continue;
         SessionPeer peer { host, std::nullopt };
         const PeerInfo* info = member.membership().find(host);
-        if (info && info->state == PeerState::Stopped)
-            peer.stoppedSince = info->stateSince;
+        if (info && info->refusedSince)
+            peer.stopped = StoppedPeriod { *info->refusedSince, info->lastRefused };
         peers.push_back(std::move(peer));
     }
     return peers;
--- a/src/daemon/engine_owner.cc
+++ b/src/daemon/engine_owner.cc
@@ -20,6 +20,9 @@
 constexpr Duration longestLoadBackoff = std::chrono::seconds(2);
 /// Share of an engine's concurrency that batch requests may occupy.
 constexpr double batchConcurrencyShare = 0.75;
+constexpr double secondsPerMegasecond = 1e6;
+/// Stands for an engine on which no adapter can give way.
+constexpr double largestEvictionCost = 1e6;
 
 std::unique_ptr<RequestQueue> makeQueue(const UpstreamConfig& config)
 {
@@ -84,6 +87,12 @@
 UpstreamReport EngineOwner::report() const
 {
     UpstreamReport report = UpstreamOwner::report();
+    const auto ready = [this](const AdapterKey& adapter, RequestClass requestClass) {
+        return isReady(adapter, requestClass);
+    };
+    report.queued = static_cast<int64_t>(queue().readyCount(ready));
+    const double cost = std::min(m_residency.evictionCost(queue(), now()), largestEvictionCost);
+    report.evictionCostPerMegasecond = static_cast<int64_t>(cost * secondsPerMegasecond);
     for (const AdapterKey& adapter : m_residency.resident())
         report.residents.push_back(AdapterName { adapter, std::nullopt }.toString());
     return report;
@@ -122,11 +131,6 @@
     sendOrders();
 }
 
-void EngineOwner::recordUse(const AdapterKey& adapter)
-{
-    m_residency.recordUse(adapter, now());
-}
-
 void EngineOwner::armStatus(Duration delay)
 {
     context().scheduler.cancel(m_statusTimer);
@@ -172,12 +176,13 @@
 {
     const auto answered
         = [this, order](std::optional<EngineOrderError> error) { orderAnswered(order, error); };
+    if (order.takesLoad)
+        m_gate.take();
     if (order.kind == AdapterOrder::Kind::Evict) {
         ++context().metrics.counter("lacewing_adapter_evictions_total");
         m_engine.unload(order.name, m_fencingNumber, evictDeadline, answered);
         return;
     }
-    m_gate.take();
     ++context().metrics.counter("lacewing_adapter_loads_total");
     m_engine.load(order.name, config().baseModel, order.adapter, m_fencingNumber, loadDeadline, answered);
 }
--- a/src/daemon/engine_owner.h
+++ b/src/daemon/engine_owner.h
@@ -27,7 +27,6 @@
     std::unique_ptr<UpstreamRun> makeRun(const RunRequest& request, UpstreamRun::Listener listener) override;
     Duration leastWait(const AdapterKey& adapter) const override;
     void afterChange() override;
-    void recordUse(const AdapterKey& adapter) override;
 
 private:
     void readStatus();
--- a/src/daemon/permit_load_gate.cc
+++ b/src/daemon/permit_load_gate.cc
@@ -9,6 +9,8 @@
 
 /// Longest wait of one request for a permit.
 constexpr Duration acquireWait = std::chrono::milliseconds(500);
+/// No load takes longer; see the deadline of orders to load.
+constexpr Duration longestLoad = std::chrono::seconds(30);
 constexpr Duration shortestRetry = std::chrono::milliseconds(50);
 
 } // namespace
@@ -34,14 +36,24 @@
 
 void PermitLoadGate::take()
 {
-    m_inUse.push_back(*std::exchange(m_ready, std::nullopt));
+    m_inUse.push_back({ *std::exchange(m_ready, std::nullopt), m_scheduler.now() });
 }
 
 void PermitLoadGate::finished()
 {
+    // A permit that was taken for an eviction is not used if the load that should follow is not wanted any
+    // more.
+    while (m_inUse.size() > 1 && m_inUse.front().since + longestLoad < m_scheduler.now())
+        endOldest();
     // Permits are interchangeable; the oldest one ends.
-    m_permits.finish(m_inUse.front(), true);
-    m_inUse.erase(m_inUse.begin());
+    if (!m_inUse.empty())
+        endOldest();
+}
+
+void PermitLoadGate::endOldest()
+{
+    m_permits.finish(m_inUse.front().permit, true);
+    m_inUse.pop_front();
 }
 
 void PermitLoadGate::seek()
--- a/src/daemon/permit_load_gate.h
+++ b/src/daemon/permit_load_gate.h
@@ -4,6 +4,7 @@
 #include "coordination/load_permits.h"
 #include "daemon/load_gate.h"
 
+#include <deque>
 #include <vector>
 
 namespace lacewing {
@@ -22,14 +23,20 @@
     void onAvailable(std::function<void()> callback) override { m_callbacks.push_back(std::move(callback)); }
 
 private:
+    struct InUse {
+        LoadPermits::Permit permit;
+        MonotonicTime since;
+    };
+
     void seek();
     void acquired(std::optional<LoadPermits::Permit> permit, Duration retryAfter);
     void announce();
+    void endOldest();
 
     Scheduler& m_scheduler;
     LoadPermits m_permits;
     std::optional<LoadPermits::Permit> m_ready;
-    std::vector<LoadPermits::Permit> m_inUse;
+    std::deque<InUse> m_inUse;
     std::vector<std::function<void()>> m_callbacks;
     bool m_isSeeking = false;
     TimerId m_timer = 0;
--- a/src/daemon/upstream_owner.cc
+++ b/src/daemon/upstream_owner.cc
@@ -52,7 +52,6 @@
     if (!m_queue->push(queued))
         return refuse(
             entry, refusedRun(message.stream, refusal::queueFull, statusTooManyRequests, retrySoon));
-    recordUse(queued.adapter);
     m_origins[{ entry, message.stream }] = queued.id;
     m_requests.emplace(queued.id, std::move(request));
     armExpiry();
--- a/src/daemon/upstream_owner.h
+++ b/src/daemon/upstream_owner.h
@@ -79,8 +79,6 @@
     virtual Duration leastWait(const AdapterKey& adapter) const = 0;
     /// Called after requests were added or have ended.
     virtual void afterChange() { }
-    /// Counts an arriving request.
-    virtual void recordUse(const AdapterKey&) { }
 
     /// Starts as many waiting requests as can run.
     void pump();
--- a/src/daemon/upstream_router.cc
+++ b/src/daemon/upstream_router.cc
@@ -6,6 +6,12 @@
 
 namespace lacewing {
 
+namespace {
+
+constexpr double secondsPerMegasecond = 1e6;
+
+} // namespace
+
 UpstreamRouter::UpstreamRouter(const Clock& clock, DataCentreId dataCentre, LeaseLookup leases, uint64_t seed)
     : m_clock(clock)
     , m_dataCentre(std::move(dataCentre))
@@ -83,6 +89,8 @@
             continue;
         view.running = static_cast<int>(report->second->running);
         view.queued = static_cast<int>(report->second->queued);
+        view.evictionCost
+            = static_cast<double>(report->second->evictionCostPerMegasecond) / secondsPerMegasecond;
         view.reportedAt = m_clock.now();
         view.resident.clear();
         for (const std::string& name : report->second->residents) {
--- a/src/state/peer_messages.h
+++ b/src/state/peer_messages.h
@@ -153,9 +153,11 @@
 struct UpstreamReport {
     UpstreamId upstream;
     FencingNumber fencingNumber;
-    /// Requests that run on the upstream or wait at its owner.
     int64_t running = 0;
+    /// Requests that wait for room although their adapter is ready.
     int64_t queued = 0;
+    /// Value of the adapter that a load of another one would evict, in requests per million seconds.
+    int64_t evictionCostPerMegasecond = 0;
     /// Resident adapters as "adapter@version".
     std::vector<std::string> residents;
 };
