Cut a stream of fake-engine only after the tokens before the cut were sent

The connection was closed while the last token was still in the output buffer, so a stream cut after 2 tokens arrived with 1. The cut now waits until the output is drained.

--- a/src/fakes/engine_http.cc
+++ b/src/fakes/engine_http.cc
@@ -65,6 +65,14 @@
     return std::nullopt;
 }
 
+/// Closes the connection after the bytes so far have been sent; abort() alone discards them.
+void abortWhenSent(const std::shared_ptr<HttpExchange>& exchange)
+{
+    if (exchange->bufferedBytes() == 0)
+        return exchange->abort();
+    exchange->onDrained([exchange] { exchange->abort(); });
+}
+
 } // namespace
 
 /// The answer to one completion on its way.
@@ -183,14 +191,14 @@
         return;
     ++m_metrics.counter("streams_dropped");
     m_batch.cancel(answer.number);
-    answer.exchange->abort();
+    abortWhenSent(answer.exchange);
 }
 
 void EngineHttp::sendEnd(Answer& answer, const GenerationEnd& end)
 {
     HttpExchange& exchange = *answer.exchange;
     if (end.error && answer.hasStarted)
-        return exchange.abort();
+        return abortWhenSent(answer.exchange);
     if (end.error)
         return refuse(exchange, *end.error);
     if (!answer.isStream)
