--- /dev/null
+++ b/src/coordination/claim_registry.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/scheduler.h"
+#include "coordination/claim_row.h"
+#include "state/table_service.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace lacewing {
+
+/// What to do with a call that may not be repeated.
+enum class ClaimVerdict {
+    /// The claim is the caller's: run the call, then complete() or release() it.
+    Run,
+    /// The call was answered before; give that answer.
+    StoredAnswer,
+    /// The call is running, perhaps on another host.
+    InProgress,
+    /// The call may have run, and its answer is not known.
+    Unknown,
+    /// The same request id came with another body.
+    DifferentBody,
+    /// The table can't be reached; the call was not run.
+    TableDown,
+};
+
+/// @return the verdict's name in snake_case.
+const char* toString(ClaimVerdict verdict);
+
+/// Answer to ClaimRegistry::begin().
+struct ClaimResult {
+    ClaimVerdict verdict = ClaimVerdict::TableDown;
+    /// Set for StoredAnswer.
+    std::optional<StoredAnswer> answer;
+};
+
+/// Makes calls that may not be repeated run at most once, by a row in the table for each.
+///
+/// The row is created before the call runs and receives the answer afterwards. Rows name the host and
+/// incarnation that claimed, so that the claim of a daemon that died is reported as unknown.
+class ClaimRegistry {
+public:
+    /// Tells whether a daemon may still be running its claims: true unless its session has ended.
+    using LivenessCheck = std::function<bool(const HostId& host, Incarnation incarnation)>;
+    using BeginCallback = std::function<void(const ClaimResult& result)>;
+    /// Receives whether the row was written.
+    using DoneCallback = std::function<void(bool written)>;
+
+    /// @param scheduler, table must outlive the registry.
+    ClaimRegistry(Scheduler& scheduler, TableService& table, HostId self, Incarnation incarnation,
+        LivenessCheck mayBeRunning);
+    ~ClaimRegistry();
+    ClaimRegistry(const ClaimRegistry&) = delete;
+    ClaimRegistry& operator=(const ClaimRegistry&) = delete;
+
+    /// Claims a call.
+    ///
+    /// @param fingerprint hash of method, path and body; a repeat must have the same.
+    void begin(const WorkspaceId& workspace, const RequestId& request, const std::string& fingerprint,
+        BeginCallback callback);
+
+    /// Stores the answer of a call that begin() said to run. The caller should get its answer without waiting
+    /// for the callback. If the table is down, storing is retried until it succeeds, and repeats through this
+    /// host are answered from memory meanwhile. An answer above the size limit is not kept: repeats get Unknown.
+    void complete(const WorkspaceId& workspace, const RequestId& request, StoredAnswer answer,
+        DoneCallback callback);
+
+    /// Records that a call that begin() said to run ended without a known answer.
+    void abandon(const WorkspaceId& workspace, const RequestId& request, DoneCallback callback);
+
+    /// Removes the claim of a call that was certainly not run, so that it can be repeated.
+    void release(const WorkspaceId& workspace, const RequestId& request, DoneCallback callback);
+
+    /// @return the number of claims that are running or not written yet.
+    size_t openCount() const { return m_open.size(); }
+
+private:
+    /// A claim of this daemon, until its final row is written.
+    struct Open {
+        std::string createId;
+        ClaimRow row;
+        /// The row to write at the end; no value deletes it.
+        std::optional<std::string> finalValue;
+        bool isEnding = false;
+        std::string finalId;
+        Duration retryDelay {};
+        DoneCallback callback;
+    };
+    using Alive = std::weak_ptr<bool>;
+
+    void create(const std::string& key, bool isRepeated, const BeginCallback& callback);
+    void settleCreate(
+        const std::string& key, bool isRepeated, bool wasAnswered, const BeginCallback& callback);
+    void refuseCreate(const std::string& key, bool mayExist, const BeginCallback& callback);
+    ClaimResult judge(const ClaimRow& row, const std::string& fingerprint) const;
+    ClaimResult judgeOwn(const Open& open, const std::string& fingerprint) const;
+    void end(const std::string& key, std::optional<ClaimRow> row, DoneCallback callback);
+    void writeEnd(const std::string& key);
+    void commitEnd(const std::string& key, const TableRow& row);
+    void retryEnd(const std::string& key);
+    void finishEnd(const std::string& key, bool written);
+    std::string nextWriteId();
+
+    Scheduler& m_scheduler;
+    TableService& m_table;
+    HostId m_self;
+    Incarnation m_incarnation;
+    LivenessCheck m_mayBeRunning;
+    uint64_t m_lastWrite = 0;
+    std::map<std::string, Open> m_open;
+    /// Ends with the registry; callbacks of the table check it.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace lacewing
--- a/src/coordination/level_hints.cc
+++ b/src/coordination/level_hints.cc
@@ -1,6 +1,7 @@
 #include "coordination/level_hints.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lacewing {
 
@@ -72,32 +73,38 @@
     return sum;
 }
 
-std::map<HostId, Tokens> LevelHints::plan(Tokens wanted, bool isUrgent, MonotonicTime now) const
+Tokens LevelHints::guess(double fullness, MonotonicTime now) const
 {
-    std::vector<std::pair<Tokens, HostId>> known;
-    std::vector<HostId> stale;
+    Tokens sum;
+    for (const auto& [peer, hint] : m_hints)
+        sum += guess(hint, fullness, now);
+    return sum;
+}
+
+std::map<HostId, Tokens> LevelHints::plan(
+    Tokens wanted, double fullness, bool isUrgent, MonotonicTime now) const
+{
+    std::vector<std::pair<Tokens, HostId>> candidates;
     for (const auto& [peer, hint] : m_hints) {
-        if (hint.inFlight > Tokens())
-            continue;
-        if (isStale(hint, now))
-            stale.push_back(peer);
-        else if (estimate(hint, now) >= (isUrgent ? std::min(wanted, quantum(hint)) : quantum(hint)))
-            known.emplace_back(estimate(hint, now), peer);
+        const Tokens level = guess(hint, fullness, now);
+        const Tokens least = isUrgent ? std::min(wanted, quantum(hint)) : quantum(hint);
+        if (hint.inFlight == Tokens() && level >= least)
+            candidates.emplace_back(level, peer);
     }
-    std::sort(known.rbegin(), known.rend());
+    std::sort(candidates.rbegin(), candidates.rend());
+    Tokens sum;
+    size_t count = 0;
+    while (count < candidates.size() && sum < Tokens(2 * wanted.value()))
+        sum += candidates[count++].first;
     std::map<HostId, Tokens> asks;
-    for (const auto& [level, peer] : known) {
-        const Tokens amount = std::min(wanted, level);
-        if (amount > Tokens())
-            asks[peer] = amount;
-        wanted -= amount;
-    }
-    // Nothing is known about the rest, so each is asked for an equal part.
-    for (size_t index = 0; index < stale.size() && wanted > Tokens(); ++index) {
-        const auto left = static_cast<int64_t>(stale.size() - index);
-        const Tokens amount((wanted.value() + left - 1) / left);
-        asks[stale[index]] = amount;
+    for (size_t index = 0; index < count && wanted > Tokens(); ++index) {
+        const auto& [level, peer] = candidates[index];
+        const double part = static_cast<double>(wanted.value()) / static_cast<double>(sum.value());
+        const Tokens share(static_cast<int64_t>(std::ceil(part * static_cast<double>(level.value()))));
+        const Tokens amount = std::min({ wanted, level, share });
+        asks[peer] = amount;
         wanted -= amount;
+        sum -= level;
     }
     return asks;
 }
@@ -116,6 +123,14 @@
     return std::max(Tokens(), level - hint.inFlight);
 }
 
+Tokens LevelHints::guess(const Hint& hint, double fullness, MonotonicTime now) const
+{
+    if (!isStale(hint, now))
+        return estimate(hint, now);
+    const double level = fullness * static_cast<double>(share(m_limit.burst, hint.partitions).value());
+    return std::max(Tokens(), Tokens(static_cast<int64_t>(level)) - hint.inFlight);
+}
+
 Tokens LevelHints::quantum(const Hint& hint) const
 {
     return std::max(Tokens(1), refill(share(m_limit.rate, hint.partitions), quantumTime));
--- a/src/coordination/level_hints.h
+++ b/src/coordination/level_hints.h
@@ -26,11 +26,15 @@
     bool hasStale(MonotonicTime now) const;
     /// @return an estimate of what all peers together have at a time.
     Tokens estimate(MonotonicTime time) const;
+    /// @return as estimate(), with a guess for peers that were not heard recently.
+    Tokens guess(double fullness, MonotonicTime now) const;
 
-    /// Divides a wanted amount over the peers that are worth asking now.
+    /// Divides a wanted amount over the peers that are worth asking now: few if they have plenty, otherwise in
+    /// proportion to their levels. Buckets that are drained evenly lose the least refill at their capacity.
     ///
+    /// @param fullness guess of how full the buckets are of which nothing is known, from 0 to 1.
     /// @param isUrgent ask also for amounts that would normally be left to grow to the usual size of an ask.
-    std::map<HostId, Tokens> plan(Tokens wanted, bool isUrgent, MonotonicTime now) const;
+    std::map<HostId, Tokens> plan(Tokens wanted, double fullness, bool isUrgent, MonotonicTime now) const;
 
 private:
     struct Hint {
@@ -42,6 +46,7 @@
 
     bool isStale(const Hint& hint, MonotonicTime now) const;
     Tokens estimate(const Hint& hint, MonotonicTime time) const;
+    Tokens guess(const Hint& hint, double fullness, MonotonicTime now) const;
     /// @return the smallest amount for which a message is worth while.
     Tokens quantum(const Hint& hint) const;
 
--- a/src/coordination/token_wallet.cc
+++ b/src/coordination/token_wallet.cc
@@ -32,6 +32,9 @@
 constexpr Duration maintenancePeriod = 250ms;
 constexpr Duration idleTime = 10s;
 
+// Peers of which nothing is known are asked as if they were at least this full.
+constexpr double leastFullness = 0.25;
+
 constexpr double recentUseSeconds = 1;
 // Amounts are asked for ahead of the use of this time, if the peers have several times as much.
 constexpr double aheadSeconds = 0.1;
@@ -255,12 +258,13 @@
     const MonotonicTime now = m_scheduler.now();
     const bool isKnown = !state.hints.hasStale(now);
     const Tokens held = m_ledger.available(id) + state.hints.inFlight();
+    const Tokens own = ownLevel(id);
     Tokens needed = state.debt;
     std::deque<Waiting> kept;
     for (Waiting& waiting : state.queue) {
         const Tokens missing = needed + waiting.tokens - held;
         const Tokens reachable
-            = state.hints.estimate(waiting.deadline) + ownRefill(id, waiting.deadline - now);
+            = state.hints.estimate(waiting.deadline) + own + ownRefill(id, waiting.deadline - now);
         if (now < waiting.deadline && (!isKnown || missing <= reachable)) {
             needed += waiting.tokens;
             kept.push_back(std::move(waiting));
@@ -302,9 +306,16 @@
 
 bool TokenWallet::askOwnHolder(const WorkspaceId& id, Workspace& state)
 {
-    const Tokens amount = wanted(id, state);
-    if (amount <= Tokens() || m_holder.partitionCount() == 0)
+    Tokens amount = wanted(id, state);
+    const Tokens own = ownLevel(id);
+    if (amount <= Tokens() || own == Tokens())
         return false;
+    // Below this level the buckets are drained evenly, as in LevelHints::plan().
+    if (own < Tokens(2 * amount.value())) {
+        const Tokens others = state.hints.guess(ownFullness(id), m_scheduler.now());
+        const double part = static_cast<double>(own.value()) / static_cast<double>((own + others).value());
+        amount = Tokens(static_cast<int64_t>(std::ceil(static_cast<double>(amount.value()) * part)));
+    }
     const AllotAsk ask { m_nextSeq++, { { id, amount } } };
     const std::optional<AllotGrant> grant = m_holder.answer(m_self, ask);
     if (!grant || grant->granted.empty())
@@ -322,8 +333,9 @@
     if (amount == Tokens())
         return;
     const MonotonicTime now = m_scheduler.now();
+    const double fullness = ownFullness(id);
     const bool isUrgent = !state.queue.empty() && state.queue.front().deadline - now <= urgentTime;
-    for (const auto& [peer, tokens] : state.hints.plan(amount, isUrgent, now)) {
+    for (const auto& [peer, tokens] : state.hints.plan(amount, fullness, isUrgent, now)) {
         state.hints.asked(peer, tokens);
         m_outbox[peer].push_back({ id, tokens });
     }
@@ -331,6 +343,20 @@
         m_askTimer = m_scheduler.runAfter(askBatchTime, [this] { sendAsks(); });
 }
 
+Tokens TokenWallet::ownLevel(const WorkspaceId& id)
+{
+    AllotmentBucket* bucket = m_holder.bucket(id);
+    return bucket == nullptr ? Tokens() : bucket->level(m_scheduler.now());
+}
+
+double TokenWallet::ownFullness(const WorkspaceId& id)
+{
+    const double share = static_cast<double>(m_holder.partitionCount()) / allotmentPartitions;
+    const double capacity = static_cast<double>(m_limits[id].burst.value()) * share;
+    const double level = static_cast<double>(ownLevel(id).value());
+    return capacity > 0 ? std::max(leastFullness, level / capacity) : 1;
+}
+
 Tokens TokenWallet::ownRefill(const WorkspaceId& id, Duration duration) const
 {
     const double rate = static_cast<double>(m_limits.at(id).rate.value());
--- a/src/coordination/token_wallet.h
+++ b/src/coordination/token_wallet.h
@@ -127,7 +127,9 @@
     Tokens wantedAhead(const WorkspaceId& id, const Workspace& state);
     bool askOwnHolder(const WorkspaceId& id, Workspace& state);
     void askPeers(const WorkspaceId& id, Workspace& state);
+    Tokens ownLevel(const WorkspaceId& id);
     Tokens ownRefill(const WorkspaceId& id, Duration duration) const;
+    double ownFullness(const WorkspaceId& id);
     void armTimer(const WorkspaceId& id, Workspace& state);
 
     void sendAsks();
