Refuse only on hints that are recent; return what a refused request had gathered

Cause: a reservation was refused while peers of unknown level had not answered yet, and hints up to 1 s old missed refunds. Amounts gathered for a refused request lay idle at its entry for up to 0.75 s. Change: LevelHints::hasStale counts peers being asked, hints live for 250 ms, and a wallet whose queue has become empty by a refusal gives back more than the use of 0.1 s.

--- a/src/coordination/level_hints.cc
+++ b/src/coordination/level_hints.cc
@@ -7,8 +7,8 @@
 
 namespace {
 
-// A peer's level may have grown by refunds or by the loss of other askers' grants after this time.
-constexpr Duration hintLifetime = std::chrono::seconds(1);
+// A peer's level may have grown by refunds after this time.
+constexpr Duration hintLifetime = std::chrono::milliseconds(250);
 
 // A bucket is asked again when it has gathered this much refill. Under overload it bounds the asks to 10 a
 // second per peer and workspace.
@@ -62,7 +62,7 @@
 bool LevelHints::hasStale(MonotonicTime now) const
 {
     return std::any_of(m_hints.begin(), m_hints.end(),
-        [&](const auto& entry) { return entry.second.inFlight == Tokens() && isStale(entry.second, now); });
+        [&](const auto& entry) { return isStale(entry.second, now); });
 }
 
 Tokens LevelHints::estimate(MonotonicTime time) const
@@ -128,7 +128,7 @@
     if (!isStale(hint, now))
         return estimate(hint, now);
     const double level = fullness * static_cast<double>(share(m_limit.burst, hint.partitions).value());
-    return std::max(Tokens(), Tokens(static_cast<int64_t>(level)) - hint.inFlight);
+    return std::max(estimate(hint, now), Tokens(static_cast<int64_t>(level)) - hint.inFlight);
 }
 
 Tokens LevelHints::quantum(const Hint& hint) const
--- a/src/coordination/level_hints.h
+++ b/src/coordination/level_hints.h
@@ -22,7 +22,7 @@
 
     /// @return the sum of the amounts asked for and not answered.
     Tokens inFlight() const;
-    /// @return true if some peer was not heard recently and is not being asked.
+    /// @return true if some peer was not heard recently, so that no estimate of its level can be relied on.
     bool hasStale(MonotonicTime now) const;
     /// @return an estimate of what all peers together have at a time.
     Tokens estimate(MonotonicTime time) const;
--- a/src/coordination/token_wallet.cc
+++ b/src/coordination/token_wallet.cc
@@ -273,7 +273,11 @@
         const Tokens lacking = std::max(Tokens(1), missing - state.hints.estimate(now));
         refuse(waiting, ReserveError::RateLimited, timeToRefill(lacking, m_limits[id].rate));
     }
+    const bool hasRefused = kept.size() < state.queue.size();
     state.queue = std::move(kept);
+    // What was gathered for a refused request would lie idle here, unless the next one comes soon.
+    if (hasRefused && state.queue.empty() && m_ledger.available(id) > usedWithin(state, aheadSeconds))
+        m_ledger.releaseExpiringBefore(id, MonotonicTime::max());
 }
 
 void TokenWallet::refuse(Waiting& waiting, ReserveError error, Duration retryAfter)
@@ -289,13 +293,22 @@
     return sum - m_ledger.available(id) - state.hints.inFlight();
 }
 
+Tokens TokenWallet::usedWithin(const Workspace& state, double seconds) const
+{
+    if (state.usedAt == MonotonicTime::min())
+        return Tokens();
+    const double age = toSeconds(m_scheduler.now() - state.usedAt);
+    const double perSecond = state.recentUse * std::exp(-age / recentUseSeconds) / recentUseSeconds;
+    return Tokens(static_cast<int64_t>(perSecond * seconds));
+}
+
 Tokens TokenWallet::wantedAhead(const WorkspaceId& id, const Workspace& state)
 {
     const MonotonicTime now = m_scheduler.now();
     const bool isInUse = !state.queue.empty() || state.usedAt == now;
     if (!isInUse || m_limits[id].kind == AllotmentKind::Slots)
         return Tokens();
-    const Tokens ahead(static_cast<int64_t>(state.recentUse / recentUseSeconds * aheadSeconds));
+    const Tokens ahead = usedWithin(state, aheadSeconds);
     // A waiting request is a reason to ask anyway, so the amount ahead costs no further message.
     if (!state.queue.empty())
         return ahead;
--- a/src/coordination/token_wallet.h
+++ b/src/coordination/token_wallet.h
@@ -124,6 +124,8 @@
     void refuseHopeless(const WorkspaceId& id, Workspace& state);
     void refuse(Waiting& waiting, ReserveError error, Duration retryAfter);
     Tokens wanted(const WorkspaceId& id, const Workspace& state);
+    /// @return what is charged here in a time, by recent use.
+    Tokens usedWithin(const Workspace& state, double seconds) const;
     Tokens wantedAhead(const WorkspaceId& id, const Workspace& state);
     bool askOwnHolder(const WorkspaceId& id, Workspace& state);
     void askPeers(const WorkspaceId& id, Workspace& state);
