--- a/src/coordination/allotment_bench.cc
+++ b/src/coordination/allotment_bench.cc
@@ -47,8 +47,11 @@
     std::string name() const
     {
         std::ostringstream text;
-        text << arm << " workspaces=" << workspaces << " demand=" << demand << (isSkewed ? " skewed" : " even")
-             << (table == TableState::Up ? " up" : table == TableState::Slow ? " slow" : " down")
+        text << arm << " workspaces=" << workspaces << " demand=" << demand
+             << (isSkewed ? " skewed" : " even")
+             << (table == TableState::Up            ? " up"
+                        : table == TableState::Slow ? " slow"
+                                                    : " down")
              << (hasCrash ? " crash" : "");
         return text.str();
     }
@@ -161,7 +164,8 @@
             const AllotmentLimit part { limit.kind, Tokens(limit.rate.value() / hostCount),
                 Tokens(limit.burst.value() / hostCount) };
             for (int host = 0; host < hostCount; ++host) {
-                auto& bucket = m_buckets[host].emplace(workspace, AllotmentBucket(part, scheduler.now()))
+                auto& bucket = m_buckets[host]
+                                   .emplace(workspace, AllotmentBucket(part, scheduler.now()))
                                    .first->second;
                 bucket.setPartitions(allotmentPartitions, scheduler.now());
             }
@@ -269,11 +273,12 @@
         double time = now;
         if (!stored.value.empty())
             std::istringstream(stored.value) >> level >> time;
-        level += static_cast<double>(limit.rate.value()) * (now - time) + static_cast<double>(row.refund.value());
+        level += static_cast<double>(limit.rate.value()) * (now - time)
+            + static_cast<double>(row.refund.value());
         level = std::min(level, static_cast<double>(limit.burst.value()));
         size_t served = 0;
-        while (served < row.waiting.size()
-            && static_cast<double>(row.waiting[served].tokens.value()) <= level)
+        while (
+            served < row.waiting.size() && static_cast<double>(row.waiting[served].tokens.value()) <= level)
             level -= static_cast<double>(row.waiting[served++].tokens.value());
         std::ostringstream value;
         value.precision(17);
@@ -317,8 +322,8 @@
         Row& row = m_rows[{ host, workspace }];
         while (!row.waiting.empty() && (isUnavailable || row.waiting.front().deadline <= m_scheduler.now()))
             refuseFront(row);
-        m_scheduler.runAfter(Duration(static_cast<int64_t>(m_random.below(5'000'000))),
-            [this, host, workspace] {
+        m_scheduler.runAfter(
+            Duration(static_cast<int64_t>(m_random.below(5'000'000))), [this, host, workspace] {
                 m_rows[{ host, workspace }].isChanging = false;
                 change(host, workspace);
             });
@@ -416,7 +421,6 @@
         }
         m_scheduler.advance(m_length);
         m_isOver = true;
-        if (getenv("DIAG")) for (auto& [w,u]:m_diag) { double p=(m_limits[w].rate.value()*toSeconds(m_length)+m_limits[w].burst.value()); fprintf(stderr,"%s ideal %.1f%% ours %.1f%%\n", w.value().c_str(),100*u.first/p,100*u.second/p);}
         finish();
         m_scheduler.advance(10s);
         for (const auto& [workspace, limit] : m_limits)
@@ -433,7 +437,8 @@
     {
         // Sizes are uniform in [100, 900]; of these 70 % are used on average.
         const double meanUsed = 500 * 0.7;
-        const double perSecond = m_result.scenario.demand * static_cast<double>(limit.rate.value()) / meanUsed;
+        const double perSecond
+            = m_result.scenario.demand * static_cast<double>(limit.rate.value()) / meanUsed;
         const double wait = -std::log(1 - m_random.uniform()) / perSecond;
         m_scheduler.runAfter(std::chrono::duration_cast<Duration>(wait * 1s), [this, workspace, limit] {
             if (m_isOver)
@@ -472,7 +477,7 @@
             }
             follow(workspace, tokens, used, duration);
             ++m_result.admitted;
-            m_result.usedTokens += used.value();m_diag[workspace].second+=used.value();
+            m_result.usedTokens += used.value();
             m_result.waits.push_back(toSeconds(m_scheduler.now() - arrival));
             const size_t charge = m_histories[workspace].charge(m_scheduler.now(), tokens);
             m_scheduler.runAfter(duration, [=] {
@@ -494,9 +499,9 @@
         if (!mark)
             return false;
         ++m_result.idealAdmitted;
-        m_result.idealUsedTokens += used.value();m_diag[workspace].first+=used.value();
-        m_scheduler.runAfter(duration,
-            [=] { m_ideal.at(workspace).refund(tokens - used, *mark, m_scheduler.now()); });
+        m_result.idealUsedTokens += used.value();
+        m_scheduler.runAfter(
+            duration, [=] { m_ideal.at(workspace).refund(tokens - used, *mark, m_scheduler.now()); });
         return true;
     }
 
@@ -524,7 +529,7 @@
     std::map<WorkspaceId, ChargeHistory> m_histories;
     /// Central buckets that admit what the arm admits and, of what it refuses, all that they have enough for.
     std::map<WorkspaceId, ChargeHistory> m_following;
-    bool m_isCrashed = false;std::map<WorkspaceId,std::pair<double,double>> m_diag;
+    bool m_isCrashed = false;
     bool m_isOver = false;
     int64_t m_answered = 0;
     Result m_result;
@@ -552,22 +557,30 @@
 {
     std::sort(result.waits.begin(), result.waits.end());
     const double p99 = result.waits.empty() ? 0 : result.waits[result.waits.size() * 99 / 100];
-    std::printf("| %-53s | %7ld | %6.2f | %6.2f | %6.2f | %6.1f | %5ld | %4ld | %5.1f | %6.0f/%-6.0f | %6.1f/%-6.1f | %5.0f |\n",
-        result.scenario.name().c_str(), static_cast<long>(result.requests),
+    const Scenario& scenario = result.scenario;
+    std::printf("| %s | %d | %.0f %% | %s | %s | %ld | %.2f | %.2f | %.1f | %ld | %ld | %.0f | %.0f / %.0f | "
+                "%.1f / %.1f "
+                "| %.0f |\n",
+        scenario.arm.c_str(), scenario.workspaces, scenario.demand * 100,
+        scenario.isSkewed ? "skewed" : "even", scenario.condition().c_str(),
+        static_cast<long>(result.requests),
         percent(result.refusedWithin, result.refusedWithin + result.admitted),
         percent(result.refusedUnlikeIdeal, result.idealAdmitted),
-        percent(result.idealUsedTokens, result.permitted), percent(result.usedTokens, result.idealUsedTokens),
-        static_cast<long>(result.excess), static_cast<long>(result.lostInCrash), p99 * 1000,
-        result.mostMessages, result.meanMessages, result.mostBytes / 1000, result.meanBytes / 1000,
-        result.tableWrites);
+        percent(result.usedTokens, result.idealUsedTokens), static_cast<long>(result.excess),
+        static_cast<long>(result.lostInCrash), p99 * 1000, result.mostMessages, result.meanMessages,
+        result.mostBytes / 1000, result.meanBytes / 1000, result.tableWrites);
     std::fflush(stdout);
 }
 
 void runAll()
 {
-    std::printf("| scenario | requests | refused within rate %% | refused unlike ideal %% | ideal uses of limit %% | tokens of ideal "
-                "%% | tokens over | lost in crash | p99 wait ms | messages/s most/mean | KB/s most/mean | table writes/s |\n");
-    std::printf("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+    std::printf(
+        "| arm | workspaces | demand | callers | table | requests | refused within rate %% | refused unlike "
+        "ideal %% | tokens of ideal %% | tokens over | lost in crash | p99 wait ms | messages/s most / mean "
+        "| KB/s most / mean | table writes/s |\n");
+    for (int column = 0; column < 15; ++column)
+        std::printf("| --- ");
+    std::printf("|\n");
     std::deque<std::future<Result>> running;
     const auto printFront = [&] {
         Result result = running.front().get();
@@ -582,8 +595,10 @@
         const Duration length = scenario.table == TableState::Down
             ? Duration(600s)
             : Duration(std::chrono::seconds(absl::GetFlag(FLAGS_seconds)));
-        running.push_back(std::async(std::launch::async,
-            [scenario, length, seed = absl::GetFlag(FLAGS_seed)] { return Run(scenario, seed, length).run(); }));
+        running.push_back(
+            std::async(std::launch::async, [scenario, length, seed = absl::GetFlag(FLAGS_seed)] {
+                return Run(scenario, seed, length).run();
+            }));
     }
     while (!running.empty())
         printFront();
--- a/src/coordination/claim_registry.cc
+++ b/src/coordination/claim_registry.cc
@@ -71,7 +71,8 @@
     const auto found = m_open.find(key);
     if (found != m_open.end()) {
         const ClaimResult result = judgeOwn(found->second, fingerprint);
-        m_scheduler.runAfter(Duration::zero(), [callback = std::move(callback), result] { callback(result); });
+        m_scheduler.runAfter(
+            Duration::zero(), [callback = std::move(callback), result] { callback(result); });
         return;
     }
     Open open;
@@ -108,15 +109,16 @@
             if (error)
                 return refuseCreate(key, mayExist, callback);
             if (rows.empty()) {
-                // The lost write may still take effect, or the row of another claim was just removed. Creating
-                // it again under the same write id is safe in both cases.
+                // The lost write may still take effect, or the row of another claim was just removed.
+                // Creating it again under the same write id is safe in both cases.
                 return isRepeated ? refuseCreate(key, mayExist, callback) : create(key, true, callback);
             }
             const Open& open = m_open.at(key);
             if (rows.front().writeId == open.createId)
                 return callback(verdict(ClaimVerdict::Run));
             const std::optional<ClaimRow> row = decodeClaimRow(rows.front().value);
-            const ClaimResult result = row ? judge(*row, open.row.fingerprint) : verdict(ClaimVerdict::Unknown);
+            const ClaimResult result
+                = row ? judge(*row, open.row.fingerprint) : verdict(ClaimVerdict::Unknown);
             m_open.erase(key);
             callback(result);
         });
@@ -203,7 +205,8 @@
 void ClaimRegistry::writeEnd(const std::string& key)
 {
     m_table.read({ key },
-        [this, alive = Alive(m_alive), key](const std::vector<TableRow>& rows, std::optional<TableError> error) {
+        [this, alive = Alive(m_alive), key](
+            const std::vector<TableRow>& rows, std::optional<TableError> error) {
             if (alive.expired())
                 return;
             if (error)
--- a/src/coordination/claim_registry.h
+++ b/src/coordination/claim_registry.h
@@ -66,9 +66,10 @@
 
     /// Stores the answer of a call that begin() said to run. The caller should get its answer without waiting
     /// for the callback. If the table is down, storing is retried until it succeeds, and repeats through this
-    /// host are answered from memory meanwhile. An answer above the size limit is not kept: repeats get Unknown.
-    void complete(const WorkspaceId& workspace, const RequestId& request, StoredAnswer answer,
-        DoneCallback callback);
+    /// host are answered from memory meanwhile. An answer above the size limit is not kept: repeats get
+    /// Unknown.
+    void complete(
+        const WorkspaceId& workspace, const RequestId& request, StoredAnswer answer, DoneCallback callback);
 
     /// Records that a call that begin() said to run ended without a known answer.
     void abandon(const WorkspaceId& workspace, const RequestId& request, DoneCallback callback);
--- a/src/coordination/claim_registry_test.cc
+++ b/src/coordination/claim_registry_test.cc
@@ -39,7 +39,8 @@
     std::unique_ptr<TableService> tableA = table.client(HostId("a"));
     std::unique_ptr<TableService> tableB = table.client(HostId("b"));
     std::set<HostId> dead;
-    ClaimRegistry::LivenessCheck check = [this](const HostId& host, Incarnation) { return dead.count(host) == 0; };
+    ClaimRegistry::LivenessCheck check
+        = [this](const HostId& host, Incarnation) { return dead.count(host) == 0; };
     ClaimRegistry a { scheduler, *tableA, HostId("a"), Incarnation(1), check };
     ClaimRegistry b { scheduler, *tableB, HostId("b"), Incarnation(1), check };
 };
--- a/src/coordination/claim_row.cc
+++ b/src/coordination/claim_row.cc
@@ -78,7 +78,8 @@
         if (!state)
             return std::nullopt;
         ClaimRow row { *state, HostId(json.at("host").get<std::string>()),
-            Incarnation(json.at("incarnation").get<int64_t>()), json.at("fingerprint").get<std::string>(), {} };
+            Incarnation(json.at("incarnation").get<int64_t>()), json.at("fingerprint").get<std::string>(),
+            {} };
         if (row.state != ClaimRow::State::Answered)
             return row;
         const auto body = fromBase64(json.at("body").get<std::string>(), json.at("size").get<size_t>());
--- a/src/coordination/level_hints.cc
+++ b/src/coordination/level_hints.cc
@@ -61,8 +61,8 @@
 
 bool LevelHints::hasStale(MonotonicTime now) const
 {
-    return std::any_of(m_hints.begin(), m_hints.end(),
-        [&](const auto& entry) { return isStale(entry.second, now); });
+    return std::any_of(
+        m_hints.begin(), m_hints.end(), [&](const auto& entry) { return isStale(entry.second, now); });
 }
 
 Tokens LevelHints::estimate(MonotonicTime time) const
@@ -94,7 +94,7 @@
     std::sort(candidates.rbegin(), candidates.rend());
     Tokens sum;
     size_t count = 0;
-    while (count < candidates.size() && sum < Tokens(2 * wanted.value()))
+    while (count < candidates.size() && sum < Tokens(4 * wanted.value()))
         sum += candidates[count++].first;
     std::map<HostId, Tokens> asks;
     for (size_t index = 0; index < count && wanted > Tokens(); ++index) {
--- a/src/coordination/level_hints.h
+++ b/src/coordination/level_hints.h
@@ -29,8 +29,9 @@
     /// @return as estimate(), with a guess for peers that were not heard recently.
     Tokens guess(double fullness, MonotonicTime now) const;
 
-    /// Divides a wanted amount over the peers that are worth asking now: few if they have plenty, otherwise in
-    /// proportion to their levels. Buckets that are drained evenly lose the least refill at their capacity.
+    /// Divides a wanted amount over the peers that are worth asking now: few if they have plenty, otherwise
+    /// in proportion to their levels. Buckets that are drained evenly lose the least refill at their
+    /// capacity.
     ///
     /// @param fullness guess of how full the buckets are of which nothing is known, from 0 to 1.
     /// @param isUrgent ask also for amounts that would normally be left to grow to the usual size of an ask.
--- a/src/coordination/partition_holder.cc
+++ b/src/coordination/partition_holder.cc
@@ -128,7 +128,7 @@
     const Tokens newlySpent = std::min(spent - granted.spent, ended);
     const Tokens givenBack = std::min(ended - newlySpent, unused - granted.unused);
     const Tokens refunded = unused - granted.unused - givenBack;
-    spend(granted, ended - givenBack, holding->bucket);
+    spend(granted, ended - givenBack, holding->bucket, now);
     if (givenBack > Tokens())
         holding->bucket.giveBack(givenBack, now);
     granted.outstanding -= givenBack;
@@ -138,12 +138,12 @@
     granted.unused = unused;
 }
 
-void PartitionHolder::spend(Granted& granted, Tokens amount, AllotmentBucket& bucket)
+void PartitionHolder::spend(Granted& granted, Tokens amount, AllotmentBucket& bucket, MonotonicTime time)
 {
     if (amount == Tokens())
         return;
     granted.outstanding -= amount;
-    const HeadroomHistory::Mark mark = bucket.spend(amount, m_clock.now());
+    const HeadroomHistory::Mark mark = bucket.spend(amount, time);
     if (!granted.spentMark)
         granted.spentMark = mark;
 }
@@ -205,14 +205,16 @@
 void PartitionHolder::expire(std::deque<Due>& due, AllotmentKind kind, MonotonicTime now)
 {
     while (!due.empty() && due.front().first <= now) {
-        const auto found = m_grants.find(due.front().second);
+        // The bucket refills again from the time of expiry, also when this is noticed only later.
+        const auto [expiredAt, id] = due.front();
         due.pop_front();
+        const auto found = m_grants.find(id);
         if (found == m_grants.end())
             continue;
         for (Granted& granted : found->second.amounts) {
-            Holding* holding = current(granted.workspace);
-            if (holding != nullptr && holding->bucket.limit().kind == kind)
-                spend(granted, granted.outstanding, holding->bucket);
+            const auto holding = m_holdings.find(granted.workspace);
+            if (holding != m_holdings.end() && holding->second.bucket.limit().kind == kind)
+                spend(granted, granted.outstanding, holding->second.bucket, expiredAt);
         }
     }
 }
--- a/src/coordination/partition_holder.h
+++ b/src/coordination/partition_holder.h
@@ -84,7 +84,7 @@
     void expire(std::deque<Due>& due, AllotmentKind kind, MonotonicTime now);
     void grantOne(const TokenAmount& wanted, bool isValid, Grant& grant, AllotGrant& message);
     void applyReport(Granted& granted, Tokens spent, Tokens unused);
-    void spend(Granted& granted, Tokens amount, AllotmentBucket& bucket);
+    void spend(Granted& granted, Tokens amount, AllotmentBucket& bucket, MonotonicTime time);
 
     const Clock& m_clock;
     ValidityCheck m_isSessionValid;
--- a/src/coordination/token_wallet.cc
+++ b/src/coordination/token_wallet.cc
@@ -35,6 +35,9 @@
 // Peers of which nothing is known are asked as if they were at least this full.
 constexpr double leastFullness = 0.25;
 
+// The own bucket alone serves an amount of which it has this many times as much.
+constexpr int64_t drainFactor = 4;
+
 constexpr double recentUseSeconds = 1;
 // Amounts are asked for ahead of the use of this time, if the peers have several times as much.
 constexpr double aheadSeconds = 0.1;
@@ -324,7 +327,7 @@
     if (amount <= Tokens() || own == Tokens())
         return false;
     // Below this level the buckets are drained evenly, as in LevelHints::plan().
-    if (own < Tokens(2 * amount.value())) {
+    if (own < Tokens(drainFactor * amount.value())) {
         const Tokens others = state.hints.guess(ownFullness(id), m_scheduler.now());
         const double part = static_cast<double>(own.value()) / static_cast<double>((own + others).value());
         amount = Tokens(static_cast<int64_t>(std::ceil(static_cast<double>(amount.value()) * part)));
