--- a/src/coordination/retry_budget.cc
+++ b/src/coordination/retry_budget.cc
@@ -2,28 +2,53 @@
 
 namespace lacewing {
 
-void RetryBudget::countRequest(MonotonicTime now)
+namespace {
+
+constexpr int64_t retriesPerHundredRequests = 20;
+constexpr int64_t retriesPerSecond = 3;
+
+} // namespace
+
+RetryBudget::RetryBudget(const Clock& clock)
+    : m_clock(clock)
+    , m_start(clock.now())
 {
-    forgetBefore(m_requests, now - m_options.window);
-    m_requests.push_back(now);
 }
 
-bool RetryBudget::takeRetry(MonotonicTime now)
+void RetryBudget::countRequest()
 {
-    forgetBefore(m_requests, now - m_options.window);
-    forgetBefore(m_retries, now - m_options.window);
-    const double allowed = m_options.share * static_cast<double>(m_requests.size())
-        + m_options.perSecond * toSeconds(m_options.window);
-    if (static_cast<double>(m_retries.size()) + 1 > allowed)
+    ++currentSlot().requests;
+}
+
+bool RetryBudget::tryRetry()
+{
+    Slot& current = currentSlot();
+    int64_t requests = 0;
+    int64_t retries = 0;
+    for (const Slot& slot : m_slots) {
+        if (slot.second <= current.second - windowSeconds)
+            continue;
+        requests += slot.requests;
+        retries += slot.retries;
+    }
+    if (retries * 100 >= requests * retriesPerHundredRequests + 100 * retriesPerSecond * windowSeconds)
         return false;
-    m_retries.push_back(now);
+    ++current.retries;
     return true;
 }
 
-void RetryBudget::forgetBefore(std::deque<MonotonicTime>& times, MonotonicTime time) const
+int64_t RetryBudget::currentSecond() const
+{
+    return std::chrono::duration_cast<std::chrono::seconds>(m_clock.now() - m_start).count();
+}
+
+RetryBudget::Slot& RetryBudget::currentSlot()
 {
-    while (!times.empty() && times.front() < time)
-        times.pop_front();
+    const int64_t second = currentSecond();
+    Slot& slot = m_slots[static_cast<size_t>(second % windowSeconds)];
+    if (slot.second != second)
+        slot = { second, 0, 0 };
+    return slot;
 }
 
 } // namespace lacewing
--- a/src/coordination/retry_budget.h
+++ b/src/coordination/retry_budget.h
@@ -2,43 +2,42 @@
 
 #include "base/clock.h"
 
-#include <deque>
+#include <array>
+#include <cstdint>
 
 namespace lacewing {
 
-/// Bounds retries to a share of recent requests, so that an outage is not made worse by its retries.
+/// Bounds retries to a share of recent requests, so that they can't multiply the load on a failing fleet.
+///
+/// Over the last ten seconds, retries may number 20 % of the requests plus 3 for each second.
 class RetryBudget {
 public:
-    struct Options {
-        /// Retries per request ...
-        double share = 0.2;
-        /// ... and retries a second that are always allowed, so that a host with few requests can retry.
-        double perSecond = 3;
-        /// Length of the sliding window.
-        Duration window = std::chrono::seconds(10);
-    };
-
-    RetryBudget()
-        : RetryBudget(Options())
-    {
-    }
-    explicit RetryBudget(Options options)
-        : m_options(options)
-    {
-    }
+    /// @param clock must outlive the budget.
+    explicit RetryBudget(const Clock& clock);
 
-    /// Counts a request, without its retries.
-    void countRequest(MonotonicTime now);
+    /// Counts a request that is not a retry.
+    void countRequest();
 
-    /// @return whether a retry is allowed; it is counted then.
-    bool takeRetry(MonotonicTime now);
+    /// Counts a retry if the budget has room for it.
+    ///
+    /// @return false if the retry must not be made.
+    bool tryRetry();
 
 private:
-    void forgetBefore(std::deque<MonotonicTime>& times, MonotonicTime time) const;
+    static constexpr int64_t windowSeconds = 10;
+
+    struct Slot {
+        int64_t second = 0;
+        int64_t requests = 0;
+        int64_t retries = 0;
+    };
+
+    int64_t currentSecond() const;
+    Slot& currentSlot();
 
-    Options m_options;
-    std::deque<MonotonicTime> m_requests;
-    std::deque<MonotonicTime> m_retries;
+    const Clock& m_clock;
+    MonotonicTime m_start;
+    std::array<Slot, windowSeconds> m_slots {};
 };
 
 } // namespace lacewing
--- a/src/coordination/token_wallet.cc
+++ b/src/coordination/token_wallet.cc
@@ -32,6 +32,12 @@
 constexpr Duration maintenancePeriod = 250ms;
 constexpr Duration idleTime = 10s;
 
+// Peers of which nothing is known are asked as if they were at least this full.
+constexpr double leastFullness = 0.25;
+
+// The own bucket alone serves an amount of which it has this many times as much.
+constexpr int64_t drainFactor = 4;
+
 constexpr double recentUseSeconds = 1;
 // Amounts are asked for ahead of the use of this time, if the peers have several times as much.
 constexpr double aheadSeconds = 0.1;
@@ -255,12 +261,13 @@
     const MonotonicTime now = m_scheduler.now();
     const bool isKnown = !state.hints.hasStale(now);
     const Tokens held = m_ledger.available(id) + state.hints.inFlight();
+    const Tokens own = ownLevel(id);
     Tokens needed = state.debt;
     std::deque<Waiting> kept;
     for (Waiting& waiting : state.queue) {
         const Tokens missing = needed + waiting.tokens - held;
         const Tokens reachable
-            = state.hints.estimate(waiting.deadline) + ownRefill(id, waiting.deadline - now);
+            = state.hints.estimate(waiting.deadline) + own + ownRefill(id, waiting.deadline - now);
         if (now < waiting.deadline && (!isKnown || missing <= reachable)) {
             needed += waiting.tokens;
             kept.push_back(std::move(waiting));
@@ -269,7 +276,11 @@
         const Tokens lacking = std::max(Tokens(1), missing - state.hints.estimate(now));
         refuse(waiting, ReserveError::RateLimited, timeToRefill(lacking, m_limits[id].rate));
     }
+    const bool hasRefused = kept.size() < state.queue.size();
     state.queue = std::move(kept);
+    // What was gathered for a refused request would lie idle here, unless the next one comes soon.
+    if (hasRefused && state.queue.empty() && m_ledger.available(id) > usedWithin(state, aheadSeconds))
+        m_ledger.releaseExpiringBefore(id, MonotonicTime::max());
 }
 
 void TokenWallet::refuse(Waiting& waiting, ReserveError error, Duration retryAfter)
@@ -285,13 +296,22 @@
     return sum - m_ledger.available(id) - state.hints.inFlight();
 }
 
+Tokens TokenWallet::usedWithin(const Workspace& state, double seconds) const
+{
+    if (state.usedAt == MonotonicTime::min())
+        return Tokens();
+    const double age = toSeconds(m_scheduler.now() - state.usedAt);
+    const double perSecond = state.recentUse * std::exp(-age / recentUseSeconds) / recentUseSeconds;
+    return Tokens(static_cast<int64_t>(perSecond * seconds));
+}
+
 Tokens TokenWallet::wantedAhead(const WorkspaceId& id, const Workspace& state)
 {
     const MonotonicTime now = m_scheduler.now();
     const bool isInUse = !state.queue.empty() || state.usedAt == now;
     if (!isInUse || m_limits[id].kind == AllotmentKind::Slots)
         return Tokens();
-    const Tokens ahead(static_cast<int64_t>(state.recentUse / recentUseSeconds * aheadSeconds));
+    const Tokens ahead = usedWithin(state, aheadSeconds);
     // A waiting request is a reason to ask anyway, so the amount ahead costs no further message.
     if (!state.queue.empty())
         return ahead;
@@ -302,9 +322,16 @@
 
 bool TokenWallet::askOwnHolder(const WorkspaceId& id, Workspace& state)
 {
-    const Tokens amount = wanted(id, state);
-    if (amount <= Tokens() || m_holder.partitionCount() == 0)
+    Tokens amount = wanted(id, state);
+    const Tokens own = ownLevel(id);
+    if (amount <= Tokens() || own == Tokens())
         return false;
+    // Below this level the buckets are drained evenly, as in LevelHints::plan().
+    if (own < Tokens(drainFactor * amount.value())) {
+        const Tokens others = state.hints.guess(ownFullness(id), m_scheduler.now());
+        const double part = static_cast<double>(own.value()) / static_cast<double>((own + others).value());
+        amount = Tokens(static_cast<int64_t>(std::ceil(static_cast<double>(amount.value()) * part)));
+    }
     const AllotAsk ask { m_nextSeq++, { { id, amount } } };
     const std::optional<AllotGrant> grant = m_holder.answer(m_self, ask);
     if (!grant || grant->granted.empty())
@@ -322,8 +349,9 @@
     if (amount == Tokens())
         return;
     const MonotonicTime now = m_scheduler.now();
+    const double fullness = ownFullness(id);
     const bool isUrgent = !state.queue.empty() && state.queue.front().deadline - now <= urgentTime;
-    for (const auto& [peer, tokens] : state.hints.plan(amount, isUrgent, now)) {
+    for (const auto& [peer, tokens] : state.hints.plan(amount, fullness, isUrgent, now)) {
         state.hints.asked(peer, tokens);
         m_outbox[peer].push_back({ id, tokens });
     }
@@ -331,6 +359,20 @@
         m_askTimer = m_scheduler.runAfter(askBatchTime, [this] { sendAsks(); });
 }
 
+Tokens TokenWallet::ownLevel(const WorkspaceId& id)
+{
+    AllotmentBucket* bucket = m_holder.bucket(id);
+    return bucket == nullptr ? Tokens() : bucket->level(m_scheduler.now());
+}
+
+double TokenWallet::ownFullness(const WorkspaceId& id)
+{
+    const double share = static_cast<double>(m_holder.partitionCount()) / allotmentPartitions;
+    const double capacity = static_cast<double>(m_limits[id].burst.value()) * share;
+    const double level = static_cast<double>(ownLevel(id).value());
+    return capacity > 0 ? std::max(leastFullness, level / capacity) : 1;
+}
+
 Tokens TokenWallet::ownRefill(const WorkspaceId& id, Duration duration) const
 {
     const double rate = static_cast<double>(m_limits.at(id).rate.value());
