--- a/src/base/pausable_scheduler.h
+++ b/src/base/pausable_scheduler.h
@@ -8,8 +8,8 @@
 namespace lacewing {
 
 /// The scheduler of one simulated daemon. While the daemon is paused its timers don't run, but its clock goes
-/// on; those that fell due run in order after it resumes. Destroying the scheduler drops all timers, as when a
-/// process is killed.
+/// on; those that fell due run in order after it resumes. Destroying the scheduler drops all timers, as when
+/// a process is killed.
 class PausableScheduler : public Scheduler {
 public:
     /// @param scheduler must outlive the object.
--- a/src/base/virtual_scheduler.cc
+++ b/src/base/virtual_scheduler.cc
@@ -13,7 +13,10 @@
     return timer;
 }
 
-void VirtualScheduler::cancel(TimerId timer) { m_callbacks.erase(timer); }
+void VirtualScheduler::cancel(TimerId timer)
+{
+    m_callbacks.erase(timer);
+}
 
 void VirtualScheduler::advance(Duration duration)
 {
--- a/src/coordination/fleet_checker_test.h
+++ b/src/coordination/fleet_checker_test.h
@@ -37,8 +37,7 @@
     /// Writes the virtual time to the log of a replayed run.
     void logTime() const
     {
-        VLOG(1) << "event=virtual_time ms="
-                << toMilliseconds(m_fleet.scheduler().now().time_since_epoch());
+        VLOG(1) << "event=virtual_time ms=" << toMilliseconds(m_fleet.scheduler().now().time_since_epoch());
     }
 
     const std::string& violation() const { return m_violation; }
@@ -101,7 +100,8 @@
     {
         const Incarnation incarnation = member.session().incarnation();
         for (const auto& [name, fencingNumber] : member.leases().held()) {
-            const auto [found, isNew] = m_holdings.try_emplace(name, Holding { index, incarnation, fencingNumber });
+            const auto [found, isNew]
+                = m_holdings.try_emplace(name, Holding { index, incarnation, fencingNumber });
             Holding& last = found->second;
             const bool sameHolder = last.daemon == index && last.incarnation == incarnation;
             if (!sameHolder && m_fleet.isRunning(last.daemon) && last.daemon != index
--- a/src/coordination/fleet_simulation_test.cc
+++ b/src/coordination/fleet_simulation_test.cc
@@ -1,5 +1,5 @@
-// Seeded simulation of 3 to 9 daemons under mixed faults. LACEWING_FLEET_SEED=n replays one seed with the log,
-// LACEWING_FLEET_SEEDS=n sets the number of seeds.
+// Seeded simulation of 3 to 9 daemons under mixed faults. LACEWING_FLEET_SEED=n replays one seed with the
+// log, LACEWING_FLEET_SEEDS=n sets the number of seeds.
 
 #include "coordination/fleet_checker_test.h"
 
@@ -250,7 +250,8 @@
     }
     for (std::thread& worker : workers)
         worker.join();
-    return failedSeed == 0 ? std::string() : "LACEWING_FLEET_SEED=" + std::to_string(failedSeed) + " " + violation;
+    return failedSeed == 0 ? std::string()
+                           : "LACEWING_FLEET_SEED=" + std::to_string(failedSeed) + " " + violation;
 }
 
 struct QuietLog {
@@ -296,7 +297,8 @@
     const ForgetfulGuardian forgetful;
     const LateCounting late;
     const ImpatientSuccessor impatient;
-    for (const SafetyRules* rules : std::initializer_list<const SafetyRules*> { &forgetful, &late, &impatient }) {
+    for (const SafetyRules* rules :
+        std::initializer_list<const SafetyRules*> { &forgetful, &late, &impatient }) {
         const std::string violation = runSeeds(defaultSeeds, rules);
         BOOST_TEST_MESSAGE("broken rule: " << violation);
         const bool found = violation.find("two daemons may act") != std::string::npos
--- a/src/coordination/lease_manager.cc
+++ b/src/coordination/lease_manager.cc
@@ -11,8 +11,8 @@
 
 constexpr Duration tickInterval = std::chrono::milliseconds(200);
 constexpr Duration reviewInterval = std::chrono::seconds(1);
-/// Daemons that see different peers may each prefer the other for a lease. One that has had no holder for this
-/// long is taken by any daemon, which then keeps it for a while.
+/// Daemons that see different peers may each prefer the other for a lease. One that has had no holder for
+/// this long is taken by any daemon, which then keeps it for a while.
 constexpr Duration orphanDelay = std::chrono::seconds(10);
 constexpr Duration orphanHandOverDelay = std::chrono::seconds(60);
 /// How often a wanted lease that another daemon holds is read while a hand-over is likely, and later.
@@ -76,9 +76,8 @@
 
 void LeaseManager::fleetChanged()
 {
-    updatePreferred();
-    // A session that has just ended may have set wanted leases free.
-    m_nextPoll = std::min(m_nextPoll, m_scheduler.now());
+    // Left to the next tick, since one list of sessions can change many entries.
+    m_fleetChanged = true;
 }
 
 bool LeaseManager::mayAct(const std::string& name, Duration margin)
@@ -152,6 +151,11 @@
 void LeaseManager::tick()
 {
     const MonotonicTime now = m_scheduler.now();
+    if (std::exchange(m_fleetChanged, false)) {
+        updatePreferred();
+        // A session that has just ended may have set wanted leases free.
+        m_nextPoll = std::min(m_nextPoll, now);
+    }
     if (now >= m_nextReview) {
         m_nextReview = now + reviewInterval;
         updatePreferred();
--- a/src/coordination/lease_manager.h
+++ b/src/coordination/lease_manager.h
@@ -170,6 +170,7 @@
     bool m_busy = false;
     bool m_stopping = false;
     bool m_namesChanged = false;
+    bool m_fleetChanged = false;
     size_t m_batchSize;
     MonotonicTime m_startedAt {};
     MonotonicTime m_wantedSince {};
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -228,6 +228,9 @@
 void Membership::updateLink(PeerInfo& info, bool wanted)
 {
     Attempt& tried = attempt(info.host);
+    // Without a link that is kept up, only the session row tells whether the peer lives.
+    if (!wanted && !info.linked && !tried.connecting)
+        info.tried = false;
     if (!wanted || info.linked || tried.connecting || info.address.empty()
         || m_scheduler.now() < tried.notBefore)
         return;
--- a/src/coordination/simulated_daemon.cc
+++ b/src/coordination/simulated_daemon.cc
@@ -33,8 +33,8 @@
 void SimulatedDaemon::stop(std::function<void()> done)
 {
     m_member.leave();
-    m_scheduler.runAfter(std::chrono::seconds(6),
-        [this, done = std::move(done)] { m_member.finishLeaving(done); });
+    m_scheduler.runAfter(
+        std::chrono::seconds(6), [this, done = std::move(done)] { m_member.finishLeaving(done); });
 }
 
 void SimulatedDaemon::read(std::vector<std::string> keys, RowsCallback callback)
--- a/src/coordination/simulated_fleet.cc
+++ b/src/coordination/simulated_fleet.cc
@@ -23,9 +23,8 @@
     , m_network(m_scheduler, options.seed + 2)
     , m_hosts(options.daemons)
 {
-    const auto dataCentre = [&](size_t index) {
-        return DataCentreId("dc" + std::to_string(index % options.dataCentres));
-    };
+    const auto dataCentre
+        = [&](size_t index) { return DataCentreId("dc" + std::to_string(index % options.dataCentres)); };
     for (size_t i = 0; i < options.upstreams; ++i)
         m_leases.push_back({ "upstream/u" + std::to_string(i), dataCentre(i) });
     for (size_t i = 0; i < options.partitions; ++i)
@@ -106,14 +105,20 @@
     return m_hosts[index].daemon ? &m_hosts[index].daemon->member() : nullptr;
 }
 
-size_t SimulatedFleet::indexOf(const HostId& host) const { return m_indices.at(host); }
+size_t SimulatedFleet::indexOf(const HostId& host) const
+{
+    return m_indices.at(host);
+}
 
 bool SimulatedFleet::canReach(size_t from, size_t to) const
 {
     return !m_hosts[from].cutOff && !m_hosts[to].cutOff && !m_hosts[to].hostDown;
 }
 
-bool SimulatedFleet::isLinked(size_t a, size_t b) const { return m_links.count(std::minmax(a, b)) != 0; }
+bool SimulatedFleet::isLinked(size_t a, size_t b) const
+{
+    return m_links.count(std::minmax(a, b)) != 0;
+}
 
 void SimulatedFleet::connect(size_t from, size_t to)
 {
--- a/src/state/simulated_table.cc
+++ b/src/state/simulated_table.cc
@@ -97,6 +97,8 @@
                 } else {
                     ++m_table.m_readCount;
                     rows = query();
+                    for (const TableRow& row : rows)
+                        m_table.m_readByteCount += static_cast<int64_t>(row.key.size() + row.value.size());
                 }
                 m_table.m_scheduler.runAfter(
                     m_table.delay(), [callback, rows, error] { callback(rows, error); });
--- a/src/state/simulated_table.h
+++ b/src/state/simulated_table.h
@@ -41,6 +41,8 @@
     const std::map<std::string, TableRow>& rows() const { return m_rows; }
     int64_t readCount() const { return m_readCount; }
     int64_t writeCount() const { return m_writeCount; }
+    /// @return bytes of keys and values in answers to reads.
+    int64_t readByteCount() const { return m_readByteCount; }
 
 private:
     friend class SimulatedTableClient;
@@ -63,6 +65,7 @@
     int64_t m_lastVersion = 0;
     int64_t m_readCount = 0;
     int64_t m_writeCount = 0;
+    int64_t m_readByteCount = 0;
 };
 
 } // namespace lacewing
