--- a/src/coordination/fleet_checker_test.h
+++ b/src/coordination/fleet_checker_test.h
@@ -5,6 +5,7 @@
 
 #include <glog/logging.h>
 
+#include <cstdlib>
 #include <map>
 #include <string>
 #include <vector>
@@ -147,4 +148,9 @@
     std::string m_violation;
 };
 
+/// Fixture that keeps the log of simulated daemons out of the test's output, unless a run is replayed.
+struct QuietLog {
+    QuietLog() { FLAGS_minloglevel = std::getenv("LACEWING_FLEET_SEED") ? google::INFO : google::FATAL; }
+};
+
 } // namespace lacewing
--- a/src/coordination/fleet_scenario_test.cc
+++ b/src/coordination/fleet_scenario_test.cc
@@ -81,7 +81,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(FleetScenarioTest)
+BOOST_AUTO_TEST_SUITE(FleetScenarioTest, *boost::unit_test::fixture<QuietLog>())
 
 // Guards against leases that wander in a healthy fleet.
 BOOST_DATA_TEST_CASE(HealthyFleetKeepsItsLeases, daemonCounts, daemons)
@@ -148,6 +148,38 @@
     BOOST_TEST(scenario.fleet().member(daemon).leases().held().empty());
 }
 
+// Guards against a holder that was paused and acts before it looks at the clock.
+BOOST_DATA_TEST_CASE(PausedHolderMayNotActOnceItsGuardTimeHasPassed, daemonCounts, daemons)
+{
+    Scenario scenario(static_cast<size_t>(daemons), 1);
+    const size_t daemon = scenario.holder();
+    const std::string lease = scenario.fleet().leases().front().name;
+    BOOST_TEST(scenario.fleet().member(daemon).leases().mayAct(lease, 2s));
+    scenario.fleet().pause(daemon);
+    scenario.run(6100ms);
+    BOOST_TEST(!scenario.fleet().member(daemon).leases().mayAct(lease));
+    scenario.run(20s);
+    scenario.fleet().resume(daemon);
+    scenario.run(20s);
+    BOOST_TEST(scenario.fleet().member(daemon).session().isValid());
+    BOOST_TEST(scenario.fleet().member(daemon).session().incarnation() == Incarnation(2));
+}
+
+// Guards against writes whose answer is lost and that are never settled.
+BOOST_AUTO_TEST_CASE(FleetFormsAlthoughEveryAnswerToAWriteIsLost)
+{
+    SimulatedFleetOptions options;
+    options.daemons = 5;
+    SimulatedFleet fleet(options);
+    FleetChecker checker(fleet);
+    fleet.table().setLostAnswerProbability(1);
+    for (size_t i = 0; i < fleet.size(); ++i)
+        fleet.start(i);
+    fleet.scheduler().advance(60s);
+    BOOST_TEST(checker.check());
+    BOOST_TEST(checker.idleLease() == "");
+}
+
 // Guards against a fleet that stops when only one daemon is left.
 BOOST_AUTO_TEST_CASE(LastDaemonGoesOnAlone)
 {
--- a/src/coordination/fleet_simulation_test.cc
+++ b/src/coordination/fleet_simulation_test.cc
@@ -4,7 +4,6 @@
 #include "coordination/fleet_checker_test.h"
 
 #include <boost/test/unit_test.hpp>
-#include <glog/logging.h>
 
 #include <atomic>
 #include <cstdlib>
@@ -63,6 +62,11 @@
         options.daemons = 3 + seed % 7;
         options.dataCentres = 1 + seed % 3;
         options.rules = rules;
+        // Makes renewals and sessions that lapse by their ttl part of a short run.
+        if (seed % 2 == 1) {
+            options.session.ttl = 15s;
+            options.session.renewInterval = 4s;
+        }
         return options;
     }
 
@@ -254,10 +258,6 @@
                            : "LACEWING_FLEET_SEED=" + std::to_string(failedSeed) + " " + violation;
 }
 
-struct QuietLog {
-    QuietLog() { FLAGS_minloglevel = std::getenv("LACEWING_FLEET_SEED") ? google::INFO : google::FATAL; }
-};
-
 /// A guardian that forgets its promise.
 class ForgetfulGuardian : public SafetyRules {
     Duration promise(Duration guardTtl) const override { return guardTtl / 4; }
--- a/src/coordination/membership_test.cc
+++ b/src/coordination/membership_test.cc
@@ -1,8 +1,8 @@
 #include "coordination/membership.h"
 
 #include "base/virtual_scheduler.h"
+#include "coordination/fleet_checker_test.h"
 #include "coordination/host_ranking.h"
-#include "coordination/simulated_fleet.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -37,7 +37,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(MembershipTest)
+BOOST_AUTO_TEST_SUITE(MembershipTest, *boost::unit_test::fixture<QuietLog>())
 
 // Guards against failure states that are confused: each has its own consequence for the requests of a peer.
 BOOST_AUTO_TEST_CASE(PeerStatesTellFailuresApart)
--- a/src/coordination/simulated_fleet.cc
+++ b/src/coordination/simulated_fleet.cc
@@ -184,6 +184,7 @@
 FleetMemberSettings SimulatedFleet::settingsOf(size_t index) const
 {
     FleetMemberSettings settings;
+    settings.session = m_options.session;
     settings.session.host = m_hosts[index].id;
     settings.session.dataCentre = m_hosts[index].dataCentre;
     settings.session.region = RegionId("r");
--- a/src/coordination/simulated_fleet.h
+++ b/src/coordination/simulated_fleet.h
@@ -23,6 +23,8 @@
     size_t partitions = 8;
     uint64_t seed = 1;
     const SafetyRules* rules = nullptr;
+    /// Times of the sessions; host and place are filled in.
+    SessionSettings session;
 };
 
 /// Many daemons in one process on virtual time, with a simulated table and network, for tests and benchmarks
--- a/src/state/peer_messages.h
+++ b/src/state/peer_messages.h
@@ -45,8 +45,8 @@
     Incarnation incarnation;
     /// Incarnation of the heartbeat that is acknowledged.
     Incarnation peerIncarnation;
-    /// True if the sender is the guardian of the receiver's session and promises not to end it for the guard
-    /// time.
+    /// True if the sender promises not to end the session of peerIncarnation for the guard time from now. It
+    /// counts for the receiver if the sender is the guardian named in its row.
     bool guarding = false;
     Revision revision;
     ContentHash configurationHash;
