--- a/src/coordination/lease_manager.cc
+++ b/src/coordination/lease_manager.cc
@@ -76,9 +76,8 @@
 
 void LeaseManager::fleetChanged()
 {
-    updatePreferred();
-    // A session that has just ended may have set wanted leases free.
-    m_nextPoll = std::min(m_nextPoll, m_scheduler.now());
+    // Left to the next tick, since one list of sessions can change many entries.
+    m_fleetChanged = true;
 }
 
 bool LeaseManager::mayAct(const std::string& name, Duration margin)
@@ -152,6 +151,11 @@
 void LeaseManager::tick()
 {
     const MonotonicTime now = m_scheduler.now();
+    if (std::exchange(m_fleetChanged, false)) {
+        updatePreferred();
+        // A session that has just ended may have set wanted leases free.
+        m_nextPoll = std::min(m_nextPoll, now);
+    }
     if (now >= m_nextReview) {
         m_nextReview = now + reviewInterval;
         updatePreferred();
