--- a/src/coordination/adapter_residency.cc
+++ b/src/coordination/adapter_residency.cc
@@ -99,7 +99,7 @@
     size_t roomPromised = 0;
     for (const WaitingAdapter& waiting : queue.waitingAdapters(isReadyHere, limit)) {
         const bool isBatch = waiting.requestClass == RequestClass::Batch;
-        if (!mayLoadNow(waiting.adapter, now) || (isBatch && !batchMayPin(waiting.adapter)))
+        if (!mayLoadNow(waiting.adapter, now) || (isBatch && !batchMayLoad(waiting.adapter)))
             continue;
         const bool hasRoom = m_slots.size() < m_options.slots && m_loadsTaken > 0;
         if (!hasRoom && !mayLoad(waiting.requestClass))
@@ -150,16 +150,17 @@
         return 0;
     double least = std::numeric_limits<double>::infinity();
     for (const auto& [name, slot] : m_slots) {
-        if (mayGiveWay(slot, queue))
+        const bool wanted = queue.isWaitedFor(slot.adapter, RequestClass::Interactive);
+        if (mayGiveWay(slot) && !wanted)
             least = std::min(least, m_policy->value({ slot.adapter, slot.lastUse }, now));
     }
     return least;
 }
 
-bool AdapterResidency::mayGiveWay(const Slot& slot, const RequestQueue& queue) const
+bool AdapterResidency::mayGiveWay(const Slot& slot) const
 {
     const bool settled = slot.state == ResidencyState::Resident || slot.state == ResidencyState::Uncertain;
-    return settled && isIdle(slot) && !queue.isWaitedFor(slot.adapter);
+    return settled && isIdle(slot);
 }
 
 size_t AdapterResidency::references(const AdapterKey& adapter) const
@@ -253,6 +254,15 @@
     return pinnedByBatch() + m_options.interactiveSlots < m_options.slots;
 }
 
+bool AdapterResidency::batchMayLoad(const AdapterKey& adapter) const
+{
+    // One load at a time is left to urgent requests.
+    const size_t allowed = std::max<size_t>(1, m_options.maximumLoads - 1);
+    const size_t underWay = countInState(ResidencyState::Loading) + countInState(ResidencyState::Evicting)
+        + countInState(ResidencyState::Draining);
+    return underWay < allowed && batchMayPin(adapter);
+}
+
 bool AdapterResidency::isIdle(const Slot& slot) const
 {
     return !slot.mayBeInUse && (slot.foreign || references(slot.adapter) == 0);
@@ -356,7 +366,7 @@
 std::optional<AdapterOrder> AdapterResidency::makeRoom(
     const WaitingAdapter& waiting, const RequestQueue& queue, MonotonicTime now)
 {
-    if (Slots::value_type* idle = chooseIdle(queue, now))
+    if (Slots::value_type* idle = chooseIdle(waiting, queue, now))
         return evictForLoad(*idle, waiting.requestClass, now);
     if (now - waiting.arrival < m_options.drainAfter)
         return std::nullopt;
@@ -372,14 +382,21 @@
 }
 
 AdapterResidency::Slots::value_type* AdapterResidency::chooseIdle(
-    const RequestQueue& queue, MonotonicTime now)
+    const WaitingAdapter& waiting, const RequestQueue& queue, MonotonicTime now)
 {
-    std::vector<Slots::value_type*> idle;
+    std::vector<Slots::value_type*> unwanted;
+    std::vector<Slots::value_type*> wantedByBatch;
     for (auto& entry : m_slots) {
-        if (mayGiveWay(entry.second, queue))
-            idle.push_back(&entry);
+        const AdapterKey& adapter = entry.second.adapter;
+        if (!mayGiveWay(entry.second) || queue.isWaitedFor(adapter, RequestClass::Interactive))
+            continue;
+        const bool wanted = queue.isWaitedFor(adapter, RequestClass::Batch);
+        (wanted ? wantedByBatch : unwanted).push_back(&entry);
     }
-    return choose(idle, now);
+    // A wave of batch requests waits for most adapters; it must not keep urgent requests from loading others.
+    if (unwanted.empty() && waiting.requestClass == RequestClass::Interactive)
+        return choose(wantedByBatch, now);
+    return choose(unwanted, now);
 }
 
 AdapterResidency::Slots::value_type* AdapterResidency::chooseToDrain(
--- a/src/coordination/adapter_residency.h
+++ b/src/coordination/adapter_residency.h
@@ -191,6 +191,7 @@
     bool isForeign(const std::optional<AdapterName>& name) const;
     size_t pinnedByBatch() const;
     bool batchMayPin(const AdapterKey& adapter) const;
+    bool batchMayLoad(const AdapterKey& adapter) const;
     bool isIdle(const Slot& slot) const;
     bool mayLoadNow(const AdapterKey& adapter, MonotonicTime now) const;
     size_t countInState(ResidencyState state) const;
@@ -204,8 +205,9 @@
     AdapterOrder evictForLoad(Slots::value_type& slot, RequestClass requestClass, MonotonicTime now);
     std::optional<AdapterOrder> makeRoom(
         const WaitingAdapter& waiting, const RequestQueue& queue, MonotonicTime now);
-    bool mayGiveWay(const Slot& slot, const RequestQueue& queue) const;
-    Slots::value_type* chooseIdle(const RequestQueue& queue, MonotonicTime now);
+    bool mayGiveWay(const Slot& slot) const;
+    Slots::value_type* chooseIdle(
+        const WaitingAdapter& waiting, const RequestQueue& queue, MonotonicTime now);
     Slots::value_type* chooseToDrain(const WaitingAdapter& waiting, MonotonicTime now);
     Slots::value_type* choose(const std::vector<Slots::value_type*>& slots, MonotonicTime now) const;
     void loadFinished(Slots::iterator slot, OrderResult result, MonotonicTime now);
--- a/src/coordination/fair_request_queue.cc
+++ b/src/coordination/fair_request_queue.cc
@@ -19,12 +19,14 @@
 bool FairRequestQueue::push(const QueuedRequest& request)
 {
     ClassState& classState = state(request.requestClass);
-    if (classState.waiting >= m_options.capacityPerClass)
+    if (classState.waiting >= m_options.capacityPerClass && !isBelowShare(classState, request.workspace))
         return false;
     const Sequence sequence = m_nextSequence++;
-    activate(classState, request.workspace).lines[request.adapter].emplace(sequence, request);
+    WorkspaceState& workspace = activate(classState, request.workspace);
+    workspace.lines[request.adapter].emplace(sequence, request);
+    ++workspace.waiting;
     ++classState.waiting;
-    ++m_waitingPerAdapter[request.adapter];
+    ++classState.waitingPerAdapter[request.adapter];
     m_deadlines.emplace(request.startDeadline, request.id);
     m_locations[request.id] = { request.requestClass, request.workspace, request.adapter, sequence };
     return true;
@@ -86,12 +88,12 @@
     if (!leastWait)
         return expired;
     std::vector<QueuedRequestId> late;
-    for (const auto& [adapter, count] : m_waitingPerAdapter) {
-        const Duration wait = leastWait(adapter);
-        if (wait <= Duration::zero())
-            continue;
-        collectLate(m_interactive, adapter, now + wait, late);
-        collectLate(m_batch, adapter, now + wait, late);
+    for (const ClassState* classState : { &m_interactive, &m_batch }) {
+        for (const auto& [adapter, count] : classState->waitingPerAdapter) {
+            const Duration wait = leastWait(adapter);
+            if (wait > Duration::zero())
+                collectLate(*classState, adapter, now + wait, late);
+        }
     }
     for (const QueuedRequestId id : late)
         expired.push_back(remove(Location(m_locations.at(id))));
@@ -121,9 +123,9 @@
     return first;
 }
 
-bool FairRequestQueue::isWaitedFor(const AdapterKey& adapter) const
+bool FairRequestQueue::isWaitedFor(const AdapterKey& adapter, RequestClass requestClass) const
 {
-    return m_waitingPerAdapter.count(adapter) > 0;
+    return state(requestClass).waitingPerAdapter.count(adapter) > 0;
 }
 
 size_t FairRequestQueue::readyCount(const AdapterReady& isReady) const
@@ -168,6 +170,15 @@
     return entry;
 }
 
+bool FairRequestQueue::isBelowShare(const ClassState& state, const WorkspaceId& workspace) const
+{
+    const auto found = state.workspaces.find(workspace);
+    const size_t waiting = found == state.workspaces.end() ? 0 : found->second.waiting;
+    const auto others = std::count_if(state.workspaces.begin(), state.workspaces.end(),
+        [&](const auto& entry) { return entry.second.waiting > 0 && entry.first != workspace; });
+    return waiting < m_options.capacityPerClass / static_cast<size_t>(others + 1);
+}
+
 std::optional<FairRequestQueue::Location> FairRequestQueue::best(
     RequestClass requestClass, const AdapterReady& isReady) const
 {
@@ -220,9 +231,10 @@
     if (line->second.empty())
         workspace.lines.erase(line);
     --classState.waiting;
-    const auto count = m_waitingPerAdapter.find(request.adapter);
+    --workspace.waiting;
+    const auto count = classState.waitingPerAdapter.find(request.adapter);
     if (--count->second == 0)
-        m_waitingPerAdapter.erase(count);
+        classState.waitingPerAdapter.erase(count);
     m_deadlines.erase({ request.startDeadline, request.id });
     m_locations.erase(request.id);
     return request;
--- a/src/coordination/fair_request_queue.h
+++ b/src/coordination/fair_request_queue.h
@@ -32,7 +32,7 @@
     void charge(const WorkspaceId& workspace, RequestClass requestClass, Tokens served) override;
     std::vector<QueuedRequest> expire(MonotonicTime now, const AdapterWait& leastWait) override;
     std::vector<WaitingAdapter> waitingAdapters(const AdapterReady& isReady, size_t limit) const override;
-    bool isWaitedFor(const AdapterKey& adapter) const override;
+    bool isWaitedFor(const AdapterKey& adapter, RequestClass requestClass) const override;
     size_t readyCount(const AdapterReady& isReady) const override;
     size_t size(RequestClass requestClass) const override;
     using RequestQueue::size;
@@ -47,6 +47,7 @@
         double counter = 0;
         /// Part of the counter that belongs to running requests and is replaced by what they really take.
         double reserved = 0;
+        size_t waiting = 0;
         size_t running = 0;
         std::map<AdapterKey, Line> lines;
 
@@ -60,6 +61,7 @@
         double virtualTime = 0;
         size_t waiting = 0;
         size_t running = 0;
+        std::map<AdapterKey, size_t> waitingPerAdapter;
     };
 
     struct Location {
@@ -85,6 +87,7 @@
     ClassState& state(RequestClass requestClass);
     const ClassState& state(RequestClass requestClass) const;
     WorkspaceState& activate(ClassState& state, const WorkspaceId& workspace);
+    bool isBelowShare(const ClassState& state, const WorkspaceId& workspace) const;
     std::optional<Location> best(RequestClass requestClass, const AdapterReady& isReady) const;
     bool batchMayStart() const;
     static void collectLate(const ClassState& classState, const AdapterKey& adapter,
@@ -103,7 +106,6 @@
     std::map<QueuedRequestId, Location> m_locations;
     std::set<std::pair<MonotonicTime, QueuedRequestId>> m_deadlines;
     std::map<QueuedRequestId, Running> m_running;
-    std::map<AdapterKey, size_t> m_waitingPerAdapter;
 };
 
 } // namespace lacewing
--- a/src/coordination/fifo_request_queue.cc
+++ b/src/coordination/fifo_request_queue.cc
@@ -61,10 +61,11 @@
     return waiting;
 }
 
-bool FifoRequestQueue::isWaitedFor(const AdapterKey& adapter) const
+bool FifoRequestQueue::isWaitedFor(const AdapterKey& adapter, RequestClass requestClass) const
 {
-    return std::any_of(m_requests.begin(), m_requests.end(),
-        [&](const QueuedRequest& request) { return request.adapter == adapter; });
+    return std::any_of(m_requests.begin(), m_requests.end(), [&](const QueuedRequest& request) {
+        return request.adapter == adapter && request.requestClass == requestClass;
+    });
 }
 
 size_t FifoRequestQueue::readyCount(const AdapterReady& isReady) const
--- a/src/coordination/fifo_request_queue.h
+++ b/src/coordination/fifo_request_queue.h
@@ -21,7 +21,7 @@
     void charge(const WorkspaceId&, RequestClass, Tokens) override { }
     std::vector<QueuedRequest> expire(MonotonicTime now, const AdapterWait& leastWait) override;
     std::vector<WaitingAdapter> waitingAdapters(const AdapterReady& isReady, size_t limit) const override;
-    bool isWaitedFor(const AdapterKey& adapter) const override;
+    bool isWaitedFor(const AdapterKey& adapter, RequestClass requestClass) const override;
     size_t readyCount(const AdapterReady& isReady) const override;
     size_t size(RequestClass requestClass) const override;
 
--- a/src/coordination/load_priority.h
+++ b/src/coordination/load_priority.h
@@ -11,7 +11,7 @@
 public:
     struct Options {
         /// Loads that batch leaves over beyond its share.
-        double reserve = 4;
+        double reserve = 6;
         /// Share of the loads that batch gets at least, in [0, 1).
         double batchShare = 0.1;
     };
--- a/src/coordination/request_queue.h
+++ b/src/coordination/request_queue.h
@@ -80,8 +80,8 @@
     /// start.
     virtual std::vector<WaitingAdapter> waitingAdapters(const AdapterReady& isReady, size_t limit) const = 0;
 
-    /// @return true if any request waits for the adapter.
-    virtual bool isWaitedFor(const AdapterKey& adapter) const = 0;
+    /// @return true if any request of the class waits for the adapter.
+    virtual bool isWaitedFor(const AdapterKey& adapter, RequestClass requestClass) const = 0;
 
     /// @return the number of waiting requests that could start if the upstream had room for them. Requests
     /// that wait for a load are not counted: they would wait on another upstream as well, so they are no
