--- a/src/coordination/cost_aware_eviction.h
+++ b/src/coordination/cost_aware_eviction.h
@@ -14,7 +14,7 @@
     struct Options {
         Duration timeConstant = std::chrono::seconds(120);
         /// Idle time, in mean gaps between requests, after which the value falls.
-        double idleGaps = 3;
+        double idleGaps = 1;
     };
 
     explicit CostAwareEviction(Options options);
