--- a/src/coordination/fair_request_queue_test.cc
+++ b/src/coordination/fair_request_queue_test.cc
@@ -108,17 +108,17 @@
 BOOST_AUTO_TEST_CASE(ServedTokensCountInsteadOfTheCost)
 {
     FairRequestQueue queue { FairRequestQueue::Options {} };
-    int short_ = 0;
+    int shortServed = 0;
     for (int i = 0; i < 400; ++i) {
         queue.push(request("short", interactive));
         queue.push(request("long", interactive));
         const auto popped = queue.pop({}, isResident);
         const bool isShort = popped->workspace.value() == "short";
-        short_ += isShort ? 1 : 0;
+        shortServed += isShort ? 1 : 0;
         queue.settle(popped->id, Tokens(isShort ? 10 : 30));
     }
-    BOOST_TEST(short_ >= 295);
-    BOOST_TEST(short_ <= 305);
+    BOOST_TEST(shortServed >= 295);
+    BOOST_TEST(shortServed <= 305);
 }
 
 // Guards against a workspace that saves up credit while idle and then shuts out the others.
