--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -70,7 +70,7 @@
         HttpClientConnection* connection
             = takeIdle(exchange->request.server, exchange->request.maximumIdleAge);
         if (!connection)
-            connection = connect(exchange->request);
+            connection = connect(exchange->request.server);
         connection->start(exchange);
         return std::make_unique<Call>(m_loop, std::move(exchange));
     }
@@ -78,10 +78,10 @@
     size_t connectionCount() const override { return m_connections.size(); }
 
 private:
-    HttpClientConnection* connect(const HttpClientRequest& request)
+    HttpClientConnection* connect(const SocketAddress& server)
     {
-        auto connection = std::make_unique<HttpClientConnection>(
-            m_loop, static_cast<Observer&>(*this), request.server, request.connectTimeout);
+        auto connection
+            = std::make_unique<HttpClientConnection>(m_loop, static_cast<Observer&>(*this), server);
         HttpClientConnection* key = connection.get();
         m_connections.emplace(key, std::move(connection));
         return key;
--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -1,216 +1,372 @@
 #include "transport/http_client_connection.h"
 
-#include "transport/http_format.h"
+#include "transport/http_field_rules.h"
 #include "transport/socket_address.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
 #include <event2/util.h>
-#include <fcntl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <cerrno>
+#include <limits>
 
 namespace lacewing {
 
 namespace {
 
-constexpr size_t maximumAnswerHeaderBytes = 64 * 1024;
+constexpr ev_ssize_t maximumAnswerHeaderBytes = 64 * 1024;
+constexpr int statusContinue = 100;
 constexpr int statusFinal = 200;
-constexpr int statusSwitchingProtocols = 101;
+constexpr int statusNoContent = 204;
+constexpr int statusNotModified = 304;
+constexpr int statusAboveAll = 1000;
 
 /// An idle connection is closed after this time, so that connections to servers no longer in use go away.
 constexpr timeval maximumIdleTime { 60, 0 };
 
+/// evhttp replaces a missing timeout by one of 50 s. This one never runs out; the timers of
+/// HttpClientConnection bound the time instead.
+constexpr timeval noTimeout { 365 * 24 * 3600, 0 };
+
+std::optional<evhttp_cmd_type> commandOf(const std::string& method)
+{
+    constexpr std::pair<const char*, evhttp_cmd_type> commands[] = { { "GET", EVHTTP_REQ_GET },
+        { "POST", EVHTTP_REQ_POST }, { "PUT", EVHTTP_REQ_PUT }, { "DELETE", EVHTTP_REQ_DELETE },
+        { "HEAD", EVHTTP_REQ_HEAD }, { "PATCH", EVHTTP_REQ_PATCH }, { "OPTIONS", EVHTTP_REQ_OPTIONS } };
+    for (const auto& [name, command] : commands) {
+        if (method == name)
+            return command;
+    }
+    return std::nullopt;
+}
+
 bool impliesBody(const std::string& method)
 {
     return method == "POST" || method == "PUT" || method == "PATCH";
 }
 
+bool isTarget(const std::string& target)
+{
+    return !target.empty() && std::none_of(target.begin(), target.end(), [](char character) {
+        return character == ' ' || character == '\t' || isHttpControl(character);
+    });
+}
+
+/// @return the answer's fields, or nothing if one of them is malformed.
+std::optional<HttpHeaders> fieldsOf(evhttp_request* request)
+{
+    HttpHeaders headers;
+    const evkeyvalq* fields = evhttp_request_get_input_headers(request);
+    for (const evkeyval* field = fields->tqh_first; field; field = field->next.tqe_next) {
+        const std::string_view value = trimmedField(field->value);
+        if (!isHttpToken(field->key) || std::any_of(value.begin(), value.end(), isHttpControl))
+            return std::nullopt;
+        headers.add(field->key, std::string(value));
+    }
+    return headers;
+}
+
+HttpClientError errorOf(evhttp_request_error error)
+{
+    const bool isInvalid = error == EVREQ_HTTP_INVALID_HEADER || error == EVREQ_HTTP_DATA_TOO_LONG;
+    return isInvalid ? HttpClientError::InvalidAnswer : HttpClientError::ConnectionLost;
+}
+
 } // namespace
 
-HttpClientConnection::HttpClientConnection(
-    EventLoop& loop, Observer& observer, SocketAddress server, Duration connectTimeout)
+struct HttpClientConnection::Callbacks {
+    static HttpClientConnection& from(void* self) { return *static_cast<HttpClientConnection*>(self); }
+
+    static int onHeaders(evhttp_request* request, void* self)
+    {
+        return from(self).acceptHeaders(request) ? 0 : -1;
+    }
+
+    static void onBody(evhttp_request* request, void* self)
+    {
+        from(self).acceptBody(evhttp_request_get_input_buffer(request));
+    }
+
+    // Called before onEnd.
+    static void onError(evhttp_request_error error, void* self)
+    {
+        HttpClientConnection& connection = from(self);
+        if (!connection.m_error)
+            connection.m_error = errorOf(error);
+    }
+
+    // The request is null after an error, and has no status after a failure to connect.
+    static void onEnd(evhttp_request* request, void* self)
+    {
+        HttpClientConnection& connection = from(self);
+        if (request && evhttp_request_get_response_code(request) != 0)
+            connection.requestEnded(std::nullopt);
+        else
+            connection.requestEnded(connection.m_error.value_or(HttpClientError::ConnectionLost));
+    }
+
+    static void onClosed(evhttp_connection*, void* self) { from(self).disconnected(); }
+
+    static void onConnectEvent(bufferevent*, short events, void* self)
+    {
+        const int errorNumber = EVUTIL_SOCKET_ERROR();
+        from(self).connectEnded(events, errorNumber);
+    }
+
+    static void onOutputChange(evbuffer*, const evbuffer_cb_info* info, void* self)
+    {
+        if (info->n_deleted > 0)
+            from(self).outputTaken();
+    }
+
+    static void onInputChange(evbuffer*, const evbuffer_cb_info* info, void* self)
+    {
+        if (info->n_added > 0)
+            from(self).noteProgress();
+    }
+};
+
+HttpClientConnection::HttpClientConnection(EventLoop& loop, Observer& observer, SocketAddress server)
     : m_loop(loop)
     , m_observer(observer)
     , m_server(std::move(server))
-    , m_parser(HttpParser::Kind::Answer, maximumAnswerHeaderBytes)
 {
-    // Connecting here and not through libevent keeps the reason of a refusal, which libevent may overwrite.
-    const int errorNumber = connectSocket();
-    if (errorNumber != 0 && errorNumber != EINPROGRESS) {
-        m_connectTimer
-            = m_loop.runAfter(Duration::zero(), [this, errorNumber] { connectFailed(errorNumber); });
-        return;
-    }
-    m_connectTimer = m_loop.runAfter(connectTimeout, [this] { connectTimedOut(); });
+    // evhttp's own bufferevent would not close the socket if it is freed while connecting.
+    m_stream = bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    m_connection = evhttp_connection_base_bufferevent_new(
+        m_loop.base(), nullptr, m_stream, m_server.ip.c_str(), m_server.port);
+    evhttp_connection_set_retries(m_connection, 0);
+    evhttp_connection_set_timeout_tv(m_connection, &noTimeout);
+    evhttp_connection_set_max_headers_size(m_connection, maximumAnswerHeaderBytes);
+    evhttp_connection_set_closecb(m_connection, Callbacks::onClosed, this);
+    evbuffer_add_cb(bufferevent_get_output(m_stream), Callbacks::onOutputChange, this);
+    evbuffer_add_cb(bufferevent_get_input(m_stream), Callbacks::onInputChange, this);
 }
 
 HttpClientConnection::~HttpClientConnection()
 {
     m_loop.cancel(m_connectTimer);
     m_loop.cancel(m_progressTimer);
+    m_loop.cancel(m_resumeTimer);
     if (m_exchange)
         m_exchange->connection = nullptr;
-    if (m_stream)
-        bufferevent_free(m_stream);
+    m_exchange.reset();
+    m_phase = Phase::Closed;
+    evhttp_connection_set_closecb(m_connection, nullptr, nullptr);
+    evhttp_connection_free(m_connection);
 }
 
-int HttpClientConnection::connectSocket()
+bool HttpClientConnection::isUsable() const
 {
-    sockaddr_storage address {};
-    const socklen_t length = toSystemAddress(m_server, address);
-    if (length == 0)
-        return EINVAL;
-    const int socket = ::socket(address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (socket < 0)
-        return errno;
-    disableDelay(socket);
-    const int result = connect(socket, reinterpret_cast<sockaddr*>(&address), length) == 0 ? 0 : errno;
-    if (result != 0 && result != EINPROGRESS) {
-        evutil_closesocket(socket);
-        return result;
-    }
-    m_stream = bufferevent_socket_new(m_loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
-    bufferevent_setcb(m_stream, onReadable, nullptr, onEvent, this);
-    evbuffer_add_cb(bufferevent_get_output(m_stream), onOutputChange, this);
-    // Without an address it waits for the connection that the socket is making.
-    bufferevent_socket_connect(m_stream, nullptr, 0);
-    bufferevent_enable(m_stream, EV_READ | EV_WRITE);
-    return result;
+    if (m_phase != Phase::Idle || m_isDisconnected
+        || evbuffer_get_length(bufferevent_get_input(m_stream)) > 0)
+        return false;
+    char byte = 0;
+    const ssize_t length = recv(bufferevent_getfd(m_stream), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return length < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-void HttpClientConnection::onReadable(bufferevent*, void* self)
+void HttpClientConnection::start(std::shared_ptr<HttpClientExchange> exchange)
 {
-    static_cast<HttpClientConnection*>(self)->processInput();
+    m_exchange = std::move(exchange);
+    m_exchange->connection = this;
+    m_held = Held();
+    m_error.reset();
+    m_isReusable = false;
+    const bool isNew = m_phase == Phase::New;
+    m_phase = isNew ? Phase::Connecting : Phase::Busy;
+    if (!isNew)
+        bufferevent_set_timeouts(m_stream, nullptr, nullptr);
+    evhttp_connection_set_flags(m_connection, 0);
+    const size_t limit
+        = std::min<size_t>(m_exchange->request.maximumAnswerBytes, std::numeric_limits<ev_ssize_t>::max());
+    evhttp_connection_set_max_body_size(m_connection, static_cast<ev_ssize_t>(limit));
+    errno = 0;
+    m_isStarting = true;
+    const bool isMade = makeRequest();
+    // libevent reports an immediate refusal later and without the reason, which is lost by then.
+    const int errorNumber = errno;
+    m_isStarting = false;
+    if (!isMade)
+        failLater(HttpClientError::ConnectFailed);
+    else if (isNew)
+        connecting(errorNumber);
+    else if (m_exchange->request.progressTimeout > Duration::zero())
+        armProgressTimer(m_exchange->request.progressTimeout);
+    noteProgress();
 }
 
-void HttpClientConnection::onEvent(bufferevent*, short events, void* self)
+evhttp_request* HttpClientConnection::buildRequest()
 {
-    static_cast<HttpClientConnection*>(self)->handleEvent(events);
+    const HttpClientRequest& request = m_exchange->request;
+    evhttp_request* result = evhttp_request_new(Callbacks::onEnd, this);
+    evhttp_request_set_header_cb(result, Callbacks::onHeaders);
+    evhttp_request_set_chunked_cb(result, Callbacks::onBody);
+    evhttp_request_set_error_cb(result, Callbacks::onError);
+    evkeyvalq* fields = evhttp_request_get_output_headers(result);
+    if (request.headers.count("Host") == 0)
+        evhttp_add_header(fields, "Host", m_server.text().c_str());
+    for (const auto& [name, value] : request.headers) {
+        const bool isFraming = equalsIgnoringCase(name, "Content-Length")
+            || equalsIgnoringCase(name, "Transfer-Encoding") || equalsIgnoringCase(name, "Connection");
+        if (!isFraming)
+            evhttp_add_header(fields, cleanField(name).c_str(), cleanField(value).c_str());
+    }
+    if (!request.body.empty() || impliesBody(request.method))
+        evhttp_add_header(fields, "Content-Length", std::to_string(request.body.size()).c_str());
+    evbuffer_add(evhttp_request_get_output_buffer(result), request.body.data(), request.body.size());
+    return result;
 }
 
-void HttpClientConnection::onOutputChange(evbuffer*, const evbuffer_cb_info* info, void* self)
+bool HttpClientConnection::makeRequest()
 {
-    auto* connection = static_cast<HttpClientConnection*>(self);
-    if (info->n_deleted == 0 || !connection->m_exchange)
-        return;
-    // Bytes leave this buffer only when the socket has taken them.
-    connection->m_exchange->requestSent = true;
-    connection->noteProgress();
+    const HttpClientRequest& request = m_exchange->request;
+    const auto command = commandOf(request.method);
+    if (!command || !isTarget(request.target))
+        return false;
+    return evhttp_make_request(m_connection, buildRequest(), *command, request.target.c_str()) == 0;
 }
 
-bool HttpClientConnection::isUsable() const
+void HttpClientConnection::connecting(int errorNumber)
 {
-    char byte = 0;
-    const ssize_t length = recv(bufferevent_getfd(m_stream), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return m_phase == Phase::Idle && length < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    m_wasRefused = errorNumber == ECONNREFUSED;
+    if (m_connectTimer != 0)
+        return;
+    m_connectTimer = m_loop.runAfter(
+        m_exchange->request.connectTimeout, [this] { fail(HttpClientError::ConnectFailed); });
+    // evhttp sets its own callbacks again in the one that reports the end of connecting.
+    bufferevent_data_cb onRead = nullptr;
+    bufferevent_data_cb onWrite = nullptr;
+    bufferevent_getcb(m_stream, &onRead, &onWrite, &m_evhttpEvent, &m_evhttpArgument);
+    bufferevent_setcb(m_stream, onRead, onWrite, Callbacks::onConnectEvent, this);
 }
 
-void HttpClientConnection::start(std::shared_ptr<HttpClientExchange> exchange)
+void HttpClientConnection::connectEnded(short events, int errorNumber)
 {
-    m_exchange = std::move(exchange);
-    m_exchange->connection = this;
-    m_answerBytes = 0;
-    m_serverStoppedReading = false;
-    if (m_phase != Phase::Idle)
+    bufferevent_setcb(m_stream, nullptr, nullptr, m_evhttpEvent, m_evhttpArgument);
+    if (m_phase == Phase::Closed)
         return;
-    bufferevent_set_timeouts(m_stream, nullptr, nullptr);
-    writeRequest();
+    if ((events & BEV_EVENT_CONNECTED) != 0) {
+        m_loop.cancel(m_connectTimer);
+        disableDelay(bufferevent_getfd(m_stream));
+        evutil_make_socket_closeonexec(bufferevent_getfd(m_stream));
+        m_phase = Phase::Busy;
+        noteProgress();
+        if (m_exchange->request.progressTimeout > Duration::zero())
+            armProgressTimer(m_exchange->request.progressTimeout);
+    } else
+        m_wasRefused = m_wasRefused || errorNumber == ECONNREFUSED;
+    m_evhttpEvent(m_stream, events, m_evhttpArgument);
 }
 
-void HttpClientConnection::connected()
+// What was held must be delivered before anything that comes later.
+bool HttpClientConnection::isHolding() const
 {
-    m_loop.cancel(m_connectTimer);
-    writeRequest();
+    return m_exchange->isPaused || m_held.status || !m_held.body.empty();
 }
 
-void HttpClientConnection::connectFailed(int errorNumber)
+HttpClientError HttpClientConnection::connectError() const
 {
-    fail(errorNumber == ECONNREFUSED ? HttpClientError::ConnectionRefused : HttpClientError::ConnectFailed);
+    return m_wasRefused ? HttpClientError::ConnectionRefused : HttpClientError::ConnectFailed;
 }
 
-void HttpClientConnection::connectTimedOut()
+void HttpClientConnection::outputTaken()
 {
-    fail(HttpClientError::ConnectFailed);
+    // A connection that is reset drops its output without having handed it to the socket.
+    if (m_phase != Phase::Busy || m_isDisconnected || !m_exchange)
+        return;
+    noteProgress();
+    if (std::exchange(m_exchange->requestSent, true))
+        return;
+    // The server may refuse the request before it has all of it; its answer is still to be read. The flag
+    // makes evhttp drop the output at an error, so it is set only when requestSent can't become wrong by
+    // that.
+    evhttp_connection_set_flags(m_connection, EVHTTP_CON_READ_ON_WRITE_ERROR);
 }
 
-void HttpClientConnection::writeRequest()
+void HttpClientConnection::disconnected()
 {
-    m_phase = Phase::Busy;
-    m_parser.reset();
-    const HttpClientRequest& request = m_exchange->request;
-    if (request.method == "HEAD")
-        m_parser.expectNoBody();
-    std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
-    if (request.headers.count("Host") == 0)
-        text += "Host: " + m_server.text() + "\r\n";
-    appendFields(text, request.headers, { "Content-Length", "Transfer-Encoding", "Connection" });
-    if (!request.body.empty() || impliesBody(request.method))
-        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
-    text += "\r\n";
-    text += request.body;
-    m_lastProgress = m_loop.now();
-    if (request.progressTimeout > Duration::zero())
-        armProgressTimer(request.progressTimeout);
-    if (m_exchange->isPaused)
-        bufferevent_disable(m_stream, EV_READ);
-    bufferevent_write(m_stream, text.data(), text.size());
+    m_isDisconnected = true;
+    if (m_phase == Phase::Idle)
+        close();
 }
 
-void HttpClientConnection::processInput()
+bool HttpClientConnection::acceptHeaders(evhttp_request* request)
 {
-    if (m_phase == Phase::Idle) {
-        // Nothing was asked, so whatever this is cannot be an answer.
-        close();
-        return;
+    if (!m_exchange)
+        return false;
+    const int status = evhttp_request_get_response_code(request);
+    // evhttp goes on to the final answer after this one only.
+    if (status == statusContinue)
+        return true;
+    auto headers = fieldsOf(request);
+    HttpFault fault;
+    const auto framing = headers ? interpretFraming(*headers, request->minor, fault) : std::nullopt;
+    if (!framing || status < statusFinal || status >= statusAboveAll || request->major != 1) {
+        m_error = HttpClientError::InvalidAnswer;
+        return false;
     }
-    noteProgress();
-    std::string body;
-    while (m_phase == Phase::Busy && !m_exchange->isPaused) {
-        body.clear();
-        const HttpParser::Result result = m_parser.parse(bufferevent_get_input(m_stream), body);
-        if (!deliver(result, body))
-            return;
-        if (result == HttpParser::Result::NeedMore)
-            break;
+    const bool hasNoBody
+        = m_exchange->request.method == "HEAD" || status == statusNoContent || status == statusNotModified;
+    m_isReusable = !framing->closes && (hasNoBody || framing->chunked || framing->contentLength);
+    if (m_exchange->isPaused) {
+        m_held.status = status;
+        m_held.headers = std::move(*headers);
+        holdReading();
+        return true;
     }
-    if (m_inputEnded && m_phase == Phase::Busy && !m_exchange->isPaused)
-        finishInput();
+    const std::shared_ptr<HttpClientExchange> exchange = m_exchange;
+    exchange->deliverHeaders(status, *headers);
+    return isCurrent(exchange.get());
 }
 
-// Returns false if the exchange has left this connection.
-bool HttpClientConnection::deliver(HttpParser::Result result, const std::string& body)
+void HttpClientConnection::acceptBody(evbuffer* body)
 {
-    const std::shared_ptr<HttpClientExchange> exchange = m_exchange;
-    m_answerBytes += body.size();
-    if (result == HttpParser::Result::Failed || m_answerBytes > exchange->request.maximumAnswerBytes) {
-        fail(HttpClientError::InvalidAnswer);
-        return false;
+    const size_t length = evbuffer_get_length(body);
+    if (!m_exchange || length == 0)
+        return;
+    const std::string_view bytes(reinterpret_cast<const char*>(evbuffer_pullup(body, -1)), length);
+    if (isHolding()) {
+        m_held.body += bytes;
+        holdReading();
+        return;
     }
-    if (!body.empty())
-        exchange->deliverBody(body);
-    if (!isCurrent(exchange.get()))
-        return false;
-    const int status = m_parser.head().status;
-    if (result == HttpParser::Result::HeadDone) {
-        if (status == statusSwitchingProtocols) {
-            fail(HttpClientError::InvalidAnswer);
-            return false;
-        }
-        if (status < statusFinal)
-            m_parser.reset();
-        else
-            exchange->deliverHeaders(status, m_parser.head().headers);
+    const std::shared_ptr<HttpClientExchange> exchange = m_exchange;
+    exchange->deliverBody(bytes);
+    if (isCurrent(exchange.get()) && exchange->isPaused)
+        holdReading();
+}
+
+void HttpClientConnection::requestEnded(std::optional<HttpClientError> error)
+{
+    if (!m_exchange)
+        return;
+    if (m_phase == Phase::Connecting)
+        error = connectError();
+    if (m_isStarting) {
+        failLater(error.value_or(HttpClientError::ConnectFailed));
+        return;
     }
-    if (!isCurrent(exchange.get()))
-        return false;
-    if (result != HttpParser::Result::MessageDone)
-        return true;
-    finishAnswer();
-    return false;
+    if (isHolding()) {
+        m_held.hasEnded = true;
+        m_held.error = error;
+    } else if (error)
+        fail(*error);
+    else
+        finishAnswer();
+}
+
+void HttpClientConnection::failLater(HttpClientError error)
+{
+    m_loop.cancel(m_connectTimer);
+    m_connectTimer = m_loop.runAfter(
+        Duration::zero(), [this, error] { fail(m_phase == Phase::Connecting ? connectError() : error); });
 }
 
 void HttpClientConnection::finishAnswer()
@@ -218,10 +374,8 @@
     const std::shared_ptr<HttpClientExchange> exchange = std::move(m_exchange);
     exchange->connection = nullptr;
     m_loop.cancel(m_progressTimer);
-    const bool isReusable = !m_parser.head().closes && !m_serverStoppedReading
-        && evbuffer_get_length(bufferevent_get_output(m_stream)) == 0
-        && evbuffer_get_length(bufferevent_get_input(m_stream)) == 0;
-    if (isReusable) {
+    m_loop.cancel(m_resumeTimer);
+    if (m_isReusable && !m_isDisconnected && evbuffer_get_length(bufferevent_get_input(m_stream)) == 0) {
         m_phase = Phase::Idle;
         m_idleSince = m_loop.now();
         bufferevent_enable(m_stream, EV_READ);
@@ -249,68 +403,58 @@
     m_phase = Phase::Closed;
     m_loop.cancel(m_connectTimer);
     m_loop.cancel(m_progressTimer);
+    m_loop.cancel(m_resumeTimer);
     if (m_exchange)
         m_exchange->connection = nullptr;
     m_exchange.reset();
-    if (m_stream)
-        bufferevent_free(m_stream);
-    m_stream = nullptr;
+    // evhttp may be running one of its callbacks, so it is freed with this object.
+    bufferevent_disable(m_stream, EV_READ | EV_WRITE);
     m_observer.connectionClosed(*this);
 }
 
+void HttpClientConnection::holdReading()
+{
+    bufferevent_disable(m_stream, EV_READ);
+}
+
 void HttpClientConnection::pauseReading()
 {
-    if (m_stream && m_phase == Phase::Busy)
-        bufferevent_disable(m_stream, EV_READ);
+    if (m_phase == Phase::Busy)
+        holdReading();
 }
 
+// What was held is delivered in a later round, because this may be called inside a handler.
 void HttpClientConnection::resumeReading()
 {
     if (m_phase != Phase::Busy)
         return;
-    m_lastProgress = m_loop.now();
+    noteProgress();
     bufferevent_enable(m_stream, EV_READ);
-    // Input that was read before the pause, in a later round because this may be called inside a handler.
-    bufferevent_trigger(m_stream, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+    m_loop.cancel(m_resumeTimer);
+    m_resumeTimer = m_loop.runAfter(Duration::zero(), [this] { deliverHeld(); });
 }
 
-void HttpClientConnection::handleEvent(short events)
+void HttpClientConnection::deliverHeld()
 {
-    const int errorNumber = EVUTIL_SOCKET_ERROR();
-    if ((events & BEV_EVENT_CONNECTED) != 0) {
-        connected();
-        return;
-    }
-    if (m_phase == Phase::Connecting) {
-        connectFailed(errorNumber);
+    const std::shared_ptr<HttpClientExchange> exchange = m_exchange;
+    if (exchange->isPaused)
         return;
+    if (m_held.status) {
+        const HttpHeaders headers = std::move(m_held.headers);
+        const int status = *std::exchange(m_held.status, std::nullopt);
+        exchange->deliverHeaders(status, headers);
     }
-    if (m_phase == Phase::Idle) {
-        close();
+    if (!isCurrent(exchange.get()) || exchange->isPaused)
         return;
-    }
-    if ((events & BEV_EVENT_ERROR) != 0 && (events & BEV_EVENT_WRITING) != 0 && !m_serverStoppedReading) {
-        // The server may have refused the request before it had all of it; its answer is still to be read.
-        m_serverStoppedReading = true;
-        bufferevent_disable(m_stream, EV_WRITE);
+    const std::string body = std::exchange(m_held.body, std::string());
+    if (!body.empty())
+        exchange->deliverBody(body);
+    if (!isCurrent(exchange.get()) || exchange->isPaused || !std::exchange(m_held.hasEnded, false))
         return;
-    }
-    // The end may overtake input that was held back by a pause.
-    m_inputEnded = true;
-    processInput();
-}
-
-void HttpClientConnection::finishInput()
-{
-    if (m_parser.finishInput() == HttpParser::Result::MessageDone)
-        finishAnswer();
+    if (m_held.error)
+        fail(*m_held.error);
     else
-        fail(HttpClientError::ConnectionLost);
-}
-
-void HttpClientConnection::noteProgress()
-{
-    m_lastProgress = m_loop.now();
+        finishAnswer();
 }
 
 void HttpClientConnection::armProgressTimer(Duration delay)
@@ -323,7 +467,7 @@
 {
     const Duration timeout = m_exchange->request.progressTimeout;
     if (m_exchange->isPaused)
-        m_lastProgress = m_loop.now();
+        noteProgress();
     const Duration rest = m_lastProgress + timeout - m_loop.now();
     if (rest > Duration::zero())
         armProgressTimer(rest);
--- a/src/transport/http_client_connection.h
+++ b/src/transport/http_client_connection.h
@@ -2,19 +2,21 @@
 
 #include "transport/event_loop.h"
 #include "transport/http_client_call.h"
-#include "transport/http_parser.h"
 
-#include <functional>
+#include <event2/bufferevent.h>
+
 #include <memory>
+#include <optional>
 #include <string>
 
-struct bufferevent;
 struct evbuffer;
 struct evbuffer_cb_info;
+struct evhttp_connection;
+struct evhttp_request;
 
 namespace lacewing {
 
-/// One connection to a server. It carries one request at a time.
+/// One connection to a server, on libevent's evhttp. It carries one request at a time.
 class HttpClientConnection {
 public:
     /// What the pool is told. Both may be called inside the connection's own callbacks, so the receiver must
@@ -26,8 +28,8 @@
         virtual void connectionClosed(HttpClientConnection& connection) = 0;
     };
 
-    /// Starts to connect. A failure is reported in a later round of the loop.
-    HttpClientConnection(EventLoop& loop, Observer& observer, SocketAddress server, Duration connectTimeout);
+    HttpClientConnection(EventLoop& loop, Observer& observer, SocketAddress server);
+    /// Must not run inside a callback of evhttp.
     ~HttpClientConnection();
     HttpClientConnection(const HttpClientConnection&) = delete;
     HttpClientConnection& operator=(const HttpClientConnection&) = delete;
@@ -37,7 +39,8 @@
     /// @return false if the server has closed the idle connection, even if the loop has not seen it yet.
     bool isUsable() const;
 
-    /// Sends a request, after the connection is made.
+    /// Sends a request, after making the connection if it is new. A failure is reported in a later round of
+    /// the loop.
     void start(std::shared_ptr<HttpClientExchange> exchange);
     /// Closes the connection without any call to the exchange's handlers.
     void close();
@@ -45,24 +48,35 @@
     void resumeReading();
 
 private:
-    enum class Phase { Connecting, Idle, Busy, Closed };
+    enum class Phase { New, Connecting, Idle, Busy, Closed };
+    struct Callbacks;
 
-    static void onReadable(bufferevent*, void* self);
-    static void onEvent(bufferevent*, short events, void* self);
-    static void onOutputChange(evbuffer*, const evbuffer_cb_info* info, void* self);
+    /// What arrived while the caller had paused reading.
+    struct Held {
+        std::optional<int> status;
+        HttpHeaders headers;
+        std::string body;
+        bool hasEnded = false;
+        std::optional<HttpClientError> error;
+    };
 
-    int connectSocket();
-    void connected();
-    void connectFailed(int errorNumber);
-    void connectTimedOut();
-    void writeRequest();
-    void processInput();
-    bool deliver(HttpParser::Result result, const std::string& body);
+    evhttp_request* buildRequest();
+    bool makeRequest();
+    void connecting(int errorNumber);
+    void connectEnded(short events, int errorNumber);
+    bool acceptHeaders(evhttp_request* request);
+    void acceptBody(evbuffer* body);
+    void requestEnded(std::optional<HttpClientError> error);
+    HttpClientError connectError() const;
+    void outputTaken();
+    void disconnected();
+    void failLater(HttpClientError error);
+    bool isHolding() const;
+    void holdReading();
+    void deliverHeld();
     void finishAnswer();
     void fail(HttpClientError error);
-    void handleEvent(short events);
-    void finishInput();
-    void noteProgress();
+    void noteProgress() { m_lastProgress = m_loop.now(); }
     void checkProgress();
     void armProgressTimer(Duration delay);
     bool isCurrent(const HttpClientExchange* exchange) const { return m_exchange.get() == exchange; }
@@ -71,16 +85,22 @@
     Observer& m_observer;
     SocketAddress m_server;
     bufferevent* m_stream = nullptr;
-    HttpParser m_parser;
-    Phase m_phase = Phase::Connecting;
+    evhttp_connection* m_connection = nullptr;
+    bufferevent_event_cb m_evhttpEvent = nullptr;
+    void* m_evhttpArgument = nullptr;
+    Phase m_phase = Phase::New;
     std::shared_ptr<HttpClientExchange> m_exchange;
-    size_t m_answerBytes = 0;
-    bool m_serverStoppedReading = false;
-    bool m_inputEnded = false;
+    Held m_held;
+    std::optional<HttpClientError> m_error;
+    bool m_isStarting = false;
+    bool m_wasRefused = false;
+    bool m_isReusable = false;
+    bool m_isDisconnected = false;
     MonotonicTime m_idleSince {};
     MonotonicTime m_lastProgress {};
     TimerId m_connectTimer = 0;
     TimerId m_progressTimer = 0;
+    TimerId m_resumeTimer = 0;
 };
 
 } // namespace lacewing
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -5,6 +5,9 @@
 #include "transport/socket_address.h"
 
 #include <event2/listener.h>
+#include <event2/util.h>
+#include <evhtp/evhtp.h>
+#include <sys/socket.h>
 
 #include <cerrno>
 #include <cstring>
@@ -20,8 +23,8 @@
 /// Time for which no connection is accepted after accept() failed, for example for lack of descriptors.
 constexpr Duration acceptPause = std::chrono::milliseconds(100);
 
-struct ListenerDeleter {
-    void operator()(evconnlistener* listener) const { evconnlistener_free(listener); }
+struct EvhtpDeleter {
+    void operator()(evhtp_t* evhtp) const { evhtp_free(evhtp); }
 };
 
 class ListeningHttpServer : public HttpServer {
@@ -34,7 +37,7 @@
 
     ~ListeningHttpServer() override
     {
-        m_context.loop.cancel(m_acceptTimer);
+        stopListening();
         m_context.loop.cancel(m_cleanupTimer);
     }
 
@@ -47,17 +50,22 @@
             error = "listening address " + text + " is not an IP number";
             return false;
         }
-        m_listener.reset(evconnlistener_new_bind(m_context.loop.base(), onAccept, this,
-            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, listenBacklog,
-            reinterpret_cast<sockaddr*>(&address), static_cast<int>(length)));
-        if (!m_listener) {
+        m_evhtp.reset(evhtp_new(m_context.loop.base(), nullptr));
+        evhtp_set_gencb(m_evhtp.get(), HttpServerConnection::onRequest, nullptr);
+        evhtp_set_post_accept_cb(m_evhtp.get(), onAccept, this);
+        // The socket is bound here and not by libevhtp so that the port it was given can be read.
+        const int socket = ::socket(address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        if (socket < 0 || evutil_make_listen_socket_reuseable(socket) != 0
+            || ::bind(socket, reinterpret_cast<sockaddr*>(&address), length) != 0
+            || evhtp_accept_socket(m_evhtp.get(), socket, listenBacklog) != 0) {
             error = "cannot listen on " + text + ": " + std::strerror(errno);
+            if (socket >= 0)
+                evutil_closesocket(socket);
             return false;
         }
-        evconnlistener_set_error_cb(m_listener.get(), onAcceptError);
+        evconnlistener_set_error_cb(m_evhtp->server, onAcceptError);
         socklen_t boundLength = sizeof(address);
-        getsockname(
-            evconnlistener_get_fd(m_listener.get()), reinterpret_cast<sockaddr*>(&address), &boundLength);
+        getsockname(socket, reinterpret_cast<sockaddr*>(&address), &boundLength);
         m_address = fromSystemAddress(reinterpret_cast<sockaddr*>(&address));
         return true;
     }
@@ -77,34 +85,33 @@
     void stopListening() override
     {
         m_context.loop.cancel(m_acceptTimer);
-        m_listener.reset();
+        if (m_evhtp && m_evhtp->server)
+            evhtp_unbind_socket(m_evhtp.get());
     }
 
     size_t openExchangeCount() const override { return m_context.openExchanges; }
     size_t openConnectionCount() const override { return m_connections.size(); }
 
 private:
-    static void onAccept(evconnlistener*, evutil_socket_t socket, sockaddr* address, int, void* self)
+    static evhtp_res onAccept(evhtp_connection_t* accepted, void* self)
     {
-        static_cast<ListeningHttpServer*>(self)->accept(socket, address);
+        auto* server = static_cast<ListeningHttpServer*>(self);
+        auto connection = std::make_unique<HttpServerConnection>(
+            server->m_context, accepted, [server](HttpServerConnection* closed) { server->remove(closed); });
+        HttpServerConnection* key = connection.get();
+        server->m_connections.emplace(key, std::move(connection));
+        return EVHTP_RES_OK;
     }
 
     static void onAcceptError(evconnlistener* listener, void* self)
     {
-        auto* server = static_cast<ListeningHttpServer*>(self);
+        auto* server
+            = static_cast<ListeningHttpServer*>(static_cast<evhtp_t*>(self)->defaults.post_accept_cbarg);
         evconnlistener_disable(listener);
         server->m_acceptTimer
             = server->m_context.loop.runAfter(acceptPause, [listener] { evconnlistener_enable(listener); });
     }
 
-    void accept(evutil_socket_t socket, const sockaddr* address)
-    {
-        auto connection = std::make_unique<HttpServerConnection>(m_context, socket,
-            fromSystemAddress(address).ip, [this](HttpServerConnection* closed) { remove(closed); });
-        HttpServerConnection* key = connection.get();
-        m_connections.emplace(key, std::move(connection));
-    }
-
     // The connection is destroyed in the next round of the loop, since it may be running a callback.
     void remove(HttpServerConnection* connection)
     {
@@ -116,7 +123,7 @@
     }
 
     HttpServerContext m_context;
-    std::unique_ptr<evconnlistener, ListenerDeleter> m_listener;
+    std::unique_ptr<evhtp_t, EvhtpDeleter> m_evhtp;
     SocketAddress m_address;
     std::unordered_map<HttpServerConnection*, std::unique_ptr<HttpServerConnection>> m_connections;
     std::vector<std::unique_ptr<HttpServerConnection>> m_closedConnections;
--- a/src/transport/http_server_connection.cc
+++ b/src/transport/http_server_connection.cc
@@ -1,23 +1,19 @@
 #include "transport/http_server_connection.h"
 
-#include "transport/http_format.h"
-#include "transport/http_server_exchange.h"
 #include "transport/socket_address.h"
 
 #include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <evhtp/evhtp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <cstdio>
 
 namespace lacewing {
 
 namespace {
 
 constexpr int statusRequestTimeout = 408;
-constexpr int statusTooLarge = 413;
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
 
@@ -40,29 +36,54 @@
     return status != statusNoContent && status != statusNotModified;
 }
 
+void addField(evhtp_request* request, const std::string& name, const std::string& value)
+{
+    evhtp_headers_add_header(request->headers_out, evhtp_header_new(name.c_str(), value.c_str(), 1, 1));
+}
+
 } // namespace
 
 HttpServerConnection::HttpServerConnection(
-    HttpServerContext& context, int socket, std::string remoteIp, ClosedCallback closed)
+    HttpServerContext& context, evhtp_connection* connection, ClosedCallback closed)
     : m_context(context)
-    , m_remoteIp(std::move(remoteIp))
+    , m_connection(connection)
+    , m_stream(evhtp_connection_get_bev(connection))
+    , m_remoteIp(fromSystemAddress(connection->saddr).ip)
     , m_closed(std::move(closed))
-    , m_stream(bufferevent_socket_new(context.loop.base(), socket, BEV_OPT_CLOSE_ON_FREE))
-    , m_parser(HttpParser::Kind::Request, context.options.maximumHeaderBytes)
+    , m_check(context.options.maximumHeaderBytes)
 {
-    disableDelay(socket);
-    bufferevent_setcb(m_stream, onReadable, onWritten, onEvent, this);
+    void* argument = nullptr;
+    bufferevent_getcb(m_stream, &m_parse, &m_finishRequest, nullptr, &argument);
+    disableDelay(bufferevent_getfd(m_stream));
+    evutil_make_socket_closeonexec(bufferevent_getfd(m_stream));
+    setHooks();
+    takeOver();
     bufferevent_setwatermark(m_stream, EV_READ, 0, context.options.maximumHeaderBytes + readAheadBytes);
     setReadTimeout(context.options.readTimeout);
-    bufferevent_enable(m_stream, EV_READ | EV_WRITE);
 }
 
 HttpServerConnection::~HttpServerConnection()
 {
     if (const auto exchange = m_exchange.lock())
         exchange->connectionClosed(false);
-    if (m_stream)
+    release();
+}
+
+void HttpServerConnection::release()
+{
+    m_phase = Phase::Closed;
+    if (m_connection)
+        evhtp_connection_free(m_connection);
+    else if (m_stream)
         bufferevent_free(m_stream);
+    m_connection = nullptr;
+    m_stream = nullptr;
+}
+
+void HttpServerConnection::takeOver()
+{
+    bufferevent_setcb(m_stream, onReadable, onWritten, onEvent, this);
+    bufferevent_enable(m_stream, EV_READ | EV_WRITE);
 }
 
 void HttpServerConnection::onReadable(bufferevent*, void* self)
@@ -94,152 +115,202 @@
         evbuffer_drain(input, evbuffer_get_length(input));
         return;
     }
-    m_isProcessing = true;
-    while (m_phase == Phase::Reading) {
-        const HttpParser::Result result = m_parser.parse(bufferevent_get_input(m_stream), m_body);
-        if (result == HttpParser::Result::Failed) {
-            reject(m_parser.fault());
-            break;
-        }
-        if (result == HttpParser::Result::HeadDone && !acceptHead())
-            break;
-        if (m_body.size() > m_context.options.maximumBodyBytes) {
-            reject({ statusTooLarge, "body_too_large" });
-            break;
-        }
-        if (result == HttpParser::Result::MessageDone)
-            dispatch();
-        if (result == HttpParser::Result::NeedMore)
-            break;
+    if (m_phase != Phase::Reading)
+        return;
+    readRequest();
+    checkHeadTime();
+}
+
+void HttpServerConnection::readRequest()
+{
+    if (m_part == Part::Head) {
+        const HttpHeadCheck::Result result = m_check.check(bufferevent_get_input(m_stream));
+        if (result == HttpHeadCheck::Result::Failed)
+            reject(m_check.fault());
+        if (result != HttpHeadCheck::Result::Done)
+            return;
+        m_part = Part::Body;
     }
-    m_isProcessing = false;
-    const bool wasPartial
-        = std::exchange(m_headIsPartial, m_phase == Phase::Reading && m_parser.isInsideHead());
-    if (!m_headIsPartial)
+    if (m_part == Part::Body)
+        runParser();
+    if (m_phase == Phase::Reading && m_part == Part::Trailer)
+        finishTrailer();
+    if (m_phase == Phase::Reading && m_part == Part::Complete)
+        dispatch();
+}
+
+void HttpServerConnection::runParser()
+{
+    m_parse(m_stream, m_connection);
+    if (m_phase != Phase::Reading) {
+        reportRejection(m_fault);
+        return;
+    }
+    // Pausing the parser at the end of the request has stopped reading too.
+    bufferevent_enable(m_stream, EV_READ);
+}
+
+void HttpServerConnection::finishTrailer()
+{
+    evbuffer* input = bufferevent_get_input(m_stream);
+    const HttpHeadCheck::Result result = m_check.check(input);
+    if (result == HttpHeadCheck::Result::Failed)
+        reject(m_check.fault());
+    if (result != HttpHeadCheck::Result::Done)
+        return;
+    evbuffer_drain(input, m_check.length());
+    m_part = Part::Complete;
+}
+
+// Bounds a client that keeps the read timeout from passing by sending a head byte by byte.
+void HttpServerConnection::checkHeadTime()
+{
+    const bool isPartial = m_phase == Phase::Reading && m_part == Part::Head && m_check.hasStarted();
+    const bool wasPartial = std::exchange(m_headIsPartial, isPartial);
+    if (!isPartial)
         return;
     const MonotonicTime now = m_context.loop.now();
     if (!wasPartial)
         m_headStarted = now;
-    // Bounds a client that keeps the read timeout from passing by sending a head byte by byte.
     if (now - m_headStarted > m_context.options.readTimeout)
         handleReadTimeout();
 }
 
-bool HttpServerConnection::acceptHead()
-{
-    const HttpHead& head = m_parser.head();
-    if (head.contentLength.value_or(0) > m_context.options.maximumBodyBytes) {
-        reject({ statusTooLarge, "body_too_large" });
-        return false;
-    }
-    const bool hasRequestBody = head.chunked || head.contentLength.value_or(0) > 0;
-    if (head.expectsContinue && hasRequestBody && evbuffer_get_length(bufferevent_get_input(m_stream)) == 0)
-        write("HTTP/1.1 100 Continue\r\n\r\n");
-    return true;
-}
-
 void HttpServerConnection::dispatch()
 {
     m_phase = Phase::Answering;
     setReadTimeout(Duration::zero());
-    HttpHead head = m_parser.takeHead();
-    m_isHeadRequest = head.method == "HEAD";
-    m_chunked = head.minorVersion > 0;
-    m_closeAfterAnswer = head.closes;
     auto exchange = std::make_shared<HttpServerExchange>(
-        m_context, *this, std::move(head), std::exchange(m_body, std::string()));
+        m_context, *this, std::exchange(m_head, HttpRequestHead()), std::exchange(m_body, std::string()));
     m_exchange = exchange;
-    m_parser.reset();
     m_context.handler(std::move(exchange));
 }
 
 void HttpServerConnection::reject(HttpFault fault)
 {
-    m_isHeadRequest = false;
+    sendRejection(fault);
+    reportRejection(fault);
+}
+
+void HttpServerConnection::sendRejection(HttpFault fault)
+{
+    m_fault = fault;
+    m_phase = Phase::Flushing;
     m_closeAfterAnswer = true;
+    setReadTimeout(Duration::zero());
+    if (!m_connection->request) {
+        m_connection->request = evhtp_request_new(nullptr, nullptr);
+        m_connection->request->conn = m_connection;
+    }
+    // The request may not have been parsed as far as its version.
+    m_connection->request->proto = EVHTP_PROTO_11;
+    htparser_set_major(m_connection->parser, 1);
+    htparser_set_minor(m_connection->parser, 1);
+    evhtp_request* request = prepareAnswer(
+        { { "Content-Type", "application/json" }, { "Lacewing-Outcome", "refused_not_run" } });
     const std::string body = std::string(R"({"error":{"code":")") + fault.reason
         + R"(","message":"the server refused the request before it was read whole","outcome":"refused_not_run"}})";
-    sendWhole(fault.status,
-        { { "Content-Type", "application/json" }, { "Lacewing-Outcome", "refused_not_run" } }, body);
-    if (m_context.observer)
-        m_context.observer(fault.reason);
+    evbuffer_add(request->buffer_out, body.data(), body.size());
+    evhtp_send_reply(request, static_cast<evhtp_res>(fault.status));
 }
 
-void HttpServerConnection::write(std::string_view bytes)
+void HttpServerConnection::reportRejection(HttpFault fault)
 {
-    bufferevent_write(m_stream, bytes.data(), bytes.size());
+    if (m_context.observer)
+        m_context.observer(fault.reason);
 }
 
-std::string HttpServerConnection::answerHead(int status, const HttpHeaders& headers)
+evhtp_request* HttpServerConnection::prepareAnswer(const HttpHeaders& headers)
 {
     m_closeAfterAnswer = m_closeAfterAnswer || m_context.draining;
-    std::string head = "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
-    appendFields(head, headers, { "Content-Length", "Transfer-Encoding", "Connection" });
+    evhtp_request* request = m_connection->request;
+    // evhtp_request_set_keepalive(request, 0) does not clear the flag in libevhtp 1.2.18.
     if (m_closeAfterAnswer)
-        head += "Connection: close\r\n";
-    return head;
+        evhtp_request_disable_flag(request, EVHTP_REQ_FLAG_KEEPALIVE);
+    for (const auto& [name, value] : headers) {
+        const bool isFraming = equalsIgnoringCase(name, "Content-Length")
+            || equalsIgnoringCase(name, "Transfer-Encoding") || equalsIgnoringCase(name, "Connection");
+        if (!isFraming)
+            addField(request, cleanField(name), cleanField(value));
+    }
+    return request;
 }
 
 void HttpServerConnection::sendWhole(int status, const HttpHeaders& headers, std::string_view body)
 {
-    std::string answer = answerHead(status, headers);
-    if (hasBody(status))
-        answer += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-    answer += "\r\n";
-    if (hasBody(status) && !m_isHeadRequest)
-        answer += body;
-    write(answer);
+    evhtp_request* request = prepareAnswer(headers);
+    if (!hasBody(status)) {
+        // Otherwise libevhtp adds "Content-Length: 0", which these answers must not have.
+        evhtp_request_enable_flag(request, EVHTP_REQ_FLAG_CHUNKED);
+    } else if (m_isHeadRequest)
+        addField(request, "Content-Length", std::to_string(body.size()));
+    else
+        evbuffer_add(request->buffer_out, body.data(), body.size());
+    evhtp_send_reply(request, static_cast<evhtp_res>(status));
     finishAnswer();
 }
 
 void HttpServerConnection::sendHead(int status, const HttpHeaders& headers)
 {
-    std::string answer = answerHead(status, headers);
+    evhtp_request* request = prepareAnswer(headers);
+    const auto code = static_cast<evhtp_res>(status);
+    if (hasBody(status) && m_chunked && !m_isHeadRequest) {
+        evhtp_send_reply_chunk_start(request, code);
+        return;
+    }
+    if (hasBody(status) && m_chunked)
+        addField(request, "Transfer-Encoding", "chunked");
+    // Without chunks the end of the connection is the end of the body; the flag only keeps libevhtp from
+    // adding "Content-Length: 0" to an answer in HTTP/1.1.
+    if (!hasBody(status) || m_chunked)
+        evhtp_request_enable_flag(request, EVHTP_REQ_FLAG_CHUNKED);
     if (!hasBody(status))
         m_isHeadRequest = true;
-    else if (m_chunked)
-        answer += "Transfer-Encoding: chunked\r\n";
-    answer += "\r\n";
-    write(answer);
+    evhtp_send_reply_start(request, code);
 }
 
 void HttpServerConnection::sendPiece(std::string_view bytes)
 {
     if (m_isHeadRequest)
         return;
-    if (!m_chunked) {
-        write(bytes);
-        return;
-    }
-    char size[2 * sizeof(size_t) + 3];
-    const int length = std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
-    write(std::string_view(size, static_cast<size_t>(length)));
-    write(bytes);
-    write("\r\n");
+    evhtp_request* request = m_connection->request;
+    evbuffer_add(request->buffer_out, bytes.data(), bytes.size());
+    if (m_chunked)
+        evhtp_send_reply_chunk(request, request->buffer_out);
+    else
+        evhtp_send_reply_body(request, request->buffer_out);
 }
 
 void HttpServerConnection::sendEnd()
 {
     if (m_chunked && !m_isHeadRequest)
-        write("0\r\n\r\n");
+        evhtp_send_reply_chunk_end(m_connection->request);
+    else
+        evhtp_send_reply_end(m_connection->request);
     finishAnswer();
 }
 
 void HttpServerConnection::finishAnswer()
 {
     m_exchange.reset();
-    if (m_closeAfterAnswer) {
-        m_phase = Phase::Flushing;
-        setReadTimeout(Duration::zero());
-        if (bufferedBytes() == 0)
-            startLingering();
-        return;
-    }
+    m_phase = m_closeAfterAnswer ? Phase::Flushing : Phase::Answered;
+    // The next request must not reach the handler inside a call that it makes for this one.
+    if (bufferedBytes() == 0)
+        bufferevent_trigger(m_stream, EV_WRITE, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+}
+
+void HttpServerConnection::startNextRequest()
+{
+    evhtp_connection_disable_flag(m_connection, EVHTP_CONN_FLAG_PAUSED);
+    m_finishRequest(m_stream, m_connection);
     m_phase = Phase::Reading;
+    m_part = Part::Head;
+    m_check.reset(HttpHeadCheck::Section::Head);
     setReadTimeout(m_context.options.readTimeout);
-    // The next request must not reach the handler inside a call that it makes for this one.
-    if (!m_isProcessing && evbuffer_get_length(bufferevent_get_input(m_stream)) > 0)
-        bufferevent_trigger(m_stream, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+    if (evbuffer_get_length(bufferevent_get_input(m_stream)) > 0)
+        processInput();
+    else if (m_context.draining)
+        closeIfIdle();
 }
 
 void HttpServerConnection::abort()
@@ -262,15 +333,13 @@
 {
     if (bufferedBytes() > 0)
         return;
-    if (m_phase == Phase::Flushing) {
+    if (m_phase == Phase::Flushing)
         startLingering();
-        return;
-    }
-    if (m_phase == Phase::Reading && m_context.draining) {
+    else if (m_phase == Phase::Answered)
+        startNextRequest();
+    else if (m_phase == Phase::Reading && m_context.draining)
         closeIfIdle();
-        return;
-    }
-    if (const auto exchange = m_exchange.lock())
+    else if (const auto exchange = m_exchange.lock())
         exchange->outputDrained();
 }
 
@@ -288,7 +357,7 @@
 
 void HttpServerConnection::handleReadTimeout()
 {
-    if (m_phase == Phase::Reading && !m_parser.isBeforeMessage())
+    if (m_phase == Phase::Reading && (m_part != Part::Head || m_check.hasStarted()))
         reject({ statusRequestTimeout, "request_timeout" });
     else
         close();
@@ -298,7 +367,7 @@
 {
     if ((events & BEV_EVENT_TIMEOUT) != 0 && (events & BEV_EVENT_READING) != 0) {
         // A timeout that was due before the request was complete says nothing about the client.
-        if (m_phase != Phase::Answering && m_phase != Phase::Flushing)
+        if (m_phase == Phase::Reading || m_phase == Phase::Lingering)
             handleReadTimeout();
         // libevent stops reading after a timeout.
         if (m_phase != Phase::Closed)
@@ -307,7 +376,7 @@
     }
     // The client may stop sending as soon as it has the end of its request.
     const bool hasAnswerToFlush
-        = (m_phase == Phase::Flushing || m_phase == Phase::Reading) && bufferedBytes() > 0;
+        = (m_phase == Phase::Flushing || m_phase == Phase::Answered) && bufferedBytes() > 0;
     if ((events & BEV_EVENT_EOF) != 0 && hasAnswerToFlush) {
         m_clientSentAll = true;
         m_phase = Phase::Flushing;
@@ -318,7 +387,7 @@
 
 bool HttpServerConnection::isIdle() const
 {
-    if (m_phase != Phase::Reading || !m_parser.isBeforeMessage() || bufferedBytes() > 0)
+    if (m_phase != Phase::Reading || m_part != Part::Head || m_check.hasStarted() || bufferedBytes() > 0)
         return false;
     char byte = 0;
     // A request that has arrived but not been read yet must be answered.
@@ -336,9 +405,7 @@
 {
     if (m_phase == Phase::Closed)
         return;
-    m_phase = Phase::Closed;
-    bufferevent_free(m_stream);
-    m_stream = nullptr;
+    release();
     const auto exchange = m_exchange.lock();
     m_exchange.reset();
     m_closed(this);
--- a/src/transport/http_server_connection.h
+++ b/src/transport/http_server_connection.h
@@ -1,19 +1,21 @@
 #pragma once
 
 #include "transport/event_loop.h"
-#include "transport/http_parser.h"
+#include "transport/http_head_check.h"
 #include "transport/http_server.h"
+#include "transport/http_server_exchange.h"
+
+#include <event2/bufferevent.h>
 
 #include <functional>
 #include <memory>
 #include <string>
 
-struct bufferevent;
+struct evhtp_connection;
+struct evhtp_request;
 
 namespace lacewing {
 
-class HttpServerExchange;
-
 /// What all connections of a server share. Outlives the connections.
 struct HttpServerContext {
     EventLoop& loop;
@@ -24,20 +26,27 @@
     size_t openExchanges = 0;
 };
 
-/// One connection from a client. Requests are parsed one after the other: the next one only when the one
-/// before has its whole answer, so answers are in order. Meanwhile the socket is still read into a bounded
-/// buffer, which is how a client that leaves is noticed.
+/// One connection from a client, parsed and answered by libevhtp.
+///
+/// The bufferevent's callbacks are this class's own, which call libevhtp's only while a request is being read
+/// and once its answer has been sent. So requests are parsed one after the other, answers are in order, and
+/// while an answer is pending the socket is still read into a bounded buffer, which is how a client that
+/// leaves is noticed. Handlers run outside of libevhtp's callbacks, so they may close the connection.
 class HttpServerConnection {
 public:
     using ClosedCallback = std::function<void(HttpServerConnection*)>;
 
+    /// @param connection was just accepted; it is owned from now on.
     /// @param closed called once when the connection is closed, possibly inside one of its own callbacks, so
     /// the receiver must not destroy the connection at once.
-    HttpServerConnection(HttpServerContext& context, int socket, std::string remoteIp, ClosedCallback closed);
+    HttpServerConnection(HttpServerContext& context, evhtp_connection* connection, ClosedCallback closed);
     ~HttpServerConnection();
     HttpServerConnection(const HttpServerConnection&) = delete;
     HttpServerConnection& operator=(const HttpServerConnection&) = delete;
 
+    /// Receives each complete request; to be set as libevhtp's general callback.
+    static void onRequest(evhtp_request* request, void*);
+
     /// Closes the connection if it is idle.
     void closeIfIdle();
 
@@ -52,19 +61,51 @@
     const std::string& remoteIp() const { return m_remoteIp; }
 
 private:
-    enum class Phase { Reading, Answering, Flushing, Lingering, Closed };
+    enum class Phase {
+        Reading,
+        /// The handler has the request.
+        Answering,
+        /// The answer is complete, but not yet written; another request may follow.
+        Answered,
+        /// The last answer is complete, but not yet written.
+        Flushing,
+        /// The last answer was written.
+        Lingering,
+        Closed,
+    };
+    /// Which part of a request comes next.
+    enum class Part { Head, Body, Trailer, Complete };
+    struct Hooks;
+
+    void takeOver();
+    void setHooks();
+
+    // Called by libevhtp's hooks. They return false to stop the parser.
+    bool acceptHeaders(evhtp_request& request);
+    bool acceptFraming(evhtp_request& request, int minorVersion);
+    bool acceptBody(evhtp_request& request, std::string_view bytes);
+    bool acceptChunkSize(uint64_t length);
+    void endChunkedBody();
+    void parserGaveUp();
+    bool refuse(int status, const char* reason);
+    size_t parsedBytes() const;
 
     static void onReadable(bufferevent*, void* self);
     static void onWritten(bufferevent*, void* self);
     static void onEvent(bufferevent*, short events, void* self);
 
     void processInput();
-    bool acceptHead();
+    void readRequest();
+    void runParser();
+    void finishTrailer();
+    void checkHeadTime();
     void dispatch();
     void reject(HttpFault fault);
-    std::string answerHead(int status, const HttpHeaders& headers);
-    void write(std::string_view bytes);
+    void sendRejection(HttpFault fault);
+    void reportRejection(HttpFault fault);
+    evhtp_request* prepareAnswer(const HttpHeaders& headers);
     void finishAnswer();
+    void startNextRequest();
     void handleWritten();
     void handleEvent(short events);
     void handleReadTimeout();
@@ -72,18 +113,26 @@
     void setReadTimeout(Duration timeout);
     void startLingering();
     void close();
+    void release();
 
     HttpServerContext& m_context;
+    /// Null after libevhtp gave the connection up; then only the bufferevent is left.
+    evhtp_connection* m_connection;
+    bufferevent* m_stream;
+    bufferevent_data_cb m_parse = nullptr;
+    bufferevent_data_cb m_finishRequest = nullptr;
     std::string m_remoteIp;
     ClosedCallback m_closed;
-    bufferevent* m_stream;
-    HttpParser m_parser;
-    std::string m_body;
+    HttpHeadCheck m_check;
     Phase m_phase = Phase::Reading;
+    Part m_part = Part::Head;
+    HttpFault m_fault;
+    HttpRequestHead m_head;
+    std::string m_body;
+    size_t m_chunkStart = 0;
     std::weak_ptr<HttpServerExchange> m_exchange;
     MonotonicTime m_headStarted {};
     bool m_headIsPartial = false;
-    bool m_isProcessing = false;
     bool m_isHeadRequest = false;
     bool m_chunked = false;
     bool m_closeAfterAnswer = false;
--- a/src/transport/http_server_exchange.cc
+++ b/src/transport/http_server_exchange.cc
@@ -5,7 +5,7 @@
 namespace lacewing {
 
 HttpServerExchange::HttpServerExchange(
-    HttpServerContext& context, HttpServerConnection& connection, HttpHead head, std::string body)
+    HttpServerContext& context, HttpServerConnection& connection, HttpRequestHead head, std::string body)
     : m_context(&context)
     , m_connection(&connection)
     , m_head(std::move(head))
--- a/src/transport/http_server_exchange.h
+++ b/src/transport/http_server_exchange.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "transport/http_parser.h"
 #include "transport/http_server.h"
 
 namespace lacewing {
@@ -8,12 +7,21 @@
 class HttpServerConnection;
 struct HttpServerContext;
 
+/// What a request says before its body.
+struct HttpRequestHead {
+    std::string method;
+    std::string path;
+    /// Raw query without the question mark.
+    std::string query;
+    HttpHeaders headers;
+};
+
 /// A request and its answer on a connection of this server. A request that is dropped without an answer gets
 /// 500, or a cut-off answer if that had started.
 class HttpServerExchange : public HttpExchange, public std::enable_shared_from_this<HttpServerExchange> {
 public:
     HttpServerExchange(
-        HttpServerContext& context, HttpServerConnection& connection, HttpHead head, std::string body);
+        HttpServerContext& context, HttpServerConnection& connection, HttpRequestHead head, std::string body);
     ~HttpServerExchange() override;
 
     const std::string& method() const override { return m_head.method; }
@@ -46,7 +54,7 @@
 
     HttpServerContext* m_context;
     HttpServerConnection* m_connection;
-    HttpHead m_head;
+    HttpRequestHead m_head;
     std::string m_body;
     std::string m_remoteIp;
     bool m_isStreaming = false;
--- /dev/null
+++ b/src/transport/http_server_hooks.cc
@@ -0,0 +1,210 @@
+// The part of HttpServerConnection that libevhtp calls while it parses a request.
+
+#include "transport/http_server_connection.h"
+
+#include <event2/buffer.h>
+#include <evhtp/evhtp.h>
+
+namespace lacewing {
+
+namespace {
+
+constexpr int statusBadRequest = 400;
+constexpr int statusTooLarge = 413;
+constexpr int statusNotImplemented = 501;
+
+/// libevhtp's parser lets longer sizes overflow. With this bound, a line of a chunk has at most 16 digits and
+/// no extension.
+constexpr size_t maximumChunkLineBytes = 16 + 2;
+
+HttpFault parserFault(htpparse_error error)
+{
+    switch (error) {
+    case htparse_error_too_big:
+        // Longer lines do not reach the parser, which reports a length that isn't a number in this way.
+        return { statusBadRequest, "malformed_content_length" };
+    case htparse_error_inval_method:
+        return { statusNotImplemented, "unsupported_method" };
+    case htparse_error_inval_hdr:
+        return { statusBadRequest, "malformed_header" };
+    case htparse_error_inval_chunk_sz:
+    case htparse_error_inval_chunk:
+        return { statusBadRequest, "malformed_chunk" };
+    default:
+        return { statusBadRequest, "malformed_start_line" };
+    }
+}
+
+int copyField(evhtp_header_t* field, void* headers)
+{
+    static_cast<HttpHeaders*>(headers)->add(
+        std::string(field->key, field->klen), std::string(trimmedField({ field->val, field->vlen })));
+    return 0;
+}
+
+} // namespace
+
+struct HttpServerConnection::Hooks {
+    static HttpServerConnection& from(void* self) { return *static_cast<HttpServerConnection*>(self); }
+    static evhtp_res result(bool accepted)
+    {
+        return static_cast<evhtp_res>(accepted ? EVHTP_RES_OK : EVHTP_RES_ERROR);
+    }
+
+    static evhtp_res headers(evhtp_request_t* request, evhtp_headers_t*, void* self)
+    {
+        return result(from(self).acceptHeaders(*request));
+    }
+
+    static evhtp_res body(evhtp_request_t* request, evbuffer* buffer, void* self)
+    {
+        const size_t length = evbuffer_get_length(buffer);
+        const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(buffer, -1));
+        const bool accepted = from(self).acceptBody(*request, { bytes, length });
+        // What is left would be collected in the request too.
+        evbuffer_drain(buffer, length);
+        return result(accepted);
+    }
+
+    static evhtp_res chunk(evhtp_request_t*, uint64_t length, void* self)
+    {
+        return result(from(self).acceptChunkSize(length));
+    }
+
+    static evhtp_res chunkEnd(evhtp_request_t*, void* self)
+    {
+        from(self).m_chunkStart = from(self).parsedBytes();
+        return EVHTP_RES_OK;
+    }
+
+    // The parser takes the first line of a trailer for the end of the message and the second one for another
+    // request. So it is stopped before the trailer, which is then checked and skipped.
+    static evhtp_res chunksEnd(evhtp_request_t*, void* self)
+    {
+        if (!from(self).acceptChunkSize(0))
+            return EVHTP_RES_ERROR;
+        from(self).endChunkedBody();
+        return EVHTP_RES_PAUSE;
+    }
+
+    static evhtp_res connectionEnd(evhtp_connection_t*, void* self)
+    {
+        if (from(self).m_phase != Phase::Closed)
+            from(self).parserGaveUp();
+        return EVHTP_RES_OK;
+    }
+};
+
+void HttpServerConnection::setHooks()
+{
+    const auto set = [this](evhtp_hook_type type, auto hook) {
+        // libevhtp calls each hook with the arguments of its type. The step over void (*)() tells the
+        // compiler that the change of type is meant.
+        evhtp_connection_set_hook(
+            m_connection, type, reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(hook)), this);
+    };
+    set(evhtp_hook_on_headers, &Hooks::headers);
+    set(evhtp_hook_on_read, &Hooks::body);
+    set(evhtp_hook_on_new_chunk, &Hooks::chunk);
+    set(evhtp_hook_on_chunk_complete, &Hooks::chunkEnd);
+    set(evhtp_hook_on_chunks_complete, &Hooks::chunksEnd);
+    set(evhtp_hook_on_connection_fini, &Hooks::connectionEnd);
+}
+
+void HttpServerConnection::onRequest(evhtp_request* request, void*)
+{
+    evhtp_request_pause(request);
+    // Requests don't reach this function before the connection has set its hooks.
+    void* self = request->conn->hooks->on_headers_arg;
+    static_cast<HttpServerConnection*>(self)->m_part = Part::Complete;
+}
+
+bool HttpServerConnection::refuse(int status, const char* reason)
+{
+    m_fault = { status, reason };
+    return false;
+}
+
+size_t HttpServerConnection::parsedBytes() const
+{
+    return htparser_get_total_bytes_read(m_connection->parser);
+}
+
+bool HttpServerConnection::acceptHeaders(evhtp_request& request)
+{
+    const char* method = htparser_get_methodstr(m_connection->parser);
+    if (!method || !request.uri || !request.uri->path || !request.uri->path->full)
+        return refuse(statusBadRequest, "malformed_start_line");
+    m_head = { method, request.uri->path->full, "", {} };
+    // Taken here because libevhtp replaces it by the body of a form.
+    if (request.uri->query_raw)
+        m_head.query = reinterpret_cast<const char*>(request.uri->query_raw);
+    evhtp_headers_for_each(request.headers_in, copyField, &m_head.headers);
+    m_body.clear();
+    m_fault = {};
+    return acceptFraming(request, htparser_get_minor(m_connection->parser));
+}
+
+bool HttpServerConnection::acceptFraming(evhtp_request& request, int minorVersion)
+{
+    const auto framing = interpretFraming(m_head.headers, minorVersion, m_fault);
+    if (!framing)
+        return false;
+    const size_t hosts = m_head.headers.count("Host");
+    if (hosts > 1 || (hosts == 0 && minorVersion > 0))
+        return refuse(statusBadRequest, "host_not_given_once");
+    const uint64_t length = framing->contentLength.value_or(0);
+    if (length > m_context.options.maximumBodyBytes)
+        return refuse(statusTooLarge, "body_too_large");
+    if (length != htparser_get_content_length(m_connection->parser))
+        return refuse(statusBadRequest, "malformed_content_length");
+    m_isHeadRequest = m_head.method == "HEAD";
+    m_chunked = minorVersion > 0;
+    m_closeAfterAnswer = framing->closes;
+    m_chunkStart = parsedBytes();
+    // After this hook libevhtp answers any Expect field if the flag is set. It is not needed for a body that
+    // has arrived already.
+    const bool isBodyAwaited = (framing->chunked || length > 0)
+        && evbuffer_get_length(bufferevent_get_input(m_stream)) == m_check.length();
+    if (framing->expectsContinue && isBodyAwaited)
+        evhtp_enable_flag(request.htp, EVHTP_FLAG_ENABLE_100_CONT);
+    else
+        evhtp_disable_flag(request.htp, EVHTP_FLAG_ENABLE_100_CONT);
+    return true;
+}
+
+bool HttpServerConnection::acceptBody(evhtp_request&, std::string_view bytes)
+{
+    if (m_body.size() + bytes.size() > m_context.options.maximumBodyBytes)
+        return refuse(statusTooLarge, "body_too_large");
+    m_body += bytes;
+    return true;
+}
+
+bool HttpServerConnection::acceptChunkSize(uint64_t length)
+{
+    // The parser counts single bytes while it reads the line of a chunk.
+    if (parsedBytes() - m_chunkStart > maximumChunkLineBytes)
+        return refuse(statusBadRequest, "malformed_chunk");
+    if (length > m_context.options.maximumBodyBytes - m_body.size())
+        return refuse(statusTooLarge, "body_too_large");
+    return true;
+}
+
+void HttpServerConnection::endChunkedBody()
+{
+    m_part = Part::Trailer;
+    m_check.reset(HttpHeadCheck::Section::Trailer);
+}
+
+// libevhtp frees a connection after a fault without an answer. This sends one, and keeps the bufferevent to
+// write it.
+void HttpServerConnection::parserGaveUp()
+{
+    sendRejection(m_fault.status != 0 ? m_fault : parserFault(htparser_get_error(m_connection->parser)));
+    evhtp_connection_take_ownership(m_connection);
+    m_connection = nullptr;
+    takeOver();
+}
+
+} // namespace lacewing
