--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -22,6 +22,7 @@
 
 constexpr ev_ssize_t maximumAnswerHeaderBytes = 64 * 1024;
 constexpr int statusContinue = 100;
+constexpr int statusSwitchingProtocols = 101;
 constexpr int statusFinal = 200;
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
@@ -51,13 +52,6 @@
     return method == "POST" || method == "PUT" || method == "PATCH";
 }
 
-bool isTarget(const std::string& target)
-{
-    return !target.empty() && std::none_of(target.begin(), target.end(), [](char character) {
-        return character == ' ' || character == '\t' || isHttpControl(character);
-    });
-}
-
 /// @return the answer's fields, or nothing if one of them is malformed.
 std::optional<HttpHeaders> fieldsOf(evhttp_request* request)
 {
@@ -90,13 +84,18 @@
 
     static void onBody(evhttp_request* request, void* self)
     {
-        from(self).acceptBody(evhttp_request_get_input_buffer(request));
+        evbuffer* body = evhttp_request_get_input_buffer(request);
+        const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(body, -1));
+        from(self).acceptBody({ bytes, evbuffer_get_length(body) });
+        from(self).m_isAfterChunk = request->chunked != 0;
+        from(self).checkChunkEnd();
     }
 
-    // Called before onEnd.
+    // Called before onEnd. The request has been freed.
     static void onError(evhttp_request_error error, void* self)
     {
         HttpClientConnection& connection = from(self);
+        connection.m_request = nullptr;
         if (!connection.m_error)
             connection.m_error = errorOf(error);
     }
@@ -105,6 +104,7 @@
     static void onEnd(evhttp_request* request, void* self)
     {
         HttpClientConnection& connection = from(self);
+        connection.m_request = nullptr;
         if (request && evhttp_request_get_response_code(request) != 0)
             connection.requestEnded(std::nullopt);
         else
@@ -113,10 +113,31 @@
 
     static void onClosed(evhttp_connection*, void* self) { from(self).disconnected(); }
 
-    static void onConnectEvent(bufferevent*, short events, void* self)
+    // evhttp itself calls this for input that was left, and then passes its connection as the argument.
+    static void onRead(bufferevent* stream, void*)
+    {
+        void* self = nullptr;
+        bufferevent_getcb(stream, nullptr, nullptr, nullptr, &self);
+        from(self).checkChunkEnd();
+        const EvhttpCallbacks& evhttp = from(self).m_evhttp;
+        if (evhttp.onRead && !from(self).m_hasBadChunk)
+            evhttp.onRead(stream, evhttp.argument);
+        from(self).evhttpRan();
+    }
+
+    static void onWrite(bufferevent* stream, void* self)
+    {
+        const EvhttpCallbacks& evhttp = from(self).m_evhttp;
+        if (evhttp.onWrite)
+            evhttp.onWrite(stream, evhttp.argument);
+        from(self).evhttpRan();
+    }
+
+    static void onEvent(bufferevent*, short events, void* self)
     {
         const int errorNumber = EVUTIL_SOCKET_ERROR();
-        from(self).connectEnded(events, errorNumber);
+        from(self).handleEvent(events, errorNumber);
+        from(self).evhttpRan();
     }
 
     static void onOutputChange(evbuffer*, const evbuffer_cb_info* info, void* self)
@@ -178,12 +199,15 @@
     m_exchange->connection = this;
     m_held = Held();
     m_error.reset();
+    m_hasHeaders = false;
+    m_isAfterChunk = false;
+    m_hasBadChunk = false;
+    m_wasCutShort = false;
     m_isReusable = false;
     const bool isNew = m_phase == Phase::New;
     m_phase = isNew ? Phase::Connecting : Phase::Busy;
     if (!isNew)
         bufferevent_set_timeouts(m_stream, nullptr, nullptr);
-    evhttp_connection_set_flags(m_connection, 0);
     const size_t limit
         = std::min<size_t>(m_exchange->request.maximumAnswerBytes, std::numeric_limits<ev_ssize_t>::max());
     evhttp_connection_set_max_body_size(m_connection, static_cast<ev_ssize_t>(limit));
@@ -193,6 +217,7 @@
     // libevent reports an immediate refusal later and without the reason, which is lost by then.
     const int errorNumber = errno;
     m_isStarting = false;
+    wrapCallbacks();
     if (!isMade)
         failLater(HttpClientError::ConnectFailed);
     else if (isNew)
@@ -202,14 +227,14 @@
     noteProgress();
 }
 
-evhttp_request* HttpClientConnection::buildRequest()
+void HttpClientConnection::buildRequest()
 {
     const HttpClientRequest& request = m_exchange->request;
-    evhttp_request* result = evhttp_request_new(Callbacks::onEnd, this);
-    evhttp_request_set_header_cb(result, Callbacks::onHeaders);
-    evhttp_request_set_chunked_cb(result, Callbacks::onBody);
-    evhttp_request_set_error_cb(result, Callbacks::onError);
-    evkeyvalq* fields = evhttp_request_get_output_headers(result);
+    m_request = evhttp_request_new(Callbacks::onEnd, this);
+    evhttp_request_set_header_cb(m_request, Callbacks::onHeaders);
+    evhttp_request_set_chunked_cb(m_request, Callbacks::onBody);
+    evhttp_request_set_error_cb(m_request, Callbacks::onError);
+    evkeyvalq* fields = evhttp_request_get_output_headers(m_request);
     if (request.headers.count("Host") == 0)
         evhttp_add_header(fields, "Host", m_server.text().c_str());
     for (const auto& [name, value] : request.headers) {
@@ -218,62 +243,134 @@
         if (!isFraming)
             evhttp_add_header(fields, cleanField(name).c_str(), cleanField(value).c_str());
     }
+    // evhttp adds it for POST and PUT only.
     if (!request.body.empty() || impliesBody(request.method))
         evhttp_add_header(fields, "Content-Length", std::to_string(request.body.size()).c_str());
-    evbuffer_add(evhttp_request_get_output_buffer(result), request.body.data(), request.body.size());
-    return result;
+    evbuffer_add(evhttp_request_get_output_buffer(m_request), request.body.data(), request.body.size());
 }
 
 bool HttpClientConnection::makeRequest()
 {
     const HttpClientRequest& request = m_exchange->request;
     const auto command = commandOf(request.method);
-    if (!command || !isTarget(request.target))
+    sockaddr_storage address {};
+    // evhttp would block while it looks up a name.
+    if (!command || toSystemAddress(m_server, address) == 0)
         return false;
-    return evhttp_make_request(m_connection, buildRequest(), *command, request.target.c_str()) == 0;
+    buildRequest();
+    if (evhttp_make_request(m_connection, m_request, *command, cleanTarget(request.target).c_str()) == 0)
+        return true;
+    m_request = nullptr;
+    return false;
+}
+
+// evhttp sets its callbacks on the bufferevent anew when it goes on to another stage of a request.
+void HttpClientConnection::wrapCallbacks()
+{
+    EvhttpCallbacks current;
+    bufferevent_getcb(m_stream, &current.onRead, &current.onWrite, &current.onEvent, &current.argument);
+    if (current.argument == this)
+        return;
+    m_evhttp = current;
+    bufferevent_setcb(m_stream, Callbacks::onRead, Callbacks::onWrite, Callbacks::onEvent, this);
+}
+
+void HttpClientConnection::evhttpRan()
+{
+    wrapCallbacks();
+    if (m_phase != Phase::Busy || !m_request)
+        return;
+    if (m_hasBadChunk || hasInvalidStatus()) {
+        fail(HttpClientError::InvalidAnswer);
+        return;
+    }
+    takePartOfChunk();
+    if (m_exchange && m_exchange->isPaused)
+        holdReading();
+}
+
+bool HttpClientConnection::hasInvalidStatus() const
+{
+    return evhttp_request_get_response_code(m_request) >= statusAboveAll;
+}
+
+// evhttp waits for the whole chunk, which may hold back tokens that have arrived.
+void HttpClientConnection::takePartOfChunk()
+{
+    evbuffer* input = bufferevent_get_input(m_stream);
+    const size_t length = evbuffer_get_length(input);
+    const bool isInsideChunk = m_hasHeaders && m_request->chunked != 0 && m_request->ntoread > 0
+        && length < static_cast<uint64_t>(m_request->ntoread);
+    if (!isInsideChunk || length == 0)
+        return;
+    std::string bytes(length, '\0');
+    evbuffer_remove(input, bytes.data(), length);
+    m_request->ntoread -= static_cast<ev_int64_t>(length);
+    acceptBody(bytes);
+}
+
+// evhttp does not check the line end after a chunk, and would take what stands there for the next size.
+void HttpClientConnection::checkChunkEnd()
+{
+    constexpr std::string_view lineEnd = "\r\n";
+    char bytes[lineEnd.size()];
+    if (!m_isAfterChunk || evbuffer_copyout(bufferevent_get_input(m_stream), bytes, sizeof(bytes)) < 2)
+        return;
+    m_isAfterChunk = false;
+    m_hasBadChunk = m_hasBadChunk || std::string_view(bytes, sizeof(bytes)) != lineEnd;
 }
 
 void HttpClientConnection::connecting(int errorNumber)
 {
     m_wasRefused = errorNumber == ECONNREFUSED;
-    if (m_connectTimer != 0)
-        return;
-    m_connectTimer = m_loop.runAfter(
-        m_exchange->request.connectTimeout, [this] { fail(HttpClientError::ConnectFailed); });
-    // evhttp sets its own callbacks again in the one that reports the end of connecting.
-    bufferevent_data_cb onRead = nullptr;
-    bufferevent_data_cb onWrite = nullptr;
-    bufferevent_getcb(m_stream, &onRead, &onWrite, &m_evhttpEvent, &m_evhttpArgument);
-    bufferevent_setcb(m_stream, onRead, onWrite, Callbacks::onConnectEvent, this);
+    if (m_connectTimer == 0)
+        m_connectTimer = m_loop.runAfter(
+            m_exchange->request.connectTimeout, [this] { fail(HttpClientError::ConnectFailed); });
 }
 
-void HttpClientConnection::connectEnded(short events, int errorNumber)
+void HttpClientConnection::connected()
+{
+    m_loop.cancel(m_connectTimer);
+    disableDelay(bufferevent_getfd(m_stream));
+    evutil_make_socket_closeonexec(bufferevent_getfd(m_stream));
+    m_phase = Phase::Busy;
+    noteProgress();
+    if (m_exchange->request.progressTimeout > Duration::zero())
+        armProgressTimer(m_exchange->request.progressTimeout);
+}
+
+void HttpClientConnection::handleEvent(short events, int errorNumber)
 {
-    bufferevent_setcb(m_stream, nullptr, nullptr, m_evhttpEvent, m_evhttpArgument);
     if (m_phase == Phase::Closed)
         return;
-    if ((events & BEV_EVENT_CONNECTED) != 0) {
-        m_loop.cancel(m_connectTimer);
-        disableDelay(bufferevent_getfd(m_stream));
-        evutil_make_socket_closeonexec(bufferevent_getfd(m_stream));
-        m_phase = Phase::Busy;
-        noteProgress();
-        if (m_exchange->request.progressTimeout > Duration::zero())
-            armProgressTimer(m_exchange->request.progressTimeout);
-    } else
+    if (m_phase == Phase::Connecting && (events & BEV_EVENT_CONNECTED) != 0)
+        connected();
+    else if (m_phase == Phase::Connecting)
         m_wasRefused = m_wasRefused || errorNumber == ECONNREFUSED;
-    m_evhttpEvent(m_stream, events, m_evhttpArgument);
+    const bool isSending = m_phase == Phase::Busy && m_request && m_request->kind == EVHTTP_REQUEST;
+    const bool isBroken = (events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0;
+    int flags = 0;
+    if (isSending && isBroken && m_exchange && m_exchange->requestSent) {
+        // The server may have refused the request before it had all of it; its answer is still to be read.
+        m_wasCutShort = true;
+        flags = EVHTTP_CON_READ_ON_WRITE_ERROR;
+        // evhttp ends the process if it finds the end of an answer while it is still sending.
+        if (evbuffer_get_length(bufferevent_get_input(m_stream)) > 0)
+            events = BEV_EVENT_WRITING | BEV_EVENT_ERROR;
+    }
+    evhttp_connection_set_flags(m_connection, flags);
+    m_evhttp.onEvent(m_stream, events, m_evhttp.argument);
 }
 
-// What was held must be delivered before anything that comes later.
-bool HttpClientConnection::isHolding() const
+HttpClientError HttpClientConnection::connectError() const
 {
-    return m_exchange->isPaused || m_held.status || !m_held.body.empty();
+    return m_wasRefused ? HttpClientError::ConnectionRefused : HttpClientError::ConnectFailed;
 }
 
-HttpClientError HttpClientConnection::connectError() const
+// What was held must be delivered before anything that comes later.
+bool HttpClientConnection::isHolding() const
 {
-    return m_wasRefused ? HttpClientError::ConnectionRefused : HttpClientError::ConnectFailed;
+    return m_exchange->isPaused || m_held.status || !m_held.body.empty();
 }
 
 void HttpClientConnection::outputTaken()
@@ -282,12 +379,7 @@
     if (m_phase != Phase::Busy || m_isDisconnected || !m_exchange)
         return;
     noteProgress();
-    if (std::exchange(m_exchange->requestSent, true))
-        return;
-    // The server may refuse the request before it has all of it; its answer is still to be read. The flag
-    // makes evhttp drop the output at an error, so it is set only when requestSent can't become wrong by
-    // that.
-    evhttp_connection_set_flags(m_connection, EVHTTP_CON_READ_ON_WRITE_ERROR);
+    m_exchange->requestSent = true;
 }
 
 void HttpClientConnection::disconnected()
@@ -302,9 +394,9 @@
     if (!m_exchange)
         return false;
     const int status = evhttp_request_get_response_code(request);
-    // evhttp goes on to the final answer after this one only.
-    if (status == statusContinue)
+    if (skipInterimAnswer(request))
         return true;
+    m_hasHeaders = true;
     auto headers = fieldsOf(request);
     HttpFault fault;
     const auto framing = headers ? interpretFraming(*headers, request->minor, fault) : std::nullopt;
@@ -314,7 +406,8 @@
     }
     const bool hasNoBody
         = m_exchange->request.method == "HEAD" || status == statusNoContent || status == statusNotModified;
-    m_isReusable = !framing->closes && (hasNoBody || framing->chunked || framing->contentLength);
+    m_isReusable
+        = !framing->closes && !m_wasCutShort && (hasNoBody || framing->chunked || framing->contentLength);
     if (m_exchange->isPaused) {
         m_held.status = status;
         m_held.headers = std::move(*headers);
@@ -326,12 +419,21 @@
     return isCurrent(exchange.get());
 }
 
-void HttpClientConnection::acceptBody(evbuffer* body)
+// Goes on to the final answer as evhttp does after status 100. It takes other interim answers for final ones.
+bool HttpClientConnection::skipInterimAnswer(evhttp_request* request)
+{
+    const int status = evhttp_request_get_response_code(request);
+    if (status < statusContinue || status >= statusFinal || status == statusSwitchingProtocols)
+        return false;
+    evhttp_clear_headers(evhttp_request_get_input_headers(request));
+    request->response_code = statusContinue;
+    return true;
+}
+
+void HttpClientConnection::acceptBody(std::string_view bytes)
 {
-    const size_t length = evbuffer_get_length(body);
-    if (!m_exchange || length == 0)
+    if (!m_exchange || bytes.empty() || m_hasBadChunk)
         return;
-    const std::string_view bytes(reinterpret_cast<const char*>(evbuffer_pullup(body, -1)), length);
     if (isHolding()) {
         m_held.body += bytes;
         holdReading();
@@ -349,6 +451,8 @@
         return;
     if (m_phase == Phase::Connecting)
         error = connectError();
+    if (m_hasBadChunk)
+        error = HttpClientError::InvalidAnswer;
     if (m_isStarting) {
         failLater(error.value_or(HttpClientError::ConnectFailed));
         return;
--- a/src/transport/http_client_connection.h
+++ b/src/transport/http_client_connection.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "transport/event_loop.h"
-#include "transport/http_client_call.h"
+#include "transport/http_client_exchange.h"
 
 #include <event2/bufferevent.h>
 
@@ -17,6 +17,9 @@
 namespace lacewing {
 
 /// One connection to a server, on libevent's evhttp. It carries one request at a time.
+///
+/// The bufferevent's callbacks are this class's own, around those of evhttp, because evhttp holds a chunk
+/// back until it is complete, does not tell why connecting failed, and enables reading again during a pause.
 class HttpClientConnection {
 public:
     /// What the pool is told. Both may be called inside the connection's own callbacks, so the receiver must
@@ -60,12 +63,27 @@
         std::optional<HttpClientError> error;
     };
 
-    evhttp_request* buildRequest();
+    /// Callbacks that evhttp has set on the bufferevent. This class calls them from its own.
+    struct EvhttpCallbacks {
+        bufferevent_data_cb onRead = nullptr;
+        bufferevent_data_cb onWrite = nullptr;
+        bufferevent_event_cb onEvent = nullptr;
+        void* argument = nullptr;
+    };
+
+    void buildRequest();
     bool makeRequest();
+    void wrapCallbacks();
+    void evhttpRan();
+    void handleEvent(short events, int errorNumber);
+    void connected();
     void connecting(int errorNumber);
-    void connectEnded(short events, int errorNumber);
+    bool hasInvalidStatus() const;
+    void takePartOfChunk();
+    void checkChunkEnd();
     bool acceptHeaders(evhttp_request* request);
-    void acceptBody(evbuffer* body);
+    bool skipInterimAnswer(evhttp_request* request);
+    void acceptBody(std::string_view bytes);
     void requestEnded(std::optional<HttpClientError> error);
     HttpClientError connectError() const;
     void outputTaken();
@@ -86,14 +104,19 @@
     SocketAddress m_server;
     bufferevent* m_stream = nullptr;
     evhttp_connection* m_connection = nullptr;
-    bufferevent_event_cb m_evhttpEvent = nullptr;
-    void* m_evhttpArgument = nullptr;
+    /// Null unless evhttp works on a request.
+    evhttp_request* m_request = nullptr;
+    EvhttpCallbacks m_evhttp;
     Phase m_phase = Phase::New;
     std::shared_ptr<HttpClientExchange> m_exchange;
     Held m_held;
     std::optional<HttpClientError> m_error;
     bool m_isStarting = false;
     bool m_wasRefused = false;
+    bool m_hasHeaders = false;
+    bool m_isAfterChunk = false;
+    bool m_hasBadChunk = false;
+    bool m_wasCutShort = false;
     bool m_isReusable = false;
     bool m_isDisconnected = false;
     MonotonicTime m_idleSince {};
--- a/src/transport/http_field_rules.cc
+++ b/src/transport/http_field_rules.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <cstdio>
 #include <cstring>
 
 namespace lacewing {
@@ -12,7 +13,6 @@
 namespace {
 
 constexpr int statusBadRequest = 400;
-constexpr int statusNotImplemented = 501;
 
 bool isTokenCharacter(char character)
 {
@@ -57,7 +57,7 @@
     if (minorVersion == 0)
         return { statusBadRequest, "transfer_encoding_in_http_1_0" };
     if (count > 1 || !equalsIgnoringCase(*headers.find("Transfer-Encoding"), "chunked"))
-        return { statusNotImplemented, "unsupported_transfer_encoding" };
+        return { statusBadRequest, "unsupported_transfer_encoding" };
     framing.chunked = true;
     return {};
 }
@@ -95,6 +95,21 @@
     return result;
 }
 
+std::string cleanTarget(std::string_view target)
+{
+    std::string result;
+    for (const char character : target) {
+        if (character != ' ' && character != '\t' && !isHttpControl(character)) {
+            result += character;
+            continue;
+        }
+        char encoded[4];
+        std::snprintf(encoded, sizeof(encoded), "%%%02X", static_cast<unsigned char>(character));
+        result += encoded;
+    }
+    return result;
+}
+
 std::optional<HttpFraming> interpretFraming(const HttpHeaders& headers, int minorVersion, HttpFault& fault)
 {
     HttpFraming framing;
--- a/src/transport/http_field_rules.h
+++ b/src/transport/http_field_rules.h
@@ -42,5 +42,7 @@
 std::string_view trimmedField(std::string_view text);
 /// @return text with each control byte replaced by a space, so that a value can't add lines to a head.
 std::string cleanField(std::string_view text);
+/// @return target with spaces and control bytes, which would end it, percent-encoded.
+std::string cleanTarget(std::string_view target);
 
 } // namespace lacewing
--- a/src/transport/http_server_connection.h
+++ b/src/transport/http_server_connection.h
@@ -132,6 +132,7 @@
     size_t m_chunkStart = 0;
     std::weak_ptr<HttpServerExchange> m_exchange;
     MonotonicTime m_headStarted {};
+    MonotonicTime m_lingerEnd {};
     bool m_headIsPartial = false;
     bool m_isHeadRequest = false;
     bool m_chunked = false;
--- a/src/transport/http_server_hooks.cc
+++ b/src/transport/http_server_hooks.cc
@@ -11,7 +11,6 @@
 
 constexpr int statusBadRequest = 400;
 constexpr int statusTooLarge = 413;
-constexpr int statusNotImplemented = 501;
 
 /// libevhtp's parser lets longer sizes overflow. With this bound, a line of a chunk has at most 16 digits and
 /// no extension.
@@ -24,7 +23,7 @@
         // Longer lines do not reach the parser, which reports a length that isn't a number in this way.
         return { statusBadRequest, "malformed_content_length" };
     case htparse_error_inval_method:
-        return { statusNotImplemented, "unsupported_method" };
+        return { statusBadRequest, "unsupported_method" };
     case htparse_error_inval_hdr:
         return { statusBadRequest, "malformed_header" };
     case htparse_error_inval_chunk_sz:
