Use claims, the retry budget and the operator interface's messages in the daemon

Cause: calls that may not be repeated were refused, and the operator interface had untyped answers. Change: the entry claims such calls before the send and stores the answer; repeats get it through any host. ClaimRegistry takes the session's incarnation. Operator answers use OperatorApi.

--- a/src/coordination/claim_registry.cc
+++ b/src/coordination/claim_registry.cc
@@ -75,6 +75,11 @@
             Duration::zero(), [callback = std::move(callback), result] { callback(result); });
         return;
     }
+    if (m_incarnation == Incarnation(0)) {
+        m_scheduler.runAfter(Duration::zero(),
+            [callback = std::move(callback)] { callback(verdict(ClaimVerdict::TableDown)); });
+        return;
+    }
     Open open;
     open.createId = nextWriteId();
     open.row = { ClaimRow::State::Running, m_self, m_incarnation, fingerprint, std::nullopt };
--- a/src/coordination/claim_registry.h
+++ b/src/coordination/claim_registry.h
@@ -58,6 +58,9 @@
     ClaimRegistry(const ClaimRegistry&) = delete;
     ClaimRegistry& operator=(const ClaimRegistry&) = delete;
 
+    /// Sets the incarnation that new claims name. While it is 0, nothing can be claimed.
+    void setIncarnation(Incarnation incarnation) { m_incarnation = incarnation; }
+
     /// Claims a call.
     ///
     /// @param fingerprint hash of method, path and body; a repeat must have the same.
--- a/src/coordination/fleet_member.h
+++ b/src/coordination/fleet_member.h
@@ -50,9 +50,11 @@
     void finishLeaving(std::function<void()> done);
 
     CallBudget& budget() { return m_budget; }
+    const SessionDirectory& directory() const { return m_directory; }
     SessionDirectory& directory() { return m_directory; }
     SessionManager& session() { return m_session; }
     GuardianDuty& guardianDuty() { return m_guardianDuty; }
+    const Membership& membership() const { return m_membership; }
     Membership& membership() { return m_membership; }
     LeaseManager& leases() { return m_leases; }
     /// @return the table within this daemon's call budget, for the other users of the table.
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -97,6 +97,9 @@
     , m_configurations(storeOptions(m_settings, m_start),
           { loop, m_member.table(), m_objectStore, m_network, m_codec, *this })
     , m_keys(m_settings.keySecret)
+    , m_retryBudget(loop)
+    , m_claims(loop, m_tableService, m_settings.host, Incarnation(0),
+          [this](const HostId& host, Incarnation incarnation) { return mayBeRunning(host, incarnation); })
     , m_allotment(loop, m_network, m_settings.host, m_start, [this] { return m_member.session().isValid(); })
     , m_loadGate(loop, m_allotment.wallet())
     , m_router(
@@ -108,8 +111,8 @@
                return m_member.leases().mayAct(leaseNameOf(upstream), margin);
            },
               [this](const UpstreamId& upstream) { m_member.leases().release(leaseNameOf(upstream)); } })
-    , m_entries({ loop, m_network, m_metrics, m_allotment.wallet(), m_router, [this] { return takeRetry(); },
-                    [this] { m_retryBudget.countRequest(m_loop.now()); }, {}, {} },
+    , m_entries(
+          { loop, m_network, m_metrics, m_allotment.wallet(), m_router, m_retryBudget, m_claims, {}, {} },
           m_settings.host, m_keys,
           { [this]() -> const Configuration& { return m_configurations.configuration(); },
               [this] { return m_configurations.keyedRoutesOpen(); } })
@@ -180,6 +183,17 @@
     m_member.leases().release(name);
 }
 
+void Daemon::sessionBecameValid()
+{
+    m_claims.setIncarnation(m_member.session().incarnation());
+}
+
+bool Daemon::mayBeRunning(const HostId& host, Incarnation incarnation) const
+{
+    const SessionEntry* entry = m_member.directory().find(host);
+    return !entry || !m_safetyRules.isGone(entry->row, incarnation);
+}
+
 void Daemon::sessionEnded()
 {
     LogEvent(LogLevel::Warning, "session_ended").with("replaced", m_member.session().wasReplaced());
@@ -187,16 +201,14 @@
 
 std::optional<std::vector<SessionPeer>> Daemon::sessionPeers() const
 {
-    // FleetMember has no const view of its parts, and nothing is changed here.
-    auto& member = const_cast<FleetMember&>(m_member);
-    if (!member.directory().isLoaded())
+    if (!m_member.directory().isLoaded())
         return std::nullopt;
     std::vector<SessionPeer> peers;
-    for (const auto& [host, entry] : member.directory().entries()) {
+    for (const auto& [host, entry] : m_member.directory().entries()) {
         if (host == m_settings.host || entry.row.state == SessionState::Ended)
             continue;
         SessionPeer peer { host, std::nullopt };
-        const PeerInfo* info = member.membership().find(host);
+        const PeerInfo* info = m_member.membership().find(host);
         if (info && info->refusedSince)
             peer.stopped = StoppedPeriod { *info->refusedSince, info->lastRefused };
         peers.push_back(std::move(peer));
@@ -327,11 +339,6 @@
     m_metrics.gauge("lacewing_table_budget_calls") = static_cast<double>(m_member.budget().callCount());
 }
 
-bool Daemon::takeRetry()
-{
-    return m_retryBudget.takeRetry(m_loop.now());
-}
-
 bool Daemon::isReady()
 {
     return m_configurations.revision() > Revision(0) && m_configurations.keyedRoutesOpen()
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -2,6 +2,7 @@
 
 #include "base/metrics.h"
 #include "base/periodic_timer.h"
+#include "coordination/claim_registry.h"
 #include "coordination/configuration_store.h"
 #include "coordination/fleet_member.h"
 #include "coordination/host_ranking.h"
@@ -45,6 +46,7 @@
     void leaseAcquired(const std::string& name, FencingNumber fencingNumber) override;
     void leaseLost(const std::string& name) override;
     void handOverWanted(const std::string& name) override;
+    void sessionBecameValid() override;
     void sessionEnded() override;
     std::optional<std::vector<SessionPeer>> sessionPeers() const override;
 
@@ -53,7 +55,7 @@
     void peerDisconnected(const HostId& peer, DisconnectReason reason);
     void configurationApplied();
     LocalStatus localStatus() const;
-    bool takeRetry();
+    bool mayBeRunning(const HostId& host, Incarnation incarnation) const;
     void refresh();
     void updatePolling();
     void sendReports();
@@ -79,6 +81,7 @@
     ConfigurationStore m_configurations;
     KeyRing m_keys;
     RetryBudget m_retryBudget;
+    ClaimRegistry m_claims;
     AllotmentService m_allotment;
     PermitLoadGate m_loadGate;
     UpstreamRouter m_router;
--- a/src/daemon/daemon_http.cc
+++ b/src/daemon/daemon_http.cc
@@ -2,7 +2,6 @@
 
 #include "daemon/daemon.h"
 #include "protocol/caller_answer.h"
-#include "protocol/configuration_json.h"
 
 #include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
@@ -17,8 +16,6 @@
 constexpr int statusBadRequest = 400;
 constexpr int statusUnauthorized = 401;
 constexpr int statusNotFound = 404;
-constexpr int statusConflict = 409;
-constexpr int statusUnprocessable = 422;
 constexpr int statusUnavailable = 503;
 constexpr std::string_view operatorPrefix = "/operator/v1/";
 const HttpHeaders jsonHeaders { { "Content-Type", "application/json" } };
@@ -47,34 +44,36 @@
     return "";
 }
 
-int httpStatus(SubmitResult::Status status)
-{
-    switch (status) {
-    case SubmitResult::Status::Accepted:
-        return statusOk;
-    case SubmitResult::Status::Conflict:
-        return statusConflict;
-    case SubmitResult::Status::Invalid:
-        return statusUnprocessable;
-    case SubmitResult::Status::NoSession:
-    case SubmitResult::Status::Unavailable:
-    case SubmitResult::Status::Unconfirmed:
-    case SubmitResult::Status::Unknown:
-        return statusUnavailable;
+OperatorSubmitAnswer answerOf(const SubmitResult& result)
+{
+    OperatorSubmitAnswer answer;
+    answer.code = toString(result.status);
+    answer.revision = result.revision;
+    answer.message = result.reason;
+    answer.changes = result.changes;
+    for (const ConfigurationProblem& problem : result.problems)
+        answer.problems.push_back(problem.text());
+    return answer;
+}
+
+const char* stateName(DaemonState state)
+{
+    switch (state) {
+    case DaemonState::Starting:
+        return "starting";
+    case DaemonState::Live:
+        return "live";
+    case DaemonState::Leaving:
+        return "leaving";
     }
-    return statusUnavailable;
+    return "invalid";
 }
 
-Json submitAnswer(const SubmitResult& result)
+const char* stateName(const UpstreamView& view)
 {
-    Json changes = Json::array();
-    for (const ConfigurationChange& change : result.changes)
-        changes.push_back(change.text());
-    Json problems = Json::array();
-    for (const ConfigurationProblem& problem : result.problems)
-        problems.push_back(problem.text());
-    return Json { { "status", toString(result.status) }, { "revision", result.revision.value() },
-        { "changes", std::move(changes) }, { "problems", std::move(problems) }, { "reason", result.reason } };
+    if (view.state == UpstreamState::Leaving)
+        return "leaving";
+    return view.weight > 0 ? "live" : "ejected";
 }
 
 } // namespace
@@ -140,69 +139,88 @@
     replyError(*exchange, statusNotFound, "not_found", "no such operator call");
 }
 
-Json DaemonHttp::hostStatus() const
+std::vector<OperatorHostStatus> DaemonHttp::hostStatus() const
 {
-    const ConfigurationStore& store = m_daemon.m_configurations;
-    Json hosts = Json::array();
-    const auto headAge = store.headAge();
-    hosts.push_back({ { "host", m_daemon.m_settings.host.value() },
-        { "dataCentre", m_daemon.m_settings.dataCentre.value() }, { "state", "self" },
-        { "revision", store.revision().value() }, { "hash", store.hash().value() },
-        { "headAgeMs", headAge ? Json(toMilliseconds(*headAge)) : Json(nullptr) },
-        { "tableUp", store.tableUp() },
-        { "load", static_cast<int64_t>(m_daemon.m_entries.requestCount()) } });
+    const LocalStatus status = m_daemon.m_member.status();
+    OperatorHostStatus self;
+    self.host = m_daemon.m_settings.host;
+    self.dataCentre = m_daemon.m_settings.dataCentre;
+    self.address = m_daemon.peerAddress().text();
+    self.link = "self";
+    self.state = stateName(status.state);
+    self.incarnation = m_daemon.m_member.session().incarnation();
+    self.revision = status.revision;
+    self.headAgeMs = headAgeMs();
+    self.tableUp = m_daemon.m_configurations.tableUp();
+    self.load = status.load;
+    std::vector<OperatorHostStatus> hosts { self };
     for (const auto& [host, peer] : m_daemon.m_member.membership().peers()) {
-        hosts.push_back({ { "host", host.value() }, { "dataCentre", peer.dataCentre.value() },
-            { "state", toString(peer.state) }, { "revision", peer.revision.value() },
-            { "hash", peer.configurationHash.value() }, { "headAgeMs", peer.headAgeMs },
-            { "tableUp", peer.tableUp }, { "load", peer.load } });
+        OperatorHostStatus other { host, peer.dataCentre, peer.address, toString(peer.state),
+            stateName(peer.daemonState), peer.incarnation, peer.revision, std::nullopt, peer.tableUp,
+            peer.load };
+        if (peer.state == PeerState::Alive)
+            other.headAgeMs = peer.headAgeMs;
+        hosts.push_back(std::move(other));
     }
     return hosts;
 }
 
-Json DaemonHttp::upstreamStatus() const
+std::vector<OperatorUpstreamStatus> DaemonHttp::upstreamStatus() const
 {
-    Json upstreams = Json::array();
-    for (const auto& [id, config] : m_daemon.m_configurations.configuration().upstreams) {
-        const auto lease = m_daemon.m_member.leases().holderOf("upstream/" + id.value());
-        upstreams.push_back({ { "upstream", id.value() }, { "address", config.address },
-            { "state", config.state == UpstreamState::Live ? "live" : "leaving" },
-            { "owner", lease ? lease->host.value() : "" },
-            { "fencingNumber", lease ? lease->fencingNumber.value() : 0 } });
+    std::vector<OperatorUpstreamStatus> upstreams;
+    for (const UpstreamView& view : m_daemon.m_router.views()) {
+        OperatorUpstreamStatus status;
+        status.upstream = view.upstream;
+        status.state = stateName(view);
+        status.owner = view.owner;
+        status.fencingNumber = m_daemon.m_router.fencingNumber(view.upstream);
+        status.running = view.running;
+        status.queued = view.queued;
+        upstreams.push_back(std::move(status));
     }
     return upstreams;
 }
 
+std::optional<int64_t> DaemonHttp::headAgeMs() const
+{
+    const auto age = m_daemon.m_configurations.headAge();
+    return age ? std::optional(toMilliseconds(*age)) : std::nullopt;
+}
+
 void DaemonHttp::answerStatus(HttpExchange& exchange)
 {
-    replyJson(exchange, statusOk,
-        { { "hosts", hostStatus() }, { "upstreams", upstreamStatus() },
-            { "partitions", static_cast<int64_t>(m_daemon.m_allotment.partitionCount()) },
-            { "revision", m_daemon.m_configurations.revision().value() } });
+    const ConfigurationStore& store = m_daemon.m_configurations;
+    OperatorStatus status;
+    status.host = m_daemon.m_settings.host;
+    status.version = LACEWING_VERSION;
+    status.revision = store.revision();
+    status.hash = store.hash();
+    status.headAgeMs = headAgeMs();
+    status.tableUp = store.tableUp();
+    status.keyedRoutesOpen = store.keyedRoutesOpen();
+    status.sessionValid = m_daemon.m_member.session().isValid();
+    status.hosts = hostStatus();
+    status.upstreams = upstreamStatus();
+    exchange.reply(statusOk, jsonHeaders, OperatorApi::encode(status));
 }
 
 void DaemonHttp::answerConfiguration(HttpExchange& exchange)
 {
     const ConfigurationStore& store = m_daemon.m_configurations;
-    replyJson(exchange, statusOk,
-        { { "revision", store.revision().value() }, { "hash", store.hash().value() },
-            { "configuration", ConfigurationJson::encode(store.configuration()) } });
+    OperatorConfiguration answer { store.configuration(), store.hash() };
+    answer.configuration.revision = store.revision();
+    exchange.reply(statusOk, jsonHeaders, OperatorApi::encode(answer));
 }
 
 void DaemonHttp::submit(const std::shared_ptr<HttpExchange>& exchange)
 {
-    const Json body = Json::parse(exchange->body(), nullptr, false);
-    if (!body.is_object() || !body.contains("expectedRevision")
-        || !body["expectedRevision"].is_number_integer() || !body.contains("configuration"))
-        return replyError(*exchange, statusBadRequest, "invalid_request",
-            "the body needs the integer 'expectedRevision' and the object 'configuration'");
-    ConfigurationJson codec;
-    const auto configuration = codec.decode(body["configuration"]);
-    if (!configuration)
-        return replyError(*exchange, statusBadRequest, "invalid_configuration", codec.lastError());
+    OperatorApi codec;
+    const auto submitted = codec.decodeSubmitRequest(exchange->body());
+    if (!submitted)
+        return replyError(*exchange, statusBadRequest, "invalid_request", codec.lastError());
     SubmitRequest request;
-    request.configuration = *configuration;
-    request.expectedRevision = Revision(body["expectedRevision"].get<int64_t>());
+    request.configuration = submitted->configuration;
+    request.expectedRevision = submitted->expectedRevision;
     request.sessionCondition = [this]() -> std::optional<TableCondition> {
         SessionManager& session = m_daemon.m_member.session();
         const auto version = session.settledVersion();
@@ -211,7 +229,8 @@
         return TableCondition { sessionKey(m_daemon.m_settings.host), *version };
     };
     m_daemon.m_configurations.submit(std::move(request), [exchange](const SubmitResult& result) {
-        replyJson(*exchange, httpStatus(result.status), submitAnswer(result));
+        const OperatorSubmitAnswer answer = answerOf(result);
+        exchange->reply(answer.httpStatus(), jsonHeaders, OperatorApi::encode(answer));
     });
 }
 
--- a/src/daemon/daemon_http.h
+++ b/src/daemon/daemon_http.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "protocol/operator_api.h"
 #include "transport/http_server.h"
 
 #include <memory>
-#include <nlohmann/json_fwd.hpp>
 #include <string>
 
 namespace lacewing {
@@ -29,8 +29,9 @@
     void answerStatus(HttpExchange& exchange);
     void answerConfiguration(HttpExchange& exchange);
     void submit(const std::shared_ptr<HttpExchange>& exchange);
-    nlohmann::json upstreamStatus() const;
-    nlohmann::json hostStatus() const;
+    std::optional<int64_t> headAgeMs() const;
+    std::vector<OperatorHostStatus> hostStatus() const;
+    std::vector<OperatorUpstreamStatus> upstreamStatus() const;
 
     Daemon& m_daemon;
 };
--- a/src/daemon/entry_request.cc
+++ b/src/daemon/entry_request.cc
@@ -1,5 +1,6 @@
 #include "daemon/entry_request.h"
 
+#include "protocol/content_hash.h"
 #include "state/refusal.h"
 
 #include <algorithm>
@@ -11,11 +12,13 @@
 
 constexpr int statusTooManyRequests = 429;
 constexpr int statusBadRequest = 400;
+constexpr int statusConflict = 409;
 constexpr int statusBadGateway = 502;
 constexpr int statusUnavailable = 503;
 /// How long a request waits for its workspace's tokens before it is refused.
 constexpr Duration reserveWait = std::chrono::milliseconds(200);
 constexpr Duration retryAfterFault = std::chrono::seconds(1);
+constexpr Duration retryAfterOutage = std::chrono::seconds(5);
 /// Pause between attempts when no upstream can be chosen.
 constexpr Duration noUpstreamPause = std::chrono::milliseconds(100);
 /// Attempts of one request, the first one included.
@@ -59,11 +62,11 @@
 
 void EntryRequest::start()
 {
-    m_context.countRequest();
+    m_context.retryBudget.countRequest();
     m_exchange->onClientLeft(m_guard.wrap([this] { callerLeft(); }));
     m_exchange->onDrained(m_guard.wrap([this] { giveCredit(); }));
     if (m_request.cost == Tokens(0))
-        return dispatch();
+        return claim();
     m_context.wallet.reserve(m_request.workspace, m_request.cost, now() + reserveWait,
         m_guard.wrap([this](const ReserveResult& result) { reserved(result); }));
 }
@@ -78,7 +81,7 @@
     }
     if (result.reservation) {
         m_reservation = result.reservation;
-        return dispatch();
+        return claim();
     }
     RefusalAnswer refused { statusTooManyRequests, toString(*result.error),
         "the workspace has used up its rate and burst", Outcome::RefusedNotRun, result.retryAfter };
@@ -89,6 +92,59 @@
     fail(refused);
 }
 
+void EntryRequest::claim()
+{
+    if (m_request.route.repeatable)
+        return dispatch();
+    const ServiceCall& call = *m_request.service;
+    const std::string fingerprint = contentHashOf(call.method + " " + call.target + "\n" + call.body).value();
+    m_context.claims.begin(m_request.workspace, m_request.requestId, fingerprint,
+        m_guard.wrap([this](const ClaimResult& result) { claimed(result); }));
+}
+
+void EntryRequest::claimed(const ClaimResult& result)
+{
+    m_hasClaim = result.verdict == ClaimVerdict::Run;
+    if (m_isFinished)
+        return endClaim(Outcome::RefusedNotRun, nullptr);
+    switch (result.verdict) {
+    case ClaimVerdict::Run:
+        return dispatch();
+    case ClaimVerdict::StoredAnswer:
+        m_writer->write(result.answer->body);
+        m_writer->finish({ result.answer->status, result.answer->contentType, "", {} });
+        return finish(Outcome::Answered, "", Tokens(0));
+    case ClaimVerdict::InProgress:
+        return fail({ statusConflict, std::string(refusal::claimInProgress),
+            "a call with this Idempotency-Key is running", Outcome::Unknown, retryAfterFault });
+    case ClaimVerdict::Unknown:
+        return fail({ statusBadGateway, std::string(refusal::claimOutcomeUnknown),
+            "a call with this Idempotency-Key may have run, and its answer is lost", Outcome::Unknown,
+            std::nullopt });
+    case ClaimVerdict::DifferentBody:
+        return fail({ statusConflict, std::string(refusal::claimConflict),
+            "this Idempotency-Key was used for another call", Outcome::RefusedNotRun, std::nullopt });
+    case ClaimVerdict::TableDown:
+        return fail({ statusUnavailable, std::string(refusal::claimUnavailable),
+            "calls that run at most once are not possible now", Outcome::RefusedNotRun, retryAfterOutage });
+    }
+}
+
+void EntryRequest::endClaim(Outcome outcome, const AnswerEnd* answer)
+{
+    if (!std::exchange(m_hasClaim, false))
+        return;
+    const auto ignored = [](bool) {};
+    if (answer) {
+        m_context.claims.complete(m_request.workspace, m_request.requestId,
+            { answer->status, answer->contentType, m_writer->body() }, ignored);
+    } else if (outcome == Outcome::RefusedNotRun) {
+        m_context.claims.release(m_request.workspace, m_request.requestId, ignored);
+    } else {
+        m_context.claims.abandon(m_request.workspace, m_request.requestId, ignored);
+    }
+}
+
 void EntryRequest::dispatch()
 {
     if (m_isFinished)
@@ -167,7 +223,8 @@
         m_context.metrics.summary("lacewing_first_token_seconds").observe(toSeconds(now() - m_arrival));
     m_nextToken += chunk.tokens;
     m_mayHaveRun = true;
-    if (!m_callerIsGone)
+    // The body of a call that runs at most once is kept for the claim, also when its caller has left.
+    if (!m_callerIsGone || m_hasClaim)
         m_writer->write(chunk.bytes);
     m_creditOwed += static_cast<int64_t>(chunk.bytes.size());
     giveCredit();
@@ -217,8 +274,10 @@
         return lost(refusal::upstreamLost);
     attemptEnded(RunVerdict::Succeeded);
     const AnswerUsage usage { Tokens(end.promptTokens), Tokens(end.generatedTokens) };
+    const AnswerEnd answer { end.status, end.contentType, end.finishReason, usage };
+    endClaim(Outcome::Answered, &answer);
     if (!m_callerIsGone)
-        m_writer->finish({ end.status, end.contentType, end.finishReason, usage });
+        m_writer->finish(answer);
     const Tokens used = m_request.completion ? usage.promptTokens + usage.generatedTokens : m_request.cost;
     finish(Outcome::Answered, "", used);
 }
@@ -268,7 +327,7 @@
     }
     if (m_attempts >= maximumAttempts)
         return fail(failure);
-    if (!m_context.takeRetry()) {
+    if (!m_context.retryBudget.tryRetry()) {
         ++m_context.metrics.counter(
             "lacewing_retries_denied_total", { { "reason", std::string(refusal::retryBudgetExhausted) } });
         return fail(failure);
@@ -348,6 +407,7 @@
 void EntryRequest::finish(Outcome outcome, std::string_view code, Tokens used)
 {
     m_isFinished = true;
+    endClaim(outcome, nullptr);
     m_context.scheduler.cancel(m_retryTimer);
     m_context.scheduler.cancel(m_progressTimer);
     if (m_reservation)
--- a/src/daemon/entry_request.h
+++ b/src/daemon/entry_request.h
@@ -3,6 +3,8 @@
 #include "base/callback_guard.h"
 #include "base/metrics.h"
 #include "base/scheduler.h"
+#include "coordination/claim_registry.h"
+#include "coordination/retry_budget.h"
 #include "coordination/token_wallet.h"
 #include "daemon/answer_writer.h"
 #include "daemon/upstream_router.h"
@@ -19,10 +21,8 @@
     MetricsRegistry& metrics;
     TokenWallet& wallet;
     UpstreamRouter& router;
-    /// @return whether a retry is within the budget; it is counted then.
-    std::function<bool()> takeRetry;
-    /// Counts a request for the retry budget.
-    std::function<void()> countRequest;
+    RetryBudget& retryBudget;
+    ClaimRegistry& claims;
     /// Gives each attempt a stream number that was never used before.
     std::function<StreamId()> newStream;
     /// Called when the stream of an attempt has ended.
@@ -56,6 +56,9 @@
 
 private:
     void reserved(const ReserveResult& result);
+    void claim();
+    void claimed(const ClaimResult& result);
+    void endClaim(Outcome outcome, const AnswerEnd* answer);
     void dispatch();
     RunRequest makeRunRequest() const;
     void attemptEnded(RunVerdict verdict);
@@ -80,6 +83,8 @@
     std::function<void()> m_finished;
     std::unique_ptr<AnswerWriter> m_writer;
     std::optional<Reservation> m_reservation;
+    /// Whether this request holds the claim of a call that may not be repeated.
+    bool m_hasClaim = false;
 
     MonotonicTime m_arrival;
     MonotonicTime m_startDeadline;
--- a/src/daemon/upstream_router.cc
+++ b/src/daemon/upstream_router.cc
@@ -107,11 +107,23 @@
         known = known->second.host == owner ? m_owners.erase(known) : std::next(known);
 }
 
-std::optional<RoutedTarget> UpstreamRouter::choose(
-    const AdmittedRequest& request, const std::set<UpstreamId>& excluded)
+const std::vector<UpstreamView>& UpstreamRouter::views()
 {
     for (UpstreamView& view : m_views)
         refresh(view);
+    return m_views;
+}
+
+FencingNumber UpstreamRouter::fencingNumber(const UpstreamId& upstream) const
+{
+    const auto known = m_owners.find(upstream);
+    return known == m_owners.end() ? FencingNumber(0) : known->second.fencingNumber;
+}
+
+std::optional<RoutedTarget> UpstreamRouter::choose(
+    const AdmittedRequest& request, const std::set<UpstreamId>& excluded)
+{
+    views();
     Selection selection;
     if (request.completion)
         selection.adapter = request.adapter;
--- a/src/daemon/upstream_router.h
+++ b/src/daemon/upstream_router.h
@@ -44,6 +44,11 @@
     /// Forgets what a host said, because it can't be reached.
     void ownerLost(const HostId& owner);
 
+    /// @return what is known of all upstreams, brought up to date.
+    const std::vector<UpstreamView>& views();
+    /// @return the fencing number of an upstream's owner as reported, or 0.
+    FencingNumber fencingNumber(const UpstreamId& upstream) const;
+
     /// @param excluded upstreams that were tried already.
     /// @return nothing if no upstream can be chosen now.
     std::optional<RoutedTarget> choose(const AdmittedRequest& request, const std::set<UpstreamId>& excluded);
--- a/src/state/refusal.h
+++ b/src/state/refusal.h
@@ -22,6 +22,7 @@
 constexpr std::string_view exceedsBurst = "exceeds_burst";
 constexpr std::string_view missingIdempotencyKey = "missing_idempotency_key";
 constexpr std::string_view claimInProgress = "in_progress";
+constexpr std::string_view claimOutcomeUnknown = "claim_outcome_unknown";
 constexpr std::string_view claimConflict = "idempotency_key_reused";
 constexpr std::string_view claimUnavailable = "claim_unavailable";
 constexpr std::string_view noUpstream = "no_upstream";
