--- /dev/null
+++ b/src/daemon/caller_gate_test.cc
@@ -0,0 +1,116 @@
+#include "daemon/caller_gate.h"
+
+#include "daemon/fake_exchange_test.h"
+#include "state/refusal.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lacewing;
+
+namespace {
+
+Configuration makeConfiguration()
+{
+    Configuration configuration;
+    configuration.adapters[AdapterId("a")] = { AdapterId("a"), WorkspaceId("w"), ModelId("m"),
+        { AdapterVersion("1"), AdapterVersion("2") }, AdapterVersion("2") };
+    configuration.adapters[AdapterId("b")] = { AdapterId("b"), WorkspaceId("other"), ModelId("m"),
+        { AdapterVersion("1") }, AdapterVersion("1") };
+    RouteConfig completions;
+    completions.path = "/v1/completions";
+    RouteConfig booking;
+    booking.path = "/booking";
+    booking.service = "desk";
+    booking.repeatable = false;
+    RouteConfig open;
+    open.path = "/hours";
+    open.service = "desk";
+    open.open = true;
+    open.cost = Tokens(5);
+    configuration.routes = { completions, booking, open };
+    return configuration;
+}
+
+struct Fixture {
+    Configuration configuration = makeConfiguration();
+    CallerGate gate { [](const std::string& key) -> std::optional<ResolvedKey> {
+        if (key != "secret")
+            return std::nullopt;
+        return ResolvedKey { WorkspaceId("w"), "hash" };
+    } };
+
+    std::optional<AdmittedRequest> admit(const std::string& path, const std::string& body,
+        HttpHeaders headers = { { "Authorization", "Bearer secret" } })
+    {
+        return gate.admit(FakeExchange("POST", path, std::move(headers), body), configuration);
+    }
+    std::string refusedWith(const std::string& path, const std::string& body,
+        HttpHeaders headers = { { "Authorization", "Bearer secret" } })
+    {
+        return admit(path, body, std::move(headers)) ? "admitted" : gate.refusal().code;
+    }
+};
+
+const std::string path = "/v1/completions";
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(CallerGateTest, Fixture)
+
+// Guards against a request that runs on another version than the one in force at its admission.
+BOOST_AUTO_TEST_CASE(NameWithoutVersionIsPinned)
+{
+    const auto pinned = admit(path, R"({"model":"a","prompt":"x"})");
+    BOOST_REQUIRE(pinned);
+    BOOST_TEST(pinned->adapter.version.value() == "2");
+    const auto named = admit(path, R"({"model":"a@1","prompt":"x"})");
+    BOOST_REQUIRE(named);
+    BOOST_TEST(named->adapter.version.value() == "1");
+    BOOST_TEST(refusedWith(path, R"({"model":"a@3","prompt":"x"})") == refusal::unknownVersion);
+}
+
+// Guards against a request that runs for another workspace than its key's.
+BOOST_AUTO_TEST_CASE(KeyOfOtherWorkspaceIsRefused)
+{
+    BOOST_TEST(refusedWith(path, R"({"model":"b","prompt":"x"})") == refusal::keyOfOtherWorkspace);
+    BOOST_TEST(gate.refusal().status == 403);
+    BOOST_TEST(refusedWith(path, R"({"model":"a","prompt":"x"})", {}) == refusal::missingKey);
+    BOOST_TEST(refusedWith(path, R"({"model":"a","prompt":"x"})", { { "Authorization", "Bearer x" } })
+        == refusal::unknownKey);
+    BOOST_TEST(refusedWith(path, R"({"model":"a","prompt":"x"})",
+                   { { "Authorization", "Bearer secret" }, { "authorization", "Bearer x" } })
+        == refusal::invalidRequest);
+}
+
+// Guards against a key that reaches an upstream inside the body, the target or a forwarded header.
+BOOST_AUTO_TEST_CASE(KeyElsewhereInTheRequestIsRefused)
+{
+    BOOST_TEST(refusedWith(path, R"({"model":"a","prompt":"my key is secret"})") == refusal::keyInRequest);
+    const HttpHeaders headers { { "Authorization", "Bearer secret" }, { "Idempotency-Key", "k1" } };
+    BOOST_TEST(refusedWith("/booking/secret", "", headers) == refusal::keyInRequest);
+    BOOST_TEST(refusedWith("/booking/1", "secret", headers) == refusal::keyInRequest);
+    BOOST_TEST(refusedWith("/booking/1", "",
+                   { { "Authorization", "Bearer secret" }, { "Idempotency-Key", "secret" } })
+        == refusal::keyInRequest);
+}
+
+// Guards against calls that run at most once but can't be recognised when they are repeated.
+BOOST_AUTO_TEST_CASE(NonRepeatableCallNeedsIdempotencyKey)
+{
+    BOOST_TEST(refusedWith("/booking/1", "") == refusal::missingIdempotencyKey);
+    BOOST_TEST(
+        refusedWith("/booking/1", "", { { "Authorization", "Bearer secret" }, { "Idempotency-Key", "a b" } })
+        == refusal::invalidRequest);
+}
+
+// Guards against a route prefix that matches a part of a path segment.
+BOOST_AUTO_TEST_CASE(RoutesMatchWholeSegments)
+{
+    BOOST_TEST(refusedWith("/bookingX", "") == refusal::unknownRoute);
+    const auto open = admit("/hours/today", "", {});
+    BOOST_REQUIRE(open);
+    BOOST_TEST(open->workspace.empty());
+    BOOST_TEST(open->cost.value() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
