Run libevhtp's bufferevents without deferred callbacks

A connection whose callbacks were still deferred when the loop ended leaked its bufferevent and socket: valgrind showed 9,176 bytes and one socket lost in EarlyRefusalOfLargeBodyIsSeen, and nothing after the change.

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -51,6 +51,9 @@
             return false;
         }
         m_evhtp.reset(evhtp_new(m_context.loop.base(), nullptr));
+        // By default libevhtp defers callbacks, and libevent leaks a bufferevent if the loop ends before they
+        // ran.
+        evhtp_set_bev_flags(m_evhtp.get(), BEV_OPT_CLOSE_ON_FREE);
         evhtp_set_gencb(m_evhtp.get(), HttpServerConnection::onRequest, nullptr);
         evhtp_set_post_accept_cb(m_evhtp.get(), onAccept, this);
         // The socket is bound here and not by libevhtp so that the port it was given can be read.
