--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -411,7 +411,6 @@
     if (m_exchange->isPaused) {
         m_held.status = status;
         m_held.headers = std::move(*headers);
-        holdReading();
         return true;
     }
     const std::shared_ptr<HttpClientExchange> exchange = m_exchange;
@@ -436,13 +435,10 @@
         return;
     if (isHolding()) {
         m_held.body += bytes;
-        holdReading();
         return;
     }
     const std::shared_ptr<HttpClientExchange> exchange = m_exchange;
     exchange->deliverBody(bytes);
-    if (isCurrent(exchange.get()) && exchange->isPaused)
-        holdReading();
 }
 
 void HttpClientConnection::requestEnded(std::optional<HttpClientError> error)
--- a/src/transport/http_client_connection_test.cc
+++ b/src/transport/http_client_connection_test.cc
@@ -64,4 +64,28 @@
     }
 }
 
+// Guards against a connection that is not read any more after a pause, because input came between the call of
+// resumeReading() and the delivery of what was held back.
+BOOST_AUTO_TEST_CASE(PauseInsideHandlerIsFollowedByTheRest)
+{
+    HttpClientRequest request;
+    request.server = server.address();
+    std::unique_ptr<HttpClientCall> call;
+    std::string body;
+    bool isDone = false;
+    HttpClientHandlers handlers;
+    handlers.onHeaders = [&](int, const HttpHeaders&) {
+        call->pauseReading();
+        loop.runAfter(std::chrono::milliseconds(3), [&] { call->resumeReading(); });
+    };
+    handlers.onBody = [&](std::string_view bytes) { body += bytes; };
+    handlers.onDone = [&](const HttpClientResult& result) { isDone = !result.error; };
+    call = client->send(std::move(request), std::move(handlers));
+    runUntil(loop, [&] { return !server.peers.empty() && server.peers[0]->received("\r\n\r\n"); });
+    const std::string sent(100000, 'x');
+    server.peers[0]->send("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + sent);
+    runUntil(loop, [&] { return isDone; });
+    BOOST_TEST((body == sent));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
