--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -1,5 +1,6 @@
 #include "transport/http_client_connection.h"
 
+#include "transport/evhttp_message.h"
 #include "transport/http_field_rules.h"
 #include "transport/socket_address.h"
 
@@ -8,7 +9,6 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
 #include <event2/util.h>
 #include <sys/socket.h>
 
@@ -35,43 +35,6 @@
 /// HttpClientConnection bound the time instead.
 constexpr timeval noTimeout { 365 * 24 * 3600, 0 };
 
-std::optional<evhttp_cmd_type> commandOf(const std::string& method)
-{
-    constexpr std::pair<const char*, evhttp_cmd_type> commands[] = { { "GET", EVHTTP_REQ_GET },
-        { "POST", EVHTTP_REQ_POST }, { "PUT", EVHTTP_REQ_PUT }, { "DELETE", EVHTTP_REQ_DELETE },
-        { "HEAD", EVHTTP_REQ_HEAD }, { "PATCH", EVHTTP_REQ_PATCH }, { "OPTIONS", EVHTTP_REQ_OPTIONS } };
-    for (const auto& [name, command] : commands) {
-        if (method == name)
-            return command;
-    }
-    return std::nullopt;
-}
-
-bool impliesBody(const std::string& method)
-{
-    return method == "POST" || method == "PUT" || method == "PATCH";
-}
-
-/// @return the answer's fields, or nothing if one of them is malformed.
-std::optional<HttpHeaders> fieldsOf(evhttp_request* request)
-{
-    HttpHeaders headers;
-    const evkeyvalq* fields = evhttp_request_get_input_headers(request);
-    for (const evkeyval* field = fields->tqh_first; field; field = field->next.tqe_next) {
-        const std::string_view value = trimmedField(field->value);
-        if (!isHttpToken(field->key) || std::any_of(value.begin(), value.end(), isHttpControl))
-            return std::nullopt;
-        headers.add(field->key, std::string(value));
-    }
-    return headers;
-}
-
-HttpClientError errorOf(evhttp_request_error error)
-{
-    const bool isInvalid = error == EVREQ_HTTP_INVALID_HEADER || error == EVREQ_HTTP_DATA_TOO_LONG;
-    return isInvalid ? HttpClientError::InvalidAnswer : HttpClientError::ConnectionLost;
-}
-
 } // namespace
 
 struct HttpClientConnection::Callbacks {
@@ -97,7 +60,7 @@
         HttpClientConnection& connection = from(self);
         connection.m_request = nullptr;
         if (!connection.m_error)
-            connection.m_error = errorOf(error);
+            connection.m_error = toClientError(error);
     }
 
     // The request is null after an error, and has no status after a failure to connect.
@@ -229,30 +192,17 @@
 
 void HttpClientConnection::buildRequest()
 {
-    const HttpClientRequest& request = m_exchange->request;
     m_request = evhttp_request_new(Callbacks::onEnd, this);
     evhttp_request_set_header_cb(m_request, Callbacks::onHeaders);
     evhttp_request_set_chunked_cb(m_request, Callbacks::onBody);
     evhttp_request_set_error_cb(m_request, Callbacks::onError);
-    evkeyvalq* fields = evhttp_request_get_output_headers(m_request);
-    if (request.headers.count("Host") == 0)
-        evhttp_add_header(fields, "Host", m_server.text().c_str());
-    for (const auto& [name, value] : request.headers) {
-        const bool isFraming = equalsIgnoringCase(name, "Content-Length")
-            || equalsIgnoringCase(name, "Transfer-Encoding") || equalsIgnoringCase(name, "Connection");
-        if (!isFraming)
-            evhttp_add_header(fields, cleanField(name).c_str(), cleanField(value).c_str());
-    }
-    // evhttp adds it for POST and PUT only.
-    if (!request.body.empty() || impliesBody(request.method))
-        evhttp_add_header(fields, "Content-Length", std::to_string(request.body.size()).c_str());
-    evbuffer_add(evhttp_request_get_output_buffer(m_request), request.body.data(), request.body.size());
+    fillRequest(*m_request, m_exchange->request);
 }
 
 bool HttpClientConnection::makeRequest()
 {
     const HttpClientRequest& request = m_exchange->request;
-    const auto command = commandOf(request.method);
+    const auto command = evhttpCommand(request.method);
     sockaddr_storage address {};
     // evhttp would block while it looks up a name.
     if (!command || toSystemAddress(m_server, address) == 0)
@@ -397,7 +347,7 @@
     if (skipInterimAnswer(request))
         return true;
     m_hasHeaders = true;
-    auto headers = fieldsOf(request);
+    auto headers = fieldsOfAnswer(*request);
     HttpFault fault;
     const auto framing = headers ? interpretFraming(*headers, request->minor, fault) : std::nullopt;
     if (!framing || status < statusFinal || status >= statusAboveAll || request->major != 1) {
