Use as many holders of an adapter as its requests in flight need

Cause: the most popular adapter's measured share varied around the threshold, so its batch was split.

--- a/src/coordination/bounded_load_selector.cc
+++ b/src/coordination/bounded_load_selector.cc
@@ -24,15 +24,16 @@
     if (selection.adapter) {
         const auto holders = static_cast<size_t>(std::count_if(
             ranked.begin(), ranked.end(), [](const Candidate& candidate) { return candidate.holds; }));
-        if (holders >= replicas(*selection.adapter, ranked.size(), now))
-            chosen = leastLoaded(ranked, true);
+        const size_t wanted = replicas(*selection.adapter, ranked, now);
+        if (holders >= wanted)
+            chosen = holder(ranked, wanted);
         if (!chosen)
             chosen = cheapestHome(ranked);
         if (!chosen)
-            chosen = leastLoaded(ranked, true);
+            chosen = holder(ranked, wanted);
     }
     if (!chosen)
-        chosen = leastLoaded(ranked, false);
+        chosen = leastLoaded(ranked);
     return chosen->view->upstream;
 }
 
@@ -80,20 +81,32 @@
     return result;
 }
 
-const BoundedLoadSelector::Candidate* BoundedLoadSelector::leastLoaded(
-    const Candidates& candidates, bool onlyHolders)
+const BoundedLoadSelector::Candidate* BoundedLoadSelector::leastLoaded(const Candidates& candidates)
 {
-    const Candidate* best = nullptr;
     // Loads are compared in steps of an eighth, so that the data centre decides between nearly equal ones.
     const auto order = [](const Candidate& candidate) {
         return std::make_tuple(
             std::floor(candidate.load * 8), !candidate.local, candidate.load, candidate.rank);
     };
+    const auto best = std::min_element(candidates.begin(), candidates.end(),
+        [&](const Candidate& a, const Candidate& b) { return order(a) < order(b); });
+    return best == candidates.end() ? nullptr : &*best;
+}
+
+const BoundedLoadSelector::Candidate* BoundedLoadSelector::holder(
+    const Candidates& candidates, size_t replicas)
+{
+    const Candidate* best = nullptr;
+    size_t seen = 0;
     for (const Candidate& candidate : candidates) {
-        if (onlyHolders && !(candidate.holds && candidate.withinBound))
+        if (!candidate.holds || !candidate.withinBound)
             continue;
-        if (!best || order(candidate) < order(*best))
+        const bool better = best
+            && std::make_tuple(candidate.load, !candidate.local) < std::make_tuple(best->load, !best->local);
+        if (!best || better)
             best = &candidate;
+        if (++seen >= replicas)
+            break;
     }
     return best;
 }
@@ -128,13 +141,22 @@
         && now <= choice->second.at + m_options.choiceMemory;
 }
 
-size_t BoundedLoadSelector::replicas(const AdapterKey& adapter, size_t upstreams, MonotonicTime now) const
+size_t BoundedLoadSelector::replicas(
+    const AdapterKey& adapter, const Candidates& candidates, MonotonicTime now) const
 {
     if (m_popularity.count(adapter, now) < m_options.leastUses)
         return 1;
-    const double share = m_popularity.share(adapter, now) * static_cast<double>(upstreams);
-    const double wanted = 1 + std::floor(share / m_options.shareOfUpstream);
-    return static_cast<size_t>(std::min(wanted, static_cast<double>(upstreams)));
+    double inFlight = 0;
+    double capacity = 0;
+    for (const Candidate& candidate : candidates) {
+        const double own = candidate.view->weight * std::max(1, candidate.view->maximumConcurrency);
+        inFlight += candidate.load * own;
+        capacity += own;
+    }
+    const auto count = static_cast<double>(candidates.size());
+    const double perUpstream = m_options.idleShare * capacity / count;
+    const double wanted = 1 + std::floor(m_popularity.share(adapter, now) * inFlight / perUpstream);
+    return static_cast<size_t>(std::min(wanted, count));
 }
 
 } // namespace lacewing
--- a/src/coordination/bounded_load_selector.h
+++ b/src/coordination/bounded_load_selector.h
@@ -20,8 +20,6 @@
         /// ... and this share of its maximum concurrency. Below that nothing waits, so spreading only costs
         /// loads.
         double idleShare = 0.6;
-        /// An adapter gets another upstream for each such part of one upstream's fair share of all requests.
-        double shareOfUpstream = 2.0;
         /// Uses within the time constant below which an adapter counts as unpopular: an entry sees few.
         double leastUses = 4;
         Duration popularityTimeConstant = std::chrono::seconds(60);
@@ -60,10 +58,11 @@
 
     Candidates candidates(
         const Selection& selection, const std::vector<UpstreamView>& views, MonotonicTime now) const;
-    static const Candidate* leastLoaded(const Candidates& candidates, bool onlyHolders);
+    static const Candidate* leastLoaded(const Candidates& candidates);
+    static const Candidate* holder(const Candidates& candidates, size_t replicas);
     const Candidate* cheapestHome(const Candidates& candidates) const;
     bool holds(const UpstreamView& view, const std::optional<AdapterKey>& adapter, MonotonicTime now) const;
-    size_t replicas(const AdapterKey& adapter, size_t upstreams, MonotonicTime now) const;
+    size_t replicas(const AdapterKey& adapter, const Candidates& candidates, MonotonicTime now) const;
 
     Options m_options;
     InFlightTracker m_inFlight;
--- a/src/coordination/fifo_request_queue.cc
+++ b/src/coordination/fifo_request_queue.cc
@@ -10,6 +10,7 @@
     if (m_requests.size() >= m_capacity)
         return false;
     m_requests.push_back(request);
+    ++m_waiting[{ request.adapter, request.requestClass }];
     return true;
 }
 
@@ -19,7 +20,7 @@
         [id](const QueuedRequest& request) { return request.id == id; });
     if (found == m_requests.end())
         return false;
-    m_requests.erase(found);
+    remove(found);
     return true;
 }
 
@@ -28,7 +29,7 @@
     if (m_requests.empty() || !isReady(m_requests.front().adapter, m_requests.front().requestClass))
         return std::nullopt;
     QueuedRequest request = m_requests.front();
-    m_requests.pop_front();
+    remove(m_requests.begin());
     return request;
 }
 
@@ -42,7 +43,7 @@
             continue;
         }
         expired.push_back(*it);
-        it = m_requests.erase(it);
+        it = remove(it);
     }
     return expired;
 }
@@ -63,15 +64,23 @@
 
 bool FifoRequestQueue::isWaitedFor(const AdapterKey& adapter, RequestClass requestClass) const
 {
-    return std::any_of(m_requests.begin(), m_requests.end(), [&](const QueuedRequest& request) {
-        return request.adapter == adapter && request.requestClass == requestClass;
-    });
+    return m_waiting.count({ adapter, requestClass }) > 0;
 }
 
 size_t FifoRequestQueue::readyCount(const AdapterReady& isReady) const
 {
-    return static_cast<size_t>(std::count_if(m_requests.begin(), m_requests.end(),
-        [&](const QueuedRequest& request) { return isReady(request.adapter, request.requestClass); }));
+    size_t count = 0;
+    for (const auto& [key, waiting] : m_waiting)
+        count += isReady(key.first, key.second) ? waiting : 0;
+    return count;
+}
+
+std::list<QueuedRequest>::iterator FifoRequestQueue::remove(std::list<QueuedRequest>::iterator request)
+{
+    const auto count = m_waiting.find({ request->adapter, request->requestClass });
+    if (--count->second == 0)
+        m_waiting.erase(count);
+    return m_requests.erase(request);
 }
 
 size_t FifoRequestQueue::size(RequestClass requestClass) const
--- a/src/coordination/fifo_request_queue.h
+++ b/src/coordination/fifo_request_queue.h
@@ -3,6 +3,8 @@
 #include "coordination/request_queue.h"
 
 #include <list>
+#include <map>
+#include <utility>
 
 namespace lacewing {
 
@@ -26,8 +28,11 @@
     size_t size(RequestClass requestClass) const override;
 
 private:
+    std::list<QueuedRequest>::iterator remove(std::list<QueuedRequest>::iterator request);
+
     size_t m_capacity;
     std::list<QueuedRequest> m_requests;
+    std::map<std::pair<AdapterKey, RequestClass>, size_t> m_waiting;
 };
 
 } // namespace lacewing
--- a/src/replay/placement_simulation.cc
+++ b/src/replay/placement_simulation.cc
@@ -24,7 +24,7 @@
 constexpr double loadBurst = 8;
 constexpr double loadFailureRate = 0.1;
 constexpr int maximumMoves = 2;
-constexpr size_t queueCapacity = 4000;
+constexpr size_t queueCapacity = 2000;
 constexpr Duration loadTime = milliseconds(250);
 constexpr Duration evictTime = milliseconds(5);
 constexpr Duration linkDelay = milliseconds(2);
@@ -175,7 +175,7 @@
 std::unique_ptr<RequestQueue> PlacementSimulation::makeQueue() const
 {
     if (!m_policy.fairQueue)
-        return std::make_unique<FifoRequestQueue>(2 * queueCapacity);
+        return std::make_unique<FifoRequestQueue>(queueCapacity);
     FairRequestQueue::Options options;
     options.capacityPerClass = queueCapacity;
     options.maximumBatchRunning = static_cast<size_t>(m_deployment.maximumConcurrency) * 5 / 8;
@@ -444,7 +444,8 @@
         const size_t number = (m_firstToPump + i) % count;
         if (m_engines[number]->waiting.empty())
             continue;
-        expire(number);
+        if (m_firstToPump == 0)
+            expire(number);
         pump(number);
     }
     m_scheduler.runAfter(tickInterval, [this] { tick(); });
