--- a/src/replay/replay_report.cc
+++ b/src/replay/replay_report.cc
@@ -18,14 +18,6 @@
     return text;
 }
 
-double growth(const UpstreamCounters& before, const UpstreamCounters& after, const std::string& name)
-{
-    const auto first = before.sums.find(name);
-    const auto last = after.sums.find(name);
-    const double sum = last == after.sums.end() ? 0 : last->second;
-    return sum - (first == before.sums.end() ? 0 : first->second);
-}
-
 } // namespace
 
 ReplayReport::ReplayReport(const Configuration& configuration, const std::vector<PreparedRequest>& requests,
@@ -38,7 +30,7 @@
     addWorkspaces(configuration);
     addRuns(before, after);
     for (const char* name : { "loads", "evicted_while_running", "forbidden_text_seen" })
-        m_measures[name] = growth(before, after, name);
+        m_measures[name] = after.growthSince(before, name);
 }
 
 std::optional<double> ReplayReport::measure(const std::string& name) const
--- a/src/replay/upstream_counters.cc
+++ b/src/replay/upstream_counters.cc
@@ -7,6 +7,20 @@
 
 namespace lacewing {
 
+double UpstreamCounters::growthSince(const UpstreamCounters& before, const std::string& name) const
+{
+    const auto valueIn = [&](const UpstreamCounters& counters, const SocketAddress& upstream) {
+        const auto found = counters.upstreams.find(upstream);
+        if (found == counters.upstreams.end() || found->second.count(name) == 0)
+            return 0.0;
+        return found->second.at(name);
+    };
+    double growth = 0;
+    for (const auto& [upstream, counters] : upstreams)
+        growth += valueIn(*this, upstream) - valueIn(before, upstream);
+    return growth;
+}
+
 UpstreamCounterReader::UpstreamCounterReader(
     HttpFetcher& fetcher, std::vector<SocketAddress> engines, std::vector<SocketAddress> services)
     : m_fetcher(fetcher)
@@ -15,8 +29,9 @@
 {
 }
 
-void UpstreamCounterReader::addMetrics(const std::string& text, std::map<std::string, double>& sums)
+std::map<std::string, double> UpstreamCounterReader::parseMetrics(const std::string& text)
 {
+    std::map<std::string, double> counters;
     std::istringstream lines(text);
     std::string line;
     while (std::getline(lines, line)) {
@@ -24,8 +39,9 @@
         if (line.empty() || line[0] == '#' || space == std::string::npos
             || line.find('{') != std::string::npos)
             continue;
-        sums[line.substr(0, space)] += std::strtod(line.c_str() + space, nullptr);
+        counters[line.substr(0, space)] = std::strtod(line.c_str() + space, nullptr);
     }
+    return counters;
 }
 
 std::optional<UpstreamCounters> UpstreamCounterReader::read()
@@ -33,7 +49,7 @@
     UpstreamCounters counters;
     for (const SocketAddress& engine : m_engines) {
         if (const auto text = m_fetcher.fetch(engine, "/metrics"))
-            addMetrics(*text, counters.sums);
+            counters.upstreams[engine] = parseMetrics(*text);
     }
     for (const SocketAddress& service : m_services) {
         const auto metrics = m_fetcher.fetch(service, "/metrics");
@@ -43,7 +59,7 @@
             m_lastError = "the service " + service.text() + " does not show its runs";
             return std::nullopt;
         }
-        addMetrics(*metrics, counters.sums);
+        counters.upstreams[service] = parseMetrics(*metrics);
         for (const auto& [key, count] : json["runs"].items())
             counters.runs[key] += count.get<int64_t>();
     }
--- a/src/replay/upstream_counters.h
+++ b/src/replay/upstream_counters.h
@@ -10,8 +10,12 @@
 
 /// Counters of the stand-in upstreams, read before and after a replay.
 struct UpstreamCounters {
-    /// Sums over all upstreams of their unlabelled counters, by name.
-    std::map<std::string, double> sums;
+    /// Unlabelled counters by name, of each upstream that answered.
+    std::map<SocketAddress, std::map<std::string, double>> upstreams;
+    /// @return by how much a counter has grown since an earlier reading, over the upstreams that answered
+    /// now.
+    double growthSince(const UpstreamCounters& before, const std::string& name) const;
+
     /// How often each call was run, over all plain services; by "workspace/request id".
     std::map<std::string, int64_t> runs;
 };
@@ -22,12 +26,12 @@
     UpstreamCounterReader(
         HttpFetcher& fetcher, std::vector<SocketAddress> engines, std::vector<SocketAddress> services);
 
-    /// @return nothing if an upstream does not answer; see lastError(). Engines that do not answer are left
-    /// out, since a test may have killed them.
+    /// @return nothing if a plain service does not answer; see lastError(). Engines that do not answer are
+    /// left out, since a test may have killed them.
     std::optional<UpstreamCounters> read();
 
     /// @param text metrics in the Prometheus text format; labelled series are left out.
-    static void addMetrics(const std::string& text, std::map<std::string, double>& sums);
+    static std::map<std::string, double> parseMetrics(const std::string& text);
 
     const std::string& lastError() const { return m_lastError; }
 
--- a/tools/example_fleet.py
+++ b/tools/example_fleet.py
@@ -108,3 +108,18 @@
         if key:
             fields["Authorization"] = f"Bearer {KEYS.get(key, key)}"
         return call(self.daemons[host].address, path, body, fields, method="POST")
+
+    @staticmethod
+    def http(address, path, body=None):
+        return call(address, path, body)
+
+    def control(self, process, faults):
+        """Sets faults of a stand-in."""
+        status, _, text = call(process.address, "/control", faults)
+        if status != 200:
+            raise RuntimeError(f"{process.name} refused the faults: {text}")
+
+    def table_up(self):
+        """Returns whether all daemons reach the table."""
+        _, status = self.operator("status")
+        return all(host["tableUp"] for host in status["hosts"] if host.get("link", host["state"]) != "stopped")
