--- a/src/coordination/bounded_load_selector.cc
+++ b/src/coordination/bounded_load_selector.cc
@@ -64,6 +64,8 @@
         Candidate candidate;
         candidate.view = view;
         candidate.load = m_inFlight.load(*view);
+        if (selection.requestClass == RequestClass::Batch)
+            candidate.load += view->queuedBatch;
         candidate.holds = holds(*view, selection.adapter, now);
         candidate.local = view->dataCentre == selection.dataCentre;
         candidate.rank = result.size();
--- a/src/coordination/fair_request_queue.cc
+++ b/src/coordination/fair_request_queue.cc
@@ -128,14 +128,12 @@
     return state(requestClass).waitingPerAdapter.count(adapter) > 0;
 }
 
-size_t FairRequestQueue::readyCount(const AdapterReady& isReady) const
+size_t FairRequestQueue::readyCount(RequestClass requestClass, const AdapterReady& isReady) const
 {
     size_t count = 0;
-    for (const RequestClass requestClass : { RequestClass::Interactive, RequestClass::Batch }) {
-        for (const auto& [id, workspace] : state(requestClass).workspaces) {
-            for (const auto& [adapter, line] : workspace.lines)
-                count += isReady(adapter, requestClass) ? line.size() : 0;
-        }
+    for (const auto& [id, workspace] : state(requestClass).workspaces) {
+        for (const auto& [adapter, line] : workspace.lines)
+            count += isReady(adapter, requestClass) ? line.size() : 0;
     }
     return count;
 }
--- a/src/coordination/fair_request_queue_test.cc
+++ b/src/coordination/fair_request_queue_test.cc
@@ -148,7 +148,7 @@
         queue->push(waitingRequest("a", interactive));
         queue->push(request("a", interactive));
         BOOST_TEST(queue->waitingAdapters(isResident, 10).size() == 1u);
-        BOOST_TEST(queue->readyCount(isResident) == 1u);
+        BOOST_TEST(queue->readyCount(interactive, isResident) == 1u);
     }
     BOOST_TEST(fair.pop({}, isResident).has_value());
     BOOST_TEST(!fifo.pop({}, isResident).has_value());
--- a/src/coordination/fifo_request_queue.cc
+++ b/src/coordination/fifo_request_queue.cc
@@ -67,11 +67,11 @@
     return m_waiting.count({ adapter, requestClass }) > 0;
 }
 
-size_t FifoRequestQueue::readyCount(const AdapterReady& isReady) const
+size_t FifoRequestQueue::readyCount(RequestClass requestClass, const AdapterReady& isReady) const
 {
     size_t count = 0;
     for (const auto& [key, waiting] : m_waiting)
-        count += isReady(key.first, key.second) ? waiting : 0;
+        count += key.second == requestClass && isReady(key.first, key.second) ? waiting : 0;
     return count;
 }
 
--- a/src/coordination/fifo_request_queue.h
+++ b/src/coordination/fifo_request_queue.h
@@ -24,7 +24,7 @@
     std::vector<QueuedRequest> expire(MonotonicTime now, const AdapterWait& leastWait) override;
     std::vector<WaitingAdapter> waitingAdapters(const AdapterReady& isReady, size_t limit) const override;
     bool isWaitedFor(const AdapterKey& adapter, RequestClass requestClass) const override;
-    size_t readyCount(const AdapterReady& isReady) const override;
+    size_t readyCount(RequestClass requestClass, const AdapterReady& isReady) const override;
     size_t size(RequestClass requestClass) const override;
 
 private:
--- a/src/coordination/request_queue.h
+++ b/src/coordination/request_queue.h
@@ -83,10 +83,10 @@
     /// @return true if any request of the class waits for the adapter.
     virtual bool isWaitedFor(const AdapterKey& adapter, RequestClass requestClass) const = 0;
 
-    /// @return the number of waiting requests that could start if the upstream had room for them. Requests
-    /// that wait for a load are not counted: they would wait on another upstream as well, so they are no
-    /// reason to send others elsewhere.
-    virtual size_t readyCount(const AdapterReady& isReady) const = 0;
+    /// @return the number of waiting requests of a class that could start if the upstream had room for them.
+    /// Requests that wait for a load are not counted: they would wait on another upstream as well, so they
+    /// are no reason to send others elsewhere.
+    virtual size_t readyCount(RequestClass requestClass, const AdapterReady& isReady) const = 0;
 
     /// @return the number of waiting requests of a class.
     virtual size_t size(RequestClass requestClass) const = 0;
--- a/src/coordination/upstream_selector.h
+++ b/src/coordination/upstream_selector.h
@@ -25,8 +25,10 @@
     /// Share of full work it may get, from UpstreamHealth::weight(); 0 while ejected.
     double weight = 1;
     int running = 0;
-    /// Requests that wait for room although their adapter is ready: RequestQueue::readyCount().
+    /// Interactive requests that wait for room although their adapter is ready: RequestQueue::readyCount().
     int queued = 0;
+    /// The same for batch requests. They are no load to interactive requests, which go before them.
+    int queuedBatch = 0;
     int maximumConcurrency = 1;
     /// When the load was current, on the entry's clock.
     MonotonicTime reportedAt;
@@ -42,6 +44,7 @@
     std::optional<AdapterKey> adapter;
     ModelId baseModel;
     std::string service;
+    RequestClass requestClass = RequestClass::Interactive;
     /// Data centre of the entry.
     DataCentreId dataCentre;
     /// Upstreams that were tried already.
--- a/src/replay/placement_simulation.cc
+++ b/src/replay/placement_simulation.cc
@@ -222,6 +222,7 @@
     Selection selection;
     selection.adapter = m_adapters[static_cast<size_t>(m_result.records[index].request.adapter)];
     selection.dataCentre = entry.dataCentre;
+    selection.requestClass = m_result.records[index].request.requestClass;
     selection.excluded = request.excluded;
     const auto chosen = entry.selector->select(selection, entry.views, now);
     if (!chosen) {
@@ -459,10 +460,11 @@
             continue;
         UpstreamView reported;
         reported.running = static_cast<int>(engine.batch->running());
-        reported.queued = static_cast<int>(
-            engine.queue->readyCount([&](const AdapterKey& adapter, RequestClass requestClass) {
-                return engine.residency->isReady(adapter, requestClass);
-            }));
+        const auto isReady = [&](const AdapterKey& adapter, RequestClass requestClass) {
+            return engine.residency->isReady(adapter, requestClass);
+        };
+        reported.queued = static_cast<int>(engine.queue->readyCount(RequestClass::Interactive, isReady));
+        reported.queuedBatch = static_cast<int>(engine.queue->readyCount(RequestClass::Batch, isReady));
         reported.reportedAt = m_scheduler.now();
         reported.evictionCost = engine.residency->evictionCost(*engine.queue, m_scheduler.now());
         for (const AdapterKey& adapter : engine.residency->resident())
@@ -473,6 +475,7 @@
                 UpstreamView& view = entry->views[number];
                 view.running = reported.running;
                 view.queued = reported.queued;
+                view.queuedBatch = reported.queuedBatch;
                 view.reportedAt = reported.reportedAt;
                 view.resident = reported.resident;
                 view.evictionCost = reported.evictionCost;
