--- a/src/replay/replay_report.cc
+++ b/src/replay/replay_report.cc
@@ -25,6 +25,7 @@
     : m_requests(requests)
     , m_results(results)
 {
+    findRepeatsInProgress();
     countEndings();
     addTimes();
     addWorkspaces(configuration);
@@ -45,15 +46,33 @@
     return std::nullopt;
 }
 
+void ReplayReport::findRepeatsInProgress()
+{
+    std::set<std::string> seen;
+    for (size_t i = 0; i < m_results.size(); ++i) {
+        const bool isRepeat = !m_requests[i].route.repeatable && !seen.insert(m_requests[i].runKey).second;
+        m_repeatsInProgress.push_back(isRepeat && m_results[i].code == "in_progress");
+    }
+}
+
+bool ReplayReport::isCounted(size_t request) const
+{
+    return m_results[request].ending != RequestEnding::Cancelled && !m_repeatsInProgress[request];
+}
+
 void ReplayReport::countEndings()
 {
     for (const char* name :
-        { "answered", "refused", "unknown", "wrong_answers", "cancelled", "connect_failures" })
+        { "answered", "refused", "unknown", "wrong_answers", "cancelled", "in_progress", "connect_failures" })
         m_measures[name] = 0;
     m_measures["requests"] = static_cast<double>(m_requests.size());
     for (size_t i = 0; i < m_results.size(); ++i) {
         const RequestResult& result = m_results[i];
         m_measures["connect_failures"] += result.connectFailures;
+        if (m_repeatsInProgress[i]) {
+            ++m_measures["in_progress"];
+            continue;
+        }
         switch (result.ending) {
         case RequestEnding::Answered:
             ++m_measures["answered"];
@@ -75,7 +94,7 @@
             break;
         }
     }
-    const double counted = m_measures["requests"] - m_measures["cancelled"];
+    const double counted = m_measures["requests"] - m_measures["cancelled"] - m_measures["in_progress"];
     m_measures["answered_share"] = counted > 0 ? m_measures["answered"] / counted : 1;
 }
 
@@ -109,7 +128,7 @@
     double answered = 0;
     double counted = 0;
     for (size_t i = 0; i < m_results.size(); ++i) {
-        if (m_requests[i].workspace != workspace || m_results[i].ending == RequestEnding::Cancelled)
+        if (m_requests[i].workspace != workspace || !isCounted(i))
             continue;
         ++counted;
         answered += m_results[i].ending == RequestEnding::Answered ? 1 : 0;
--- a/src/replay/replay_report.h
+++ b/src/replay/replay_report.h
@@ -28,7 +28,9 @@
     const std::vector<std::string>& faults() const { return m_faults; }
 
 private:
+    void findRepeatsInProgress();
     void countEndings();
+    bool isCounted(size_t request) const;
     void addTimes();
     void addWorkspaces(const Configuration& configuration);
     void addRuns(const UpstreamCounters& before, const UpstreamCounters& after);
@@ -37,6 +39,8 @@
 
     const std::vector<PreparedRequest>& m_requests;
     const std::vector<RequestResult>& m_results;
+    /// Repeats that came while the first call was running and were told so.
+    std::vector<bool> m_repeatsInProgress;
     std::map<std::string, double> m_measures;
     std::vector<std::string> m_faults;
 };
