--- a/src/replay/lacewinglb_replay_main.cc
+++ b/src/replay/lacewinglb_replay_main.cc
@@ -28,6 +28,7 @@
 ABSL_FLAG(std::vector<std::string>, services, {},
     "IP:PORT of stand-in plain services whose runs belong to the report, comma-separated");
 ABSL_FLAG(std::string, output, "table", "form of the report: table or json");
+ABSL_FLAG(std::string, details, "", "file to write one JSON line per request to; empty: none");
 ABSL_FLAG(std::string, kind, "steady",
     "generate: kind of trace: steady, friday, overload, bookings or mix; see docs/trace-format.md");
 ABSL_FLAG(uint64_t, seed, 1, "generate: seed; the same seed gives the same trace");
@@ -157,6 +158,37 @@
     std::cout << json.dump(2) << '\n';
 }
 
+const char* endingName(RequestEnding ending)
+{
+    switch (ending) {
+    case RequestEnding::Answered:
+        return "answered";
+    case RequestEnding::Wrong:
+        return "wrong";
+    case RequestEnding::RefusedNotRun:
+        return "refused_not_run";
+    case RequestEnding::Unknown:
+        return "unknown";
+    case RequestEnding::Cancelled:
+        return "cancelled";
+    }
+    return "invalid";
+}
+
+void writeDetails(const std::vector<PreparedRequest>& requests, const std::vector<RequestResult>& results)
+{
+    std::ofstream file(absl::GetFlag(FLAGS_details));
+    for (size_t i = 0; i < results.size(); ++i) {
+        const RequestResult& result = results[i];
+        const nlohmann::ordered_json line { { "request", i }, { "route", requests[i].trace.route },
+            { "model", requests[i].model }, { "ending", endingName(result.ending) }, { "code", result.code },
+            { "fault", result.fault }, { "sent_ms", toMilliseconds(result.sentAt) },
+            { "first_token_ms", toMilliseconds(result.firstTokenAt) },
+            { "ended_ms", toMilliseconds(result.endedAt) }, { "served", result.served.value() } };
+        file << line.dump() << '\n';
+    }
+}
+
 int replay()
 {
     const Configuration configuration = readConfiguration();
@@ -187,6 +219,8 @@
     const auto after = before ? counters.read() : std::nullopt;
     if (!after)
         throw Failure { counters.lastError(), Unreachable };
+    if (!absl::GetFlag(FLAGS_details).empty())
+        writeDetails(requests, results);
     const ReplayReport report(configuration, requests, results, *before, *after);
     const auto broken = outcomes.broken(report);
     print(report, broken);
--- a/src/replay/replay_report.cc
+++ b/src/replay/replay_report.cc
@@ -101,15 +101,18 @@
 void ReplayReport::addTimes()
 {
     std::vector<Duration> first;
+    std::vector<Duration> firstOfBatch;
     std::vector<Duration> between;
     for (size_t i = 0; i < m_results.size(); ++i) {
         const RequestResult& result = m_results[i];
         if (!m_requests[i].trace.stream || !result.hasFirstToken)
             continue;
-        first.push_back(result.firstTokenAt - result.sentAt);
+        const bool isBatch = m_requests[i].route.requestClass == RequestClass::Batch;
+        (isBatch ? firstOfBatch : first).push_back(result.firstTokenAt - result.sentAt);
         between.insert(between.end(), result.gaps.begin(), result.gaps.end());
     }
     addQuantiles("first_token_ms", std::move(first));
+    addQuantiles("batch_first_token_ms", std::move(firstOfBatch));
     addQuantiles("between_tokens_ms", std::move(between));
 }
 
--- a/src/replay/trace_generator.cc
+++ b/src/replay/trace_generator.cc
@@ -10,7 +10,7 @@
 
 constexpr double fridayFactor = 3;
 constexpr double overloadFactor = 5;
-constexpr double versionedShare = 0.3;
+constexpr double versionedShare = 0.15;
 constexpr double streamShare = 0.7;
 constexpr double cancelledShare = 0.05;
 constexpr double repeatShare = 0.5;
--- a/tools/example_fleet.py
+++ b/tools/example_fleet.py
@@ -1,5 +1,6 @@
 """A local fleet with the configuration of examples/base.yaml: 3 daemons, 3 engines and 1 plain service."""
 
+import json
 import os
 import subprocess
 
@@ -83,6 +84,24 @@
         )
         self.wait_until(self.ready, "all daemons to be ready")
         self.wait_until(self.all_owned, "an owner of each upstream")
+        self.wait_until(self.all_listed, "all hosts in the answers of /v1/hosts")
+        # The shares of rate and burst start empty when a daemon takes them over (design page, 4.3).
+        for host in self.daemons:
+            for key in ("city-desk", "night-desk", "brief-writer"):
+                self.wait_until(lambda: self.served(key, host), f"tokens of {key} at {host}")
+
+    def served(self, key, host):
+        """Returns whether a host serves a small request of a workspace."""
+        adapter = {"city-desk": "city-tours-harbour", "night-desk": "night-walks-lantern"}
+        body = {"model": adapter.get(key, "guide-briefs-weather"), "prompt": "x", "max_tokens": 4}
+        return self.post("/v1/completions", body, key, host)[0] == 200
+
+    def all_listed(self):
+        for daemon in self.daemons.values():
+            hosts = json.loads(call(daemon.address, "/v1/hosts")[2])["hosts"]
+            if len(hosts) != len(self.daemons):
+                return False
+        return True
 
     def all_owned(self):
         owners = self.owners()
