--- a/tools/example_fleet.py
+++ b/tools/example_fleet.py
@@ -1,5 +1,6 @@
 """A local fleet with the configuration of examples/base.yaml: 3 daemons, 3 engines and 1 plain service."""
 
+import json
 import os
 import subprocess
 
@@ -43,7 +44,7 @@
         forbidden = "--forbidden_text=" + ",".join(KEYS.values())
         self.start_platform("--loads_per_second=20", "--load_burst=8")
         for fencing in ("true", "true", "false"):
-            self.start_engine(forbidden, f"--check_fencing={fencing}", *self.engine_flags)
+            self.start_engine(forbidden, "--slots=12", f"--check_fencing={fencing}", *self.engine_flags)
         self.start_service(forbidden)
         for number, data_centre in enumerate(DATA_CENTRES, 1):
             self.start_daemon(f"host-{number}", data_centre, hosts_lifetime=self.hosts_lifetime)
@@ -77,12 +78,35 @@
         return done
 
     def submit(self):
-        """Waits until the daemons accept the configuration and every upstream has an owner."""
+        """Waits until the configuration is in force and the fleet serves all workspaces through all hosts."""
         self.wait_until(
             lambda: self.ctl("submit", *self.configuration_flags(), check=False).returncode == 0, "a submission"
         )
         self.wait_until(self.ready, "all daemons to be ready")
-        self.wait_until(self.all_owned, "an owner of each upstream")
+        self.wait_until(self.engines_spread, "engines to be spread over the hosts")
+        self.wait_until(self.all_listed, "all hosts in the answers of /v1/hosts")
+        # The shares of rate and burst start empty when a daemon takes them over (design page, 4.3).
+        for host in self.daemons:
+            for key in ("city-desk", "night-desk", "brief-writer"):
+                self.wait_until(lambda: self.served(key, host), f"tokens of {key} at {host}")
+
+    def served(self, key, host):
+        """Returns whether a host serves a small request of a workspace."""
+        adapter = {"city-desk": "city-tours-harbour", "night-desk": "night-walks-lantern"}
+        body = {"model": adapter.get(key, "guide-briefs-weather"), "prompt": "x", "max_tokens": 4}
+        return self.post("/v1/completions", body, key, host)[0] == 200
+
+    def all_listed(self):
+        for daemon in self.daemons.values():
+            hosts = json.loads(call(daemon.address, "/v1/hosts")[2])["hosts"]
+            if len(hosts) != len(self.daemons):
+                return False
+        return True
+
+    def engines_spread(self):
+        """Returns whether every engine has an owner of its own; the first host starts with all of them."""
+        owners = [owner for upstream, owner in self.owners().items() if upstream.startswith("engine-")]
+        return self.all_owned() and len(set(owners)) == len(owners)
 
     def all_owned(self):
         owners = self.owners()
