--- a/src/daemon/engine_owner.cc
+++ b/src/daemon/engine_owner.cc
@@ -19,7 +19,9 @@
 /// Waiting requests of an adapter whose loads fail are refused when the next attempt is further away.
 constexpr Duration longestLoadBackoff = std::chrono::seconds(2);
 /// Share of an engine's concurrency that batch requests may occupy.
-constexpr double batchConcurrencyShare = 0.75;
+constexpr double batchConcurrencyShare = 0.625;
+/// Share of an engine's slots that batch requests may not pin.
+constexpr double interactiveSlotShare = 0.625;
 constexpr double secondsPerMegasecond = 1e6;
 /// Stands for an engine on which no adapter can give way.
 constexpr double largestEvictionCost = 1e6;
@@ -38,6 +40,7 @@
     options.slots = static_cast<size_t>(std::max(1, config.adapterSlots));
     options.fence = fencingNumber;
     options.checksFencing = config.checksFencing;
+    options.interactiveSlots = static_cast<size_t>(config.adapterSlots * interactiveSlotShare);
     options.seed = std::hash<UpstreamId>()(config.id);
     return options;
 }
@@ -90,7 +93,8 @@
     const auto ready = [this](const AdapterKey& adapter, RequestClass requestClass) {
         return isReady(adapter, requestClass);
     };
-    report.queued = static_cast<int64_t>(queue().readyCount(ready));
+    report.queued = static_cast<int64_t>(queue().readyCount(RequestClass::Interactive, ready));
+    report.queuedBatch = static_cast<int64_t>(queue().readyCount(RequestClass::Batch, ready));
     const double cost = std::min(m_residency.evictionCost(queue(), now()), largestEvictionCost);
     report.evictionCostPerMegasecond = static_cast<int64_t>(cost * secondsPerMegasecond);
     for (const AdapterKey& adapter : m_residency.resident())
--- a/src/daemon/entry_request.cc
+++ b/src/daemon/entry_request.cc
@@ -181,7 +181,9 @@
 {
     RunRequest run;
     run.stream = m_stream;
-    run.requestId = m_request.requestId.empty() ? RequestId(m_id) : m_request.requestId;
+    // A plain service sees only a key that the caller chose: it may keep answers by it.
+    const bool needsId = m_request.completion && m_request.requestId.empty();
+    run.requestId = needsId ? RequestId(m_id) : m_request.requestId;
     run.workspace = m_request.workspace;
     run.route = m_request.route.id;
     run.adapter = m_request.adapter.adapter;
--- a/src/daemon/upstream_router.cc
+++ b/src/daemon/upstream_router.cc
@@ -89,6 +89,7 @@
             continue;
         view.running = static_cast<int>(report->second->running);
         view.queued = static_cast<int>(report->second->queued);
+        view.queuedBatch = static_cast<int>(report->second->queuedBatch);
         view.evictionCost
             = static_cast<double>(report->second->evictionCostPerMegasecond) / secondsPerMegasecond;
         view.reportedAt = m_clock.now();
@@ -131,6 +132,7 @@
     if (request.service)
         selection.service = request.service->service;
     selection.dataCentre = m_dataCentre;
+    selection.requestClass = request.route.requestClass;
     selection.excluded = excluded;
     const auto upstream = selectorFor(request).select(selection, m_views, m_clock.now());
     if (!upstream)
--- a/src/protocol/peer_codec_test.cc
+++ b/src/protocol/peer_codec_test.cc
@@ -36,7 +36,7 @@
         AllotAsk { 6, { a, b } },
         AllotGrant { 7, { a }, { b, a } },
         AllotReturn { 8, { b }, { a, a } },
-        UpstreamReports { { { UpstreamId("u"), FencingNumber(2), 3, 4, 5, { "a@1", "b@2" } }, {} } },
+        UpstreamReports { { { UpstreamId("u"), FencingNumber(2), 3, 4, 6, 5, { "a@1", "b@2" } }, {} } },
         ConfigFetch { ContentHash("12") },
         ConfigData { ContentHash("34"), allBytes },
         Goodbye { Incarnation(10) },
--- a/src/protocol/peer_fields.h
+++ b/src/protocol/peer_fields.h
@@ -151,6 +151,7 @@
         visitor("fencingNumber", message.fencingNumber);
         visitor("running", message.running);
         visitor("queued", message.queued);
+        visitor("queuedBatch", message.queuedBatch);
         visitor("evictionCost", message.evictionCostPerMegasecond);
         visitor("residents", message.residents);
     }
--- a/src/state/peer_messages.h
+++ b/src/state/peer_messages.h
@@ -154,8 +154,10 @@
     UpstreamId upstream;
     FencingNumber fencingNumber;
     int64_t running = 0;
-    /// Requests that wait for room although their adapter is ready.
+    /// Interactive requests that wait for room although their adapter is ready.
     int64_t queued = 0;
+    /// The same for batch requests.
+    int64_t queuedBatch = 0;
     /// Value of the adapter that a load of another one would evict, in requests per million seconds.
     int64_t evictionCostPerMegasecond = 0;
     /// Resident adapters as "adapter@version".
