--- a/tests/process/load.py
+++ b/tests/process/load.py
@@ -8,7 +8,7 @@
 
 TOOLS = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "tools")
 sys.path.insert(0, TOOLS)
-from example_fleet import ExampleFleet  # noqa: E402
+from example_fleet import KEYS, ExampleFleet  # noqa: E402, F401
 
 
 # What has to hold in every test, whatever fails.
