--- a/src/replay/trace_request.h
+++ b/src/replay/caller_request.h
@@ -6,7 +6,7 @@
 namespace lacewing {
 
 /// One caller's request of a trace; see docs/trace-format.md.
-struct TraceRequest {
+struct CallerRequest {
     /// Offset from the start of the replay.
     int64_t atMs = 0;
     /// Id of the caller's key in the configuration; empty on open routes.
--- a/src/replay/trace_generator.cc
+++ b/src/replay/caller_trace_generator.cc
@@ -1,4 +1,4 @@
-#include "replay/trace_generator.h"
+#include "replay/caller_trace_generator.h"
 
 #include <algorithm>
 #include <cmath>
@@ -37,7 +37,7 @@
 
 } // namespace
 
-TraceGenerator::TraceGenerator(const Configuration& configuration, TraceOptions options)
+CallerTraceGenerator::CallerTraceGenerator(const Configuration& configuration, CallerTraceOptions options)
     : m_configuration(configuration)
     , m_options(std::move(options))
     , m_random(m_options.seed)
@@ -53,13 +53,13 @@
     }
 }
 
-const std::vector<std::string>& TraceGenerator::kinds()
+const std::vector<std::string>& CallerTraceGenerator::kinds()
 {
     static const std::vector<std::string> names { "steady", "friday", "overload", "bookings", "mix" };
     return names;
 }
 
-void TraceGenerator::collectWorkspaces()
+void CallerTraceGenerator::collectWorkspaces()
 {
     for (const auto& [id, config] : m_configuration.workspaces) {
         Workspace workspace { id, static_cast<double>(config.rate.value()), {}, {} };
@@ -76,7 +76,7 @@
     }
 }
 
-bool TraceGenerator::check()
+bool CallerTraceGenerator::check()
 {
     const auto& names = kinds();
     if (std::find(names.begin(), names.end(), m_options.kind) == names.end())
@@ -90,7 +90,7 @@
     return m_lastError.empty();
 }
 
-std::optional<std::vector<TraceRequest>> TraceGenerator::generate()
+std::optional<std::vector<CallerRequest>> CallerTraceGenerator::generate()
 {
     if (!check())
         return std::nullopt;
@@ -111,17 +111,17 @@
     if (m_options.kind == "overload")
         addOverload();
     std::stable_sort(m_requests.begin(), m_requests.end(),
-        [](const TraceRequest& a, const TraceRequest& b) { return a.atMs < b.atMs; });
+        [](const CallerRequest& a, const CallerRequest& b) { return a.atMs < b.atMs; });
     return m_requests;
 }
 
-double TraceGenerator::loadAt(double second) const
+double CallerTraceGenerator::loadAt(double second) const
 {
     const double part = second / m_options.seconds;
     return m_options.kind == "friday" && part > 1.0 / 3 && part < 2.0 / 3 ? fridayFactor : 1;
 }
 
-const TraceGenerator::Workspace& TraceGenerator::anyWorkspace()
+const CallerTraceGenerator::Workspace& CallerTraceGenerator::anyWorkspace()
 {
     double total = 0;
     for (const Workspace& workspace : m_workspaces)
@@ -135,12 +135,12 @@
     return m_workspaces.back();
 }
 
-std::string TraceGenerator::anyDataCentre()
+std::string CallerTraceGenerator::anyDataCentre()
 {
     return m_dataCentres[m_random.below(m_dataCentres.size())];
 }
 
-std::string TraceGenerator::anyModel(const Workspace& workspace, int64_t atMs)
+std::string CallerTraceGenerator::anyModel(const Workspace& workspace, int64_t atMs)
 {
     size_t index = skewed(m_random, workspace.adapters.size());
     // The wave makes other adapters popular, so that many loads come at once.
@@ -152,9 +152,9 @@
     return adapter.id.value() + "@" + adapter.versions[m_random.below(adapter.versions.size())].value();
 }
 
-TraceRequest TraceGenerator::completion(const Workspace& workspace, int64_t atMs)
+CallerRequest CallerTraceGenerator::completion(const Workspace& workspace, int64_t atMs)
 {
-    TraceRequest request;
+    CallerRequest request;
     request.atMs = atMs;
     request.key = workspace.keys[m_random.below(workspace.keys.size())];
     request.route = m_completionRoutes[skewed(m_random, m_completionRoutes.size())]->id.value();
@@ -169,7 +169,7 @@
     return request;
 }
 
-const RouteConfig* TraceGenerator::serviceRoute(bool repeatable) const
+const RouteConfig* CallerTraceGenerator::serviceRoute(bool repeatable) const
 {
     for (const RouteConfig& route : m_configuration.routes) {
         if (!route.service.empty() && !route.open && route.repeatable == repeatable)
@@ -178,11 +178,11 @@
     return nullptr;
 }
 
-void TraceGenerator::addServiceCalls(int64_t atMs)
+void CallerTraceGenerator::addServiceCalls(int64_t atMs)
 {
     const bool isBooking = m_random.chance(0.5);
     const Workspace& workspace = anyWorkspace();
-    TraceRequest request;
+    CallerRequest request;
     request.atMs = atMs;
     request.key = workspace.keys[m_random.below(workspace.keys.size())];
     request.route = serviceRoute(!isBooking)->id.value();
@@ -201,7 +201,7 @@
     m_requests.push_back(request);
 }
 
-void TraceGenerator::addOverload()
+void CallerTraceGenerator::addOverload()
 {
     const auto smallest = std::min_element(m_workspaces.begin(), m_workspaces.end(),
         [](const Workspace& a, const Workspace& b) { return a.rate < b.rate; });
@@ -209,7 +209,7 @@
     const auto count = static_cast<int64_t>(perSecond * m_options.seconds);
     for (int64_t i = 0; i < count; ++i) {
         const auto atMs = static_cast<int64_t>(1000.0 * static_cast<double>(i) / perSecond);
-        TraceRequest request = completion(*smallest, atMs);
+        CallerRequest request = completion(*smallest, atMs);
         request.promptTokens = overloadPromptTokens;
         request.maximumTokens = overloadMaximumTokens;
         request.cancelAfterTokens = 0;
--- a/src/replay/trace_generator.h
+++ b/src/replay/caller_trace_generator.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/random.h"
-#include "replay/trace_request.h"
+#include "replay/caller_request.h"
 #include "state/configuration.h"
 
 #include <optional>
@@ -10,8 +10,8 @@
 
 namespace lacewing {
 
-struct TraceOptions {
-    /// One of TraceGenerator::kinds().
+struct CallerTraceOptions {
+    /// One of CallerTraceGenerator::kinds().
     std::string kind = "steady";
     uint64_t seed = 1;
     double seconds = 20;
@@ -20,9 +20,9 @@
 };
 
 /// Makes traces that fit a configuration. The same options and configuration give the same trace.
-class TraceGenerator {
+class CallerTraceGenerator {
 public:
-    TraceGenerator(const Configuration& configuration, TraceOptions options);
+    CallerTraceGenerator(const Configuration& configuration, CallerTraceOptions options);
 
     /// steady: skewed popularity of adapters; friday: three times the load in the middle third, on other
     /// adapters; overload: the workspace with the lowest rate also sends five times its rate; bookings: calls
@@ -31,7 +31,7 @@
 
     /// @return the requests in order of time, or nothing if the configuration lacks what the kind needs; see
     /// lastError().
-    std::optional<std::vector<TraceRequest>> generate();
+    std::optional<std::vector<CallerRequest>> generate();
 
     const std::string& lastError() const { return m_lastError; }
 
@@ -49,18 +49,18 @@
     const Workspace& anyWorkspace();
     std::string anyDataCentre();
     std::string anyModel(const Workspace& workspace, int64_t atMs);
-    TraceRequest completion(const Workspace& workspace, int64_t atMs);
+    CallerRequest completion(const Workspace& workspace, int64_t atMs);
     void addServiceCalls(int64_t atMs);
     void addOverload();
     const RouteConfig* serviceRoute(bool repeatable) const;
 
     const Configuration& m_configuration;
-    TraceOptions m_options;
+    CallerTraceOptions m_options;
     Random m_random;
     std::vector<Workspace> m_workspaces;
     std::vector<std::string> m_dataCentres;
     std::vector<const RouteConfig*> m_completionRoutes;
-    std::vector<TraceRequest> m_requests;
+    std::vector<CallerRequest> m_requests;
     std::string m_lastError;
 };
 
--- a/src/replay/trace_generator_test.cc
+++ b/src/replay/caller_trace_generator_test.cc
@@ -1,4 +1,4 @@
-#include "replay/trace_generator.h"
+#include "replay/caller_trace_generator.h"
 
 #include "protocol/configuration_yaml.h"
 #include "replay/expected_answer.h"
@@ -27,7 +27,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(TraceGeneratorTest)
+BOOST_AUTO_TEST_SUITE(CallerTraceGeneratorTest)
 
 // Guards against traces that differ from run to run or do not fit their configuration.
 BOOST_AUTO_TEST_CASE(EveryKindIsReproducibleAndFits)
@@ -36,16 +36,16 @@
     const std::map<std::string, std::string> keys { { "city-desk", "a" }, { "city-kiosk", "b" },
         { "night-desk", "c" }, { "brief-writer", "d" } };
     RequestPreparer preparer(configuration, keys);
-    for (const std::string& kind : TraceGenerator::kinds()) {
-        const TraceOptions options { kind, 7, 10, 20 };
-        const auto trace = TraceGenerator(configuration, options).generate();
+    for (const std::string& kind : CallerTraceGenerator::kinds()) {
+        const CallerTraceOptions options { kind, 7, 10, 20 };
+        const auto trace = CallerTraceGenerator(configuration, options).generate();
         BOOST_REQUIRE(trace);
-        BOOST_TEST(TraceFile::format(*TraceGenerator(configuration, options).generate())
+        BOOST_TEST(TraceFile::format(*CallerTraceGenerator(configuration, options).generate())
             == TraceFile::format(*trace));
         TraceFile file;
         BOOST_REQUIRE(file.parse(TraceFile::format(*trace)));
-        for (const TraceRequest& request : *trace)
-            BOOST_TEST(preparer.prepare(request).has_value(), preparer.lastError());
+        for (const CallerRequest& request : *trace)
+            BOOST_CHECK_MESSAGE(preparer.prepare(request), preparer.lastError());
     }
 }
 
@@ -53,11 +53,11 @@
 BOOST_AUTO_TEST_CASE(BookingsAreRepeatedThroughAnotherHost)
 {
     const Configuration configuration = exampleConfiguration();
-    const auto trace = TraceGenerator(configuration, { "bookings", 3, 10, 20 }).generate();
+    const auto trace = CallerTraceGenerator(configuration, { "bookings", 3, 10, 20 }).generate();
     BOOST_REQUIRE(trace);
     std::set<std::string> ids;
     int repeats = 0;
-    for (const TraceRequest& request : *trace) {
+    for (const CallerRequest& request : *trace) {
         if (request.requestId.empty() || ids.insert(request.requestId).second)
             continue;
         ++repeats;
--- a/src/replay/expected_answer.cc
+++ b/src/replay/expected_answer.cc
@@ -36,7 +36,7 @@
     return false;
 }
 
-std::optional<PreparedRequest> RequestPreparer::prepare(const TraceRequest& request)
+std::optional<PreparedRequest> RequestPreparer::prepare(const CallerRequest& request)
 {
     PreparedRequest prepared;
     prepared.trace = request;
@@ -74,7 +74,7 @@
 
 bool RequestPreparer::prepareCompletion(PreparedRequest& prepared)
 {
-    const TraceRequest& trace = prepared.trace;
+    const CallerRequest& trace = prepared.trace;
     const size_t at = trace.model.find('@');
     const auto adapter = m_configuration.adapters.find(AdapterId(trace.model.substr(0, at)));
     if (adapter == m_configuration.adapters.end())
@@ -103,7 +103,7 @@
 
 void RequestPreparer::prepareService(PreparedRequest& prepared) const
 {
-    const TraceRequest& trace = prepared.trace;
+    const CallerRequest& trace = prepared.trace;
     prepared.target = prepared.route.path + std::to_string(trace.seed);
     prepared.body = promptText(trace.promptTokens, trace.seed);
     const uint64_t hash = hashBytes(prepared.body, hashBytes("POST " + prepared.target + "\n"));
--- a/src/replay/expected_answer.h
+++ b/src/replay/expected_answer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "replay/trace_request.h"
+#include "replay/caller_request.h"
 #include "state/configuration.h"
 
 #include <map>
@@ -11,7 +11,7 @@
 
 /// One request of a trace, ready to be sent, with the answer that it must get.
 struct PreparedRequest {
-    TraceRequest trace;
+    CallerRequest trace;
     RouteConfig route;
     /// Empty on open routes.
     std::string keyText;
@@ -39,7 +39,7 @@
     RequestPreparer(const Configuration& configuration, std::map<std::string, std::string> keys);
 
     /// @return nothing if the trace and the configuration do not fit; see lastError().
-    std::optional<PreparedRequest> prepare(const TraceRequest& request);
+    std::optional<PreparedRequest> prepare(const CallerRequest& request);
 
     /// @return a text of a size in units of four bytes that depends only on its arguments.
     static std::string promptText(int64_t tokens, uint64_t seed);
--- a/src/replay/lacewinglb_replay_main.cc
+++ b/src/replay/lacewinglb_replay_main.cc
@@ -1,8 +1,8 @@
 #include "base/log.h"
 #include "protocol/configuration_yaml.h"
+#include "replay/caller_trace_generator.h"
 #include "replay/stated_outcomes.h"
 #include "replay/trace_file.h"
-#include "replay/trace_generator.h"
 #include "replay/trace_player.h"
 
 #include <absl/flags/flag.h>
@@ -111,11 +111,11 @@
 int generate()
 {
     const Configuration configuration = readConfiguration();
-    const TraceOptions options { absl::GetFlag(FLAGS_kind), absl::GetFlag(FLAGS_seed),
+    const CallerTraceOptions options { absl::GetFlag(FLAGS_kind), absl::GetFlag(FLAGS_seed),
         absl::GetFlag(FLAGS_seconds), absl::GetFlag(FLAGS_requests_per_second) };
     if (!(options.seconds > 0) || !(options.requestsPerSecond > 0))
         throw Failure { "--seconds and --requests_per_second must be greater than 0" };
-    TraceGenerator generator(configuration, options);
+    CallerTraceGenerator generator(configuration, options);
     const auto requests = generator.generate();
     if (!requests)
         throw Failure { generator.lastError() };
@@ -131,7 +131,7 @@
         throw Failure { absl::GetFlag(FLAGS_trace) + ": " + file.lastError() };
     RequestPreparer preparer(configuration, readKeys());
     std::vector<PreparedRequest> prepared;
-    for (const TraceRequest& request : *trace) {
+    for (const CallerRequest& request : *trace) {
         auto ready = preparer.prepare(request);
         if (!ready)
             throw Failure { absl::GetFlag(FLAGS_trace) + ": " + preparer.lastError() };
--- a/src/replay/trace_file.cc
+++ b/src/replay/trace_file.cc
@@ -76,7 +76,7 @@
     std::string m_error;
 };
 
-std::string readRequest(const Json& line, TraceRequest& request)
+std::string readRequest(const Json& line, CallerRequest& request)
 {
     LineReader reader(line);
     int64_t seed = 0;
@@ -104,7 +104,7 @@
     return "";
 }
 
-Json toJson(const TraceRequest& request)
+Json toJson(const CallerRequest& request)
 {
     Json line { { "at_ms", request.atMs }, { "key", request.key }, { "route", request.route } };
     if (!request.model.empty())
@@ -127,10 +127,10 @@
 
 } // namespace
 
-std::optional<std::vector<TraceRequest>> TraceFile::parse(const std::string& text)
+std::optional<std::vector<CallerRequest>> TraceFile::parse(const std::string& text)
 {
     std::istringstream lines(text);
-    std::vector<TraceRequest> requests;
+    std::vector<CallerRequest> requests;
     std::string line;
     for (int number = 1; std::getline(lines, line); ++number) {
         if (line.empty())
@@ -148,7 +148,7 @@
             }
             continue;
         }
-        TraceRequest request;
+        CallerRequest request;
         if (const std::string error = readRequest(json, request); !error.empty()) {
             m_lastError = place + error;
             return std::nullopt;
@@ -160,14 +160,14 @@
         return std::nullopt;
     }
     std::stable_sort(requests.begin(), requests.end(),
-        [](const TraceRequest& a, const TraceRequest& b) { return a.atMs < b.atMs; });
+        [](const CallerRequest& a, const CallerRequest& b) { return a.atMs < b.atMs; });
     return requests;
 }
 
-std::string TraceFile::format(const std::vector<TraceRequest>& requests)
+std::string TraceFile::format(const std::vector<CallerRequest>& requests)
 {
     std::string text = Json { { "format", formatName }, { "version", formatVersion } }.dump() + "\n";
-    for (const TraceRequest& request : requests)
+    for (const CallerRequest& request : requests)
         text += toJson(request).dump() + "\n";
     return text;
 }
--- a/src/replay/trace_file.h
+++ b/src/replay/trace_file.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "replay/trace_request.h"
+#include "replay/caller_request.h"
 
 #include <optional>
 #include <string>
@@ -13,9 +13,9 @@
 public:
     /// @param text the content of a trace file.
     /// @return the requests in order of time, or nothing; lastError() then names the line.
-    std::optional<std::vector<TraceRequest>> parse(const std::string& text);
+    std::optional<std::vector<CallerRequest>> parse(const std::string& text);
 
-    static std::string format(const std::vector<TraceRequest>& requests);
+    static std::string format(const std::vector<CallerRequest>& requests);
 
     const std::string& lastError() const { return m_lastError; }
 
--- a/src/replay/trace_file_test.cc
+++ b/src/replay/trace_file_test.cc
@@ -15,7 +15,7 @@
 // Guards against fields that are lost or mixed up on the way through a file.
 BOOST_AUTO_TEST_CASE(KeepsAllFields)
 {
-    TraceRequest request { 12, "desk", "completions", "harbour@v1", 40, 7, 64, true, "id-1", "dc-2", 1, 5 };
+    CallerRequest request { 12, "desk", "completions", "harbour@v1", 40, 7, 64, true, "id-1", "dc-2", 1, 5 };
     const std::string text = TraceFile::format({ request });
     TraceFile file;
     const auto parsed = file.parse(text);
