Refuse the queue of a dead engine, find escaped keys, list only ready daemons

Cause: faults found by the process tests: requests waited in the queue of a killed engine until their deadline; a key in percent escapes reached a service; a replaced daemon was listed before it knew who holds the partitions, and refused requests within the rate. Change: after two status calls without an answer the owner refuses what waits as not run, so that it moves to other engines; the gate decodes escapes before it looks for the key; a daemon is live once it knows the holders of all partitions. Conclusion: unit test for escaped keys added; the process tests follow.

--- a/src/coordination/host_ranking.cc
+++ b/src/coordination/host_ranking.cc
@@ -29,7 +29,8 @@
         }
         const PeerInfo* peer = m_member.membership().find(host);
         const bool answers = peer && (peer->state == PeerState::Alive || !peer->tried);
-        if (answers && entry.row.state == SessionState::Live && peer->daemonState != DaemonState::Leaving)
+        const bool isLive = peer && (peer->daemonState == DaemonState::Live || !peer->tried);
+        if (answers && isLive && entry.row.state == SessionState::Live)
             hosts.push_back(ranked(entry.row, peer->load));
     }
     // Weighted random order: sort by u^(1/weight), largest first (Efraimidis and Spirakis 2006).
--- a/src/daemon/allotment_service.cc
+++ b/src/daemon/allotment_service.cc
@@ -38,10 +38,13 @@
 void AllotmentService::refreshHolders(const LeaseManager& leases)
 {
     std::map<HostId, int> holders;
+    m_knownPartitions = 0;
     for (int partition = 0; partition < allotmentPartitions; ++partition) {
         const auto holder = leases.holderOf(leaseNameOf(partition));
-        if (holder && !holder->isReleased())
-            ++holders[holder->host];
+        if (!holder || holder->isReleased())
+            continue;
+        ++holders[holder->host];
+        ++m_knownPartitions;
     }
     m_wallet.setHolders(holders);
 }
--- a/src/daemon/allotment_service.h
+++ b/src/daemon/allotment_service.h
@@ -30,6 +30,8 @@
 
     TokenWallet& wallet() { return m_wallet; }
     size_t partitionCount() const { return m_partitions.size(); }
+    /// @return whether the holders of all partitions are known, so that requests can be charged.
+    bool isReady() const { return m_knownPartitions == allotmentPartitions; }
 
 private:
     Scheduler& m_scheduler;
@@ -37,6 +39,7 @@
     PartitionHolder m_holder;
     TokenWallet m_wallet;
     std::set<int> m_partitions;
+    int m_knownPartitions = 0;
 };
 
 } // namespace lacewing
--- a/src/daemon/caller_gate.cc
+++ b/src/daemon/caller_gate.cc
@@ -2,7 +2,10 @@
 
 #include "state/refusal.h"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
+#include <charconv>
 
 namespace lacewing {
 
@@ -42,6 +45,42 @@
     return best;
 }
 
+/// @return the text with percent escapes replaced once.
+std::string percentDecoded(std::string_view text)
+{
+    std::string decoded;
+    for (size_t i = 0; i < text.size(); ++i) {
+        unsigned value = 0;
+        const auto digits = text.substr(i + 1, 2);
+        const bool isEscape = text[i] == '%' && digits.size() == 2
+            && std::from_chars(digits.data(), digits.data() + 2, value, 16).ptr == digits.data() + 2;
+        decoded += isEscape ? static_cast<char>(value) : text[i];
+        i += isEscape ? 2 : 0;
+    }
+    return decoded;
+}
+
+/// @return whether a key is in the text, plainly or in percent escapes of any depth.
+bool containsKey(std::string text, const std::string& key)
+{
+    while (text.find(key) == std::string::npos) {
+        std::string decoded = percentDecoded(text);
+        if (decoded == text)
+            return false;
+        text = std::move(decoded);
+    }
+    return true;
+}
+
+/// @return whether a key is in a body, also in the escapes of JSON.
+bool bodyContainsKey(const std::string& body, const std::string& key)
+{
+    if (containsKey(body, key))
+        return true;
+    const auto json = nlohmann::json::parse(body, nullptr, false);
+    return !json.is_discarded() && json.dump().find(key) != std::string::npos;
+}
+
 bool isValidRequestId(std::string_view id)
 {
     return id.size() <= longestRequestId
@@ -86,7 +125,7 @@
     if (!admitted)
         return std::nullopt;
     const std::string& body = request.completion ? request.completion->engineBody : request.service->body;
-    if (!key.empty() && body.find(key) != std::string::npos) {
+    if (!key.empty() && bodyContainsKey(body, key)) {
         refuse(statusBadRequest, refusal::keyInRequest,
             "the body contains the key; send it in Authorization only");
         return std::nullopt;
@@ -165,8 +204,8 @@
     call.contentType = exchange.headers().find("Content-Type").value_or("application/octet-stream");
     call.body = exchange.body();
     if (!key.empty()
-        && (call.target.find(key) != std::string::npos || call.contentType.find(key) != std::string::npos
-            || request.requestId.value().find(key) != std::string::npos)) {
+        && (containsKey(call.target, key) || containsKey(call.contentType, key)
+            || containsKey(request.requestId.value(), key))) {
         return refuse(
             statusBadRequest, refusal::keyInRequest, "the request contains the key outside of Authorization");
     }
--- a/src/daemon/caller_gate_test.cc
+++ b/src/daemon/caller_gate_test.cc
@@ -89,6 +89,9 @@
     const HttpHeaders headers { { "Authorization", "Bearer secret" }, { "Idempotency-Key", "k1" } };
     BOOST_TEST(refusedWith("/booking/secret", "", headers) == refusal::keyInRequest);
     BOOST_TEST(refusedWith("/booking/1", "secret", headers) == refusal::keyInRequest);
+    BOOST_TEST(refusedWith("/booking/%73ecret", "", headers) == refusal::keyInRequest);
+    BOOST_TEST(refusedWith("/booking/%2573ecret", "", headers) == refusal::keyInRequest);
+    BOOST_TEST(refusedWith("/booking/1", R"({"note":"\u0073ecret"})", headers) == refusal::keyInRequest);
     BOOST_TEST(refusedWith("/booking/1", "",
                    { { "Authorization", "Bearer secret" }, { "Idempotency-Key", "secret" } })
         == refusal::keyInRequest);
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -262,7 +262,7 @@
 LocalStatus Daemon::localStatus() const
 {
     LocalStatus status;
-    status.state = m_configurations.revision() > Revision(0) ? DaemonState::Live : DaemonState::Starting;
+    status.state = m_hasBeenReady ? DaemonState::Live : DaemonState::Starting;
     status.revision = m_configurations.revision();
     status.configurationHash = m_configurations.hash();
     Heartbeat described;
@@ -294,6 +294,10 @@
 {
     updatePolling();
     m_allotment.refreshHolders(m_member.leases());
+    if (!m_hasBeenReady && m_configurations.revision() > Revision(0) && m_allotment.isReady()) {
+        m_hasBeenReady = true;
+        m_member.membership().announce();
+    }
     m_entries.checkFreshness();
 }
 
@@ -341,8 +345,7 @@
 
 bool Daemon::isReady()
 {
-    return m_configurations.revision() > Revision(0) && m_configurations.keyedRoutesOpen()
-        && !m_member.session().isLeaving();
+    return m_hasBeenReady && m_configurations.keyedRoutesOpen() && !m_member.session().isLeaving();
 }
 
 void Daemon::stop(std::function<void()> done)
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -89,6 +89,8 @@
     EntryService m_entries;
     std::unique_ptr<class DaemonHttp> m_http;
     std::unique_ptr<HttpServer> m_server;
+    /// Whether this daemon has had all that it needs to serve callers.
+    bool m_hasBeenReady = false;
     PeriodicTimer m_refreshTimer;
     PeriodicTimer m_reportTimer;
     std::string m_lastReports;
--- a/src/daemon/engine_owner.cc
+++ b/src/daemon/engine_owner.cc
@@ -151,7 +151,10 @@
 
 void EngineOwner::statusRead(const std::optional<EngineStatus>& status, MonotonicTime askedAt)
 {
-    armStatus(status || m_isKnown ? statusInterval : statusRetry);
+    armStatus(status ? statusInterval : statusRetry);
+    m_statusFailures = status ? 0 : m_statusFailures + 1;
+    if (!isReachable())
+        refuseAllWaiting(refusal::upstreamUnreachable, statusInterval);
     if (!status)
         return;
     if (m_residency.observe(*status, askedAt)) {
--- a/src/daemon/engine_owner.h
+++ b/src/daemon/engine_owner.h
@@ -26,9 +26,13 @@
     void release(const QueuedRequest& request) override;
     std::unique_ptr<UpstreamRun> makeRun(const RunRequest& request, UpstreamRun::Listener listener) override;
     Duration leastWait(const AdapterKey& adapter) const override;
+    bool isReachable() const override { return m_statusFailures < failuresUntilUnreachable; }
     void afterChange() override;
 
 private:
+    /// One lost status call may be due to its connection only.
+    static constexpr int failuresUntilUnreachable = 2;
+
     void readStatus();
     void statusRead(const std::optional<EngineStatus>& status, MonotonicTime askedAt);
     void armStatus(Duration delay);
@@ -45,6 +49,8 @@
     AdapterResidency m_residency;
     /// Nothing is ordered or started before the engine has told what it holds.
     bool m_isKnown = false;
+    /// Status calls in a row that were not answered.
+    int m_statusFailures = 0;
     TimerId m_statusTimer = 0;
 };
 
--- a/src/daemon/upstream_owner.cc
+++ b/src/daemon/upstream_owner.cc
@@ -38,6 +38,9 @@
     if (!m_mayAct(Duration::zero()))
         return refuse(
             entry, refusedRun(message.stream, refusal::sessionInvalid, statusUnavailable, retrySoon));
+    if (!isReachable())
+        return refuse(
+            entry, refusedRun(message.stream, refusal::upstreamUnreachable, statusUnavailable, retrySoon));
     auto request = std::make_unique<Request>();
     request->entry = entry;
     request->message = message;
@@ -98,14 +101,7 @@
 {
     m_isDraining = true;
     m_drained = std::move(done);
-    std::vector<QueuedRequestId> waiting;
-    for (const auto& [id, request] : m_requests) {
-        if (!request->run)
-            waiting.push_back(id);
-    }
-    for (const QueuedRequestId id : waiting)
-        end(id,
-            refusedRun(m_requests.at(id)->message.stream, refusal::leaving, statusUnavailable, retrySoon));
+    refuseAllWaiting(refusal::leaving, retrySoon);
     finishDrain();
 }
 
@@ -212,10 +208,22 @@
 }
 
 void UpstreamOwner::refuseWaiting(const AdapterKey& adapter, std::string_view code, Duration retryAfter)
+{
+    refuseWaitingIf(
+        [&](const Request& request) { return request.queued.adapter == adapter; }, code, retryAfter);
+}
+
+void UpstreamOwner::refuseAllWaiting(std::string_view code, Duration retryAfter)
+{
+    refuseWaitingIf([](const Request&) { return true; }, code, retryAfter);
+}
+
+template <typename Predicate>
+void UpstreamOwner::refuseWaitingIf(Predicate predicate, std::string_view code, Duration retryAfter)
 {
     std::vector<QueuedRequestId> waiting;
     for (const auto& [id, request] : m_requests) {
-        if (!request->run && request->queued.adapter == adapter)
+        if (!request->run && predicate(*request))
             waiting.push_back(id);
     }
     for (const QueuedRequestId id : waiting)
--- a/src/daemon/upstream_owner.h
+++ b/src/daemon/upstream_owner.h
@@ -77,6 +77,8 @@
         = 0;
     /// @return a lower bound of the wait for the adapter, by which requests are shed early.
     virtual Duration leastWait(const AdapterKey& adapter) const = 0;
+    /// @return false while the upstream is known to be unreachable; requests are refused at once then.
+    virtual bool isReachable() const { return true; }
     /// Called after requests were added or have ended.
     virtual void afterChange() { }
 
@@ -84,6 +86,8 @@
     void pump();
     /// Refuses waiting requests for one adapter.
     void refuseWaiting(const AdapterKey& adapter, std::string_view code, Duration retryAfter);
+    /// Refuses all waiting requests, so that their entries send them to other upstreams.
+    void refuseAllWaiting(std::string_view code, Duration retryAfter);
 
     bool mayAct(Duration margin) const { return m_mayAct(margin); }
     OwnerContext& context() { return m_context; }
@@ -103,6 +107,8 @@
         std::unique_ptr<UpstreamRun> run;
     };
 
+    template <typename Predicate>
+    void refuseWaitingIf(Predicate predicate, std::string_view code, Duration retryAfter);
     void start(Request& request);
     void ended(QueuedRequestId id, const RunEnd& end);
     void end(QueuedRequestId id, const RunEnd& end);
