--- a/tests/process/load.py
+++ b/tests/process/load.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import shutil
 import subprocess
 import sys
 import tempfile
@@ -101,3 +102,4 @@
     failed = {host: code for host, code in fleet.codes.items() if code != 0 and host not in gone}
     if failed:
         raise RuntimeError(f"daemons ended with {failed}")
+    shutil.rmtree(directory)
