--- a/src/coordination/configuration_store.cc
+++ b/src/coordination/configuration_store.cc
@@ -64,7 +64,8 @@
         result.reason = problems.front().text();
         result.problems = std::move(problems);
         m_ports.scheduler.runAfter(Duration::zero(),
-            m_guard.wrap([callback = std::move(callback), result = std::move(result)] { callback(result); }));
+            m_lifetime.guard(
+                [callback = std::move(callback), result = std::move(result)] { callback(result); }));
         return;
     }
     const std::string writeId = m_options.self.value() + ":" + std::to_string(m_options.incarnation.value())
@@ -157,7 +158,7 @@
 
 void ConfigurationStore::tick()
 {
-    m_ports.scheduler.runAfter(m_options.pollInterval, m_guard.wrap([this] { tick(); }));
+    m_ports.scheduler.runAfter(m_options.pollInterval, m_lifetime.guard([this] { tick(); }));
     // Not in submit(), which may be called by the callback of a submission.
     const auto isDone = [](const auto& submission) { return submission->isDone(); };
     m_submissions.erase(
@@ -186,7 +187,7 @@
     m_lastReadSent = sent;
     ++m_openReads;
     m_ports.table.read({ configurationHeadKey },
-        m_guard.wrap([this, sent](const std::vector<TableRow>& rows, std::optional<TableError> error) {
+        m_lifetime.guard([this, sent](const std::vector<TableRow>& rows, std::optional<TableError> error) {
             --m_openReads;
             noteTableCall(error, sent);
             if (error)
--- a/src/coordination/configuration_store.h
+++ b/src/coordination/configuration_store.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/callback_guard.h"
+#include "base/lifetime.h"
 #include "coordination/configuration_submission.h"
 #include "coordination/head_knowledge.h"
 #include "coordination/object_cache.h"
@@ -126,7 +126,7 @@
     bool m_tableUp = false;
     std::vector<std::unique_ptr<ConfigurationSubmission>> m_submissions;
     int64_t m_submissionCount = 0;
-    CallbackGuard m_guard;
+    Lifetime m_lifetime;
 };
 
 } // namespace lacewing
--- a/src/coordination/configuration_submission.cc
+++ b/src/coordination/configuration_submission.cc
@@ -71,8 +71,8 @@
         const ContentHash hash = upload.hash;
         const std::string content = upload.content;
         m_objectStore.store(hash, content,
-            m_guard.wrap([this, upload = std::move(upload)](
-                             std::optional<ObjectStoreError> error) { onUploaded(upload, error); }));
+            m_lifetime.guard([this, upload = std::move(upload)](
+                                 std::optional<ObjectStoreError> error) { onUploaded(upload, error); }));
     }
     if (m_uploads.empty() && m_activeUploads == 0)
         readHead();
@@ -92,7 +92,7 @@
         return;
     }
     ++m_activeUploads;
-    m_scheduler.runAfter(retryDelay, m_guard.wrap([this, upload = std::move(upload)] {
+    m_scheduler.runAfter(retryDelay, m_lifetime.guard([this, upload = std::move(upload)] {
         --m_activeUploads;
         m_uploads.push_back(upload);
         continueUploads();
@@ -103,7 +103,7 @@
 {
     const MonotonicTime sent = m_scheduler.now();
     m_table.read({ configurationHeadKey },
-        m_guard.wrap([this, sent](const std::vector<TableRow>& rows, std::optional<TableError> error) {
+        m_lifetime.guard([this, sent](const std::vector<TableRow>& rows, std::optional<TableError> error) {
             onHead(rows, error, sent);
         }));
 }
@@ -159,12 +159,13 @@
     transaction.conditions = { { configurationHeadKey, version }, *session };
     transaction.writes = { { configurationHeadKey, next.text() } };
     const MonotonicTime sent = m_scheduler.now();
-    m_table.commit(std::move(transaction), m_guard.wrap([this, sent, next](std::optional<TableError> error) {
-        if (error)
-            return onCommitted(error, sent);
-        m_context.noteTableCall(error, sent);
-        becomeCommitted(next);
-    }));
+    m_table.commit(
+        std::move(transaction), m_lifetime.guard([this, sent, next](std::optional<TableError> error) {
+            if (error)
+                return onCommitted(error, sent);
+            m_context.noteTableCall(error, sent);
+            becomeCommitted(next);
+        }));
 }
 
 void ConfigurationSubmission::onCommitted(std::optional<TableError> error, MonotonicTime sent)
@@ -182,7 +183,7 @@
     if (m_scheduler.now() >= m_deadline)
         return finish(
             m_maybeCommitted ? SubmitResult::Status::Unknown : SubmitResult::Status::Unavailable, reason);
-    m_scheduler.runAfter(retryDelay, m_guard.wrap([this] { readHead(); }));
+    m_scheduler.runAfter(retryDelay, m_lifetime.guard([this] { readHead(); }));
 }
 
 void ConfigurationSubmission::waitForChanges(Revision winner, MonotonicTime giveUpAt)
@@ -194,7 +195,7 @@
                 + std::to_string(m_request.expectedRevision.value()));
     }
     m_scheduler.runAfter(
-        checkInterval, m_guard.wrap([this, winner, giveUpAt] { waitForChanges(winner, giveUpAt); }));
+        checkInterval, m_lifetime.guard([this, winner, giveUpAt] { waitForChanges(winner, giveUpAt); }));
 }
 
 void ConfigurationSubmission::becomeCommitted(const ConfigurationHead& head)
@@ -211,7 +212,8 @@
         return finish(SubmitResult::Status::Accepted, "");
     if (m_scheduler.now() >= giveUpAt)
         return finish(SubmitResult::Status::Unconfirmed, "no other daemon has the revision yet");
-    m_scheduler.runAfter(checkInterval, m_guard.wrap([this, giveUpAt] { waitForConfirmation(giveUpAt); }));
+    m_scheduler.runAfter(
+        checkInterval, m_lifetime.guard([this, giveUpAt] { waitForConfirmation(giveUpAt); }));
 }
 
 void ConfigurationSubmission::finish(SubmitResult::Status status, const std::string& reason)
--- a/src/coordination/configuration_submission.h
+++ b/src/coordination/configuration_submission.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/callback_guard.h"
+#include "base/lifetime.h"
 #include "base/scheduler.h"
 #include "coordination/configuration_head.h"
 #include "state/configuration_check.h"
@@ -129,7 +129,7 @@
     bool m_maybeCommitted = false;
     bool m_isDone = false;
     SubmitResult m_result;
-    CallbackGuard m_guard;
+    Lifetime m_lifetime;
 };
 
 } // namespace lacewing
--- /dev/null
+++ b/src/coordination/link_demand_test.cc
@@ -0,0 +1,43 @@
+#include "coordination/link_demand.h"
+
+#include "base/virtual_scheduler.h"
+#include "coordination/fleet_checker_test.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lacewing;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(LinkDemandTest, *boost::unit_test::fixture<QuietLog>())
+
+// Guards against a large fleet in which an entry can't reach the owner of an upstream because they are no
+// neighbours, and against links that are kept for ever.
+BOOST_AUTO_TEST_CASE(PeerInUseIsLinkedUntilItIsIdle)
+{
+    SimulatedFleetOptions options;
+    options.daemons = 24;
+    SimulatedFleet fleet(options);
+    for (size_t i = 0; i < options.daemons; ++i)
+        fleet.start(i);
+    fleet.scheduler().advance(30s);
+    Membership& membership = fleet.member(0).membership();
+    HostId stranger;
+    for (const auto& [host, peer] : membership.peers()) {
+        if (!peer.linked)
+            stranger = host;
+    }
+    BOOST_REQUIRE(!stranger.empty());
+    LinkDemand demand(fleet.scheduler(), membership);
+    demand.needed(stranger);
+    demand.needed(stranger);
+    fleet.scheduler().advance(2s);
+    BOOST_TEST(membership.find(stranger)->linked);
+    fleet.scheduler().advance(LinkDemand::idleTime - 3s);
+    demand.expire();
+    BOOST_TEST(demand.size() == 1u);
+    fleet.scheduler().advance(2s);
+    demand.expire();
+    BOOST_TEST(demand.size() == 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/coordination/object_fetcher.cc
+++ b/src/coordination/object_fetcher.cc
@@ -31,7 +31,7 @@
     m_sources.clear();
     m_pending.clear();
     // The caller may add sources first.
-    m_scheduler.runAfter(Duration::zero(), m_guard.wrap([this] { advance(); }));
+    m_scheduler.runAfter(Duration::zero(), m_lifetime.guard([this] { advance(); }));
 }
 
 void ObjectFetcher::clearTarget()
@@ -92,15 +92,15 @@
 void ObjectFetcher::askPeer(const HostId& peer, const ContentHash& hash, uint64_t number)
 {
     const bool sent = m_messenger.send(peer, ConfigFetch { hash });
-    m_scheduler.runAfter(
-        sent ? answerTimeout : Duration::zero(), m_guard.wrap([this, hash, number] { fail(hash, number); }));
+    m_scheduler.runAfter(sent ? answerTimeout : Duration::zero(),
+        m_lifetime.guard([this, hash, number] { fail(hash, number); }));
 }
 
 void ObjectFetcher::askStore(const ContentHash& hash, uint64_t number)
 {
     m_store.fetch(hash,
-        m_guard.wrap([this, hash, number](
-                         const std::optional<std::string>& content, std::optional<ObjectStoreError> error) {
+        m_lifetime.guard([this, hash, number](const std::optional<std::string>& content,
+                             std::optional<ObjectStoreError> error) {
             if (!isPending(hash, number))
                 return;
             if (content)
@@ -108,7 +108,7 @@
             else
                 fail(hash, number);
         }));
-    m_scheduler.runAfter(answerTimeout, m_guard.wrap([this, hash, number] { fail(hash, number); }));
+    m_scheduler.runAfter(answerTimeout, m_lifetime.guard([this, hash, number] { fail(hash, number); }));
 }
 
 void ObjectFetcher::fail(const ContentHash& hash, uint64_t number)
@@ -118,7 +118,7 @@
     // A new number makes later answers and timeouts of this attempt void.
     const uint64_t waiting = ++m_lastNumber;
     m_pending[hash].number = waiting;
-    m_scheduler.runAfter(retryDelay, m_guard.wrap([this, hash, waiting] {
+    m_scheduler.runAfter(retryDelay, m_lifetime.guard([this, hash, waiting] {
         if (isPending(hash, waiting))
             request(hash);
     }));
--- a/src/coordination/object_fetcher.h
+++ b/src/coordination/object_fetcher.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/callback_guard.h"
+#include "base/lifetime.h"
 #include "base/scheduler.h"
 #include "coordination/object_cache.h"
 #include "state/object_store.h"
@@ -54,7 +54,7 @@
     std::vector<HostId> m_sources;
     std::map<ContentHash, Attempt> m_pending;
     uint64_t m_lastNumber = 0;
-    CallbackGuard m_guard;
+    Lifetime m_lifetime;
 };
 
 } // namespace lacewing
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -89,10 +89,12 @@
     , m_network(loop, m_metrics, m_settings.host,
           { [this](const HostId& peer, const PeerMessage& message) { received(peer, message); },
               [this](const HostId& peer) { m_member.connected(peer); },
-              [this](const HostId& peer, DisconnectReason reason) { peerDisconnected(peer, reason); } })
+              [this](const HostId& peer, DisconnectReason reason) { peerDisconnected(peer, reason); },
+              [this](const HostId& peer) { m_linkDemand.needed(peer); } })
     , m_member(
           memberSettings(m_settings), loop, m_tableService, m_network, m_network, *this,
           [this] { return localStatus(); }, m_safetyRules, seedOf(m_settings, m_start))
+    , m_linkDemand(loop, m_member.membership())
     , m_ranking(m_member, seedOf(m_settings, m_start) + 1)
     , m_configurations(storeOptions(m_settings, m_start),
           { loop, m_member.table(), m_objectStore, m_network, m_codec, *this })
@@ -293,6 +295,7 @@
 void Daemon::refresh()
 {
     updatePolling();
+    m_linkDemand.expire();
     m_allotment.refreshHolders(m_member.leases());
     if (!m_hasBeenReady && m_configurations.revision() > Revision(0) && m_allotment.isReady()) {
         m_hasBeenReady = true;
@@ -380,7 +383,7 @@
     }
     m_allotment.wallet().stop();
     m_stopTimer = m_loop.runAfter(handOverWait, [this] {
-        LogEvent(LogLevel::Warning, "stop_without_table");
+        LogEvent(LogLevel::Warning, "stop_without_table").with("host", m_settings.host);
         finishStop();
     });
     m_member.finishLeaving([this] { finishStop(); });
@@ -389,7 +392,7 @@
 void Daemon::finishStop()
 {
     m_loop.cancel(m_stopTimer);
-    LogEvent(LogLevel::Info, "stopped");
+    LogEvent(LogLevel::Info, "stopped").with("host", m_settings.host);
     m_stopped();
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -7,6 +7,7 @@
 #include "coordination/fleet_member.h"
 #include "coordination/host_ranking.h"
 #include "coordination/key_ring.h"
+#include "coordination/link_demand.h"
 #include "coordination/retry_budget.h"
 #include "daemon/allotment_service.h"
 #include "daemon/entry_service.h"
@@ -77,6 +78,7 @@
     PeerNetwork m_network;
     SafetyRules m_safetyRules;
     FleetMember m_member;
+    LinkDemand m_linkDemand;
     HostRanking m_ranking;
     ConfigurationStore m_configurations;
     KeyRing m_keys;
--- a/src/daemon/daemon_http.cc
+++ b/src/daemon/daemon_http.cc
@@ -56,19 +56,6 @@
     return answer;
 }
 
-const char* stateName(DaemonState state)
-{
-    switch (state) {
-    case DaemonState::Starting:
-        return "starting";
-    case DaemonState::Live:
-        return "live";
-    case DaemonState::Leaving:
-        return "leaving";
-    }
-    return "invalid";
-}
-
 const char* stateName(const UpstreamView& view)
 {
     if (view.state == UpstreamState::Leaving)
@@ -147,7 +134,7 @@
     self.dataCentre = m_daemon.m_settings.dataCentre;
     self.address = m_daemon.peerAddress().text();
     self.link = "self";
-    self.state = stateName(status.state);
+    self.state = toString(status.state);
     self.incarnation = m_daemon.m_member.session().incarnation();
     self.revision = status.revision;
     self.headAgeMs = headAgeMs();
@@ -156,7 +143,7 @@
     std::vector<OperatorHostStatus> hosts { self };
     for (const auto& [host, peer] : m_daemon.m_member.membership().peers()) {
         OperatorHostStatus other { host, peer.dataCentre, peer.address, toString(peer.state),
-            stateName(peer.daemonState), peer.incarnation, peer.revision, std::nullopt, peer.tableUp,
+            toString(peer.daemonState), peer.incarnation, peer.revision, std::nullopt, peer.tableUp,
             peer.load };
         if (peer.state == PeerState::Alive)
             other.headAgeMs = peer.headAgeMs;
--- a/src/daemon/entry_request.cc
+++ b/src/daemon/entry_request.cc
@@ -1,6 +1,6 @@
 #include "daemon/entry_request.h"
 
-#include "protocol/content_hash.h"
+#include "base/digest.h"
 #include "state/refusal.h"
 
 #include <algorithm>
@@ -63,12 +63,12 @@
 void EntryRequest::start()
 {
     m_context.retryBudget.countRequest();
-    m_exchange->onClientLeft(m_guard.wrap([this] { callerLeft(); }));
-    m_exchange->onDrained(m_guard.wrap([this] { giveCredit(); }));
+    m_exchange->onClientLeft(m_lifetime.guard([this] { callerLeft(); }));
+    m_exchange->onDrained(m_lifetime.guard([this] { giveCredit(); }));
     if (m_request.cost == Tokens(0))
         return claim();
     m_context.wallet.reserve(m_request.workspace, m_request.cost, now() + reserveWait,
-        m_guard.wrap([this](const ReserveResult& result) { reserved(result); }));
+        m_lifetime.guard([this](const ReserveResult& result) { reserved(result); }));
 }
 
 void EntryRequest::reserved(const ReserveResult& result)
@@ -97,9 +97,9 @@
     if (m_request.route.repeatable)
         return dispatch();
     const ServiceCall& call = *m_request.service;
-    const std::string fingerprint = contentHashOf(call.method + " " + call.target + "\n" + call.body).value();
+    const std::string fingerprint = sha256Hex(call.method + " " + call.target + "\n" + call.body);
     m_context.claims.begin(m_request.workspace, m_request.requestId, fingerprint,
-        m_guard.wrap([this](const ClaimResult& result) { claimed(result); }));
+        m_lifetime.guard([this](const ClaimResult& result) { claimed(result); }));
 }
 
 void EntryRequest::claimed(const ClaimResult& result)
--- a/src/daemon/entry_request.h
+++ b/src/daemon/entry_request.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/callback_guard.h"
+#include "base/lifetime.h"
 #include "base/metrics.h"
 #include "base/scheduler.h"
 #include "coordination/claim_registry.h"
@@ -101,7 +101,7 @@
     bool m_isFinished = false;
     TimerId m_retryTimer = 0;
     TimerId m_progressTimer = 0;
-    CallbackGuard m_guard;
+    Lifetime m_lifetime;
 };
 
 } // namespace lacewing
--- a/src/daemon/peer_network.cc
+++ b/src/daemon/peer_network.cc
@@ -48,6 +48,10 @@
 
 bool PeerNetwork::send(const HostId& peer, const PeerMessage& message)
 {
+    const bool isWork
+        = std::holds_alternative<RunRequest>(message) || std::holds_alternative<AllotAsk>(message);
+    if (peer != m_self && isWork)
+        m_handlers.onPeerNeeded(peer);
     if (peer != m_self)
         return m_links && m_links->send(peer, PeerCodec::encode(message));
     m_local.push_back(message);
--- a/src/daemon/peer_network.h
+++ b/src/daemon/peer_network.h
@@ -21,6 +21,8 @@
         std::function<void(const HostId& peer, const PeerMessage& message)> onMessage;
         std::function<void(const HostId& peer)> onConnected;
         std::function<void(const HostId& peer, DisconnectReason reason)> onDisconnected;
+        /// A request for work is about to be sent to a peer, or could not be because there is no link.
+        std::function<void(const HostId& peer)> onPeerNeeded;
     };
 
     /// @param scheduler, metrics must outlive the network.
--- a/src/daemon/service_run.cc
+++ b/src/daemon/service_run.cc
@@ -1,3 +1,4 @@
+#include "daemon/flow_window.h"
 #include "daemon/upstream_run.h"
 #include "state/refusal.h"
 
@@ -48,13 +49,7 @@
         m_call = m_client.send(std::move(request), std::move(handlers));
     }
 
-    void addWindow(int64_t bytes) override
-    {
-        const bool wasClosed = m_window <= 0;
-        m_window += bytes;
-        if (wasClosed && m_window > 0 && m_call)
-            m_call->resumeReading();
-    }
+    void addWindow(int64_t bytes) override { m_window.add(bytes, m_call.get()); }
 
 private:
     void receive(std::string_view bytes)
@@ -64,9 +59,7 @@
         RunChunk chunk;
         chunk.stream = m_request.stream;
         chunk.bytes = bytes;
-        m_window -= static_cast<int64_t>(bytes.size());
-        if (m_window <= 0)
-            m_call->pauseReading();
+        m_window.consume(chunk.bytes.size(), *m_call);
         m_listener.onChunk(chunk);
     }
 
@@ -92,7 +85,7 @@
     UpstreamTarget m_target;
     RunRequest m_request;
     Listener m_listener;
-    int64_t m_window = initialWindowBytes;
+    FlowWindow m_window;
     int m_status = 0;
     bool m_isNotRun = false;
     std::string m_contentType;
--- a/src/daemon/upstream_run.h
+++ b/src/daemon/upstream_run.h
@@ -31,8 +31,6 @@
     virtual void addWindow(int64_t bytes) = 0;
 };
 
-/// Bytes of an answer that may be on their way to the entry without its credit.
-constexpr int64_t initialWindowBytes = 256 * 1024;
 /// Longest time without a byte from an upstream that has accepted a request.
 constexpr Duration upstreamProgressTimeout = std::chrono::seconds(5);
 
--- a/src/protocol/engine_client.cc
+++ b/src/protocol/engine_client.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <map>
+
 namespace lacewing {
 
 namespace {
@@ -76,19 +78,12 @@
     return "invalid";
 }
 
-struct EngineClient::Call {
-    std::unique_ptr<HttpClientCall> call;
-    std::string body;
-};
-
 EngineClient::EngineClient(HttpClient& client, SocketAddress engine)
-    : m_client(client)
+    : m_calls(client)
     , m_engine(std::move(engine))
 {
 }
 
-EngineClient::~EngineClient() = default;
-
 void EngineClient::readStatus(StatusCallback callback)
 {
     send("GET", "/admin/status", "", statusDeadline,
@@ -126,10 +121,9 @@
         });
 }
 
-void EngineClient::send(
-    const char* method, const char* target, std::string body, Duration deadline, AnswerCallback callback)
+void EngineClient::send(const char* method, const char* target, std::string body, Duration deadline,
+    HttpCallSet::Callback callback)
 {
-    const uint64_t id = m_nextCall++;
     HttpClientRequest request;
     request.server = m_engine;
     request.method = method;
@@ -138,14 +132,7 @@
     request.progressTimeout = deadline;
     if (!request.body.empty())
         request.headers.add("Content-Type", "application/json");
-    Call& call = *m_calls.emplace(id, std::make_unique<Call>()).first->second;
-    HttpClientHandlers handlers;
-    handlers.onBody = [&call](std::string_view bytes) { call.body += bytes; };
-    handlers.onDone = [this, id, callback = std::move(callback)](const HttpClientResult& result) {
-        const auto node = m_calls.extract(id);
-        callback(result, node.mapped()->body);
-    };
-    call.call = m_client.send(std::move(request), std::move(handlers));
+    m_calls.send(std::move(request), std::move(callback));
 }
 
 } // namespace lacewing
--- a/src/protocol/engine_client.h
+++ b/src/protocol/engine_client.h
@@ -1,15 +1,12 @@
 #pragma once
 
 #include "base/ids.h"
+#include "protocol/http_call_set.h"
 #include "state/engine_status.h"
-#include "transport/http_client.h"
 
 #include <functional>
-#include <map>
-#include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace lacewing {
 
@@ -36,7 +33,6 @@
 
     /// @param client must outlive the object.
     EngineClient(HttpClient& client, SocketAddress engine);
-    ~EngineClient();
 
     /// Reads the engine's status; nothing if it does not answer.
     void readStatus(StatusCallback callback);
@@ -51,17 +47,12 @@
     void unload(const std::string& name, FencingNumber number, Duration deadline, OrderCallback callback);
 
 private:
-    struct Call;
-    using AnswerCallback = std::function<void(const HttpClientResult& result, const std::string& body)>;
-
-    void send(
-        const char* method, const char* target, std::string body, Duration deadline, AnswerCallback callback);
+    void send(const char* method, const char* target, std::string body, Duration deadline,
+        HttpCallSet::Callback callback);
     void order(const char* target, std::string body, Duration deadline, OrderCallback callback);
 
-    HttpClient& m_client;
+    HttpCallSet m_calls;
     SocketAddress m_engine;
-    uint64_t m_nextCall = 1;
-    std::map<uint64_t, std::unique_ptr<Call>> m_calls;
 };
 
 } // namespace lacewing
--- /dev/null
+++ b/src/protocol/http_call_set.cc
@@ -0,0 +1,18 @@
+#include "protocol/http_call_set.h"
+
+namespace lacewing {
+
+void HttpCallSet::send(HttpClientRequest request, Callback callback)
+{
+    const uint64_t id = m_nextCall++;
+    Call& call = *m_calls.emplace(id, std::make_unique<Call>()).first->second;
+    HttpClientHandlers handlers;
+    handlers.onBody = [&call](std::string_view bytes) { call.body += bytes; };
+    handlers.onDone = [this, id, callback = std::move(callback)](const HttpClientResult& result) {
+        const auto node = m_calls.extract(id);
+        callback(result, node.mapped()->body);
+    };
+    call.call = m_client.send(std::move(request), std::move(handlers));
+}
+
+} // namespace lacewing
--- a/src/protocol/http_object_store.cc
+++ b/src/protocol/http_object_store.cc
@@ -1,6 +1,6 @@
 #include "protocol/http_object_store.h"
 
-#include "protocol/content_hash.h"
+#include "base/digest.h"
 
 namespace lacewing {
 
@@ -12,19 +12,12 @@
 
 } // namespace
 
-struct HttpObjectStore::Call {
-    std::unique_ptr<HttpClientCall> call;
-    std::string body;
-};
-
 HttpObjectStore::HttpObjectStore(HttpClient& client, SocketAddress server)
-    : m_client(client)
+    : m_calls(client)
     , m_server(std::move(server))
 {
 }
 
-HttpObjectStore::~HttpObjectStore() = default;
-
 void HttpObjectStore::fetch(ContentHash hash, FetchCallback callback)
 {
     send("GET", hash, "",
@@ -33,7 +26,7 @@
                 return callback(std::nullopt, ObjectStoreError::Unavailable);
             if (result.status == statusNotFound)
                 return callback(std::nullopt, ObjectStoreError::NotFound);
-            if (contentHashOf(body) != hash)
+            if (sha256Hex(body) != hash.value())
                 return callback(std::nullopt, ObjectStoreError::Corrupt);
             callback(std::move(body), std::nullopt);
         });
@@ -49,24 +42,16 @@
         });
 }
 
-void HttpObjectStore::send(std::string method, const ContentHash& hash, std::string content,
-    std::function<void(const HttpClientResult& result, std::string& body)> callback)
+void HttpObjectStore::send(
+    std::string method, const ContentHash& hash, std::string content, HttpCallSet::Callback callback)
 {
-    const uint64_t id = m_nextCall++;
     HttpClientRequest request;
     request.server = m_server;
     request.method = std::move(method);
     request.target = "/objects/" + hash.value();
     request.body = std::move(content);
     request.progressTimeout = callTimeout;
-    Call& call = *m_calls.emplace(id, std::make_unique<Call>()).first->second;
-    HttpClientHandlers handlers;
-    handlers.onBody = [&call](std::string_view bytes) { call.body += bytes; };
-    handlers.onDone = [this, id, callback = std::move(callback)](const HttpClientResult& result) {
-        const auto node = m_calls.extract(id);
-        callback(result, node.mapped()->body);
-    };
-    call.call = m_client.send(std::move(request), std::move(handlers));
+    m_calls.send(std::move(request), std::move(callback));
 }
 
 } // namespace lacewing
--- a/src/protocol/http_table_service.cc
+++ b/src/protocol/http_table_service.cc
@@ -42,22 +42,13 @@
 
 } // namespace
 
-struct HttpTableService::Call {
-    std::unique_ptr<HttpClientCall> call;
-    std::string body;
-    const char* operation = "";
-    AnswerCallback callback;
-};
-
 HttpTableService::HttpTableService(HttpClient& client, SocketAddress server, MetricsRegistry& metrics)
-    : m_client(client)
+    : m_calls(client)
     , m_server(std::move(server))
     , m_metrics(metrics)
 {
 }
 
-HttpTableService::~HttpTableService() = default;
-
 void HttpTableService::read(std::vector<std::string> keys, RowsCallback callback)
 {
     readRows("read", Json { { "keys", std::move(keys) } }.dump(), std::move(callback));
@@ -109,10 +100,6 @@
 
 void HttpTableService::post(const char* operation, std::string body, AnswerCallback callback)
 {
-    const uint64_t id = m_nextCall++;
-    auto call = std::make_unique<Call>();
-    call->operation = operation;
-    call->callback = std::move(callback);
     HttpClientRequest request;
     request.server = m_server;
     request.method = "POST";
@@ -120,25 +107,23 @@
     request.headers.add("Content-Type", "application/json");
     request.body = std::move(body);
     request.progressTimeout = callTimeout;
-    HttpClientHandlers handlers;
-    handlers.onBody = [call = call.get()](std::string_view bytes) { call->body += bytes; };
-    handlers.onDone = [this, id](const HttpClientResult& result) { finish(id, result); };
-    Call& stored = *m_calls.emplace(id, std::move(call)).first->second;
-    stored.call = m_client.send(std::move(request), std::move(handlers));
+    m_calls.send(std::move(request),
+        [this, operation, callback = std::move(callback)](
+            const HttpClientResult& result, std::string& answer) {
+            std::optional<TableError> error;
+            if (result.error)
+                error = errorOf(result);
+            record(operation, result, error);
+            callback(result.status, answer, error);
+        });
 }
 
-void HttpTableService::finish(uint64_t id, const HttpClientResult& result)
+void HttpTableService::record(
+    const char* operation, const HttpClientResult& result, std::optional<TableError> error)
 {
-    const auto node = m_calls.extract(id);
-    Call& call = *node.mapped();
-    std::optional<TableError> error;
-    if (result.error)
-        error = errorOf(result);
     m_up = !error && (result.status == statusOk || result.status == statusConflict);
     const char* answer = error ? toString(*error) : (m_up ? "answered" : "unavailable");
-    ++m_metrics.counter(
-        "lacewing_table_calls_total", { { "operation", call.operation }, { "result", answer } });
-    call.callback(result.status, call.body, error);
+    ++m_metrics.counter("lacewing_table_calls_total", { { "operation", operation }, { "result", answer } });
 }
 
 } // namespace lacewing
--- a/src/protocol/http_table_service.h
+++ b/src/protocol/http_table_service.h
@@ -1,10 +1,8 @@
 #pragma once
 
 #include "base/metrics.h"
+#include "protocol/http_call_set.h"
 #include "state/table_service.h"
-#include "transport/http_client.h"
-
-#include <map>
 
 namespace lacewing {
 
@@ -15,7 +13,6 @@
     /// @param client, metrics must outlive the service.
     /// @param server address of the platform.
     HttpTableService(HttpClient& client, SocketAddress server, MetricsRegistry& metrics);
-    ~HttpTableService() override;
 
     void read(std::vector<std::string> keys, RowsCallback callback) override;
     void list(std::string prefix, RowsCallback callback) override;
@@ -29,17 +26,13 @@
     using AnswerCallback
         = std::function<void(int status, const std::string& body, std::optional<TableError> error)>;
 
-    struct Call;
-
     void post(const char* operation, std::string body, AnswerCallback callback);
     void readRows(const char* operation, std::string body, RowsCallback callback);
-    void finish(uint64_t id, const HttpClientResult& result);
+    void record(const char* operation, const HttpClientResult& result, std::optional<TableError> error);
 
-    HttpClient& m_client;
+    HttpCallSet m_calls;
     SocketAddress m_server;
     MetricsRegistry& m_metrics;
-    uint64_t m_nextCall = 1;
-    std::map<uint64_t, std::unique_ptr<Call>> m_calls;
     bool m_up = false;
 };
 
--- a/src/protocol/peer_codec.cc
+++ b/src/protocol/peer_codec.cc
@@ -13,15 +13,7 @@
 
 const char* nameOf(DaemonState state)
 {
-    switch (state) {
-    case DaemonState::Starting:
-        return "starting";
-    case DaemonState::Live:
-        return "live";
-    case DaemonState::Leaving:
-        return "leaving";
-    }
-    return "invalid";
+    return toString(state);
 }
 
 const char* nameOf(RequestClass requestClass)
--- a/src/state/peer_messages.h
+++ b/src/state/peer_messages.h
@@ -18,6 +18,20 @@
     Leaving,
 };
 
+/// @return the state as sent to peers and shown to operators.
+constexpr const char* toString(DaemonState state)
+{
+    switch (state) {
+    case DaemonState::Starting:
+        return "starting";
+    case DaemonState::Live:
+        return "live";
+    case DaemonState::Leaving:
+        return "leaving";
+    }
+    return "invalid";
+}
+
 /// Queueing class of a request.
 enum class RequestClass {
     Interactive,
