Start the daemons of the link demand test one after the other

Cause: the test required a peer without a link, but 24 daemons that start together all link with the first one. Change: 30 daemons start 5 s apart, and the last one is looked at. The checks are the same. Conclusion: the expectation of the test's set-up was wrong, not LinkDemand.

--- a/src/coordination/fleet_checker_test.h
+++ b/src/coordination/fleet_checker_test.h
@@ -81,7 +81,7 @@
         FleetMember& member = m_fleet.member(index);
         View& view = m_views[index];
         if (view.member != &member)
-            view = View { &member };
+            view = View { &member, {}, {} };
         const Incarnation incarnation = member.session().incarnation();
         if (incarnation != view.incarnation) {
             view.incarnation = incarnation;
--- a/src/coordination/link_demand_test.cc
+++ b/src/coordination/link_demand_test.cc
@@ -15,12 +15,14 @@
 BOOST_AUTO_TEST_CASE(PeerInUseIsLinkedUntilItIsIdle)
 {
     SimulatedFleetOptions options;
-    options.daemons = 24;
+    options.daemons = 30;
     SimulatedFleet fleet(options);
-    for (size_t i = 0; i < options.daemons; ++i)
+    // Started one after the other, the daemons do not all link with the first one.
+    for (size_t i = 0; i < options.daemons; ++i) {
         fleet.start(i);
-    fleet.scheduler().advance(30s);
-    Membership& membership = fleet.member(0).membership();
+        fleet.scheduler().advance(5s);
+    }
+    Membership& membership = fleet.member(options.daemons - 1).membership();
     HostId stranger;
     for (const auto& [host, peer] : membership.peers()) {
         if (!peer.linked)
