--- a/src/transport/peer_links_test.cc
+++ b/src/transport/peer_links_test.cc
@@ -1,6 +1,6 @@
 #include "transport/peer_links.h"
 
-#include "transport/raw_peer_testing.h"
+#include "transport/raw_link_peer_testing.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -151,7 +151,7 @@
     EventLoop loop;
     Host a(loop, "a", [](PeerLinkOptions& options) { options.silenceTimeout = 300ms; });
     Host b(loop, "b");
-    RawPeer mute(loop);
+    RawLinkPeer mute(loop);
     a.links->connect(b.self, mute.listen());
     b.connect(a);
     runUntil(loop, [&] { return !a.events.empty() && !b.events.empty(); });
@@ -190,12 +190,12 @@
 {
     EventLoop loop;
     Host a(loop, "a");
-    RawPeer original(loop);
+    RawLinkPeer original(loop);
     original.connectAs(identity("b"), secret, a.links->address());
     runUntil(loop, [&] { return original.up; });
     original.close();
     runUntil(loop, [&] { return a.events.size() == 2; });
-    RawPeer attacker(loop);
+    RawLinkPeer attacker(loop);
     attacker.hello = original.hello;
     attacker.useWebsocket(WebsocketRole::Client, [&](const std::string& message) {
         if (decodeLinkHello(message))
@@ -212,7 +212,7 @@
 {
     EventLoop loop;
     Host a(loop, "a");
-    RawPeer attacker(loop);
+    RawLinkPeer attacker(loop);
     attacker.hello = identity("b");
     attacker.hello.nonce = *makeLinkNonce();
     attacker.useWebsocket(WebsocketRole::Server, [&](const std::string& message) {
@@ -229,11 +229,11 @@
 {
     EventLoop loop;
     Host a(loop, "a");
-    RawPeer garbage(loop);
+    RawLinkPeer garbage(loop);
     garbage.connect(a.links->address());
     garbage.write(std::string(100000, '\xee') + "\r\n\r\n");
     runUntil(loop, [&] { return a.events.size() == 1; });
-    RawPeer early(loop);
+    RawLinkPeer early(loop);
     early.hello = identity("b");
     early.hello.nonce = *makeLinkNonce();
     early.useWebsocket(WebsocketRole::Client, [&](const std::string&) { early.send("frame"); });
@@ -251,15 +251,15 @@
         options.silenceTimeout = 300ms;
         options.pingInterval = 50ms;
     });
-    RawPeer mute(loop);
+    RawLinkPeer mute(loop);
     mute.connect(a.links->address());
     runUntil(loop, [&] { return a.events.size() == 1; });
-    RawPeer silent(loop);
+    RawLinkPeer silent(loop);
     silent.connectAs(identity("b"), secret, a.links->address());
     runUntil(loop, [&] { return silent.up; });
     silent.stopReading();
     runUntil(loop, [&] { return a.events.size() == 3; });
-    RawPeer listener(loop);
+    RawLinkPeer listener(loop);
     a.links->connect(HostId("c"), listener.listen());
     runUntil(loop, [&] { return a.events.size() == 4; });
     checkEvents(a, { "rejected:silent", "b:connected", "b:silent", "c:silent" });
@@ -324,7 +324,7 @@
     checkEvents(b, { "a:connected", "a:protocol_violation" });
     BOOST_TEST(b.frames.size() == 1U);
     a.events.clear();
-    RawPeer slow(loop);
+    RawLinkPeer slow(loop);
     slow.connectAs(identity("c"), secret, a.links->address());
     runUntil(loop, [&] { return slow.up; });
     slow.stopReading();
@@ -340,9 +340,9 @@
 {
     EventLoop loop;
     Host a(loop, "a");
-    RawPeer first(loop);
-    RawPeer second(loop);
-    RawPeer old(loop);
+    RawLinkPeer first(loop);
+    RawLinkPeer second(loop);
+    RawLinkPeer old(loop);
     first.connectAs(identity("b", 2), secret, a.links->address());
     runUntil(loop, [&] { return first.up; });
     second.connectAs(identity("b", 3), secret, a.links->address());
--- a/src/transport/raw_peer_testing.h
+++ b/src/transport/raw_link_peer_testing.h
@@ -18,14 +18,14 @@
 namespace lacewing {
 
 /// A peer for tests that does only what the test tells it to, so that it can break the protocol.
-class RawPeer {
+class RawLinkPeer {
 public:
-    explicit RawPeer(EventLoop& loop)
+    explicit RawLinkPeer(EventLoop& loop)
         : m_loop(loop)
     {
     }
 
-    ~RawPeer()
+    ~RawLinkPeer()
     {
         close();
         if (m_listener)
@@ -47,7 +47,7 @@
         m_listener = evconnlistener_new_bind(
             m_loop.base(),
             [](evconnlistener*, int socket, sockaddr*, int, void* self) {
-                static_cast<RawPeer*>(self)->attach(socket);
+                static_cast<RawLinkPeer*>(self)->attach(socket);
             },
             this, LEV_OPT_CLOSE_ON_FREE, 1, native->pointer(), static_cast<int>(native->size));
         return boundAddress(evconnlistener_get_fd(m_listener));
@@ -104,7 +104,7 @@
     void attach(int socket)
     {
         m_stream = bufferevent_socket_new(m_loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
-        bufferevent_setcb(m_stream, &RawPeer::onReadable, nullptr, &RawPeer::onEvent, this);
+        bufferevent_setcb(m_stream, &RawLinkPeer::onReadable, nullptr, &RawLinkPeer::onEvent, this);
         bufferevent_enable(m_stream, EV_READ | EV_WRITE);
         if (m_session)
             m_session->start();
@@ -112,7 +112,7 @@
 
     static void onReadable(bufferevent* stream, void* argument)
     {
-        auto* self = static_cast<RawPeer*>(argument);
+        auto* self = static_cast<RawLinkPeer*>(argument);
         std::string bytes(evbuffer_get_length(bufferevent_get_input(stream)), '\0');
         bufferevent_read(stream, bytes.data(), bytes.size());
         if (self->m_session)
@@ -122,8 +122,8 @@
     {
         if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0)
             return;
-        static_cast<RawPeer*>(argument)->ended = true;
-        static_cast<RawPeer*>(argument)->close();
+        static_cast<RawLinkPeer*>(argument)->ended = true;
+        static_cast<RawLinkPeer*>(argument)->close();
     }
 
     EventLoop& m_loop;
