--- a/src/coordination/fleet_checker_test.h
+++ b/src/coordination/fleet_checker_test.h
@@ -80,8 +80,10 @@
     {
         FleetMember& member = m_fleet.member(index);
         View& view = m_views[index];
-        if (view.member != &member)
-            view = View { &member, {}, {} };
+        if (view.member != &member) {
+            view = View();
+            view.member = &member;
+        }
         const Incarnation incarnation = member.session().incarnation();
         if (incarnation != view.incarnation) {
             view.incarnation = incarnation;
--- a/src/replay/path_bench.cc
+++ b/src/replay/path_bench.cc
@@ -17,7 +17,7 @@
 ABSL_FLAG(std::vector<std::string>, targets, {},
     "NAME=IP:PORT of each target, separated by commas; the first is the base");
 ABSL_FLAG(std::string, path, "/seats/1", "path of the requests");
-ABSL_FLAG(std::string, key, "", "key presented as bearer token");
+ABSL_FLAG(std::string, key, "", "key presented as bearer token; none if empty");
 ABSL_FLAG(int, requests, 2000, "requests per target and round");
 ABSL_FLAG(int, rounds, 3, "rounds over all targets");
 ABSL_FLAG(int, concurrency, 1, "requests in flight");
@@ -71,7 +71,8 @@
         request.target = absl::GetFlag(FLAGS_path);
         request.body = "{}";
         request.headers.add("Content-Type", "application/json");
-        request.headers.add("Authorization", "Bearer " + absl::GetFlag(FLAGS_key));
+        if (!absl::GetFlag(FLAGS_key).empty())
+            request.headers.add("Authorization", "Bearer " + absl::GetFlag(FLAGS_key));
         const MonotonicTime sent = m_loop.now();
         HttpClientHandlers handlers;
         handlers.onHeaders = [this, sent](int status, const HttpHeaders&) {
