Remove accessors that nothing calls

Cause: HttpTableService kept whether its last call was answered and UpstreamOwner showed whether it drains; the call budget and the report list already tell what the daemon needs. Change: both accessors and the state behind the first are gone. Behaviour is the same. Conclusion: two pieces of dead code less.

--- a/src/daemon/upstream_owner.h
+++ b/src/daemon/upstream_owner.h
@@ -94,7 +94,6 @@
     MonotonicTime now() const { return m_context.scheduler.now(); }
     RequestQueue& queue() { return *m_queue; }
     const RequestQueue& queue() const { return *m_queue; }
-    bool isDraining() const { return m_isDraining; }
 
 private:
     using Origin = std::pair<HostId, StreamId>;
--- a/src/protocol/http_table_service.cc
+++ b/src/protocol/http_table_service.cc
@@ -121,8 +121,8 @@
 void HttpTableService::record(
     const char* operation, const HttpClientResult& result, std::optional<TableError> error)
 {
-    m_up = !error && (result.status == statusOk || result.status == statusConflict);
-    const char* answer = error ? toString(*error) : (m_up ? "answered" : "unavailable");
+    const bool isAnswered = !error && (result.status == statusOk || result.status == statusConflict);
+    const char* answer = error ? toString(*error) : (isAnswered ? "answered" : "unavailable");
     ++m_metrics.counter("lacewing_table_calls_total", { { "operation", operation }, { "result", answer } });
 }
 
--- a/src/protocol/http_table_service.h
+++ b/src/protocol/http_table_service.h
@@ -18,9 +18,6 @@
     void list(std::string prefix, RowsCallback callback) override;
     void commit(TableTransaction transaction, CommitCallback callback) override;
 
-    /// @return whether the last call that ended was answered by the table.
-    bool isUp() const { return m_up; }
-
 private:
     /// Receives the status and body, or the error.
     using AnswerCallback
@@ -33,7 +30,6 @@
     HttpCallSet m_calls;
     SocketAddress m_server;
     MetricsRegistry& m_metrics;
-    bool m_up = false;
 };
 
 } // namespace lacewing
