--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -62,6 +62,8 @@
 void initializeLogging(const char* program)
 {
     FLAGS_logtostderr = true;
+    // Each line starts with its event; time and place of the call are of no use to its readers.
+    FLAGS_log_prefix = false;
     google::InitGoogleLogging(program);
 }
 
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -19,6 +19,7 @@
 constexpr size_t recentCapacity = 30;
 constexpr Duration reportInterval = std::chrono::milliseconds(120);
 constexpr Duration orderRetryInterval = std::chrono::milliseconds(30);
+constexpr int maximumRetryDoublings = 4;
 /// Reports show the state of some time ago; what changed since then is kept as the scheduler knows it.
 constexpr Duration reportLag = std::chrono::milliseconds(600);
 /// Half-life of the popularity count.
@@ -142,9 +143,13 @@
     switch (outcome) {
     case OrderOutcome::Accepted:
     case OrderOutcome::AlreadyHolds:
+        m_failedOrders = 0;
         orderTookEffect(order, outcome, now);
         break;
     case OrderOutcome::OutOfSequence:
+        // An order that was given up on has been carried out, or a model is being loaded.
+        m_lowestSequence = order.order.expectedSequence + 1;
+        m_staleReportLimit = now + reportLag;
         m_sequence.reset();
         m_nextReport = now;
         break;
@@ -157,35 +162,34 @@
     case OrderOutcome::Fenced:
     case OrderOutcome::WrongInstance:
         // The same order follows again with the same sequence, so it is carried out once at most.
-        m_nextOrder = now + orderRetryInterval;
+        m_nextOrder = now + orderRetryInterval * (1 << std::min(m_failedOrders, maximumRetryDoublings));
+        ++m_failedOrders;
         break;
     }
 }
 
 void EngineScheduler::orderTookEffect(const OrderUnderWay& order, OrderOutcome outcome, MonotonicTime now)
 {
-    const auto place = m_places.find(order.order.adapter);
-    if (outcome == OrderOutcome::Accepted && m_sequence)
+    const bool isLoad = order.order.action == AdapterOrder::Action::Load;
+    // A repeated order that is still being carried out, or already was, is not counted by the engine again.
+    const bool isCounted
+        = !order.isConfirmation && (outcome == OrderOutcome::Accepted || !isLoad);
+    if (isCounted && m_sequence)
         ++*m_sequence;
+    const auto place = m_places.find(order.order.adapter);
     if (place == m_places.end())
         return;
     place->second.changedAt = now;
-    if (order.order.action == AdapterOrder::Action::Unload) {
-        // Accepted means that the engine waits for a run that this owner does not know.
-        if (outcome == OrderOutcome::Accepted && !order.isConfirmation) {
-            place->second.confirmAt = now + confirmInterval;
-            return;
-        }
-        if (outcome == OrderOutcome::AlreadyHolds) {
-            if (m_sequence && !order.isConfirmation)
-                ++*m_sequence;
-            rememberRecent(order.order.adapter);
-            m_places.erase(place);
-        }
+    if (outcome == OrderOutcome::Accepted) {
+        // An accepted order to unload waits for a run that this owner does not know.
+        const bool isFirst = isLoad && !order.isConfirmation;
+        place->second.state = isLoad ? PlaceState::Loading : PlaceState::Unloading;
+        place->second.confirmAt = now + (isFirst ? loadTime(order.order.adapter) : confirmInterval);
         return;
     }
-    if (outcome == OrderOutcome::Accepted) {
-        place->second.confirmAt = now + (order.isConfirmation ? confirmInterval : loadTime(order.order.adapter));
+    if (!isLoad) {
+        dropped(order.order.adapter, now);
+        m_places.erase(place);
         return;
     }
     place->second.state = PlaceState::Present;
@@ -197,6 +201,8 @@
 void EngineScheduler::addReportedPlace(
     const AdapterRef& adapter, int64_t version, PlaceState state, MonotonicTime now)
 {
+    if (wasDroppedLately(adapter, now))
+        return;
     const auto [place, isNew] = m_places.try_emplace(adapter);
     if (!isNew && now - place->second.changedAt < reportLag)
         return;
@@ -215,7 +221,9 @@
     m_nextReport = now + reportInterval;
     if (!report)
         return;
-    m_sequence = report->orderSequence;
+    if (report->orderSequence < m_lowestSequence && now < m_staleReportLimit)
+        return;
+    m_sequence = std::max(report->orderSequence, m_sequence.value_or(0));
     m_models.clear();
     std::set<AdapterRef> reported;
     for (const HeldModel& model : report->models) {
@@ -363,6 +371,7 @@
             Place& place = m_places[request.adapter];
             place.changedAt = now;
             place.confirmAt = now + loadTime(request.adapter);
+            m_dropped.erase(request.adapter);
             return orderFor(AdapterOrder::Action::Load, request.adapter);
         }
         const auto victim = findVictim(now);
@@ -430,8 +439,17 @@
     return isRecent ? warmLoadTime : coldLoadTime;
 }
 
-void EngineScheduler::rememberRecent(const AdapterRef& adapter)
+bool EngineScheduler::wasDroppedLately(const AdapterRef& adapter, MonotonicTime now) const
+{
+    const auto found = m_dropped.find(adapter);
+    return found != m_dropped.end() && now - found->second < reportLag;
+}
+
+void EngineScheduler::dropped(const AdapterRef& adapter, MonotonicTime now)
 {
+    for (auto entry = m_dropped.begin(); entry != m_dropped.end();)
+        entry = now - entry->second < reportLag ? std::next(entry) : m_dropped.erase(entry);
+    m_dropped[adapter] = now;
     m_recent.erase(std::remove(m_recent.begin(), m_recent.end(), adapter), m_recent.end());
     m_recent.push_back(adapter);
     if (m_recent.size() > recentCapacity)
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -145,7 +145,8 @@
     std::optional<OrderUnderWay> chooseLoad(MonotonicTime now);
     OrderUnderWay orderFor(AdapterOrder::Action action, const AdapterRef& adapter) const;
     void orderTookEffect(const OrderUnderWay& order, OrderOutcome outcome, MonotonicTime now);
-    void rememberRecent(const AdapterRef& adapter);
+    void dropped(const AdapterRef& adapter, MonotonicTime now);
+    bool wasDroppedLately(const AdapterRef& adapter, MonotonicTime now) const;
     void addReportedPlace(const AdapterRef& adapter, int64_t version, PlaceState state, MonotonicTime now);
 
     UpstreamId m_engine;
@@ -165,7 +166,14 @@
     MonotonicTime m_lastIdle;
     Tokens m_backlog;
     Tokens m_cacheInUse;
+    /// Adapters that were dropped lately, which a report may still show.
+    std::map<AdapterRef, MonotonicTime> m_dropped;
     std::optional<int64_t> m_sequence;
+    /// A report with a lower sequence is older than what is known already.
+    int64_t m_lowestSequence = 0;
+    /// When to accept a report even though it seems too old.
+    MonotonicTime m_staleReportLimit;
+    int m_failedOrders = 0;
     std::optional<OrderUnderWay> m_order;
     bool m_isReportUnderWay = false;
     MonotonicTime m_nextReport;
