--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -115,10 +115,10 @@
     }
     if (outcome != RunOutcome::AdapterMissing || place->second.state != PlaceState::Present)
         return;
-    // The engine knows better; asking it again settles whether the adapter is there.
+    // The engine knows better; ordering the load again settles whether the adapter is there.
     place->second.state = PlaceState::Loading;
+    place->second.isAccepted = false;
     place->second.confirmAt = now + confirmInterval;
-    m_nextReport = std::min(m_nextReport, now);
 }
 
 void EngineScheduler::hostLost(const HostId& host, MonotonicTime now)
@@ -139,7 +139,7 @@
 {
     if (!m_order)
         return;
-    const OrderUnderWay order = *std::exchange(m_order, std::nullopt);
+    const PlannedOrder order = *std::exchange(m_order, std::nullopt);
     switch (outcome) {
     case OrderOutcome::Accepted:
     case OrderOutcome::AlreadyHolds:
@@ -148,14 +148,15 @@
         break;
     case OrderOutcome::OutOfSequence:
         // An order that was given up on has been carried out, or a model is being loaded.
-        m_lowestSequence = order.order.expectedSequence + 1;
+        orderWasRefused(order);
+        m_lowestSequence = order.expectedSequence + 1;
         m_staleReportLimit = now + reportLag;
         m_sequence.reset();
         m_nextReport = now;
         break;
     case OrderOutcome::Invalid:
-        if (order.order.action == AdapterOrder::Action::Load)
-            m_places.erase(order.order.adapter);
+        if (order.action == AdapterOrder::Action::Load)
+            m_places.erase(order.adapter);
         m_nextOrder = now + orderRetryInterval;
         break;
     case OrderOutcome::Unknown:
@@ -168,32 +169,47 @@
     }
 }
 
-void EngineScheduler::orderTookEffect(const OrderUnderWay& order, OrderOutcome outcome, MonotonicTime now)
+// What the order was to change is left to the next report.
+void EngineScheduler::orderWasRefused(const PlannedOrder& order)
 {
-    const bool isLoad = order.order.action == AdapterOrder::Action::Load;
+    const auto place = m_places.find(order.adapter);
+    if (place == m_places.end() || place->second.isAccepted)
+        return;
+    if (order.action == AdapterOrder::Action::Load && place->second.users == 0) {
+        m_places.erase(place);
+        return;
+    }
+    place->second.state = PlaceState::Present;
+    place->second.changedAt = MonotonicTime();
+}
+
+void EngineScheduler::orderTookEffect(const PlannedOrder& order, OrderOutcome outcome, MonotonicTime now)
+{
+    const bool isLoad = order.action == AdapterOrder::Action::Load;
     // A repeated order that is still being carried out, or already was, is not counted by the engine again.
-    const bool isCounted
-        = !order.isConfirmation && (outcome == OrderOutcome::Accepted || !isLoad);
+    const auto place = m_places.find(order.adapter);
+    const bool isRepeated = place != m_places.end() && place->second.isAccepted;
+    const bool isCounted = !isRepeated && (outcome == OrderOutcome::Accepted || !isLoad);
     if (isCounted && m_sequence)
         ++*m_sequence;
-    const auto place = m_places.find(order.order.adapter);
     if (place == m_places.end())
         return;
     place->second.changedAt = now;
+    place->second.isAccepted = true;
     if (outcome == OrderOutcome::Accepted) {
         // An accepted order to unload waits for a run that this owner does not know.
-        const bool isFirst = isLoad && !order.isConfirmation;
+        const bool isFirst = isLoad && !isRepeated;
         place->second.state = isLoad ? PlaceState::Loading : PlaceState::Unloading;
-        place->second.confirmAt = now + (isFirst ? loadTime(order.order.adapter) : confirmInterval);
+        place->second.confirmAt = now + (isFirst ? loadTime(order.adapter) : confirmInterval);
         return;
     }
     if (!isLoad) {
-        dropped(order.order.adapter, now);
+        dropped(order.adapter, now);
         m_places.erase(place);
         return;
     }
     place->second.state = PlaceState::Present;
-    const auto release = m_releases.find(order.order.adapter);
+    const auto release = m_releases.find(order.adapter);
     if (release != m_releases.end())
         place->second.version = release->second;
 }
@@ -212,6 +228,7 @@
     if (isNew) {
         place->second.changedAt = now;
         place->second.confirmAt = now + confirmInterval;
+        place->second.isAccepted = true;
     }
 }
 
@@ -316,10 +333,10 @@
         return;
     m_order = chooseOrder(now);
     if (m_order)
-        decisions.order = m_order->order;
+        decisions.order = m_order;
 }
 
-std::optional<EngineScheduler::OrderUnderWay> EngineScheduler::chooseOrder(MonotonicTime now)
+std::optional<PlannedOrder> EngineScheduler::chooseOrder(MonotonicTime now)
 {
     if (auto order = chooseConfirmation(now))
         return order;
@@ -328,39 +345,37 @@
     return chooseLoad(now);
 }
 
-EngineScheduler::OrderUnderWay EngineScheduler::orderFor(
+PlannedOrder EngineScheduler::orderFor(
     AdapterOrder::Action action, const AdapterRef& adapter) const
 {
-    return { { action, adapter, *m_sequence }, false };
+    return { action, adapter, *m_sequence };
 }
 
-std::optional<EngineScheduler::OrderUnderWay> EngineScheduler::chooseConfirmation(MonotonicTime now) const
+std::optional<PlannedOrder> EngineScheduler::chooseConfirmation(MonotonicTime now) const
 {
     for (const auto& [adapter, place] : m_places) {
-        if (place.state == PlaceState::Present || now < place.confirmAt)
+        const bool isLoading = place.state == PlaceState::Loading;
+        // While there seem to be too many adapters, a load might be one too many; a report will tell.
+        if (place.state == PlaceState::Present || now < place.confirmAt || (isLoading && isOverfull()))
             continue;
-        const auto action = place.state == PlaceState::Loading ? AdapterOrder::Action::Load
-                                                               : AdapterOrder::Action::Unload;
-        OrderUnderWay order = orderFor(action, adapter);
-        order.isConfirmation = true;
-        return order;
+        return orderFor(isLoading ? AdapterOrder::Action::Load : AdapterOrder::Action::Unload, adapter);
     }
     return std::nullopt;
 }
 
-std::optional<EngineScheduler::OrderUnderWay> EngineScheduler::chooseReplacement(MonotonicTime now) const
+std::optional<PlannedOrder> EngineScheduler::chooseReplacement(MonotonicTime now)
 {
-    const std::set<AdapterRef> awaited = awaitedAdapters();
-    for (const auto& [adapter, place] : m_places) {
+    // A load of the new version beside the old one would take a second place.
+    for (auto& [adapter, place] : m_places) {
         if (place.state != PlaceState::Present || place.users > 0 || isCurrent(adapter, place))
             continue;
-        const bool isAwaited = awaited.count(adapter) > 0;
-        return orderFor(isAwaited ? AdapterOrder::Action::Load : AdapterOrder::Action::Unload, adapter);
+        beginUnload(place, now);
+        return orderFor(AdapterOrder::Action::Unload, adapter);
     }
     return std::nullopt;
 }
 
-std::optional<EngineScheduler::OrderUnderWay> EngineScheduler::chooseLoad(MonotonicTime now)
+std::optional<PlannedOrder> EngineScheduler::chooseLoad(MonotonicTime now)
 {
     for (const RunRequest& request : m_waiting) {
         const bool isWanted = needsPlace(request.adapter) && m_places.count(request.adapter) == 0
@@ -377,13 +392,19 @@
         const auto victim = findVictim(now);
         if (victim == m_places.end())
             return std::nullopt;
-        victim->second.state = PlaceState::Unloading;
-        victim->second.confirmAt = now + confirmInterval;
+        beginUnload(victim->second, now);
         return orderFor(AdapterOrder::Action::Unload, victim->first);
     }
     return std::nullopt;
 }
 
+void EngineScheduler::beginUnload(Place& place, MonotonicTime now)
+{
+    place.state = PlaceState::Unloading;
+    place.isAccepted = false;
+    place.confirmAt = now + confirmInterval;
+}
+
 std::map<AdapterRef, EngineScheduler::Place>::iterator EngineScheduler::findVictim(MonotonicTime now)
 {
     const std::set<AdapterRef> awaited = awaitedAdapters();
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -98,7 +98,9 @@
         PlaceState state = PlaceState::Loading;
         int64_t version = 0;
         int users = 0;
-        /// When to ask whether the load is complete.
+        /// The engine has accepted the order that the state stands for.
+        bool isAccepted = false;
+        /// When to ask whether the order is complete.
         MonotonicTime confirmAt;
         MonotonicTime changedAt;
     };
@@ -117,11 +119,6 @@
         MonotonicTime updated;
     };
 
-    struct OrderUnderWay {
-        PlannedOrder order;
-        bool isConfirmation = false;
-    };
-
     bool needsPlace(const AdapterRef& adapter) const { return !adapter.adapter.empty(); }
     bool isCurrent(const AdapterRef& adapter, const Place& place) const;
     bool isServable(const AdapterRef& adapter) const;
@@ -139,12 +136,15 @@
     void grantRuns(SchedulerDecisions& decisions, MonotonicTime now);
     void denyHopeless(SchedulerDecisions& decisions, MonotonicTime now);
     void planOrder(SchedulerDecisions& decisions, MonotonicTime now);
-    std::optional<OrderUnderWay> chooseOrder(MonotonicTime now);
-    std::optional<OrderUnderWay> chooseConfirmation(MonotonicTime now) const;
-    std::optional<OrderUnderWay> chooseReplacement(MonotonicTime now) const;
-    std::optional<OrderUnderWay> chooseLoad(MonotonicTime now);
-    OrderUnderWay orderFor(AdapterOrder::Action action, const AdapterRef& adapter) const;
-    void orderTookEffect(const OrderUnderWay& order, OrderOutcome outcome, MonotonicTime now);
+    std::optional<PlannedOrder> chooseOrder(MonotonicTime now);
+    std::optional<PlannedOrder> chooseConfirmation(MonotonicTime now) const;
+    std::optional<PlannedOrder> chooseReplacement(MonotonicTime now);
+    static void beginUnload(Place& place, MonotonicTime now);
+    std::optional<PlannedOrder> chooseLoad(MonotonicTime now);
+    PlannedOrder orderFor(AdapterOrder::Action action, const AdapterRef& adapter) const;
+    void orderTookEffect(const PlannedOrder& order, OrderOutcome outcome, MonotonicTime now);
+    void orderWasRefused(const PlannedOrder& order);
+    bool isOverfull() const { return static_cast<int>(m_places.size()) > m_limits.adapterPlaces; }
     void dropped(const AdapterRef& adapter, MonotonicTime now);
     bool wasDroppedLately(const AdapterRef& adapter, MonotonicTime now) const;
     void addReportedPlace(const AdapterRef& adapter, int64_t version, PlaceState state, MonotonicTime now);
@@ -174,7 +174,7 @@
     /// When to accept a report even though it seems too old.
     MonotonicTime m_staleReportLimit;
     int m_failedOrders = 0;
-    std::optional<OrderUnderWay> m_order;
+    std::optional<PlannedOrder> m_order;
     bool m_isReportUnderWay = false;
     MonotonicTime m_nextReport;
     MonotonicTime m_nextOrder;
