--- a/src/gateway/caller_call.cc
+++ b/src/gateway/caller_call.cc
@@ -28,8 +28,9 @@
 constexpr Duration defaultLimit = std::chrono::seconds(30);
 /// Time that a request needs at the least after it was sent.
 constexpr Duration onTimeMargin = milliseconds(40);
-/// Share of a caller's patience within which a late start is still worth while.
-constexpr double latestStartShare = 0.4;
+/// Callers leave a stream whose first event is far later than its target; a start is of no use after so many
+/// times the target.
+constexpr double latestStartTargets = 2.2;
 /// Share of the target latency after which an idempotent request is sent to another upstream.
 constexpr double silenceShare = 0.7;
 constexpr double connectShare = 0.3;
@@ -251,8 +252,8 @@
     request.output = m_attributes.maximumOutputTokens.value_or(Tokens(1));
     request.priority = m_priority;
     request.onTimeStart = m_arrival + m_route->targetLatency - onTimeMargin;
-    const auto patience = std::chrono::duration_cast<Duration>(latestStartShare * m_limit);
-    request.latestStart = m_arrival + std::max(patience, m_route->targetLatency - onTimeMargin);
+    const auto patience = std::chrono::duration_cast<Duration>(latestStartTargets * m_route->targetLatency);
+    request.latestStart = m_arrival + std::min(patience, m_limit - onTimeMargin);
     m_services.engines.noteAsked(engine, request.prompt);
     m_isRunGranted = false;
     m_run = m_services.broker.ask(owner, engine, request,
--- a/src/gateway/engine_owners.cc
+++ b/src/gateway/engine_owners.cc
@@ -50,7 +50,7 @@
     if (!limits)
         return;
     owned.startedAt = entry->startedAt;
-    owned.scheduler = std::make_unique<EngineScheduler>(engine, *limits);
+    owned.scheduler = std::make_unique<EngineScheduler>(engine, *limits, m_loads);
     for (const auto& [adapter, version] : m_configuration.releases())
         owned.scheduler->setRelease(adapter, version);
     carryOut(engine);
@@ -67,19 +67,19 @@
     if (!scheduler)
         return;
     for (const RunKey& key : scheduler->waitingRuns())
-        m_handlers.onDenial({ key, RunRefusal::NotOwner, Duration::zero() });
+        m_handlers.onDenial({ key, RunRefusal::NotOwner, Duration::zero(), Duration::zero() });
 }
 
 void EngineOwners::request(const UpstreamId& engine, RunRequest request)
 {
     Owned* owned = find(engine);
     if (!owned || !owned->scheduler) {
-        m_handlers.onDenial({ request.key, RunRefusal::NotOwner, Duration::zero() });
+        m_handlers.onDenial({ request.key, RunRefusal::NotOwner, Duration::zero(), Duration::zero() });
         return;
     }
     const UpstreamEntry* entry = m_upstreams.findUsable(engine);
     if (!entry) {
-        m_handlers.onDenial({ request.key, RunRefusal::EngineLeaving, Duration::zero() });
+        m_handlers.onDenial({ request.key, RunRefusal::EngineLeaving, Duration::zero(), Duration::zero() });
         return;
     }
     owned->scheduler->request(std::move(request), m_scheduler.now());
@@ -174,8 +174,22 @@
     if (decisions.order)
         giveOrder(engine, *decisions.order);
     // Last, because the receivers may change the set of engines.
-    for (const RunDenial& denial : decisions.denials)
+    const EngineSummary summary
+        = decisions.denials.empty() ? EngineSummary() : owned->scheduler->summary(m_scheduler.now());
+    for (const RunDenial& denial : decisions.denials) {
+        LogEvent(LogLevel::Info, "run_denied")
+            .with("engine", engine)
+            .with("asker", denial.key.host)
+            .with("run", denial.key.run)
+            .with("reason", toString(denial.reason))
+            .with("expected_wait_ms", toMilliseconds(denial.expectedWait))
+            .with("backlog_ms", toMilliseconds(summary.prefillBacklog))
+            .with("running", summary.running)
+            .with("waiting", summary.waiting)
+            .with("open_places", summary.openPlaces)
+            .with("load_limit", m_loads.limit());
         m_handlers.onDenial(denial);
+    }
     for (const RunGrant& grant : decisions.grants)
         m_handlers.onGrant(grant);
 }
--- a/src/gateway/engine_owners.h
+++ b/src/gateway/engine_owners.h
@@ -68,6 +68,7 @@
     const ConfigurationKeeper& m_configuration;
     HostId m_self;
     Handlers m_handlers;
+    LoadLimiter m_loads;
     std::map<UpstreamId, Owned> m_engines;
     uint64_t m_nextGeneration = 1;
     Lifetime m_lifetime;
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -9,8 +9,6 @@
 
 /// Loads that an engine carries out at the same time.
 constexpr int maximumLoads = 4;
-/// Time to fetch an adapter from the weight store.
-constexpr Duration coldLoadTime = std::chrono::milliseconds(250);
 /// Time to load an adapter of which the engine still has a copy.
 constexpr Duration warmLoadTime = std::chrono::milliseconds(25);
 /// Pause between two questions whether a load is complete.
@@ -22,6 +20,9 @@
 constexpr int maximumRetryDoublings = 4;
 /// Reports show the state of some time ago; what changed since then is kept as the scheduler knows it.
 constexpr Duration reportLag = std::chrono::milliseconds(600);
+constexpr Duration modelReportInterval = std::chrono::milliseconds(250);
+/// After so many calls without an answer the engine counts as out of reach.
+constexpr int unreachableAfter = 2;
 /// Half-life of the popularity count.
 constexpr double popularityHalfLifeSeconds = 6;
 /// Share of an engine's cache that running requests may claim.
@@ -53,16 +54,25 @@
         return "not_owner";
     case RunRefusal::EngineLeaving:
         return "engine_leaving";
+    case RunRefusal::EngineUnusable:
+        return "engine_unusable";
     }
     return "unknown";
 }
 
-EngineScheduler::EngineScheduler(UpstreamId engine, EngineLimits limits)
+EngineScheduler::EngineScheduler(UpstreamId engine, EngineLimits limits, LoadLimiter& loads)
     : m_engine(std::move(engine))
     , m_limits(limits)
+    , m_loads(loads)
 {
 }
 
+EngineScheduler::~EngineScheduler()
+{
+    for (auto& [adapter, place] : m_places)
+        endLoading(place);
+}
+
 void EngineScheduler::setRelease(const AdapterRef& adapter, int64_t version)
 {
     int64_t& known = m_releases[adapter];
@@ -72,15 +82,41 @@
 void EngineScheduler::request(RunRequest request, MonotonicTime now)
 {
     countPopularity(request.adapter, now);
+    if (!isUsable()) {
+        m_denials.push_back(
+            { request.key, RunRefusal::EngineUnusable, shortestRetryAfter, Duration::zero() });
+        return;
+    }
     const Duration wait = estimateStart(request, now);
     if (now + wait > request.latestStart) {
         m_denials.push_back({ request.key, RunRefusal::Overloaded,
-            std::clamp(wait - (request.onTimeStart - now), shortestRetryAfter, longestRetryAfter) });
+            std::clamp(wait - (request.onTimeStart - now), shortestRetryAfter, longestRetryAfter), wait });
         return;
     }
     m_waiting.push_back(std::move(request));
 }
 
+bool EngineScheduler::isUsable() const
+{
+    return m_unansweredCalls < unreachableAfter && !m_models.empty();
+}
+
+void EngineScheduler::callAnswered(bool isAnswered)
+{
+    m_unansweredCalls = isAnswered ? 0 : m_unansweredCalls + 1;
+    if (m_unansweredCalls != unreachableAfter)
+        return;
+    denyAll(RunRefusal::EngineUnusable);
+    for (auto& [adapter, place] : m_places)
+        endLoading(place);
+}
+
+void EngineScheduler::denyAll(RunRefusal reason)
+{
+    for (const RunRequest& request : std::exchange(m_waiting, {}))
+        m_denials.push_back({ request.key, reason, shortestRetryAfter, Duration::zero() });
+}
+
 void EngineScheduler::runProgressed(const RunKey& key, MonotonicTime now)
 {
     const auto found = m_runs.find(key);
@@ -140,6 +176,14 @@
     if (!m_order)
         return;
     const PlannedOrder order = *std::exchange(m_order, std::nullopt);
+    callAnswered(outcome != OrderOutcome::Unknown);
+    if (!needsPlace(order.adapter) && outcome != OrderOutcome::Unknown) {
+        // A report tells when the model is there.
+        m_isModelBusy = true;
+        m_sequence.reset();
+        m_nextReport = now + modelReportInterval;
+        return;
+    }
     switch (outcome) {
     case OrderOutcome::Accepted:
     case OrderOutcome::AlreadyHolds:
@@ -155,8 +199,7 @@
         m_nextReport = now;
         break;
     case OrderOutcome::Invalid:
-        if (order.action == AdapterOrder::Action::Load)
-            m_places.erase(order.adapter);
+        orderWasRefused(order);
         m_nextOrder = now + orderRetryInterval;
         break;
     case OrderOutcome::Unknown:
@@ -176,9 +219,10 @@
     if (place == m_places.end() || place->second.isAccepted)
         return;
     if (order.action == AdapterOrder::Action::Load && place->second.users == 0) {
-        m_places.erase(place);
+        erasePlace(place);
         return;
     }
+    endLoading(place->second);
     place->second.state = PlaceState::Present;
     place->second.changedAt = MonotonicTime();
 }
@@ -205,9 +249,13 @@
     }
     if (!isLoad) {
         dropped(order.adapter, now);
-        m_places.erase(place);
+        erasePlace(place);
         return;
     }
+    if (place->second.isFetch) {
+        m_loads.finished(now - place->second.loadStarted);
+        place->second.isFetch = false;
+    }
     place->second.state = PlaceState::Present;
     const auto release = m_releases.find(order.adapter);
     if (release != m_releases.end())
@@ -223,8 +271,10 @@
     if (!isNew && now - place->second.changedAt < reportLag)
         return;
     place->second.version = std::max(version, place->second.version);
-    if (isNew || (place->second.state == PlaceState::Loading && state == PlaceState::Present))
+    if (isNew || (place->second.state == PlaceState::Loading && state == PlaceState::Present)) {
+        endLoading(place->second);
         place->second.state = state;
+    }
     if (isNew) {
         place->second.changedAt = now;
         place->second.confirmAt = now + confirmInterval;
@@ -235,9 +285,13 @@
 void EngineScheduler::reportArrived(const std::optional<EngineReport>& report, MonotonicTime now)
 {
     m_isReportUnderWay = false;
-    m_nextReport = now + reportInterval;
+    callAnswered(report.has_value());
+    m_nextReport = now + (m_isModelBusy || !report ? modelReportInterval : reportInterval);
     if (!report)
         return;
+    m_isModelBusy = report->isBusy;
+    if (m_isModelBusy)
+        return;
     if (report->orderSequence < m_lowestSequence && now < m_staleReportLimit)
         return;
     m_sequence = std::max(report->orderSequence, m_sequence.value_or(0));
@@ -259,7 +313,10 @@
     for (auto place = m_places.begin(); place != m_places.end();) {
         const bool isGone = reported.count(place->first) == 0 && place->second.users == 0
             && now - place->second.changedAt > reportLag;
-        place = isGone ? m_places.erase(place) : std::next(place);
+        if (isGone)
+            erasePlace(place++);
+        else
+            ++place;
     }
 }
 
@@ -320,7 +377,8 @@
     std::vector<RunRequest> still;
     for (RunRequest& request : m_waiting) {
         if (now > request.latestStart)
-            decisions.denials.push_back({ request.key, RunRefusal::Overloaded, shortestRetryAfter });
+            decisions.denials.push_back(
+                { request.key, RunRefusal::Overloaded, shortestRetryAfter, Duration::zero() });
         else
             still.push_back(std::move(request));
     }
@@ -338,6 +396,8 @@
 
 std::optional<PlannedOrder> EngineScheduler::chooseOrder(MonotonicTime now)
 {
+    if (auto order = chooseModel())
+        return order;
     if (auto order = chooseConfirmation(now))
         return order;
     if (auto order = chooseReplacement(now))
@@ -375,27 +435,87 @@
     return std::nullopt;
 }
 
-std::optional<PlannedOrder> EngineScheduler::chooseLoad(MonotonicTime now)
+// The adapter for which most requests wait that can still be on time, so that each fetch serves as many as
+// possible; among equals the one whose requests have waited longest.
+std::optional<AdapterRef> EngineScheduler::nextLoad(MonotonicTime now) const
 {
+    std::map<AdapterRef, int> demand;
+    for (const RunRequest& request : m_waiting)
+        demand[request.adapter] += now <= request.onTimeStart ? 1 : 0;
+    std::optional<AdapterRef> best;
+    int most = -1;
     for (const RunRequest& request : m_waiting) {
         const bool isWanted = needsPlace(request.adapter) && m_places.count(request.adapter) == 0
             && m_models.count(request.adapter.model) > 0;
-        if (!isWanted || loadingPlaces() >= maximumLoads)
+        if (!isWanted || demand[request.adapter] <= most)
             continue;
-        if (static_cast<int>(m_places.size()) < m_limits.adapterPlaces) {
-            Place& place = m_places[request.adapter];
-            place.changedAt = now;
-            place.confirmAt = now + loadTime(request.adapter);
-            m_dropped.erase(request.adapter);
-            return orderFor(AdapterOrder::Action::Load, request.adapter);
-        }
-        const auto victim = findVictim(now);
-        if (victim == m_places.end())
-            return std::nullopt;
-        beginUnload(victim->second, now);
-        return orderFor(AdapterOrder::Action::Unload, victim->first);
+        if (!isRecent(request.adapter) && !m_loads.mayStart())
+            continue;
+        best = request.adapter;
+        most = demand[request.adapter];
     }
-    return std::nullopt;
+    return best;
+}
+
+// An engine that has started anew holds nothing. The model that most requests have asked for here is loaded.
+std::optional<PlannedOrder> EngineScheduler::chooseModel() const
+{
+    if (!m_models.empty())
+        return std::nullopt;
+    std::map<ModelId, double> demand;
+    for (const auto& [adapter, popularity] : m_popularity)
+        demand[adapter.model] += popularity.count;
+    const ServedModel* best = nullptr;
+    for (const ServedModel& model : m_limits.models) {
+        const bool fits = model.weightsMegabytes <= m_limits.weightsMegabytes;
+        if (fits && (!best || demand[model.id] > demand[best->id]))
+            best = &model;
+    }
+    if (!best)
+        return std::nullopt;
+    return orderFor(AdapterOrder::Action::Load, { best->id, AdapterId() });
+}
+
+std::optional<PlannedOrder> EngineScheduler::chooseLoad(MonotonicTime now)
+{
+    if (loadingPlaces() >= maximumLoads)
+        return std::nullopt;
+    const auto adapter = nextLoad(now);
+    if (!adapter)
+        return std::nullopt;
+    if (static_cast<int>(m_places.size()) < m_limits.adapterPlaces) {
+        setLoading(m_places[*adapter], *adapter, now);
+        return orderFor(AdapterOrder::Action::Load, *adapter);
+    }
+    const auto victim = findVictim(now);
+    if (victim == m_places.end())
+        return std::nullopt;
+    beginUnload(victim->second, now);
+    return orderFor(AdapterOrder::Action::Unload, victim->first);
+}
+
+void EngineScheduler::setLoading(Place& place, const AdapterRef& adapter, MonotonicTime now)
+{
+    place.state = PlaceState::Loading;
+    place.changedAt = now;
+    place.loadStarted = now;
+    place.confirmAt = now + loadTime(adapter);
+    place.isFetch = !isRecent(adapter);
+    if (place.isFetch)
+        m_loads.started();
+    m_dropped.erase(adapter);
+}
+
+void EngineScheduler::endLoading(Place& place)
+{
+    if (std::exchange(place.isFetch, false))
+        m_loads.abandoned();
+}
+
+void EngineScheduler::erasePlace(std::map<AdapterRef, Place>::iterator place)
+{
+    endLoading(place->second);
+    m_places.erase(place);
 }
 
 void EngineScheduler::beginUnload(Place& place, MonotonicTime now)
@@ -454,10 +574,14 @@
     return fitsCache && static_cast<int>(m_runs.size()) < m_limits.batchSlots;
 }
 
+bool EngineScheduler::isRecent(const AdapterRef& adapter) const
+{
+    return std::find(m_recent.begin(), m_recent.end(), adapter) != m_recent.end();
+}
+
 Duration EngineScheduler::loadTime(const AdapterRef& adapter) const
 {
-    const bool isRecent = std::find(m_recent.begin(), m_recent.end(), adapter) != m_recent.end();
-    return isRecent ? warmLoadTime : coldLoadTime;
+    return isRecent(adapter) ? warmLoadTime : m_loads.fetchTime();
 }
 
 bool EngineScheduler::wasDroppedLately(const AdapterRef& adapter, MonotonicTime now) const
@@ -548,6 +672,8 @@
 {
     EngineSummary summary;
     summary.engine = m_engine;
+    summary.isUsable = isUsable();
+    summary.models.assign(m_models.begin(), m_models.end());
     Tokens queued = m_backlog;
     for (const RunRequest& request : m_waiting)
         queued += request.prompt;
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/engine_control.h"
+#include "gateway/load_limiter.h"
 #include "gateway/prefill_rate.h"
 #include "gateway/run_request.h"
 #include "gateway/serving_configuration.h"
@@ -30,6 +31,9 @@
 /// What an owner tells the other hosts about an engine.
 struct EngineSummary {
     UpstreamId engine;
+    /// It answers its owner and holds a model.
+    bool isUsable = false;
+    std::vector<ModelId> models;
     /// Time to read the prompts that wait or are being read.
     Duration prefillBacklog {};
     int running = 0;
@@ -61,7 +65,11 @@
 /// Has no clock and does no input or output: each call tells what happened, decide() returns what to do.
 class EngineScheduler {
 public:
-    EngineScheduler(UpstreamId engine, EngineLimits limits);
+    /// @param loads shared by the schedulers of a host; must outlive the scheduler.
+    EngineScheduler(UpstreamId engine, EngineLimits limits, LoadLimiter& loads);
+    ~EngineScheduler();
+    EngineScheduler(const EngineScheduler&) = delete;
+    EngineScheduler& operator=(const EngineScheduler&) = delete;
 
     const UpstreamId& engine() const { return m_engine; }
 
@@ -103,6 +111,9 @@
         /// When to ask whether the order is complete.
         MonotonicTime confirmAt;
         MonotonicTime changedAt;
+        /// The adapter comes from the weight store, since the engine has no copy.
+        bool isFetch = false;
+        MonotonicTime loadStarted;
     };
 
     struct Run {
@@ -119,6 +130,7 @@
         MonotonicTime updated;
     };
 
+    bool isUsable() const;
     bool needsPlace(const AdapterRef& adapter) const { return !adapter.adapter.empty(); }
     bool isCurrent(const AdapterRef& adapter, const Place& place) const;
     bool isServable(const AdapterRef& adapter) const;
@@ -130,6 +142,11 @@
     void countPopularity(const AdapterRef& adapter, MonotonicTime now);
     int openPlaces() const;
     int loadingPlaces() const;
+    std::optional<AdapterRef> nextLoad(MonotonicTime now) const;
+    void setLoading(Place& place, const AdapterRef& adapter, MonotonicTime now);
+    void endLoading(Place& place);
+    void erasePlace(std::map<AdapterRef, Place>::iterator place);
+    bool isRecent(const AdapterRef& adapter) const;
     std::set<AdapterRef> awaitedAdapters() const;
     std::map<AdapterRef, Place>::iterator findVictim(MonotonicTime now);
 
@@ -141,6 +158,9 @@
     std::optional<PlannedOrder> chooseReplacement(MonotonicTime now);
     static void beginUnload(Place& place, MonotonicTime now);
     std::optional<PlannedOrder> chooseLoad(MonotonicTime now);
+    std::optional<PlannedOrder> chooseModel() const;
+    void callAnswered(bool isAnswered);
+    void denyAll(RunRefusal reason);
     PlannedOrder orderFor(AdapterOrder::Action action, const AdapterRef& adapter) const;
     void orderTookEffect(const PlannedOrder& order, OrderOutcome outcome, MonotonicTime now);
     void orderWasRefused(const PlannedOrder& order);
@@ -151,6 +171,7 @@
 
     UpstreamId m_engine;
     EngineLimits m_limits;
+    LoadLimiter& m_loads;
     std::map<AdapterRef, int64_t> m_releases;
     std::set<ModelId> m_models;
     std::map<AdapterRef, Place> m_places;
@@ -174,6 +195,10 @@
     /// When to accept a report even though it seems too old.
     MonotonicTime m_staleReportLimit;
     int m_failedOrders = 0;
+    /// Calls in a row that the engine did not answer.
+    int m_unansweredCalls = 0;
+    /// The engine carries out an order for a whole model.
+    bool m_isModelBusy = false;
     std::optional<PlannedOrder> m_order;
     bool m_isReportUnderWay = false;
     MonotonicTime m_nextReport;
--- a/src/gateway/engine_view.cc
+++ b/src/gateway/engine_view.cc
@@ -77,6 +77,10 @@
             continue;
         }
         const EngineSummary& summary = found->second.summary;
+        const bool holdsModel
+            = std::find(summary.models.begin(), summary.models.end(), adapter.model) != summary.models.end();
+        if (!summary.isUsable || !holdsModel)
+            continue;
         candidate.prefillBacklog = summary.prefillBacklog;
         const auto asked = m_asked.find(entry->id);
         if (asked != m_asked.end() && asked->second.heard == found->second.heard)
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -32,8 +32,11 @@
     for (const AdapterSummary& adapter : summary.adapters)
         adapters.push_back(
             { adapter.adapter.model.value(), adapter.adapter.adapter.value(), adapter.isLoading });
+    Json models = Json::array();
+    for (const ModelId& model : summary.models)
+        models.push_back(model.value());
     return Json::array({ summary.engine.value(), microseconds(summary.prefillBacklog), summary.running,
-        summary.waiting, summary.openPlaces, std::move(adapters) });
+        summary.waiting, summary.openPlaces, std::move(adapters), summary.isUsable, std::move(models) });
 }
 
 EngineSummary decodeSummary(const Json& json)
@@ -49,6 +52,9 @@
             AdapterId(adapter.at(1).get<std::string>()) };
         summary.adapters.push_back({ ref, adapter.at(2).get<bool>() });
     }
+    summary.isUsable = json.at(6).get<bool>();
+    for (const Json& model : json.at(7))
+        summary.models.emplace_back(model.get<std::string>());
     return summary;
 }
 
@@ -188,7 +194,7 @@
         return decodeRunGrant(json);
     case FrameType::RunDenial:
         return PeerRunDenial { RunId(json.at(1).get<int64_t>()),
-            enumerator(json.at(2), RunRefusal::EngineLeaving), duration(json.at(3)) };
+            enumerator(json.at(2), RunRefusal::EngineUnusable), duration(json.at(3)) };
     case FrameType::RunProgress:
         return PeerRunProgress { UpstreamId(json.at(1).get<std::string>()), RunId(json.at(2).get<int64_t>()) };
     case FrameType::RunEnd:
--- a/src/gateway/run_request.h
+++ b/src/gateway/run_request.h
@@ -61,6 +61,8 @@
     NotOwner,
     /// The engine is leaving or gone.
     EngineLeaving,
+    /// The engine does not answer its owner, or holds no model yet.
+    EngineUnusable,
 };
 
 /// @return the reason's name in snake_case, for logs and metrics.
@@ -80,6 +82,8 @@
     RunRefusal reason = RunRefusal::Overloaded;
     /// When a start is expected to be possible.
     Duration retryAfter {};
+    /// What the owner expected the wait to be.
+    Duration expectedWait {};
 };
 
 /// How a run that was granted ended.
--- a/src/gateway/serving_configuration.h
+++ b/src/gateway/serving_configuration.h
@@ -52,6 +52,13 @@
     bool mayRepeat() const { return kind == RouteKind::Idempotent || (kind == RouteKind::Stream && isResumable); }
 };
 
+/// A base model that the engines of a service may hold.
+struct ServedModel {
+    ModelId id;
+    /// Memory that its weights take.
+    double weightsMegabytes = 0;
+};
+
 /// What the engines of a service have in common.
 struct EngineLimits {
     /// Requests in one batch.
@@ -59,6 +66,9 @@
     Tokens cacheTokens;
     /// Adapters that an engine may hold at once, those being loaded included.
     int adapterPlaces = 0;
+    /// Memory for weights.
+    double weightsMegabytes = 0;
+    std::vector<ServedModel> models;
 };
 
 struct ServiceConfiguration {
--- a/src/gateway/upstream_entry.h
+++ b/src/gateway/upstream_entry.h
@@ -45,6 +45,8 @@
 /// What an engine reports when asked.
 struct EngineReport {
     int64_t orderSequence = 0;
+    /// It is loading or dropping a model and takes no orders.
+    bool isBusy = false;
     std::vector<HeldModel> models;
 };
 
