--- a/src/gateway/call_attributes.h
+++ b/src/gateway/call_attributes.h
@@ -71,14 +71,16 @@
     virtual CallAttributes readRequest(const HttpHeaders& headers) const = 0;
     /// @return the caller's fields without those of one connection and those that the gateway sets, and with
     /// the latter.
-    virtual HttpHeaders upstreamHeaders(const HttpHeaders& callerHeaders, const ForwardingFields& fields) const = 0;
+    virtual HttpHeaders upstreamHeaders(
+        const HttpHeaders& callerHeaders, const ForwardingFields& fields) const = 0;
     virtual AnswerAttributes readAnswer(int status, const HttpHeaders& headers) const = 0;
     /// @return the upstream's fields without those of one connection.
     virtual HttpHeaders callerHeaders(const HttpHeaders& upstreamHeaders) const = 0;
     /// @return fields of an answer of the gateway's own.
     ///
     /// @param retryAfter when the caller should come back, if it should.
-    virtual HttpHeaders ownAnswerHeaders(const std::string& requestId, std::optional<Duration> retryAfter) const = 0;
+    virtual HttpHeaders ownAnswerHeaders(
+        const std::string& requestId, std::optional<Duration> retryAfter) const = 0;
 };
 
 } // namespace lacewing::gateway
--- a/src/gateway/call_services.h
+++ b/src/gateway/call_services.h
@@ -5,11 +5,11 @@
 #include "gateway/call_attributes.h"
 #include "gateway/configuration_keeper.h"
 #include "gateway/engine_view.h"
+#include "gateway/retry_allowance.h"
 #include "gateway/run_broker.h"
 #include "gateway/upstream_directory.h"
 #include "gateway/upstream_picker.h"
 #include "gateway/usage_ledger.h"
-#include "gateway/retry_allowance.h"
 #include "transport/event_loop.h"
 #include "transport/http_client.h"
 
--- a/src/gateway/caller_call.cc
+++ b/src/gateway/caller_call.cc
@@ -81,8 +81,8 @@
     return "unknown";
 }
 
-CallerCall::CallerCall(CallServices& services, std::shared_ptr<HttpExchange> exchange,
-    std::function<void(CallerCall*)> finished)
+CallerCall::CallerCall(
+    CallServices& services, std::shared_ptr<HttpExchange> exchange, std::function<void(CallerCall*)> finished)
     : m_services(services)
     , m_exchange(std::move(exchange))
     , m_finished(std::move(finished))
@@ -231,8 +231,9 @@
             return;
         }
         const auto release = m_services.configuration.releases().find(adapter);
-        m_version = release == m_services.configuration.releases().end() ? std::nullopt
-                                                                         : std::make_optional(release->second);
+        m_version = release == m_services.configuration.releases().end()
+            ? std::nullopt
+            : std::make_optional(release->second);
         m_urgency.reset();
         send(engine);
         return;
@@ -256,11 +257,10 @@
     request.latestStart = m_arrival + std::min(patience, m_limit - onTimeMargin);
     m_services.engines.noteAsked(engine, request.prompt);
     m_isRunGranted = false;
-    m_run = m_services.broker.ask(owner, engine, request,
-        [weak = weak_from_this()](const RunAnswer& answer) {
-            if (const auto call = weak.lock())
-                call->ownerAnswered(answer);
-        });
+    m_run = m_services.broker.ask(owner, engine, request, [weak = weak_from_this()](const RunAnswer& answer) {
+        if (const auto call = weak.lock())
+            call->ownerAnswered(answer);
+    });
 }
 
 void CallerCall::ownerAnswered(const RunAnswer& answer)
@@ -278,7 +278,8 @@
     m_run.reset();
     m_tried.insert(m_upstream);
     if (denial.reason == RunRefusal::Overloaded)
-        m_retryAfter = m_retryAfter > Duration::zero() ? std::min(m_retryAfter, denial.retryAfter) : denial.retryAfter;
+        m_retryAfter
+            = m_retryAfter > Duration::zero() ? std::min(m_retryAfter, denial.retryAfter) : denial.retryAfter;
     if (m_asks < maximumAsks) {
         chooseUpstream();
         return;
@@ -301,8 +302,8 @@
     HttpClientRequest request;
     request.server = entry.address;
     request.method = m_exchange->method();
-    request.target = m_exchange->query().empty() ? m_exchange->path()
-                                                 : m_exchange->path() + '?' + m_exchange->query();
+    request.target
+        = m_exchange->query().empty() ? m_exchange->path() : m_exchange->path() + '?' + m_exchange->query();
     request.headers = m_services.translator.upstreamHeaders(m_exchange->headers(), fields);
     request.body = m_exchange->body();
     const auto connectTime = std::chrono::duration_cast<Duration>(connectShare * m_route->targetLatency);
@@ -349,16 +350,16 @@
     if (m_answer->load)
         m_services.picker.loadReported(m_upstream, *m_answer->load, m_services.loop.now());
     const bool mustName = isSuccess(status);
-    m_isForeignAnswer = m_answer->requestId != m_attributes.requestId
-        && (mustName || !m_answer->requestId.empty());
+    m_isForeignAnswer
+        = m_answer->requestId != m_attributes.requestId && (mustName || !m_answer->requestId.empty());
 }
 
 void CallerCall::bodyArrived(std::string_view bytes)
 {
     if (!m_answer || m_isForeignAnswer)
         return;
-    const bool isStream
-        = m_answer->isEventStream && isSuccess(m_answer->status) && (m_answer->isSealed || m_hasStartedAnswer);
+    const bool isStream = m_answer->isEventStream && isSuccess(m_answer->status)
+        && (m_answer->isSealed || m_hasStartedAnswer);
     if (!isStream) {
         m_body += bytes;
         return;
@@ -451,8 +452,8 @@
         return;
     }
     const int status = m_answer->status;
-    // An answer that nobody vouches for must not pass for one, and a status that promises that the request has
-    // not run must be true.
+    // An answer that nobody vouches for must not pass for one, and a status that promises that the request
+    // has not run must be true.
     const bool isUnvouched = isSuccess(status) && (!m_answer->isSealed || m_answer->hasContentEncoding);
     const bool isFalsePromise = isPromiseOfNoRun(status) && !m_route->mayRepeat();
     if (isUnvouched || isFalsePromise) {
@@ -585,8 +586,8 @@
         reason);
 }
 
-void CallerCall::reply(int status, const HttpHeaders& headers, std::string_view body, const char* outcome,
-    const char* reason)
+void CallerCall::reply(
+    int status, const HttpHeaders& headers, std::string_view body, const char* outcome, const char* reason)
 {
     if (!body.empty() || *reason == '\0')
         m_exchange->reply(status, headers, body);
--- a/src/gateway/engine_chooser.h
+++ b/src/gateway/engine_chooser.h
@@ -25,10 +25,10 @@
 
 /// Orders engines for a request by the expected time to its first event.
 ///
-/// Load pattern: few adapters get most requests and many get few. Each adapter has a home engine by rendezvous
-/// hashing, so that rarely asked ones are loaded where a copy was left before and popular ones fill large
-/// batches. When the prompts queued at a popular adapter's engines would make a request late, a further copy
-/// becomes cheaper than waiting and the next engine of its ranking gets one.
+/// Load pattern: few adapters get most requests and many get few. Each adapter has a home engine by
+/// rendezvous hashing, so that rarely asked ones are loaded where a copy was left before and popular ones
+/// fill large batches. When the prompts queued at a popular adapter's engines would make a request late, a
+/// further copy becomes cheaper than waiting and the next engine of its ranking gets one.
 class EngineChooser {
 public:
     /// @return the engines that can serve the request, best first.
--- /dev/null
+++ b/src/gateway/engine_chooser_test.cc
@@ -0,0 +1,93 @@
+#include "gateway/engine_chooser.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace lacewing;
+using namespace lacewing::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const AdapterRef adapter { ModelId("base"), AdapterId("a1") };
+
+std::vector<EngineCandidate> engines(int count)
+{
+    std::vector<EngineCandidate> candidates;
+    for (int index = 0; index < count; ++index) {
+        EngineCandidate candidate;
+        candidate.engine = UpstreamId("engine-" + std::to_string(index));
+        candidate.hasOwner = true;
+        candidate.openPlaces = 3;
+        candidates.push_back(candidate);
+    }
+    return candidates;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EngineChooserTest)
+
+// Guards against further copies of an adapter that is present and has room.
+BOOST_AUTO_TEST_CASE(PrefersAnEngineThatHoldsTheAdapter)
+{
+    auto candidates = engines(12);
+    candidates[7].holdsAdapter = true;
+    candidates[7].prefillBacklog = 100ms;
+    BOOST_TEST(EngineChooser::rank(adapter, candidates).front() == candidates[7].engine);
+}
+
+// Load: the requests for one adapter exceed what an engine reads. Guards against a queue beside idle engines.
+BOOST_AUTO_TEST_CASE(SpreadsAnAdapterWhoseEnginesAreBusy)
+{
+    auto candidates = engines(12);
+    candidates[7].holdsAdapter = true;
+    candidates[7].prefillBacklog = 900ms;
+    BOOST_TEST(EngineChooser::rank(adapter, candidates).front() != candidates[7].engine);
+}
+
+// Guards against an adapter that moves whenever another engine comes or goes.
+BOOST_AUTO_TEST_CASE(KeepsTheHomeWhenAnotherEngineLeaves)
+{
+    const auto all = engines(12);
+    const UpstreamId home = EngineChooser::rank(adapter, all).front();
+    for (const EngineCandidate& leaving : all) {
+        if (leaving.engine == home)
+            continue;
+        std::vector<EngineCandidate> rest;
+        for (const EngineCandidate& candidate : all) {
+            if (candidate.engine != leaving.engine)
+                rest.push_back(candidate);
+        }
+        BOOST_TEST(EngineChooser::rank(adapter, rest).front() == home);
+    }
+}
+
+// Guards against homes that lie on few engines.
+BOOST_AUTO_TEST_CASE(SpreadsTheHomesOfAdapters)
+{
+    const auto candidates = engines(12);
+    std::map<UpstreamId, int> homes;
+    for (int index = 0; index < 1200; ++index) {
+        const AdapterRef each { ModelId("base"), AdapterId("a" + std::to_string(index)) };
+        ++homes[EngineChooser::rank(each, candidates).front()];
+    }
+    BOOST_TEST(homes.size() == 12);
+    for (const auto& [engine, count] : homes)
+        BOOST_TEST(count > 50);
+}
+
+// Guards against waiting for a load at an engine that nobody may give orders.
+BOOST_AUTO_TEST_CASE(NeedsTheAdapterWhereThereIsNoOwner)
+{
+    auto candidates = engines(2);
+    candidates[0].hasOwner = false;
+    candidates[1].hasOwner = false;
+    candidates[1].holdsAdapter = true;
+    const auto ranked = EngineChooser::rank(adapter, candidates);
+    BOOST_REQUIRE(ranked.size() == 1);
+    BOOST_TEST(ranked[0] == candidates[1].engine);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/engine_owners.cc
+++ b/src/gateway/engine_owners.cc
@@ -252,8 +252,7 @@
     if (entry)
         m_control.report({ engine, entry->address }, m_lifetime.guard(callback));
     else
-        m_scheduler.runAfter(
-            Duration::zero(), m_lifetime.guard([callback] { callback(std::nullopt); }));
+        m_scheduler.runAfter(Duration::zero(), m_lifetime.guard([callback] { callback(std::nullopt); }));
 }
 
 } // namespace lacewing::gateway
--- a/src/gateway/engine_owners.h
+++ b/src/gateway/engine_owners.h
@@ -13,8 +13,8 @@
 
 namespace lacewing::gateway {
 
-/// Runs the schedulers of the engines that this host owns: carries out their orders and passes their decisions
-/// to the hosts that asked.
+/// Runs the schedulers of the engines that this host owns: carries out their orders and passes their
+/// decisions to the hosts that asked.
 class EngineOwners {
 public:
     struct Handlers {
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -405,8 +405,7 @@
     return chooseLoad(now);
 }
 
-PlannedOrder EngineScheduler::orderFor(
-    AdapterOrder::Action action, const AdapterRef& adapter) const
+PlannedOrder EngineScheduler::orderFor(AdapterOrder::Action action, const AdapterRef& adapter) const
 {
     return { action, adapter, *m_sequence };
 }
@@ -626,7 +625,8 @@
     const auto found = m_popularity.find(adapter);
     if (found == m_popularity.end())
         return 0;
-    return found->second.count * std::exp2(-toSeconds(now - found->second.updated) / popularityHalfLifeSeconds);
+    return found->second.count
+        * std::exp2(-toSeconds(now - found->second.updated) / popularityHalfLifeSeconds);
 }
 
 void EngineScheduler::countPopularity(const AdapterRef& adapter, MonotonicTime now)
--- /dev/null
+++ b/src/gateway/engine_scheduler_test.cc
@@ -0,0 +1,300 @@
+#include "gateway/engine_scheduler.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lacewing;
+using namespace lacewing::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ModelId model("base");
+
+/// Drives one scheduler and carries its orders out as an engine does.
+class Fixture {
+public:
+    explicit Fixture(int places = 2)
+        : scheduler(UpstreamId("engine-1"), limits(places), loads)
+    {
+        report({});
+    }
+
+    static EngineLimits limits(int places)
+    {
+        EngineLimits limits;
+        limits.batchSlots = 64;
+        limits.cacheTokens = Tokens(150000);
+        limits.adapterPlaces = places;
+        limits.weightsMegabytes = 100;
+        limits.models = { { model, 90 } };
+        return limits;
+    }
+
+    void report(const std::vector<HeldAdapter>& adapters, int64_t sequence = 0)
+    {
+        EngineReport report;
+        report.orderSequence = sequence;
+        report.models.push_back({ model, 1, adapters, {} });
+        scheduler.decide(now);
+        scheduler.reportArrived(report, now);
+    }
+
+    RunKey request(const char* adapter, Duration onTime = 800ms, Duration latest = 1800ms)
+    {
+        RunRequest request;
+        request.key = { HostId("host-1"), RunId(m_nextRun++) };
+        request.adapter = { model, AdapterId(adapter) };
+        request.prompt = Tokens(200);
+        request.output = Tokens(20);
+        request.onTimeStart = now + onTime;
+        request.latestStart = now + latest;
+        scheduler.request(request, now);
+        return request.key;
+    }
+
+    SchedulerDecisions decide()
+    {
+        SchedulerDecisions decisions = scheduler.decide(now);
+        return decisions;
+    }
+
+    /// Accepts and completes orders until none is left.
+    std::vector<PlannedOrder> completeOrders(std::vector<RunGrant>* grants = nullptr)
+    {
+        std::vector<PlannedOrder> orders;
+        for (int round = 0; round < 40; ++round) {
+            const SchedulerDecisions decisions = scheduler.decide(now);
+            if (grants)
+                grants->insert(grants->end(), decisions.grants.begin(), decisions.grants.end());
+            if (!decisions.order) {
+                now += 30ms;
+                continue;
+            }
+            const bool isRepeated = !orders.empty() && orders.back().adapter == decisions.order->adapter
+                && orders.back().action == decisions.order->action;
+            const bool isLoad = decisions.order->action == AdapterOrder::Action::Load;
+            if (!isRepeated)
+                orders.push_back(*decisions.order);
+            scheduler.orderAnswered(
+                isLoad && !isRepeated ? OrderOutcome::Accepted : OrderOutcome::AlreadyHolds, now);
+        }
+        return orders;
+    }
+
+    LoadLimiter loads;
+    MonotonicTime now = MonotonicTime(100s);
+    EngineScheduler scheduler;
+
+private:
+    int64_t m_nextRun = 1;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EngineSchedulerTest)
+
+// Guards against a load for each request instead of one for all that wait for the adapter.
+BOOST_AUTO_TEST_CASE(RequestsForOneAdapterWaitForOneLoad)
+{
+    Fixture fixture;
+    fixture.request("a1");
+    fixture.request("a1");
+    std::vector<RunGrant> grants;
+    BOOST_TEST(fixture.completeOrders(&grants).size() == 1);
+    BOOST_TEST(grants.size() == 2);
+}
+
+// Guards against a start on an adapter that is still being loaded, which the engine would reject.
+BOOST_AUTO_TEST_CASE(GrantsOnlyOnceTheLoadIsConfirmed)
+{
+    Fixture fixture;
+    fixture.request("a1");
+    BOOST_TEST(fixture.decide().order.has_value());
+    fixture.scheduler.orderAnswered(OrderOutcome::Accepted, fixture.now);
+    BOOST_TEST(fixture.decide().grants.empty());
+    fixture.now += 300ms;
+    BOOST_TEST(fixture.decide().order.has_value());
+    fixture.scheduler.orderAnswered(OrderOutcome::AlreadyHolds, fixture.now);
+    BOOST_TEST(fixture.decide().grants.size() == 1);
+}
+
+// Guards against dropping an adapter that serves a request.
+BOOST_AUTO_TEST_CASE(NeverDropsAnAdapterInUse)
+{
+    Fixture fixture;
+    fixture.report({ { AdapterId("a1"), 1 }, { AdapterId("a2"), 1 } });
+    fixture.request("a1");
+    const RunKey second = fixture.request("a2");
+    BOOST_TEST(fixture.decide().grants.size() == 2);
+    fixture.request("a3");
+    BOOST_TEST(fixture.completeOrders().empty());
+    fixture.scheduler.runEnded(second, RunOutcome::Finished, fixture.now);
+    const auto orders = fixture.completeOrders();
+    BOOST_REQUIRE(!orders.empty());
+    BOOST_TEST((orders.front().action == AdapterOrder::Action::Unload));
+    BOOST_TEST(orders.front().adapter.adapter == AdapterId("a2"));
+}
+
+// Guards against a load beyond the engine's places, which makes it crash: a load that was refused for its
+// sequence must not be repeated when a report shows that the places are taken.
+BOOST_AUTO_TEST_CASE(DecidesARefusedLoadAnew)
+{
+    Fixture fixture;
+    fixture.request("a1");
+    BOOST_TEST(fixture.decide().order.has_value());
+    fixture.scheduler.orderAnswered(OrderOutcome::OutOfSequence, fixture.now);
+    fixture.now += 300ms;
+    fixture.report({ { AdapterId("b1"), 1 }, { AdapterId("b2"), 1 } }, 2);
+    const auto decisions = fixture.decide();
+    BOOST_REQUIRE(decisions.order.has_value());
+    BOOST_TEST((decisions.order->action == AdapterOrder::Action::Unload));
+    BOOST_TEST(decisions.order->expectedSequence == 2);
+}
+
+// Guards against an adapter that was just dropped being taken for present, because reports lag.
+BOOST_AUTO_TEST_CASE(IgnoresAReportOlderThanADrop)
+{
+    Fixture fixture;
+    fixture.report({ { AdapterId("a1"), 1 }, { AdapterId("a2"), 1 } });
+    fixture.request("a3");
+    const auto unload = fixture.decide().order;
+    BOOST_REQUIRE(unload.has_value());
+    BOOST_REQUIRE((unload->action == AdapterOrder::Action::Unload));
+    fixture.scheduler.orderAnswered(OrderOutcome::AlreadyHolds, fixture.now);
+    fixture.now += 100ms;
+    const AdapterId droppedAdapter = unload->adapter.adapter;
+    fixture.scheduler.reportArrived(
+        EngineReport { 0, false, { { model, 1, { { AdapterId("a1"), 1 }, { AdapterId("a2"), 1 } }, {} } } },
+        fixture.now);
+    for (const AdapterSummary& held : fixture.scheduler.summary(fixture.now).adapters)
+        BOOST_TEST(held.adapter.adapter != droppedAdapter);
+}
+
+// Guards against counting the repetition of an order that is still under way, which the engine does not
+// count.
+BOOST_AUTO_TEST_CASE(CountsARepeatedOrderOnce)
+{
+    Fixture fixture;
+    fixture.request("a1");
+    BOOST_TEST(fixture.decide().order->expectedSequence == 0);
+    fixture.scheduler.orderAnswered(OrderOutcome::Accepted, fixture.now);
+    for (int repetition = 0; repetition < 3; ++repetition) {
+        fixture.now += 300ms;
+        const auto decisions = fixture.decide();
+        BOOST_REQUIRE(decisions.order.has_value());
+        BOOST_TEST(decisions.order->expectedSequence == 1);
+        fixture.scheduler.orderAnswered(OrderOutcome::Accepted, fixture.now);
+    }
+}
+
+// Guards against an order that was left without an answer being carried out twice: the repetition has the
+// same sequence, so the engine refuses the later of the two.
+BOOST_AUTO_TEST_CASE(RepeatsAnUnansweredOrderWithItsSequence)
+{
+    Fixture fixture;
+    fixture.request("a1");
+    const auto first = fixture.decide().order;
+    fixture.scheduler.orderAnswered(OrderOutcome::Unknown, fixture.now);
+    fixture.now += 600ms;
+    const auto second = fixture.decide().order;
+    BOOST_REQUIRE(first.has_value());
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST(second->adapter.adapter == first->adapter.adapter);
+    BOOST_TEST(second->expectedSequence == first->expectedSequence);
+}
+
+// Guards against starts on old weights, and against a new version that takes a second place while the old one
+// is there.
+BOOST_AUTO_TEST_CASE(DropsAnOldVersionBeforeTheNewOneIsLoaded)
+{
+    Fixture fixture;
+    fixture.report({ { AdapterId("a1"), 1 }, { AdapterId("a2"), 1 } });
+    const RunKey running = fixture.request("a1");
+    BOOST_TEST(fixture.decide().grants.size() == 1);
+    fixture.scheduler.setRelease({ model, AdapterId("a1") }, 2);
+    fixture.request("a1");
+    auto decisions = fixture.decide();
+    BOOST_TEST(decisions.grants.empty());
+    BOOST_TEST(!decisions.order.has_value());
+    fixture.scheduler.runEnded(running, RunOutcome::Finished, fixture.now);
+    std::vector<RunGrant> grants;
+    const auto orders = fixture.completeOrders(&grants);
+    BOOST_REQUIRE(orders.size() == 2);
+    BOOST_TEST((orders[0].action == AdapterOrder::Action::Unload));
+    BOOST_TEST((orders[1].action == AdapterOrder::Action::Load));
+    BOOST_REQUIRE(grants.size() == 1);
+    BOOST_TEST(grants[0].version.value() == 2);
+}
+
+// Load: a crashed engine comes back empty. Guards against requests that wait there for a model nobody loads.
+BOOST_AUTO_TEST_CASE(LoadsTheModelOfAnEngineThatStartedAnew)
+{
+    LoadLimiter loads;
+    EngineScheduler scheduler(UpstreamId("engine-1"), Fixture::limits(2), loads);
+    const MonotonicTime now(100s);
+    scheduler.decide(now);
+    scheduler.reportArrived(EngineReport(), now);
+    const auto decisions = scheduler.decide(now);
+    BOOST_REQUIRE(decisions.order.has_value());
+    BOOST_TEST(decisions.order->adapter.model == model);
+    BOOST_TEST(decisions.order->adapter.adapter.empty());
+    BOOST_TEST(!scheduler.summary(now).isUsable);
+}
+
+// Load: an engine goes dark with requests waiting. Guards against holding them until their callers leave.
+BOOST_AUTO_TEST_CASE(RefusesAtOnceWhenTheEngineIsOutOfReach)
+{
+    Fixture fixture;
+    fixture.request("a1");
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        fixture.now += 600ms;
+        BOOST_REQUIRE(fixture.decide().order.has_value());
+        fixture.scheduler.orderAnswered(OrderOutcome::Unknown, fixture.now);
+    }
+    const auto decisions = fixture.decide();
+    BOOST_REQUIRE(decisions.denials.size() == 1);
+    BOOST_TEST((decisions.denials[0].reason == RunRefusal::EngineUnusable));
+    fixture.request("a1");
+    BOOST_TEST(fixture.decide().denials.size() == 1);
+}
+
+// Load: a burst for adapters that are not present. Guards against holding requests that can't start in time.
+BOOST_AUTO_TEST_CASE(RefusesOnArrivalWhatCannotStartInTime)
+{
+    Fixture fixture;
+    fixture.report({ { AdapterId("a1"), 1 } });
+    for (int request = 0; request < 200; ++request)
+        fixture.request("a1");
+    const auto decisions = fixture.decide();
+    BOOST_TEST(!decisions.denials.empty());
+    BOOST_TEST(!decisions.grants.empty());
+    for (const RunDenial& denial : decisions.denials)
+        BOOST_TEST((denial.retryAfter > Duration::zero()));
+}
+
+// Load: two adapters wait, one with many requests. Guards against a fetch that serves one while many wait.
+BOOST_AUTO_TEST_CASE(LoadsTheAdapterWithMostRequestsFirst)
+{
+    Fixture fixture(1);
+    fixture.request("rare");
+    for (int request = 0; request < 3; ++request)
+        fixture.request("popular");
+    const auto order = fixture.decide().order;
+    BOOST_REQUIRE(order.has_value());
+    BOOST_TEST(order->adapter.adapter == AdapterId("popular"));
+}
+
+// Guards against places that stay taken by the runs of a host that died.
+BOOST_AUTO_TEST_CASE(FreesThePlacesOfALostHost)
+{
+    Fixture fixture(1);
+    fixture.report({ { AdapterId("a1"), 1 } });
+    fixture.request("a1");
+    BOOST_TEST(fixture.decide().grants.size() == 1);
+    BOOST_TEST(fixture.scheduler.summary(fixture.now).openPlaces == 0);
+    fixture.scheduler.hostLost(HostId("host-1"), fixture.now);
+    BOOST_TEST(fixture.scheduler.summary(fixture.now).openPlaces == 1);
+    BOOST_TEST(fixture.scheduler.summary(fixture.now).running == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/fleet_agent.cc
+++ b/src/gateway/fleet_agent.cc
@@ -101,7 +101,8 @@
     LogEvent(LogLevel::Warning, "store_lost").with("table", FleetRows::table).with("reason", toString(error));
 }
 
-// All hosts may do this at once; the condition lets one succeed, and the feed brings its secret to the others.
+// All hosts may do this at once; the condition lets one succeed, and the feed brings its secret to the
+// others.
 void FleetAgent::ensureSecret()
 {
     if (m_registry.linkSecret())
@@ -149,14 +150,15 @@
 
 void FleetAgent::rereadOwnRow()
 {
-    m_store.readRow(FleetRows::hostKey(m_self.host), m_lifetime.guard([this](const RowResult<RowSet>& result) {
-        if (!result.value)
-            return;
-        m_ownVersion = RowVersion(0);
-        for (const StoredRow& row : result.value->rows)
-            m_ownVersion = row.version;
-        renew();
-    }));
+    m_store.readRow(
+        FleetRows::hostKey(m_self.host), m_lifetime.guard([this](const RowResult<RowSet>& result) {
+            if (!result.value)
+                return;
+            m_ownVersion = RowVersion(0);
+            for (const StoredRow& row : result.value->rows)
+                m_ownVersion = row.version;
+            renew();
+        }));
 }
 
 void FleetAgent::reconsider()
@@ -276,13 +278,13 @@
         transaction.conditions.push_back({ FleetRows::ownerKey(engine), RowVersion(number.value()) });
         transaction.writes.push_back({ FleetRows::ownerKey(engine), std::nullopt });
     }
+    // Without this row the other hosts divide the engines among themselves at once.
+    transaction.writes.push_back({ FleetRows::hostKey(m_self.host), std::nullopt });
     const auto owned = std::exchange(m_owned, {});
     for (const auto& entry : owned)
         m_handlers.onLost(entry.first);
-    if (transaction.writes.empty())
-        return;
     m_store.commit(std::move(transaction), m_lifetime.guard([](const RowResult<RowVersion>& result) {
-        LogEvent(LogLevel::Info, "engines_released").with("done", result.value.has_value());
+        LogEvent(LogLevel::Info, "host_released").with("done", result.value.has_value());
     }));
 }
 
--- a/src/gateway/fleet_agent.h
+++ b/src/gateway/fleet_agent.h
@@ -10,8 +10,8 @@
 
 namespace lacewing::gateway {
 
-/// Keeps this host's row in the fleet's table alive, claims engines that have no living owner, and follows the
-/// rows of the other hosts.
+/// Keeps this host's row in the fleet's table alive, claims engines that have no living owner, and follows
+/// the rows of the other hosts.
 class FleetAgent : private StoreFeedListener {
 public:
     struct Handlers {
--- a/src/gateway/fleet_registry.cc
+++ b/src/gateway/fleet_registry.cc
@@ -27,10 +27,11 @@
 
 std::string FleetRows::encode(const HostRecord& record)
 {
-    return Json { { "incarnation", record.incarnation.value() }, { "peer", record.peerAddress.text() },
+    return Json {
+        { "incarnation", record.incarnation.value() }, { "peer", record.peerAddress.text() },
         { "caller", record.callerAddress.text() }, { "dataCentre", record.dataCentre.value() },
-        { "renewal", record.renewal } }
-        .dump();
+        { "renewal", record.renewal }
+    }.dump();
 }
 
 std::string FleetRows::encode(const OwnerRecord& record)
--- a/src/gateway/fleet_registry.h
+++ b/src/gateway/fleet_registry.h
@@ -74,8 +74,8 @@
     RowVersion hostVersion(const HostId& host) const;
     const std::optional<std::string>& linkSecret() const { return m_linkSecret; }
 
-    /// Chooses the engines without a living owner that this host should claim, so that each host gets about as
-    /// many as the others.
+    /// Chooses the engines without a living owner that this host should claim, so that each host gets about
+    /// as many as the others.
     ///
     /// Load pattern: a host that dies leaves its engines to the others, and all hosts may start at once.
     ///
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -32,7 +32,8 @@
 
 HostRecord recordOf(const GatewaySettings& settings, Incarnation incarnation)
 {
-    return { settings.host, incarnation, settings.peerAddress, settings.callerAddress, settings.dataCentre, 0 };
+    return { settings.host, incarnation, settings.peerAddress, settings.callerAddress, settings.dataCentre,
+        0 };
 }
 
 } // namespace
@@ -67,8 +68,8 @@
               [this](const UpstreamId& engine) { m_fleet.stepDown(engine); },
               [this] { return !m_isStopping; } })
     , m_broker(loop, m_settings.host)
-    , m_engineView(loop, m_upstreams, m_fleet, m_mesh, m_owners, m_picker, m_settings.host,
-          m_settings.dataCentre)
+    , m_engineView(
+          loop, m_upstreams, m_fleet, m_mesh, m_owners, m_picker, m_settings.host, m_settings.dataCentre)
     , m_services { loop, client, ports.calls, m_configuration, m_upstreams, m_engineView, m_broker, m_picker,
         m_usage, m_retries, m_metrics, m_random, m_settings.dataCentre }
     , m_memberTimer(
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -38,8 +38,8 @@
     void stop(std::function<void()> done);
 
 private:
-    bool listen(std::unique_ptr<HttpServer>& server, const SocketAddress& address, HttpServer::Handler handler,
-        std::string& error);
+    bool listen(std::unique_ptr<HttpServer>& server, const SocketAddress& address,
+        HttpServer::Handler handler, std::string& error);
     void acceptCall(std::shared_ptr<HttpExchange> exchange);
     void callFinished(CallerCall* call);
     void answerDirectory(HttpExchange& exchange);
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -33,7 +33,8 @@
     return [&target](const std::string& text) -> std::optional<FieldError> {
         const auto address = SocketAddress::parse(text);
         if (!address)
-            return FieldError { "\"" + text + "\" is no address", "an IP number and a port such as 127.0.0.1:80" };
+            return FieldError { "\"" + text + "\" is no address",
+                "an IP number and a port such as 127.0.0.1:80" };
         target = *address;
         return std::nullopt;
     };
@@ -124,13 +125,15 @@
     for (const auto& [name, value] : root.members) {
         const auto field = fields.find(name);
         if (field == fields.end())
-            return FileProblem { value.location, "unknown field '" + name + "'", "one of the documented fields" }
+            return FileProblem { value.location, "unknown field '" + name + "'",
+                "one of the documented fields" }
                 .text();
         // A template leaves a field empty for which the platform has no value.
         if (value.kind == YamlValue::Kind::Null && !field->second.isRequired)
             continue;
         if (value.kind != YamlValue::Kind::Scalar)
-            return describe(value.location, name, { std::string("is ") + value.kindName(), "a single value" });
+            return describe(
+                value.location, name, { std::string("is ") + value.kindName(), "a single value" });
         if (const auto error = field->second.read(value.scalar))
             return describe(value.location, name, *error);
         field->second.isRequired = false;
--- /dev/null
+++ b/src/gateway/gateway_settings_test.cc
@@ -0,0 +1,84 @@
+#include "gateway/gateway_settings.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdio>
+#include <fstream>
+#include <unistd.h>
+
+using namespace lacewing;
+using namespace lacewing::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string valid = "host: host-1\n"
+                          "dataCentre: dc-1\n"
+                          "callerAddress: 127.0.0.1:1001\n"
+                          "readinessAddress: 127.0.0.1:1002\n"
+                          "directoryAddress: 127.0.0.1:1003\n"
+                          "peerAddress: 127.0.0.1:1004\n"
+                          "metricsAddress: 127.0.0.1:1005\n"
+                          "storeAddress: 127.0.0.1:1006\n";
+
+/// A settings file that is removed at the end of the test.
+class SettingsFile {
+public:
+    explicit SettingsFile(const std::string& text)
+        : m_path("gateway-settings-test-" + std::to_string(getpid()) + ".yaml")
+    {
+        std::ofstream(m_path) << text;
+    }
+    ~SettingsFile() { std::remove(m_path.c_str()); }
+
+    const std::string& path() const { return m_path; }
+
+private:
+    std::string m_path;
+};
+
+std::string errorOf(const std::string& text)
+{
+    const SettingsFile file(text);
+    GatewaySettingsReader reader;
+    BOOST_TEST(!reader.read(file.path()).has_value());
+    return reader.lastError();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(GatewaySettingsTest)
+
+BOOST_AUTO_TEST_CASE(ReadsAllFields)
+{
+    const SettingsFile file(valid + "leaseMilliseconds: 2500\nretryRatio: 0.3\nfirstStart: true\n");
+    GatewaySettingsReader reader;
+    const auto settings = reader.read(file.path());
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(settings->host == HostId("host-1"));
+    BOOST_TEST(settings->storeAddress.port == 1006);
+    BOOST_TEST((settings->leaseTime == 2500ms));
+    BOOST_TEST(settings->retries.ratio == 0.3);
+    BOOST_TEST(settings->isFirstStart);
+}
+
+// Guards against errors that don't tell the operator where to look.
+BOOST_AUTO_TEST_CASE(ErrorsNameFileLineAndField)
+{
+    const std::string wrongAddress = errorOf(valid + "leaseMilliseconds: soon\n");
+    BOOST_TEST(wrongAddress.find(".yaml:9:") != std::string::npos);
+    BOOST_TEST(wrongAddress.find("leaseMilliseconds") != std::string::npos);
+    BOOST_TEST(errorOf(valid + "colour: red\n").find("unknown field 'colour'") != std::string::npos);
+    BOOST_TEST(errorOf("host: host-1\n").find("'callerAddress' is missing") != std::string::npos);
+    BOOST_TEST(errorOf("- a list\n").find("map") != std::string::npos);
+}
+
+// Guards against a field that the platform leaves empty stopping the start.
+BOOST_AUTO_TEST_CASE(EmptyOptionalFieldsKeepTheirDefaults)
+{
+    const SettingsFile file(valid + "retrySlack:\n");
+    GatewaySettingsReader reader;
+    BOOST_TEST(reader.read(file.path()).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/load_limiter.h
+++ b/src/gateway/load_limiter.h
@@ -9,9 +9,9 @@
 /// Bounds how many adapters this host's engines fetch from the weight store at the same time.
 ///
 /// Load pattern: after a cold start or a shift of popularity all engines want adapters at once. The store
-/// serves only so many fetches at full speed and slows all of them down beyond that, so that more fetches at a
-/// time bring none earlier and all late. The bound falls when fetches take longer than they did alone and grows
-/// while they don't, so that the hosts together settle where the store is just busy.
+/// serves only so many fetches at full speed and slows all of them down beyond that, so that more fetches at
+/// a time bring none earlier and all late. The bound falls when fetches take longer than they did alone and
+/// grows while they don't, so that the hosts together settle where the store is just busy.
 class LoadLimiter {
 public:
     bool mayStart() const { return m_inFlight < static_cast<int>(m_limit); }
--- /dev/null
+++ b/src/gateway/load_limiter_test.cc
@@ -0,0 +1,45 @@
+#include "gateway/load_limiter.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lacewing::gateway;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(LoadLimiterTest)
+
+// Guards against fetches that slow each other down without end.
+BOOST_AUTO_TEST_CASE(FallsWhileFetchesAreSlowAndKeepsOne)
+{
+    LoadLimiter limiter;
+    for (int fetch = 0; fetch < 50; ++fetch) {
+        limiter.started();
+        limiter.finished(1500ms);
+    }
+    BOOST_TEST(limiter.mayStart());
+    limiter.started();
+    BOOST_TEST(!limiter.mayStart());
+}
+
+// Guards against a bound that stays low once the store is idle again.
+BOOST_AUTO_TEST_CASE(GrowsWhileFetchesAreFast)
+{
+    LoadLimiter limiter;
+    for (int fetch = 0; fetch < 60; ++fetch) {
+        limiter.started();
+        limiter.finished(250ms);
+    }
+    BOOST_TEST(limiter.limit() >= 4);
+}
+
+// Guards against copies at the engine being taken for a fast store.
+BOOST_AUTO_TEST_CASE(IgnoresLoadsFromCopies)
+{
+    LoadLimiter limiter;
+    const double before = limiter.limit();
+    limiter.started();
+    limiter.finished(25ms);
+    BOOST_TEST(limiter.limit() == before);
+    BOOST_TEST((limiter.fetchTime() == 250ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -121,8 +121,7 @@
     PeerRunRequest message;
     message.engine = UpstreamId(json.at(1).get<std::string>());
     message.run = RunId(json.at(2).get<int64_t>());
-    message.adapter
-        = { ModelId(json.at(3).get<std::string>()), AdapterId(json.at(4).get<std::string>()) };
+    message.adapter = { ModelId(json.at(3).get<std::string>()), AdapterId(json.at(4).get<std::string>()) };
     message.prompt = Tokens(json.at(5).get<int64_t>());
     message.output = Tokens(json.at(6).get<int64_t>());
     message.priority = json.at(7).get<int>();
@@ -196,7 +195,8 @@
         return PeerRunDenial { RunId(json.at(1).get<int64_t>()),
             enumerator(json.at(2), RunRefusal::EngineUnusable), duration(json.at(3)) };
     case FrameType::RunProgress:
-        return PeerRunProgress { UpstreamId(json.at(1).get<std::string>()), RunId(json.at(2).get<int64_t>()) };
+        return PeerRunProgress { UpstreamId(json.at(1).get<std::string>()),
+            RunId(json.at(2).get<int64_t>()) };
     case FrameType::RunEnd:
         return PeerRunEnd { UpstreamId(json.at(1).get<std::string>()), RunId(json.at(2).get<int64_t>()),
             enumerator(json.at(3), RunOutcome::EngineFailed) };
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -71,8 +71,8 @@
     RunOutcome outcome = RunOutcome::Finished;
 };
 
-using PeerMessage = std::variant<PeerHeartbeat, PeerConfiguration, PeerRunRequest, PeerRunGrant, PeerRunDenial,
-    PeerRunProgress, PeerRunEnd>;
+using PeerMessage = std::variant<PeerHeartbeat, PeerConfiguration, PeerRunRequest, PeerRunGrant,
+    PeerRunDenial, PeerRunProgress, PeerRunEnd>;
 
 /// @return the message as one CBOR frame.
 std::string encodePeerMessage(const PeerMessage& message);
--- /dev/null
+++ b/src/gateway/peer_message_test.cc
@@ -0,0 +1,82 @@
+#include "gateway/peer_message.h"
+
+#include "base/random.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lacewing;
+using namespace lacewing::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+PeerHeartbeat heartbeat()
+{
+    PeerHeartbeat message;
+    message.incarnation = Incarnation(77);
+    message.isReady = true;
+    message.configurationVersion = RowVersion(12);
+    message.usageKnownFor = 3s;
+    message.usage.push_back({ WorkspaceId("busy"), 900, 300 });
+    EngineSummary engine;
+    engine.engine = UpstreamId("engine-1");
+    engine.isUsable = true;
+    engine.models = { ModelId("base") };
+    engine.prefillBacklog = 120ms;
+    engine.running = 4;
+    engine.waiting = 2;
+    engine.openPlaces = 1;
+    engine.adapters.push_back({ { ModelId("base"), AdapterId("a1") }, true });
+    message.engines.push_back(engine);
+    return message;
+}
+
+std::vector<PeerMessage> samples()
+{
+    const AdapterRef adapter { ModelId("base"), AdapterId("a1") };
+    return { heartbeat(), PeerConfiguration { RowVersion(3), "{}" },
+        PeerRunRequest {
+            UpstreamId("engine-1"), RunId(5), adapter, Tokens(10), Tokens(20), 1, 700ms, 1500ms },
+        PeerRunGrant { RunId(5), 3, 8 }, PeerRunDenial { RunId(5), RunRefusal::EngineUnusable, 200ms },
+        PeerRunProgress { UpstreamId("engine-1"), RunId(5) },
+        PeerRunEnd { UpstreamId("engine-1"), RunId(5), RunOutcome::AdapterMissing } };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PeerMessageTest)
+
+// Guards against fields that get lost or swapped on the way.
+BOOST_AUTO_TEST_CASE(EachMessageSurvivesTheWay)
+{
+    for (const PeerMessage& message : samples()) {
+        const std::string frame = encodePeerMessage(message);
+        const auto decoded = decodePeerMessage(frame);
+        BOOST_REQUIRE(decoded.has_value());
+        BOOST_TEST(decoded->index() == message.index());
+        BOOST_TEST(encodePeerMessage(*decoded) == frame);
+    }
+    const auto decoded = decodePeerMessage(encodePeerMessage(heartbeat()));
+    const auto& message = std::get<PeerHeartbeat>(*decoded);
+    BOOST_TEST(message.usage.at(0).inWindow == 300);
+    BOOST_TEST((message.engines.at(0).prefillBacklog == 120ms));
+    BOOST_TEST(message.engines.at(0).adapters.at(0).isLoading);
+}
+
+// Guards against a damaged frame that ends the process. Changes and cuts frames at random places.
+BOOST_AUTO_TEST_CASE(DamagedFramesAreRefused)
+{
+    Random random(5);
+    for (const PeerMessage& message : samples()) {
+        const std::string frame = encodePeerMessage(message);
+        for (int round = 0; round < 500; ++round) {
+            std::string damaged = frame.substr(0, 1 + random.below(frame.size()));
+            damaged[random.below(damaged.size())] = static_cast<char>(random.next());
+            decodePeerMessage(damaged);
+        }
+    }
+    BOOST_TEST(!decodePeerMessage("").has_value());
+    BOOST_TEST(!decodePeerMessage("\x81\x18\x63").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/prefill_rate.h
+++ b/src/gateway/prefill_rate.h
@@ -9,8 +9,8 @@
 
 /// Estimates how fast an engine reads prompts, from the time that runs take to their first event.
 ///
-/// Load pattern: requests for a popular adapter pile up at one engine, which reads their prompts one after the
-/// other; the estimate tells how long a further one would wait there.
+/// Load pattern: requests for a popular adapter pile up at one engine, which reads their prompts one after
+/// the other; the estimate tells how long a further one would wait there.
 class PrefillRate {
 public:
     /// @param backlog prompt tokens that were waiting at the engine when the run started, its own included.
--- /dev/null
+++ b/src/gateway/retry_allowance_test.cc
@@ -0,0 +1,41 @@
+#include "gateway/retry_allowance.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lacewing;
+using namespace lacewing::gateway;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(RetryAllowanceTest)
+
+// Load: a service fails all requests on all hosts. Guards against retries beyond the fleet's allowance.
+BOOST_AUTO_TEST_CASE(StaysWithinTheFleetsAllowance)
+{
+    const RetryLimits limits { 0.2, 54, 10s };
+    constexpr size_t hosts = 7;
+    const ServiceId service("ledger");
+    const MonotonicTime now(100s);
+    int retries = 0;
+    for (size_t host = 0; host < hosts; ++host) {
+        RetryAllowance allowance(limits);
+        allowance.setHosts(hosts);
+        for (int request = 0; request < 100; ++request)
+            allowance.countRequest(service, now);
+        while (allowance.trySendAgain(service, now))
+            ++retries;
+    }
+    BOOST_TEST(retries <= 0.2 * 100 * hosts + 54);
+    BOOST_TEST(retries > 0);
+}
+
+// Guards against an allowance that is never renewed.
+BOOST_AUTO_TEST_CASE(ForgetsWhatIsOlderThanTheWindow)
+{
+    RetryAllowance allowance({ 0.2, 10, 10s });
+    const ServiceId service("ledger");
+    while (allowance.trySendAgain(service, MonotonicTime(100s))) { }
+    BOOST_TEST(!allowance.trySendAgain(service, MonotonicTime(109s)));
+    BOOST_TEST(allowance.trySendAgain(service, MonotonicTime(111s)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/run_broker.cc
+++ b/src/gateway/run_broker.cc
@@ -27,7 +27,8 @@
     const PeerRunRequest message { engine, run, request.adapter, request.prompt, request.output,
         request.priority, request.onTimeStart - now, request.latestStart - now };
     if (!m_mesh->send(owner, message))
-        answered(request.key, RunDenial { request.key, RunRefusal::NotOwner, Duration::zero(), Duration::zero() });
+        answered(
+            request.key, RunDenial { request.key, RunRefusal::NotOwner, Duration::zero(), Duration::zero() });
     return run;
 }
 
@@ -100,7 +101,8 @@
     else if (const auto* grant = std::get_if<PeerRunGrant>(&message))
         deliver(grant->run, RunGrant { { m_self, grant->run }, grant->urgency, grant->version });
     else if (const auto* denial = std::get_if<PeerRunDenial>(&message))
-        deliver(denial->run, RunDenial { { m_self, denial->run }, denial->reason, denial->retryAfter, Duration::zero() });
+        deliver(denial->run,
+            RunDenial { { m_self, denial->run }, denial->reason, denial->retryAfter, Duration::zero() });
     else if (const auto* progress = std::get_if<PeerRunProgress>(&message))
         m_owners->runProgressed(progress->engine, { peer, progress->run });
     else if (const auto* end = std::get_if<PeerRunEnd>(&message))
@@ -116,7 +118,8 @@
             unanswered.push_back(run);
     }
     for (const RunId run : unanswered)
-        answered({ m_self, run }, RunDenial { { m_self, run }, RunRefusal::NotOwner, Duration::zero(), Duration::zero() });
+        answered({ m_self, run },
+            RunDenial { { m_self, run }, RunRefusal::NotOwner, Duration::zero(), Duration::zero() });
 }
 
 } // namespace lacewing::gateway
--- a/src/gateway/serving_configuration.cc
+++ b/src/gateway/serving_configuration.cc
@@ -50,7 +50,8 @@
     const auto routes = m_routes.find(std::string(host));
     if (routes == m_routes.end())
         return nullptr;
-    for (size_t slash = path.rfind('/'); slash != std::string_view::npos; slash = path.rfind('/', slash - 1)) {
+    for (size_t slash = path.rfind('/'); slash != std::string_view::npos;
+         slash = path.rfind('/', slash - 1)) {
         const auto found = routes->second.find(std::string(path.substr(0, slash + 1)));
         if (found != routes->second.end())
             return &found->second;
--- a/src/gateway/serving_configuration.h
+++ b/src/gateway/serving_configuration.h
@@ -49,7 +49,10 @@
     bool isResumable = false;
     std::vector<ServiceShare> services;
 
-    bool mayRepeat() const { return kind == RouteKind::Idempotent || (kind == RouteKind::Stream && isResumable); }
+    bool mayRepeat() const
+    {
+        return kind == RouteKind::Idempotent || (kind == RouteKind::Stream && isResumable);
+    }
 };
 
 /// A base model that the engines of a service may hold.
--- a/src/gateway/store_feed.h
+++ b/src/gateway/store_feed.h
@@ -31,7 +31,8 @@
         std::string table;
         /// How long the store may hold a call if nothing changes.
         Duration wait = std::chrono::seconds(1);
-        /// Shortest time between the starts of two calls; bounds the cost of a table that changes all the time.
+        /// Shortest time between the starts of two calls; bounds the cost of a table that changes all the
+        /// time.
         Duration interval {};
     };
 
--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -129,7 +129,9 @@
             expired.push_back(id);
     }
     for (const UpstreamId& id : expired) {
-        LogEvent(LogLevel::Info, "upstream_gone").with("upstream", id).with("reason", "not back after outage");
+        LogEvent(LogLevel::Info, "upstream_gone")
+            .with("upstream", id)
+            .with("reason", "not back after outage");
         m_known.erase(id);
         hasChanged = true;
     }
--- a/src/gateway/upstream_directory.h
+++ b/src/gateway/upstream_directory.h
@@ -12,8 +12,8 @@
 
 /// Knows the upstreams of all services from their own entries in the store.
 ///
-/// An entry that vanishes while the store is away, or just after, may only have lapsed for want of a store, so
-/// it is kept for a short time; one that left before, or said that it leaves, is not used any more.
+/// An entry that vanishes while the store is away, or just after, may only have lapsed for want of a store,
+/// so it is kept for a short time; one that left before, or said that it leaves, is not used any more.
 class UpstreamDirectory : private StoreFeedListener {
 public:
     /// @param onChange called when an upstream came, left or started anew.
--- /dev/null
+++ b/src/gateway/upstream_directory_test.cc
@@ -0,0 +1,131 @@
+#include "gateway/upstream_directory.h"
+
+#include "base/virtual_scheduler.h"
+#include "gateway/fake_row_store_test.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lacewing;
+using namespace lacewing::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceId service("engines");
+
+/// Rows of the form "ready" or "draining"; everything else can't be read.
+class PlainRowDecoder : public RowDecoder {
+public:
+    std::string operatorTable() const override { return "op"; }
+    std::string upstreamTable() const override { return "servers"; }
+    std::string configurationKey() const override { return "config"; }
+    std::shared_ptr<const ServingConfiguration> readConfiguration(
+        const std::string&, std::string&) const override
+    {
+        return nullptr;
+    }
+    std::optional<AdapterRelease> readRelease(const StoredRow&) const override { return std::nullopt; }
+    std::optional<UpstreamEntry> readUpstream(const StoredRow& row) const override
+    {
+        if (row.value != "ready" && row.value != "draining")
+            return std::nullopt;
+        UpstreamEntry entry;
+        entry.id = UpstreamId(row.id.key);
+        entry.service = service;
+        entry.isDraining = row.value == "draining";
+        return entry;
+    }
+};
+
+struct Fixture {
+    Fixture()
+    {
+        put("s1", "ready");
+        put("s2", "ready");
+        directory.start();
+        scheduler.advance(100ms);
+    }
+
+    void put(const char* key, const char* value) { store.put({ "servers", key }, value); }
+    void remove(const char* key) { store.remove({ "servers", key }); }
+    size_t usable() const { return directory.usable(service).size(); }
+
+    VirtualScheduler scheduler;
+    FakeRowStore store { scheduler };
+    PlainRowDecoder decoder;
+    int changes = 0;
+    UpstreamDirectory directory { scheduler, store, decoder, [this] { ++changes; } };
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(UpstreamDirectoryTest)
+
+// Guards against new work for an upstream that leaves, later than two seconds after it said so.
+BOOST_AUTO_TEST_CASE(ADrainingUpstreamGetsNoNewWork)
+{
+    Fixture fixture;
+    BOOST_TEST(fixture.usable() == 2);
+    fixture.put("s1", "draining");
+    fixture.scheduler.advance(1500ms);
+    BOOST_TEST(fixture.usable() == 1);
+    BOOST_TEST(fixture.directory.find(UpstreamId("s1")) != nullptr);
+    fixture.remove("s1");
+    fixture.scheduler.advance(1500ms);
+    BOOST_TEST(fixture.directory.find(UpstreamId("s1")) == nullptr);
+}
+
+// Guards against losing all upstreams because their entries lapsed while the store was away, and against
+// keeping those that don't come back.
+BOOST_AUTO_TEST_CASE(EntriesThatLapsedInAnOutageAreKeptForAMoment)
+{
+    Fixture fixture;
+    fixture.store.fault = RowStoreError::Unknown;
+    fixture.scheduler.advance(5s);
+    BOOST_TEST(fixture.usable() == 2);
+    fixture.remove("s1");
+    fixture.remove("s2");
+    fixture.store.fault.reset();
+    fixture.scheduler.advance(1s);
+    BOOST_TEST(fixture.usable() == 2);
+    fixture.put("s2", "ready");
+    fixture.scheduler.advance(3s);
+    BOOST_TEST(fixture.usable() == 1);
+    BOOST_TEST(fixture.directory.findUsable(UpstreamId("s2")) != nullptr);
+}
+
+// Guards against a row of another writer being used, or stopping the reader.
+BOOST_AUTO_TEST_CASE(UnreadableRowsNameNoUpstream)
+{
+    Fixture fixture;
+    fixture.put("s1", "{}");
+    fixture.put("s3", "\xff");
+    fixture.put("s4", "ready");
+    fixture.scheduler.advance(1500ms);
+    BOOST_TEST(fixture.usable() == 2);
+    BOOST_TEST(fixture.directory.findUsable(UpstreamId("s4")) != nullptr);
+}
+
+// Guards against missing a removal whose history the store has dropped.
+BOOST_AUTO_TEST_CASE(ReadsTheWholeTableWhenHistoryIsLost)
+{
+    Fixture fixture;
+    fixture.remove("s1");
+    fixture.store.compact();
+    fixture.scheduler.advance(2s);
+    BOOST_TEST(fixture.usable() == 1);
+}
+
+// Guards against a call to the store for each heartbeat of each upstream.
+BOOST_AUTO_TEST_CASE(BoundsItsCalls)
+{
+    Fixture fixture;
+    const int before = fixture.store.calls;
+    for (int beat = 0; beat < 100; ++beat) {
+        fixture.put("s1", "ready");
+        fixture.scheduler.advance(100ms);
+    }
+    BOOST_TEST(fixture.store.calls - before <= 20);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/upstream_picker.cc
+++ b/src/gateway/upstream_picker.cc
@@ -54,7 +54,8 @@
     size_t second = m_random.below(open.size());
     if (open.size() > 1 && second == first)
         second = (first + 1) % open.size();
-    const PickCandidate* best = cost(*open[first], now) <= cost(*open[second], now) ? open[first] : open[second];
+    const PickCandidate* best
+        = cost(*open[first], now) <= cost(*open[second], now) ? open[first] : open[second];
     return best->upstream;
 }
 
--- a/src/gateway/upstream_picker.h
+++ b/src/gateway/upstream_picker.h
@@ -34,8 +34,8 @@
 ///
 /// Load pattern: some upstreams fail part of their requests while their health check passes, stall, or are
 /// short of slots. Requests go to the emptier of two upstreams drawn at random, counting what this host has
-/// under way and what the upstream reports; one that fails more than the others gets fewer requests, but never
-/// none, so that its recovery is seen and a failure of all of them does not take all of them out.
+/// under way and what the upstream reports; one that fails more than the others gets fewer requests, but
+/// never none, so that its recovery is seen and a failure of all of them does not take all of them out.
 class UpstreamPicker {
 public:
     explicit UpstreamPicker(uint64_t seed)
--- a/src/gateway/usage_ledger.cc
+++ b/src/gateway/usage_ledger.cc
@@ -38,8 +38,8 @@
     }
 }
 
-// After a start of all hosts nothing is known of what was spent before it, so the limit grows from the rate to
-// the whole within one window.
+// After a start of all hosts nothing is known of what was spent before it, so the limit grows from the rate
+// to the whole within one window.
 double UsageLedger::limitAt(const WorkspaceLimit& limit, MonotonicTime now) const
 {
     const double windowSeconds = toSeconds(m_window);
@@ -71,7 +71,8 @@
     return usage;
 }
 
-std::optional<Duration> UsageLedger::charge(const ServingWorkspace& workspace, int64_t amount, MonotonicTime now)
+std::optional<Duration> UsageLedger::charge(
+    const ServingWorkspace& workspace, int64_t amount, MonotonicTime now)
 {
     Account& own = m_own[workspace.id];
     expire(own, now);
@@ -81,8 +82,8 @@
         const double evenShare = limit / members;
         const double left
             = limit - static_cast<double>(own.inWindow) - knownUsage(workspace.id, evenShare, now);
-        const double mayAdd = (left + static_cast<double>(own.unreported))
-            * std::min(1.0, unreportedShares / members);
+        const double mayAdd
+            = (left + static_cast<double>(own.unreported)) * std::min(1.0, unreportedShares / members);
         const auto wanted = static_cast<double>(amount);
         if (wanted > left || static_cast<double>(own.unreported) + wanted > std::max(mayAdd, wanted)) {
             const double seconds = (wanted - left) / workspace.limit.ratePerSecond;
--- a/src/gateway/usage_ledger.h
+++ b/src/gateway/usage_ledger.h
@@ -23,15 +23,16 @@
 
 /// Bounds what all hosts together let a workspace spend in any window.
 ///
-/// Load pattern: one workspace sends many times its usual through all hosts at once, and hosts lose touch with
-/// each other meanwhile. Each host knows what the others have spent up to their last report and spends from
-/// the rest. What a host may have spent since its last report is bounded by its share of the rest, so the sum
-/// stays within the limit without a question per request. A peer that is out of reach is taken to spend its
-/// even share of the limit.
+/// Load pattern: one workspace sends many times its usual through all hosts at once, and hosts lose touch
+/// with each other meanwhile. Each host knows what the others have spent up to their last report and spends
+/// from the rest. What a host may have spent since its last report is bounded by its share of the rest, so
+/// the sum stays within the limit without a question per request. A peer that is out of reach is taken to
+/// spend its even share of the limit.
 class UsageLedger {
 public:
     /// @param window length of the windows in which the limit holds.
-    /// @param knownSince since when this host knows what all hosts have spent; earlier spending may be unknown.
+    /// @param knownSince since when this host knows what all hosts have spent; earlier spending may be
+    /// unknown.
     UsageLedger(Duration window, HostId self, MonotonicTime knownSince);
 
     /// Charges a request if the workspace has enough left.
@@ -43,8 +44,8 @@
 
     /// @return this host's usage for its peers; each call starts a new reporting interval.
     std::vector<UsageReport> report(MonotonicTime now);
-    void peerReported(
-        const HostId& peer, Incarnation incarnation, const std::vector<UsageReport>& usage, MonotonicTime now);
+    void peerReported(const HostId& peer, Incarnation incarnation, const std::vector<UsageReport>& usage,
+        MonotonicTime now);
 
     /// @param members all hosts that may spend, this one included, and whether each is in touch.
     void setMembers(const std::map<HostId, bool>& members) { m_members = members; }
--- /dev/null
+++ b/src/gateway/usage_ledger_test.cc
@@ -0,0 +1,171 @@
+#include "gateway/usage_ledger.h"
+
+#include "base/random.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <set>
+
+using namespace lacewing;
+using namespace lacewing::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration window = 8s;
+
+ServingWorkspace workspace(double rate, double burst)
+{
+    ServingWorkspace result;
+    result.id = WorkspaceId("busy");
+    result.limit.ratePerSecond = rate;
+    result.limit.burst = burst;
+    return result;
+}
+
+/// Hosts that exchange their usage at intervals, with one workspace that wants far more than its limit.
+class Hosts {
+public:
+    explicit Hosts(int count, MonotonicTime start)
+    {
+        for (int index = 0; index < count; ++index) {
+            names.push_back(HostId("host-" + std::to_string(index)));
+            ledgers.push_back(std::make_unique<UsageLedger>(window, names.back(), start - window));
+        }
+        setTouch({});
+    }
+
+    /// @param cut hosts that are out of touch with all others.
+    void setTouch(const std::set<size_t>& cut)
+    {
+        m_cut = cut;
+        for (size_t self = 0; self < ledgers.size(); ++self) {
+            std::map<HostId, bool> members;
+            for (size_t other = 0; other < ledgers.size(); ++other)
+                members[names[other]] = self == other || (cut.count(self) + cut.count(other) == 0);
+            ledgers[self]->setMembers(members);
+        }
+    }
+
+    void exchange(MonotonicTime now)
+    {
+        for (size_t from = 0; from < ledgers.size(); ++from) {
+            const auto usage = ledgers[from]->report(now);
+            for (size_t to = 0; to < ledgers.size(); ++to) {
+                if (to != from && m_cut.count(from) + m_cut.count(to) == 0)
+                    ledgers[to]->peerReported(names[from], Incarnation(1), usage, now);
+            }
+        }
+    }
+
+    std::vector<HostId> names;
+    std::vector<std::unique_ptr<UsageLedger>> ledgers;
+
+private:
+    std::set<size_t> m_cut;
+};
+
+/// @return the most that was charged in any window.
+int64_t mostInWindow(const std::vector<std::pair<MonotonicTime, int64_t>>& charges)
+{
+    int64_t most = 0;
+    int64_t sum = 0;
+    size_t first = 0;
+    for (const auto& [time, amount] : charges) {
+        sum += amount;
+        while (time - charges[first].first >= window)
+            sum -= charges[first++].second;
+        most = std::max(most, sum);
+    }
+    return most;
+}
+
+int64_t overload(const std::set<size_t>& cut)
+{
+    MonotonicTime now(100s);
+    Hosts hosts(7, now);
+    Random random(11);
+    std::vector<std::pair<MonotonicTime, int64_t>> charges;
+    for (int step = 0; step < 3000; ++step) {
+        now += 10ms;
+        if (step == 800)
+            hosts.setTouch(cut);
+        for (int attempt = 0; attempt < 4; ++attempt) {
+            const size_t host = random.below(7);
+            const auto amount = static_cast<int64_t>(500 + random.below(4000));
+            if (!hosts.ledgers[host]->charge(workspace(90000, 90000), amount, now))
+                charges.emplace_back(now, amount);
+        }
+        if (step % 20 == 0)
+            hosts.exchange(now);
+    }
+    return mostInWindow(charges);
+}
+
+constexpr double limit = 90000 * 8 + 90000;
+/// The users allow a tenth and 17,000 tokens beyond the limit.
+constexpr double bound = limit * 1.1 + 17000;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(UsageLedgerTest)
+
+// Load: one workspace sends many times its limit through all hosts. Guards against spending beyond the limit
+// between two reports, and against refusing far below it.
+BOOST_AUTO_TEST_CASE(KeepsTheLimitOverAllHosts)
+{
+    const auto most = static_cast<double>(overload({}));
+    BOOST_TEST(most <= bound);
+    BOOST_TEST(most >= 0.9 * limit);
+}
+
+// Guards against hosts out of touch that spend what the others spend too.
+BOOST_AUTO_TEST_CASE(KeepsTheLimitWhileHostsAreCutOff)
+{
+    BOOST_TEST(static_cast<double>(overload({ 2 })) <= bound);
+    BOOST_TEST(static_cast<double>(overload({ 0, 1, 2, 3 })) <= bound);
+}
+
+// Guards against a second burst right after all hosts lost power and forgot what was spent.
+BOOST_AUTO_TEST_CASE(GrantsNoSecondBurstAfterAllHostsRestart)
+{
+    const MonotonicTime start(100s);
+    UsageLedger ledger(window, HostId("host-0"), start);
+    ledger.setMembers({ { HostId("host-0"), true } });
+    int64_t spent = 0;
+    while (!ledger.charge(workspace(1000, 8000), 100, start + 1s))
+        spent += 100;
+    BOOST_TEST(spent <= 2000);
+    BOOST_TEST(spent >= 1000);
+}
+
+// Guards against a restarted host that refuses for a whole window although its peers know what was spent.
+BOOST_AUTO_TEST_CASE(TakesOverThePastFromPeers)
+{
+    const MonotonicTime start(100s);
+    UsageLedger ledger(window, HostId("host-0"), start);
+    ledger.setMembers({ { HostId("host-0"), true }, { HostId("host-1"), true } });
+    ledger.knownSince(start - window);
+    ledger.peerReported(HostId("host-1"), Incarnation(1), { { WorkspaceId("busy"), 9000, 4000 } }, start);
+    int64_t spent = 0;
+    while (!ledger.charge(workspace(1000, 8000), 100, start + 1s)) {
+        spent += 100;
+        ledger.report(start + 1s);
+    }
+    BOOST_TEST(spent == 12000);
+}
+
+// Guards against charges that stay for requests that have not run.
+BOOST_AUTO_TEST_CASE(GivesBackWhatHasNotRun)
+{
+    const MonotonicTime start(100s);
+    UsageLedger ledger(window, HostId("host-0"), start - window);
+    ledger.setMembers({ { HostId("host-0"), true } });
+    BOOST_TEST(!ledger.charge(workspace(10, 20), 100, start));
+    BOOST_TEST(ledger.charge(workspace(10, 20), 10, start).has_value());
+    ledger.refund(WorkspaceId("busy"), 100, start);
+    BOOST_TEST(!ledger.charge(workspace(10, 20), 100, start));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
