--- a/src/gateway/engine_chooser.cc
+++ b/src/gateway/engine_chooser.cc
@@ -36,7 +36,7 @@
         return cost;
     if (candidate.isLoadingAdapter)
         return cost + remainingLoadCost;
-    cost += copyCost + std::min(homeRank, lastRankWithCost) * rankCost;
+    cost += candidate.fetchWait + copyCost + std::min(homeRank, lastRankWithCost) * rankCost;
     if (candidate.openPlaces <= 0)
         cost += placeWaitCost + candidate.waiting * milliseconds(20);
     return cost;
--- a/src/gateway/engine_chooser.h
+++ b/src/gateway/engine_chooser.h
@@ -19,6 +19,8 @@
     /// Requests failed there lately without an answer.
     bool isSuspect = false;
     Duration prefillBacklog {};
+    /// How long an adapter that is not present would wait before it is fetched.
+    Duration fetchWait {};
     int openPlaces = 0;
     int waiting = 0;
 };
--- a/src/gateway/engine_owners.h
+++ b/src/gateway/engine_owners.h
@@ -43,6 +43,7 @@
     /// Upstreams or the configuration have changed.
     void refresh();
     std::vector<EngineSummary> summaries() const;
+    LoadLimiter& loads() { return m_loads; }
 
 private:
     struct Owned {
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -22,7 +22,7 @@
 constexpr Duration reportLag = std::chrono::milliseconds(600);
 constexpr Duration modelReportInterval = std::chrono::milliseconds(250);
 /// After so many calls without an answer the engine counts as out of reach.
-constexpr int unreachableAfter = 2;
+constexpr int unreachableAfter = 4;
 /// Half-life of the popularity count.
 constexpr double popularityHalfLifeSeconds = 6;
 /// Share of an engine's cache that running requests may claim.
@@ -43,6 +43,12 @@
 constexpr Duration shortestRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration longestRetryAfter = std::chrono::seconds(2);
 
+/// Loads are expected to be complete no sooner than after this part of the usual time.
+Duration earliestShare(Duration usual)
+{
+    return usual - usual / 10;
+}
+
 } // namespace
 
 const char* toString(RunRefusal reason)
@@ -71,6 +77,7 @@
 {
     for (auto& [adapter, place] : m_places)
         endLoading(place);
+    m_loads.forget(this);
 }
 
 void EngineScheduler::setRelease(const AdapterRef& adapter, int64_t version)
@@ -244,7 +251,7 @@
         // An accepted order to unload waits for a run that this owner does not know.
         const bool isFirst = isLoad && !isRepeated;
         place->second.state = isLoad ? PlaceState::Loading : PlaceState::Unloading;
-        place->second.confirmAt = now + (isFirst ? loadTime(order.adapter) : confirmInterval);
+        place->second.confirmAt = now + (isFirst ? earliestShare(loadTime(order.adapter)) : confirmInterval);
         return;
     }
     if (!isLoad) {
@@ -327,6 +334,7 @@
     grantRuns(decisions, now);
     denyHopeless(decisions, now);
     planOrder(decisions, now);
+    m_loads.setWanted(this, wantedFetches());
     if (!m_sequence && !m_isReportUnderWay && !m_order) {
         if (now >= m_nextReport) {
             decisions.wantsReport = true;
@@ -498,7 +506,7 @@
     place.state = PlaceState::Loading;
     place.changedAt = now;
     place.loadStarted = now;
-    place.confirmAt = now + loadTime(adapter);
+    place.confirmAt = now + earliestShare(loadTime(adapter));
     place.isFetch = !isRecent(adapter);
     if (place.isFetch)
         m_loads.started();
@@ -616,7 +624,8 @@
     int needed = 1 - openPlaces();
     for (const AdapterRef& adapter : ahead)
         needed += m_places.count(adapter) == 0 ? 1 : 0;
-    const Duration load = loadTime(request.adapter);
+    const Duration load
+        = loadTime(request.adapter) + (isRecent(request.adapter) ? Duration::zero() : m_loads.expectedWait());
     return load + reading + std::max(0, needed) * m_placeTurnover;
 }
 
@@ -668,6 +677,14 @@
     return keys;
 }
 
+int EngineScheduler::wantedFetches() const
+{
+    int wanted = 0;
+    for (const AdapterRef& adapter : awaitedAdapters())
+        wanted += needsPlace(adapter) && m_places.count(adapter) == 0 && !isRecent(adapter) ? 1 : 0;
+    return wanted;
+}
+
 EngineSummary EngineScheduler::summary(MonotonicTime now) const
 {
     EngineSummary summary;
@@ -681,6 +698,7 @@
     summary.running = static_cast<int>(m_runs.size());
     summary.waiting = static_cast<int>(m_waiting.size());
     summary.openPlaces = openPlaces();
+    summary.fetchWait = m_loads.expectedWait();
     for (const auto& [adapter, place] : m_places) {
         const bool isUsable = place.state != PlaceState::Unloading && isCurrent(adapter, place);
         if (isUsable || place.state == PlaceState::Loading)
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -40,6 +40,8 @@
     int waiting = 0;
     /// Places that are free or hold an adapter without a request.
     int openPlaces = 0;
+    /// How long a further adapter would wait before it is fetched.
+    Duration fetchWait {};
     std::vector<AdapterSummary> adapters;
 };
 
@@ -148,6 +150,7 @@
     void erasePlace(std::map<AdapterRef, Place>::iterator place);
     bool isRecent(const AdapterRef& adapter) const;
     std::set<AdapterRef> awaitedAdapters() const;
+    int wantedFetches() const;
     std::map<AdapterRef, Place>::iterator findVictim(MonotonicTime now);
 
     void grantRuns(SchedulerDecisions& decisions, MonotonicTime now);
--- a/src/gateway/engine_view.cc
+++ b/src/gateway/engine_view.cc
@@ -86,6 +86,7 @@
         if (asked != m_asked.end() && asked->second.heard == found->second.heard)
             candidate.prefillBacklog += m_rate.timeFor(asked->second.prompts);
         candidate.openPlaces = summary.openPlaces;
+        candidate.fetchWait = summary.fetchWait;
         candidate.waiting = summary.waiting;
         for (const AdapterSummary& held : summary.adapters) {
             if (held.adapter != adapter)
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -202,6 +202,7 @@
     heartbeat.configurationVersion = m_configuration.rowVersion();
     heartbeat.usageKnownFor = m_loop.now() - m_usageKnownSince;
     heartbeat.usage = m_usage.report(m_loop.now());
+    heartbeat.fetchesInFlight = m_owners.loads().inFlight();
     heartbeat.engines = m_owners.summaries();
     return heartbeat;
 }
@@ -215,6 +216,10 @@
         m_usageKnownSince = std::min(m_usageKnownSince, now - knownFor);
         m_usage.knownSince(m_usageKnownSince);
         offerConfiguration(peer, *heartbeat);
+        int fetches = 0;
+        for (const auto& [host, state] : m_mesh.peersInTouch())
+            fetches += state->heartbeat.fetchesInFlight;
+        m_owners.loads().setPeersInFlight(fetches);
         return;
     }
     if (const auto* configuration = std::get_if<PeerConfiguration>(&message)) {
--- a/src/gateway/load_limiter.h
+++ b/src/gateway/load_limiter.h
@@ -3,10 +3,11 @@
 #include "base/clock.h"
 
 #include <algorithm>
+#include <unordered_map>
 
 namespace lacewing::gateway {
 
-/// Bounds how many adapters this host's engines fetch from the weight store at the same time.
+/// Bounds how many adapters the engines of all hosts fetch from the weight store at the same time.
 ///
 /// Load pattern: after a cold start or a shift of popularity all engines want adapters at once. The store
 /// serves only so many fetches at full speed and slows all of them down beyond that, so that more fetches at
@@ -14,7 +15,13 @@
 /// grows while they don't, so that the hosts together settle where the store is just busy.
 class LoadLimiter {
 public:
-    bool mayStart() const { return m_inFlight < static_cast<int>(m_limit); }
+    bool mayStart() const
+    {
+        return m_inFlight == 0 || m_inFlight + m_peersInFlight < static_cast<int>(m_limit);
+    }
+    int inFlight() const { return m_inFlight; }
+    /// @param fetches under way at the engines of all other hosts.
+    void setPeersInFlight(int fetches) { m_peersInFlight = fetches; }
     void started() { ++m_inFlight; }
     /// A fetch has ended without telling how long fetches take.
     void abandoned() { --m_inFlight; }
@@ -35,18 +42,41 @@
     Duration fetchTime() const { return m_alone; }
     double limit() const { return m_limit; }
 
+    /// Tells how many fetches a scheduler would like to start.
+    void setWanted(const void* scheduler, int fetches)
+    {
+        int& wanted = m_wanted[scheduler];
+        m_totalWanted += fetches - wanted;
+        wanted = fetches;
+    }
+    void forget(const void* scheduler)
+    {
+        setWanted(scheduler, 0);
+        m_wanted.erase(scheduler);
+    }
+    /// @return how long a further fetch is expected to wait for its turn.
+    Duration expectedWait() const
+    {
+        const double own = std::max(1.0, m_limit - m_peersInFlight);
+        const double ahead = std::max(0.0, m_totalWanted + m_inFlight + 1 - own);
+        return std::chrono::duration_cast<Duration>(ahead / own * m_alone);
+    }
+
 private:
     static constexpr Duration shortestFetch = std::chrono::milliseconds(80);
-    static constexpr double lowest = 1;
-    static constexpr double highest = 64;
-    static constexpr double initial = 2;
-    static constexpr double increase = 0.25;
-    static constexpr double decrease = 0.7;
+    static constexpr double lowest = 4;
+    static constexpr double highest = 512;
+    static constexpr double initial = 8;
+    static constexpr double increase = 0.5;
+    static constexpr double decrease = 0.95;
     static constexpr double slowFactor = 1.35;
     /// The fastest fetch is forgotten slowly, by one part in so many with each fetch.
-    static constexpr int ageing = 200;
+    static constexpr int ageing = 1000;
 
     int m_inFlight = 0;
+    int m_peersInFlight = 0;
+    int m_totalWanted = 0;
+    std::unordered_map<const void*, int> m_wanted;
     double m_limit = initial;
     Duration m_alone = std::chrono::milliseconds(250);
 };
--- a/src/gateway/load_limiter_test.cc
+++ b/src/gateway/load_limiter_test.cc
@@ -15,11 +15,23 @@
         limiter.started();
         limiter.finished(1500ms);
     }
+    BOOST_TEST(limiter.limit() < 8);
+    limiter.setPeersInFlight(100);
     BOOST_TEST(limiter.mayStart());
     limiter.started();
     BOOST_TEST(!limiter.mayStart());
 }
 
+// Guards against hosts that together fetch more than the store serves at full speed.
+BOOST_AUTO_TEST_CASE(CountsTheFetchesOfOtherHosts)
+{
+    LoadLimiter limiter;
+    limiter.started();
+    BOOST_TEST(limiter.mayStart());
+    limiter.setPeersInFlight(static_cast<int>(limiter.limit()));
+    BOOST_TEST(!limiter.mayStart());
+}
+
 // Guards against a bound that stays low once the store is idle again.
 BOOST_AUTO_TEST_CASE(GrowsWhileFetchesAreFast)
 {
@@ -28,7 +40,7 @@
         limiter.started();
         limiter.finished(250ms);
     }
-    BOOST_TEST(limiter.limit() >= 4);
+    BOOST_TEST(limiter.limit() > 8);
 }
 
 // Guards against copies at the engine being taken for a fast store.
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -36,7 +36,8 @@
     for (const ModelId& model : summary.models)
         models.push_back(model.value());
     return Json::array({ summary.engine.value(), microseconds(summary.prefillBacklog), summary.running,
-        summary.waiting, summary.openPlaces, std::move(adapters), summary.isUsable, std::move(models) });
+        summary.waiting, summary.openPlaces, std::move(adapters), summary.isUsable, std::move(models),
+        microseconds(summary.fetchWait) });
 }
 
 EngineSummary decodeSummary(const Json& json)
@@ -55,6 +56,7 @@
     summary.isUsable = json.at(6).get<bool>();
     for (const Json& model : json.at(7))
         summary.models.emplace_back(model.get<std::string>());
+    summary.fetchWait = duration(json.at(8));
     return summary;
 }
 
@@ -74,6 +76,7 @@
     json.push_back(microseconds(message.usageKnownFor));
     json.push_back(std::move(usage));
     json.push_back(std::move(engines));
+    json.push_back(message.fetchesInFlight);
     return json;
 }
 
@@ -90,6 +93,7 @@
             report.at(2).get<int64_t>() });
     for (const Json& engine : json.at(7))
         message.engines.push_back(decodeSummary(engine));
+    message.fetchesInFlight = json.at(8).get<int>();
     return message;
 }
 
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -23,6 +23,8 @@
     /// For how long this host or the peers it heard have followed all spending.
     Duration usageKnownFor {};
     std::vector<UsageReport> usage;
+    /// Adapters that its engines fetch from the weight store.
+    int fetchesInFlight = 0;
     /// Engines that it owns.
     std::vector<EngineSummary> engines;
 };
