--- a/src/gateway/configuration_keeper.cc
+++ b/src/gateway/configuration_keeper.cc
@@ -17,7 +17,7 @@
     : m_scheduler(scheduler)
     , m_decoder(decoder)
     , m_handlers(std::move(handlers))
-    , m_feed(scheduler, store, *this, { decoder.operatorTable(), feedWait, Duration::zero() })
+    , m_feed(scheduler, store, *this, { decoder.operatorTable(), feedWait, [] { return Duration::zero(); } })
 {
 }
 
--- a/src/gateway/fleet_agent.cc
+++ b/src/gateway/fleet_agent.cc
@@ -14,7 +14,10 @@
 /// Part of the lease time between two renewals, in percent: one renewal may fail.
 constexpr int renewalPercent = 42;
 constexpr Duration claimInterval = std::chrono::milliseconds(300);
-/// Hosts that start together wait until they know each other before they divide the engines.
+/// While hosts come and go the table is read more often.
+constexpr Duration unsettledFeedInterval = std::chrono::milliseconds(200);
+constexpr Duration unsettledTime = std::chrono::seconds(3);
+/// Hosts of a new fleet wait until they know each other before they divide the engines.
 constexpr Duration settlingTime = std::chrono::milliseconds(700);
 constexpr Duration deadRowLifetime = std::chrono::seconds(20);
 constexpr size_t maximumRowsPerCall = 40;
@@ -45,7 +48,8 @@
           scheduler, [this] { return m_leaseTime * renewalPercent / 100; }, [this] { renew(); })
     , m_claimTimer(
           scheduler, [] { return claimInterval; }, [this] { reconsider(); })
-    , m_feed(scheduler, store, *this, { FleetRows::table, feedWait, feedInterval })
+    , m_feed(
+          scheduler, store, *this, { FleetRows::table, feedWait, [this] { return currentFeedInterval(); } })
 {
 }
 
@@ -73,6 +77,8 @@
     m_registry.reset(rows, now);
     if (!std::exchange(m_hasReadTable, true)) {
         m_ownVersion = m_registry.hostVersion(m_self.host);
+        // After a restart the rows of the other hosts still tell how many there are.
+        m_isKnownHost = m_ownVersion != RowVersion(0);
         renew();
     }
     ensureSecret();
@@ -140,7 +146,12 @@
     m_isRenewing = false;
     if (result.value) {
         m_ownVersion = *result.value;
+        const bool isFirst = !m_lastRenewal;
         m_lastRenewal = sent;
+        m_registry.apply({ FleetRows::hostKey(m_self.host), FleetRows::encode(m_self), m_ownVersion, false },
+            m_scheduler.now());
+        if (isFirst)
+            reconsider();
         return;
     }
     // The row was written by a late call or by an earlier start of this host.
@@ -148,6 +159,12 @@
         rereadOwnRow();
 }
 
+Duration FleetAgent::currentFeedInterval() const
+{
+    const bool isUnsettled = m_hasUnowned || m_scheduler.now() - m_started < unsettledTime;
+    return isUnsettled ? unsettledFeedInterval : feedInterval;
+}
+
 void FleetAgent::rereadOwnRow()
 {
     m_store.readRow(
@@ -164,11 +181,14 @@
 void FleetAgent::reconsider()
 {
     const MonotonicTime now = m_scheduler.now();
-    const bool isSettled = now - m_started > settlingTime;
+    const bool isSettled = m_isKnownHost || now - m_started > settlingTime;
     if (m_isReleased || m_isClaiming || !isSettled || !isSessionValid())
         return;
     const auto leaving = m_handlers.leavingHosts();
-    const auto engines = m_registry.enginesToClaim(m_handlers.engines(), leaving, now);
+    const std::set<UpstreamId> inUse = m_handlers.engines();
+    m_hasUnowned = std::any_of(inUse.begin(), inUse.end(),
+        [this, now](const UpstreamId& engine) { return !m_registry.owner(engine, now); });
+    const auto engines = m_registry.enginesToClaim(inUse, leaving, now);
     if (!engines.empty())
         claim(engines);
     removeDeadHosts();
--- a/src/gateway/fleet_agent.h
+++ b/src/gateway/fleet_agent.h
@@ -55,6 +55,7 @@
     void claimed(const std::vector<UpstreamId>& engines, const RowResult<RowVersion>& result);
     void reviewOwnership();
     void removeDeadHosts();
+    Duration currentFeedInterval() const;
 
     Scheduler& m_scheduler;
     RowStore& m_store;
@@ -72,6 +73,10 @@
     bool m_isClaiming = false;
     bool m_isReleased = false;
     bool m_hasReadTable = false;
+    /// The table had a row of an earlier start of this host.
+    bool m_isKnownHost = false;
+    /// Some engine in use had no living owner at the last look.
+    bool m_hasUnowned = false;
     PeriodicTimer m_renewalTimer;
     PeriodicTimer m_claimTimer;
     StoreFeed m_feed;
--- a/src/gateway/peer_mesh.cc
+++ b/src/gateway/peer_mesh.cc
@@ -7,12 +7,14 @@
 namespace {
 
 constexpr Duration heartbeatInterval = std::chrono::milliseconds(200);
-constexpr Duration connectInterval = std::chrono::milliseconds(250);
+constexpr Duration connectInterval = std::chrono::milliseconds(100);
+/// Time between two attempts to connect to the same peer.
+constexpr Duration attemptInterval = std::chrono::milliseconds(200);
 /// A peer is out of touch after this time without a heartbeat.
 constexpr Duration silenceTime = std::chrono::milliseconds(1000);
 constexpr Duration connectTimeout = std::chrono::milliseconds(500);
 /// The host with the higher id lets the other one connect first.
-constexpr Duration yieldTime = std::chrono::milliseconds(800);
+constexpr Duration yieldTime = std::chrono::milliseconds(600);
 
 } // namespace
 
@@ -84,8 +86,10 @@
         if (m_links->isConnected(host))
             continue;
         const auto [last, isFirst] = m_lastAttempt.try_emplace(host, now);
-        const bool mustYield = m_self.host < host ? false : now - last->second < yieldTime;
-        if (mustYield || (!isFirst && now - last->second < connectTimeout))
+        const bool isSecond = host < m_self.host;
+        const Duration pause = isSecond ? yieldTime : attemptInterval;
+        const bool isTooSoon = now - last->second < pause;
+        if (isTooSoon && (isSecond || !isFirst))
             continue;
         last->second = now;
         m_links->connect(host, record.peerAddress);
--- a/src/gateway/store_feed.cc
+++ b/src/gateway/store_feed.cc
@@ -76,7 +76,7 @@
         m_listener.tableRead(result.value->rows);
     else if (!result.value->rows.empty())
         m_listener.rowsChanged(result.value->rows);
-    scheduleNext(m_lastCall + m_options.interval - now);
+    scheduleNext(m_lastCall + m_options.interval() - now);
 }
 
 } // namespace lacewing::gateway
--- a/src/gateway/store_feed.h
+++ b/src/gateway/store_feed.h
@@ -4,6 +4,7 @@
 #include "base/scheduler.h"
 #include "state/row_store.h"
 
+#include <functional>
 #include <string>
 
 namespace lacewing::gateway {
@@ -31,9 +32,9 @@
         std::string table;
         /// How long the store may hold a call if nothing changes.
         Duration wait = std::chrono::seconds(1);
-        /// Shortest time between the starts of two calls; bounds the cost of a table that changes all the
-        /// time.
-        Duration interval {};
+        /// Shortest time between the starts of two calls, asked after each call; bounds the cost of a table
+        /// that changes all the time.
+        std::function<Duration()> interval = [] { return Duration::zero(); };
     };
 
     /// @param scheduler, store, listener must outlive the feed.
--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -20,7 +20,7 @@
     : m_scheduler(scheduler)
     , m_decoder(decoder)
     , m_onChange(std::move(onChange))
-    , m_feed(scheduler, store, *this, { decoder.upstreamTable(), feedWait, feedInterval })
+    , m_feed(scheduler, store, *this, { decoder.upstreamTable(), feedWait, [] { return feedInterval; } })
 {
 }
 
