--- a/src/gateway/configuration_keeper.cc
+++ b/src/gateway/configuration_keeper.cc
@@ -2,6 +2,8 @@
 
 #include "base/log.h"
 
+#include <algorithm>
+
 namespace lacewing::gateway {
 
 namespace {
@@ -21,10 +23,27 @@
 {
 }
 
+std::optional<Duration> ConfigurationKeeper::age() const
+{
+    const auto ofFeed = m_feed.age();
+    if (!m_confirmed)
+        return ofFeed;
+    const Duration ofPeer = m_scheduler.now() - *m_confirmed;
+    return ofFeed ? std::min(*ofFeed, ofPeer) : ofPeer;
+}
+
 bool ConfigurationKeeper::isFresh() const
 {
-    const auto age = m_feed.age();
-    return age && *age < freshness;
+    const auto current = age();
+    return current && *current < freshness;
+}
+
+void ConfigurationKeeper::peerConfirmed(RowVersion version, Duration age)
+{
+    if (version != m_rowVersion)
+        return;
+    const MonotonicTime time = m_scheduler.now() - age;
+    m_confirmed = m_confirmed ? std::max(*m_confirmed, time) : time;
 }
 
 void ConfigurationKeeper::rowsChanged(const std::vector<StoredRow>& rows)
--- a/src/gateway/configuration_keeper.h
+++ b/src/gateway/configuration_keeper.h
@@ -34,6 +34,10 @@
     RowVersion rowVersion() const { return m_rowVersion; }
     /// @return the row's value, for peers.
     const std::string& rowValue() const { return m_rowValue; }
+    /// @return time since the configuration was last known to be the newest, or nothing before that.
+    std::optional<Duration> age() const;
+    /// A peer has the same row and knew it to be the newest some time ago.
+    void peerConfirmed(RowVersion version, Duration age);
     /// Takes over a row from a peer if it is newer.
     void peerOffered(RowVersion version, const std::string& value);
 
@@ -53,7 +57,8 @@
     RowVersion m_rowVersion;
     std::string m_rowValue;
     std::map<AdapterRef, int64_t> m_releases;
-    MonotonicTime m_offered;
+    /// When a peer's confirmation of the row in force dates from.
+    std::optional<MonotonicTime> m_confirmed;
     StoreFeed m_feed;
 };
 
--- /dev/null
+++ b/src/gateway/configuration_keeper_test.cc
@@ -0,0 +1,103 @@
+#include "gateway/configuration_keeper.h"
+
+#include "base/virtual_scheduler.h"
+#include "gateway/fake_row_store_test.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lacewing;
+using namespace lacewing::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Configuration rows hold their revision as a number.
+class NumberRowDecoder : public RowDecoder {
+public:
+    std::string operatorTable() const override { return "op"; }
+    std::string upstreamTable() const override { return "servers"; }
+    std::string configurationKey() const override { return "config"; }
+    std::shared_ptr<const ServingConfiguration> readConfiguration(
+        const std::string& value, std::string& reason) const override
+    {
+        if (value.find_first_not_of("0123456789") != std::string::npos) {
+            reason = "not a number";
+            return nullptr;
+        }
+        return ServingConfiguration::Builder(Revision(std::stoll(value))).build();
+    }
+    std::optional<AdapterRelease> readRelease(const StoredRow&) const override { return std::nullopt; }
+    std::optional<UpstreamEntry> readUpstream(const StoredRow&) const override { return std::nullopt; }
+};
+
+struct Fixture {
+    int64_t revision() const { return keeper.current() ? keeper.current()->revision().value() : 0; }
+    void put(const char* value) { store.put({ "op", "config" }, value); }
+
+    VirtualScheduler scheduler;
+    FakeRowStore store { scheduler };
+    NumberRowDecoder decoder;
+    int applied = 0;
+    ConfigurationKeeper keeper { scheduler, store, decoder,
+        { [this] { ++applied; }, [](const AdapterRelease&) {} } };
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ConfigurationKeeperTest)
+
+// Guards against a change that takes effect late, and against an unreadable one that takes effect at all.
+BOOST_AUTO_TEST_CASE(FollowsTheStore)
+{
+    Fixture fixture;
+    fixture.put("3");
+    fixture.keeper.start();
+    fixture.scheduler.advance(100ms);
+    BOOST_TEST(fixture.revision() == 3);
+    fixture.scheduler.advance(5s);
+    fixture.put("8");
+    fixture.scheduler.advance(100ms);
+    BOOST_TEST(fixture.revision() == 8);
+    fixture.put("broken");
+    fixture.scheduler.advance(100ms);
+    BOOST_TEST(fixture.revision() == 8);
+}
+
+// Guards against a host that the store refuses missing a change which its peers know, and against going back.
+BOOST_AUTO_TEST_CASE(TakesANewerRowFromAPeerButNeverAnOlderOne)
+{
+    Fixture fixture;
+    fixture.put("3");
+    fixture.keeper.start();
+    fixture.scheduler.advance(100ms);
+    fixture.store.fault = RowStoreError::Refused;
+    fixture.keeper.peerOffered(RowVersion(9), "5");
+    BOOST_TEST(fixture.revision() == 5);
+    fixture.keeper.peerOffered(RowVersion(8), "4");
+    BOOST_TEST(fixture.revision() == 5);
+    fixture.store.fault.reset();
+    fixture.scheduler.advance(5s);
+    BOOST_TEST(fixture.revision() == 5);
+}
+
+// Guards against denials by a host that can't know what was added meanwhile.
+BOOST_AUTO_TEST_CASE(IsFreshOnlyWhileTheStoreOrAPeerConfirmsIt)
+{
+    Fixture fixture;
+    fixture.put("3");
+    fixture.keeper.start();
+    BOOST_TEST(!fixture.keeper.isFresh());
+    fixture.scheduler.advance(3s);
+    BOOST_TEST(fixture.keeper.isFresh());
+    fixture.store.fault = RowStoreError::Refused;
+    fixture.scheduler.advance(5s);
+    BOOST_TEST(!fixture.keeper.isFresh());
+    fixture.keeper.peerConfirmed(fixture.keeper.rowVersion(), 300ms);
+    BOOST_TEST(fixture.keeper.isFresh());
+    fixture.scheduler.advance(3s);
+    BOOST_TEST(!fixture.keeper.isFresh());
+    fixture.keeper.peerConfirmed(RowVersion(99), 0ms);
+    BOOST_TEST(!fixture.keeper.isFresh());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -77,6 +77,7 @@
     , m_usageKnownSince(m_settings.isFirstStart ? m_started - m_settings.usageWindow : m_started)
 {
     m_broker.connect(m_owners, m_mesh);
+    m_usage.setTolerance(m_settings.usageTolerance);
 }
 
 Gateway::~Gateway() = default;
@@ -130,6 +131,7 @@
     m_settings.directoryLifetime = settings.directoryLifetime;
     m_fleet.setLeaseTime(settings.leaseTime);
     m_usage.setWindow(settings.usageWindow);
+    m_usage.setTolerance(settings.usageTolerance);
     m_retries.setLimits(settings.retries);
     LogEvent(LogLevel::Info, "settings_reloaded").with("host", m_settings.host);
 }
@@ -200,6 +202,7 @@
     heartbeat.isReady = isReady();
     heartbeat.isStopping = m_isStopping;
     heartbeat.configurationVersion = m_configuration.rowVersion();
+    heartbeat.configurationAge = m_configuration.age();
     heartbeat.usageKnownFor = m_loop.now() - m_usageKnownSince;
     heartbeat.usage = m_usage.report(m_loop.now());
     heartbeat.fetchesInFlight = m_owners.loads().inFlight();
@@ -216,6 +219,8 @@
         m_usageKnownSince = std::min(m_usageKnownSince, now - knownFor);
         m_usage.knownSince(m_usageKnownSince);
         offerConfiguration(peer, *heartbeat);
+        if (heartbeat->configurationAge)
+            m_configuration.peerConfirmed(heartbeat->configurationVersion, *heartbeat->configurationAge);
         int fetches = 0;
         for (const auto& [host, state] : m_mesh.peersInTouch())
             fetches += state->heartbeat.fetchesInFlight;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -106,6 +106,8 @@
         { "leaseMilliseconds", { durationField(settings.leaseTime, millisecond), false } },
         { "stopSeconds", { durationField(settings.stopTime, second), false } },
         { "usageWindowSeconds", { durationField(settings.usageWindow, second), false } },
+        { "usageToleranceShare", { numberField(settings.usageTolerance.share), false } },
+        { "usageToleranceAmount", { numberField(settings.usageTolerance.amount), false } },
         { "retryRatio", { numberField(settings.retries.ratio), false } },
         { "retrySlack", { numberField(settings.retries.slack), false } },
         { "retryWindowSeconds", { durationField(settings.retries.window, second), false } },
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "gateway/retry_allowance.h"
+#include "gateway/usage_ledger.h"
 #include "transport/http_message.h"
 
 #include <optional>
@@ -31,6 +32,8 @@
     Duration stopTime = std::chrono::seconds(8);
     /// Window in which the limits of workspaces hold.
     Duration usageWindow = std::chrono::seconds(8);
+    /// What workspaces may exceed their limits by while hosts can't know of each other.
+    UsageTolerance usageTolerance;
     RetryLimits retries;
     /// How long callers may keep an answer of the directory.
     Duration directoryLifetime = std::chrono::seconds(1);
--- a/src/gateway/peer_mesh.cc
+++ b/src/gateway/peer_mesh.cc
@@ -2,16 +2,22 @@
 
 #include "base/log.h"
 
+#include <algorithm>
+
 namespace lacewing::gateway {
 
 namespace {
 
-constexpr Duration heartbeatInterval = std::chrono::milliseconds(200);
+constexpr Duration shortestHeartbeatInterval = std::chrono::milliseconds(200);
+constexpr Duration longestHeartbeatInterval = std::chrono::milliseconds(1000);
+/// Each host hears one heartbeat in this time on average, however many hosts there are.
+constexpr Duration heartbeatSpacing = std::chrono::milliseconds(8);
 constexpr Duration connectInterval = std::chrono::milliseconds(100);
 /// Time between two attempts to connect to the same peer.
 constexpr Duration attemptInterval = std::chrono::milliseconds(200);
-/// A peer is out of touch after this time without a heartbeat.
-constexpr Duration silenceTime = std::chrono::milliseconds(1000);
+/// A peer is out of touch after this time without a heartbeat, or after so many intervals.
+constexpr Duration shortestSilenceTime = std::chrono::milliseconds(1000);
+constexpr int silentIntervals = 3;
 constexpr Duration connectTimeout = std::chrono::milliseconds(500);
 /// The host with the higher id lets the other one connect first.
 constexpr Duration yieldTime = std::chrono::milliseconds(600);
@@ -23,12 +29,23 @@
     , m_self(std::move(self))
     , m_handlers(std::move(handlers))
     , m_heartbeatTimer(
-          loop, [] { return heartbeatInterval; }, [this] { sendHeartbeats(); })
+          loop, [this] { return heartbeatInterval(); }, [this] { sendHeartbeats(); })
     , m_connectTimer(
           loop, [] { return connectInterval; }, [this] { connectMissing(); })
 {
 }
 
+Duration PeerMesh::heartbeatInterval() const
+{
+    const Duration spaced = heartbeatSpacing * static_cast<int64_t>(m_hosts.size());
+    return std::clamp(spaced, shortestHeartbeatInterval, longestHeartbeatInterval);
+}
+
+Duration PeerMesh::silenceTime() const
+{
+    return std::max(shortestSilenceTime, heartbeatInterval() * silentIntervals);
+}
+
 void PeerMesh::update(const FleetRegistry& registry)
 {
     if (!m_links && registry.linkSecret())
@@ -55,7 +72,7 @@
     options.listenAddress = m_self.peerAddress;
     options.secret = secret;
     options.connectTimeout = connectTimeout;
-    options.silenceTimeout = silenceTime;
+    options.silenceTimeout = shortestSilenceTime * 2;
     PeerLinkHandlers handlers;
     handlers.onConnected = [this](const PeerIdentity& peer) {
         LogEvent(LogLevel::Info, "peer_connected").with("peer", peer.host);
@@ -136,7 +153,7 @@
 bool PeerMesh::isInTouch(const HostId& peer) const
 {
     const auto found = m_states.find(peer);
-    return found != m_states.end() && m_loop.now() - found->second.heard < silenceTime;
+    return found != m_states.end() && m_loop.now() - found->second.heard < silenceTime();
 }
 
 std::optional<HostId> PeerMesh::ownerOf(const UpstreamId& engine) const
@@ -156,7 +173,7 @@
 {
     std::map<HostId, const PeerState*> peers;
     for (const auto& [host, state] : m_states) {
-        if (m_loop.now() - state.heard < silenceTime)
+        if (m_loop.now() - state.heard < silenceTime())
             peers.emplace(host, &state);
     }
     return peers;
--- a/src/gateway/peer_mesh.h
+++ b/src/gateway/peer_mesh.h
@@ -46,6 +46,8 @@
     const std::map<HostId, HostRecord>& hosts() const { return m_hosts; }
 
 private:
+    Duration heartbeatInterval() const;
+    Duration silenceTime() const;
     void listen(const std::string& secret);
     void connectMissing();
     void received(const HostId& peer, std::string_view frame);
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -77,6 +77,7 @@
     json.push_back(std::move(usage));
     json.push_back(std::move(engines));
     json.push_back(message.fetchesInFlight);
+    json.push_back(message.configurationAge ? Json(microseconds(*message.configurationAge)) : Json());
     return json;
 }
 
@@ -94,6 +95,8 @@
     for (const Json& engine : json.at(7))
         message.engines.push_back(decodeSummary(engine));
     message.fetchesInFlight = json.at(8).get<int>();
+    if (!json.at(9).is_null())
+        message.configurationAge = duration(json.at(9));
     return message;
 }
 
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -20,6 +20,8 @@
     bool isStopping = false;
     /// Store version of the configuration in force.
     RowVersion configurationVersion;
+    /// Time since the host knew this to be the newest; nothing if it never did.
+    std::optional<Duration> configurationAge;
     /// For how long this host or the peers it heard have followed all spending.
     Duration usageKnownFor {};
     std::vector<UsageReport> usage;
--- a/src/gateway/peer_message_test.cc
+++ b/src/gateway/peer_message_test.cc
@@ -16,6 +16,7 @@
     message.incarnation = Incarnation(77);
     message.isReady = true;
     message.configurationVersion = RowVersion(12);
+    message.configurationAge = 250ms;
     message.usageKnownFor = 3s;
     message.usage.push_back({ WorkspaceId("busy"), 900, 300 });
     EngineSummary engine;
--- a/src/gateway/usage_ledger.cc
+++ b/src/gateway/usage_ledger.cc
@@ -12,6 +12,8 @@
 constexpr Duration longestRetryAfter = std::chrono::seconds(2);
 /// Part of what is left that one host may spend between two reports, in multiples of its even share.
 constexpr double unreportedShares = 2;
+/// Part of the tolerance that is used while the past is not known.
+constexpr double toleranceUse = 0.6;
 
 } // namespace
 
@@ -45,7 +47,11 @@
     const double windowSeconds = toSeconds(m_window);
     const double sinceStart = std::min(toSeconds(now - m_knownSince), windowSeconds);
     const double burstShare = sinceStart / windowSeconds;
-    return limit.ratePerSecond * std::max(1.0, sinceStart) + limit.burst * burstShare;
+    const double whole = limit.ratePerSecond * windowSeconds + limit.burst;
+    if (sinceStart >= windowSeconds)
+        return whole;
+    const double known = limit.ratePerSecond * std::max(1.0, sinceStart) + limit.burst * burstShare;
+    return std::min(whole, known + toleranceUse * (m_tolerance.share * whole + m_tolerance.amount));
 }
 
 double UsageLedger::knownUsage(const WorkspaceId& workspace, double evenShare, MonotonicTime now)
--- a/src/gateway/usage_ledger.h
+++ b/src/gateway/usage_ledger.h
@@ -21,6 +21,14 @@
     int64_t inWindow = 0;
 };
 
+/// What may be spent beyond a limit while hosts can't know what others have spent.
+struct UsageTolerance {
+    /// Part of the limit.
+    double share = 0;
+    /// In the unit of the limit.
+    double amount = 0;
+};
+
 /// Bounds what all hosts together let a workspace spend in any window.
 ///
 /// Load pattern: one workspace sends many times its usual through all hosts at once, and hosts lose touch
@@ -60,6 +68,7 @@
     /// @param members all hosts that may spend, this one included, and whether each is in touch.
     void setMembers(const std::map<HostId, bool>& members) { m_members = members; }
     void setWindow(Duration window) { m_window = window; }
+    void setTolerance(const UsageTolerance& tolerance) { m_tolerance = tolerance; }
     /// Tells that a peer has followed all spending since an earlier time.
     void knownSince(MonotonicTime time) { m_knownSince = std::min(m_knownSince, time); }
 
@@ -87,6 +96,7 @@
     Duration m_window;
     HostId m_self;
     MonotonicTime m_knownSince;
+    UsageTolerance m_tolerance;
     Refusal m_lastRefusal;
     std::map<HostId, bool> m_members;
     std::map<WorkspaceId, Account> m_own;
