--- a/src/daemon/fake_exchange_test.h
+++ b/src/daemon/fake_exchange_test.h
@@ -38,7 +38,11 @@
     }
     void sendChunk(std::string_view bytes) override { answerBody += bytes; }
     void endStream() override { isEnded = true; }
-    void abort() override { isEnded = true; }
+    void abort() override
+    {
+        isEnded = true;
+        isAborted = true;
+    }
     size_t bufferedBytes() const override { return buffered; }
     bool isOpen() const override { return !isEnded; }
     void onClientLeft(std::function<void()> callback) override { clientLeft = std::move(callback); }
@@ -50,6 +54,8 @@
     HttpHeaders answerHeaders;
     std::string answerBody;
     bool isEnded = false;
+    /// Ended without a complete answer.
+    bool isAborted = false;
     size_t buffered = 0;
     std::function<void()> clientLeft;
     std::function<void()> drained;
--- a/src/gateway/call_services.h
+++ b/src/gateway/call_services.h
@@ -2,6 +2,7 @@
 
 #include "base/metrics.h"
 #include "base/random.h"
+#include "base/scheduler.h"
 #include "gateway/call_attributes.h"
 #include "gateway/configuration_keeper.h"
 #include "gateway/engine_view.h"
@@ -10,14 +11,13 @@
 #include "gateway/upstream_directory.h"
 #include "gateway/upstream_picker.h"
 #include "gateway/usage_ledger.h"
-#include "transport/event_loop.h"
 #include "transport/http_client.h"
 
 namespace lacewing::gateway {
 
 /// What callers' requests use. All outlive the requests.
 struct CallServices {
-    EventLoop& loop;
+    Scheduler& loop;
     HttpClient& client;
     const CallTranslator& translator;
     const ConfigurationKeeper& configuration;
--- a/src/gateway/caller_call.cc
+++ b/src/gateway/caller_call.cc
@@ -416,7 +416,8 @@
         handleNotExecuted();
         return;
     }
-    if (isWhole && (m_hasStartedAnswer || m_answer->isEventStream) && isSuccess(m_answer->status)) {
+    const bool isWholeStream = isWhole && m_answer->isEventStream && isSuccess(m_answer->status);
+    if (isWholeStream) {
         exchangeEnded(ExchangeOutcome::Answered, RunOutcome::Finished);
         forwardAnswer();
         return;
@@ -443,8 +444,13 @@
             handleFailure(result.error ? lacewing::toString(*result.error) : "foreign_answer");
         return;
     }
-    const bool isFailure = m_answer->status >= 500;
+    const bool isFailure = m_answer->status >= 500 || m_hasStartedAnswer;
     exchangeEnded(isFailure ? ExchangeOutcome::Failed : ExchangeOutcome::Answered, RunOutcome::Finished);
+    if (m_hasStartedAnswer) {
+        // The stream was to go on here, but the upstream answered with something else.
+        handleBrokenStream();
+        return;
+    }
     if (isFailure && mayRepeat() && trySendAgain()) {
         chooseUpstream();
         return;
--- /dev/null
+++ b/src/gateway/caller_call_test.cc
@@ -0,0 +1,376 @@
+#include "gateway/caller_call.h"
+
+#include "base/virtual_scheduler.h"
+#include "daemon/fake_exchange_test.h"
+#include "gateway/fake_row_store_test.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace lacewing;
+using namespace lacewing::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceId service("plain");
+
+/// One call that the gateway has made to an upstream.
+struct UpstreamCall {
+    HttpClientRequest request;
+    HttpClientHandlers handlers;
+    bool isCancelled = false;
+
+    void head(int status, const std::string& id, bool isStream, bool isSealed = true)
+    {
+        HttpHeaders headers { { "id", id } };
+        if (isStream)
+            headers.add("stream", "1");
+        if (isSealed)
+            headers.add("seal", "1");
+        handlers.onHeaders(status, headers);
+    }
+    void notExecuted(int status)
+    {
+        handlers.onHeaders(status, { { "not-executed", "1" } });
+        handlers.onDone({ std::nullopt, true, status });
+    }
+    void end(std::optional<HttpClientError> error = std::nullopt, bool wasSent = true)
+    {
+        handlers.onDone({ error, wasSent, 0 });
+    }
+};
+
+class FakeHttpClient : public HttpClient {
+public:
+    std::unique_ptr<HttpClientCall> send(HttpClientRequest request, HttpClientHandlers handlers) override
+    {
+        auto call = std::make_shared<UpstreamCall>();
+        call->request = std::move(request);
+        call->handlers = std::move(handlers);
+        calls.push_back(call);
+        return std::make_unique<Handle>(call);
+    }
+    size_t connectionCount() const override { return calls.size(); }
+
+    std::vector<std::shared_ptr<UpstreamCall>> calls;
+
+private:
+    struct Handle : HttpClientCall {
+        explicit Handle(std::shared_ptr<UpstreamCall> call)
+            : call(std::move(call))
+        {
+        }
+        ~Handle() override { call->isCancelled = true; }
+        void cancel() override { call->isCancelled = true; }
+        void pauseReading() override { }
+        void resumeReading() override { }
+
+        std::shared_ptr<UpstreamCall> call;
+    };
+};
+
+/// Short field names in place of the platform's.
+class PlainTranslator : public CallTranslator {
+public:
+    CallAttributes readRequest(const HttpHeaders& headers) const override
+    {
+        CallAttributes attributes;
+        attributes.requestId = headers.find("id").value_or("");
+        attributes.key = headers.find("key");
+        attributes.deadline = 4s;
+        return attributes;
+    }
+    HttpHeaders upstreamHeaders(const HttpHeaders&, const ForwardingFields& fields) const override
+    {
+        HttpHeaders headers { { "expect", fields.expectedUpstream.value() } };
+        if (fields.lastEventId)
+            headers.add("last-event", *fields.lastEventId);
+        if (fields.deadline)
+            headers.add("deadline", std::to_string(toMilliseconds(*fields.deadline)));
+        return headers;
+    }
+    AnswerAttributes readAnswer(int status, const HttpHeaders& headers) const override
+    {
+        AnswerAttributes attributes;
+        attributes.status = status;
+        attributes.requestId = headers.find("id").value_or("");
+        attributes.isSealed = headers.count("seal") > 0;
+        attributes.isEventStream = headers.count("stream") > 0;
+        attributes.isNotExecuted = headers.count("not-executed") > 0;
+        return attributes;
+    }
+    HttpHeaders callerHeaders(const HttpHeaders& headers) const override { return headers; }
+    HttpHeaders ownAnswerHeaders(const std::string&, std::optional<Duration> retryAfter) const override
+    {
+        HttpHeaders headers;
+        if (retryAfter)
+            headers.add("retry", "1");
+        return headers;
+    }
+};
+
+/// Upstreams are "ready"; the configuration is built in.
+class BuiltInRows : public RowDecoder {
+public:
+    std::string operatorTable() const override { return "op"; }
+    std::string upstreamTable() const override { return "servers"; }
+    std::string configurationKey() const override { return "config"; }
+    std::shared_ptr<const ServingConfiguration> readConfiguration(
+        const std::string&, std::string&) const override
+    {
+        ServingConfiguration::Builder builder(Revision(1));
+        builder.add(route("/once/", RouteKind::AtMostOnce, 1, false));
+        builder.add(route("/safe/", RouteKind::Idempotent, 2, false));
+        builder.add(route("/stream/", RouteKind::Stream, 1, false));
+        builder.add(route("/resume/", RouteKind::Stream, 2, true));
+        ServiceConfiguration plain;
+        plain.id = service;
+        builder.add(plain);
+        ServingWorkspace workspace;
+        workspace.id = WorkspaceId("w-1");
+        builder.add(workspace, { "key-1" });
+        return builder.build();
+    }
+    std::optional<AdapterRelease> readRelease(const StoredRow&) const override { return std::nullopt; }
+    std::optional<UpstreamEntry> readUpstream(const StoredRow& row) const override
+    {
+        UpstreamEntry entry;
+        entry.id = UpstreamId(row.id.key);
+        entry.service = service;
+        entry.address = { "127.0.0.1", 1 };
+        return entry;
+    }
+
+private:
+    static Route route(const char* prefix, RouteKind kind, int attempts, bool isResumable)
+    {
+        Route route;
+        route.id = RouteId(prefix);
+        route.host = "a.example";
+        route.pathPrefix = prefix;
+        route.kind = kind;
+        route.maximumAttempts = attempts;
+        route.isResumable = isResumable;
+        route.timeout = 3s;
+        route.targetLatency = 200ms;
+        route.services = { { service, 1 } };
+        return route;
+    }
+};
+
+struct Fixture {
+    Fixture()
+    {
+        store.put({ "op", "config" }, "{}");
+        store.put({ "servers", "s-1" }, "ready");
+        store.put({ "servers", "s-2" }, "ready");
+        configuration.start();
+        upstreams.start();
+        scheduler.advance(50ms);
+        for (int request = 0; request < 100; ++request)
+            retries.countRequest(service, scheduler.now());
+    }
+
+    void send(const char* path, const char* key = "key-1")
+    {
+        exchange = std::make_shared<FakeExchange>(
+            "POST", path, HttpHeaders { { "Host", "a.example" }, { "id", "r-1" }, { "key", key } }, "");
+        call = std::make_shared<CallerCall>(services, exchange, [](CallerCall*) {});
+        call->start();
+    }
+    UpstreamCall& upstream(size_t index) { return *client.calls.at(index); }
+
+    VirtualScheduler scheduler;
+    EventLoop loop;
+    FakeRowStore store { scheduler };
+    BuiltInRows rows;
+    PlainTranslator translator;
+    FakeHttpClient client;
+    ConfigurationKeeper configuration { scheduler, store, rows, { [] {}, [](const AdapterRelease&) {} } };
+    UpstreamDirectory upstreams { scheduler, store, rows, [] {} };
+    HostRecord self { HostId("host-1"), Incarnation(1), { "127.0.0.1", 1 }, { "127.0.0.1", 2 },
+        DataCentreId("dc-1"), 0 };
+    FleetAgent fleet { scheduler, store, self, 3s,
+        { [] {}, [](const UpstreamId&, FencingNumber) {}, [](const UpstreamId&) {},
+            [] { return std::set<UpstreamId>(); }, [] { return std::set<HostId>(); } } };
+    PeerMesh mesh { loop, self, {} };
+    struct NoControl : EngineControl {
+        void order(const EngineTarget&, const AdapterOrder&, OrderCallback) override { }
+        void report(const EngineTarget&, ReportCallback) override { }
+    } control;
+    EngineOwners owners { scheduler, control, upstreams, configuration, self.host, {} };
+    UpstreamPicker picker { 1 };
+    RunBroker broker { scheduler, self.host };
+    EngineView view { scheduler, upstreams, fleet, mesh, owners, picker, self.host, self.dataCentre };
+    UsageLedger usage { 8s, self.host, MonotonicTime() };
+    RetryAllowance retries { RetryLimits() };
+    MetricsRegistry metrics;
+    Random random { 1 };
+    CallServices services { scheduler, client, translator, configuration, upstreams, view, broker, picker,
+        usage, retries, metrics, random, self.dataCentre };
+    std::shared_ptr<FakeExchange> exchange;
+    std::shared_ptr<CallerCall> call;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CallerCallTest)
+
+BOOST_AUTO_TEST_CASE(PassesAnAnswerOn)
+{
+    Fixture fixture;
+    fixture.send("/once/1");
+    fixture.upstream(0).head(200, "r-1", false);
+    fixture.upstream(0).handlers.onBody("seat 7");
+    fixture.upstream(0).end();
+    BOOST_TEST(fixture.exchange->answerStatus == 200);
+    BOOST_TEST(fixture.exchange->answerBody == "seat 7");
+}
+
+// Guards against a second run of a request that may run once at most, and against a refusal that promises
+// that it has not run.
+BOOST_AUTO_TEST_CASE(ARequestThatMayHaveRunIsNotRepeatedNorRefused)
+{
+    Fixture fixture;
+    fixture.send("/once/1");
+    fixture.upstream(0).end(HttpClientError::ConnectionLost);
+    BOOST_TEST(fixture.client.calls.size() == 1);
+    BOOST_TEST(fixture.exchange->answerStatus == 502);
+    fixture.send("/once/1");
+    fixture.upstream(1).head(503, "r-1", false);
+    fixture.upstream(1).end();
+    BOOST_TEST(fixture.client.calls.size() == 2);
+    BOOST_TEST(fixture.exchange->answerStatus == 502);
+}
+
+// Guards against giving up although the upstream says that it has not run the request.
+BOOST_AUTO_TEST_CASE(ARequestThatWasNotExecutedGoesToAnotherUpstream)
+{
+    Fixture fixture;
+    fixture.send("/once/1");
+    fixture.upstream(0).notExecuted(503);
+    BOOST_REQUIRE(fixture.client.calls.size() == 2);
+    BOOST_TEST(fixture.upstream(0).request.headers.find("expect").value()
+        != fixture.upstream(1).request.headers.find("expect").value());
+    fixture.upstream(1).notExecuted(503);
+    BOOST_TEST(fixture.exchange->answerStatus == 503);
+    BOOST_TEST(fixture.exchange->answerHeaders.count("retry") == 1);
+}
+
+// Guards against an answer to another request, or one that nobody vouches for, being passed on.
+BOOST_AUTO_TEST_CASE(ForeignAndUnvouchedAnswersAreNotPassedOn)
+{
+    Fixture fixture;
+    fixture.send("/once/1");
+    fixture.upstream(0).head(200, "r-0", false);
+    fixture.upstream(0).handlers.onBody("other");
+    fixture.upstream(0).end();
+    BOOST_TEST(fixture.exchange->answerStatus == 502);
+    fixture.send("/once/1");
+    fixture.upstream(1).head(200, "r-1", false, false);
+    fixture.upstream(1).end();
+    BOOST_TEST(fixture.exchange->answerStatus == 502);
+}
+
+// Guards against a stream that broke off looking complete.
+BOOST_AUTO_TEST_CASE(ABrokenStreamIsAborted)
+{
+    Fixture fixture;
+    fixture.send("/stream/1");
+    fixture.upstream(0).head(200, "r-1", true);
+    fixture.upstream(0).handlers.onBody("id: 1\ndata: a\n\nid: 2\nda");
+    fixture.upstream(0).end(HttpClientError::ConnectionLost);
+    BOOST_TEST(fixture.exchange->answerBody == "id: 1\ndata: a\n\n");
+    BOOST_TEST(fixture.exchange->isAborted);
+    BOOST_TEST(fixture.client.calls.size() == 1);
+}
+
+// Guards against a missing or repeated event when a stream goes on at another engine.
+BOOST_AUTO_TEST_CASE(AResumableStreamGoesOnElsewhere)
+{
+    Fixture fixture;
+    fixture.send("/resume/1");
+    fixture.upstream(0).head(200, "r-1", true);
+    fixture.upstream(0).handlers.onBody("id: 1\ndata: a\n\nid: 2\nda");
+    fixture.upstream(0).end(HttpClientError::ConnectionLost);
+    BOOST_REQUIRE(fixture.client.calls.size() == 2);
+    BOOST_TEST(fixture.upstream(1).request.headers.find("last-event").value() == "1");
+    fixture.upstream(1).head(200, "r-1", true);
+    fixture.upstream(1).handlers.onBody("id: 2\ndata: b\n\n");
+    fixture.upstream(1).end();
+    BOOST_TEST(fixture.exchange->answerBody == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    BOOST_TEST(fixture.exchange->isEnded);
+    BOOST_TEST(!fixture.exchange->isAborted);
+}
+
+// Guards against a stream that ends as complete because the engine where it was to go on failed
+// (hunt on falaj-mf, trouble-1, seed 45357281704).
+BOOST_AUTO_TEST_CASE(AFailureWhereAStreamGoesOnDoesNotCompleteIt)
+{
+    for (const int status : { 500, 404, 200 }) {
+        Fixture fixture;
+        fixture.send("/resume/1");
+        fixture.upstream(0).head(200, "r-1", true);
+        fixture.upstream(0).handlers.onBody("id: 1\ndata: a\n\n");
+        fixture.upstream(0).end(HttpClientError::ConnectionLost);
+        BOOST_REQUIRE(fixture.client.calls.size() == 2);
+        fixture.upstream(1).head(status, "r-1", false);
+        fixture.upstream(1).handlers.onBody("an error page");
+        fixture.upstream(1).end();
+        BOOST_TEST(fixture.exchange->answerBody == "id: 1\ndata: a\n\n");
+        BOOST_TEST(fixture.exchange->isAborted);
+    }
+}
+
+// Guards against work that goes on at an upstream after the caller has left.
+BOOST_AUTO_TEST_CASE(ACallersLeaveCancelsTheUpstream)
+{
+    Fixture fixture;
+    fixture.send("/stream/1");
+    fixture.exchange->clientLeft();
+    BOOST_TEST(fixture.upstream(0).isCancelled);
+}
+
+// Guards against a caller that waits longer than the route allows, and against a false promise then.
+BOOST_AUTO_TEST_CASE(TheRoutesTimeoutEndsTheCall)
+{
+    Fixture fixture;
+    fixture.send("/once/1");
+    fixture.scheduler.advance(2900ms);
+    BOOST_TEST(fixture.exchange->answerStatus == 0);
+    fixture.scheduler.advance(200ms);
+    BOOST_TEST(fixture.exchange->answerStatus == 504);
+    BOOST_TEST(fixture.upstream(0).isCancelled);
+}
+
+// Load: an upstream goes dark. Guards against idempotent requests that wait for it until their timeout.
+BOOST_AUTO_TEST_CASE(AnIdempotentRequestLeavesASilentUpstream)
+{
+    Fixture fixture;
+    fixture.send("/safe/1");
+    fixture.scheduler.advance(160ms);
+    BOOST_REQUIRE(fixture.client.calls.size() == 2);
+    BOOST_TEST(fixture.upstream(0).isCancelled);
+    fixture.upstream(1).head(200, "r-1", false);
+    fixture.upstream(1).end();
+    BOOST_TEST(fixture.exchange->answerStatus == 200);
+}
+
+// Guards against keys that open nothing, and against denials by a host that can't know.
+BOOST_AUTO_TEST_CASE(UnknownKeysAndRoutesAreDeniedOnlyWhileTheConfigurationIsFresh)
+{
+    Fixture fixture;
+    fixture.send("/once/1", "key-2");
+    BOOST_TEST(fixture.exchange->answerStatus == 401);
+    fixture.send("/nowhere/1");
+    BOOST_TEST(fixture.exchange->answerStatus == 404);
+    fixture.store.fault = RowStoreError::Refused;
+    fixture.scheduler.advance(6s);
+    fixture.send("/once/1", "key-2");
+    BOOST_TEST(fixture.exchange->answerStatus == 503);
+    BOOST_TEST(fixture.client.calls.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
