--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -1,6 +1,10 @@
 #include "base/log.h"
 
 #include <glog/logging.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <utility>
 
 namespace lacewing {
 
@@ -28,6 +32,62 @@
     return text + "\"";
 }
 
+/// Writes lines to standard output as far as its reader keeps up.
+class StandardOutputSink : public google::LogSink {
+public:
+    explicit StandardOutputSink(int linesPerSecond)
+        : m_linesPerSecond(linesPerSecond)
+    {
+    }
+
+    void send(google::LogSeverity, const char*, const char*, int, const google::LogMessageTime& time,
+        const char* message, size_t length) override
+    {
+        if (time.timestamp() != m_second) {
+            m_second = time.timestamp();
+            m_linesInSecond = 0;
+        }
+        if (m_linesInSecond >= m_linesPerSecond || !hasRoom()) {
+            ++m_dropped;
+            return;
+        }
+        ++m_linesInSecond;
+        std::string text;
+        if (m_dropped > 0)
+            text = "event=log_lines_dropped count=" + std::to_string(std::exchange(m_dropped, 0)) + '\n';
+        text.append(message, length);
+        text += '\n';
+        if (::write(STDOUT_FILENO, text.data(), text.size()) < 0)
+            ++m_dropped;
+    }
+
+private:
+    // A pipe that is writable takes a line without waiting.
+    static bool hasRoom()
+    {
+        pollfd output { STDOUT_FILENO, POLLOUT, 0 };
+        return poll(&output, 1, 0) > 0 && (output.revents & POLLOUT) != 0;
+    }
+
+    int m_linesPerSecond;
+    int m_linesInSecond = 0;
+    int64_t m_dropped = 0;
+    time_t m_second = 0;
+};
+
+/// Null for programs that log to standard error. Lives as long as the process.
+StandardOutputSink* standardOutputSink = nullptr;
+
+void writeToSink(LogLevel level, const std::string& line)
+{
+    if (level == LogLevel::Info)
+        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(standardOutputSink, INFO) << line;
+    else if (level == LogLevel::Warning)
+        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(standardOutputSink, WARNING) << line << " level=warning";
+    else
+        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(standardOutputSink, ERROR) << line << " level=error";
+}
+
 } // namespace
 
 LogEvent::LogEvent(LogLevel level, std::string_view event)
@@ -38,6 +98,10 @@
 
 LogEvent::~LogEvent()
 {
+    if (standardOutputSink) {
+        writeToSink(m_level, m_line);
+        return;
+    }
     switch (m_level) {
     case LogLevel::Info:
         LOG(INFO) << m_line;
@@ -59,6 +123,13 @@
     m_line += needsQuotes(value) ? quoted(value) : value;
 }
 
+void initializeServiceLogging(const char* program, int linesPerSecond)
+{
+    static StandardOutputSink sink(linesPerSecond);
+    standardOutputSink = &sink;
+    google::InitGoogleLogging(program);
+}
+
 void initializeLogging(const char* program)
 {
     FLAGS_logtostderr = true;
--- a/src/state/refusal.h
+++ b/src/state/refusal.h
@@ -5,7 +5,7 @@
 namespace lacewing {
 
 /// Stable reason codes of refusals and failures, as sent to callers and counted in lacewing_refusals_total.
-/// docs/operations.md says what to do about each.
+/// docs/OPERATIONS.md says what to do about each.
 namespace refusal {
 
 constexpr std::string_view invalidRequest = "invalid_request";
