--- a/src/gateway/caller_call.cc
+++ b/src/gateway/caller_call.cc
@@ -259,8 +259,10 @@
     request.output = m_attributes.maximumOutputTokens.value_or(Tokens(1));
     request.priority = m_priority;
     request.onTimeStart = m_arrival + m_route->targetLatency - onTimeMargin;
+    // Another engine may start in time what this one can't; only the last one asked may start it late.
     const auto patience = std::chrono::duration_cast<Duration>(latestStartTargets * m_route->targetLatency);
-    request.latestStart = m_arrival + std::min(patience, m_limit - onTimeMargin);
+    const Duration useful = std::min(patience, m_limit - onTimeMargin);
+    request.latestStart = m_asks < maximumAsks ? request.onTimeStart : m_arrival + useful;
     m_services.engines.noteAsked(engine, request.prompt);
     m_isRunGranted = false;
     m_run = m_services.broker.ask(owner, engine, request, [weak = weak_from_this()](const RunAnswer& answer) {
