--- a/src/gateway/engine_view.cc
+++ b/src/gateway/engine_view.cc
@@ -38,8 +38,8 @@
         for (const EngineSummary& summary : state->heartbeat.engines)
             latest[summary.engine] = { summary, state->heard };
     }
-    for (EngineSummary& summary : m_owners.summaries())
-        latest[summary.engine] = { std::move(summary), MonotonicTime() };
+    for (const EngineSummary& summary : m_owners.summaries())
+        latest[summary.engine] = { summary, MonotonicTime() };
     return latest;
 }
 
