Apply the configured limits on callers' heads, bodies and idle connections

They were decoded and not used: half a head held a connection for 30 s, and idle connections were closed after 30 s whatever the configuration allowed. Popularity counts of adapters are bounded.

--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -25,6 +25,9 @@
 constexpr int unreachableAfter = 4;
 /// Half-life of the popularity count.
 constexpr double popularityHalfLifeSeconds = 6;
+/// Counts below this are dropped when there are many.
+constexpr double forgottenPopularity = 0.1;
+constexpr size_t maximumPopularities = 4096;
 /// Share of an engine's cache that running requests may claim.
 constexpr double cacheShare = 0.92;
 /// Part of the most output tokens that a request is expected to generate.
@@ -642,6 +645,11 @@
 {
     const double count = popularity(adapter, now) + 1;
     m_popularity[adapter] = { count, now };
+    if (m_popularity.size() <= maximumPopularities)
+        return;
+    for (auto entry = m_popularity.begin(); entry != m_popularity.end();)
+        entry = popularity(entry->first, now) < forgottenPopularity ? m_popularity.erase(entry)
+                                                                    : std::next(entry);
 }
 
 int EngineScheduler::openPlaces() const
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -286,8 +286,20 @@
     m_retries.setHosts(members.size());
 }
 
+void Gateway::applyCallerLimits()
+{
+    const CallerLimits& callers = m_configuration.current()->callerLimits();
+    HttpServerLimits limits;
+    limits.maximumHeaderBytes = callers.headerBytes;
+    limits.maximumBodyBytes = callers.bodyBytes;
+    limits.headTimeout = callers.headerTimeout;
+    limits.readTimeout = callers.idleTimeout + idleSlack;
+    m_callerServer->setLimits(limits);
+}
+
 void Gateway::configurationChanged()
 {
+    applyCallerLimits();
     m_owners.refresh();
     m_fleet.reconsider();
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -52,6 +52,7 @@
     void offerConfiguration(const HostId& peer, const PeerHeartbeat& heartbeat);
     void fleetChanged();
     void updateMembers();
+    void applyCallerLimits();
     void configurationChanged();
     void upstreamsChanged();
     bool mayOrder() const;
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -75,6 +75,11 @@
 
     SocketAddress address() const override { return m_address; }
 
+    void setLimits(const HttpServerLimits& limits) override
+    {
+        static_cast<HttpServerLimits&>(m_context.options) = limits;
+    }
+
     void beginDrain() override
     {
         m_context.draining = true;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -48,13 +48,19 @@
     virtual void onDrained(std::function<void()> callback) = 0;
 };
 
-/// Limits and timeouts of a server.
-struct HttpServerOptions {
-    SocketAddress address { "127.0.0.1", 0 };
+/// Limits on what clients send, which may change while the server runs.
+struct HttpServerLimits {
     size_t maximumHeaderBytes = 32 * 1024;
     size_t maximumBodyBytes = 8 * 1024 * 1024;
     /// Time in which a client must send each further part of a request, and may keep an idle connection open.
     Duration readTimeout = std::chrono::seconds(30);
+    /// Time in which a client must send a whole head, from its first byte on.
+    Duration headTimeout = std::chrono::seconds(30);
+};
+
+/// Limits and timeouts of a server.
+struct HttpServerOptions : HttpServerLimits {
+    SocketAddress address { "127.0.0.1", 0 };
     /// Time without progress after which a client that does not read is disconnected.
     Duration writeTimeout = std::chrono::seconds(30);
 };
@@ -79,6 +85,8 @@
 
     /// @return the address with the port that was bound.
     virtual SocketAddress address() const = 0;
+    /// Takes over other limits. Those on the head hold for new connections, the others for each next request.
+    virtual void setLimits(const HttpServerLimits& limits) = 0;
     /// Answers each further request with "Connection: close", and closes connections that are idle.
     virtual void beginDrain() = 0;
     /// Stops to accept connections.
--- a/src/transport/http_server_connection.cc
+++ b/src/transport/http_server_connection.cc
@@ -169,13 +169,22 @@
 {
     const bool isPartial = m_phase == Phase::Reading && m_part == Part::Head && m_check.hasStarted();
     const bool wasPartial = std::exchange(m_headIsPartial, isPartial);
-    if (!isPartial)
+    if (!isPartial) {
+        if (wasPartial && m_phase == Phase::Reading)
+            setReadTimeout(m_context.options.readTimeout);
         return;
+    }
     const MonotonicTime now = m_context.loop.now();
     if (!wasPartial)
         m_headStarted = now;
-    if (now - m_headStarted > m_context.options.readTimeout)
+    const Duration limit = std::min(m_context.options.headTimeout, m_context.options.readTimeout);
+    const Duration left = m_headStarted + limit - now;
+    if (left <= Duration::zero())
         handleReadTimeout();
+    else
+        // A client that stops in the middle of a head must not wait for the longer timeout of idle
+        // connections.
+        setReadTimeout(left);
 }
 
 void HttpServerConnection::dispatch()
--- a/src/transport/http_server_test.cc
+++ b/src/transport/http_server_test.cc
@@ -232,6 +232,47 @@
     BOOST_TEST(peer->received("HTTP/1.1 408 "));
 }
 
+// Guards against clients that stop in the middle of a head and hold their connections for as long as idle
+// ones.
+BOOST_AUTO_TEST_CASE(HalfAHeadIsDisconnectedSoonerThanAnIdleConnection)
+{
+    options.headTimeout = 20ms;
+    start();
+    RawPeer idle(loop, server->address());
+    peer->send("GET /a HT");
+    waitForClose();
+    BOOST_TEST(peer->received("HTTP/1.1 408 "));
+    BOOST_TEST(!idle.isClosed());
+    idle.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    runUntil(loop, [&] { return !exchanges.empty(); });
+}
+
+// Guards against a body that is cut off by the time allowed for heads.
+BOOST_AUTO_TEST_CASE(ABodyMayTakeLongerThanAHead)
+{
+    options.headTimeout = 20ms;
+    start();
+    peer->send("POST /p HTT");
+    loop.runAfter(5ms, [&] { peer->send("P/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab"); });
+    loop.runAfter(60ms, [&] { peer->send("cd"); });
+    runUntil(loop, [&] { return !exchanges.empty() || !rejections.empty(); });
+    BOOST_TEST(rejections.empty());
+    BOOST_REQUIRE(exchanges.size() == 1u);
+    BOOST_TEST(exchanges[0]->body() == "abcd");
+}
+
+// Guards against limits that an operator has changed and that hold only after a restart.
+BOOST_AUTO_TEST_CASE(LimitsMayChangeWhileTheServerRuns)
+{
+    start();
+    HttpServerLimits limits;
+    limits.maximumBodyBytes = 3;
+    server->setLimits(limits);
+    peer->send("POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nabcd");
+    waitForClose();
+    BOOST_TEST(peer->received("HTTP/1.1 413 "));
+}
+
 // Guards against a request that takes longer than the read timeout and is cut off by it.
 BOOST_AUTO_TEST_CASE(ReadTimeoutDoesNotEndAnAnswer)
 {
