Hold workspaces to rate and burst over any time, not to a window's sum

Spending now drains a bucket of the burst at the rate, known to all hosts as far as they have heard; between two heartbeats a host spends 1.25 even shares of what is left instead of 2. The new test had 1,232,270 tokens where 908,000 are allowed before, and passes. Two figures of older tests change with the rule: a burst of 8,000 is all that may be spent at once (12,000 was the window's rest), and the test of refunds uses a burst that holds its request. Both stay exact.

--- a/src/gateway/usage_ledger.cc
+++ b/src/gateway/usage_ledger.cc
@@ -11,9 +11,12 @@
 constexpr Duration shortestRetryAfter = std::chrono::milliseconds(200);
 constexpr Duration longestRetryAfter = std::chrono::seconds(2);
 /// Part of what is left that one host may spend between two reports, in multiples of its even share.
-constexpr double unreportedShares = 2;
-/// Part of the tolerance that is used while the past is not known.
-constexpr double toleranceUse = 0.6;
+constexpr double unreportedShares = 1.25;
+/// Part of the tolerance that is used while the past is not known. The rest covers what hosts spend between
+/// reports.
+constexpr double toleranceUse = 0.4;
+/// A burst below this much of the rate would refuse single requests.
+constexpr double shortestBurstSeconds = 0.25;
 
 } // namespace
 
@@ -40,18 +43,29 @@
     }
 }
 
-// After a start of all hosts nothing is known of what was spent before it, so the limit grows from the rate
-// to the whole within one window.
-double UsageLedger::limitAt(const WorkspaceLimit& limit, MonotonicTime now) const
+double UsageLedger::whole(const WorkspaceLimit& limit) const
 {
-    const double windowSeconds = toSeconds(m_window);
-    const double sinceStart = std::min(toSeconds(now - m_knownSince), windowSeconds);
-    const double burstShare = sinceStart / windowSeconds;
-    const double whole = limit.ratePerSecond * windowSeconds + limit.burst;
-    if (sinceStart >= windowSeconds)
-        return whole;
-    const double known = limit.ratePerSecond * std::max(1.0, sinceStart) + limit.burst * burstShare;
-    return std::min(whole, known + toleranceUse * (m_tolerance.share * whole + m_tolerance.amount));
+    return limit.ratePerSecond * toSeconds(m_window) + limit.burst;
+}
+
+// After a start of all hosts nothing is known of what was spent before it. The burst counts as spent, but for
+// a part of the tolerance, and comes back at the rate.
+double UsageLedger::burstLeft(const ServingWorkspace& workspace, MonotonicTime now)
+{
+    const WorkspaceLimit& limit = workspace.limit;
+    const double capacity = std::max(limit.burst, limit.ratePerSecond * shortestBurstSeconds);
+    const auto [found, isNew] = m_buckets.try_emplace(workspace.id);
+    Bucket& bucket = found->second;
+    if (isNew) {
+        const bool isPastKnown = now - m_knownSince >= m_window;
+        const double tolerated = toleranceUse * (m_tolerance.share * whole(limit) + m_tolerance.amount);
+        bucket.level += isPastKnown ? 0 : capacity - tolerated;
+        bucket.updated = isPastKnown ? now : m_knownSince;
+    }
+    bucket.level -= limit.ratePerSecond * toSeconds(now - bucket.updated);
+    bucket.level = std::max(0.0, bucket.level);
+    bucket.updated = now;
+    return capacity - bucket.level;
 }
 
 double UsageLedger::knownUsage(const WorkspaceId& workspace, double evenShare, MonotonicTime now)
@@ -84,10 +98,11 @@
     expire(own, now);
     if (workspace.limit.isLimited()) {
         const auto members = static_cast<double>(std::max<size_t>(1, m_members.size()));
-        const double limit = limitAt(workspace.limit, now);
+        const double limit = whole(workspace.limit);
         const double evenShare = limit / members;
         const double others = knownUsage(workspace.id, evenShare, now);
-        const double left = limit - static_cast<double>(own.inWindow) - others;
+        const double windowLeft = limit - static_cast<double>(own.inWindow) - others;
+        const double left = std::min(windowLeft, burstLeft(workspace, now));
         const double mayAdd
             = (left + static_cast<double>(own.unreported)) * std::min(1.0, unreportedShares / members);
         const auto wanted = static_cast<double>(amount);
@@ -99,6 +114,7 @@
             return std::max(wait, shortestRetryAfter);
         }
     }
+    m_buckets[workspace.id].level += static_cast<double>(amount);
     add(own, amount, now);
     own.total += amount;
     own.unreported += amount;
@@ -108,6 +124,7 @@
 void UsageLedger::refund(const WorkspaceId& workspace, int64_t amount, MonotonicTime now)
 {
     Account& own = m_own[workspace];
+    m_buckets[workspace].level -= static_cast<double>(amount);
     expire(own, now);
     // Only what is still in the window can be given back.
     for (auto spending = own.spendings.rbegin(); spending != own.spendings.rend() && amount > 0; ++spending) {
@@ -142,8 +159,14 @@
         // What was spent before the first report is counted from now on, which is later than it was spent.
         const int64_t added = isNew ? report.inWindow : report.total - account->second.total;
         account->second.total = report.total;
-        if (added != 0)
-            add(account->second, added, now);
+        if (added == 0)
+            continue;
+        add(account->second, added, now);
+        // What was spent before this host heard of the peer is in the window, but the burst may have come
+        // back.
+        const auto bucket = m_buckets.find(report.workspace);
+        if (!isNew && bucket != m_buckets.end())
+            bucket->second.level += static_cast<double>(added);
     }
 }
 
--- a/src/gateway/usage_ledger.h
+++ b/src/gateway/usage_ledger.h
@@ -86,11 +86,19 @@
         int64_t unreported = 0;
     };
 
+    /// What the fleet has spent beyond the rate, as a level that falls at the rate.
+    struct Bucket {
+        double level = 0;
+        MonotonicTime updated;
+    };
+
     using AccountKey = std::pair<HostId, Incarnation>;
 
     void add(Account& account, int64_t amount, MonotonicTime now);
     void expire(Account& account, MonotonicTime now) const;
-    double limitAt(const WorkspaceLimit& limit, MonotonicTime now) const;
+    /// @return what may be spent at once.
+    double burstLeft(const ServingWorkspace& workspace, MonotonicTime now);
+    double whole(const WorkspaceLimit& limit) const;
     double knownUsage(const WorkspaceId& workspace, double evenShare, MonotonicTime now);
 
     Duration m_window;
@@ -100,6 +108,7 @@
     Refusal m_lastRefusal;
     std::map<HostId, bool> m_members;
     std::map<WorkspaceId, Account> m_own;
+    std::map<WorkspaceId, Bucket> m_buckets;
     std::map<WorkspaceId, std::map<AccountKey, Account>> m_peers;
 };
 
--- a/src/gateway/usage_ledger_test.cc
+++ b/src/gateway/usage_ledger_test.cc
@@ -140,6 +140,34 @@
     BOOST_TEST(spent >= 1000);
 }
 
+// Load: a workspace that was quiet sends many times its usual, and all hosts lose power in the middle of it.
+// Guards against a window around the restart in which it gets more than the users allow (hunt on glowwalk-ho,
+// trouble-3, seed 939303371695).
+BOOST_AUTO_TEST_CASE(KeepsTheLimitAroundARestartOfAllHosts)
+{
+    MonotonicTime now(100s);
+    Random random(7);
+    std::vector<std::pair<MonotonicTime, int64_t>> charges;
+    auto hosts = std::make_unique<Hosts>(7, now);
+    for (int step = 0; step < 1600; ++step) {
+        now += 10ms;
+        if (step == 780) {
+            hosts = std::make_unique<Hosts>(7, now + window);
+            for (auto& ledger : hosts->ledgers)
+                ledger->setTolerance({ 0.1, 17000 });
+        }
+        const bool isHot = step > 400;
+        for (int attempt = 0; attempt < (isHot ? 4 : 1); ++attempt) {
+            const auto amount = static_cast<int64_t>(isHot ? 500 + random.below(4000) : 300);
+            if (!hosts->ledgers[random.below(7)]->charge(workspace(90000, 90000), amount, now))
+                charges.emplace_back(now, amount);
+        }
+        if (step % 20 == 0)
+            hosts->exchange(now);
+    }
+    BOOST_TEST(static_cast<double>(mostInWindow(charges)) <= bound);
+}
+
 // Guards against a restarted host that refuses for a whole window although its peers know what was spent.
 BOOST_AUTO_TEST_CASE(TakesOverThePastFromPeers)
 {
@@ -153,7 +181,8 @@
         spent += 100;
         ledger.report(start + 1s);
     }
-    BOOST_TEST(spent == 12000);
+    // The burst: what the peer spent lies within the rate.
+    BOOST_TEST(spent == 8000);
 }
 
 // Guards against charges that stay for requests that have not run.
@@ -162,10 +191,10 @@
     const MonotonicTime start(100s);
     UsageLedger ledger(window, HostId("host-0"), start - window);
     ledger.setMembers({ { HostId("host-0"), true } });
-    BOOST_TEST(!ledger.charge(workspace(10, 20), 100, start));
-    BOOST_TEST(ledger.charge(workspace(10, 20), 10, start).has_value());
+    BOOST_TEST(!ledger.charge(workspace(10, 100), 100, start));
+    BOOST_TEST(ledger.charge(workspace(10, 100), 10, start).has_value());
     ledger.refund(WorkspaceId("busy"), 100, start);
-    BOOST_TEST(!ledger.charge(workspace(10, 20), 100, start));
+    BOOST_TEST(!ledger.charge(workspace(10, 100), 100, start));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
