--- a/src/gateway/caller_call.cc
+++ b/src/gateway/caller_call.cc
@@ -231,9 +231,10 @@
 {
     const AdapterRef adapter { m_attributes.model, m_attributes.adapter };
     const auto candidates = m_services.engines.candidates(m_serviceId, adapter, m_tried);
-    for (const UpstreamId& engine : EngineChooser::rank(adapter, candidates)) {
+    const std::vector<UpstreamId> ranked = EngineChooser::rank(adapter, candidates);
+    for (const UpstreamId& engine : ranked) {
         if (const auto owner = m_services.engines.ownerOf(engine)) {
-            askOwner(*owner, engine);
+            askOwner(*owner, engine, ranked.size() == 1 || m_asks + 1 >= maximumAsks);
             return;
         }
         const auto release = m_services.configuration.releases().find(adapter);
@@ -249,7 +250,7 @@
         isOverloaded ? m_retryAfter : noUpstreamRetryAfter);
 }
 
-void CallerCall::askOwner(const HostId& owner, const UpstreamId& engine)
+void CallerCall::askOwner(const HostId& owner, const UpstreamId& engine, bool isLast)
 {
     ++m_asks;
     m_upstream = engine;
@@ -262,9 +263,8 @@
     // Another engine may start in time what this one can't; only the last one asked may start it late.
     const auto patience = std::chrono::duration_cast<Duration>(latestStartTargets * m_route->targetLatency);
     const Duration useful = std::min(patience, m_limit - onTimeMargin);
-    request.latestStart = m_asks < maximumAsks ? request.onTimeStart : m_arrival + useful;
+    request.latestStart = isLast ? m_arrival + useful : request.onTimeStart;
     m_services.engines.noteAsked(engine, request.prompt);
-    m_isRunGranted = false;
     m_run = m_services.broker.ask(owner, engine, request, [weak = weak_from_this()](const RunAnswer& answer) {
         if (const auto call = weak.lock())
             call->ownerAnswered(answer);
@@ -276,7 +276,6 @@
     if (m_isFinished)
         return;
     if (const auto* grant = std::get_if<RunGrant>(&answer)) {
-        m_isRunGranted = true;
         m_version = grant->version;
         m_urgency = grant->urgency;
         send(m_upstream);
--- a/src/gateway/caller_call.h
+++ b/src/gateway/caller_call.h
@@ -52,7 +52,8 @@
     void chooseUpstream();
     void choosePlain();
     void chooseEngine();
-    void askOwner(const HostId& owner, const UpstreamId& engine);
+    /// @param isLast whether no other owner will be asked, so that a late start is better than none.
+    void askOwner(const HostId& owner, const UpstreamId& engine, bool isLast);
     void ownerAnswered(const RunAnswer& answer);
 
     // Exchange with the upstream.
@@ -70,7 +71,6 @@
     bool mayRepeat() const;
     bool trySendAgain();
     void watchSilence();
-    void abandonUpstream(ExchangeOutcome outcome);
 
     // Ends.
     void deadlinePassed();
@@ -83,7 +83,6 @@
 
     Duration elapsed() const;
     Duration jittered(Duration duration);
-    bool isAnswering() const { return m_hasStartedAnswer; }
 
     CallServices& m_services;
     std::shared_ptr<HttpExchange> m_exchange;
@@ -109,7 +108,6 @@
 
     UpstreamId m_upstream;
     std::optional<RunId> m_run;
-    bool m_isRunGranted = false;
     std::optional<int64_t> m_version;
     std::optional<int> m_urgency;
     std::unique_ptr<HttpClientCall> m_call;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -359,7 +359,6 @@
 
 void Gateway::beginDrain()
 {
-    m_isDraining = true;
     m_callerServer->beginDrain();
     finishIfIdle();
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -90,7 +90,6 @@
     /// Since when this host or a peer that it heard has followed all spending.
     MonotonicTime m_usageKnownSince;
     bool m_isStopping = false;
-    bool m_isDraining = false;
     MonotonicTime m_stopDeadline;
     std::function<void()> m_stopped;
 };
