--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -16,7 +16,6 @@
 
 /// Callers may keep an answer of the directory for this many of its lifetimes.
 constexpr int keptLifetimes = 3;
-constexpr Duration drainSlack = std::chrono::milliseconds(300);
 /// Time before the platform would kill the process, for the last writes.
 constexpr Duration exitMargin = std::chrono::milliseconds(400);
 constexpr Duration idleCheckInterval = std::chrono::milliseconds(50);
@@ -352,7 +351,7 @@
     m_stopDeadline = m_loop.now() + m_settings.stopTime - exitMargin;
     m_mesh.sendHeartbeats();
     m_fleet.release();
-    const Duration named = m_settings.directoryLifetime * keptLifetimes + drainSlack;
+    const Duration named = m_settings.directoryLifetime * keptLifetimes;
     const Duration latest = m_settings.stopTime / 2;
     m_loop.runAfter(std::min(named, latest), [this] { beginDrain(); });
 }
