--- a/src/base/stable_hash.h
+++ b/src/base/stable_hash.h
@@ -5,17 +5,25 @@
 
 namespace lacewing {
 
-/// Hashes text in the same way on every host and in every build: FNV-1a with a final mix, so that similar
-/// texts get unrelated values.
+/// Hashes text in the same way on every host and in every build, unlike std::hash.
 ///
-/// @return 64 well-mixed bits. Not for use against an adversary.
-inline uint64_t stableHash(std::string_view text)
+/// @return the 64-bit FNV-1a hash, whose bits mix the last characters badly.
+inline uint64_t fnv1a(std::string_view text)
 {
     uint64_t hash = 0xcbf29ce484222325ULL;
     for (const char character : text) {
         hash ^= static_cast<unsigned char>(character);
         hash *= 0x100000001b3ULL;
     }
+    return hash;
+}
+
+/// Hashes text with FNV-1a and a final mix, so that similar texts get unrelated values.
+///
+/// @return 64 well-mixed bits. Not for use against an adversary.
+inline uint64_t stableHash(std::string_view text)
+{
+    uint64_t hash = fnv1a(text);
     hash = (hash ^ (hash >> 30)) * 0xbf58476d1ce4e5b9ULL;
     hash = (hash ^ (hash >> 27)) * 0x94d049bb133111ebULL;
     return hash ^ (hash >> 31);
--- a/src/coordination/lease_assignment.cc
+++ b/src/coordination/lease_assignment.cc
@@ -1,6 +1,7 @@
 #include "coordination/lease_assignment.h"
 
 #include "base/random.h"
+#include "base/stable_hash.h"
 
 #include <algorithm>
 #include <cmath>
@@ -13,15 +14,6 @@
 
 constexpr double loadBound = 1.25;
 
-/// FNV-1a, which is the same on all hosts, unlike std::hash.
-uint64_t stableHash(const std::string& text)
-{
-    uint64_t hash = 0xcbf29ce484222325ULL;
-    for (const char c : text)
-        hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
-    return hash;
-}
-
 uint64_t score(uint64_t lease, uint64_t host)
 {
     return Random(lease ^ (host * 0x9e3779b97f4a7c15ULL)).next();
@@ -38,7 +30,7 @@
     std::vector<Slot> slots;
     slots.reserve(hosts.size());
     for (const LeaseHost& host : hosts)
-        slots.push_back({ &host, stableHash(host.host.value()), 0 });
+        slots.push_back({ &host, fnv1a(host.host.value()), 0 });
     std::sort(
         slots.begin(), slots.end(), [](const Slot& a, const Slot& b) { return a.host->host < b.host->host; });
     return slots;
@@ -46,7 +38,7 @@
 
 Slot& choose(std::vector<Slot>& slots, const LeaseName& lease, size_t capacity)
 {
-    const uint64_t leaseHash = stableHash(lease.name);
+    const uint64_t leaseHash = fnv1a(lease.name);
     Slot* best = nullptr;
     std::tuple<bool, bool, uint64_t> bestRank;
     for (Slot& slot : slots) {
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -1,6 +1,7 @@
 #include "coordination/membership.h"
 
 #include "base/log.h"
+#include "base/stable_hash.h"
 
 #include <algorithm>
 #include <utility>
@@ -19,10 +20,7 @@
 
 uint64_t ringPosition(const HostId& host)
 {
-    uint64_t hash = 0xcbf29ce484222325ULL;
-    for (const char c : host.value())
-        hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
-    return Random(hash).next();
+    return Random(fnv1a(host.value())).next();
 }
 
 } // namespace
