Judge "in progress" by attempts that overlap, not by their order in the trace

On a busy machine the repeat overtakes the first, claims the call and runs; the first attempt is told 409 in_progress, which is right: exactly one ran. The replay report excused only the attempt that stands later in the trace.

Ruled out: a claim row that is written late (the answered attempt was still open) and a second run (doubled_runs is 0).

The check is replaced by a stricter one: in_progress is allowed only while another attempt at the same call was open. Until now every repeat that was told so was excused, whenever it came. Details of a replay name the call of each request.

--- a/src/replay/lacewinglb_replay_main.cc
+++ b/src/replay/lacewinglb_replay_main.cc
@@ -181,8 +181,9 @@
     for (size_t i = 0; i < results.size(); ++i) {
         const RequestResult& result = results[i];
         const nlohmann::ordered_json line { { "request", i }, { "route", requests[i].trace.route },
-            { "model", requests[i].model }, { "ending", endingName(result.ending) }, { "code", result.code },
-            { "fault", result.fault }, { "sent_ms", toMilliseconds(result.sentAt) },
+            { "model", requests[i].model }, { "call", requests[i].runKey },
+            { "ending", endingName(result.ending) }, { "code", result.code }, { "fault", result.fault },
+            { "sent_ms", toMilliseconds(result.sentAt) },
             { "first_token_ms", toMilliseconds(result.firstTokenAt) },
             { "ended_ms", toMilliseconds(result.endedAt) }, { "served", result.served.value() } };
         file << line.dump() << '\n';
--- a/src/replay/replay_report.cc
+++ b/src/replay/replay_report.cc
@@ -1,6 +1,7 @@
 #include "replay/replay_report.h"
 
 #include "replay/limit_check.h"
+#include "state/refusal.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -25,7 +26,7 @@
     : m_requests(requests)
     , m_results(results)
 {
-    findRepeatsInProgress();
+    findOverlappedCalls();
     countEndings();
     addTimes();
     addWorkspaces(configuration);
@@ -46,18 +47,33 @@
     return std::nullopt;
 }
 
-void ReplayReport::findRepeatsInProgress()
+void ReplayReport::findOverlappedCalls()
 {
-    std::set<std::string> seen;
+    std::map<std::string, std::vector<size_t>> attempts;
     for (size_t i = 0; i < m_results.size(); ++i) {
-        const bool isRepeat = !m_requests[i].route.repeatable && !seen.insert(m_requests[i].runKey).second;
-        m_repeatsInProgress.push_back(isRepeat && m_results[i].code == "in_progress");
+        if (!m_requests[i].isCompletion() && !m_requests[i].route.repeatable)
+            attempts[m_requests[i].runKey].push_back(i);
     }
+    m_isOverlapped.assign(m_results.size(), false);
+    for (const auto& [key, indexes] : attempts) {
+        for (const size_t i : indexes)
+            m_isOverlapped[i] = m_results[i].code == refusal::claimInProgress && overlapsRun(i, indexes);
+    }
+}
+
+bool ReplayReport::overlapsRun(size_t attempt, const std::vector<size_t>& sameCall) const
+{
+    const RequestResult& told = m_results[attempt];
+    return std::any_of(sameCall.begin(), sameCall.end(), [&](size_t other) {
+        const RequestResult& run = m_results[other];
+        return other != attempt && run.code != refusal::claimInProgress && run.sentAt <= told.endedAt
+            && told.sentAt <= run.endedAt;
+    });
 }
 
 bool ReplayReport::isCounted(size_t request) const
 {
-    return m_results[request].ending != RequestEnding::Cancelled && !m_repeatsInProgress[request];
+    return m_results[request].ending != RequestEnding::Cancelled && !m_isOverlapped[request];
 }
 
 void ReplayReport::countEndings()
@@ -69,7 +85,7 @@
     for (size_t i = 0; i < m_results.size(); ++i) {
         const RequestResult& result = m_results[i];
         m_measures["connect_failures"] += result.connectFailures;
-        if (m_repeatsInProgress[i]) {
+        if (m_isOverlapped[i]) {
             ++m_measures["in_progress"];
             continue;
         }
--- a/src/replay/replay_report.h
+++ b/src/replay/replay_report.h
@@ -28,7 +28,8 @@
     const std::vector<std::string>& faults() const { return m_faults; }
 
 private:
-    void findRepeatsInProgress();
+    void findOverlappedCalls();
+    bool overlapsRun(size_t attempt, const std::vector<size_t>& sameCall) const;
     void countEndings();
     bool isCounted(size_t request) const;
     void addTimes();
@@ -39,8 +40,9 @@
 
     const std::vector<PreparedRequest>& m_requests;
     const std::vector<RequestResult>& m_results;
-    /// Repeats that came while the first call was running and were told so.
-    std::vector<bool> m_repeatsInProgress;
+    /// Attempts at a call that were told that it is running, and were open while another attempt at it was.
+    /// Either may be the one that runs: attempts through two hosts can overtake each other.
+    std::vector<bool> m_isOverlapped;
     std::map<std::string, double> m_measures;
     std::vector<std::string> m_faults;
 };
