Let requests judge engines with an error between two updates; find engine states by an index

Change: each request judges the engines that hold its adapter with an error as large as what an engine can read between two updates.

--- a/src/gateway/caller_call.cc
+++ b/src/gateway/caller_call.cc
@@ -21,22 +21,17 @@
 
 /// Most sends of one request, those that were not executed included.
 constexpr int maximumSends = 4;
-/// Owners that are asked for one request before it is refused.
-constexpr int maximumAsks = 3;
 /// Answers that come a moment after the limit are still delivered.
 constexpr Duration limitSlack = milliseconds(15);
 constexpr Duration defaultLimit = std::chrono::seconds(30);
-/// Time that a request needs at the least after it was sent.
-constexpr Duration onTimeMargin = milliseconds(40);
-/// Callers leave a stream whose first event is far later than its target; a start is of no use after so many
-/// times the target.
-constexpr double latestStartTargets = 2.2;
 /// Share of the target latency after which an idempotent request is sent to another upstream.
 constexpr double silenceShare = 0.7;
 constexpr double connectShare = 0.3;
 constexpr Duration shortestConnectTimeout = milliseconds(40);
 constexpr Duration longestConnectTimeout = milliseconds(300);
 constexpr Duration noUpstreamRetryAfter = milliseconds(400);
+/// Engines change owners within a moment.
+constexpr Duration noOwnerRetryAfter = milliseconds(100);
 constexpr Duration staleRetryAfter = milliseconds(500);
 /// Another host can serve the request at once.
 constexpr Duration stoppingRetryAfter = milliseconds(20);
@@ -123,6 +118,7 @@
         return;
     }
     m_limit = std::min(m_attributes.deadline.value_or(defaultLimit), m_route->timeout);
+    m_search = StartSearch(m_arrival, m_route->targetLatency, m_limit);
     m_priority = m_workspace && m_workspace->priority ? *m_workspace->priority : m_route->priority;
     if (!chargeWorkspace())
         return;
@@ -213,7 +209,7 @@
 {
     if (m_isFinished)
         return;
-    if (m_sends == 0 && m_asks == 0)
+    if (m_sends == 0 && m_search.asks() == 0)
         m_services.retries.countRequest(m_serviceId, m_services.loop.now());
     const bool needsEngine = m_service && m_service->engine && !m_attributes.model.empty();
     if (needsEngine)
@@ -239,10 +235,10 @@
 {
     const AdapterRef adapter { m_attributes.model, m_attributes.adapter };
     const auto candidates = m_services.engines.candidates(m_serviceId, adapter, m_tried);
-    const std::vector<UpstreamId> ranked = EngineChooser::rank(adapter, candidates);
+    const std::vector<UpstreamId> ranked = EngineChooser::rank(adapter, candidates, m_services.random);
     for (const UpstreamId& engine : ranked) {
         if (const auto owner = m_services.engines.ownerOf(engine)) {
-            askOwner(*owner, engine, ranked.size() == 1 || m_asks + 1 >= maximumAsks);
+            askOwner(*owner, engine, ranked.size());
             return;
         }
         const auto release = m_services.configuration.releases().find(adapter);
@@ -253,25 +249,19 @@
         send(engine);
         return;
     }
-    const bool isOverloaded = m_retryAfter > Duration::zero();
-    refuse(isOverloaded ? Refusal::Overloaded : Refusal::NoUpstream,
-        isOverloaded ? m_retryAfter : noUpstreamRetryAfter);
+    const auto room = m_search.retryAfter();
+    refuse(room ? Refusal::Overloaded : Refusal::NoUpstream, room.value_or(noUpstreamRetryAfter));
 }
 
-void CallerCall::askOwner(const HostId& owner, const UpstreamId& engine, bool isLast)
+void CallerCall::askOwner(const HostId& owner, const UpstreamId& engine, size_t choices)
 {
-    ++m_asks;
     m_upstream = engine;
     RunRequest request;
     request.adapter = { m_attributes.model, m_attributes.adapter };
     request.prompt = m_attributes.promptTokens.value_or(Tokens(1));
     request.output = m_attributes.maximumOutputTokens.value_or(Tokens(1));
     request.priority = m_priority;
-    request.onTimeStart = m_arrival + m_route->targetLatency - onTimeMargin;
-    // Another engine may start in time what this one can't; only the last one asked may start it late.
-    const auto patience = std::chrono::duration_cast<Duration>(latestStartTargets * m_route->targetLatency);
-    const Duration useful = std::min(patience, m_limit - onTimeMargin);
-    request.latestStart = isLast ? m_arrival + useful : request.onTimeStart;
+    m_search.prepare(request, choices);
     m_services.engines.noteAsked(engine, request.prompt);
     m_run = m_services.broker.ask(owner, engine, request, [weak = weak_from_this()](const RunAnswer& answer) {
         if (const auto call = weak.lock())
@@ -292,14 +282,12 @@
     const RunDenial& denial = std::get<RunDenial>(answer);
     m_run.reset();
     m_tried.insert(m_upstream);
-    if (denial.reason == RunRefusal::Overloaded)
-        m_retryAfter
-            = m_retryAfter > Duration::zero() ? std::min(m_retryAfter, denial.retryAfter) : denial.retryAfter;
-    if (m_asks < maximumAsks) {
+    m_search.denied(denial);
+    if (m_search.mayAsk()) {
         chooseUpstream();
         return;
     }
-    refuse(Refusal::Overloaded, std::max<Duration>(m_retryAfter, milliseconds(100)));
+    refuse(Refusal::Overloaded, m_search.retryAfter().value_or(noOwnerRetryAfter));
 }
 
 HttpClientRequest CallerCall::upstreamRequest(const UpstreamEntry& entry)
@@ -512,7 +500,7 @@
         return;
     }
     if (m_sends < maximumSends && trySendAgain()) {
-        m_asks = std::min(m_asks, maximumAsks - 1);
+        m_search.allowOneMore();
         chooseUpstream();
         return;
     }
@@ -536,7 +524,7 @@
     m_events.restart();
     const bool canResume = m_route->isResumable && m_events.lastId() && mayRepeat() && trySendAgain();
     if (canResume) {
-        m_asks = std::min(m_asks, maximumAsks - 1);
+        m_search.allowOneMore();
         chooseUpstream();
         return;
     }
@@ -634,7 +622,7 @@
         .with("revision", m_configuration ? m_configuration->revision().value() : 0)
         .with("adapter", m_attributes.adapter)
         .with("upstream", m_upstream)
-        .with("asks", m_asks)
+        .with("asks", m_search.asks())
         .with("sends", m_sends)
         .with("status", m_answer ? m_answer->status : 0)
         .with("first_byte_ms", m_firstByte ? toMilliseconds(*m_firstByte) : -1)
--- a/src/gateway/caller_call.h
+++ b/src/gateway/caller_call.h
@@ -2,6 +2,7 @@
 
 #include "gateway/call_services.h"
 #include "gateway/event_relay.h"
+#include "gateway/start_search.h"
 #include "transport/http_server.h"
 
 #include <functional>
@@ -54,7 +55,7 @@
     void choosePlain();
     void chooseEngine();
     /// @param isLast whether no other owner will be asked, so that a late start is better than none.
-    void askOwner(const HostId& owner, const UpstreamId& engine, bool isLast);
+    void askOwner(const HostId& owner, const UpstreamId& engine, size_t choices);
     void ownerAnswered(const RunAnswer& answer);
 
     // Exchange with the upstream.
@@ -104,8 +105,7 @@
     /// Upstreams that may have run the request.
     int m_runs = 0;
     int m_sends = 0;
-    int m_asks = 0;
-    Duration m_retryAfter {};
+    StartSearch m_search;
 
     UpstreamId m_upstream;
     std::optional<RunId> m_run;
--- a/src/gateway/engine_chooser.cc
+++ b/src/gateway/engine_chooser.cc
@@ -25,17 +25,20 @@
 
 } // namespace
 
-Duration EngineChooser::cost(const EngineCandidate& candidate, bool needsAdapter, size_t homeRank)
+Duration EngineChooser::cost(
+    const EngineCandidate& candidate, bool needsAdapter, size_t homeRank, Random& random)
 {
     Duration cost = candidate.prefillBacklog;
     if (!candidate.isInCallersDataCentre)
         cost += dataCentreCost;
     if (candidate.isSuspect)
         cost += suspectCost;
-    if (!needsAdapter || candidate.holdsAdapter)
-        return cost;
-    if (candidate.isLoadingAdapter)
-        return cost + remainingLoadCost;
+    const bool isPresent = !needsAdapter || candidate.holdsAdapter;
+    if (isPresent || candidate.isLoadingAdapter) {
+        const double error = random.uniform() - 0.5;
+        cost += std::chrono::duration_cast<Duration>(error * candidate.updateInterval);
+        return isPresent ? cost : cost + remainingLoadCost;
+    }
     cost += candidate.fetchWait + copyCost + std::min(homeRank, lastRankWithCost) * rankCost;
     if (candidate.openPlaces <= 0)
         cost += placeWaitCost + candidate.waiting * milliseconds(20);
@@ -43,7 +46,7 @@
 }
 
 std::vector<UpstreamId> EngineChooser::rank(
-    const AdapterRef& adapter, const std::vector<EngineCandidate>& candidates)
+    const AdapterRef& adapter, const std::vector<EngineCandidate>& candidates, Random& random)
 {
     const bool needsAdapter = !adapter.adapter.empty();
     const std::string name = adapter.model.value() + '/' + adapter.adapter.value();
@@ -56,7 +59,7 @@
         const EngineCandidate& candidate = *home[homeRank].second;
         const bool canServe = candidate.hasOwner || !needsAdapter || candidate.holdsAdapter;
         if (canServe)
-            ranked.emplace_back(cost(candidate, needsAdapter, homeRank), candidate.engine);
+            ranked.emplace_back(cost(candidate, needsAdapter, homeRank, random), candidate.engine);
     }
     std::stable_sort(
         ranked.begin(), ranked.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
--- a/src/gateway/engine_chooser.h
+++ b/src/gateway/engine_chooser.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "base/random.h"
 #include "gateway/run_request.h"
 
 #include <vector>
@@ -19,6 +20,8 @@
     /// Requests failed there lately without an answer.
     bool isSuspect = false;
     Duration prefillBacklog {};
+    /// How long what is known of the engine stays without an update.
+    Duration updateInterval {};
     /// How long an adapter that is not present would wait before it is fetched.
     Duration fetchWait {};
     int openPlaces = 0;
@@ -31,14 +34,21 @@
 /// rendezvous hashing, so that rarely asked ones are loaded where a copy was left before and popular ones
 /// fill large batches. When the prompts queued at a popular adapter's engines would make a request late, a
 /// further copy becomes cheaper than waiting and the next engine of its ranking gets one.
+///
+/// In a large fleet all entries see the same engine as the least busy one until its owner tells of its
+/// backlog again, and would send it everything that comes meanwhile. Each request therefore judges the
+/// engines that hold its adapter with an error of its own, as large as what an engine can read between two
+/// updates.
 class EngineChooser {
 public:
+    /// @param random decides between engines whose backlogs differ by less than an update may change.
     /// @return the engines that can serve the request, best first.
     static std::vector<UpstreamId> rank(
-        const AdapterRef& adapter, const std::vector<EngineCandidate>& candidates);
+        const AdapterRef& adapter, const std::vector<EngineCandidate>& candidates, Random& random);
 
 private:
-    static Duration cost(const EngineCandidate& candidate, bool needsAdapter, size_t homeRank);
+    static Duration cost(
+        const EngineCandidate& candidate, bool needsAdapter, size_t homeRank, Random& random);
 };
 
 } // namespace lacewing::gateway
--- a/src/gateway/engine_chooser_test.cc
+++ b/src/gateway/engine_chooser_test.cc
@@ -25,6 +25,12 @@
     return candidates;
 }
 
+std::vector<UpstreamId> rank(const AdapterRef& ref, const std::vector<EngineCandidate>& candidates)
+{
+    Random random(1);
+    return EngineChooser::rank(ref, candidates, random);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(EngineChooserTest)
@@ -35,7 +41,7 @@
     auto candidates = engines(12);
     candidates[7].holdsAdapter = true;
     candidates[7].prefillBacklog = 100ms;
-    BOOST_TEST(EngineChooser::rank(adapter, candidates).front() == candidates[7].engine);
+    BOOST_TEST(rank(adapter, candidates).front() == candidates[7].engine);
 }
 
 // Load: the requests for one adapter exceed what an engine reads. Guards against a queue beside idle engines.
@@ -44,14 +50,14 @@
     auto candidates = engines(12);
     candidates[7].holdsAdapter = true;
     candidates[7].prefillBacklog = 900ms;
-    BOOST_TEST(EngineChooser::rank(adapter, candidates).front() != candidates[7].engine);
+    BOOST_TEST(rank(adapter, candidates).front() != candidates[7].engine);
 }
 
 // Guards against an adapter that moves whenever another engine comes or goes.
 BOOST_AUTO_TEST_CASE(KeepsTheHomeWhenAnotherEngineLeaves)
 {
     const auto all = engines(12);
-    const UpstreamId home = EngineChooser::rank(adapter, all).front();
+    const UpstreamId home = rank(adapter, all).front();
     for (const EngineCandidate& leaving : all) {
         if (leaving.engine == home)
             continue;
@@ -60,7 +66,7 @@
             if (candidate.engine != leaving.engine)
                 rest.push_back(candidate);
         }
-        BOOST_TEST(EngineChooser::rank(adapter, rest).front() == home);
+        BOOST_TEST(rank(adapter, rest).front() == home);
     }
 }
 
@@ -71,7 +77,7 @@
     std::map<UpstreamId, int> homes;
     for (int index = 0; index < 1200; ++index) {
         const AdapterRef each { ModelId("base"), AdapterId("a" + std::to_string(index)) };
-        ++homes[EngineChooser::rank(each, candidates).front()];
+        ++homes[rank(each, candidates).front()];
     }
     BOOST_TEST(homes.size() == 12);
     for (const auto& [engine, count] : homes)
@@ -85,9 +91,31 @@
     candidates[0].hasOwner = false;
     candidates[1].hasOwner = false;
     candidates[1].holdsAdapter = true;
-    const auto ranked = EngineChooser::rank(adapter, candidates);
+    const auto ranked = rank(adapter, candidates);
     BOOST_REQUIRE(ranked.size() == 1);
     BOOST_TEST(ranked[0] == candidates[1].engine);
 }
 
+// Load: many entries with requests for one popular adapter see the same state of its engines until the next
+// update. Guards against sending all of them to the engine that was the least busy one then.
+BOOST_AUTO_TEST_CASE(SpreadsRequestsBetweenTwoUpdates)
+{
+    auto candidates = engines(6);
+    for (size_t index = 0; index < candidates.size(); ++index) {
+        candidates[index].holdsAdapter = true;
+        candidates[index].prefillBacklog = 20ms * static_cast<int>(index);
+        candidates[index].updateInterval = 600ms;
+    }
+    Random random(7);
+    std::map<UpstreamId, int> sent;
+    for (int request = 0; request < 600; ++request)
+        ++sent[EngineChooser::rank(adapter, candidates, random).front()];
+    BOOST_TEST(sent.size() == 6);
+    for (const auto& [engine, count] : sent)
+        BOOST_TEST(count < 200);
+    candidates[0].prefillBacklog = 700ms;
+    for (int request = 0; request < 100; ++request)
+        BOOST_TEST(EngineChooser::rank(adapter, candidates, random).front() != candidates[0].engine);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/engine_owners.cc
+++ b/src/gateway/engine_owners.cc
@@ -156,6 +156,14 @@
     return summaries;
 }
 
+std::optional<EngineSummary> EngineOwners::summary(const UpstreamId& engine) const
+{
+    const auto found = m_engines.find(engine);
+    if (found == m_engines.end() || !found->second.scheduler)
+        return std::nullopt;
+    return found->second.scheduler->summary(m_scheduler.now());
+}
+
 void EngineOwners::carryOut(const UpstreamId& engine)
 {
     Owned* owned = find(engine);
--- a/src/gateway/engine_owners.h
+++ b/src/gateway/engine_owners.h
@@ -43,6 +43,8 @@
     /// Upstreams or the configuration have changed.
     void refresh();
     std::vector<EngineSummary> summaries() const;
+    /// @return nothing if this host does not run the engine's scheduler.
+    std::optional<EngineSummary> summary(const UpstreamId& engine) const;
     LoadLimiter& loads() { return m_loads; }
 
 private:
--- a/src/gateway/engine_view.cc
+++ b/src/gateway/engine_view.cc
@@ -23,24 +23,21 @@
     if (m_owners.owns(engine))
         return m_self;
     // Heartbeats tell of a new owner sooner than the store.
-    if (const auto peer = m_mesh.ownerOf(engine))
-        return peer;
+    if (const auto* told = m_mesh.engine(engine))
+        return told->owner;
     const auto record = m_fleet.registry().owner(engine, m_clock.now());
     if (!record || record->host == m_self || !m_mesh.isInTouch(record->host))
         return std::nullopt;
     return record->host;
 }
 
-std::map<UpstreamId, EngineView::Latest> EngineView::latestSummaries() const
+std::optional<EngineView::Latest> EngineView::latest(const UpstreamId& engine) const
 {
-    std::map<UpstreamId, Latest> latest;
-    for (const auto& [host, state] : m_mesh.peersInTouch()) {
-        for (const EngineSummary& summary : state->heartbeat.engines)
-            latest[summary.engine] = { summary, state->heard };
-    }
-    for (const EngineSummary& summary : m_owners.summaries())
-        latest[summary.engine] = { summary, MonotonicTime() };
-    return latest;
+    if (const auto own = m_owners.summary(engine))
+        return Latest { *own, MonotonicTime() };
+    if (const auto* told = m_mesh.engine(engine))
+        return Latest { told->summary, told->heard };
+    return std::nullopt;
 }
 
 bool EngineView::entryHolds(const UpstreamEntry& entry, const AdapterRef& adapter)
@@ -62,7 +59,6 @@
     const ServiceId& service, const AdapterRef& adapter, const std::set<UpstreamId>& excluded)
 {
     const MonotonicTime now = m_clock.now();
-    const auto latest = latestSummaries();
     std::vector<EngineCandidate> candidates;
     for (const UpstreamEntry* entry : m_upstreams.usable(service)) {
         if (excluded.count(entry->id) > 0)
@@ -72,22 +68,23 @@
         candidate.isInCallersDataCentre = entry->dataCentre == m_dataCentre;
         candidate.hasOwner = ownerOf(entry->id).has_value();
         candidate.isSuspect = m_picker.isSuspect(entry->id, now);
-        const auto found = latest.find(entry->id);
-        if (found == latest.end() || !candidate.hasOwner) {
+        const auto told = latest(entry->id);
+        if (!told || !candidate.hasOwner) {
             candidate.holdsAdapter = entryHolds(*entry, adapter);
             candidate.openPlaces = 1;
             candidates.push_back(std::move(candidate));
             continue;
         }
-        const EngineSummary& summary = found->second.summary;
+        const EngineSummary& summary = told->summary;
         const bool holdsModel
             = std::find(summary.models.begin(), summary.models.end(), adapter.model) != summary.models.end();
         if (!summary.isUsable || !holdsModel)
             continue;
         candidate.prefillBacklog = summary.prefillBacklog;
         const auto asked = m_asked.find(entry->id);
-        if (asked != m_asked.end() && asked->second.heard == found->second.heard)
+        if (asked != m_asked.end() && asked->second.heard == told->heard)
             candidate.prefillBacklog += m_rate.timeFor(asked->second.prompts);
+        candidate.updateInterval = m_owners.owns(entry->id) ? Duration::zero() : m_mesh.heartbeatInterval();
         candidate.openPlaces = summary.openPlaces;
         candidate.fetchWait = summary.fetchWait;
         candidate.waiting = summary.waiting;
@@ -106,16 +103,12 @@
 {
     if (m_owners.owns(engine))
         return;
-    const auto owner = ownerOf(engine);
-    if (!owner)
-        return;
-    const auto peers = m_mesh.peersInTouch();
-    const auto peer = peers.find(*owner);
-    if (peer == peers.end())
+    const auto* told = m_mesh.engine(engine);
+    if (!told)
         return;
     Asked& asked = m_asked[engine];
-    if (asked.heard != peer->second->heard)
-        asked = { peer->second->heard, Tokens(0) };
+    if (asked.heard != told->heard)
+        asked = { told->heard, Tokens(0) };
     asked.prompts += prompt;
 }
 
--- a/src/gateway/engine_view.h
+++ b/src/gateway/engine_view.h
@@ -39,10 +39,11 @@
 
     struct Latest {
         EngineSummary summary;
+        /// Time zero for engines of this host, whose summary is always current.
         MonotonicTime heard;
     };
 
-    std::map<UpstreamId, Latest> latestSummaries() const;
+    std::optional<Latest> latest(const UpstreamId& engine) const;
     static bool entryHolds(const UpstreamEntry& entry, const AdapterRef& adapter);
 
     const Clock& m_clock;
--- a/src/gateway/peer_mesh.cc
+++ b/src/gateway/peer_mesh.cc
@@ -131,10 +131,23 @@
         return;
     }
     if (const auto* heartbeat = std::get_if<PeerHeartbeat>(&*message))
-        m_states[peer] = { *heartbeat, m_loop.now() };
+        noteHeartbeat(peer, *heartbeat);
     m_handlers.onMessage(peer, *message);
 }
 
+void PeerMesh::noteHeartbeat(const HostId& peer, const PeerHeartbeat& heartbeat)
+{
+    PeerState& state = m_states[peer];
+    for (const EngineSummary& summary : state.heartbeat.engines) {
+        const auto known = m_engines.find(summary.engine);
+        if (known != m_engines.end() && known->second.owner == peer)
+            m_engines.erase(known);
+    }
+    state = { heartbeat, m_loop.now() };
+    for (const EngineSummary& summary : heartbeat.engines)
+        m_engines[summary.engine] = { peer, summary, state.heard };
+}
+
 bool PeerMesh::send(const HostId& peer, const PeerMessage& message)
 {
     return m_links && m_links->send(peer, encodePeerMessage(message));
@@ -162,17 +175,15 @@
     return found != m_states.end() && m_loop.now() - found->second.heard < silenceTime();
 }
 
-std::optional<HostId> PeerMesh::ownerOf(const UpstreamId& engine) const
+const PeerMesh::EngineState* PeerMesh::engine(const UpstreamId& engine) const
 {
-    for (const auto& [host, state] : m_states) {
-        if (!isInTouch(host) || state.heartbeat.isStopping)
-            continue;
-        for (const EngineSummary& summary : state.heartbeat.engines) {
-            if (summary.engine == engine)
-                return host;
-        }
-    }
-    return std::nullopt;
+    const auto found = m_engines.find(engine);
+    if (found == m_engines.end())
+        return nullptr;
+    const auto owner = m_states.find(found->second.owner);
+    const bool isUsable
+        = owner != m_states.end() && isInTouch(owner->first) && !owner->second.heartbeat.isStopping;
+    return isUsable ? &found->second : nullptr;
 }
 
 std::map<HostId, const PeerMesh::PeerState*> PeerMesh::peersInTouch() const
--- a/src/gateway/peer_mesh.h
+++ b/src/gateway/peer_mesh.h
@@ -29,6 +29,13 @@
         MonotonicTime heard;
     };
 
+    /// What the owner of an engine last said about it, and when that arrived.
+    struct EngineState {
+        HostId owner;
+        EngineSummary summary;
+        MonotonicTime heard;
+    };
+
     /// @param loop must outlive the mesh.
     PeerMesh(EventLoop& loop, HostRecord self, Handlers handlers);
 
@@ -42,16 +49,18 @@
     /// @return peers whose heartbeats arrive.
     std::map<HostId, const PeerState*> peersInTouch() const;
     bool isInTouch(const HostId& peer) const;
-    /// @return the peer in touch that says it owns an engine, or nothing.
-    std::optional<HostId> ownerOf(const UpstreamId& engine) const;
+    /// @return what a peer in touch that owns an engine and is not stopping says about it, or null.
+    const EngineState* engine(const UpstreamId& engine) const;
+    /// @return the time between two heartbeats of a host.
+    Duration heartbeatInterval() const;
     const std::map<HostId, HostRecord>& hosts() const { return m_hosts; }
 
 private:
-    Duration heartbeatInterval() const;
     Duration silenceTime() const;
     void listen(const std::string& secret);
     void connectMissing();
     void received(const HostId& peer, std::string_view frame);
+    void noteHeartbeat(const HostId& peer, const PeerHeartbeat& heartbeat);
     void disconnected(const HostId& peer, LinkError error);
 
     EventLoop& m_loop;
@@ -61,6 +70,8 @@
     /// Hosts that live, without this one.
     std::map<HostId, HostRecord> m_hosts;
     std::map<HostId, PeerState> m_states;
+    /// By the heartbeats that arrived last, so that each request finds its engines without a search.
+    std::map<UpstreamId, EngineState> m_engines;
     std::map<HostId, MonotonicTime> m_lastAttempt;
     std::set<HostId> m_connected;
     PeriodicTimer m_heartbeatTimer;
