Deny the runs that wait at an engine when it starts anew

Cause: EngineOwners::startScheduler dropped the scheduler of an engine that had started anew with the requests that waited in it. Their entries heard nothing and answered them at their deadline. The new test failed before (no denial within 2 s) and passes now: the waiting runs are denied as engine_unusable, and their entries look for another engine at once.

--- a/src/gateway/engine_owners.cc
+++ b/src/gateway/engine_owners.cc
@@ -44,7 +44,8 @@
 void EngineOwners::startScheduler(const UpstreamId& engine, Owned& owned)
 {
     owned.generation = m_nextGeneration++;
-    owned.scheduler.reset();
+    if (const auto former = std::move(owned.scheduler))
+        denyWaiting(*former, RunRefusal::EngineUnusable);
     const UpstreamEntry* entry = m_upstreams.find(engine);
     const auto limits = entry ? limitsOf(*entry) : std::nullopt;
     if (!limits)
@@ -64,10 +65,14 @@
     m_scheduler.cancel(found->second.timer);
     const auto scheduler = std::move(found->second.scheduler);
     m_engines.erase(found);
-    if (!scheduler)
-        return;
-    for (const RunKey& key : scheduler->waitingRuns())
-        m_handlers.onDenial({ key, RunRefusal::NotOwner, Duration::zero(), Duration::zero() });
+    if (scheduler)
+        denyWaiting(*scheduler, RunRefusal::NotOwner);
+}
+
+void EngineOwners::denyWaiting(const EngineScheduler& scheduler, RunRefusal reason)
+{
+    for (const RunKey& key : scheduler.waitingRuns())
+        m_handlers.onDenial({ key, reason, Duration::zero(), Duration::zero() });
 }
 
 void EngineOwners::request(const UpstreamId& engine, RunRequest request)
--- a/src/gateway/engine_owners.h
+++ b/src/gateway/engine_owners.h
@@ -59,6 +59,7 @@
 
     Owned* find(const UpstreamId& engine);
     void startScheduler(const UpstreamId& engine, Owned& owned);
+    void denyWaiting(const EngineScheduler& scheduler, RunRefusal reason);
     void carryOut(const UpstreamId& engine);
     void giveOrder(const UpstreamId& engine, const PlannedOrder& planned);
     void orderAnswered(const UpstreamId& engine, uint64_t generation, OrderOutcome outcome);
--- /dev/null
+++ b/src/gateway/engine_owners_test.cc
@@ -0,0 +1,127 @@
+#include "gateway/engine_owners.h"
+
+#include "base/virtual_scheduler.h"
+#include "gateway/fake_row_store_test.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lacewing;
+using namespace lacewing::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceId service("engines");
+const ModelId model("base");
+const UpstreamId engine("e-1");
+
+/// A row of an engine holds the time at which it started.
+class EngineRows : public RowDecoder {
+public:
+    std::string operatorTable() const override { return "op"; }
+    std::string upstreamTable() const override { return "servers"; }
+    std::string configurationKey() const override { return "config"; }
+    std::shared_ptr<const ServingConfiguration> readConfiguration(
+        const std::string&, std::string&) const override
+    {
+        ServiceConfiguration engines;
+        engines.id = service;
+        engines.engine = EngineLimits();
+        engines.engine->adapterPlaces = 2;
+        engines.engine->models = { { model, 1 } };
+        ServingConfiguration::Builder builder(Revision(1));
+        builder.add(engines);
+        return builder.build();
+    }
+    std::optional<AdapterRelease> readRelease(const StoredRow&) const override { return std::nullopt; }
+    std::optional<UpstreamEntry> readUpstream(const StoredRow& row) const override
+    {
+        UpstreamEntry entry;
+        entry.id = UpstreamId(row.id.key);
+        entry.service = service;
+        entry.address = { "127.0.0.1", 1 };
+        entry.startedAt = std::stoll(row.value);
+        return entry;
+    }
+};
+
+/// Reports a model without adapters; orders are never answered.
+class SilentOrders : public EngineControl {
+public:
+    void order(const EngineTarget&, const AdapterOrder&, OrderCallback) override { ++orders; }
+    void report(const EngineTarget&, ReportCallback callback) override
+    {
+        EngineReport report;
+        report.models = { { model, 0, {}, {} } };
+        callback(report);
+    }
+
+    int orders = 0;
+};
+
+struct Fixture {
+    Fixture()
+    {
+        store.put({ "op", "config" }, "{}");
+        store.put({ "servers", engine.value() }, "1");
+        configuration.start();
+        upstreams.start();
+        scheduler.advance(50ms);
+        owners.claimed(engine, FencingNumber(1));
+        scheduler.advance(10ms);
+    }
+
+    void request(int64_t run)
+    {
+        RunRequest request;
+        request.key = { HostId("host-2"), RunId(run) };
+        request.adapter = { model, AdapterId("a1") };
+        request.prompt = Tokens(100);
+        request.onTimeStart = request.latestStart = scheduler.now() + 5s;
+        owners.request(engine, request);
+        scheduler.advance(10ms);
+    }
+
+    VirtualScheduler scheduler;
+    FakeRowStore store { scheduler };
+    EngineRows rows;
+    ConfigurationKeeper configuration { scheduler, store, rows, { [] {}, [](const AdapterRelease&) {} } };
+    UpstreamDirectory upstreams { scheduler, store, rows,
+        { [this] { owners.refresh(); }, [](const std::vector<StoredRow>&) {} } };
+    SilentOrders control;
+    std::vector<RunDenial> denials;
+    EngineOwners owners { scheduler, control, upstreams, configuration, HostId("host-1"),
+        { [](const RunGrant&) {}, [this](const RunDenial& denial) { denials.push_back(denial); },
+            [](const UpstreamId&) {}, [] { return true; } } };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EngineOwnersTest, Fixture)
+
+// Guards against requests that wait at an engine until their deadline after it has started anew: the new
+// scheduler does not know them.
+BOOST_AUTO_TEST_CASE(DeniesWaitingRunsWhenTheEngineStartsAnew)
+{
+    request(7);
+    BOOST_TEST(control.orders == 1);
+    BOOST_TEST(denials.empty());
+    store.put({ "servers", engine.value() }, "2");
+    scheduler.advance(2s);
+    BOOST_REQUIRE(denials.size() == 1);
+    BOOST_TEST(denials[0].key.run == RunId(7));
+    BOOST_TEST((denials[0].reason == RunRefusal::EngineUnusable));
+}
+
+// Guards against requests that wait for a host that does not own the engine any more.
+BOOST_AUTO_TEST_CASE(DeniesWaitingRunsWhenTheEngineIsLost)
+{
+    request(8);
+    owners.lost(engine);
+    BOOST_REQUIRE(denials.size() == 1);
+    BOOST_TEST((denials[0].reason == RunRefusal::NotOwner));
+    request(9);
+    BOOST_TEST(denials.size() == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
