Add lacewinglb-experiment: the gateway's decision core on virtual time

Plays eleven loads (waves, bursts, a hot workspace, callers that repeat at once, a shift of popularity, rare adapters, crashed engines, a slow weight store, killed owners) against simulated callers, entries, owners and engines. EngineScheduler, EngineChooser, LoadLimiter and StartSearch are the gateway's own. Compared: the current policy, the same without errors of judgement between heartbeats, the shortest queue, fixed homes, and an offline upper bound of the worth. Prints Markdown tables and writes plots as HTML.

--- /dev/null
+++ b/src/experiment/engine_selector.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "gateway/engine_chooser.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lacewing::experiment {
+
+/// A policy that orders engines for a request.
+class EngineSelector {
+public:
+    virtual ~EngineSelector() = default;
+
+    /// @return the engines to ask, best first.
+    virtual std::vector<UpstreamId> rank(const gateway::AdapterRef& adapter,
+        const std::vector<gateway::EngineCandidate>& candidates, Random& random) const = 0;
+};
+
+/// A policy that is compared.
+struct Arm {
+    std::string name;
+    std::shared_ptr<const EngineSelector> selector;
+};
+
+/// @return the gateway's own policy first, then what it is compared with: the same without errors of
+/// judgement between updates, the engine with the shortest queue, and fixed homes.
+std::vector<Arm> allArms();
+
+} // namespace lacewing::experiment
--- /dev/null
+++ b/src/experiment/fleet_result.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace lacewing::experiment {
+
+/// Worth that the requests of a group could earn, and did.
+struct Share {
+    double owed = 0;
+    double earned = 0;
+    int requests = 0;
+    int served = 0;
+
+    /// @return earned worth by owed worth; 1 if nothing was owed.
+    double worth() const { return owed > 0 ? earned / owed : 1; }
+};
+
+/// Outcome of one simulated run.
+struct FleetResult {
+    Share all;
+    /// By "class/...", "size/...", "workspace/..." and "rank/...", the popularity of the adapter.
+    std::map<std::string, Share> groups;
+    /// By second of arrival.
+    std::vector<Share> seconds;
+    /// Times from the first attempt to the first event, of the requests that were served.
+    std::vector<Duration> waits;
+    std::map<std::string, int> refusals;
+    int fetches = 0;
+    /// Reading time of the busiest engine by the mean of all.
+    double busiestByMean = 0;
+
+    /// @return the worth of the worst group whose name begins with a prefix.
+    double worst(const std::string& prefix) const;
+    /// @return the worth over the two worst seconds.
+    double worstSeconds() const;
+    /// @return a quantile of the waits in milliseconds; 0 if nothing was served.
+    double waitMilliseconds(double quantile) const;
+};
+
+} // namespace lacewing::experiment
--- /dev/null
+++ b/src/experiment/fleet_shape.cc
@@ -0,0 +1,29 @@
+#include "experiment/fleet_shape.h"
+
+#include <algorithm>
+
+namespace lacewing::experiment {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+FleetShape FleetShape::ofEngines(int engines)
+{
+    FleetShape shape;
+    shape.engines = engines;
+    shape.hosts = std::max(3, engines);
+    shape.requestsPerSecond = 6.0 * engines;
+    shape.adapters = std::clamp(engines * 250, 750, 10'000);
+    shape.fullSpeedLoads = std::max(4, engines * 2 / 3);
+    // As PeerMesh spaces its heartbeats.
+    shape.heartbeatInterval
+        = std::clamp<Duration>(milliseconds(8) * shape.hosts, milliseconds(200), seconds(1));
+    shape.classes = {
+        { "summary", 0.72, Tokens(2368), 8, milliseconds(800), seconds(4), 1.8, 0.53, 1 },
+        { "background", 0.1, Tokens(2368), 8, seconds(1), seconds(12), 1.8, 0.53, 1 },
+        { "interactive", 0.18, Tokens(1460), 57, milliseconds(800), seconds(15), 2.5, 0.74, 0 },
+    };
+    return shape;
+}
+
+} // namespace lacewing::experiment
--- /dev/null
+++ b/src/experiment/lacewinglb_experiment_main.cc
@@ -0,0 +1,100 @@
+// Compares placement policies on virtual time; see docs/experiments/queueing.md.
+#include "experiment/experiment_report.h"
+#include "experiment/fleet_simulation.h"
+#include "experiment/worth_bound.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+
+#include <fstream>
+#include <iostream>
+
+ABSL_FLAG(std::vector<std::string>, engines, std::vector<std::string>({ "3", "12", "90" }),
+    "numbers of engines, separated by commas");
+ABSL_FLAG(std::string, load, "", "play only this load; empty: all");
+ABSL_FLAG(std::string, arm, "", "play only this policy; empty: all");
+ABSL_FLAG(int, seeds, 2, "number of seeds, whose figures are put together");
+ABSL_FLAG(double, demand, 1, "factor by which callers send more than usual");
+ABSL_FLAG(std::string, html, "", "file to write plots to; empty: none");
+
+namespace lacewing::experiment {
+namespace {
+
+enum ExitCode { Success = 0, BadArguments = 1, OutputFailed = 2 };
+
+LoadResults playLoad(const FleetShape& shape, LoadPattern pattern, const std::vector<Arm>& arms)
+{
+    LoadResults results { toString(pattern), shape.engines, 0, {} };
+    for (const Arm& arm : arms)
+        results.arms.emplace_back(arm.name, FleetResult());
+    const int seeds = absl::GetFlag(FLAGS_seeds);
+    for (int seed = 1; seed <= seeds; ++seed) {
+        const auto number = static_cast<uint64_t>(seed);
+        const std::vector<Arrival> arrivals = generateArrivals(shape, pattern, number);
+        results.bound += offlineWorthBound(shape, arrivals, enginesUp(shape, pattern)) / seeds;
+        for (size_t arm = 0; arm < arms.size(); ++arm)
+            addResult(
+                results.arms[arm].second, FleetSimulation(shape, pattern, arms[arm], number).run(arrivals));
+    }
+    return results;
+}
+
+std::vector<Arm> chosenArms()
+{
+    std::vector<Arm> arms;
+    for (const Arm& arm : allArms()) {
+        if (absl::GetFlag(FLAGS_arm).empty() || absl::GetFlag(FLAGS_arm) == arm.name)
+            arms.push_back(arm);
+    }
+    return arms;
+}
+
+int run()
+{
+    const std::string load = absl::GetFlag(FLAGS_load);
+    const auto pattern = loadPatternNamed(load);
+    const std::vector<Arm> arms = chosenArms();
+    if ((!load.empty() && !pattern) || arms.empty() || absl::GetFlag(FLAGS_seeds) < 1) {
+        std::cerr << "unknown --load or --arm, or --seeds below 1\n";
+        return BadArguments;
+    }
+    std::vector<LoadResults> results;
+    for (const std::string& text : absl::GetFlag(FLAGS_engines)) {
+        const int engines = std::atoi(text.c_str());
+        if (engines < 1) {
+            std::cerr << "--engines: \"" << text << "\" is not a number above 0\n";
+            return BadArguments;
+        }
+        FleetShape shape = FleetShape::ofEngines(engines);
+        shape.requestsPerSecond *= absl::GetFlag(FLAGS_demand);
+        for (const LoadPattern each : pattern ? std::vector<LoadPattern> { *pattern } : allLoadPatterns()) {
+            results.push_back(playLoad(shape, each, arms));
+            std::cout << markdownReport({ results.back() }) << std::flush;
+        }
+    }
+    const std::string html = absl::GetFlag(FLAGS_html);
+    if (html.empty())
+        return Success;
+    std::ofstream file(html);
+    file << htmlReport(results);
+    if (file.flush())
+        return Success;
+    std::cerr << "--html: cannot write \"" << html << "\"\n";
+    return OutputFailed;
+}
+
+} // namespace
+} // namespace lacewing::experiment
+
+int main(int argc, char** argv)
+{
+    absl::FlagsUsageConfig config;
+    config.version_string = [] { return std::string("lacewinglb-experiment " LACEWING_VERSION "\n"); };
+    absl::SetFlagsUsageConfig(config);
+    absl::SetProgramUsageMessage(
+        "Compares placement policies under loads and faults on virtual time and prints tables.");
+    absl::ParseCommandLine(argc, argv);
+    return lacewing::experiment::run();
+}
--- /dev/null
+++ b/src/experiment/load_pattern.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "experiment/fleet_shape.h"
+
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace lacewing::experiment {
+
+/// A shape of load or a fault under which placement and queueing are judged.
+enum class LoadPattern {
+    Steady,
+    /// Arrivals in waves, several requests at a time.
+    ClumpedWaves,
+    /// All callers send much more for some seconds.
+    BurstOfAll,
+    /// One class does.
+    BurstOfOneClass,
+    /// One workspace, and with it the adapters that it prefers, does.
+    HotWorkspace,
+    /// Callers come back at once after a refusal, several times.
+    ImmediateRepeats,
+    /// The popular adapters fall silent and others take their place.
+    PopularityShift,
+    /// Many requests for adapters that no engine has a copy of.
+    RareAdapters,
+    /// A quarter of the engines loses everything and comes back some seconds later.
+    EngineCrashes,
+    /// Adapters load four times more slowly.
+    SlowWeightStore,
+    /// A quarter of the hosts, owners of engines, is killed.
+    OwnersKilled,
+};
+
+/// All patterns, in the order of the report.
+const std::vector<LoadPattern>& allLoadPatterns();
+/// @return the pattern's name in kebab-case.
+const char* toString(LoadPattern pattern);
+/// @return nothing if no pattern has the name.
+std::optional<LoadPattern> loadPatternNamed(std::string_view name);
+
+/// One request as its caller sends it first.
+struct Arrival {
+    Duration at {};
+    /// Index in FleetShape::classes.
+    size_t requestClass = 0;
+    int adapter = 0;
+    int workspace = 0;
+    int host = 0;
+    Tokens prompt;
+};
+
+/// When the pattern's load or fault begins and how long it lasts.
+constexpr Duration patternStart = std::chrono::seconds(8);
+constexpr Duration patternLength = std::chrono::seconds(5);
+constexpr Duration loadLength = std::chrono::seconds(20);
+
+/// @return the requests of a run in order of time; the same seed gives the same requests.
+std::vector<Arrival> generateArrivals(const FleetShape& shape, LoadPattern pattern, uint64_t seed);
+
+} // namespace lacewing::experiment
