Report usage early instead of refusing requests within their limit; heartbeats tell what has changed

Cause: a host refused what exceeded its share of a workspace's rest until its next heartbeat. Heartbeats carried all usage and each adapter's model name every time.

Change: a charge beyond the share is admitted and reported to all peers at once, up to twelve even shares (at most half of the rest) between two heartbeats, so that silent links stay bounded. Heartbeats carry changed usage only; a peer that has just connected gets everything. (Until now a heartbeat to one new peer also reset what all peers had not heard.) Adapters are grouped by model. Entries log each owner's refusal as start_denied, with the request's id and the run's number.

--- a/src/gateway/call_services.h
+++ b/src/gateway/call_services.h
@@ -30,6 +30,8 @@
     MetricsRegistry& metrics;
     Random& random;
     DataCentreId dataCentre;
+    /// Tells all peers at once what workspaces have spent here.
+    std::function<void()> reportUsage;
     /// False shortly before the process ends, when a stream that starts would be cut off.
     bool acceptsStreams = true;
 };
--- a/src/gateway/caller_call.cc
+++ b/src/gateway/caller_call.cc
@@ -186,8 +186,11 @@
     if (limit.countsTokens && m_attributes.promptTokens && m_attributes.maximumOutputTokens)
         m_charge = (*m_attributes.promptTokens + *m_attributes.maximumOutputTokens).value();
     const auto retryAfter = m_services.usage.charge(*m_workspace, m_charge, m_services.loop.now());
-    if (!retryAfter)
+    if (!retryAfter) {
+        if (m_services.usage.isReportDue())
+            m_services.reportUsage();
         return true;
+    }
     const UsageLedger::Refusal& refusal = m_services.usage.lastRefusal();
     LogEvent(LogLevel::Info, "over_limit")
         .with("request", m_attributes.requestId)
@@ -196,7 +199,8 @@
         .with("limit", refusal.limit)
         .with("own_usage", refusal.ownUsage)
         .with("other_hosts_usage", refusal.otherHostsUsage)
-        .with("unreported_bound", refusal.unreportedBound);
+        .with("heartbeat_bound", refusal.heartbeatBound)
+        .with("since_heartbeat", refusal.sinceHeartbeat);
     m_charge = 0;
     ++m_services.metrics.counter("lacewing_refusals_total", { { "reason", toString(Refusal::OverLimit) } });
     reply(statusTooManyRequests,
@@ -280,6 +284,12 @@
         return;
     }
     const RunDenial& denial = std::get<RunDenial>(answer);
+    LogEvent(LogLevel::Info, "start_denied")
+        .with("request", m_attributes.requestId)
+        .with("upstream", m_upstream)
+        .with("run", denial.key.run)
+        .with("reason", gateway::toString(denial.reason))
+        .with("retry_after_ms", toMilliseconds(denial.retryAfter));
     m_run.reset();
     m_tried.insert(m_upstream);
     m_search.denied(denial);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -79,7 +79,8 @@
               [this] { return leavingHosts(); } })
     , m_mesh(loop, m_self,
           { [this](const HostId& peer, const PeerMessage& message) { peerMessage(peer, message); },
-              [this](const HostId& peer) { m_broker.peerLost(peer); }, [this] { return heartbeat(); } })
+              [this](const HostId& peer) { m_broker.peerLost(peer); },
+              [this](HeartbeatAudience audience) { return heartbeat(audience); } })
     , m_owners(loop, ports.engines, m_upstreams, m_configuration, m_settings.host,
           { [this](const RunGrant& grant) { m_broker.answered(grant.key, grant); },
               [this](const RunDenial& denial) { m_broker.answered(denial.key, denial); },
@@ -88,10 +89,9 @@
     , m_engineView(
           loop, m_upstreams, m_fleet, m_mesh, m_owners, m_picker, m_settings.host, m_settings.dataCentre)
     , m_services { loop, client, ports.calls, m_configuration, m_upstreams, m_engineView, m_broker, m_picker,
-        m_usage, m_retries, m_metrics, m_random, m_settings.dataCentre }
+        m_usage, m_retries, m_metrics, m_random, m_settings.dataCentre, [this] { reportUsage(); } }
     , m_memberTimer(
           loop, [] { return memberInterval; }, [this] { updateMembers(); })
-    , m_usageKnownSince(m_settings.isFirstStart ? m_started - m_settings.usageWindow : m_started)
 {
     m_broker.connect(m_owners, m_mesh);
     m_usage.setTolerance(m_settings.usageTolerance);
@@ -211,7 +211,7 @@
     exchange.reply(statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.text());
 }
 
-PeerHeartbeat Gateway::heartbeat()
+PeerHeartbeat Gateway::heartbeat(HeartbeatAudience audience)
 {
     PeerHeartbeat heartbeat;
     heartbeat.incarnation = m_incarnation;
@@ -220,8 +220,9 @@
     heartbeat.callerAddress = m_settings.callerAddress;
     heartbeat.configurationVersion = m_configuration.rowVersion();
     heartbeat.configurationAge = m_configuration.age();
-    heartbeat.usageKnownFor = m_loop.now() - m_usageKnownSince;
-    heartbeat.usage = m_usage.report(m_loop.now());
+    heartbeat.usageKnownFor = m_loop.now() - m_usage.knownSince();
+    heartbeat.usage = audience == HeartbeatAudience::NewPeer ? m_usage.wholeReport(m_loop.now())
+                                                             : m_usage.heartbeatReport(m_loop.now());
     heartbeat.fetchesInFlight = m_owners.loads().inFlight();
     heartbeat.engines = m_owners.summaries();
     return heartbeat;
@@ -233,8 +234,7 @@
         const MonotonicTime now = m_loop.now();
         m_usage.peerReported(peer, heartbeat->incarnation, heartbeat->usage, now);
         const Duration knownFor = std::min(heartbeat->usageKnownFor, m_settings.usageWindow);
-        m_usageKnownSince = std::min(m_usageKnownSince, now - knownFor);
-        m_usage.knownSince(m_usageKnownSince);
+        m_usage.setKnownSince(now - knownFor);
         offerConfiguration(peer, *heartbeat);
         if (heartbeat->configurationAge)
             m_configuration.peerConfirmed(heartbeat->configurationVersion, *heartbeat->configurationAge);
@@ -252,9 +252,19 @@
         m_upstreams.peerOffered(news->rows);
         return;
     }
+    if (const auto* usage = std::get_if<PeerUsage>(&message)) {
+        m_usage.peerReported(peer, usage->incarnation, usage->usage, m_loop.now());
+        return;
+    }
     m_broker.peerMessage(peer, message);
 }
 
+void Gateway::reportUsage()
+{
+    ++m_metrics.counter("lacewing_early_usage_reports_total");
+    m_mesh.sendToAll(PeerUsage { m_incarnation, m_usage.earlyReport(m_loop.now()) });
+}
+
 // A peer that the store does not serve hears of changes in this way.
 void Gateway::offerConfiguration(const HostId& peer, const PeerHeartbeat& heartbeat)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -47,7 +47,8 @@
     void answerMetrics(HttpExchange& exchange);
     bool isReady() const { return m_configuration.current() != nullptr && !m_isStopping; }
 
-    PeerHeartbeat heartbeat();
+    PeerHeartbeat heartbeat(HeartbeatAudience audience);
+    void reportUsage();
     void peerMessage(const HostId& peer, const PeerMessage& message);
     void offerConfiguration(const HostId& peer, const PeerHeartbeat& heartbeat);
     void fleetChanged();
@@ -88,7 +89,6 @@
     std::unordered_map<CallerCall*, std::shared_ptr<CallerCall>> m_calls;
     PeriodicTimer m_memberTimer;
     /// Since when this host or a peer that it heard has followed all spending.
-    MonotonicTime m_usageKnownSince;
     bool m_isStopping = false;
     MonotonicTime m_stopDeadline;
     std::function<void()> m_stopped;
--- a/src/gateway/peer_mesh.cc
+++ b/src/gateway/peer_mesh.cc
@@ -77,7 +77,7 @@
     handlers.onConnected = [this](const PeerIdentity& peer) {
         LogEvent(LogLevel::Info, "peer_connected").with("peer", peer.host);
         m_connected.insert(peer.host);
-        send(peer.host, m_handlers.heartbeat());
+        send(peer.host, m_handlers.heartbeat(HeartbeatAudience::NewPeer));
     };
     handlers.onDisconnected = [this](const HostId& peer, LinkError error) { disconnected(peer, error); };
     handlers.onFrame = [this](const HostId& peer, std::string_view frame) { received(peer, frame); };
@@ -156,7 +156,7 @@
 void PeerMesh::sendHeartbeats()
 {
     if (m_links && !m_connected.empty())
-        sendToAll(m_handlers.heartbeat());
+        sendToAll(m_handlers.heartbeat(HeartbeatAudience::AllPeers));
 }
 
 void PeerMesh::sendToAll(const PeerMessage& message)
--- a/src/gateway/peer_mesh.h
+++ b/src/gateway/peer_mesh.h
@@ -13,6 +13,14 @@
 
 namespace lacewing::gateway {
 
+/// Whom a heartbeat is for.
+enum class HeartbeatAudience {
+    /// All peers in touch, which know what earlier heartbeats said.
+    AllPeers,
+    /// A peer that has just connected and knows nothing yet.
+    NewPeer,
+};
+
 /// Links to all living hosts, over which heartbeats and requests for runs go.
 class PeerMesh {
 public:
@@ -20,7 +28,7 @@
         std::function<void(const HostId& peer, const PeerMessage& message)> onMessage;
         std::function<void(const HostId& peer)> onLost;
         /// @return what this host tells its peers now.
-        std::function<PeerHeartbeat()> heartbeat;
+        std::function<PeerHeartbeat(HeartbeatAudience audience)> heartbeat;
     };
 
     /// What the last heartbeat of a peer said, and when it arrived.
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -2,6 +2,10 @@
 
 #include "base/cbor.h"
 
+#include <algorithm>
+#include <array>
+#include <map>
+
 namespace lacewing::gateway {
 
 namespace {
@@ -17,7 +21,8 @@
     RunDenial,
     RunProgress,
     RunEnd,
-    UpstreamRows
+    UpstreamRows,
+    Usage
 };
 
 Json frame(FrameType type)
@@ -37,16 +42,20 @@
 
 Json encode(const EngineSummary& summary)
 {
-    Json adapters = Json::array();
-    for (const AdapterSummary& adapter : summary.adapters)
-        adapters.push_back(
-            { adapter.adapter.model.value(), adapter.adapter.adapter.value(), adapter.isLoading });
-    Json models = Json::array();
+    // By model: its name, the adapters that are present, and those that are being loaded.
+    std::map<ModelId, std::array<Json, 2>> byModel;
     for (const ModelId& model : summary.models)
-        models.push_back(model.value());
-    return Json::array({ summary.engine.value(), microseconds(summary.prefillBacklog), summary.running,
-        summary.waiting, summary.openPlaces, std::move(adapters), summary.isUsable, std::move(models),
-        microseconds(summary.fetchWait) });
+        byModel[model] = { Json::array(), Json::array() };
+    for (const AdapterSummary& adapter : summary.adapters)
+        byModel[adapter.adapter.model][adapter.isLoading ? 1 : 0].push_back(adapter.adapter.adapter.value());
+    Json held = Json::array();
+    for (auto& [model, adapters] : byModel) {
+        const bool isLoaded = std::count(summary.models.begin(), summary.models.end(), model) > 0;
+        held.push_back({ model.value(), isLoaded, std::move(adapters[0]), std::move(adapters[1]) });
+    }
+    return Json::array(
+        { summary.engine.value(), microseconds(summary.prefillBacklog), summary.running, summary.waiting,
+            summary.openPlaces, summary.isUsable, microseconds(summary.fetchWait), std::move(held) });
 }
 
 EngineSummary decodeSummary(const Json& json)
@@ -57,23 +66,47 @@
     summary.running = json.at(2).get<int>();
     summary.waiting = json.at(3).get<int>();
     summary.openPlaces = json.at(4).get<int>();
-    for (const Json& adapter : json.at(5)) {
-        const AdapterRef ref { ModelId(adapter.at(0).get<std::string>()),
-            AdapterId(adapter.at(1).get<std::string>()) };
-        summary.adapters.push_back({ ref, adapter.at(2).get<bool>() });
+    summary.isUsable = json.at(5).get<bool>();
+    summary.fetchWait = duration(json.at(6));
+    for (const Json& held : json.at(7)) {
+        const ModelId model(held.at(0).get<std::string>());
+        if (held.at(1).get<bool>())
+            summary.models.push_back(model);
+        for (const bool isLoading : { false, true }) {
+            for (const Json& adapter : held.at(isLoading ? 3 : 2))
+                summary.adapters.push_back({ { model, AdapterId(adapter.get<std::string>()) }, isLoading });
+        }
     }
-    summary.isUsable = json.at(6).get<bool>();
-    for (const Json& model : json.at(7))
-        summary.models.emplace_back(model.get<std::string>());
-    summary.fetchWait = duration(json.at(8));
     return summary;
 }
 
+Json encode(const std::vector<UsageReport>& reports)
+{
+    Json json = Json::array();
+    for (const UsageReport& report : reports)
+        json.push_back({ report.workspace.value(), report.total, report.inWindow });
+    return json;
+}
+
+std::vector<UsageReport> decodeUsage(const Json& json)
+{
+    std::vector<UsageReport> reports;
+    for (const Json& report : json)
+        reports.push_back({ WorkspaceId(report.at(0).get<std::string>()), report.at(1).get<int64_t>(),
+            report.at(2).get<int64_t>() });
+    return reports;
+}
+
+Json encode(const PeerUsage& message)
+{
+    Json json = frame(FrameType::Usage);
+    json.push_back(message.incarnation.value());
+    json.push_back(encode(message.usage));
+    return json;
+}
+
 Json encode(const PeerHeartbeat& message)
 {
-    Json usage = Json::array();
-    for (const UsageReport& report : message.usage)
-        usage.push_back({ report.workspace.value(), report.total, report.inWindow });
     Json engines = Json::array();
     for (const EngineSummary& engine : message.engines)
         engines.push_back(encode(engine));
@@ -83,7 +116,7 @@
     json.push_back(message.isStopping);
     json.push_back(message.configurationVersion.value());
     json.push_back(microseconds(message.usageKnownFor));
-    json.push_back(std::move(usage));
+    json.push_back(encode(message.usage));
     json.push_back(std::move(engines));
     json.push_back(message.fetchesInFlight);
     json.push_back(message.callerAddress.text());
@@ -99,9 +132,7 @@
     message.isStopping = json.at(3).get<bool>();
     message.configurationVersion = RowVersion(json.at(4).get<int64_t>());
     message.usageKnownFor = duration(json.at(5));
-    for (const Json& report : json.at(6))
-        message.usage.push_back({ WorkspaceId(report.at(0).get<std::string>()), report.at(1).get<int64_t>(),
-            report.at(2).get<int64_t>() });
+    message.usage = decodeUsage(json.at(6));
     for (const Json& engine : json.at(7))
         message.engines.push_back(decodeSummary(engine));
     message.fetchesInFlight = json.at(8).get<int>();
@@ -247,6 +278,8 @@
     case FrameType::RunEnd:
         return PeerRunEnd { UpstreamId(json.at(1).get<std::string>()), RunId(json.at(2).get<int64_t>()),
             enumerator(json.at(3), RunOutcome::EngineFailed) };
+    case FrameType::Usage:
+        return PeerUsage { Incarnation(json.at(1).get<int64_t>()), decodeUsage(json.at(2)) };
     }
     return std::nullopt;
 }
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -26,6 +26,7 @@
     std::optional<Duration> configurationAge;
     /// For how long this host or the peers it heard have followed all spending.
     Duration usageKnownFor {};
+    /// What has changed since the host's last report; all of it in the first heartbeat on a link.
     std::vector<UsageReport> usage;
     /// Adapters that its engines fetch from the weight store.
     int fetchesInFlight = 0;
@@ -33,6 +34,12 @@
     std::vector<EngineSummary> engines;
 };
 
+/// What a host has spent since its last report, between two heartbeats.
+struct PeerUsage {
+    Incarnation incarnation;
+    std::vector<UsageReport> usage;
+};
+
 /// The configuration row, for a peer that has an older one.
 struct PeerConfiguration {
     RowVersion version;
@@ -83,7 +90,7 @@
 };
 
 using PeerMessage = std::variant<PeerHeartbeat, PeerConfiguration, PeerUpstreamRows, PeerRunRequest,
-    PeerRunGrant, PeerRunDenial, PeerRunProgress, PeerRunEnd>;
+    PeerRunGrant, PeerRunDenial, PeerRunProgress, PeerRunEnd, PeerUsage>;
 
 /// @return the message as one CBOR frame.
 std::string encodePeerMessage(const PeerMessage& message);
--- a/src/gateway/peer_message_test.cc
+++ b/src/gateway/peer_message_test.cc
@@ -28,7 +28,9 @@
     engine.running = 4;
     engine.waiting = 2;
     engine.openPlaces = 1;
+    engine.adapters.push_back({ { ModelId("base"), AdapterId("a0") }, false });
     engine.adapters.push_back({ { ModelId("base"), AdapterId("a1") }, true });
+    engine.adapters.push_back({ { ModelId("next"), AdapterId("a2") }, true });
     message.engines.push_back(engine);
     return message;
 }
@@ -43,7 +45,8 @@
             UpstreamId("engine-1"), RunId(5), adapter, Tokens(10), Tokens(20), 1, 700ms, 1500ms },
         PeerRunGrant { RunId(5), 3, 8 }, PeerRunDenial { RunId(5), RunRefusal::EngineUnusable, 200ms },
         PeerRunProgress { UpstreamId("engine-1"), RunId(5) },
-        PeerRunEnd { UpstreamId("engine-1"), RunId(5), RunOutcome::AdapterMissing } };
+        PeerRunEnd { UpstreamId("engine-1"), RunId(5), RunOutcome::AdapterMissing },
+        PeerUsage { Incarnation(77), { { WorkspaceId("busy"), 900, 300 } } } };
 }
 
 } // namespace
@@ -64,7 +67,12 @@
     const auto& message = std::get<PeerHeartbeat>(*decoded);
     BOOST_TEST(message.usage.at(0).inWindow == 300);
     BOOST_TEST((message.engines.at(0).prefillBacklog == 120ms));
-    BOOST_TEST(message.engines.at(0).adapters.at(0).isLoading);
+    const EngineSummary& engine = message.engines.at(0);
+    BOOST_TEST((engine.models == std::vector { ModelId("base") }));
+    BOOST_REQUIRE(engine.adapters.size() == 3);
+    BOOST_TEST(!engine.adapters[0].isLoading);
+    BOOST_TEST(engine.adapters[1].isLoading);
+    BOOST_TEST((engine.adapters[2].adapter == AdapterRef { ModelId("next"), AdapterId("a2") }));
 }
 
 // Guards against a damaged frame that ends the process. Changes and cuts frames at random places.
--- a/src/gateway/usage_ledger.cc
+++ b/src/gateway/usage_ledger.cc
@@ -12,6 +12,10 @@
 constexpr Duration longestRetryAfter = std::chrono::seconds(2);
 /// Part of what is left that one host may spend between two reports, in multiples of its even share.
 constexpr double unreportedShares = 1.25;
+/// The same between two heartbeats, with reports in between, and the largest part of what is left in a small
+/// fleet. Bounds what is spent while a link is silent and its peer not yet known to be out of reach.
+constexpr double heartbeatShares = 12;
+constexpr double largestHeartbeatPart = 0.5;
 /// Part of the tolerance that is used while the past is not known. The rest covers what hosts spend between
 /// reports.
 constexpr double toleranceUse = 0.4;
@@ -103,21 +107,26 @@
         const double others = knownUsage(workspace.id, evenShare, now);
         const double windowLeft = limit - static_cast<double>(own.inWindow) - others;
         const double left = std::min(windowLeft, burstLeft(workspace, now));
-        const double mayAdd
-            = (left + static_cast<double>(own.unreported)) * std::min(1.0, unreportedShares / members);
+        const auto sinceHeartbeat = static_cast<double>(own.total - own.heartbeatTotal);
+        const auto unreported = static_cast<double>(own.total - own.reportedTotal);
+        const double part = members > 1 ? std::min(largestHeartbeatPart, heartbeatShares / members) : 1;
+        const double bound = (left + sinceHeartbeat) * part;
+        const double reportBound = (left + unreported) * std::min(1.0, unreportedShares / members);
         const auto wanted = static_cast<double>(amount);
-        if (wanted > left || static_cast<double>(own.unreported) + wanted > std::max(mayAdd, wanted)) {
-            m_lastRefusal = { limit, static_cast<double>(own.inWindow), others, mayAdd };
+        // One request at least may pass between two heartbeats.
+        if (wanted > left || (sinceHeartbeat > 0 && sinceHeartbeat + wanted > bound)) {
+            m_lastRefusal = { limit, static_cast<double>(own.inWindow), others, bound, sinceHeartbeat };
             const double seconds = (wanted - left) / workspace.limit.ratePerSecond;
             const auto wait = std::chrono::duration_cast<Duration>(
                 std::chrono::duration<double>(std::clamp(seconds, 0.0, toSeconds(longestRetryAfter))));
             return std::max(wait, shortestRetryAfter);
         }
+        if (unreported > 0 && unreported + wanted > reportBound)
+            m_isReportDue = true;
     }
     m_buckets[workspace.id].level += static_cast<double>(amount);
     add(own, amount, now);
     own.total += amount;
-    own.unreported += amount;
     return std::nullopt;
 }
 
@@ -132,17 +141,36 @@
         spending->amount -= part;
         own.inWindow -= part;
         own.total -= part;
-        own.unreported -= part;
         amount -= part;
     }
 }
 
-std::vector<UsageReport> UsageLedger::report(MonotonicTime now)
+std::vector<UsageReport> UsageLedger::heartbeatReport(MonotonicTime now)
+{
+    for (auto& [workspace, account] : m_own)
+        account.heartbeatTotal = account.total;
+    return earlyReport(now);
+}
+
+std::vector<UsageReport> UsageLedger::earlyReport(MonotonicTime now)
+{
+    m_isReportDue = false;
+    std::vector<UsageReport> reports;
+    for (auto& [workspace, account] : m_own) {
+        if (account.total == account.reportedTotal)
+            continue;
+        expire(account, now);
+        account.reportedTotal = account.total;
+        reports.push_back({ workspace, account.total, account.inWindow });
+    }
+    return reports;
+}
+
+std::vector<UsageReport> UsageLedger::wholeReport(MonotonicTime now)
 {
     std::vector<UsageReport> reports;
     for (auto& [workspace, account] : m_own) {
         expire(account, now);
-        account.unreported = 0;
         if (account.total != 0)
             reports.push_back({ workspace, account.total, account.inWindow });
     }
--- a/src/gateway/usage_ledger.h
+++ b/src/gateway/usage_ledger.h
@@ -33,9 +33,10 @@
 ///
 /// Load pattern: one workspace sends many times its usual through all hosts at once, and hosts lose touch
 /// with each other meanwhile. Each host knows what the others have spent up to their last report and spends
-/// from the rest. What a host may have spent since its last report is bounded by its share of the rest, so
-/// the sum stays within the limit without a question per request. A peer that is out of reach is taken to
-/// spend its even share of the limit.
+/// from the rest without a question per request. What it has spent since its last report is bounded by its
+/// share of the rest; beyond that it reports at once, a few times between two heartbeats, so that requests
+/// within the limit are not refused because they came through one host. A peer that is out of reach is taken
+/// to spend its even share of the limit.
 class UsageLedger {
 public:
     /// @param window length of the windows in which the limit holds.
@@ -48,8 +49,9 @@
         double limit = 0;
         double ownUsage = 0;
         double otherHostsUsage = 0;
-        /// What this host may spend until its next report.
-        double unreportedBound = 0;
+        /// What this host may spend between two heartbeats, and has spent since the last one.
+        double heartbeatBound = 0;
+        double sinceHeartbeat = 0;
     };
 
     /// Charges a request if the workspace has enough left.
@@ -57,11 +59,17 @@
     /// @return nothing if charged, otherwise when to try again.
     std::optional<Duration> charge(const ServingWorkspace& workspace, int64_t amount, MonotonicTime now);
     const Refusal& lastRefusal() const { return m_lastRefusal; }
+    /// @return whether charges since the last report should be reported before the next heartbeat.
+    bool isReportDue() const { return m_isReportDue; }
     /// Takes back the charge of a request that has not run.
     void refund(const WorkspaceId& workspace, int64_t amount, MonotonicTime now);
 
-    /// @return this host's usage for its peers; each call starts a new reporting interval.
-    std::vector<UsageReport> report(MonotonicTime now);
+    /// @return what has changed since the last report, for a heartbeat to all peers.
+    std::vector<UsageReport> heartbeatReport(MonotonicTime now);
+    /// @return what has changed since the last report, for a message to all peers between two heartbeats.
+    std::vector<UsageReport> earlyReport(MonotonicTime now);
+    /// @return all usage of this host, for a peer that has just connected.
+    std::vector<UsageReport> wholeReport(MonotonicTime now);
     void peerReported(const HostId& peer, Incarnation incarnation, const std::vector<UsageReport>& usage,
         MonotonicTime now);
 
@@ -70,7 +78,9 @@
     void setWindow(Duration window) { m_window = window; }
     void setTolerance(const UsageTolerance& tolerance) { m_tolerance = tolerance; }
     /// Tells that a peer has followed all spending since an earlier time.
-    void knownSince(MonotonicTime time) { m_knownSince = std::min(m_knownSince, time); }
+    void setKnownSince(MonotonicTime time) { m_knownSince = std::min(m_knownSince, time); }
+    /// @return since when this host knows what all hosts have spent.
+    MonotonicTime knownSince() const { return m_knownSince; }
 
 private:
     struct Spending {
@@ -83,7 +93,10 @@
         std::deque<Spending> spendings;
         int64_t inWindow = 0;
         int64_t total = 0;
-        int64_t unreported = 0;
+        /// Total in the last report to all peers.
+        int64_t reportedTotal = 0;
+        /// Total in the last heartbeat.
+        int64_t heartbeatTotal = 0;
     };
 
     /// What the fleet has spent beyond the rate, as a level that falls at the rate.
@@ -105,6 +118,7 @@
     HostId m_self;
     MonotonicTime m_knownSince;
     UsageTolerance m_tolerance;
+    bool m_isReportDue = false;
     Refusal m_lastRefusal;
     std::map<HostId, bool> m_members;
     std::map<WorkspaceId, Account> m_own;
--- a/src/gateway/usage_ledger_test.cc
+++ b/src/gateway/usage_ledger_test.cc
@@ -50,15 +50,34 @@
 
     void exchange(MonotonicTime now)
     {
-        for (size_t from = 0; from < ledgers.size(); ++from) {
-            const auto usage = ledgers[from]->report(now);
-            for (size_t to = 0; to < ledgers.size(); ++to) {
-                if (to != from && m_cut.count(from) + m_cut.count(to) == 0)
-                    ledgers[to]->peerReported(names[from], Incarnation(1), usage, now);
-            }
+        for (size_t from = 0; from < ledgers.size(); ++from)
+            tell(from, ledgers[from]->heartbeatReport(now), now);
+    }
+
+    /// @return whether the host lets the workspace spend. It reports early when its ledger asks for it.
+    bool charge(size_t host, const ServingWorkspace& spender, int64_t amount, MonotonicTime now)
+    {
+        if (ledgers[host]->charge(spender, amount, now))
+            return false;
+        if (ledgers[host]->isReportDue()) {
+            ++earlyReports;
+            tell(host, ledgers[host]->earlyReport(now), now);
+        }
+        return true;
+    }
+
+    void tell(size_t from, const std::vector<UsageReport>& usage, MonotonicTime now)
+    {
+        for (size_t to = 0; to < ledgers.size(); ++to) {
+            if (to != from && !isSilent && m_cut.count(from) + m_cut.count(to) == 0)
+                ledgers[to]->peerReported(names[from], Incarnation(1), usage, now);
         }
     }
 
+    /// No report arrives, although the hosts count as in touch.
+    bool isSilent = false;
+    int earlyReports = 0;
+
     std::vector<HostId> names;
     std::vector<std::unique_ptr<UsageLedger>> ledgers;
 
@@ -94,7 +113,7 @@
         for (int attempt = 0; attempt < 4; ++attempt) {
             const size_t host = random.below(7);
             const auto amount = static_cast<int64_t>(500 + random.below(4000));
-            if (!hosts.ledgers[host]->charge(workspace(90000, 90000), amount, now))
+            if (hosts.charge(host, workspace(90000, 90000), amount, now))
                 charges.emplace_back(now, amount);
         }
         if (step % 20 == 0)
@@ -159,7 +178,7 @@
         const bool isHot = step > 400;
         for (int attempt = 0; attempt < (isHot ? 4 : 1); ++attempt) {
             const auto amount = static_cast<int64_t>(isHot ? 500 + random.below(4000) : 300);
-            if (!hosts->ledgers[random.below(7)]->charge(workspace(90000, 90000), amount, now))
+            if (hosts->charge(random.below(7), workspace(90000, 90000), amount, now))
                 charges.emplace_back(now, amount);
         }
         if (step % 20 == 0)
@@ -174,12 +193,12 @@
     const MonotonicTime start(100s);
     UsageLedger ledger(window, HostId("host-0"), start);
     ledger.setMembers({ { HostId("host-0"), true }, { HostId("host-1"), true } });
-    ledger.knownSince(start - window);
+    ledger.setKnownSince(start - window);
     ledger.peerReported(HostId("host-1"), Incarnation(1), { { WorkspaceId("busy"), 9000, 4000 } }, start);
     int64_t spent = 0;
     while (!ledger.charge(workspace(1000, 8000), 100, start + 1s)) {
         spent += 100;
-        ledger.report(start + 1s);
+        ledger.heartbeatReport(start + 1s);
     }
     // The burst: what the peer spent lies within the rate.
     BOOST_TEST(spent == 8000);
@@ -197,4 +216,54 @@
     BOOST_TEST(!ledger.charge(workspace(10, 100), 100, start));
 }
 
+// Load: a large fleet whose requests of one workspace, well within its limit, come through any host. Guards
+// against refusing those that come through the same host as another one between two heartbeats, as seen on
+// glowwalk-ho-grown quiet-1.
+BOOST_AUTO_TEST_CASE(RefusesNothingWithinTheLimitInALargeFleet)
+{
+    MonotonicTime now(100s);
+    Hosts hosts(70, now);
+    Random random(3);
+    int refused = 0;
+    for (int step = 0; step < 2000; ++step) {
+        now += 10ms;
+        if (random.chance(0.2))
+            refused += hosts.charge(random.below(70), workspace(40000, 40000), 1600, now) ? 0 : 1;
+        if (step % 56 == 0)
+            hosts.exchange(now);
+    }
+    BOOST_TEST(refused == 0);
+    BOOST_TEST(hosts.earlyReports > 0);
+}
+
+// Guards against early reports that lift every bound while a link is silent and its peer not yet known to be
+// out of reach.
+BOOST_AUTO_TEST_CASE(BoundsSpendingBetweenHeartbeatsWhoseReportsAreLost)
+{
+    MonotonicTime now(100s);
+    Hosts hosts(70, now);
+    hosts.isSilent = true;
+    int64_t spent = 0;
+    const ServingWorkspace spender = workspace(100000, 700000);
+    for (int attempt = 0; attempt < 1000; ++attempt)
+        spent += hosts.charge(0, spender, 1000, now) ? 1000 : 0;
+    // Twelve even shares of the burst.
+    BOOST_TEST(spent <= 120000);
+    BOOST_TEST(spent >= 110000);
+}
+
+// Guards against a peer that connects late and never hears of what was spent before.
+BOOST_AUTO_TEST_CASE(TellsANewPeerEverything)
+{
+    const MonotonicTime start(100s);
+    UsageLedger ledger(window, HostId("host-0"), start - window);
+    ledger.setMembers({ { HostId("host-0"), true } });
+    BOOST_TEST(!ledger.charge(workspace(1000, 8000), 700, start));
+    BOOST_TEST(ledger.heartbeatReport(start).size() == 1);
+    BOOST_TEST(ledger.heartbeatReport(start).empty());
+    const auto whole = ledger.wholeReport(start);
+    BOOST_REQUIRE(whole.size() == 1);
+    BOOST_TEST(whole[0].total == 700);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
