--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -4,6 +4,8 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include <cstdio>
+#include <ctime>
 #include <utility>
 
 namespace lacewing {
@@ -32,6 +34,19 @@
     return text + "\"";
 }
 
+/// @return "time=" with the time in UTC, and a space.
+std::string timeStamp(const google::LogMessageTime& time)
+{
+    const time_t seconds = time.timestamp();
+    std::tm parts {};
+    gmtime_r(&seconds, &parts);
+    char date[32];
+    std::strftime(date, sizeof date, "%Y-%m-%dT%H:%M:%S", &parts);
+    char text[64];
+    std::snprintf(text, sizeof text, "time=%s.%03dZ ", date, static_cast<int>(time.usec() / 1000));
+    return text;
+}
+
 /// Writes lines to standard output as far as its reader keeps up.
 class StandardOutputSink : public google::LogSink {
 public:
@@ -52,9 +67,12 @@
             return;
         }
         ++m_linesInSecond;
+        const std::string stamp = timeStamp(time);
         std::string text;
         if (m_dropped > 0)
-            text = "event=log_lines_dropped count=" + std::to_string(std::exchange(m_dropped, 0)) + '\n';
+            text = stamp + "event=log_lines_dropped count=" + std::to_string(std::exchange(m_dropped, 0))
+                + '\n';
+        text += stamp;
         text.append(message, length);
         text += '\n';
         if (::write(STDOUT_FILENO, text.data(), text.size()) < 0)
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -36,8 +36,9 @@
     std::string m_line;
 };
 
-/// Sends all log lines to standard output, one a line. A line for which the reader has no room, or that
-/// exceeds the rate, is dropped rather than waited for; the next line that is written tells how many were.
+/// Sends all log lines to standard output, one a line that begins with its time in UTC. A line for which the
+/// reader has no room, or that exceeds the rate, is dropped rather than waited for; the next line that is
+/// written tells how many were.
 ///
 /// @param program name of the program, kept by glog for the life of the process.
 /// @param linesPerSecond most lines that are written in a second.
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -1,6 +1,7 @@
 #include "ctl/commands.h"
 
 #include "base/digest.h"
+#include "ctl/log_story.h"
 #include "ctl/text_table.h"
 #include "protocol/configuration_yaml.h"
 
@@ -69,13 +70,14 @@
   upstream leave ID          give an upstream no new work
   status                     state of the daemon and of the upstreams
   hosts                      all daemons and the revision that each has in force
+  story REQUEST FILE...      explain a request's outcome from the logs of lacewinglb-gateway, one file a host
 
 A key or upstream that is changed by a command must be changed in the files too, or the next submit of the
 files takes the change back; diff and submit --dry-run show that.
 
 Exit status:
   0  success
-  1  the files are invalid or the daemon refused; nothing was changed
+  1  the files are invalid or the daemon refused, and nothing was changed; no log names the request
   2  wrong usage
   3  another change came first; nothing was changed
   4  the daemon was not reached or refused the secret; nothing was changed
@@ -107,9 +109,32 @@
         return keyWithdraw(words[2]);
     if (command == "upstream" && object == "leave" && words.size() == 3)
         return upstreamLeave(UpstreamId(words[2]));
+    if (command == "story" && words.size() >= 3)
+        return story(object, { words.begin() + 2, words.end() });
     return usage(words.empty() ? "no command was given" : "unknown command or wrong number of arguments");
 }
 
+ExitCode Commands::story(const std::string& request, const std::vector<std::string>& files)
+{
+    LogStory story;
+    for (const std::string& file : files) {
+        std::ifstream log(file);
+        if (!log) {
+            m_streams.err << file << ": cannot be read\n";
+            return ExitCode::Failure;
+        }
+        story.addLog(file, log);
+    }
+    const std::vector<LogStory::Line> lines = story.tell(request);
+    if (lines.empty()) {
+        m_streams.err << "no log names the request \"" << request << "\"\n";
+        return ExitCode::Failure;
+    }
+    for (const LogStory::Line& line : lines)
+        m_streams.out << line.host << "  " << toString(line.part) << "  " << line.text << '\n';
+    return ExitCode::Success;
+}
+
 ExitCode Commands::validate()
 {
     const std::optional<Configuration> configuration = readFiles();
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -61,6 +61,7 @@
 private:
     using Edit = std::function<bool(Configuration& configuration)>;
 
+    ExitCode story(const std::string& request, const std::vector<std::string>& files);
     ExitCode validate();
     ExitCode diff();
     ExitCode submit();
