--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -1,13 +1,11 @@
 #pragma once
 
-#include "gateway/engine_control.h"
-#include "gateway/load_limiter.h"
+#include "gateway/engine_places.h"
 #include "gateway/prefill_rate.h"
 #include "gateway/run_request.h"
 #include "gateway/serving_configuration.h"
 #include "gateway/upstream_entry.h"
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -15,19 +13,6 @@
 
 namespace lacewing::gateway {
 
-/// An order that the scheduler wants to be given now.
-struct PlannedOrder {
-    AdapterOrder::Action action = AdapterOrder::Action::Load;
-    AdapterRef adapter;
-    int64_t expectedSequence = 0;
-};
-
-/// An adapter of an engine as its owner tells the other hosts.
-struct AdapterSummary {
-    AdapterRef adapter;
-    bool isLoading = false;
-};
-
 /// What an owner tells the other hosts about an engine.
 struct EngineSummary {
     UpstreamId engine;
@@ -75,9 +60,9 @@
 
     const UpstreamId& engine() const { return m_engine; }
 
-    void setLimits(const EngineLimits& limits) { m_limits = limits; }
+    void setLimits(const EngineLimits& limits);
     /// Versions of adapters that operators have named; requests start on these only.
-    void setRelease(const AdapterRef& adapter, int64_t version);
+    void setRelease(const AdapterRef& adapter, int64_t version) { m_places.setRelease(adapter, version); }
 
     void request(RunRequest request, MonotonicTime now);
     /// The engine's first event for a run has arrived.
@@ -97,27 +82,6 @@
     std::vector<RunKey> waitingRuns() const;
 
 private:
-    enum class PlaceState {
-        Loading,
-        Present,
-        /// An order to unload was given and has not been confirmed.
-        Unloading,
-    };
-
-    struct Place {
-        PlaceState state = PlaceState::Loading;
-        int64_t version = 0;
-        int users = 0;
-        /// The engine has accepted the order that the state stands for.
-        bool isAccepted = false;
-        /// When to ask whether the order is complete.
-        MonotonicTime confirmAt;
-        MonotonicTime changedAt;
-        /// The adapter comes from the weight store, since the engine has no copy.
-        bool isFetch = false;
-        MonotonicTime loadStarted;
-    };
-
     struct Run {
         RunRequest request;
         MonotonicTime granted;
@@ -126,72 +90,40 @@
         bool hasProgressed = false;
     };
 
-    /// Requests for an adapter in the recent past, as an exponentially decaying count.
-    struct Popularity {
-        double count = 0;
-        MonotonicTime updated;
-    };
-
     bool isUsable() const;
     bool needsPlace(const AdapterRef& adapter) const { return !adapter.adapter.empty(); }
-    bool isCurrent(const AdapterRef& adapter, const Place& place) const;
     bool isServable(const AdapterRef& adapter) const;
     bool hasRoom(const RunRequest& request) const;
     Tokens cacheNeed(const RunRequest& request) const;
     Duration estimateStart(const RunRequest& request, MonotonicTime now) const;
-    Duration loadTime(const AdapterRef& adapter) const;
-    double popularity(const AdapterRef& adapter, MonotonicTime now) const;
-    void countPopularity(const AdapterRef& adapter, MonotonicTime now);
-    int openPlaces() const;
-    int loadingPlaces() const;
     std::optional<AdapterRef> nextLoad(MonotonicTime now) const;
-    void setLoading(Place& place, const AdapterRef& adapter, MonotonicTime now);
-    void endLoading(Place& place);
-    void erasePlace(std::map<AdapterRef, Place>::iterator place);
-    bool isRecent(const AdapterRef& adapter) const;
     std::set<AdapterRef> awaitedAdapters() const;
     int wantedFetches() const;
-    std::map<AdapterRef, Place>::iterator findVictim(MonotonicTime now);
 
     void grantRuns(SchedulerDecisions& decisions, MonotonicTime now);
     void denyHopeless(SchedulerDecisions& decisions, MonotonicTime now);
     void planOrder(SchedulerDecisions& decisions, MonotonicTime now);
     std::optional<PlannedOrder> chooseOrder(MonotonicTime now);
-    std::optional<PlannedOrder> chooseConfirmation(MonotonicTime now) const;
-    std::optional<PlannedOrder> chooseReplacement(MonotonicTime now);
-    static void beginUnload(Place& place, MonotonicTime now);
     std::optional<PlannedOrder> chooseLoad(MonotonicTime now);
     std::optional<PlannedOrder> chooseModel() const;
     void callAnswered(bool isAnswered);
     void denyAll(RunRefusal reason);
-    PlannedOrder orderFor(AdapterOrder::Action action, const AdapterRef& adapter) const;
-    void orderTookEffect(const PlannedOrder& order, OrderOutcome outcome, MonotonicTime now);
-    void orderWasRefused(const PlannedOrder& order);
-    bool isOverfull() const { return static_cast<int>(m_places.size()) > m_limits.adapterPlaces; }
-    void dropped(const AdapterRef& adapter, MonotonicTime now);
-    bool wasDroppedLately(const AdapterRef& adapter, MonotonicTime now) const;
-    void addReportedPlace(const AdapterRef& adapter, int64_t version, PlaceState state, MonotonicTime now);
 
     UpstreamId m_engine;
     EngineLimits m_limits;
     LoadLimiter& m_loads;
-    std::map<AdapterRef, int64_t> m_releases;
     std::set<ModelId> m_models;
-    std::map<AdapterRef, Place> m_places;
+    EnginePlaces m_places;
     std::map<RunKey, Run> m_runs;
     std::vector<RunRequest> m_waiting;
     std::vector<RunDenial> m_denials;
-    std::map<AdapterRef, Popularity> m_popularity;
-    /// Adapters that the engine has dropped lately and loads faster, the latest last.
-    std::deque<AdapterRef> m_recent;
+    AdapterPopularity m_popularity;
     PrefillRate m_prefillRate;
     /// Times between two places becoming idle, as a moving average.
     Duration m_placeTurnover = std::chrono::milliseconds(150);
     MonotonicTime m_lastIdle;
     Tokens m_backlog;
     Tokens m_cacheInUse;
-    /// Adapters that were dropped lately, which a report may still show.
-    std::map<AdapterRef, MonotonicTime> m_dropped;
     std::optional<int64_t> m_sequence;
     /// A report with a lower sequence is older than what is known already.
     int64_t m_lowestSequence = 0;
