--- /dev/null
+++ b/src/gateway/call_admission.cc
@@ -0,0 +1,100 @@
+#include "gateway/call_admission.h"
+
+#include "base/log.h"
+
+namespace lacewing::gateway {
+
+const char* toString(CallRefusal refusal)
+{
+    switch (refusal) {
+    case CallRefusal::NoConfiguration:
+        return "no_configuration";
+    case CallRefusal::StaleConfiguration:
+        return "stale_configuration";
+    case CallRefusal::UnknownRoute:
+        return "unknown_route";
+    case CallRefusal::UnknownKey:
+        return "unknown_key";
+    case CallRefusal::OverLimit:
+        return "over_limit";
+    case CallRefusal::NoUpstream:
+        return "no_upstream";
+    case CallRefusal::Overloaded:
+        return "overloaded";
+    case CallRefusal::NotInTime:
+        return "not_in_time";
+    case CallRefusal::NotExecuted:
+        return "not_executed";
+    case CallRefusal::Stopping:
+        return "stopping";
+    }
+    return "unknown";
+}
+
+// What this host does not know may have been added since it last heard from the store.
+std::optional<CallRefusal> CallAdmitter::denial(CallRefusal reason) const
+{
+    return m_keeper.isFresh() ? reason : CallRefusal::StaleConfiguration;
+}
+
+ServiceId CallAdmitter::drawService(const Route& route) const
+{
+    double total = 0;
+    for (const ServiceShare& share : route.services)
+        total += share.weight;
+    double drawn = m_random.uniform() * total;
+    ServiceId service;
+    for (const ServiceShare& share : route.services) {
+        service = share.service;
+        drawn -= share.weight;
+        if (drawn < 0)
+            break;
+    }
+    return service;
+}
+
+std::optional<CallRefusal> CallAdmitter::find(const ServingConfiguration& configuration,
+    const std::string& host, const std::string& path, const CallAttributes& attributes,
+    CallAdmission& admission) const
+{
+    admission.route = configuration.findRoute(host, path);
+    if (!admission.route)
+        admission.route = configuration.findRoute(host.substr(0, host.find(':')), path);
+    if (!admission.route)
+        return denial(CallRefusal::UnknownRoute);
+    admission.serviceId = drawService(*admission.route);
+    admission.service = configuration.findService(admission.serviceId);
+    if (admission.route->isAnonymous || !configuration.hasWorkspaces())
+        return std::nullopt;
+    admission.workspace = attributes.key ? configuration.findWorkspace(*attributes.key) : nullptr;
+    return admission.workspace ? std::nullopt : denial(CallRefusal::UnknownKey);
+}
+
+std::optional<Duration> CallAdmitter::charge(
+    const CallAttributes& attributes, CallAdmission& admission, MonotonicTime now) const
+{
+    if (!admission.workspace)
+        return std::nullopt;
+    const WorkspaceLimit& limit = admission.workspace->limit;
+    int64_t charge = limit.plainRequest.value();
+    if (limit.countsTokens && attributes.promptTokens && attributes.maximumOutputTokens)
+        charge = (*attributes.promptTokens + *attributes.maximumOutputTokens).value();
+    const auto retryAfter = m_usage.charge(*admission.workspace, charge, now);
+    if (!retryAfter) {
+        admission.charge = charge;
+        return std::nullopt;
+    }
+    const UsageLedger::Refusal& refusal = m_usage.lastRefusal();
+    LogEvent(LogLevel::Info, "over_limit")
+        .with("request", attributes.requestId)
+        .with("workspace", admission.workspace->id)
+        .with("charge", charge)
+        .with("limit", refusal.limit)
+        .with("own_usage", refusal.ownUsage)
+        .with("other_hosts_usage", refusal.otherHostsUsage)
+        .with("heartbeat_bound", refusal.heartbeatBound)
+        .with("since_heartbeat", refusal.sinceHeartbeat);
+    return retryAfter;
+}
+
+} // namespace lacewing::gateway
--- /dev/null
+++ b/src/gateway/call_admission_test.cc
@@ -0,0 +1,116 @@
+#include "gateway/call_admission.h"
+
+#include "base/virtual_scheduler.h"
+#include "gateway/fake_row_store_test.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lacewing;
+using namespace lacewing::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceId service("plain");
+
+/// One route on a.example for keyed requests of one workspace, limited in tokens.
+class OneRoute : public RowDecoder {
+public:
+    std::string operatorTable() const override { return "op"; }
+    std::string upstreamTable() const override { return "servers"; }
+    std::string configurationKey() const override { return "config"; }
+    std::shared_ptr<const ServingConfiguration> readConfiguration(
+        const std::string&, std::string&) const override
+    {
+        Route route;
+        route.id = RouteId("r-1");
+        route.host = "a.example";
+        route.pathPrefix = "/chat/";
+        route.services = { { service, 1 } };
+        ServiceConfiguration plain;
+        plain.id = service;
+        ServingWorkspace workspace;
+        workspace.id = WorkspaceId("w-1");
+        workspace.limit.ratePerSecond = 100;
+        workspace.limit.burst = 1000;
+        workspace.limit.countsTokens = true;
+        workspace.limit.plainRequest = Tokens(200);
+        ServingConfiguration::Builder builder(Revision(1));
+        builder.add(route);
+        builder.add(plain);
+        builder.add(workspace, { "key-1" });
+        return builder.build();
+    }
+    std::optional<AdapterRelease> readRelease(const StoredRow&) const override { return std::nullopt; }
+    std::optional<UpstreamEntry> readUpstream(const StoredRow&) const override { return std::nullopt; }
+};
+
+struct Fixture {
+    Fixture()
+    {
+        store.put({ "op", "config" }, "{}");
+        keeper.start();
+        scheduler.advance(50ms);
+        attributes.key = "key-1";
+    }
+
+    std::optional<CallRefusal> find(const char* host, const char* path)
+    {
+        admission = {};
+        return admitter.find(*keeper.current(), host, path, attributes, admission);
+    }
+
+    VirtualScheduler scheduler;
+    FakeRowStore store { scheduler };
+    OneRoute rows;
+    ConfigurationKeeper keeper { scheduler, store, rows, { [] {}, [](const AdapterRelease&) {} } };
+    UsageLedger usage { 8s, HostId("host-1"), MonotonicTime() - 8s };
+    Random random { 1 };
+    CallAdmitter admitter { keeper, usage, random };
+    CallAttributes attributes;
+    CallAdmission admission;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(CallAdmissionTest, Fixture)
+
+// Guards against denying a request because its Host header names the port.
+BOOST_AUTO_TEST_CASE(FindsTheRouteWithAndWithoutAPort)
+{
+    for (const char* host : { "a.example", "a.example:8080" }) {
+        BOOST_TEST(!find(host, "/chat/1").has_value());
+        BOOST_TEST(admission.serviceId == service);
+        BOOST_TEST(admission.workspace->id == WorkspaceId("w-1"));
+    }
+}
+
+// Guards against a final denial of what another host may know already.
+BOOST_AUTO_TEST_CASE(DeniesOnlyWhileTheConfigurationIsFresh)
+{
+    BOOST_TEST((find("a.example", "/other/") == CallRefusal::UnknownRoute));
+    attributes.key = "key-2";
+    BOOST_TEST((find("a.example", "/chat/1") == CallRefusal::UnknownKey));
+    store.fault = RowStoreError::Refused;
+    scheduler.advance(10s);
+    BOOST_TEST((find("a.example", "/other/") == CallRefusal::StaleConfiguration));
+    BOOST_TEST((find("a.example", "/chat/1") == CallRefusal::StaleConfiguration));
+}
+
+// Guards against charging a generation as a plain request, and against a charge that stays after a refusal.
+BOOST_AUTO_TEST_CASE(ChargesTokensWhereTheyAreKnown)
+{
+    const MonotonicTime now = scheduler.now();
+    BOOST_REQUIRE(!find("a.example", "/chat/1").has_value());
+    BOOST_TEST(!admitter.charge(attributes, admission, now).has_value());
+    BOOST_TEST(admission.charge == 200);
+    attributes.promptTokens = Tokens(600);
+    attributes.maximumOutputTokens = Tokens(100);
+    BOOST_TEST(!admitter.charge(attributes, admission, now).has_value());
+    BOOST_TEST(admission.charge == 700);
+    BOOST_REQUIRE(!find("a.example", "/chat/1").has_value());
+    BOOST_TEST(admitter.charge(attributes, admission, now).has_value());
+    BOOST_TEST(admission.charge == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/call_services.h
+++ b/src/gateway/call_services.h
@@ -3,6 +3,7 @@
 #include "base/metrics.h"
 #include "base/random.h"
 #include "base/scheduler.h"
+#include "gateway/call_admission.h"
 #include "gateway/call_attributes.h"
 #include "gateway/configuration_keeper.h"
 #include "gateway/engine_view.h"
@@ -26,6 +27,7 @@
     RunBroker& broker;
     UpstreamPicker& picker;
     UsageLedger& usage;
+    const CallAdmitter& admitter;
     RetryAllowance& retries;
     MetricsRegistry& metrics;
     Random& random;
--- a/src/gateway/caller_call.cc
+++ b/src/gateway/caller_call.cc
@@ -50,33 +50,6 @@
 
 } // namespace
 
-const char* CallerCall::toString(Refusal refusal)
-{
-    switch (refusal) {
-    case Refusal::NoConfiguration:
-        return "no_configuration";
-    case Refusal::StaleConfiguration:
-        return "stale_configuration";
-    case Refusal::UnknownRoute:
-        return "unknown_route";
-    case Refusal::UnknownKey:
-        return "unknown_key";
-    case Refusal::OverLimit:
-        return "over_limit";
-    case Refusal::NoUpstream:
-        return "no_upstream";
-    case Refusal::Overloaded:
-        return "overloaded";
-    case Refusal::NotInTime:
-        return "not_in_time";
-    case Refusal::NotExecuted:
-        return "not_executed";
-    case Refusal::Stopping:
-        return "stopping";
-    }
-    return "unknown";
-}
-
 CallerCall::CallerCall(
     CallServices& services, std::shared_ptr<HttpExchange> exchange, std::function<void(CallerCall*)> finished)
     : m_services(services)
@@ -108,18 +81,24 @@
     m_attributes = m_services.translator.readRequest(m_exchange->headers());
     m_configuration = m_services.configuration.current();
     if (!m_configuration) {
-        refuse(Refusal::NoConfiguration, staleRetryAfter);
+        refuse(CallRefusal::NoConfiguration, staleRetryAfter);
         return;
     }
-    if (!findRoute() || !findWorkspace())
+    const std::string host = m_exchange->headers().find("Host").value_or("");
+    const auto denial
+        = m_services.admitter.find(*m_configuration, host, m_exchange->path(), m_attributes, m_admission);
+    if (denial) {
+        deny(*denial);
         return;
-    if (m_route->kind == RouteKind::Stream && !m_services.acceptsStreams) {
-        refuse(Refusal::Stopping, stoppingRetryAfter);
+    }
+    if (m_admission.route->kind == RouteKind::Stream && !m_services.acceptsStreams) {
+        refuse(CallRefusal::Stopping, stoppingRetryAfter);
         return;
     }
-    m_limit = std::min(m_attributes.deadline.value_or(defaultLimit), m_route->timeout);
-    m_search = StartSearch(m_arrival, m_route->targetLatency, m_limit);
-    m_priority = m_workspace && m_workspace->priority ? *m_workspace->priority : m_route->priority;
+    m_limit = std::min(m_attributes.deadline.value_or(defaultLimit), m_admission.route->timeout);
+    m_search = StartSearch(m_arrival, m_admission.route->targetLatency, m_limit);
+    m_priority = m_admission.workspace && m_admission.workspace->priority ? *m_admission.workspace->priority
+                                                                          : m_admission.route->priority;
     if (!chargeWorkspace())
         return;
     m_exchange->onClientLeft([this] { callerLeft(); });
@@ -130,48 +109,13 @@
     chooseUpstream();
 }
 
-bool CallerCall::findRoute()
+void CallerCall::deny(CallRefusal refusal)
 {
-    const std::string host = m_exchange->headers().find("Host").value_or("");
-    m_route = m_configuration->findRoute(host, m_exchange->path());
-    if (!m_route)
-        m_route = m_configuration->findRoute(host.substr(0, host.find(':')), m_exchange->path());
-    if (!m_route) {
-        deny(Refusal::UnknownRoute, statusNotFound);
-        return false;
-    }
-    double total = 0;
-    for (const ServiceShare& share : m_route->services)
-        total += share.weight;
-    double drawn = m_services.random.uniform() * total;
-    for (const ServiceShare& share : m_route->services) {
-        m_serviceId = share.service;
-        drawn -= share.weight;
-        if (drawn < 0)
-            break;
-    }
-    m_service = m_configuration->findService(m_serviceId);
-    return true;
-}
-
-bool CallerCall::findWorkspace()
-{
-    if (m_route->isAnonymous || !m_configuration->hasWorkspaces())
-        return true;
-    m_workspace = m_attributes.key ? m_configuration->findWorkspace(*m_attributes.key) : nullptr;
-    if (m_workspace)
-        return true;
-    deny(Refusal::UnknownKey, statusUnauthorized);
-    return false;
-}
-
-// What this host does not know may have been added since it last heard from the store.
-void CallerCall::deny(Refusal refusal, int status)
-{
-    if (!m_services.configuration.isFresh()) {
-        refuse(Refusal::StaleConfiguration, staleRetryAfter);
+    if (refusal == CallRefusal::StaleConfiguration) {
+        refuse(refusal, staleRetryAfter);
         return;
     }
+    const int status = refusal == CallRefusal::UnknownKey ? statusUnauthorized : statusNotFound;
     ++m_services.metrics.counter("lacewing_denials_total", { { "reason", toString(refusal) } });
     reply(status, m_services.translator.ownAnswerHeaders(m_attributes.requestId, std::nullopt), "", "denied",
         toString(refusal));
@@ -179,33 +123,17 @@
 
 bool CallerCall::chargeWorkspace()
 {
-    if (!m_workspace)
-        return true;
-    const WorkspaceLimit& limit = m_workspace->limit;
-    m_charge = limit.plainRequest.value();
-    if (limit.countsTokens && m_attributes.promptTokens && m_attributes.maximumOutputTokens)
-        m_charge = (*m_attributes.promptTokens + *m_attributes.maximumOutputTokens).value();
-    const auto retryAfter = m_services.usage.charge(*m_workspace, m_charge, m_services.loop.now());
+    const auto retryAfter = m_services.admitter.charge(m_attributes, m_admission, m_services.loop.now());
     if (!retryAfter) {
         if (m_services.usage.isReportDue())
             m_services.reportUsage();
         return true;
     }
-    const UsageLedger::Refusal& refusal = m_services.usage.lastRefusal();
-    LogEvent(LogLevel::Info, "over_limit")
-        .with("request", m_attributes.requestId)
-        .with("workspace", m_workspace->id)
-        .with("charge", m_charge)
-        .with("limit", refusal.limit)
-        .with("own_usage", refusal.ownUsage)
-        .with("other_hosts_usage", refusal.otherHostsUsage)
-        .with("heartbeat_bound", refusal.heartbeatBound)
-        .with("since_heartbeat", refusal.sinceHeartbeat);
-    m_charge = 0;
-    ++m_services.metrics.counter("lacewing_refusals_total", { { "reason", toString(Refusal::OverLimit) } });
+    ++m_services.metrics.counter(
+        "lacewing_refusals_total", { { "reason", toString(CallRefusal::OverLimit) } });
     reply(statusTooManyRequests,
         m_services.translator.ownAnswerHeaders(m_attributes.requestId, jittered(*retryAfter)), "", "refused",
-        toString(Refusal::OverLimit));
+        toString(CallRefusal::OverLimit));
     return false;
 }
 
@@ -214,8 +142,9 @@
     if (m_isFinished)
         return;
     if (m_sends == 0 && m_search.asks() == 0)
-        m_services.retries.countRequest(m_serviceId, m_services.loop.now());
-    const bool needsEngine = m_service && m_service->engine && !m_attributes.model.empty();
+        m_services.retries.countRequest(m_admission.serviceId, m_services.loop.now());
+    const bool needsEngine
+        = m_admission.service && m_admission.service->engine && !m_attributes.model.empty();
     if (needsEngine)
         chooseEngine();
     else
@@ -225,11 +154,11 @@
 void CallerCall::choosePlain()
 {
     std::vector<PickCandidate> candidates;
-    for (const UpstreamEntry* entry : m_services.upstreams.usable(m_serviceId))
+    for (const UpstreamEntry* entry : m_services.upstreams.usable(m_admission.serviceId))
         candidates.push_back({ entry->id, entry->slots, entry->dataCentre == m_services.dataCentre });
     auto upstream = m_services.picker.pick(candidates, m_tried, m_services.loop.now());
     if (!upstream) {
-        refuse(candidates.empty() ? Refusal::NoUpstream : Refusal::NotExecuted, noUpstreamRetryAfter);
+        refuse(candidates.empty() ? CallRefusal::NoUpstream : CallRefusal::NotExecuted, noUpstreamRetryAfter);
         return;
     }
     send(*upstream);
@@ -238,7 +167,7 @@
 void CallerCall::chooseEngine()
 {
     const AdapterRef adapter { m_attributes.model, m_attributes.adapter };
-    const auto candidates = m_services.engines.candidates(m_serviceId, adapter, m_tried);
+    const auto candidates = m_services.engines.candidates(m_admission.serviceId, adapter, m_tried);
     const std::vector<UpstreamId> ranked = EngineChooser::rank(adapter, candidates, m_services.random);
     for (const UpstreamId& engine : ranked) {
         if (const auto owner = m_services.engines.ownerOf(engine)) {
@@ -254,7 +183,7 @@
         return;
     }
     const auto room = m_search.retryAfter();
-    refuse(room ? Refusal::Overloaded : Refusal::NoUpstream, room.value_or(noUpstreamRetryAfter));
+    refuse(room ? CallRefusal::Overloaded : CallRefusal::NoUpstream, room.value_or(noUpstreamRetryAfter));
 }
 
 void CallerCall::askOwner(const HostId& owner, const UpstreamId& engine, size_t choices)
@@ -297,7 +226,7 @@
         chooseUpstream();
         return;
     }
-    refuse(Refusal::Overloaded, m_search.retryAfter().value_or(noOwnerRetryAfter));
+    refuse(CallRefusal::Overloaded, m_search.retryAfter().value_or(noOwnerRetryAfter));
 }
 
 HttpClientRequest CallerCall::upstreamRequest(const UpstreamEntry& entry)
@@ -306,8 +235,8 @@
     if (m_attributes.deadline)
         fields.deadline = *m_attributes.deadline - elapsed();
     fields.expectedUpstream = entry.id;
-    if (m_workspace)
-        fields.workspace = m_workspace->id;
+    if (m_admission.workspace)
+        fields.workspace = m_admission.workspace->id;
     fields.urgency = m_urgency;
     fields.expectedVersion = m_version;
     if (m_events.hasEvents())
@@ -319,7 +248,8 @@
         = m_exchange->query().empty() ? m_exchange->path() : m_exchange->path() + '?' + m_exchange->query();
     request.headers = m_services.translator.upstreamHeaders(m_exchange->headers(), fields);
     request.body = m_exchange->body();
-    const auto connectTime = std::chrono::duration_cast<Duration>(connectShare * m_route->targetLatency);
+    const auto connectTime
+        = std::chrono::duration_cast<Duration>(connectShare * m_admission.route->targetLatency);
     request.connectTimeout = std::clamp(connectTime, shortestConnectTimeout, longestConnectTimeout);
     // The call's own timers bound the time.
     request.progressTimeout = Duration::zero();
@@ -436,7 +366,7 @@
         else if (m_sends < maximumSends)
             chooseUpstream();
         else
-            refuse(Refusal::NotExecuted, noUpstreamRetryAfter);
+            refuse(CallRefusal::NotExecuted, noUpstreamRetryAfter);
         return;
     }
     ++m_runs;
@@ -478,7 +408,7 @@
     // An answer that nobody vouches for must not pass for one, and a status that promises that the request
     // has not run must be true.
     const bool isUnvouched = isSuccess(status) && (!m_answer->isSealed || m_answer->hasContentEncoding);
-    const bool isFalsePromise = isPromiseOfNoRun(status) && !m_route->mayRepeat();
+    const bool isFalsePromise = isPromiseOfNoRun(status) && !m_admission.route->mayRepeat();
     if (isUnvouched || isFalsePromise) {
         fail(statusBadGateway, isUnvouched ? "unvouched_answer" : "ambiguous_status");
         return;
@@ -490,12 +420,13 @@
 
 bool CallerCall::mayRepeat() const
 {
-    return m_route->mayRepeat() && m_runs < m_route->maximumAttempts && m_sends < maximumSends;
+    return m_admission.route->mayRepeat() && m_runs < m_admission.route->maximumAttempts
+        && m_sends < maximumSends;
 }
 
 bool CallerCall::trySendAgain()
 {
-    if (!m_services.retries.trySendAgain(m_serviceId, m_services.loop.now())) {
+    if (!m_services.retries.trySendAgain(m_admission.serviceId, m_services.loop.now())) {
         ++m_services.metrics.counter("lacewing_retries_denied_total");
         return false;
     }
@@ -517,7 +448,7 @@
     if (m_mayHaveRun)
         fail(statusBadGateway, "not_executed_after_failure");
     else
-        refuse(Refusal::NotExecuted, noUpstreamRetryAfter);
+        refuse(CallRefusal::NotExecuted, noUpstreamRetryAfter);
 }
 
 void CallerCall::handleFailure(const char* reason)
@@ -532,7 +463,8 @@
 void CallerCall::handleBrokenStream()
 {
     m_events.restart();
-    const bool canResume = m_route->isResumable && m_events.lastId() && mayRepeat() && trySendAgain();
+    const bool canResume
+        = m_admission.route->isResumable && m_events.lastId() && mayRepeat() && trySendAgain();
     if (canResume) {
         m_search.allowOneMore();
         chooseUpstream();
@@ -545,12 +477,12 @@
 // An upstream that went dark does not reset its connections.
 void CallerCall::watchSilence()
 {
-    if (m_route->kind != RouteKind::Idempotent || m_runs + 1 >= m_route->maximumAttempts)
+    if (m_admission.route->kind != RouteKind::Idempotent || m_runs + 1 >= m_admission.route->maximumAttempts)
         return;
-    const auto wait = std::chrono::duration_cast<Duration>(silenceShare * m_route->targetLatency);
+    const auto wait = std::chrono::duration_cast<Duration>(silenceShare * m_admission.route->targetLatency);
     m_silenceTimer = m_services.loop.runAfter(wait, [this] {
         m_silenceTimer = 0;
-        const bool hasOther = m_services.upstreams.usable(m_serviceId).size() > m_tried.size();
+        const bool hasOther = m_services.upstreams.usable(m_admission.serviceId).size() > m_tried.size();
         if (!hasOther || !trySendAgain())
             return;
         ++m_runs;
@@ -571,18 +503,18 @@
     } else if (wasSent || m_mayHaveRun)
         fail(statusGatewayTimeout, "upstream_timeout");
     else
-        refuse(Refusal::NotInTime, noUpstreamRetryAfter);
+        refuse(CallRefusal::NotInTime, noUpstreamRetryAfter);
 }
 
 void CallerCall::callerLeft()
 {
     const auto self = shared_from_this();
-    const bool wasSilent = !m_firstByte && elapsed() > m_route->targetLatency;
+    const bool wasSilent = !m_firstByte && elapsed() > m_admission.route->targetLatency;
     exchangeEnded(wasSilent ? ExchangeOutcome::Unreachable : ExchangeOutcome::Answered, RunOutcome::Finished);
     finish("cancelled", "caller_left");
 }
 
-void CallerCall::refuse(Refusal refusal, std::optional<Duration> retryAfter)
+void CallerCall::refuse(CallRefusal refusal, std::optional<Duration> retryAfter)
 {
     if (m_hasStartedAnswer) {
         m_exchange->abort();
@@ -593,8 +525,9 @@
         fail(statusBadGateway, toString(refusal));
         return;
     }
-    if (m_charge > 0)
-        m_services.usage.refund(m_workspace->id, std::exchange(m_charge, 0), m_services.loop.now());
+    if (m_admission.charge > 0)
+        m_services.usage.refund(
+            m_admission.workspace->id, std::exchange(m_admission.charge, 0), m_services.loop.now());
     ++m_services.metrics.counter("lacewing_refusals_total", { { "reason", toString(refusal) } });
     if (retryAfter)
         retryAfter = jittered(*retryAfter);
@@ -627,8 +560,8 @@
     m_services.loop.cancel(std::exchange(m_silenceTimer, 0));
     LogEvent(LogLevel::Info, "call")
         .with("request", m_attributes.requestId)
-        .with("route", m_route ? m_route->id.value() : "")
-        .with("workspace", m_workspace ? m_workspace->id.value() : "")
+        .with("route", m_admission.route ? m_admission.route->id.value() : "")
+        .with("workspace", m_admission.workspace ? m_admission.workspace->id.value() : "")
         .with("revision", m_configuration ? m_configuration->revision().value() : 0)
         .with("adapter", m_attributes.adapter)
         .with("upstream", m_upstream)
--- a/src/gateway/caller_call.h
+++ b/src/gateway/caller_call.h
@@ -29,32 +29,15 @@
     void start();
 
 private:
-    enum class Refusal {
-        NoConfiguration,
-        StaleConfiguration,
-        UnknownRoute,
-        UnknownKey,
-        OverLimit,
-        NoUpstream,
-        Overloaded,
-        NotInTime,
-        NotExecuted,
-        Stopping,
-    };
-
-    static const char* toString(Refusal refusal);
-
     // Admission.
-    bool findRoute();
-    bool findWorkspace();
     bool chargeWorkspace();
-    void deny(Refusal refusal, int status);
+    void deny(CallRefusal refusal);
 
     // Choosing an upstream.
     void chooseUpstream();
     void choosePlain();
     void chooseEngine();
-    /// @param isLast whether no other owner will be asked, so that a late start is better than none.
+    /// @param choices engines that can be asked, this one included.
     void askOwner(const HostId& owner, const UpstreamId& engine, size_t choices);
     void ownerAnswered(const RunAnswer& answer);
 
@@ -77,7 +60,7 @@
     // Ends.
     void deadlinePassed();
     void callerLeft();
-    void refuse(Refusal refusal, std::optional<Duration> retryAfter);
+    void refuse(CallRefusal refusal, std::optional<Duration> retryAfter);
     void fail(int status, const char* reason);
     void reply(int status, const HttpHeaders& headers, std::string_view body, const char* outcome,
         const char* reason);
@@ -92,11 +75,7 @@
     std::shared_ptr<const ServingConfiguration> m_configuration;
     CallAttributes m_attributes;
     MonotonicTime m_arrival;
-    const Route* m_route = nullptr;
-    const ServingWorkspace* m_workspace = nullptr;
-    const ServiceConfiguration* m_service = nullptr;
-    ServiceId m_serviceId;
-    int64_t m_charge = 0;
+    CallAdmission m_admission;
     /// Time from the arrival at which the caller must have its final answer.
     Duration m_limit {};
     int m_priority = 0;
--- a/src/gateway/caller_call_test.cc
+++ b/src/gateway/caller_call_test.cc
@@ -208,8 +208,9 @@
     RetryAllowance retries { RetryLimits() };
     MetricsRegistry metrics;
     Random random { 1 };
+    CallAdmitter admitter { configuration, usage, random };
     CallServices services { scheduler, client, translator, configuration, upstreams, view, broker, picker,
-        usage, retries, metrics, random, self.dataCentre };
+        usage, admitter, retries, metrics, random, self.dataCentre };
     std::shared_ptr<FakeExchange> exchange;
     std::shared_ptr<CallerCall> call;
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -88,8 +88,10 @@
     , m_broker(loop, m_settings.host)
     , m_engineView(
           loop, m_upstreams, m_fleet, m_mesh, m_owners, m_picker, m_settings.host, m_settings.dataCentre)
+    , m_admitter(m_configuration, m_usage, m_random)
     , m_services { loop, client, ports.calls, m_configuration, m_upstreams, m_engineView, m_broker, m_picker,
-        m_usage, m_retries, m_metrics, m_random, m_settings.dataCentre, [this] { reportUsage(); } }
+        m_usage, m_admitter, m_retries, m_metrics, m_random, m_settings.dataCentre,
+        [this] { reportUsage(); } }
     , m_memberTimer(
           loop, [] { return memberInterval; }, [this] { updateMembers(); })
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -81,6 +81,7 @@
     EngineOwners m_owners;
     RunBroker m_broker;
     EngineView m_engineView;
+    CallAdmitter m_admitter;
     CallServices m_services;
     std::unique_ptr<HttpServer> m_callerServer;
     std::unique_ptr<HttpServer> m_directoryServer;
