Forget what a peer said of its engines when its link ends

A peer that was started anew counted as the owner of engines that it had owned before, until another host claimed them; requests asked it in vain.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -236,7 +236,7 @@
         const MonotonicTime now = m_loop.now();
         m_usage.peerReported(peer, heartbeat->incarnation, heartbeat->usage, now);
         const Duration knownFor = std::min(heartbeat->usageKnownFor, m_settings.usageWindow);
-        m_usage.setKnownSince(now - knownFor);
+        m_usage.extendKnownPast(now - knownFor);
         offerConfiguration(peer, *heartbeat);
         if (heartbeat->configurationAge)
             m_configuration.peerConfirmed(heartbeat->configurationVersion, *heartbeat->configurationAge);
--- a/src/gateway/peer_mesh.cc
+++ b/src/gateway/peer_mesh.cc
@@ -57,7 +57,7 @@
     }
     for (const auto& [host, record] : m_hosts) {
         if (hosts.count(host) == 0 && m_links && !m_links->isConnected(host))
-            m_states.erase(host);
+            m_states.forget(host);
     }
     m_hosts = std::move(hosts);
     connectMissing();
@@ -118,7 +118,7 @@
     if (m_connected.erase(peer) == 0)
         return;
     LogEvent(LogLevel::Info, "peer_disconnected").with("peer", peer).with("reason", toString(error));
-    m_states.erase(peer);
+    m_states.forget(peer);
     m_lastAttempt[peer] = m_loop.now();
     m_handlers.onLost(peer);
 }
@@ -131,23 +131,10 @@
         return;
     }
     if (const auto* heartbeat = std::get_if<PeerHeartbeat>(&*message))
-        noteHeartbeat(peer, *heartbeat);
+        m_states.heard(peer, *heartbeat, m_loop.now());
     m_handlers.onMessage(peer, *message);
 }
 
-void PeerMesh::noteHeartbeat(const HostId& peer, const PeerHeartbeat& heartbeat)
-{
-    PeerState& state = m_states[peer];
-    for (const EngineSummary& summary : state.heartbeat.engines) {
-        const auto known = m_engines.find(summary.engine);
-        if (known != m_engines.end() && known->second.owner == peer)
-            m_engines.erase(known);
-    }
-    state = { heartbeat, m_loop.now() };
-    for (const EngineSummary& summary : heartbeat.engines)
-        m_engines[summary.engine] = { peer, summary, state.heard };
-}
-
 bool PeerMesh::send(const HostId& peer, const PeerMessage& message)
 {
     return m_links && m_links->send(peer, encodePeerMessage(message));
@@ -171,26 +158,19 @@
 
 bool PeerMesh::isInTouch(const HostId& peer) const
 {
-    const auto found = m_states.find(peer);
-    return found != m_states.end() && m_loop.now() - found->second.heard < silenceTime();
+    return m_states.isInTouch(peer, oldestHeartbeat());
 }
 
-const PeerMesh::EngineState* PeerMesh::engine(const UpstreamId& engine) const
+const PeerStates::Engine* PeerMesh::engine(const UpstreamId& engine) const
 {
-    const auto found = m_engines.find(engine);
-    if (found == m_engines.end())
-        return nullptr;
-    const auto owner = m_states.find(found->second.owner);
-    const bool isUsable
-        = owner != m_states.end() && isInTouch(owner->first) && !owner->second.heartbeat.isStopping;
-    return isUsable ? &found->second : nullptr;
+    return m_states.engine(engine, oldestHeartbeat());
 }
 
-std::map<HostId, const PeerMesh::PeerState*> PeerMesh::peersInTouch() const
+std::map<HostId, const PeerStates::Peer*> PeerMesh::peersInTouch() const
 {
-    std::map<HostId, const PeerState*> peers;
-    for (const auto& [host, state] : m_states) {
-        if (m_loop.now() - state.heard < silenceTime())
+    std::map<HostId, const PeerStates::Peer*> peers;
+    for (const auto& [host, state] : m_states.peers()) {
+        if (state.heard > oldestHeartbeat())
             peers.emplace(host, &state);
     }
     return peers;
--- a/src/gateway/peer_mesh.h
+++ b/src/gateway/peer_mesh.h
@@ -2,7 +2,7 @@
 
 #include "base/periodic_timer.h"
 #include "gateway/fleet_registry.h"
-#include "gateway/peer_message.h"
+#include "gateway/peer_states.h"
 #include "transport/event_loop.h"
 #include "transport/peer_links.h"
 
@@ -31,19 +31,6 @@
         std::function<PeerHeartbeat(HeartbeatAudience audience)> heartbeat;
     };
 
-    /// What the last heartbeat of a peer said, and when it arrived.
-    struct PeerState {
-        PeerHeartbeat heartbeat;
-        MonotonicTime heard;
-    };
-
-    /// What the owner of an engine last said about it, and when that arrived.
-    struct EngineState {
-        HostId owner;
-        EngineSummary summary;
-        MonotonicTime heard;
-    };
-
     /// @param loop must outlive the mesh.
     PeerMesh(EventLoop& loop, HostRecord self, Handlers handlers);
 
@@ -55,20 +42,21 @@
     /// Sends a heartbeat now, because something has changed that peers must know soon.
     void sendHeartbeats();
     /// @return peers whose heartbeats arrive.
-    std::map<HostId, const PeerState*> peersInTouch() const;
+    std::map<HostId, const PeerStates::Peer*> peersInTouch() const;
     bool isInTouch(const HostId& peer) const;
     /// @return what a peer in touch that owns an engine and is not stopping says about it, or null.
-    const EngineState* engine(const UpstreamId& engine) const;
+    const PeerStates::Engine* engine(const UpstreamId& engine) const;
     /// @return the time between two heartbeats of a host.
     Duration heartbeatInterval() const;
     const std::map<HostId, HostRecord>& hosts() const { return m_hosts; }
 
 private:
     Duration silenceTime() const;
+    /// @return peers that were heard before this time are out of touch.
+    MonotonicTime oldestHeartbeat() const { return m_loop.now() - silenceTime(); }
     void listen(const std::string& secret);
     void connectMissing();
     void received(const HostId& peer, std::string_view frame);
-    void noteHeartbeat(const HostId& peer, const PeerHeartbeat& heartbeat);
     void disconnected(const HostId& peer, LinkError error);
 
     EventLoop& m_loop;
@@ -77,9 +65,7 @@
     std::unique_ptr<PeerLinks> m_links;
     /// Hosts that live, without this one.
     std::map<HostId, HostRecord> m_hosts;
-    std::map<HostId, PeerState> m_states;
-    /// By the heartbeats that arrived last, so that each request finds its engines without a search.
-    std::map<UpstreamId, EngineState> m_engines;
+    PeerStates m_states;
     std::map<HostId, MonotonicTime> m_lastAttempt;
     std::set<HostId> m_connected;
     PeriodicTimer m_heartbeatTimer;
--- /dev/null
+++ b/src/gateway/peer_states.cc
@@ -0,0 +1,50 @@
+#include "gateway/peer_states.h"
+
+namespace lacewing::gateway {
+
+void PeerStates::forgetEngines(const HostId& peer, const PeerHeartbeat& heartbeat)
+{
+    for (const EngineSummary& summary : heartbeat.engines) {
+        const auto known = m_engines.find(summary.engine);
+        if (known != m_engines.end() && known->second.owner == peer)
+            m_engines.erase(known);
+    }
+}
+
+void PeerStates::heard(const HostId& peer, const PeerHeartbeat& heartbeat, MonotonicTime now)
+{
+    Peer& state = m_peers[peer];
+    forgetEngines(peer, state.heartbeat);
+    state = { heartbeat, now };
+    for (const EngineSummary& summary : heartbeat.engines)
+        m_engines[summary.engine] = { peer, summary, now };
+}
+
+void PeerStates::forget(const HostId& peer)
+{
+    const auto found = m_peers.find(peer);
+    if (found == m_peers.end())
+        return;
+    forgetEngines(peer, found->second.heartbeat);
+    m_peers.erase(found);
+}
+
+bool PeerStates::isInTouch(const HostId& peer, MonotonicTime oldest) const
+{
+    const auto found = m_peers.find(peer);
+    return found != m_peers.end() && found->second.heard > oldest;
+}
+
+const PeerStates::Engine* PeerStates::engine(const UpstreamId& engine, MonotonicTime oldest) const
+{
+    const auto found = m_engines.find(engine);
+    if (found == m_engines.end())
+        return nullptr;
+    const Engine& state = found->second;
+    const auto owner = m_peers.find(state.owner);
+    const bool isUsable
+        = owner != m_peers.end() && owner->second.heard > oldest && !owner->second.heartbeat.isStopping;
+    return isUsable ? &state : nullptr;
+}
+
+} // namespace lacewing::gateway
--- a/src/gateway/usage_ledger.h
+++ b/src/gateway/usage_ledger.h
@@ -78,7 +78,7 @@
     void setWindow(Duration window) { m_window = window; }
     void setTolerance(const UsageTolerance& tolerance) { m_tolerance = tolerance; }
     /// Tells that a peer has followed all spending since an earlier time.
-    void setKnownSince(MonotonicTime time) { m_knownSince = std::min(m_knownSince, time); }
+    void extendKnownPast(MonotonicTime time) { m_knownSince = std::min(m_knownSince, time); }
     /// @return since when this host knows what all hosts have spent.
     MonotonicTime knownSince() const { return m_knownSince; }
 
--- a/src/gateway/usage_ledger_test.cc
+++ b/src/gateway/usage_ledger_test.cc
@@ -203,7 +203,7 @@
     const MonotonicTime start(100s);
     UsageLedger ledger(window, HostId("host-0"), start);
     ledger.setMembers({ { HostId("host-0"), true }, { HostId("host-1"), true } });
-    ledger.setKnownSince(start - window);
+    ledger.extendKnownPast(start - window);
     ledger.peerReported(HostId("host-1"), Incarnation(1), { { WorkspaceId("busy"), 9000, 4000 } }, start);
     int64_t spent = 0;
     while (!ledger.charge(workspace(1000, 8000), 100, start + 1s)) {
