--- a/src/experiment/experiment_report.cc
+++ b/src/experiment/experiment_report.cc
@@ -41,11 +41,11 @@
 
 std::string row(const std::string& arm, const FleetResult& result, double bound)
 {
-    return format("| %s | %.3f | %.2f | %.2f | %.2f | %.2f | %.2f | %.2f | %.0f | %.0f | %d | %.2f | ",
+    return format("| %s | %.3f | %.2f | %.2f | %.2f | %.2f | %.2f | %.2f | %.2f | %.0f | %.0f | %d | %.2f | ",
                arm.c_str(), result.all.worth(), result.all.worth() / bound, result.worstSeconds(),
-               result.worst("class/"), result.worst("size/"), result.worst("workspace/"),
-               result.worst("rank/"), result.waitMilliseconds(0.5), result.waitMilliseconds(0.99),
-               result.fetches, result.busiestByMean)
+               result.worst("class/"), result.worst("size/"), result.worst("data-centre/"),
+               result.worst("workspace/"), result.worst("rank/"), result.waitMilliseconds(0.5),
+               result.waitMilliseconds(0.99), result.fetches, result.busiestByMean)
         + refusalText(result) + " |\n";
 }
 
@@ -94,10 +94,10 @@
     std::string text;
     for (const LoadResults& load : loads) {
         text += format("\n### %s, %d engines (bound %.3f)\n\n", load.load.c_str(), load.engines, load.bound);
-        text += "| arm | worth | of bound | worst seconds | worst class | worst size | worst workspace | "
+        text += "| arm | worth | of bound | worst seconds | worst class | worst size | worst data centre | "
                 "worst "
-                "rank | p50 ms | p99 ms | fetches | busiest/mean | refusals |\n"
-                "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+                "workspace | worst rank | p50 ms | p99 ms | fetches | busiest/mean | refusals |\n";
+        text += "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
         for (const auto& [arm, result] : load.arms)
             text += row(arm, result, load.bound);
     }
--- a/src/experiment/fleet_result.h
+++ b/src/experiment/fleet_result.h
@@ -22,7 +22,8 @@
 /// Outcome of one simulated run.
 struct FleetResult {
     Share all;
-    /// By "class/...", "size/...", "workspace/..." and "rank/...", the popularity of the adapter.
+    /// By "class/...", "size/...", "data-centre/...", "workspace/..." and "rank/...", the popularity of the
+    /// adapter.
     std::map<std::string, Share> groups;
     /// By second of arrival.
     std::vector<Share> seconds;
--- a/src/experiment/fleet_shape.h
+++ b/src/experiment/fleet_shape.h
@@ -31,6 +31,8 @@
 /// What a simulated fleet consists of. Rates are for the whole fleet.
 struct FleetShape {
     int hosts = 3;
+    /// Hosts and engines are spread over them evenly.
+    int dataCentres = 3;
     int engines = 3;
     int adapterPlaces = 6;
     int batchSlots = 64;
--- a/src/experiment/fleet_simulation.cc
+++ b/src/experiment/fleet_simulation.cc
@@ -185,7 +185,8 @@
     const Host& host = m_hosts[static_cast<size_t>(call.arrival.host)];
     EngineCandidate candidate;
     candidate.engine = engine.id;
-    candidate.isInCallersDataCentre = true;
+    candidate.isInCallersDataCentre
+        = static_cast<int>(index) % m_shape.dataCentres == call.arrival.host % m_shape.dataCentres;
     candidate.hasOwner = engine.scheduler != nullptr;
     if (!candidate.hasOwner) {
         candidate.holdsAdapter = engine.model->holds(adapterOf(call));
@@ -480,9 +481,10 @@
         / static_cast<double>(classOf(call).prompt.value());
     const int rank = call.arrival.adapter;
     const char* popularity = rank < topRanks ? "top" : rank < middleRanks ? "middle" : "rare";
-    for (const std::string& group :
-        { "class/" + classOf(call).name, std::string("size/") + (size > largestTenth ? "largest" : "usual"),
-            "workspace/" + std::to_string(call.arrival.workspace), std::string("rank/") + popularity })
+    const std::string dataCentre = std::to_string(call.arrival.host % m_shape.dataCentres);
+    for (const std::string& group : { "data-centre/" + dataCentre, "class/" + classOf(call).name,
+             std::string("size/") + (size > largestTenth ? "largest" : "usual"),
+             "workspace/" + std::to_string(call.arrival.workspace), std::string("rank/") + popularity })
         countInto(m_result.groups[group], call, worth);
 }
 
