--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -93,9 +93,9 @@
         if (command == "validate")
             return validate();
         if (command == "diff")
-            return diff();
+            return submit(true);
         if (command == "submit")
-            return submit();
+            return submit(m_options.dryRun);
         if (command == "status")
             return status();
         if (command == "hosts")
@@ -147,21 +147,7 @@
     return ExitCode::Success;
 }
 
-ExitCode Commands::diff()
-{
-    const std::optional<Configuration> configuration = readFiles();
-    if (!configuration)
-        return ExitCode::Failure;
-    if (!connect())
-        return ExitCode::Unreachable;
-    const std::optional<OperatorConfiguration> current = m_client->configuration();
-    if (!current)
-        return connectionFailure(false);
-    showChanges(diffConfigurations(current->configuration, *configuration));
-    return ExitCode::Success;
-}
-
-ExitCode Commands::submit()
+ExitCode Commands::submit(bool dryRun)
 {
     const std::optional<Configuration> configuration = readFiles();
     if (!configuration)
@@ -172,9 +158,9 @@
     if (!current)
         return connectionFailure(false);
     const auto changes = diffConfigurations(current->configuration, *configuration);
-    if (m_options.dryRun || !m_options.json)
+    if (dryRun || !m_options.json)
         showChanges(changes);
-    if (m_options.dryRun)
+    if (dryRun)
         return ExitCode::Success;
     return submitConfiguration(
         *configuration, m_options.expectedRevision.value_or(current->configuration.revision));
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -63,8 +63,8 @@
 
     ExitCode story(const std::string& request, const std::vector<std::string>& files);
     ExitCode validate();
-    ExitCode diff();
-    ExitCode submit();
+    /// @param dryRun only shows what submitting the files would change.
+    ExitCode submit(bool dryRun);
     ExitCode status();
     ExitCode hosts();
     ExitCode keyHash();
