Write answers of calls as soon as the table answers again

Cause: an answer that could not be stored in an outage was tried again after 1, 2, 4 ... up to 30 s, also when the table had long been back. Until then a repeat through another host was told that the call is running. Change: any answer of the table makes the registry write what waits. AnswerIsStoredAsSoonAsTheTableAnswersAgain failed before (in_progress 22 s after the outage) and passes.

--- a/src/coordination/claim_registry.cc
+++ b/src/coordination/claim_registry.cc
@@ -94,6 +94,8 @@
         [this, alive = Alive(m_alive), key, isRepeated, callback](std::optional<TableError> error) {
             if (alive.expired())
                 return;
+            if (!error || *error == TableError::Conflict)
+                tableAnswered();
             if (!error)
                 return callback(verdict(ClaimVerdict::Run));
             if (*error == TableError::Conflict || *error == TableError::Unknown)
@@ -235,10 +237,12 @@
         [this, alive = Alive(m_alive), key](std::optional<TableError> error) {
             if (alive.expired())
                 return;
-            if (!error)
-                finishEnd(key, true);
-            else
+            if (error) {
                 retryEnd(key);
+                return;
+            }
+            finishEnd(key, true);
+            tableAnswered();
         });
 }
 
@@ -248,12 +252,29 @@
     const Duration delay = std::exchange(open.retryDelay, std::min(2 * open.retryDelay, longestRetryDelay));
     if (open.callback)
         std::exchange(open.callback, nullptr)(false);
-    m_scheduler.runAfter(delay, [this, alive = Alive(m_alive), key] {
-        if (!alive.expired())
-            writeEnd(key);
+    open.retryTimer = m_scheduler.runAfter(delay, [this, alive = Alive(m_alive), key] {
+        if (alive.expired())
+            return;
+        m_open.at(key).retryTimer = 0;
+        writeEnd(key);
     });
 }
 
+void ClaimRegistry::tableAnswered()
+{
+    std::vector<std::string> waiting;
+    for (auto& [key, open] : m_open) {
+        // The first retry of a removal waits for a delayed creation.
+        const bool isRemoval = !open.finalValue;
+        if (open.retryTimer == 0 || isRemoval)
+            continue;
+        m_scheduler.cancel(std::exchange(open.retryTimer, 0));
+        waiting.push_back(key);
+    }
+    for (const std::string& key : waiting)
+        writeEnd(key);
+}
+
 void ClaimRegistry::finishEnd(const std::string& key, bool written)
 {
     const DoneCallback callback = std::move(m_open.at(key).callback);
--- a/src/coordination/claim_registry.h
+++ b/src/coordination/claim_registry.h
@@ -93,6 +93,8 @@
         bool isEnding = false;
         std::string finalId;
         Duration retryDelay {};
+        /// Set while the final row waits for its next try.
+        TimerId retryTimer = 0;
         DoneCallback callback;
     };
     using Alive = std::weak_ptr<bool>;
@@ -107,6 +109,9 @@
     void writeEnd(const std::string& key);
     void commitEnd(const std::string& key, const TableRow& row);
     void retryEnd(const std::string& key);
+    /// The table has answered: what waits for it is written now, so that repeats through other hosts do not
+    /// see a running claim of a call that has ended.
+    void tableAnswered();
     void finishEnd(const std::string& key, bool written);
     std::string nextWriteId();
 
--- a/src/coordination/claim_registry_test.cc
+++ b/src/coordination/claim_registry_test.cc
@@ -126,6 +126,23 @@
     BOOST_TEST((begin(b).verdict == ClaimVerdict::StoredAnswer));
 }
 
+// Guards against repeats through another host that are told for many seconds after an outage that the call is
+// still running, although it was answered during the outage.
+BOOST_AUTO_TEST_CASE(AnswerIsStoredAsSoonAsTheTableAnswersAgain)
+{
+    BOOST_TEST((begin(a).verdict == ClaimVerdict::Run));
+    table.setDown(true);
+    a.complete(workspace, request, { 200, "text/plain", "booked" }, nullptr);
+    scheduler.advance(20s);
+    table.setDown(false);
+    a.begin(workspace, RequestId("r/2"), "body", [](const ClaimResult&) {});
+    scheduler.advance(2s);
+    std::optional<ClaimVerdict> repeat;
+    b.begin(workspace, request, "body", [&](const ClaimResult& result) { repeat = result.verdict; });
+    scheduler.advance(2s);
+    BOOST_TEST((repeat == ClaimVerdict::StoredAnswer));
+}
+
 // Guards against rows that grow without bound, and against a call that can't be repeated although not run.
 BOOST_AUTO_TEST_CASE(LargeAnswerIsUnknownAndReleasedClaimRunsAgain)
 {
