--- a/src/gateway/caller_call_test.cc
+++ b/src/gateway/caller_call_test.cc
@@ -210,7 +210,7 @@
     Random random { 1 };
     CallAdmitter admitter { configuration, usage, random };
     CallServices services { scheduler, client, translator, configuration, upstreams, view, broker, picker,
-        usage, admitter, retries, metrics, random, self.dataCentre };
+        usage, admitter, retries, metrics, random, self.dataCentre, [] {} };
     std::shared_ptr<FakeExchange> exchange;
     std::shared_ptr<CallerCall> call;
 };
