Make one piece of code serve where the change had written it twice

Found by reading the whole change once more: - StoreFeed logs that its table is lost or regained. Three listeners logged the same two lines; feedLost() had no other use and is gone. - EngineCandidate::describe() takes over what an owner tells; EngineView and the fleet simulation each copied the fields.

--- a/src/experiment/fleet_simulation.cc
+++ b/src/experiment/fleet_simulation.cc
@@ -29,10 +29,7 @@
 /// Time until peers notice that a host is gone, and until another host owns its engines.
 constexpr Duration silenceTime = seconds(1);
 constexpr Duration takeoverTime = milliseconds(1500);
-constexpr Duration engineOutage = seconds(4);
 constexpr int slownessOfStore = 4;
-/// One in so many engines or hosts fails.
-constexpr int failingPart = 4;
 /// Answers that begin in the last seconds end after the load.
 constexpr Duration drainTime = seconds(16);
 constexpr int usualUrgency = 5;
@@ -194,20 +191,11 @@
     }
     const bool isOwn = engine.owner == call.arrival.host;
     const gateway::EngineSummary summary = isOwn ? engine.scheduler->summary(m_scheduler.now()) : engine.told;
-    candidate.prefillBacklog = summary.prefillBacklog;
+    candidate.describe(summary, adapterOf(call));
     candidate.updateInterval = isOwn ? Duration::zero() : m_shape.heartbeatInterval;
-    candidate.fetchWait = summary.fetchWait;
-    candidate.openPlaces = summary.openPlaces;
-    candidate.waiting = summary.waiting;
     const auto asked = host.asked.find(index);
     if (!isOwn && asked != host.asked.end() && asked->second.heartbeat == engine.heartbeat)
         candidate.prefillBacklog += gateway::PrefillRate().timeFor(asked->second.prompts);
-    for (const gateway::AdapterSummary& held : summary.adapters) {
-        if (held.adapter != adapterOf(call))
-            continue;
-        candidate.holdsAdapter = !held.isLoading;
-        candidate.isLoadingAdapter = held.isLoading;
-    }
     return candidate;
 }
 
@@ -236,7 +224,7 @@
         }
         const auto call = m_calls.find(request.key);
         if (call != m_calls.end())
-            denied(call->second, { request.key, RunRefusal::NotOwner, Duration::zero(), Duration::zero() });
+            denied(call->second, { request.key, RunRefusal::NotOwner });
     });
 }
 
@@ -342,7 +330,7 @@
         for (const RunKey& key : waiting) {
             const auto call = m_calls.find(key);
             if (call != m_calls.end())
-                denied(call->second, { key, RunRefusal::NotOwner, Duration::zero(), Duration::zero() });
+                denied(call->second, { key, RunRefusal::NotOwner });
         }
     });
 }
--- a/src/experiment/load_pattern.cc
+++ b/src/experiment/load_pattern.cc
@@ -1,8 +1,7 @@
 #include "experiment/load_pattern.h"
 
-#include "base/random.h"
+#include "base/zipf.h"
 
-#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -42,30 +41,6 @@
     { LoadPattern::OwnersKilled, "owners-killed" },
 };
 
-/// Draws adapters with Zipf's popularity.
-class Popularity {
-public:
-    Popularity(int adapters, double exponent)
-    {
-        double sum = 0;
-        for (int rank = 1; rank <= adapters; ++rank) {
-            sum += std::pow(rank, -exponent);
-            m_cumulated.push_back(sum);
-        }
-    }
-
-    /// @return a rank from 0, the most popular.
-    int draw(Random& random) const
-    {
-        const double point = random.uniform() * m_cumulated.back();
-        return static_cast<int>(
-            std::lower_bound(m_cumulated.begin(), m_cumulated.end(), point) - m_cumulated.begin());
-    }
-
-private:
-    std::vector<double> m_cumulated;
-};
-
 bool isInPattern(Duration at)
 {
     return at >= patternStart && at < patternStart + patternLength;
@@ -164,7 +139,7 @@
         const int adapters = m_shape.adapters;
         if (m_pattern == LoadPattern::RareAdapters && isInPattern(at) && m_random.chance(rareShare))
             return adapters / 2 + below(adapters / 2);
-        int rank = m_popularity.draw(m_random);
+        int rank = static_cast<int>(m_popularity.draw(m_random));
         if (m_pattern == LoadPattern::PopularityShift && at >= patternStart)
             rank = (rank + adapters / 3) % adapters;
         if (m_pattern == LoadPattern::HotWorkspace && workspace == 0)
@@ -177,7 +152,7 @@
     const FleetShape& m_shape;
     LoadPattern m_pattern;
     Random m_random;
-    Popularity m_popularity;
+    Zipf m_popularity;
     std::vector<Arrival> m_arrivals;
 };
 
--- a/src/experiment/load_pattern.h
+++ b/src/experiment/load_pattern.h
@@ -55,6 +55,10 @@
 constexpr Duration patternStart = std::chrono::seconds(8);
 constexpr Duration patternLength = std::chrono::seconds(5);
 constexpr Duration loadLength = std::chrono::seconds(20);
+/// One in so many engines or hosts fails, the first one included.
+constexpr int failingPart = 4;
+/// How long an engine that has crashed is away.
+constexpr Duration engineOutage = std::chrono::seconds(4);
 
 /// @return the requests of a run in order of time; the same seed gives the same requests.
 std::vector<Arrival> generateArrivals(const FleetShape& shape, LoadPattern pattern, uint64_t seed);
--- a/src/experiment/worth_bound.cc
+++ b/src/experiment/worth_bound.cc
@@ -7,9 +7,6 @@
 namespace {
 
 constexpr size_t longestWindowSeconds = 5;
-/// What is lost while a quarter of the engines is down, and for how long.
-constexpr double crashedShare = 0.25;
-constexpr size_t outageSeconds = 4;
 
 struct Job {
     /// Worth beyond that of a late answer.
@@ -77,9 +74,11 @@
     std::vector<double> up(static_cast<size_t>(toSeconds(loadLength)), shape.engines);
     if (pattern != LoadPattern::EngineCrashes)
         return up;
+    const int crashed = (shape.engines + failingPart - 1) / failingPart;
     const auto first = static_cast<size_t>(toSeconds(patternStart));
-    for (size_t second = first; second < std::min(up.size(), first + outageSeconds); ++second)
-        up[second] *= 1 - crashedShare;
+    const auto last = static_cast<size_t>(toSeconds(patternStart + engineOutage));
+    for (size_t second = first; second < std::min(up.size(), last); ++second)
+        up[second] -= crashed;
     return up;
 }
 
--- a/src/gateway/call_admission_test.cc
+++ b/src/gateway/call_admission_test.cc
@@ -1,6 +1,7 @@
 #include "gateway/call_admission.h"
 
 #include "base/virtual_scheduler.h"
+#include "gateway/fake_row_decoder_test.h"
 #include "gateway/fake_row_store_test.h"
 
 #include <boost/test/unit_test.hpp>
@@ -14,11 +15,8 @@
 const ServiceId service("plain");
 
 /// One route on a.example for keyed requests of one workspace, limited in tokens.
-class OneRoute : public RowDecoder {
+class OneRoute : public FakeRowDecoder {
 public:
-    std::string operatorTable() const override { return "op"; }
-    std::string upstreamTable() const override { return "servers"; }
-    std::string configurationKey() const override { return "config"; }
     std::shared_ptr<const ServingConfiguration> readConfiguration(
         const std::string&, std::string&) const override
     {
@@ -41,8 +39,6 @@
         builder.add(workspace, { "key-1" });
         return builder.build();
     }
-    std::optional<AdapterRelease> readRelease(const StoredRow&) const override { return std::nullopt; }
-    std::optional<UpstreamEntry> readUpstream(const StoredRow&) const override { return std::nullopt; }
 };
 
 struct Fixture {
--- a/src/gateway/caller_call_test.cc
+++ b/src/gateway/caller_call_test.cc
@@ -2,6 +2,7 @@
 
 #include "base/virtual_scheduler.h"
 #include "daemon/fake_exchange_test.h"
+#include "gateway/fake_row_decoder_test.h"
 #include "gateway/fake_row_store_test.h"
 
 #include <boost/test/unit_test.hpp>
@@ -112,11 +113,8 @@
 };
 
 /// Upstreams are "ready"; the configuration is built in.
-class BuiltInRows : public RowDecoder {
+class BuiltInRows : public FakeRowDecoder {
 public:
-    std::string operatorTable() const override { return "op"; }
-    std::string upstreamTable() const override { return "servers"; }
-    std::string configurationKey() const override { return "config"; }
     std::shared_ptr<const ServingConfiguration> readConfiguration(
         const std::string&, std::string&) const override
     {
@@ -133,7 +131,6 @@
         builder.add(workspace, { "key-1" });
         return builder.build();
     }
-    std::optional<AdapterRelease> readRelease(const StoredRow&) const override { return std::nullopt; }
     std::optional<UpstreamEntry> readUpstream(const StoredRow& row) const override
     {
         UpstreamEntry entry;
--- a/src/gateway/configuration_keeper.cc
+++ b/src/gateway/configuration_keeper.cc
@@ -109,18 +109,4 @@
     m_handlers.onConfiguration();
 }
 
-void ConfigurationKeeper::feedResumed(Duration outage)
-{
-    LogEvent(LogLevel::Info, "store_regained")
-        .with("table", m_decoder.operatorTable())
-        .with("outage_ms", toMilliseconds(outage));
-}
-
-void ConfigurationKeeper::feedLost(RowStoreError error)
-{
-    LogEvent(LogLevel::Warning, "store_lost")
-        .with("table", m_decoder.operatorTable())
-        .with("reason", toString(error));
-}
-
 } // namespace lacewing::gateway
--- a/src/gateway/configuration_keeper.h
+++ b/src/gateway/configuration_keeper.h
@@ -49,8 +49,6 @@
 private:
     void tableRead(const std::vector<StoredRow>& rows) override { rowsChanged(rows); }
     void rowsChanged(const std::vector<StoredRow>& rows) override;
-    void feedResumed(Duration outage) override;
-    void feedLost(RowStoreError error) override;
     Duration feedWait() const;
     void applyConfiguration(RowVersion version, const std::string& value, const char* source);
 
--- a/src/gateway/configuration_keeper_test.cc
+++ b/src/gateway/configuration_keeper_test.cc
@@ -1,6 +1,7 @@
 #include "gateway/configuration_keeper.h"
 
 #include "base/virtual_scheduler.h"
+#include "gateway/fake_row_decoder_test.h"
 #include "gateway/fake_row_store_test.h"
 
 #include <boost/test/unit_test.hpp>
@@ -12,11 +13,8 @@
 namespace {
 
 /// Configuration rows hold their revision as a number.
-class NumberRowDecoder : public RowDecoder {
+class NumberRowDecoder : public FakeRowDecoder {
 public:
-    std::string operatorTable() const override { return "op"; }
-    std::string upstreamTable() const override { return "servers"; }
-    std::string configurationKey() const override { return "config"; }
     std::shared_ptr<const ServingConfiguration> readConfiguration(
         const std::string& value, std::string& reason) const override
     {
@@ -26,8 +24,6 @@
         }
         return ServingConfiguration::Builder(Revision(std::stoll(value))).build();
     }
-    std::optional<AdapterRelease> readRelease(const StoredRow&) const override { return std::nullopt; }
-    std::optional<UpstreamEntry> readUpstream(const StoredRow&) const override { return std::nullopt; }
 };
 
 struct Fixture {
--- a/src/gateway/engine_chooser.cc
+++ b/src/gateway/engine_chooser.cc
@@ -25,6 +25,20 @@
 
 } // namespace
 
+void EngineCandidate::describe(const EngineSummary& summary, const AdapterRef& adapter)
+{
+    prefillBacklog = summary.prefillBacklog;
+    openPlaces = summary.openPlaces;
+    fetchWait = summary.fetchWait;
+    waiting = summary.waiting;
+    for (const AdapterSummary& held : summary.adapters) {
+        if (held.adapter != adapter)
+            continue;
+        holdsAdapter = !held.isLoading;
+        isLoadingAdapter = held.isLoading;
+    }
+}
+
 Duration EngineChooser::cost(
     const EngineCandidate& candidate, bool needsAdapter, size_t homeRank, Random& random)
 {
--- a/src/gateway/engine_chooser.h
+++ b/src/gateway/engine_chooser.h
@@ -3,7 +3,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/random.h"
-#include "gateway/run_request.h"
+#include "gateway/engine_summary.h"
 
 #include <vector>
 
@@ -26,6 +26,9 @@
     Duration fetchWait {};
     int openPlaces = 0;
     int waiting = 0;
+
+    /// Takes over what the engine's owner tells about the engine and the adapter.
+    void describe(const EngineSummary& summary, const AdapterRef& adapter);
 };
 
 /// Orders engines for a request by the expected time to its first event.
--- a/src/gateway/engine_owners.cc
+++ b/src/gateway/engine_owners.cc
@@ -72,19 +72,19 @@
 void EngineOwners::denyWaiting(const EngineScheduler& scheduler, RunRefusal reason)
 {
     for (const RunKey& key : scheduler.waitingRuns())
-        m_handlers.onDenial({ key, reason, Duration::zero(), Duration::zero() });
+        m_handlers.onDenial({ key, reason });
 }
 
 void EngineOwners::request(const UpstreamId& engine, RunRequest request)
 {
     Owned* owned = find(engine);
     if (!owned || !owned->scheduler) {
-        m_handlers.onDenial({ request.key, RunRefusal::NotOwner, Duration::zero(), Duration::zero() });
+        m_handlers.onDenial({ request.key, RunRefusal::NotOwner });
         return;
     }
     const UpstreamEntry* entry = m_upstreams.findUsable(engine);
     if (!entry) {
-        m_handlers.onDenial({ request.key, RunRefusal::EngineLeaving, Duration::zero(), Duration::zero() });
+        m_handlers.onDenial({ request.key, RunRefusal::EngineLeaving });
         return;
     }
     owned->scheduler->request(std::move(request), m_scheduler.now());
--- a/src/gateway/engine_owners_test.cc
+++ b/src/gateway/engine_owners_test.cc
@@ -1,6 +1,7 @@
 #include "gateway/engine_owners.h"
 
 #include "base/virtual_scheduler.h"
+#include "gateway/fake_row_decoder_test.h"
 #include "gateway/fake_row_store_test.h"
 
 #include <boost/test/unit_test.hpp>
@@ -16,11 +17,8 @@
 const UpstreamId engine("e-1");
 
 /// A row of an engine holds the time at which it started.
-class EngineRows : public RowDecoder {
+class EngineRows : public FakeRowDecoder {
 public:
-    std::string operatorTable() const override { return "op"; }
-    std::string upstreamTable() const override { return "servers"; }
-    std::string configurationKey() const override { return "config"; }
     std::shared_ptr<const ServingConfiguration> readConfiguration(
         const std::string&, std::string&) const override
     {
@@ -33,7 +31,6 @@
         builder.add(engines);
         return builder.build();
     }
-    std::optional<AdapterRelease> readRelease(const StoredRow&) const override { return std::nullopt; }
     std::optional<UpstreamEntry> readUpstream(const StoredRow& row) const override
     {
         UpstreamEntry entry;
--- a/src/gateway/engine_places.h
+++ b/src/gateway/engine_places.h
@@ -2,6 +2,7 @@
 
 #include "gateway/adapter_popularity.h"
 #include "gateway/engine_control.h"
+#include "gateway/engine_summary.h"
 #include "gateway/load_limiter.h"
 #include "gateway/upstream_entry.h"
 
@@ -20,12 +21,6 @@
     int64_t expectedSequence = 0;
 };
 
-/// An adapter of an engine as its owner tells the other hosts.
-struct AdapterSummary {
-    AdapterRef adapter;
-    bool isLoading = false;
-};
-
 /// The places for adapters of one engine, as far as orders, their answers and the engine's reports tell.
 ///
 /// Load pattern: many adapters share few places. A place in use is never taken away; among the idle ones the
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -376,20 +376,25 @@
     return fitsCache && static_cast<int>(m_runs.size()) < m_limits.batchSlots;
 }
 
+Tokens EngineScheduler::queuedPrompts() const
+{
+    Tokens queued = m_backlog;
+    for (const RunRequest& request : m_waiting)
+        queued += request.prompt;
+    return queued;
+}
+
 Duration EngineScheduler::estimateStart(const RunRequest& request, MonotonicTime now) const
 {
-    Tokens queued = m_backlog + request.prompt;
-    for (const RunRequest& waiting : m_waiting)
-        queued += waiting.prompt;
-    const Duration reading = m_prefillRate.timeFor(queued);
+    const Duration reading = m_prefillRate.timeFor(queuedPrompts() + request.prompt);
     // More urgent requests that come later are read first.
     if (!needsPlace(request.adapter) || isServable(request.adapter))
         return std::chrono::duration_cast<Duration>(overtakingFactor * reading);
     if (const auto loadEnd = m_places.loadEnd(request.adapter))
         return std::max<Duration>(*loadEnd - now, Duration::zero()) + reading;
     std::set<AdapterRef> ahead = awaitedAdapters();
+    int needed = 1 - m_places.open(ahead);
     ahead.erase(request.adapter);
-    int needed = 1 - m_places.open(awaitedAdapters());
     for (const AdapterRef& adapter : ahead)
         needed += m_places.has(adapter) ? 0 : 1;
     const Duration fetchWait = m_places.isWarm(request.adapter) ? Duration::zero() : m_loads.expectedWait();
@@ -427,10 +432,7 @@
     summary.engine = m_engine;
     summary.isUsable = isUsable();
     summary.models.assign(m_models.begin(), m_models.end());
-    Tokens queued = m_backlog;
-    for (const RunRequest& request : m_waiting)
-        queued += request.prompt;
-    summary.prefillBacklog = m_prefillRate.timeFor(queued);
+    summary.prefillBacklog = m_prefillRate.timeFor(queuedPrompts());
     summary.running = static_cast<int>(m_runs.size());
     summary.waiting = static_cast<int>(m_waiting.size());
     summary.openPlaces = m_places.open(awaitedAdapters());
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -13,23 +13,6 @@
 
 namespace lacewing::gateway {
 
-/// What an owner tells the other hosts about an engine.
-struct EngineSummary {
-    UpstreamId engine;
-    /// It answers its owner and holds a model.
-    bool isUsable = false;
-    std::vector<ModelId> models;
-    /// Time to read the prompts that wait or are being read.
-    Duration prefillBacklog {};
-    int running = 0;
-    int waiting = 0;
-    /// Places that are free or hold an adapter without a request.
-    int openPlaces = 0;
-    /// How long a further adapter would wait before it is fetched.
-    Duration fetchWait {};
-    std::vector<AdapterSummary> adapters;
-};
-
 /// What a scheduler wants to be done.
 struct SchedulerDecisions {
     std::vector<RunGrant> grants;
@@ -95,6 +78,8 @@
     bool isServable(const AdapterRef& adapter) const;
     bool hasRoom(const RunRequest& request) const;
     Tokens cacheNeed(const RunRequest& request) const;
+    /// @return prompt tokens that wait here or are being read at the engine.
+    Tokens queuedPrompts() const;
     Duration estimateStart(const RunRequest& request, MonotonicTime now) const;
     std::optional<AdapterRef> nextLoad(MonotonicTime now) const;
     std::set<AdapterRef> awaitedAdapters() const;
--- a/src/gateway/engine_view.cc
+++ b/src/gateway/engine_view.cc
@@ -31,15 +31,6 @@
     return record->host;
 }
 
-std::optional<EngineView::Latest> EngineView::latest(const UpstreamId& engine) const
-{
-    if (const auto own = m_owners.summary(engine))
-        return Latest { *own, MonotonicTime() };
-    if (const auto* told = m_mesh.engine(engine))
-        return Latest { told->summary, told->heard };
-    return std::nullopt;
-}
-
 bool EngineView::entryHolds(const UpstreamEntry& entry, const AdapterRef& adapter)
 {
     for (const HeldModel& model : entry.models) {
@@ -59,6 +50,7 @@
     const ServiceId& service, const AdapterRef& adapter, const std::set<UpstreamId>& excluded)
 {
     const MonotonicTime now = m_clock.now();
+    const Duration updateInterval = m_mesh.heartbeatInterval();
     std::vector<EngineCandidate> candidates;
     for (const UpstreamEntry* entry : m_upstreams.usable(service)) {
         if (excluded.count(entry->id) > 0)
@@ -66,33 +58,28 @@
         EngineCandidate candidate;
         candidate.engine = entry->id;
         candidate.isInCallersDataCentre = entry->dataCentre == m_dataCentre;
-        candidate.hasOwner = ownerOf(entry->id).has_value();
         candidate.isSuspect = m_picker.isSuspect(entry->id, now);
-        const auto told = latest(entry->id);
-        if (!told || !candidate.hasOwner) {
+        const auto own = m_owners.summary(entry->id);
+        const PeerStates::Engine* told = own ? nullptr : m_mesh.engine(entry->id);
+        if (!own && !told) {
+            candidate.hasOwner = ownerOf(entry->id).has_value();
             candidate.holdsAdapter = entryHolds(*entry, adapter);
             candidate.openPlaces = 1;
             candidates.push_back(std::move(candidate));
             continue;
         }
-        const EngineSummary& summary = told->summary;
+        const EngineSummary& summary = own ? *own : told->summary;
         const bool holdsModel
             = std::find(summary.models.begin(), summary.models.end(), adapter.model) != summary.models.end();
         if (!summary.isUsable || !holdsModel)
             continue;
-        candidate.prefillBacklog = summary.prefillBacklog;
-        const auto asked = m_asked.find(entry->id);
-        if (asked != m_asked.end() && asked->second.heard == told->heard)
-            candidate.prefillBacklog += m_rate.timeFor(asked->second.prompts);
-        candidate.updateInterval = m_owners.owns(entry->id) ? Duration::zero() : m_mesh.heartbeatInterval();
-        candidate.openPlaces = summary.openPlaces;
-        candidate.fetchWait = summary.fetchWait;
-        candidate.waiting = summary.waiting;
-        for (const AdapterSummary& held : summary.adapters) {
-            if (held.adapter != adapter)
-                continue;
-            candidate.holdsAdapter = !held.isLoading;
-            candidate.isLoadingAdapter = held.isLoading;
+        candidate.hasOwner = true;
+        candidate.describe(summary, adapter);
+        if (told) {
+            candidate.updateInterval = updateInterval;
+            const auto asked = m_asked.find(entry->id);
+            if (asked != m_asked.end() && asked->second.heard == told->heard)
+                candidate.prefillBacklog += m_rate.timeFor(asked->second.prompts);
         }
         candidates.push_back(std::move(candidate));
     }
--- a/src/gateway/engine_view.h
+++ b/src/gateway/engine_view.h
@@ -37,13 +37,6 @@
         Tokens prompts;
     };
 
-    struct Latest {
-        EngineSummary summary;
-        /// Time zero for engines of this host, whose summary is always current.
-        MonotonicTime heard;
-    };
-
-    std::optional<Latest> latest(const UpstreamId& engine) const;
     static bool entryHolds(const UpstreamEntry& entry, const AdapterRef& adapter);
 
     const Clock& m_clock;
--- /dev/null
+++ b/src/gateway/fake_row_decoder_test.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "gateway/row_decoder.h"
+
+namespace lacewing::gateway {
+
+/// Names of tables and keys for tests, and no readable row. Tests override what they need.
+class FakeRowDecoder : public RowDecoder {
+public:
+    std::string operatorTable() const override { return "op"; }
+    std::string upstreamTable() const override { return "servers"; }
+    std::string configurationKey() const override { return "config"; }
+    std::shared_ptr<const ServingConfiguration> readConfiguration(
+        const std::string&, std::string&) const override
+    {
+        return nullptr;
+    }
+    std::optional<AdapterRelease> readRelease(const StoredRow&) const override { return std::nullopt; }
+    std::optional<UpstreamEntry> readUpstream(const StoredRow&) const override { return std::nullopt; }
+};
+
+} // namespace lacewing::gateway
--- a/src/gateway/fleet_agent.cc
+++ b/src/gateway/fleet_agent.cc
@@ -104,17 +104,9 @@
 
 void FleetAgent::feedResumed(Duration outage)
 {
-    LogEvent(LogLevel::Info, "store_regained")
-        .with("table", FleetRows::table)
-        .with("outage_ms", toMilliseconds(outage));
     m_registry.resumeObservation(m_scheduler.now());
 }
 
-void FleetAgent::feedLost(RowStoreError error)
-{
-    LogEvent(LogLevel::Warning, "store_lost").with("table", FleetRows::table).with("reason", toString(error));
-}
-
 // All hosts may do this at once; the condition lets one succeed, and the feed brings its secret to the
 // others.
 void FleetAgent::ensureSecret()
--- a/src/gateway/fleet_agent.h
+++ b/src/gateway/fleet_agent.h
@@ -47,7 +47,6 @@
     void tableRead(const std::vector<StoredRow>& rows) override;
     void rowsChanged(const std::vector<StoredRow>& rows) override;
     void feedResumed(Duration outage) override;
-    void feedLost(RowStoreError error) override;
 
     void ensureSecret();
     void renew();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -60,7 +60,6 @@
     , m_settings(std::move(settings))
     , m_incarnation(randomIncarnation())
     , m_started(loop.now())
-    , m_self(recordOf(m_settings, m_incarnation))
     , m_random(static_cast<uint64_t>(m_incarnation.value()))
     , m_configuration(loop, ports.store, ports.rows,
           { [this] { configurationChanged(); },
@@ -72,12 +71,12 @@
     , m_usage(m_settings.usageWindow, m_settings.host,
           m_settings.isFirstStart ? m_started - m_settings.usageWindow : m_started)
     , m_retries(m_settings.retries)
-    , m_fleet(loop, ports.store, m_self, m_settings.leaseTime,
+    , m_fleet(loop, ports.store, recordOf(m_settings, m_incarnation), m_settings.leaseTime,
           { [this] { fleetChanged(); },
               [this](const UpstreamId& engine, FencingNumber number) { m_owners.claimed(engine, number); },
               [this](const UpstreamId& engine) { m_owners.lost(engine); }, [this] { return engineIds(); },
               [this] { return leavingHosts(); } })
-    , m_mesh(loop, m_self,
+    , m_mesh(loop, recordOf(m_settings, m_incarnation),
           { [this](const HostId& peer, const PeerMessage& message) { peerMessage(peer, message); },
               [this](const HostId& peer) { m_broker.peerLost(peer); },
               [this](HeartbeatAudience audience) { return heartbeat(audience); } })
@@ -240,10 +239,7 @@
         offerConfiguration(peer, *heartbeat);
         if (heartbeat->configurationAge)
             m_configuration.peerConfirmed(heartbeat->configurationVersion, *heartbeat->configurationAge);
-        int fetches = 0;
-        for (const auto& [host, state] : m_mesh.peersInTouch())
-            fetches += state->heartbeat.fetchesInFlight;
-        m_owners.loads().setPeersInFlight(fetches);
+        m_owners.loads().setPeersInFlight(m_mesh.fetchesInFlight());
         return;
     }
     if (const auto* configuration = std::get_if<PeerConfiguration>(&message)) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -68,7 +68,6 @@
     GatewaySettings m_settings;
     Incarnation m_incarnation;
     MonotonicTime m_started;
-    HostRecord m_self;
     Random m_random;
     MetricsRegistry m_metrics;
     ConfigurationKeeper m_configuration;
--- a/src/gateway/peer_mesh.h
+++ b/src/gateway/peer_mesh.h
@@ -44,6 +44,8 @@
     /// @return peers whose heartbeats arrive.
     std::map<HostId, const PeerStates::Peer*> peersInTouch() const;
     bool isInTouch(const HostId& peer) const;
+    /// @return adapters that the engines of all peers in touch fetch from the weight store.
+    int fetchesInFlight() const { return m_states.fetchesInFlight(oldestHeartbeat()); }
     /// @return what a peer in touch that owns an engine and is not stopping says about it, or null.
     const PeerStates::Engine* engine(const UpstreamId& engine) const;
     /// @return the time between two heartbeats of a host.
--- a/src/gateway/peer_states.cc
+++ b/src/gateway/peer_states.cc
@@ -35,6 +35,14 @@
     return found != m_peers.end() && found->second.heard > oldest;
 }
 
+int PeerStates::fetchesInFlight(MonotonicTime oldest) const
+{
+    int fetches = 0;
+    for (const auto& [host, state] : m_peers)
+        fetches += state.heard > oldest ? state.heartbeat.fetchesInFlight : 0;
+    return fetches;
+}
+
 const PeerStates::Engine* PeerStates::engine(const UpstreamId& engine, MonotonicTime oldest) const
 {
     const auto found = m_engines.find(engine);
--- a/src/gateway/run_broker.cc
+++ b/src/gateway/run_broker.cc
@@ -27,8 +27,7 @@
     const PeerRunRequest message { engine, run, request.adapter, request.prompt, request.output,
         request.priority, request.onTimeStart - now, request.latestStart - now };
     if (!m_mesh->send(owner, message))
-        answered(
-            request.key, RunDenial { request.key, RunRefusal::NotOwner, Duration::zero(), Duration::zero() });
+        answered(request.key, RunDenial { request.key, RunRefusal::NotOwner });
     return run;
 }
 
@@ -118,8 +117,7 @@
             unanswered.push_back(run);
     }
     for (const RunId run : unanswered)
-        answered({ m_self, run },
-            RunDenial { { m_self, run }, RunRefusal::NotOwner, Duration::zero(), Duration::zero() });
+        answered({ m_self, run }, RunDenial { { m_self, run }, RunRefusal::NotOwner });
 }
 
 } // namespace lacewing::gateway
--- a/src/gateway/store_feed.cc
+++ b/src/gateway/store_feed.cc
@@ -1,5 +1,7 @@
 #include "gateway/store_feed.h"
 
+#include "base/log.h"
+
 #include <algorithm>
 
 namespace lacewing::gateway {
@@ -63,14 +65,20 @@
             return;
         }
         if (!std::exchange(m_isLost, true))
-            m_listener.feedLost(result.error);
+            LogEvent(LogLevel::Warning, "store_lost")
+                .with("table", m_options.table)
+                .with("reason", toString(result.error));
         scheduleNext(retryInterval);
         return;
     }
     const auto outage = m_lastAnswer ? now - *m_lastAnswer : Duration::zero();
     m_lastAnswer = now;
-    if (std::exchange(m_isLost, false))
+    if (std::exchange(m_isLost, false)) {
+        LogEvent(LogLevel::Info, "store_regained")
+            .with("table", m_options.table)
+            .with("outage_ms", toMilliseconds(outage));
         m_listener.feedResumed(outage);
+    }
     m_version = result.value->version;
     if (isWholeTable)
         m_listener.tableRead(result.value->rows);
--- a/src/gateway/store_feed.h
+++ b/src/gateway/store_feed.h
@@ -20,12 +20,10 @@
     /// The first answer after a time without any.
     ///
     /// @param outage how long the table could not be read.
-    virtual void feedResumed(Duration outage) = 0;
-    /// A call failed after the feed had worked.
-    virtual void feedLost(RowStoreError error) = 0;
+    virtual void feedResumed(Duration outage) { }
 };
 
-/// Follows the changes of one table of the store with long reads.
+/// Follows the changes of one table of the store with long reads. Logs when the table is lost and regained.
 class StoreFeed {
 public:
     struct Options {
--- a/src/gateway/surface_translator.h
+++ b/src/gateway/surface_translator.h
@@ -16,8 +16,6 @@
     virtual bool isDirectoryPath(const std::string& path) const = 0;
     /// @return whether a path asks if the host is ready.
     virtual bool isReadinessPath(const std::string& path) const = 0;
-    /// @return the data centre that a question for hosts names; empty if it names none.
-    virtual std::string dataCentreOfQuery(const std::string& query) const = 0;
     /// @param lifetimeSeconds how long the answer may be used.
     /// @return the body of an answer that names hosts.
     virtual std::string directoryAnswer(
--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -170,18 +170,8 @@
 
 void UpstreamDirectory::feedResumed(Duration outage)
 {
-    LogEvent(LogLevel::Info, "store_regained")
-        .with("table", m_decoder.upstreamTable())
-        .with("outage_ms", toMilliseconds(outage));
     if (outage > shortestOutage)
         m_graceEnd = m_scheduler.now() + graceTime;
 }
 
-void UpstreamDirectory::feedLost(RowStoreError error)
-{
-    LogEvent(LogLevel::Warning, "store_lost")
-        .with("table", m_decoder.upstreamTable())
-        .with("reason", toString(error));
-}
-
 } // namespace lacewing::gateway
--- a/src/gateway/upstream_directory.h
+++ b/src/gateway/upstream_directory.h
@@ -51,7 +51,6 @@
     void tableRead(const std::vector<StoredRow>& rows) override;
     void rowsChanged(const std::vector<StoredRow>& rows) override;
     void feedResumed(Duration outage) override;
-    void feedLost(RowStoreError error) override;
 
     /// @return whether the set of upstreams has changed.
     bool apply(const StoredRow& row);
--- a/src/gateway/upstream_directory_test.cc
+++ b/src/gateway/upstream_directory_test.cc
@@ -1,6 +1,7 @@
 #include "gateway/upstream_directory.h"
 
 #include "base/virtual_scheduler.h"
+#include "gateway/fake_row_decoder_test.h"
 #include "gateway/fake_row_store_test.h"
 
 #include <boost/test/unit_test.hpp>
@@ -14,17 +15,8 @@
 const ServiceId service("engines");
 
 /// Rows of the form "ready" or "draining"; everything else can't be read.
-class PlainRowDecoder : public RowDecoder {
+class PlainRowDecoder : public FakeRowDecoder {
 public:
-    std::string operatorTable() const override { return "op"; }
-    std::string upstreamTable() const override { return "servers"; }
-    std::string configurationKey() const override { return "config"; }
-    std::shared_ptr<const ServingConfiguration> readConfiguration(
-        const std::string&, std::string&) const override
-    {
-        return nullptr;
-    }
-    std::optional<AdapterRelease> readRelease(const StoredRow&) const override { return std::nullopt; }
     std::optional<UpstreamEntry> readUpstream(const StoredRow& row) const override
     {
         if (row.value != "ready" && row.value != "draining")
--- a/src/replay/placement_trace.cc
+++ b/src/replay/placement_trace.cc
@@ -1,6 +1,7 @@
 #include "replay/placement_trace.h"
 
 #include "base/random.h"
+#include "base/zipf.h"
 
 #include <algorithm>
 #include <cmath>
@@ -25,12 +26,10 @@
         , m_scenario(scenario)
         , m_random(seed)
         , m_adapterAtRank(static_cast<size_t>(deployment.adapters))
+        , m_popularity(deployment.adapters, deployment.zipfExponent)
     {
         std::iota(m_adapterAtRank.begin(), m_adapterAtRank.end(), 0);
         shuffle();
-        double sum = 0;
-        for (int rank = 1; rank <= deployment.adapters; ++rank)
-            m_cumulative.push_back(sum += std::pow(rank, -deployment.zipfExponent));
         for (int adapter = 0; adapter < deployment.adapters; ++adapter)
             m_workspaceOf.push_back(drawWorkspace());
     }
@@ -123,11 +122,7 @@
     {
         TraceRequest request;
         request.at = at;
-        const auto position = std::upper_bound(
-            m_cumulative.begin(), m_cumulative.end(), m_random.uniform() * m_cumulative.back());
-        const size_t rank
-            = std::min(static_cast<size_t>(position - m_cumulative.begin()), m_cumulative.size() - 1);
-        request.adapter = m_adapterAtRank[rank];
+        request.adapter = m_adapterAtRank[m_popularity.draw(m_random)];
         request.workspace = m_workspaceOf[static_cast<size_t>(request.adapter)];
         const bool batch = m_random.chance(m_deployment.batchFraction);
         request.requestClass = batch ? RequestClass::Batch : RequestClass::Interactive;
@@ -142,7 +137,7 @@
     Random m_random;
     std::vector<int> m_adapterAtRank;
     std::vector<int> m_workspaceOf;
-    std::vector<double> m_cumulative;
+    Zipf m_popularity;
 };
 
 } // namespace
