Serve latency histograms on the gateway's metrics address

Quantiles of several hosts can't be added up, so an operator could not tell the latency of the fleet.

--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -52,6 +52,20 @@
     out << series(name + "_count", labels) << ' ' << summary.count() << '\n';
 }
 
+void writeHistogram(
+    std::ostream& out, const std::string& name, const std::string& labels, const Histogram& histogram)
+{
+    const std::string prefix = labels.empty() ? "" : labels + ",";
+    for (const Histogram::Bucket& bucket : histogram.cumulativeBuckets()) {
+        std::ostringstream bound;
+        bound << bucket.upperBound;
+        out << series(name + "_bucket", prefix + "le=\"" + bound.str() + "\"") << ' ' << bucket.count << '\n';
+    }
+    out << series(name + "_bucket", prefix + "le=\"+Inf\"") << ' ' << histogram.count() << '\n';
+    out << series(name + "_sum", labels) << ' ' << histogram.sum() << '\n';
+    out << series(name + "_count", labels) << ' ' << histogram.count() << '\n';
+}
+
 } // namespace
 
 Summary::Summary()
@@ -97,6 +111,11 @@
     return m_summaries[name][labelText(labels)];
 }
 
+Histogram& MetricsRegistry::histogram(const std::string& name, const MetricLabels& labels)
+{
+    return m_histograms[name][labelText(labels)];
+}
+
 std::string MetricsRegistry::text() const
 {
     std::ostringstream out;
@@ -115,6 +134,11 @@
         for (const auto& [labels, summary] : family)
             writeSummary(out, name, labels, summary);
     }
+    for (const auto& [name, family] : m_histograms) {
+        out << "# TYPE " << name << " histogram\n";
+        for (const auto& [labels, histogram] : family)
+            writeHistogram(out, name, labels, histogram);
+    }
     return out.str();
 }
 
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -9,6 +9,8 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 
+#include "base/histogram.h"
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -53,6 +55,10 @@
     /// @return a distribution. The reference stays valid.
     Summary& summary(const std::string& name, const MetricLabels& labels = {});
 
+    /// @return a distribution of durations in seconds by fixed buckets, which can be added up over processes.
+    ///     The reference stays valid.
+    Histogram& histogram(const std::string& name, const MetricLabels& labels = {});
+
     /// @return all metrics in the Prometheus text exposition format 0.0.4, sorted by name.
     std::string text() const;
 
@@ -62,6 +68,7 @@
     Family<int64_t> m_counters;
     Family<double> m_gauges;
     Family<Summary> m_summaries;
+    Family<Histogram> m_histograms;
 };
 
 } // namespace lacewing
--- a/src/gateway/caller_call.cc
+++ b/src/gateway/caller_call.cc
@@ -572,9 +572,14 @@
         .with("ms", toMilliseconds(elapsed()))
         .with("outcome", outcome)
         .with("reason", reason);
-    ++m_services.metrics.counter("lacewing_calls_total", { { "outcome", outcome } });
-    if (m_firstByte)
-        m_services.metrics.summary("lacewing_first_byte_seconds").observe(toSeconds(*m_firstByte));
+    MetricsRegistry& metrics = m_services.metrics;
+    ++metrics.counter("lacewing_calls_total", { { "outcome", outcome } });
+    metrics.histogram("lacewing_call_seconds", { { "outcome", outcome } }).observe(toSeconds(elapsed()));
+    if (m_firstByte && m_admission.route) {
+        const char* kind = toString(m_admission.route->kind);
+        metrics.histogram("lacewing_first_byte_seconds", { { "kind", kind } })
+            .observe(toSeconds(*m_firstByte));
+    }
     m_finished(this);
 }
 
--- a/src/gateway/serving_configuration.cc
+++ b/src/gateway/serving_configuration.cc
@@ -4,6 +4,19 @@
 
 namespace lacewing::gateway {
 
+const char* toString(RouteKind kind)
+{
+    switch (kind) {
+    case RouteKind::Idempotent:
+        return "idempotent";
+    case RouteKind::AtMostOnce:
+        return "at_most_once";
+    case RouteKind::Stream:
+        return "stream";
+    }
+    return "unknown";
+}
+
 ServingConfiguration::Builder::Builder(Revision revision)
     : m_result(std::make_shared<ServingConfiguration>())
 {
--- a/src/gateway/serving_configuration.h
+++ b/src/gateway/serving_configuration.h
@@ -25,6 +25,9 @@
     Stream,
 };
 
+/// @return the kind as logs and metrics name it.
+const char* toString(RouteKind kind);
+
 /// A service with the share of a route's requests that it receives.
 struct ServiceShare {
     ServiceId service;
