Take engines back at once after a loss of power; let conflicts and heartbeats tell owners

Each host read the table while the others' rows were still those of their earlier starts, so their engines seemed owned, and read it again 2.5 s later (30 ms a host). Requests were refused as not_owner or crowded on the 15 engines that had an owner.

Change: a host that starts anew claims the engines of its earlier start; the others leave it 1.5 s for that. A refused claim takes the current rows from the store's answer instead of waiting for the next reading. Entries do not ask a peer about an engine that its earlier start owned. Hosts that the store does not serve say so in heartbeats and get no further engines. The secret of the links is created by few hosts instead of all. A feed that gets no answer asks less and less often, up to every 1.2 s.

--- a/src/gateway/engine_view.cc
+++ b/src/gateway/engine_view.cc
@@ -26,7 +26,8 @@
     if (const auto* told = m_mesh.engine(engine))
         return told->owner;
     const auto record = m_fleet.registry().owner(engine, m_clock.now());
-    if (!record || record->host == m_self || !m_mesh.isInTouch(record->host))
+    // A peer that has started anew owns nothing of what the row of its earlier start says.
+    if (!record || record->host == m_self || !m_mesh.isInTouch(record->host, record->incarnation))
         return std::nullopt;
     return record->host;
 }
--- a/src/gateway/fake_row_store_test.h
+++ b/src/gateway/fake_row_store_test.h
@@ -34,6 +34,8 @@
     /// Writes take effect, but their answers are lost.
     bool losesAnswers = false;
     int calls = 0;
+    /// Transactions that were refused because of a condition.
+    int conflicts = 0;
 
     void readTable(std::string table, ReadCallback callback) override
     {
@@ -60,26 +62,34 @@
         ++calls;
         m_scheduler.runAfter(callTime, [this, transaction, callback] {
             if (fault) {
-                callback({ std::nullopt, *fault });
+                callback(CommitResult(std::nullopt, *fault));
                 return;
             }
+            bool hasConflict = false;
+            std::vector<StoredRow> current;
             for (const RowCondition& condition : transaction.conditions) {
                 const auto found = m_rows.find({ condition.id.table, condition.id.key });
                 const bool exists = found != m_rows.end() && !found->second.isDeleted;
                 const RowVersion version = exists ? found->second.version : RowVersion(0);
-                if (version != condition.expected) {
-                    callback({ std::nullopt, RowStoreError::Conflict });
-                    return;
-                }
+                hasConflict = hasConflict || version != condition.expected;
+                if (exists)
+                    current.push_back(found->second);
+            }
+            if (hasConflict) {
+                ++conflicts;
+                CommitResult failure(std::nullopt, RowStoreError::Conflict);
+                failure.current = std::move(current);
+                callback(failure);
+                return;
             }
             ++m_version;
             for (const RowWrite& write : transaction.writes)
                 m_rows[{ write.id.table, write.id.key }]
                     = { write.id, write.value.value_or(""), RowVersion(m_version), !write.value };
             if (losesAnswers)
-                callback({ std::nullopt, RowStoreError::Unknown });
+                callback(CommitResult(std::nullopt));
             else
-                callback({ RowVersion(m_version), {} });
+                callback(CommitResult(RowVersion(m_version)));
         });
     }
 
--- a/src/gateway/fleet_agent.cc
+++ b/src/gateway/fleet_agent.cc
@@ -1,6 +1,7 @@
 #include "gateway/fleet_agent.h"
 
 #include "base/log.h"
+#include "base/stable_hash.h"
 #include "transport/link_proof.h"
 
 #include <algorithm>
@@ -24,6 +25,11 @@
 constexpr Duration claimInterval = std::chrono::milliseconds(300);
 /// While hosts come and go the table is read more often.
 constexpr Duration unsettledFeedInterval = std::chrono::milliseconds(200);
+/// Right after the start all hosts write their rows, and each must learn of the others.
+constexpr Duration startTime = std::chrono::milliseconds(1200);
+constexpr Duration startFeedInterval = std::chrono::milliseconds(400);
+/// Hosts of a new fleet spread over this time to create the secret of their links, so that few meet.
+constexpr Duration secretSpread = std::chrono::milliseconds(300);
 constexpr Duration unsettledTime = std::chrono::seconds(3);
 /// Hosts of a new fleet wait until they know each other before they divide the engines.
 constexpr Duration settlingTime = std::chrono::milliseconds(700);
@@ -89,7 +95,8 @@
         m_isKnownHost = m_ownVersion != RowVersion(0);
         renew();
     }
-    ensureSecret();
+    if (!m_registry.linkSecret())
+        createSecretLater();
     reviewOwnership();
     m_handlers.onFleetChanged();
 }
@@ -107,9 +114,14 @@
     m_registry.resumeObservation(m_scheduler.now());
 }
 
-// All hosts may do this at once; the condition lets one succeed, and the feed brings its secret to the
-// others.
-void FleetAgent::ensureSecret()
+void FleetAgent::createSecretLater()
+{
+    const auto share = static_cast<int64_t>(stableHash(m_self.host.value()) % 1000);
+    m_scheduler.runAfter(secretSpread * share / 1000, m_lifetime.guard([this] { createSecret(); }));
+}
+
+// Several hosts may do this; the condition lets one succeed, and the feed brings its secret to the others.
+void FleetAgent::createSecret()
 {
     if (m_registry.linkSecret())
         return;
@@ -121,7 +133,7 @@
     RowTransaction transaction;
     transaction.conditions.push_back({ FleetRows::secretKey(), RowVersion(0) });
     transaction.writes.push_back({ FleetRows::secretKey(), toHex(*nonce) });
-    m_store.commit(std::move(transaction), m_lifetime.guard([](const RowResult<RowVersion>& result) {
+    m_store.commit(std::move(transaction), m_lifetime.guard([](const CommitResult& result) {
         if (!result.value && result.error != RowStoreError::Conflict)
             LogEvent(LogLevel::Warning, "link_secret_failed").with("reason", toString(result.error));
     }));
@@ -138,12 +150,13 @@
     transaction.writes.push_back({ FleetRows::hostKey(m_self.host), FleetRows::encode(m_self) });
     const MonotonicTime sent = m_scheduler.now();
     m_store.commit(std::move(transaction),
-        m_lifetime.guard([this, sent](const RowResult<RowVersion>& result) { renewed(sent, result); }));
+        m_lifetime.guard([this, sent](const CommitResult& result) { renewed(sent, result); }));
 }
 
-void FleetAgent::renewed(MonotonicTime sent, const RowResult<RowVersion>& result)
+void FleetAgent::renewed(MonotonicTime sent, const CommitResult& result)
 {
     m_isRenewing = false;
+    m_isRenewalLost = !result.value && result.error != RowStoreError::Conflict;
     if (result.value) {
         m_ownVersion = *result.value;
         const bool isFirst = !m_lastRenewal;
@@ -155,7 +168,11 @@
         return;
     }
     // The row was written by a late call or by an earlier start of this host.
-    if (result.error == RowStoreError::Conflict)
+    if (result.error != RowStoreError::Conflict)
+        return;
+    if (result.current)
+        ownRowRead(*result.current);
+    else
         rereadOwnRow();
 }
 
@@ -184,7 +201,8 @@
     if (isSettled())
         return calmInterval(feedInterval);
     const auto hosts = static_cast<int64_t>(m_registry.hostCount());
-    return std::max(unsettledFeedInterval, unsettledSpacing * hosts);
+    const Duration spaced = std::max(unsettledFeedInterval, unsettledSpacing * hosts);
+    return m_scheduler.now() - m_started < startTime ? std::min(startFeedInterval, spaced) : spaced;
 }
 
 void FleetAgent::setInTouch(const std::set<HostId>& hosts)
@@ -202,26 +220,30 @@
 {
     m_store.readRow(
         FleetRows::hostKey(m_self.host), m_lifetime.guard([this](const RowResult<RowSet>& result) {
-            if (!result.value)
-                return;
-            m_ownVersion = RowVersion(0);
-            for (const StoredRow& row : result.value->rows)
-                m_ownVersion = row.version;
-            renew();
+            if (result.value)
+                ownRowRead(result.value->rows);
         }));
 }
 
+void FleetAgent::ownRowRead(const std::vector<StoredRow>& rows)
+{
+    m_ownVersion = RowVersion(0);
+    for (const StoredRow& row : rows)
+        m_ownVersion = row.version;
+    renew();
+}
+
 void FleetAgent::reconsider()
 {
     const MonotonicTime now = m_scheduler.now();
     const bool isSettled = m_isKnownHost || now - m_started > settlingTime;
     if (m_isReleased || m_isClaiming || !isSettled || !isSessionValid())
         return;
-    const auto leaving = m_handlers.leavingHosts();
+    const auto closed = m_handlers.closedHosts();
     const std::set<UpstreamId> inUse = m_handlers.engines();
     m_hasUnowned = std::any_of(inUse.begin(), inUse.end(),
         [this, now](const UpstreamId& engine) { return !m_registry.owner(engine, now); });
-    const auto engines = m_registry.enginesToClaim(inUse, leaving, now);
+    const auto engines = m_registry.enginesToClaim(inUse, closed, now);
     if (!engines.empty())
         claim(engines);
     removeDeadHosts();
@@ -243,17 +265,19 @@
         claims.push_back(engine);
     }
     m_store.commit(std::move(transaction),
-        m_lifetime.guard([this, claims](const RowResult<RowVersion>& result) { claimed(claims, result); }));
+        m_lifetime.guard([this, claims](const CommitResult& result) { claimed(claims, result); }));
 }
 
-void FleetAgent::claimed(const std::vector<UpstreamId>& engines, const RowResult<RowVersion>& result)
+void FleetAgent::claimed(const std::vector<UpstreamId>& engines, const CommitResult& result)
 {
     m_isClaiming = false;
     if (!result.value) {
         LogEvent(LogLevel::Info, "claim_failed")
             .with("engines", engines.size())
             .with("reason", toString(result.error));
-        // The feed tells who owns them now, this host included if only the answer was lost.
+        // Otherwise the feed tells who owns them now, this host included if only the answer was lost.
+        if (result.current)
+            claimRefused(engines, *result.current);
         return;
     }
     OwnerRecord record;
@@ -267,6 +291,23 @@
     m_handlers.onFleetChanged();
 }
 
+void FleetAgent::claimRefused(const std::vector<UpstreamId>& engines, const std::vector<StoredRow>& current)
+{
+    const MonotonicTime now = m_scheduler.now();
+    std::set<std::string> existing;
+    for (const StoredRow& row : current) {
+        m_registry.apply(row, now);
+        existing.insert(row.id.key);
+    }
+    for (const UpstreamId& engine : engines) {
+        const RowKey key = FleetRows::ownerKey(engine);
+        if (existing.count(key.key) == 0)
+            m_registry.apply({ key, "", RowVersion(0), true }, now);
+    }
+    reviewOwnership();
+    reconsider();
+}
+
 void FleetAgent::reviewOwnership()
 {
     std::map<UpstreamId, FencingNumber> owned;
@@ -314,7 +355,7 @@
         RowTransaction transaction;
         transaction.conditions.push_back({ FleetRows::hostKey(host), m_registry.hostVersion(host) });
         transaction.writes.push_back({ FleetRows::hostKey(host), std::nullopt });
-        m_store.commit(std::move(transaction), [host](const RowResult<RowVersion>& result) {
+        m_store.commit(std::move(transaction), [host](const CommitResult& result) {
             LogEvent(LogLevel::Info, "dead_host_removed")
                 .with("host", host)
                 .with("done", result.value.has_value());
@@ -336,7 +377,7 @@
     const auto owned = std::exchange(m_owned, {});
     for (const auto& entry : owned)
         m_handlers.onLost(entry.first);
-    m_store.commit(std::move(transaction), m_lifetime.guard([](const RowResult<RowVersion>& result) {
+    m_store.commit(std::move(transaction), m_lifetime.guard([](const CommitResult& result) {
         LogEvent(LogLevel::Info, "host_released").with("done", result.value.has_value());
     }));
 }
--- a/src/gateway/fleet_agent.h
+++ b/src/gateway/fleet_agent.h
@@ -23,8 +23,9 @@
         std::function<void(const UpstreamId& engine)> onLost;
         /// @return engines in use.
         std::function<std::set<UpstreamId>()> engines;
-        /// @return hosts that are stopping.
-        std::function<std::set<HostId>()> leavingHosts;
+        /// @return hosts that take no further engines, because they are stopping or the store is out of their
+        ///     reach.
+        std::function<std::set<HostId>()> closedHosts;
     };
 
     FleetAgent(Scheduler& scheduler, RowStore& store, HostRecord self, Duration leaseTime, Handlers handlers);
@@ -42,18 +43,25 @@
     void release();
     /// @return whether the store has confirmed this host's row lately.
     bool isSessionValid() const;
+    /// @return whether the store answers, as far as the last call tells.
+    bool reachesStore() const { return !m_feed.isLost() && !m_isRenewalLost; }
 
 private:
     void tableRead(const std::vector<StoredRow>& rows) override;
     void rowsChanged(const std::vector<StoredRow>& rows) override;
     void feedResumed(Duration outage) override;
 
-    void ensureSecret();
+    void createSecretLater();
+    void createSecret();
     void renew();
-    void renewed(MonotonicTime sent, const RowResult<RowVersion>& result);
+    void renewed(MonotonicTime sent, const CommitResult& result);
     void rereadOwnRow();
+    /// @param rows this host's row, or nothing if it does not exist.
+    void ownRowRead(const std::vector<StoredRow>& rows);
     void claim(const std::vector<UpstreamId>& engines);
-    void claimed(const std::vector<UpstreamId>& engines, const RowResult<RowVersion>& result);
+    void claimed(const std::vector<UpstreamId>& engines, const CommitResult& result);
+    /// Learns from a claim that met another one who owns the engines.
+    void claimRefused(const std::vector<UpstreamId>& engines, const std::vector<StoredRow>& current);
     void reviewOwnership();
     void removeDeadHosts();
     /// @return whether all hosts hear each other and all engines have owners.
@@ -75,6 +83,8 @@
     /// Numbers that engines have refused; they are not used again.
     std::map<UpstreamId, FencingNumber> m_fenced;
     bool m_isRenewing = false;
+    /// The last renewal of this host's row got no answer.
+    bool m_isRenewalLost = false;
     bool m_isClaiming = false;
     bool m_isReleased = false;
     bool m_hasReadTable = false;
--- a/src/gateway/fleet_agent_test.cc
+++ b/src/gateway/fleet_agent_test.cc
@@ -5,6 +5,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <memory>
+#include <vector>
+
 using namespace lacewing;
 using namespace lacewing::gateway;
 using namespace std::chrono_literals;
@@ -20,7 +23,7 @@
         : agent(scheduler, store, record(name, incarnation), leaseTime,
             { [] {}, [this](const UpstreamId& engine, FencingNumber number) { owned[engine] = number; },
                 [this](const UpstreamId& engine) { owned.erase(engine); }, [engines] { return engines; },
-                [] { return std::set<HostId>(); } })
+                [this] { return closed; } })
     {
         agent.start();
     }
@@ -37,13 +40,14 @@
     }
 
     std::map<UpstreamId, FencingNumber> owned;
+    std::set<HostId> closed;
     FleetAgent agent;
 };
 
-std::set<UpstreamId> engineSet()
+std::set<UpstreamId> engineSet(int count = 6)
 {
     std::set<UpstreamId> engines;
-    for (int index = 0; index < 6; ++index)
+    for (int index = 0; index < count; ++index)
         engines.insert(UpstreamId("engine-" + std::to_string(index)));
     return engines;
 }
@@ -131,6 +135,79 @@
     BOOST_TEST(a.owned.count(engine) == 0);
 }
 
+// Load: all hosts lose power at once and start anew while requests go on. Guards against engines without an
+// owner until the next reading of the table, because each host sees the others' old rows, and against claims
+// that meet.
+BOOST_AUTO_TEST_CASE(AFleetThatLostPowerTakesItsEnginesBackAtOnce)
+{
+    constexpr int hostCount = 40;
+    VirtualScheduler scheduler;
+    FakeRowStore store(scheduler);
+    const auto engines = engineSet(hostCount + 5);
+    std::vector<std::unique_ptr<Host>> hosts;
+    const auto startAll = [&](int64_t firstIncarnation) {
+        for (int index = 0; index < hostCount; ++index) {
+            hosts.push_back(std::make_unique<Host>(
+                scheduler, store, "host-" + std::to_string(index), firstIncarnation + index, engines));
+            scheduler.advance(3ms);
+        }
+    };
+    const auto owners = [&hosts] {
+        std::map<UpstreamId, int> owners;
+        for (size_t index = 0; index < hosts.size(); ++index) {
+            for (const auto& entry : hosts[index]->owned)
+                owners[entry.first] = static_cast<int>(index);
+        }
+        return owners;
+    };
+    startAll(1);
+    scheduler.advance(10s);
+    const auto before = owners();
+    BOOST_TEST(before.size() == engines.size());
+    hosts.clear();
+    scheduler.advance(1s);
+    store.conflicts = 0;
+    startAll(1000);
+    scheduler.advance(100ms);
+    BOOST_TEST((owners() == before));
+    BOOST_TEST(store.conflicts == 0);
+}
+
+// Guards against engines that are left to a host which the store does not serve: it can't claim them.
+BOOST_AUTO_TEST_CASE(EnginesGoToHostsThatReachTheStore)
+{
+    VirtualScheduler scheduler;
+    FakeRowStore store(scheduler);
+    Host a(scheduler, store, "a", 1, engineSet());
+    auto b = std::make_unique<Host>(scheduler, store, "b", 2, engineSet());
+    scheduler.advance(4s);
+    b.reset();
+    // The new start of host b writes its row, and then claims nothing.
+    Host again(scheduler, store, "b", 3, {});
+    scheduler.advance(500ms);
+    a.closed = { HostId("b") };
+    scheduler.advance(1s);
+    BOOST_TEST(a.owned.size() == 6);
+}
+
+// Load: hosts that start together claim with what they know. Guards against a host that goes on claiming what
+// another one owns until it reads the table again.
+BOOST_AUTO_TEST_CASE(AClaimThatMeetsAnotherTellsTheOwner)
+{
+    VirtualScheduler scheduler;
+    FakeRowStore store(scheduler);
+    Host a(scheduler, store, "a", 1, engineSet());
+    scheduler.advance(100ms);
+    // Written by a host that this one has not heard of.
+    for (const UpstreamId& engine : engineSet())
+        store.put(FleetRows::ownerKey(engine),
+            FleetRows::encode(OwnerRecord { engine, HostId("c"), Incarnation(9), {} }));
+    store.put(FleetRows::hostKey(HostId("c")), FleetRows::encode(Host::record("c", 9)));
+    store.conflicts = 0;
+    scheduler.advance(4s);
+    BOOST_TEST(store.conflicts <= 1);
+}
+
 // Guards against engines without an owner for a lease time after a planned stop.
 BOOST_AUTO_TEST_CASE(AStoppingHostHandsItsEnginesOver)
 {
--- a/src/gateway/fleet_registry.cc
+++ b/src/gateway/fleet_registry.cc
@@ -15,6 +15,9 @@
 /// A host is given this much longer than its lease, since reads and renewals take time.
 constexpr Duration deathSlack = std::chrono::milliseconds(400);
 
+/// Time that a host gets after its start to take its engines back.
+constexpr Duration reclaimTime = std::chrono::milliseconds(1500);
+
 constexpr std::string_view hostPrefix = "host:";
 constexpr std::string_view ownerPrefix = "owner:";
 
@@ -101,6 +104,8 @@
         entry.lastTouch = before->second.lastTouch;
         if (before->second.version == entry.version)
             entry.lastChange = before->second.lastChange;
+        if (before->second.record.incarnation == entry.record.incarnation)
+            entry.startSeen = before->second.startSeen;
     }
 }
 
@@ -122,6 +127,8 @@
         KnownHost& known = m_hosts[host->host];
         if (row.version <= known.version)
             return;
+        if (known.record.incarnation != host->incarnation)
+            known.startSeen = now;
         known.record = *host;
         known.version = row.version;
         known.lastChange = now;
@@ -203,23 +210,44 @@
     return found == m_hosts.end() ? RowVersion(0) : found->second.version;
 }
 
+bool FleetRegistry::mayReclaim(const UpstreamId& engine, MonotonicTime now) const
+{
+    const auto found = m_owners.find(engine);
+    if (found == m_owners.end())
+        return false;
+    const auto host = m_hosts.find(found->second.record.host);
+    const bool hasStartedAnew
+        = host != m_hosts.end() && host->second.record.incarnation != found->second.record.incarnation;
+    return hasStartedAnew && isAlive(host->first, now) && now - host->second.startSeen < reclaimTime;
+}
+
 std::vector<UpstreamId> FleetRegistry::enginesToClaim(
-    const std::set<UpstreamId>& engines, const std::set<HostId>& leaving, MonotonicTime now) const
+    const std::set<UpstreamId>& engines, const std::set<HostId>& closed, MonotonicTime now) const
 {
     std::map<HostId, int> owned;
     for (const HostRecord& host : liveHosts(now)) {
-        if (leaving.count(host.host) == 0)
+        if (closed.count(host.host) == 0)
             owned[host.host] = 0;
     }
     std::vector<UpstreamId> unowned;
+    std::vector<UpstreamId> claims;
     for (const UpstreamId& engine : engines) {
-        const auto record = owner(engine, now);
-        if (!record)
+        const bool isReclaimable = mayReclaim(engine, now);
+        if (!isReclaimable && !owner(engine, now)) {
             unowned.push_back(engine);
-        else if (owned.count(record->host) > 0)
-            ++owned[record->host];
+            continue;
+        }
+        const HostId& host = m_owners.at(engine).record.host;
+        const auto count = owned.find(host);
+        if (count == owned.end()) {
+            if (isReclaimable)
+                unowned.push_back(engine);
+            continue;
+        }
+        ++count->second;
+        if (isReclaimable && host == m_self)
+            claims.push_back(engine);
     }
-    std::vector<UpstreamId> claims;
     for (const UpstreamId& engine : unowned) {
         const HostId* chosen = nullptr;
         std::pair<int, uint64_t> best;
--- a/src/gateway/fleet_registry.h
+++ b/src/gateway/fleet_registry.h
@@ -84,11 +84,13 @@
     /// as many as the others.
     ///
     /// Load pattern: a host that dies leaves its engines to the others, and all hosts may start at once.
+    /// After a loss of power of the whole fleet each host takes the engines back that it owned before; the
+    /// others leave it a moment for that, so that no claims meet.
     ///
     /// @param engines all engines in use.
-    /// @param leaving hosts that are stopping.
+    /// @param closed hosts that take no further engines.
     std::vector<UpstreamId> enginesToClaim(
-        const std::set<UpstreamId>& engines, const std::set<HostId>& leaving, MonotonicTime now) const;
+        const std::set<UpstreamId>& engines, const std::set<HostId>& closed, MonotonicTime now) const;
     /// @return engines that this host's rows own but that are not in use any more.
     std::vector<UpstreamId> ownedBySelf() const;
     /// @return hosts that have been dead for longer than a time.
@@ -101,6 +103,8 @@
         MonotonicTime lastChange;
         bool isInTouch = false;
         MonotonicTime lastTouch;
+        /// When this host learned of the current start of that host.
+        MonotonicTime startSeen;
     };
 
     struct KnownOwner {
@@ -108,6 +112,9 @@
         RowVersion version;
     };
 
+    /// @return whether an engine's last owner has started anew and may still take the engine back.
+    bool mayReclaim(const UpstreamId& engine, MonotonicTime now) const;
+
     HostId m_self;
     Incarnation m_incarnation;
     Duration m_leaseTime;
--- a/src/gateway/fleet_registry_test.cc
+++ b/src/gateway/fleet_registry_test.cc
@@ -103,6 +103,27 @@
     BOOST_TEST(claimed.size() == engines.size());
 }
 
+// Load: hosts of a whole fleet start anew. Guards against others that claim a host's engines before it could
+// take them back, and against engines that nobody claims because it does not.
+BOOST_AUTO_TEST_CASE(AHostThatStartsAnewMayTakeItsEnginesBack)
+{
+    const MonotonicTime start(100s);
+    FleetRegistry other(HostId("host-a"), Incarnation(1), leaseTime);
+    FleetRegistry self(HostId("host-b"), Incarnation(2), leaseTime);
+    for (FleetRegistry* registry : { &other, &self }) {
+        registry->apply(hostRow("host-a", 1, 1), start);
+        registry->apply(hostRow("host-b", 1, 2), start);
+        for (int index = 0; index < 4; ++index)
+            registry->apply(
+                ownerRow(("engine-" + std::to_string(index)).c_str(), "host-b", 1, 3 + index), start);
+        registry->apply(hostRow("host-b", 2, 8), start);
+    }
+    BOOST_TEST(other.enginesToClaim(engineSet(4), {}, start + 500ms).empty());
+    BOOST_TEST(self.enginesToClaim(engineSet(4), {}, start + 500ms).size() == 4);
+    BOOST_TEST(other.enginesToClaim(engineSet(4), {}, start + 2s).size() == 2);
+    BOOST_TEST(other.enginesToClaim(engineSet(4), { HostId("host-b") }, start + 500ms).size() == 4);
+}
+
 // Guards against engines that go to a host which is about to stop.
 BOOST_AUTO_TEST_CASE(LeavingHostsGetNoEngines)
 {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -75,7 +75,7 @@
           { [this] { fleetChanged(); },
               [this](const UpstreamId& engine, FencingNumber number) { m_owners.claimed(engine, number); },
               [this](const UpstreamId& engine) { m_owners.lost(engine); }, [this] { return engineIds(); },
-              [this] { return leavingHosts(); } })
+              [this] { return closedHosts(); } })
     , m_mesh(loop, recordOf(m_settings, m_incarnation),
           { [this](const HostId& peer, const PeerMessage& message) { peerMessage(peer, message); },
               [this](const HostId& peer) { m_broker.peerLost(peer); },
@@ -218,6 +218,7 @@
     heartbeat.incarnation = m_incarnation;
     heartbeat.isReady = isReady();
     heartbeat.isStopping = m_isStopping;
+    heartbeat.reachesStore = m_fleet.reachesStore();
     heartbeat.callerAddress = m_settings.callerAddress;
     heartbeat.configurationVersion = m_configuration.rowVersion();
     heartbeat.configurationAge = m_configuration.age();
@@ -339,14 +340,14 @@
     return engines;
 }
 
-std::set<HostId> Gateway::leavingHosts() const
+std::set<HostId> Gateway::closedHosts() const
 {
-    std::set<HostId> leaving;
+    std::set<HostId> closed;
     for (const auto& [host, state] : m_mesh.peersInTouch()) {
-        if (state->heartbeat.isStopping)
-            leaving.insert(host);
+        if (state->heartbeat.isStopping || !state->heartbeat.reachesStore)
+            closed.insert(host);
     }
-    return leaving;
+    return closed;
 }
 
 void Gateway::stop(std::function<void()> done)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -58,7 +58,7 @@
     void upstreamsChanged();
     bool mayOrder() const;
     std::set<UpstreamId> engineIds() const;
-    std::set<HostId> leavingHosts() const;
+    std::set<HostId> closedHosts() const;
 
     void beginDrain();
     void finishIfIdle();
--- a/src/gateway/peer_mesh.cc
+++ b/src/gateway/peer_mesh.cc
@@ -161,6 +161,11 @@
     return m_states.isInTouch(peer, oldestHeartbeat());
 }
 
+bool PeerMesh::isInTouch(const HostId& peer, Incarnation incarnation) const
+{
+    return m_states.isInTouch(peer, incarnation, oldestHeartbeat());
+}
+
 const PeerStates::Engine* PeerMesh::engine(const UpstreamId& engine) const
 {
     return m_states.engine(engine, oldestHeartbeat());
--- a/src/gateway/peer_mesh.h
+++ b/src/gateway/peer_mesh.h
@@ -44,6 +44,8 @@
     /// @return peers whose heartbeats arrive.
     std::map<HostId, const PeerStates::Peer*> peersInTouch() const;
     bool isInTouch(const HostId& peer) const;
+    /// @return whether heartbeats of a certain start of a peer's process arrive.
+    bool isInTouch(const HostId& peer, Incarnation incarnation) const;
     /// @return adapters that the engines of all peers in touch fetch from the weight store.
     int fetchesInFlight() const { return m_states.fetchesInFlight(oldestHeartbeat()); }
     /// @return what a peer in touch that owns an engine and is not stopping says about it, or null.
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -121,6 +121,7 @@
     json.push_back(message.fetchesInFlight);
     json.push_back(message.callerAddress.text());
     json.push_back(message.configurationAge ? Json(microseconds(*message.configurationAge)) : Json());
+    json.push_back(message.reachesStore);
     return json;
 }
 
@@ -139,6 +140,7 @@
     message.callerAddress = SocketAddress::parse(json.at(9).get<std::string>()).value_or(SocketAddress());
     if (!json.at(10).is_null())
         message.configurationAge = duration(json.at(10));
+    message.reachesStore = json.at(11).get<bool>();
     return message;
 }
 
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -19,6 +19,8 @@
     /// It serves callers and should be named to them.
     bool isReady = false;
     bool isStopping = false;
+    /// The store answers it, so that it can become the owner of further engines.
+    bool reachesStore = true;
     SocketAddress callerAddress;
     /// Store version of the configuration in force.
     RowVersion configurationVersion;
--- a/src/gateway/peer_message_test.cc
+++ b/src/gateway/peer_message_test.cc
@@ -15,6 +15,7 @@
     PeerHeartbeat message;
     message.incarnation = Incarnation(77);
     message.isReady = true;
+    message.reachesStore = false;
     message.callerAddress = { "127.0.0.1", 8080 };
     message.configurationVersion = RowVersion(12);
     message.configurationAge = 250ms;
--- a/src/gateway/peer_states.cc
+++ b/src/gateway/peer_states.cc
@@ -35,6 +35,11 @@
     return found != m_peers.end() && found->second.heard > oldest;
 }
 
+bool PeerStates::isInTouch(const HostId& peer, Incarnation incarnation, MonotonicTime oldest) const
+{
+    return isInTouch(peer, oldest) && m_peers.at(peer).heartbeat.incarnation == incarnation;
+}
+
 int PeerStates::fetchesInFlight(MonotonicTime oldest) const
 {
     int fetches = 0;
--- a/src/gateway/peer_states.h
+++ b/src/gateway/peer_states.h
@@ -32,6 +32,8 @@
     const std::map<HostId, Peer>& peers() const { return m_peers; }
     /// @param oldest peers that were heard before this time are out of touch.
     bool isInTouch(const HostId& peer, MonotonicTime oldest) const;
+    /// @return whether a certain start of a peer's process is in touch.
+    bool isInTouch(const HostId& peer, Incarnation incarnation, MonotonicTime oldest) const;
     /// @return adapters that the engines of all peers in touch fetch from the weight store.
     int fetchesInFlight(MonotonicTime oldest) const;
     /// @return what a peer in touch that owns an engine and is not stopping says about it, or null.
--- a/src/gateway/store_feed.cc
+++ b/src/gateway/store_feed.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Duration retryInterval = std::chrono::milliseconds(300);
+/// A store that stays away is asked less and less often, up to four times the first pause.
+constexpr int maximumRetryDoublings = 2;
 
 } // namespace
 
@@ -68,9 +70,11 @@
             LogEvent(LogLevel::Warning, "store_lost")
                 .with("table", m_options.table)
                 .with("reason", toString(result.error));
-        scheduleNext(retryInterval);
+        scheduleNext(retryInterval * (1 << std::min(m_failures, maximumRetryDoublings)));
+        ++m_failures;
         return;
     }
+    m_failures = 0;
     const auto outage = m_lastAnswer ? now - *m_lastAnswer : Duration::zero();
     m_lastAnswer = now;
     if (std::exchange(m_isLost, false)) {
--- a/src/gateway/store_feed.h
+++ b/src/gateway/store_feed.h
@@ -44,6 +44,8 @@
     void start();
     /// @return time since the newest answer of the store, or nothing before the first.
     std::optional<Duration> age() const;
+    /// @return whether the last call got no answer.
+    bool isLost() const { return m_isLost; }
 
 private:
     void next();
@@ -58,6 +60,8 @@
     std::optional<MonotonicTime> m_lastAnswer;
     MonotonicTime m_lastCall;
     bool m_isLost = false;
+    /// Calls in a row that failed.
+    int m_failures = 0;
     TimerId m_timer = 0;
     Lifetime m_lifetime;
 };
--- a/src/state/row_store.h
+++ b/src/state/row_store.h
@@ -71,12 +71,22 @@
     RowStoreError error = RowStoreError::Unknown;
 };
 
+/// Result of a transaction: the version that its writes got, or the reason why there is none.
+struct CommitResult : RowResult<RowVersion> {
+    CommitResult(std::optional<RowVersion> committed, RowStoreError reason = RowStoreError::Unknown)
+        : RowResult { committed, reason }
+    {
+    }
+
+    /// After a conflict the existing rows among those in the conditions, as far as the store tells them.
+    std::optional<std::vector<StoredRow>> current;
+};
+
 /// Port to the platform's versioned row store. Callbacks run on the loop's thread, never inside the call.
 class RowStore {
 public:
     using ReadCallback = std::function<void(const RowResult<RowSet>& result)>;
-    /// Receives the version that the transaction's writes got.
-    using CommitCallback = std::function<void(const RowResult<RowVersion>& result)>;
+    using CommitCallback = std::function<void(const CommitResult& result)>;
 
     virtual ~RowStore() = default;
 
