Begin the bound on fetches with the number of engines

Cause: after a restart each host began with 8 fetches in flight for the whole fleet.

Change: the bound begins with half the number of engines, 8 at the least; it still follows how long fetches take.

--- a/src/experiment/fleet_simulation.cc
+++ b/src/experiment/fleet_simulation.cc
@@ -51,8 +51,10 @@
     , m_hosts(static_cast<size_t>(shape.hosts))
     , m_engines(static_cast<size_t>(shape.engines))
 {
-    for (Host& host : m_hosts)
+    for (Host& host : m_hosts) {
         host.loads = std::make_unique<gateway::LoadLimiter>();
+        host.loads->setEngines(m_engines.size());
+    }
     for (size_t index = 0; index < m_engines.size(); ++index) {
         m_engines[index].id = UpstreamId("engine-" + std::to_string(index));
         m_engines[index].model = std::make_unique<ModelEngine>(m_scheduler, m_store, m_shape, modelId);
--- a/src/gateway/load_limiter.h
+++ b/src/gateway/load_limiter.h
@@ -11,7 +11,8 @@
 ///
 /// Load pattern: after a cold start or a shift of popularity all engines want adapters at once. The store
 /// serves only so many fetches at full speed and slows all of them down beyond that, so that more fetches at
-/// a time bring none earlier and all late. The bound falls when fetches take longer than they did alone and
+/// a time bring none earlier and all late. A store is sized for the engines that it serves, so the bound
+/// starts with their number. It falls when fetches take longer than they did alone and
 /// grows while they don't, so that the hosts together settle where the store is just busy.
 class LoadLimiter {
 public:
@@ -20,6 +21,14 @@
         return m_inFlight == 0 || m_inFlight + m_peersInFlight < static_cast<int>(m_limit);
     }
     int inFlight() const { return m_inFlight; }
+    /// @param engines that fetch from the store, over all hosts; more of them than before raise the bound.
+    void setEngines(size_t engines)
+    {
+        if (engines <= m_engines)
+            return;
+        m_engines = engines;
+        m_limit = std::max(m_limit, static_cast<double>(engines) * initialPerEngine);
+    }
     /// @param fetches under way at the engines of all other hosts.
     void setPeersInFlight(int fetches) { m_peersInFlight = fetches; }
     void started() { ++m_inFlight; }
@@ -67,6 +76,7 @@
     static constexpr double lowest = 4;
     static constexpr double highest = 512;
     static constexpr double initial = 8;
+    static constexpr double initialPerEngine = 0.5;
     static constexpr double increase = 0.5;
     static constexpr double decrease = 0.95;
     static constexpr double slowFactor = 1.35;
@@ -77,6 +87,7 @@
     int m_peersInFlight = 0;
     int m_totalWanted = 0;
     std::unordered_map<const void*, int> m_wanted;
+    size_t m_engines = 0;
     double m_limit = initial;
     Duration m_alone = std::chrono::milliseconds(250);
 };
--- a/src/gateway/load_limiter_test.cc
+++ b/src/gateway/load_limiter_test.cc
@@ -43,6 +43,24 @@
     BOOST_TEST(limiter.limit() > 8);
 }
 
+// Load: many engines fetch adapters after a cold start. Guards against a bound for a small fleet that makes
+// each host of a large one fetch one adapter after the other while the store is idle.
+BOOST_AUTO_TEST_CASE(StartsWithTheNumberOfEngines)
+{
+    LoadLimiter limiter;
+    limiter.setEngines(90);
+    limiter.setPeersInFlight(30);
+    for (int fetch = 0; fetch < 4; ++fetch) {
+        BOOST_TEST(limiter.mayStart());
+        limiter.started();
+    }
+    BOOST_TEST((limiter.expectedWait() == 0ms));
+    const double before = limiter.limit();
+    limiter.finished(1500ms);
+    limiter.setEngines(80);
+    BOOST_TEST(limiter.limit() < before);
+}
+
 // Guards against copies at the engine being taken for a fast store.
 BOOST_AUTO_TEST_CASE(IgnoresLoadsFromCopies)
 {
