Let a host that the store does not serve ask one peer for the operators' rows

Cause: each peer sent the whole configuration to a host with an older one, up to 82 copies in a fleet of 83, while releases of adapters were not told between hosts at all.

--- a/src/gateway/configuration_keeper.cc
+++ b/src/gateway/configuration_keeper.cc
@@ -56,48 +56,78 @@
 }
 
 void ConfigurationKeeper::rowsChanged(const std::vector<StoredRow>& rows)
+{
+    apply(rows, "store");
+}
+
+void ConfigurationKeeper::peerOffered(const std::vector<StoredRow>& rows)
+{
+    apply(rows, "peer");
+}
+
+std::vector<StoredRow> ConfigurationKeeper::rowsAfter(RowVersion version) const
+{
+    std::vector<StoredRow> rows;
+    for (const auto& [key, row] : m_rows) {
+        if (row.version > version)
+            rows.push_back(row);
+    }
+    return rows;
+}
+
+void ConfigurationKeeper::keep(const StoredRow& row)
+{
+    m_rows[row.id.key] = row;
+    m_newestRow = std::max(m_newestRow, row.version);
+}
+
+void ConfigurationKeeper::apply(const std::vector<StoredRow>& rows, const char* source)
 {
     for (const StoredRow& row : rows) {
         if (row.isDeleted)
             continue;
         if (row.id.key == m_decoder.configurationKey()) {
-            applyConfiguration(row.version, row.value, "store");
+            applyConfiguration(row, source);
             continue;
         }
         const auto release = m_decoder.readRelease(row);
-        if (!release) {
+        if (release)
+            applyRelease(row, *release, source);
+        else
             LogEvent(LogLevel::Warning, "operator_row_skipped").with("key", row.id.key);
-            continue;
-        }
-        int64_t& known = m_releases[{ release->model, release->adapter }];
-        if (release->version <= known)
-            continue;
-        known = release->version;
-        LogEvent(LogLevel::Info, "adapter_released")
-            .with("model", release->model)
-            .with("adapter", release->adapter)
-            .with("version", release->version);
-        m_handlers.onRelease(*release);
     }
 }
 
-void ConfigurationKeeper::peerOffered(RowVersion version, const std::string& value)
+void ConfigurationKeeper::applyRelease(
+    const StoredRow& row, const AdapterRelease& release, const char* source)
 {
-    applyConfiguration(version, value, "peer");
+    int64_t& known = m_releases[{ release.model, release.adapter }];
+    if (release.version <= known)
+        return;
+    known = release.version;
+    keep(row);
+    LogEvent(LogLevel::Info, "adapter_released")
+        .with("model", release.model)
+        .with("adapter", release.adapter)
+        .with("version", release.version)
+        .with("source", source);
+    m_handlers.onRelease(release);
 }
 
-void ConfigurationKeeper::applyConfiguration(RowVersion version, const std::string& value, const char* source)
+void ConfigurationKeeper::applyConfiguration(const StoredRow& row, const char* source)
 {
-    if (version <= m_rowVersion)
+    if (row.version <= m_rowVersion)
         return;
     std::string reason;
-    const auto configuration = m_decoder.readConfiguration(value, reason);
+    const auto configuration = m_decoder.readConfiguration(row.value, reason);
     if (!configuration) {
-        LogEvent(LogLevel::Error, "configuration_unreadable").with("version", version).with("reason", reason);
+        LogEvent(LogLevel::Error, "configuration_unreadable")
+            .with("version", row.version)
+            .with("reason", reason);
         return;
     }
-    m_rowVersion = version;
-    m_rowValue = value;
+    m_rowVersion = row.version;
+    keep(row);
     if (m_current && configuration->revision() <= m_current->revision()) {
         LogEvent(LogLevel::Warning, "configuration_not_newer").with("revision", configuration->revision());
         return;
--- a/src/gateway/configuration_keeper.h
+++ b/src/gateway/configuration_keeper.h
@@ -32,14 +32,17 @@
     bool isFresh() const;
     /// @return version of the row in force; 0 before the first is known.
     RowVersion rowVersion() const { return m_rowVersion; }
-    /// @return the row's value, for peers.
-    const std::string& rowValue() const { return m_rowValue; }
+    /// @return version of the newest row that was applied, be it the configuration or a release; 0 without
+    /// one.
+    RowVersion newestRow() const { return m_newestRow; }
+    /// @return the applied rows of a higher version, for peers.
+    std::vector<StoredRow> rowsAfter(RowVersion version) const;
     /// @return time since the configuration was last known to be the newest, or nothing before that.
     std::optional<Duration> age() const;
     /// A peer has the same row and knew it to be the newest some time ago.
     void peerConfirmed(RowVersion version, Duration age);
-    /// Takes over a row from a peer if it is newer.
-    void peerOffered(RowVersion version, const std::string& value);
+    /// Takes over from a peer what is newer.
+    void peerOffered(const std::vector<StoredRow>& rows);
 
     /// @param peers hosts whose heartbeats tell of changes.
     void setPeersInTouch(int64_t peers) { m_peersInTouch = peers; }
@@ -50,14 +53,19 @@
     void tableRead(const std::vector<StoredRow>& rows) override { rowsChanged(rows); }
     void rowsChanged(const std::vector<StoredRow>& rows) override;
     Duration feedWait() const;
-    void applyConfiguration(RowVersion version, const std::string& value, const char* source);
+    void apply(const std::vector<StoredRow>& rows, const char* source);
+    void applyConfiguration(const StoredRow& row, const char* source);
+    void applyRelease(const StoredRow& row, const AdapterRelease& release, const char* source);
+    void keep(const StoredRow& row);
 
     Scheduler& m_scheduler;
     const RowDecoder& m_decoder;
     Handlers m_handlers;
     std::shared_ptr<const ServingConfiguration> m_current;
     RowVersion m_rowVersion;
-    std::string m_rowValue;
+    RowVersion m_newestRow;
+    /// The newest row of each key that was applied.
+    std::map<std::string, StoredRow> m_rows;
     std::map<AdapterRef, int64_t> m_releases;
     int64_t m_peersInTouch = 0;
     /// When a peer's confirmation of the row in force dates from.
--- a/src/gateway/configuration_keeper_test.cc
+++ b/src/gateway/configuration_keeper_test.cc
@@ -26,6 +26,11 @@
     }
 };
 
+StoredRow configurationRow(int64_t version, const char* value)
+{
+    return { { "", "config" }, value, RowVersion(version), false };
+}
+
 struct Fixture {
     int64_t revision() const { return keeper.current() ? keeper.current()->revision().value() : 0; }
     void put(const char* value) { store.put({ "op", "config" }, value); }
@@ -67,9 +72,9 @@
     fixture.keeper.start();
     fixture.scheduler.advance(100ms);
     fixture.store.fault = RowStoreError::Refused;
-    fixture.keeper.peerOffered(RowVersion(9), "5");
+    fixture.keeper.peerOffered({ configurationRow(9, "5") });
     BOOST_TEST(fixture.revision() == 5);
-    fixture.keeper.peerOffered(RowVersion(8), "4");
+    fixture.keeper.peerOffered({ configurationRow(8, "4") });
     BOOST_TEST(fixture.revision() == 5);
     fixture.store.fault.reset();
     fixture.scheduler.advance(5s);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -80,6 +80,8 @@
           { [this](const HostId& peer, const PeerMessage& message) { peerMessage(peer, message); },
               [this](const HostId& peer) { m_broker.peerLost(peer); },
               [this](HeartbeatAudience audience) { return heartbeat(audience); } })
+    , m_operatorRows(loop, m_configuration,
+          [this](const HostId& peer, const PeerMessage& message) { m_mesh.send(peer, message); })
     , m_owners(loop, ports.engines, m_upstreams, m_configuration, m_settings.host,
           { [this](const RunGrant& grant) { m_broker.answered(grant.key, grant); },
               [this](const RunDenial& denial) { m_broker.answered(denial.key, denial); },
@@ -221,6 +223,7 @@
     heartbeat.reachesStore = m_fleet.reachesStore();
     heartbeat.callerAddress = m_settings.callerAddress;
     heartbeat.configurationVersion = m_configuration.rowVersion();
+    heartbeat.operatorVersion = m_configuration.newestRow();
     heartbeat.configurationAge = m_configuration.age();
     heartbeat.usageKnownFor = m_loop.now() - m_usage.knownSince();
     heartbeat.usage = audience == HeartbeatAudience::NewPeer ? m_usage.wholeReport(m_loop.now())
@@ -237,14 +240,18 @@
         m_usage.peerReported(peer, heartbeat->incarnation, heartbeat->usage, now);
         const Duration knownFor = std::min(heartbeat->usageKnownFor, m_settings.usageWindow);
         m_usage.extendKnownPast(now - knownFor);
-        offerConfiguration(peer, *heartbeat);
+        m_operatorRows.heartbeatArrived(peer, heartbeat->operatorVersion);
         if (heartbeat->configurationAge)
             m_configuration.peerConfirmed(heartbeat->configurationVersion, *heartbeat->configurationAge);
         m_owners.loads().setPeersInFlight(m_mesh.fetchesInFlight());
         return;
     }
-    if (const auto* configuration = std::get_if<PeerConfiguration>(&message)) {
-        m_configuration.peerOffered(configuration->version, configuration->value);
+    if (const auto* request = std::get_if<PeerOperatorRequest>(&message)) {
+        m_operatorRows.requested(peer, *request);
+        return;
+    }
+    if (const auto* news = std::get_if<PeerOperatorRows>(&message)) {
+        m_configuration.peerOffered(news->rows);
         return;
     }
     if (const auto* news = std::get_if<PeerUpstreamRows>(&message)) {
@@ -264,13 +271,6 @@
     m_mesh.sendToAll(PeerUsage { m_incarnation, m_usage.earlyReport(m_loop.now()) });
 }
 
-// A peer that the store does not serve hears of changes in this way.
-void Gateway::offerConfiguration(const HostId& peer, const PeerHeartbeat& heartbeat)
-{
-    if (heartbeat.configurationVersion < m_configuration.rowVersion())
-        m_mesh.send(peer, PeerConfiguration { m_configuration.rowVersion(), m_configuration.rowValue() });
-}
-
 void Gateway::fleetChanged()
 {
     m_mesh.update(m_fleet.registry());
@@ -308,6 +308,7 @@
 void Gateway::configurationChanged()
 {
     applyCallerLimits();
+    m_owners.loads().setEngines(engineIds().size());
     m_owners.refresh();
     m_fleet.reconsider();
 }
@@ -315,6 +316,7 @@
 void Gateway::upstreamsChanged()
 {
     m_picker.retain(m_upstreams.ids());
+    m_owners.loads().setEngines(engineIds().size());
     m_owners.refresh();
     m_fleet.reconsider();
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,6 +3,7 @@
 #include "gateway/call_services.h"
 #include "gateway/caller_call.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/operator_row_exchange.h"
 #include "gateway/surface_translator.h"
 #include "transport/http_server.h"
 
@@ -50,7 +51,6 @@
     PeerHeartbeat heartbeat(HeartbeatAudience audience);
     void reportUsage();
     void peerMessage(const HostId& peer, const PeerMessage& message);
-    void offerConfiguration(const HostId& peer, const PeerHeartbeat& heartbeat);
     void fleetChanged();
     void updateMembers();
     void applyCallerLimits();
@@ -77,6 +77,7 @@
     RetryAllowance m_retries;
     FleetAgent m_fleet;
     PeerMesh m_mesh;
+    OperatorRowExchange m_operatorRows;
     EngineOwners m_owners;
     RunBroker m_broker;
     EngineView m_engineView;
--- /dev/null
+++ b/src/gateway/operator_row_exchange_test.cc
@@ -0,0 +1,120 @@
+#include "gateway/operator_row_exchange.h"
+
+#include "base/virtual_scheduler.h"
+#include "gateway/fake_row_decoder_test.h"
+#include "gateway/fake_row_store_test.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+
+using namespace lacewing;
+using namespace lacewing::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Any configuration row can be read, and rows of other keys release the adapter that they name.
+class AnyRowDecoder : public FakeRowDecoder {
+public:
+    std::shared_ptr<const ServingConfiguration> readConfiguration(
+        const std::string& value, std::string&) const override
+    {
+        return ServingConfiguration::Builder(Revision(std::stoll(value))).build();
+    }
+    std::optional<AdapterRelease> readRelease(const StoredRow& row) const override
+    {
+        return AdapterRelease { ModelId("m"), AdapterId(row.id.key), std::stoll(row.value) };
+    }
+};
+
+struct Host {
+    Host(VirtualScheduler& scheduler, const RowDecoder& decoder)
+        : store(scheduler)
+        , keeper(scheduler, store, decoder, { [] {}, [](const AdapterRelease&) {} })
+        , exchange(scheduler, keeper,
+              [this](const HostId&, const PeerMessage& message) { sent.push_back(message); })
+    {
+        store.put({ "op", "config" }, "1");
+        keeper.start();
+    }
+
+    /// Gives the other host what this one has sent, and the other way round, until both are silent.
+    void converse(Host& other)
+    {
+        while (!sent.empty() || !other.sent.empty()) {
+            Host& sender = sent.empty() ? other : *this;
+            Host& receiver = sent.empty() ? *this : other;
+            const PeerMessage message = sender.sent.front();
+            sender.sent.pop_front();
+            if (const auto* request = std::get_if<PeerOperatorRequest>(&message))
+                receiver.exchange.requested(HostId("peer"), *request);
+            else if (const auto* rows = std::get_if<PeerOperatorRows>(&message))
+                receiver.keeper.peerOffered(rows->rows);
+        }
+    }
+    int64_t release(const char* adapter) const
+    {
+        const auto found = keeper.releases().find({ ModelId("m"), AdapterId(adapter) });
+        return found == keeper.releases().end() ? 0 : found->second;
+    }
+
+    FakeRowStore store;
+    ConfigurationKeeper keeper;
+    std::deque<PeerMessage> sent;
+    OperatorRowExchange exchange;
+};
+
+struct Fixture {
+    Fixture() { scheduler.advance(100ms); }
+
+    VirtualScheduler scheduler;
+    AnyRowDecoder decoder;
+    Host served { scheduler, decoder };
+    Host cut { scheduler, decoder };
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(OperatorRowExchangeTest)
+
+// Guards against a host whose connection to the store is silent and that goes on with old versions of
+// adapters although its peers know the new ones.
+BOOST_AUTO_TEST_CASE(BringsReleasesAndTheConfiguration)
+{
+    Fixture fixture;
+    fixture.cut.store.fault = RowStoreError::Unknown;
+    fixture.served.store.put({ "op", "a1" }, "2");
+    fixture.served.store.put({ "op", "config" }, "5");
+    fixture.served.store.put({ "op", "a2" }, "7");
+    fixture.scheduler.advance(1s);
+    fixture.cut.exchange.heartbeatArrived(HostId("peer"), fixture.served.keeper.newestRow());
+    fixture.scheduler.advance(1s);
+    fixture.cut.converse(fixture.served);
+    BOOST_TEST(fixture.cut.release("a1") == 2);
+    BOOST_TEST(fixture.cut.release("a2") == 7);
+    BOOST_TEST((fixture.cut.keeper.current()->revision() == Revision(5)));
+    BOOST_TEST((fixture.cut.keeper.newestRow() == fixture.served.keeper.newestRow()));
+}
+
+// Load: a large fleet in which the store tells all hosts of a change at nearly the same time. Guards against
+// copies of the configuration between all pairs of hosts.
+BOOST_AUTO_TEST_CASE(AsksOnePeerAndOnlyIfTheStoreIsLate)
+{
+    Fixture fixture;
+    fixture.served.store.put({ "op", "config" }, "5");
+    fixture.scheduler.advance(100ms);
+    const RowVersion newest = fixture.served.keeper.newestRow();
+    for (int peer = 0; peer < 80; ++peer)
+        fixture.cut.exchange.heartbeatArrived(HostId("peer-" + std::to_string(peer)), newest);
+    fixture.cut.store.put({ "op", "config" }, "5");
+    fixture.scheduler.advance(1s);
+    BOOST_TEST(fixture.cut.sent.empty());
+    const RowVersion newer(newest.value() + 3);
+    for (int peer = 0; peer < 80; ++peer)
+        fixture.cut.exchange.heartbeatArrived(HostId("peer-" + std::to_string(peer)), newer);
+    fixture.scheduler.advance(1s);
+    BOOST_TEST(fixture.cut.sent.size() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -15,14 +15,15 @@
 // First element of each frame.
 enum class FrameType {
     Heartbeat,
-    Configuration,
+    OperatorRows,
     RunRequest,
     RunGrant,
     RunDenial,
     RunProgress,
     RunEnd,
     UpstreamRows,
-    Usage
+    Usage,
+    OperatorRequest
 };
 
 Json frame(FrameType type)
@@ -122,6 +123,7 @@
     json.push_back(message.callerAddress.text());
     json.push_back(message.configurationAge ? Json(microseconds(*message.configurationAge)) : Json());
     json.push_back(message.reachesStore);
+    json.push_back(message.operatorVersion.value());
     return json;
 }
 
@@ -141,42 +143,52 @@
     if (!json.at(10).is_null())
         message.configurationAge = duration(json.at(10));
     message.reachesStore = json.at(11).get<bool>();
+    message.operatorVersion = RowVersion(json.at(12).get<int64_t>());
     return message;
 }
 
-Json encode(const PeerConfiguration& message)
+Json encode(const PeerOperatorRequest& message)
 {
-    Json json = frame(FrameType::Configuration);
-    json.push_back(message.version.value());
-    json.push_back(message.value);
+    Json json = frame(FrameType::OperatorRequest);
+    json.push_back(message.after.value());
     return json;
 }
 
-Json encode(const PeerUpstreamRows& message)
+Json encode(FrameType type, const std::vector<StoredRow>& stored)
 {
     Json rows = Json::array();
-    for (const StoredRow& row : message.rows) {
+    for (const StoredRow& row : stored) {
         const std::vector<uint8_t> value(row.value.begin(), row.value.end());
         rows.push_back(Json::array({ row.id.key, Json::binary(value), row.version.value(), row.isDeleted }));
     }
-    Json json = frame(FrameType::UpstreamRows);
+    Json json = frame(type);
     json.push_back(std::move(rows));
     return json;
 }
 
-PeerUpstreamRows decodeUpstreamRows(const Json& json)
+Json encode(const PeerOperatorRows& message)
+{
+    return encode(FrameType::OperatorRows, message.rows);
+}
+
+Json encode(const PeerUpstreamRows& message)
 {
-    PeerUpstreamRows message;
-    for (const Json& item : json.at(1)) {
+    return encode(FrameType::UpstreamRows, message.rows);
+}
+
+std::vector<StoredRow> decodeRows(const Json& json)
+{
+    std::vector<StoredRow> rows;
+    for (const Json& item : json) {
         StoredRow row;
         row.id.key = item.at(0).get<std::string>();
         const auto& value = item.at(1).get_binary();
         row.value.assign(value.begin(), value.end());
         row.version = RowVersion(item.at(2).get<int64_t>());
         row.isDeleted = item.at(3).get<bool>();
-        message.rows.push_back(std::move(row));
+        rows.push_back(std::move(row));
     }
-    return message;
+    return rows;
 }
 
 Json encode(const PeerRunRequest& message)
@@ -263,10 +275,12 @@
     switch (static_cast<FrameType>(json.at(0).get<int>())) {
     case FrameType::Heartbeat:
         return decodeHeartbeat(json);
-    case FrameType::Configuration:
-        return PeerConfiguration { RowVersion(json.at(1).get<int64_t>()), json.at(2).get<std::string>() };
+    case FrameType::OperatorRequest:
+        return PeerOperatorRequest { RowVersion(json.at(1).get<int64_t>()) };
+    case FrameType::OperatorRows:
+        return PeerOperatorRows { decodeRows(json.at(1)) };
     case FrameType::UpstreamRows:
-        return decodeUpstreamRows(json);
+        return PeerUpstreamRows { decodeRows(json.at(1)) };
     case FrameType::RunRequest:
         return decodeRunRequest(json);
     case FrameType::RunGrant:
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -24,7 +24,9 @@
     SocketAddress callerAddress;
     /// Store version of the configuration in force.
     RowVersion configurationVersion;
-    /// Time since the host knew this to be the newest; nothing if it never did.
+    /// Store version of the newest row of operators that the host has.
+    RowVersion operatorVersion;
+    /// Time since the host knew the configuration to be the newest; nothing if it never did.
     std::optional<Duration> configurationAge;
     /// For how long this host or the peers it heard have followed all spending.
     Duration usageKnownFor {};
@@ -42,10 +44,15 @@
     std::vector<UsageReport> usage;
 };
 
-/// The configuration row, for a peer that has an older one.
-struct PeerConfiguration {
-    RowVersion version;
-    std::string value;
+/// Asks a peer for the operators' rows that this host lacks.
+struct PeerOperatorRequest {
+    /// Rows of a higher version are wanted.
+    RowVersion after;
+};
+
+/// Rows of operators, for a peer that has asked for them.
+struct PeerOperatorRows {
+    std::vector<StoredRow> rows;
 };
 
 /// Rows about upstreams that have changed, from a host that follows the store closely.
@@ -91,8 +98,8 @@
     RunOutcome outcome = RunOutcome::Finished;
 };
 
-using PeerMessage = std::variant<PeerHeartbeat, PeerConfiguration, PeerUpstreamRows, PeerRunRequest,
-    PeerRunGrant, PeerRunDenial, PeerRunProgress, PeerRunEnd, PeerUsage>;
+using PeerMessage = std::variant<PeerHeartbeat, PeerOperatorRequest, PeerOperatorRows, PeerUpstreamRows,
+    PeerRunRequest, PeerRunGrant, PeerRunDenial, PeerRunProgress, PeerRunEnd, PeerUsage>;
 
 /// @return the message as one CBOR frame.
 std::string encodePeerMessage(const PeerMessage& message);
--- a/src/gateway/peer_message_test.cc
+++ b/src/gateway/peer_message_test.cc
@@ -18,6 +18,7 @@
     message.reachesStore = false;
     message.callerAddress = { "127.0.0.1", 8080 };
     message.configurationVersion = RowVersion(12);
+    message.operatorVersion = RowVersion(14);
     message.configurationAge = 250ms;
     message.usageKnownFor = 3s;
     message.usage.push_back({ WorkspaceId("busy"), 900, 300 });
@@ -39,7 +40,8 @@
 std::vector<PeerMessage> samples()
 {
     const AdapterRef adapter { ModelId("base"), AdapterId("a1") };
-    return { heartbeat(), PeerConfiguration { RowVersion(3), "{}" },
+    return { heartbeat(), PeerOperatorRequest { RowVersion(3) },
+        PeerOperatorRows { { { { "", "config" }, "\xff{}", RowVersion(4), false } } },
         PeerUpstreamRows { { { { "", "s-1" }, "\xff{}", RowVersion(4), false },
             { { "", "s-2" }, "", RowVersion(5), true } } },
         PeerRunRequest {
