Send requests to engines that keep a copy of their adapter before those that must fetch it

Entries ranked engines without knowing where copies were left.

Change: each host remembers from heartbeats what engines have dropped lately (AdapterCopies, which the owner's places use as well), and the chooser prefers such an engine to a fetch.

--- a/src/experiment/fleet_simulation.cc
+++ b/src/experiment/fleet_simulation.cc
@@ -194,6 +194,8 @@
     const bool isOwn = engine.owner == call.arrival.host;
     const gateway::EngineSummary summary = isOwn ? engine.scheduler->summary(m_scheduler.now()) : engine.told;
     candidate.describe(summary, adapterOf(call));
+    candidate.hasCopy
+        = isOwn ? engine.scheduler->hasCopy(adapterOf(call)) : engine.copies.has(adapterOf(call));
     candidate.updateInterval = isOwn ? Duration::zero() : m_shape.heartbeatInterval;
     const auto asked = host.asked.find(index);
     if (!isOwn && asked != host.asked.end() && asked->second.heartbeat == engine.heartbeat)
@@ -398,7 +400,9 @@
     for (Engine& engine : m_engines) {
         if (!engine.scheduler || engine.owner != static_cast<int>(index))
             continue;
-        engine.told = engine.scheduler->summary(m_scheduler.now());
+        gateway::EngineSummary summary = engine.scheduler->summary(m_scheduler.now());
+        engine.copies.observe(engine.told.adapters, summary.adapters);
+        engine.told = std::move(summary);
         ++engine.heartbeat;
     }
     m_scheduler.runAfter(m_shape.heartbeatInterval, [this, index] { heartbeat(index); });
--- a/src/experiment/fleet_simulation.h
+++ b/src/experiment/fleet_simulation.h
@@ -38,6 +38,7 @@
         TimerId timer = 0;
         /// What the owner told in its last heartbeat, and the number of that heartbeat.
         gateway::EngineSummary told;
+        gateway::AdapterCopies copies;
         int heartbeat = 0;
     };
 
--- /dev/null
+++ b/src/gateway/adapter_copies_test.cc
@@ -0,0 +1,45 @@
+#include "gateway/adapter_copies.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lacewing;
+using namespace lacewing::gateway;
+
+namespace {
+
+AdapterRef adapter(int number)
+{
+    return { ModelId("m"), AdapterId("a" + std::to_string(number)) };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AdapterCopiesTest)
+
+// Guards against copies that count although the engine has given them up for later ones.
+BOOST_AUTO_TEST_CASE(TheOldestCopiesAreForgotten)
+{
+    AdapterCopies copies;
+    for (int number = 0; number < 100; ++number)
+        copies.dropped(adapter(number));
+    BOOST_TEST(copies.has(adapter(99)));
+    BOOST_TEST(copies.has(adapter(70)));
+    BOOST_TEST(!copies.has(adapter(60)));
+    copies.dropped(adapter(70));
+    for (int number = 100; number < 115; ++number)
+        copies.dropped(adapter(number));
+    BOOST_TEST(copies.has(adapter(70)));
+}
+
+// Guards against a load that was given up counting as a copy.
+BOOST_AUTO_TEST_CASE(OnlyWhatWasPresentLeavesACopy)
+{
+    AdapterCopies copies;
+    copies.observe(
+        { { adapter(1), false }, { adapter(2), true }, { adapter(3), false } }, { { adapter(3), false } });
+    BOOST_TEST(copies.has(adapter(1)));
+    BOOST_TEST(!copies.has(adapter(2)));
+    BOOST_TEST(!copies.has(adapter(3)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/engine_chooser.cc
+++ b/src/gateway/engine_chooser.cc
@@ -13,6 +13,8 @@
 
 /// Expected cost of loading an adapter, and of the place that it takes from others.
 constexpr Duration copyCost = milliseconds(350);
+/// The same where the engine still has a copy.
+constexpr Duration warmCopyCost = milliseconds(150);
 constexpr Duration remainingLoadCost = milliseconds(60);
 /// An engine further down the adapter's ranking is less likely to have a copy at hand.
 constexpr Duration rankCost = milliseconds(40);
@@ -53,7 +55,9 @@
         cost += std::chrono::duration_cast<Duration>(error * candidate.updateInterval);
         return isPresent ? cost : cost + remainingLoadCost;
     }
-    cost += candidate.fetchWait + copyCost + std::min(homeRank, lastRankWithCost) * rankCost;
+    cost += candidate.hasCopy ? warmCopyCost
+                              : candidate.fetchWait + copyCost
+            + rankCost * static_cast<int64_t>(std::min(homeRank, lastRankWithCost));
     if (candidate.openPlaces <= 0)
         cost += placeWaitCost + candidate.waiting * milliseconds(20);
     return cost;
--- a/src/gateway/engine_chooser.h
+++ b/src/gateway/engine_chooser.h
@@ -17,6 +17,8 @@
     bool hasOwner = false;
     bool holdsAdapter = false;
     bool isLoadingAdapter = false;
+    /// It has dropped the adapter and keeps a copy, so that no fetch is needed.
+    bool hasCopy = false;
     /// Requests failed there lately without an answer.
     bool isSuspect = false;
     Duration prefillBacklog {};
@@ -36,7 +38,8 @@
 /// Load pattern: few adapters get most requests and many get few. Each adapter has a home engine by
 /// rendezvous hashing, so that rarely asked ones are loaded where a copy was left before and popular ones
 /// fill large batches. When the prompts queued at a popular adapter's engines would make a request late, a
-/// further copy becomes cheaper than waiting and the next engine of its ranking gets one.
+/// further copy becomes cheaper than waiting and the next engine of its ranking gets one. An engine that
+/// dropped the adapter a short time ago comes before those that would have to fetch it.
 ///
 /// In a large fleet all entries see the same engine as the least busy one until its owner tells of its
 /// backlog again, and would send it everything that comes meanwhile. Each request therefore judges the
--- a/src/gateway/engine_chooser_test.cc
+++ b/src/gateway/engine_chooser_test.cc
@@ -53,6 +53,20 @@
     BOOST_TEST(rank(adapter, candidates).front() != candidates[7].engine);
 }
 
+// Load: a rarely asked adapter comes back after it was dropped. Guards against fetching it from the weight
+// store while an engine with an open place still has a copy.
+BOOST_AUTO_TEST_CASE(PrefersAnEngineWithACopy)
+{
+    auto candidates = engines(12);
+    const UpstreamId home = rank(adapter, candidates).front();
+    const size_t other = home == candidates[7].engine ? 6 : 7;
+    candidates[other].hasCopy = true;
+    candidates[other].prefillBacklog = 100ms;
+    BOOST_TEST(rank(adapter, candidates).front() == candidates[other].engine);
+    candidates[other].openPlaces = 0;
+    BOOST_TEST(rank(adapter, candidates).front() == home);
+}
+
 // Guards against an adapter that moves whenever another engine comes or goes.
 BOOST_AUTO_TEST_CASE(KeepsTheHomeWhenAnotherEngineLeaves)
 {
--- a/src/gateway/engine_owners.cc
+++ b/src/gateway/engine_owners.cc
@@ -169,6 +169,12 @@
     return found->second.scheduler->summary(m_scheduler.now());
 }
 
+bool EngineOwners::hasCopy(const UpstreamId& engine, const AdapterRef& adapter) const
+{
+    const auto found = m_engines.find(engine);
+    return found != m_engines.end() && found->second.scheduler && found->second.scheduler->hasCopy(adapter);
+}
+
 void EngineOwners::carryOut(const UpstreamId& engine)
 {
     Owned* owned = find(engine);
--- a/src/gateway/engine_owners.h
+++ b/src/gateway/engine_owners.h
@@ -45,6 +45,8 @@
     std::vector<EngineSummary> summaries() const;
     /// @return nothing if this host does not run the engine's scheduler.
     std::optional<EngineSummary> summary(const UpstreamId& engine) const;
+    /// @return whether an own engine has a copy of an adapter that it dropped.
+    bool hasCopy(const UpstreamId& engine, const AdapterRef& adapter) const;
     LoadLimiter& loads() { return m_loads; }
 
 private:
--- a/src/gateway/engine_places.cc
+++ b/src/gateway/engine_places.cc
@@ -11,8 +11,6 @@
 constexpr Duration warmLoadTime = std::chrono::milliseconds(25);
 /// Pause between two questions whether a load is complete.
 constexpr Duration confirmInterval = std::chrono::milliseconds(20);
-/// Adapters that engines keep copies of.
-constexpr size_t warmCapacity = 30;
 /// Reports show the state of some time ago; what changed since then is kept as it is known here.
 constexpr Duration reportLag = std::chrono::milliseconds(600);
 
@@ -73,11 +71,6 @@
     return std::max(0, open);
 }
 
-bool EnginePlaces::isWarm(const AdapterRef& adapter) const
-{
-    return std::find(m_warm.begin(), m_warm.end(), adapter) != m_warm.end();
-}
-
 Duration EnginePlaces::loadTime(const AdapterRef& adapter) const
 {
     return isWarm(adapter) ? warmLoadTime : m_loads.fetchTime();
@@ -294,10 +287,7 @@
     for (auto entry = m_dropped.begin(); entry != m_dropped.end();)
         entry = now - entry->second < reportLag ? std::next(entry) : m_dropped.erase(entry);
     m_dropped[adapter] = now;
-    m_warm.erase(std::remove(m_warm.begin(), m_warm.end(), adapter), m_warm.end());
-    m_warm.push_back(adapter);
-    if (m_warm.size() > warmCapacity)
-        m_warm.pop_front();
+    m_copies.dropped(adapter);
 }
 
 } // namespace lacewing::gateway
--- a/src/gateway/engine_places.h
+++ b/src/gateway/engine_places.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "gateway/adapter_copies.h"
 #include "gateway/adapter_popularity.h"
 #include "gateway/engine_control.h"
 #include "gateway/engine_summary.h"
 #include "gateway/load_limiter.h"
 #include "gateway/upstream_entry.h"
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -57,7 +57,7 @@
     /// @return places that are free or hold an adapter without a request.
     int open(const std::set<AdapterRef>& awaited) const;
     /// @return whether the engine has dropped the adapter lately and so loads it faster.
-    bool isWarm(const AdapterRef& adapter) const;
+    bool isWarm(const AdapterRef& adapter) const { return m_copies.has(adapter); }
     Duration loadTime(const AdapterRef& adapter) const;
     /// @return adapters that are present or being loaded.
     std::vector<AdapterSummary> summaries() const;
@@ -128,8 +128,7 @@
     int m_capacity = 0;
     std::map<AdapterRef, int64_t> m_releases;
     Places m_places;
-    /// Adapters that the engine has dropped lately and loads faster, the latest last.
-    std::deque<AdapterRef> m_warm;
+    AdapterCopies m_copies;
     /// Adapters that were dropped lately, which a report may still show.
     std::map<AdapterRef, MonotonicTime> m_dropped;
 };
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -61,6 +61,8 @@
 
     SchedulerDecisions decide(MonotonicTime now);
     EngineSummary summary(MonotonicTime now) const;
+    /// @return whether the engine has a copy of an adapter that it dropped.
+    bool hasCopy(const AdapterRef& adapter) const { return m_places.isWarm(adapter); }
     /// @return requests that wait for a start.
     std::vector<RunKey> waitingRuns() const;
 
--- a/src/gateway/engine_view.cc
+++ b/src/gateway/engine_view.cc
@@ -76,6 +76,7 @@
             continue;
         candidate.hasOwner = true;
         candidate.describe(summary, adapter);
+        candidate.hasCopy = own ? m_owners.hasCopy(entry->id, adapter) : m_mesh.hasCopy(entry->id, adapter);
         if (told) {
             candidate.updateInterval = updateInterval;
             const auto asked = m_asked.find(entry->id);
--- a/src/gateway/peer_mesh.h
+++ b/src/gateway/peer_mesh.h
@@ -43,6 +43,11 @@
     void sendHeartbeats();
     /// @return peers whose heartbeats arrive.
     std::map<HostId, const PeerStates::Peer*> peersInTouch() const;
+    /// @return whether an engine has a copy of an adapter that it dropped, as far as heartbeats told.
+    bool hasCopy(const UpstreamId& engine, const AdapterRef& adapter) const
+    {
+        return m_states.hasCopy(engine, adapter);
+    }
     bool isInTouch(const HostId& peer) const;
     /// @return whether heartbeats of a certain start of a peer's process arrive.
     bool isInTouch(const HostId& peer, Incarnation incarnation) const;
--- a/src/gateway/peer_states.cc
+++ b/src/gateway/peer_states.cc
@@ -2,6 +2,13 @@
 
 namespace lacewing::gateway {
 
+namespace {
+
+/// Engines that are gone and whose copies may still be remembered.
+constexpr size_t spareCopies = 16;
+
+} // namespace
+
 void PeerStates::forgetEngines(const HostId& peer, const PeerHeartbeat& heartbeat)
 {
     for (const EngineSummary& summary : heartbeat.engines) {
@@ -13,11 +20,40 @@
 
 void PeerStates::heard(const HostId& peer, const PeerHeartbeat& heartbeat, MonotonicTime now)
 {
+    observeCopies(heartbeat);
     Peer& state = m_peers[peer];
     forgetEngines(peer, state.heartbeat);
     state = { heartbeat, now };
     for (const EngineSummary& summary : heartbeat.engines)
         m_engines[summary.engine] = { peer, summary, now };
+    if (m_copies.size() > 2 * m_engines.size() + spareCopies)
+        forgetUnknownCopies();
+}
+
+void PeerStates::observeCopies(const PeerHeartbeat& heartbeat)
+{
+    for (const EngineSummary& summary : heartbeat.engines) {
+        if (summary.models.empty()) {
+            // It has started anew, or it is not known yet what it holds.
+            m_copies.erase(summary.engine);
+            continue;
+        }
+        const auto before = m_engines.find(summary.engine);
+        if (before != m_engines.end())
+            m_copies[summary.engine].observe(before->second.summary.adapters, summary.adapters);
+    }
+}
+
+void PeerStates::forgetUnknownCopies()
+{
+    for (auto copies = m_copies.begin(); copies != m_copies.end();)
+        copies = m_engines.count(copies->first) > 0 ? std::next(copies) : m_copies.erase(copies);
+}
+
+bool PeerStates::hasCopy(const UpstreamId& engine, const AdapterRef& adapter) const
+{
+    const auto copies = m_copies.find(engine);
+    return copies != m_copies.end() && copies->second.has(adapter);
 }
 
 void PeerStates::forget(const HostId& peer)
--- a/src/gateway/peer_states.h
+++ b/src/gateway/peer_states.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/adapter_copies.h"
 #include "gateway/peer_message.h"
 
 #include <map>
@@ -38,12 +39,17 @@
     int fetchesInFlight(MonotonicTime oldest) const;
     /// @return what a peer in touch that owns an engine and is not stopping says about it, or null.
     const Engine* engine(const UpstreamId& engine, MonotonicTime oldest) const;
+    /// @return whether an engine has a copy of an adapter that it dropped, as far as heartbeats told.
+    bool hasCopy(const UpstreamId& engine, const AdapterRef& adapter) const;
 
 private:
     void forgetEngines(const HostId& peer, const PeerHeartbeat& heartbeat);
+    void observeCopies(const PeerHeartbeat& heartbeat);
+    void forgetUnknownCopies();
 
     std::map<HostId, Peer> m_peers;
     std::map<UpstreamId, Engine> m_engines;
+    std::map<UpstreamId, AdapterCopies> m_copies;
 };
 
 } // namespace lacewing::gateway
--- a/src/gateway/peer_states_test.cc
+++ b/src/gateway/peer_states_test.cc
@@ -66,4 +66,24 @@
     BOOST_TEST(!states.engine(engine, oldest));
 }
 
+// Load: rarely asked adapters are dropped and asked for again. Guards against fetching them to another engine
+// because nobody remembers where they were, and against copies of an engine that has started anew.
+BOOST_AUTO_TEST_CASE(RemembersWhereAnAdapterWasHeld)
+{
+    const AdapterRef adapter { ModelId("m"), AdapterId("a1") };
+    const auto telling = [](const std::vector<AdapterSummary>& adapters) {
+        PeerHeartbeat heartbeat = owning({ engine });
+        heartbeat.engines.back().models = { ModelId("m") };
+        heartbeat.engines.back().adapters = adapters;
+        return heartbeat;
+    };
+    PeerStates states;
+    states.heard(first, telling({ { adapter, false } }), now);
+    BOOST_TEST(!states.hasCopy(engine, adapter));
+    states.heard(first, telling({}), now);
+    BOOST_TEST(states.hasCopy(engine, adapter));
+    states.heard(second, owning({ engine }), now);
+    BOOST_TEST(!states.hasCopy(engine, adapter));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
