Expect peers to begin fetches when this host does

Change: a host counts for each fetch that it has begun since its last heartbeat one for a fifth of its peers.

--- a/src/experiment/fleet_simulation.cc
+++ b/src/experiment/fleet_simulation.cc
@@ -396,7 +396,8 @@
     host.toldFetches = host.loads->inFlight();
     const int fetches = std::accumulate(m_hosts.begin(), m_hosts.end(), 0,
         [](int sum, const Host& each) { return sum + (each.isUp ? each.toldFetches : 0); });
-    host.loads->setPeersInFlight(fetches - host.toldFetches);
+    host.loads->setPeersInFlight(fetches - host.toldFetches, m_hosts.size() - 1);
+    host.loads->told();
     for (Engine& engine : m_engines) {
         if (!engine.scheduler || engine.owner != static_cast<int>(index))
             continue;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -229,6 +229,8 @@
     heartbeat.usage = audience == HeartbeatAudience::NewPeer ? m_usage.wholeReport(m_loop.now())
                                                              : m_usage.heartbeatReport(m_loop.now());
     heartbeat.fetchesInFlight = m_owners.loads().inFlight();
+    if (audience == HeartbeatAudience::AllPeers)
+        m_owners.loads().told();
     heartbeat.engines = m_owners.summaries();
     return heartbeat;
 }
@@ -243,7 +245,7 @@
         m_operatorRows.heartbeatArrived(peer, heartbeat->operatorVersion);
         if (heartbeat->configurationAge)
             m_configuration.peerConfirmed(heartbeat->configurationVersion, *heartbeat->configurationAge);
-        m_owners.loads().setPeersInFlight(m_mesh.fetchesInFlight());
+        m_owners.loads().setPeersInFlight(m_mesh.fetchesInFlight(), m_mesh.peersInTouch().size());
         return;
     }
     if (const auto* request = std::get_if<PeerOperatorRequest>(&message)) {
--- a/src/gateway/load_limiter.h
+++ b/src/gateway/load_limiter.h
@@ -13,13 +13,12 @@
 /// serves only so many fetches at full speed and slows all of them down beyond that, so that more fetches at
 /// a time bring none earlier and all late. A store is sized for the engines that it serves, so the bound
 /// starts with their number. It falls when fetches take longer than they did alone and
-/// grows while they don't, so that the hosts together settle where the store is just busy.
+/// grows while they don't, so that the hosts together settle where the store is just busy. What makes one
+/// host want adapters makes the others want them too, so a host that has begun fetches since its last
+/// heartbeat assumes that its peers have done the same.
 class LoadLimiter {
 public:
-    bool mayStart() const
-    {
-        return m_inFlight == 0 || m_inFlight + m_peersInFlight < static_cast<int>(m_limit);
-    }
+    bool mayStart() const { return m_inFlight == 0 || m_inFlight + expectedPeersInFlight() < m_limit; }
     int inFlight() const { return m_inFlight; }
     /// @param engines that fetch from the store, over all hosts; more of them than before raise the bound.
     void setEngines(size_t engines)
@@ -29,8 +28,15 @@
         m_engines = engines;
         m_limit = std::max(m_limit, static_cast<double>(engines) * initialPerEngine);
     }
-    /// @param fetches under way at the engines of all other hosts.
-    void setPeersInFlight(int fetches) { m_peersInFlight = fetches; }
+    /// @param fetches under way at the engines of all other hosts, as told in their last heartbeats.
+    /// @param peers number of these hosts.
+    void setPeersInFlight(int fetches, size_t peers)
+    {
+        m_peersInFlight = fetches;
+        m_peers = peers;
+    }
+    /// The other hosts have been told how many fetches are under way here.
+    void told() { m_toldInFlight = m_inFlight; }
     void started() { ++m_inFlight; }
     /// A fetch has ended without telling how long fetches take.
     void abandoned() { --m_inFlight; }
@@ -66,7 +72,7 @@
     /// @return how long a further fetch is expected to wait for its turn.
     Duration expectedWait() const
     {
-        const double own = std::max(1.0, m_limit - m_peersInFlight);
+        const double own = std::max(1.0, m_limit - expectedPeersInFlight());
         const double ahead = std::max(0.0, m_totalWanted + m_inFlight + 1 - own);
         return std::chrono::duration_cast<Duration>(ahead / own * m_alone);
     }
@@ -83,8 +89,19 @@
     /// The fastest fetch is forgotten slowly, by one part in so many with each fetch.
     static constexpr int ageing = 1000;
 
+    /// Half of the peers have sent a heartbeat since this host's last one, on average.
+    static constexpr double untoldShare = 0.2;
+
+    double expectedPeersInFlight() const
+    {
+        const int untold = std::max(0, m_inFlight - m_toldInFlight);
+        return m_peersInFlight + untoldShare * untold * static_cast<double>(m_peers);
+    }
+
     int m_inFlight = 0;
+    int m_toldInFlight = 0;
     int m_peersInFlight = 0;
+    size_t m_peers = 0;
     int m_totalWanted = 0;
     std::unordered_map<const void*, int> m_wanted;
     size_t m_engines = 0;
--- a/src/gateway/load_limiter_test.cc
+++ b/src/gateway/load_limiter_test.cc
@@ -16,7 +16,7 @@
         limiter.finished(1500ms);
     }
     BOOST_TEST(limiter.limit() < 8);
-    limiter.setPeersInFlight(100);
+    limiter.setPeersInFlight(100, 6);
     BOOST_TEST(limiter.mayStart());
     limiter.started();
     BOOST_TEST(!limiter.mayStart());
@@ -28,7 +28,7 @@
     LoadLimiter limiter;
     limiter.started();
     BOOST_TEST(limiter.mayStart());
-    limiter.setPeersInFlight(static_cast<int>(limiter.limit()));
+    limiter.setPeersInFlight(static_cast<int>(limiter.limit()), 6);
     BOOST_TEST(!limiter.mayStart());
 }
 
@@ -49,11 +49,12 @@
 {
     LoadLimiter limiter;
     limiter.setEngines(90);
-    limiter.setPeersInFlight(30);
+    limiter.setPeersInFlight(30, 6);
     for (int fetch = 0; fetch < 4; ++fetch) {
         BOOST_TEST(limiter.mayStart());
         limiter.started();
     }
+    limiter.told();
     BOOST_TEST((limiter.expectedWait() == 0ms));
     const double before = limiter.limit();
     limiter.finished(1500ms);
@@ -61,6 +62,21 @@
     BOOST_TEST(limiter.limit() < before);
 }
 
+// Load: all hosts start with engines that hold nothing, and hear of each other's fetches a heartbeat later.
+// Guards against hosts that all take the same room at the store.
+BOOST_AUTO_TEST_CASE(ExpectsPeersToFetchAsMuch)
+{
+    LoadLimiter limiter;
+    limiter.setEngines(90);
+    limiter.setPeersInFlight(0, 82);
+    limiter.started();
+    limiter.started();
+    BOOST_TEST(!limiter.mayStart());
+    limiter.told();
+    limiter.setPeersInFlight(20, 82);
+    BOOST_TEST(limiter.mayStart());
+}
+
 // Guards against copies at the engine being taken for a fast store.
 BOOST_AUTO_TEST_CASE(IgnoresLoadsFromCopies)
 {
