--- a/src/gateway/load_limiter.h
+++ b/src/gateway/load_limiter.h
@@ -89,7 +89,7 @@
     /// The fastest fetch is forgotten slowly, by one part in so many with each fetch.
     static constexpr int ageing = 1000;
 
-    /// Half of the peers have sent a heartbeat since this host's last one, on average.
+    /// Part of the peers that begin a fetch together with this host and have not told of it yet.
     static constexpr double untoldShare = 0.2;
 
     double expectedPeersInFlight() const
