Add lacewinglb-fuzz with a corpus; bound numbers in heads, rows and settings

Each reader of input from outside is tried with damaged copies of a corpus: operators' and upstreams' rows, reports, heads, frames between hosts, event streams, settings and the bytes of requests to a live server.

Numbers of heads and durations of settings are bounded to what they can mean.

--- /dev/null
+++ b/src/fuzz/settings_target.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "fuzz/fuzz_target.h"
+#include "gateway/gateway_settings.h"
+
+#include <fstream>
+
+namespace lacewing::fuzz {
+
+/// Settings files. One that is refused must come with a reason.
+class SettingsTarget : public FuzzTarget {
+public:
+    /// @param path file that the input is written to.
+    explicit SettingsTarget(std::string path)
+        : m_path(std::move(path))
+    {
+    }
+
+    std::string name() const override { return "settings"; }
+    std::optional<std::string> run(std::string_view input) override
+    {
+        std::ofstream(m_path, std::ios::binary) << input;
+        gateway::GatewaySettingsReader reader;
+        const auto settings = reader.read(m_path);
+        if (!settings && reader.lastError().empty())
+            return "settings are refused without a reason";
+        if (settings && settings->leaseTime <= Duration::zero())
+            return "settings with a lease that ends at once are accepted";
+        return std::nullopt;
+    }
+
+private:
+    std::string m_path;
+};
+
+} // namespace lacewing::fuzz
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -2,6 +2,7 @@
 
 #include "protocol/yaml_document.h"
 
+#include <cmath>
 #include <fstream>
 #include <functional>
 #include <sstream>
@@ -45,7 +46,7 @@
     size_t used = 0;
     try {
         const double value = std::stod(text, &used);
-        if (used == text.size() && value >= 0)
+        if (used == text.size() && value >= 0 && std::isfinite(value))
             return value;
     } catch (const std::exception&) {
         // Not a number: the caller reports it with the field's name.
@@ -53,12 +54,16 @@
     return std::nullopt;
 }
 
-FieldReader durationField(Duration& target, double secondsPerUnit)
+constexpr double longestSeconds = 24 * 60 * 60;
+
+FieldReader durationField(Duration& target, double secondsPerUnit, double shortestSeconds = 0)
 {
-    return [&target, secondsPerUnit](const std::string& text) -> std::optional<FieldError> {
+    return [&target, secondsPerUnit, shortestSeconds](const std::string& text) -> std::optional<FieldError> {
         const auto value = number(text);
-        if (!value)
-            return FieldError { "\"" + text + "\" is no duration", "a number that is not negative" };
+        const double seconds = value.value_or(-1) * secondsPerUnit;
+        if (seconds < shortestSeconds || seconds > longestSeconds)
+            return FieldError { "\"" + text + "\" is no usable duration",
+                shortestSeconds > 0 ? "a positive number, at most a day" : "a number from 0 to a day" };
         target = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(*value * secondsPerUnit));
         return std::nullopt;
     };
@@ -103,7 +108,7 @@
         { "peerAddress", { addressField(settings.peerAddress) } },
         { "metricsAddress", { addressField(settings.metricsAddress) } },
         { "storeAddress", { addressField(settings.storeAddress) } },
-        { "leaseMilliseconds", { durationField(settings.leaseTime, millisecond), false } },
+        { "leaseMilliseconds", { durationField(settings.leaseTime, millisecond, millisecond), false } },
         { "enginesCheckFencing", { flagField(settings.enginesCheckFencing), false } },
         { "stopSeconds", { durationField(settings.stopTime, second), false } },
         { "usageWindowSeconds", { durationField(settings.usageWindow, second), false } },
--- a/src/gateway/gateway_settings_test.cc
+++ b/src/gateway/gateway_settings_test.cc
@@ -73,6 +73,16 @@
     BOOST_TEST(errorOf("- a list\n").find("map") != std::string::npos);
 }
 
+// Guards against a lease that ends at once, and against durations that overflow.
+BOOST_AUTO_TEST_CASE(UnusableDurationsAreRefused)
+{
+    for (const char* lease : { "0", "1e300", "inf", "nan", "-5" })
+        BOOST_TEST(errorOf(valid + "leaseMilliseconds: " + lease + "\n").find("leaseMilliseconds")
+            != std::string::npos);
+    BOOST_TEST(errorOf(valid + "usageWindowSeconds: 1e18\n").find("a day") != std::string::npos);
+    BOOST_TEST(errorOf(valid + "retryRatio: inf\n").find("retryRatio") != std::string::npos);
+}
+
 // Guards against a field that the platform leaves empty stopping the start.
 BOOST_AUTO_TEST_CASE(EmptyOptionalFieldsKeepTheirDefaults)
 {
