--- a/src/gateway/fake_row_store_test.h
+++ b/src/gateway/fake_row_store_test.h
@@ -34,6 +34,8 @@
     /// Writes take effect, but their answers are lost.
     bool losesAnswers = false;
     int calls = 0;
+    /// A refusal because of a condition names the current rows.
+    bool namesConflicts = true;
     /// Transactions that were refused because of a condition.
     int conflicts = 0;
 
@@ -78,7 +80,7 @@
             if (hasConflict) {
                 ++conflicts;
                 CommitResult failure(std::nullopt, RowStoreError::Conflict);
-                failure.current = std::move(current);
+                failure.current = namesConflicts ? std::move(current) : std::vector<StoredRow>();
                 callback(failure);
                 return;
             }
--- a/src/gateway/fleet_agent.cc
+++ b/src/gateway/fleet_agent.cc
@@ -170,7 +170,7 @@
     // The row was written by a late call or by an earlier start of this host.
     if (result.error != RowStoreError::Conflict)
         return;
-    if (result.current)
+    if (result.current && !result.current->empty())
         ownRowRead(*result.current);
     else
         rereadOwnRow();
@@ -294,18 +294,22 @@
 void FleetAgent::claimRefused(const std::vector<UpstreamId>& engines, const std::vector<StoredRow>& current)
 {
     const MonotonicTime now = m_scheduler.now();
-    std::set<std::string> existing;
-    for (const StoredRow& row : current) {
-        m_registry.apply(row, now);
-        existing.insert(row.id.key);
-    }
+    std::map<std::string, const StoredRow*> existing;
+    for (const StoredRow& row : current)
+        existing[row.id.key] = &row;
+    bool hasChanged = false;
     for (const UpstreamId& engine : engines) {
         const RowKey key = FleetRows::ownerKey(engine);
-        if (existing.count(key.key) == 0)
-            m_registry.apply({ key, "", RowVersion(0), true }, now);
+        const RowVersion expected = m_registry.ownerVersion(engine);
+        const auto row = existing.find(key.key);
+        m_registry.apply(
+            row == existing.end() ? StoredRow { key, "", RowVersion(0), true } : *row->second, now);
+        hasChanged = hasChanged || m_registry.ownerVersion(engine) != expected;
     }
     reviewOwnership();
-    reconsider();
+    // An answer without news must not lead to claim after claim.
+    if (hasChanged)
+        reconsider();
 }
 
 void FleetAgent::reviewOwnership()
--- a/src/gateway/fleet_agent_test.cc
+++ b/src/gateway/fleet_agent_test.cc
@@ -208,6 +208,24 @@
     BOOST_TEST(store.conflicts <= 1);
 }
 
+// Guards against a store whose refusals do not name the rows: claims and renewals must not follow each other
+// as fast as the store answers.
+BOOST_AUTO_TEST_CASE(RefusalsWithoutRowsAreNoReasonToHurry)
+{
+    VirtualScheduler scheduler;
+    FakeRowStore store(scheduler);
+    store.namesConflicts = false;
+    Host a(scheduler, store, "a", 1, engineSet());
+    scheduler.advance(100ms);
+    for (const UpstreamId& engine : engineSet())
+        store.put(FleetRows::ownerKey(engine),
+            FleetRows::encode(OwnerRecord { engine, HostId("c"), Incarnation(9), {} }));
+    store.put(FleetRows::hostKey(HostId("a")), FleetRows::encode(Host::record("a", 1)));
+    store.conflicts = 0;
+    scheduler.advance(10s);
+    BOOST_TEST(store.conflicts <= 40);
+}
+
 // Guards against engines without an owner for a lease time after a planned stop.
 BOOST_AUTO_TEST_CASE(AStoppingHostHandsItsEnginesOver)
 {
