Leave a restarted host the lease time to take its engines back

Engines that do not check fencing numbers must not be ordered by two hosts within the lease time. The earlier 1.5 s let another host claim, and order, 1.5 s after a restart.

--- a/src/gateway/fleet_registry.cc
+++ b/src/gateway/fleet_registry.cc
@@ -15,9 +15,6 @@
 /// A host is given this much longer than its lease, since reads and renewals take time.
 constexpr Duration deathSlack = std::chrono::milliseconds(400);
 
-/// Time that a host gets after its start to take its engines back.
-constexpr Duration reclaimTime = std::chrono::milliseconds(1500);
-
 constexpr std::string_view hostPrefix = "host:";
 constexpr std::string_view ownerPrefix = "owner:";
 
@@ -218,7 +215,7 @@
     const auto host = m_hosts.find(found->second.record.host);
     const bool hasStartedAnew
         = host != m_hosts.end() && host->second.record.incarnation != found->second.record.incarnation;
-    return hasStartedAnew && isAlive(host->first, now) && now - host->second.startSeen < reclaimTime;
+    return hasStartedAnew && isAlive(host->first, now) && now - host->second.startSeen < m_leaseTime;
 }
 
 std::vector<UpstreamId> FleetRegistry::enginesToClaim(
