End an owner's lease before another host may order its engines

Cause: on sites whose engines check no fencing numbers two hosts ordered one engine.

Change: an owner row counts only if it is newer than the first renewal of the lease that lasts; a lease that was interrupted begins anew and the engines are claimed again. A claim requires that the row of the former owner's host is as it was when it fell silent. The lease is counted from the sending of a renewal and ends 0.2 s early for orders on their way; a stopping host hands its engines over once no order is on its way. Where engines check no numbers the lease is twice the platform's, so that it outlasts a short outage of the store.

The test of claims that meet expected one conflict, because the second claim took a living host's engines; it now expects the refusal that shows that it lives, and no engine taken.

--- a/src/gateway/caller_call_test.cc
+++ b/src/gateway/caller_call_test.cc
@@ -189,7 +189,7 @@
     UpstreamDirectory upstreams { scheduler, store, rows, { [] {}, [](const std::vector<StoredRow>&) {} } };
     HostRecord self { HostId("host-1"), Incarnation(1), { "127.0.0.1", 1 }, { "127.0.0.1", 2 },
         DataCentreId("dc-1"), 0 };
-    FleetAgent fleet { scheduler, store, self, 3s,
+    FleetAgent fleet { scheduler, store, self, 3s, OwnershipRule::EnginesCheckNumbers,
         { [] {}, [](const UpstreamId&, FencingNumber) {}, [](const UpstreamId&) {},
             [] { return std::set<UpstreamId>(); }, [] { return std::set<HostId>(); } } };
     PeerMesh mesh { loop, self, {} };
--- a/src/gateway/engine_owners.cc
+++ b/src/gateway/engine_owners.cc
@@ -231,8 +231,10 @@
     order.expectedSequence = planned.expectedSequence;
     order.holder = m_self;
     order.fencingNumber = owned.fencingNumber;
+    ++m_openOrders;
     m_control.order({ engine, entry->address }, order,
         m_lifetime.guard([this, engine, generation, order](OrderOutcome outcome) {
+            --m_openOrders;
             LogEvent(LogLevel::Info, "engine_order")
                 .with("engine", engine)
                 .with("action", order.action == AdapterOrder::Action::Load ? "load" : "unload")
--- a/src/gateway/engine_owners.h
+++ b/src/gateway/engine_owners.h
@@ -47,6 +47,8 @@
     std::optional<EngineSummary> summary(const UpstreamId& engine) const;
     /// @return whether an own engine has a copy of an adapter that it dropped.
     bool hasCopy(const UpstreamId& engine, const AdapterRef& adapter) const;
+    /// @return whether an order is on its way to an engine.
+    bool hasOpenOrders() const { return m_openOrders > 0; }
     LoadLimiter& loads() { return m_loads; }
 
 private:
@@ -77,6 +79,8 @@
     LoadLimiter m_loads;
     std::map<UpstreamId, Owned> m_engines;
     uint64_t m_nextGeneration = 1;
+    /// Orders that have been sent and not been answered or given up.
+    int m_openOrders = 0;
     Lifetime m_lifetime;
 };
 
--- a/src/gateway/engine_owners_test.cc
+++ b/src/gateway/engine_owners_test.cc
@@ -42,10 +42,19 @@
     }
 };
 
-/// Reports a model without adapters; orders are never answered.
+/// Reports a model without adapters; orders are answered on demand only.
 class SilentOrders : public EngineControl {
 public:
-    void order(const EngineTarget&, const AdapterOrder&, OrderCallback) override { ++orders; }
+    void order(const EngineTarget&, const AdapterOrder&, OrderCallback callback) override
+    {
+        ++orders;
+        m_open.push_back(std::move(callback));
+    }
+    void answerAll(OrderOutcome outcome)
+    {
+        for (const OrderCallback& callback : std::exchange(m_open, {}))
+            callback(outcome);
+    }
     void report(const EngineTarget&, ReportCallback callback) override
     {
         EngineReport report;
@@ -54,6 +63,9 @@
     }
 
     int orders = 0;
+
+private:
+    std::vector<OrderCallback> m_open;
 };
 
 struct Fixture {
@@ -121,4 +133,17 @@
     BOOST_TEST(denials.size() == 2);
 }
 
+// Guards against an order that arrives after those of the next owner because the engine was handed over while
+// the order was on its way.
+BOOST_AUTO_TEST_CASE(TellsWhetherAnOrderIsOnItsWay)
+{
+    BOOST_TEST(!owners.hasOpenOrders());
+    request(7);
+    BOOST_TEST(owners.hasOpenOrders());
+    owners.lost(engine);
+    BOOST_TEST(owners.hasOpenOrders());
+    control.answerAll(OrderOutcome::Accepted);
+    BOOST_TEST(!owners.hasOpenOrders());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/fleet_agent.cc
+++ b/src/gateway/fleet_agent.cc
@@ -34,7 +34,10 @@
 /// Hosts of a new fleet wait until they know each other before they divide the engines.
 constexpr Duration settlingTime = std::chrono::milliseconds(700);
 constexpr Duration deadRowLifetime = std::chrono::seconds(20);
-constexpr size_t maximumRowsPerCall = 40;
+/// Each engine takes a condition and a write, and its last owner a condition.
+constexpr size_t maximumClaimsPerCall = 30;
+/// An order that is sent at the end of a lease may take this long to reach its engine.
+constexpr Duration orderTime = std::chrono::milliseconds(200);
 
 std::string toHex(std::string_view bytes)
 {
@@ -49,12 +52,13 @@
 
 } // namespace
 
-FleetAgent::FleetAgent(
-    Scheduler& scheduler, RowStore& store, HostRecord self, Duration leaseTime, Handlers handlers)
+FleetAgent::FleetAgent(Scheduler& scheduler, RowStore& store, HostRecord self, Duration leaseTime,
+    OwnershipRule rule, Handlers handlers)
     : m_scheduler(scheduler)
     , m_store(store)
     , m_self(std::move(self))
     , m_leaseTime(leaseTime)
+    , m_rule(rule)
     , m_handlers(std::move(handlers))
     , m_registry(m_self.host, m_self.incarnation, leaseTime)
     , m_started(scheduler.now())
@@ -82,7 +86,27 @@
 
 bool FleetAgent::isSessionValid() const
 {
-    return m_lastRenewal && m_scheduler.now() - *m_lastRenewal < std::max(m_leaseTime, renewalInterval() * 2);
+    if (!m_lastRenewal)
+        return false;
+    const Duration age = m_scheduler.now() - *m_lastRenewal;
+    return m_rule == OwnershipRule::LeaseEnds ? age < m_leaseTime - orderTime
+                                              : age < std::max(m_leaseTime, renewalInterval() * 2);
+}
+
+bool FleetAgent::isOfSession(FencingNumber number) const
+{
+    return m_rule == OwnershipRule::EnginesCheckNumbers || number.value() > m_sessionStart.value();
+}
+
+std::vector<UpstreamId> FleetAgent::lapsedEngines(const std::set<UpstreamId>& inUse) const
+{
+    std::vector<UpstreamId> lapsed;
+    for (const UpstreamId& engine : m_registry.ownedBySelf()) {
+        const FencingNumber number(m_registry.ownerVersion(engine).value());
+        if (inUse.count(engine) > 0 && !isOfSession(number))
+            lapsed.push_back(engine);
+    }
+    return lapsed;
 }
 
 void FleetAgent::tableRead(const std::vector<StoredRow>& rows)
@@ -160,11 +184,17 @@
     if (result.value) {
         m_ownVersion = *result.value;
         const bool isFirst = !m_lastRenewal;
+        // Another host may have owned the engines since a lease that ended before this answer came.
+        const bool isNewSession = isFirst || m_scheduler.now() - *m_lastRenewal >= m_leaseTime;
         m_lastRenewal = sent;
+        if (isNewSession)
+            m_sessionStart = m_ownVersion;
         m_registry.apply({ FleetRows::hostKey(m_self.host), FleetRows::encode(m_self), m_ownVersion, false },
             m_scheduler.now());
-        if (isFirst)
+        if (isNewSession) {
+            reviewOwnership();
             reconsider();
+        }
         return;
     }
     // The row was written by a late call or by an earlier start of this host.
@@ -193,7 +223,7 @@
 Duration FleetAgent::renewalInterval() const
 {
     const Duration usual = m_leaseTime * renewalPercent / 100;
-    return isSettled() ? calmInterval(usual) : usual;
+    return m_rule == OwnershipRule::EnginesCheckNumbers && isSettled() ? calmInterval(usual) : usual;
 }
 
 Duration FleetAgent::currentFeedInterval() const
@@ -237,74 +267,89 @@
 {
     const MonotonicTime now = m_scheduler.now();
     const bool isSettled = m_isKnownHost || now - m_started > settlingTime;
-    if (m_isReleased || m_isClaiming || !isSettled || !isSessionValid())
+    if (m_isReleased || m_isClaiming || !isSettled || !isSessionValid() || m_feed.isLost())
         return;
     const auto closed = m_handlers.closedHosts();
     const std::set<UpstreamId> inUse = m_handlers.engines();
     m_hasUnowned = std::any_of(inUse.begin(), inUse.end(),
         [this, now](const UpstreamId& engine) { return !m_registry.owner(engine, now); });
-    const auto engines = m_registry.enginesToClaim(inUse, closed, now);
+    auto engines = m_registry.enginesToClaim(inUse, closed, now);
+    for (const UpstreamId& engine : lapsedEngines(inUse))
+        engines.push_back(engine);
     if (!engines.empty())
         claim(engines);
     removeDeadHosts();
 }
 
+std::vector<RowCondition> FleetAgent::claimConditions(const std::vector<UpstreamId>& engines) const
+{
+    std::vector<RowCondition> conditions;
+    std::set<HostId> silent;
+    for (const UpstreamId& engine : engines) {
+        conditions.push_back({ FleetRows::ownerKey(engine), m_registry.ownerVersion(engine) });
+        if (const auto owner = m_registry.silentOwner(engine))
+            silent.insert(*owner);
+    }
+    for (const HostId& host : silent)
+        conditions.push_back({ FleetRows::hostKey(host), m_registry.hostVersion(host) });
+    return conditions;
+}
+
 void FleetAgent::claim(const std::vector<UpstreamId>& engines)
 {
     m_isClaiming = true;
     OwnerRecord record;
     record.host = m_self.host;
     record.incarnation = m_self.incarnation;
+    const size_t count = std::min(engines.size(), maximumClaimsPerCall);
+    const std::vector<UpstreamId> claims(engines.begin(), engines.begin() + static_cast<ptrdiff_t>(count));
     RowTransaction transaction;
-    std::vector<UpstreamId> claims;
-    for (const UpstreamId& engine : engines) {
-        if (claims.size() >= maximumRowsPerCall)
-            break;
-        transaction.conditions.push_back({ FleetRows::ownerKey(engine), m_registry.ownerVersion(engine) });
+    transaction.conditions = claimConditions(claims);
+    for (const UpstreamId& engine : claims)
         transaction.writes.push_back({ FleetRows::ownerKey(engine), FleetRows::encode(record) });
-        claims.push_back(engine);
-    }
-    m_store.commit(std::move(transaction),
-        m_lifetime.guard([this, claims](const CommitResult& result) { claimed(claims, result); }));
+    const auto conditions = transaction.conditions;
+    m_store.commit(
+        std::move(transaction), m_lifetime.guard([this, claims, conditions](const CommitResult& result) {
+            m_isClaiming = false;
+            if (result.value) {
+                claimed(claims, *result.value);
+                return;
+            }
+            LogEvent(LogLevel::Info, "claim_failed")
+                .with("engines", claims.size())
+                .with("reason", toString(result.error));
+            // Otherwise the feed tells who owns them now, this host included if only the answer was lost.
+            if (result.current)
+                claimRefused(conditions, *result.current);
+        }));
 }
 
-void FleetAgent::claimed(const std::vector<UpstreamId>& engines, const CommitResult& result)
+void FleetAgent::claimed(const std::vector<UpstreamId>& engines, RowVersion version)
 {
-    m_isClaiming = false;
-    if (!result.value) {
-        LogEvent(LogLevel::Info, "claim_failed")
-            .with("engines", engines.size())
-            .with("reason", toString(result.error));
-        // Otherwise the feed tells who owns them now, this host included if only the answer was lost.
-        if (result.current)
-            claimRefused(engines, *result.current);
-        return;
-    }
     OwnerRecord record;
     record.host = m_self.host;
     record.incarnation = m_self.incarnation;
-    for (const UpstreamId& engine : engines) {
-        const StoredRow row { FleetRows::ownerKey(engine), FleetRows::encode(record), *result.value, false };
-        m_registry.apply(row, m_scheduler.now());
-    }
+    for (const UpstreamId& engine : engines)
+        m_registry.apply(
+            { FleetRows::ownerKey(engine), FleetRows::encode(record), version, false }, m_scheduler.now());
     reviewOwnership();
     m_handlers.onFleetChanged();
 }
 
-void FleetAgent::claimRefused(const std::vector<UpstreamId>& engines, const std::vector<StoredRow>& current)
+void FleetAgent::claimRefused(
+    const std::vector<RowCondition>& conditions, const std::vector<StoredRow>& current)
 {
     const MonotonicTime now = m_scheduler.now();
     std::map<std::string, const StoredRow*> existing;
     for (const StoredRow& row : current)
         existing[row.id.key] = &row;
     bool hasChanged = false;
-    for (const UpstreamId& engine : engines) {
-        const RowKey key = FleetRows::ownerKey(engine);
-        const RowVersion expected = m_registry.ownerVersion(engine);
-        const auto row = existing.find(key.key);
-        m_registry.apply(
-            row == existing.end() ? StoredRow { key, "", RowVersion(0), true } : *row->second, now);
-        hasChanged = hasChanged || m_registry.ownerVersion(engine) != expected;
+    for (const RowCondition& condition : conditions) {
+        const auto row = existing.find(condition.id.key);
+        const bool isGone = row == existing.end();
+        const RowVersion version = isGone ? RowVersion(0) : row->second->version;
+        hasChanged = hasChanged || version != condition.expected;
+        m_registry.apply(isGone ? StoredRow { condition.id, "", version, true } : *row->second, now);
     }
     reviewOwnership();
     // An answer without news must not lead to claim after claim.
@@ -318,7 +363,7 @@
     for (const UpstreamId& engine : m_registry.ownedBySelf()) {
         const FencingNumber number(m_registry.ownerVersion(engine).value());
         const auto fenced = m_fenced.find(engine);
-        if (fenced == m_fenced.end() || fenced->second != number)
+        if (isOfSession(number) && (fenced == m_fenced.end() || fenced->second != number))
             owned[engine] = number;
     }
     const auto before = std::exchange(m_owned, owned);
--- a/src/gateway/fleet_agent.h
+++ b/src/gateway/fleet_agent.h
@@ -10,6 +10,16 @@
 
 namespace lacewing::gateway {
 
+/// How a fleet makes sure that only one host orders an engine.
+enum class OwnershipRule {
+    /// Engines refuse orders with an old fencing number, so an owner may go on while the store is away.
+    EnginesCheckNumbers,
+    /// Engines take orders from anyone, so an owner stops when its lease ends. After a lease that has ended
+    /// it
+    /// must claim its engines again, even if its row still names it.
+    LeaseEnds,
+};
+
 /// Keeps this host's row in the fleet's table alive, claims engines that have no living owner, and follows
 /// the rows of the other hosts.
 class FleetAgent : private StoreFeedListener {
@@ -28,7 +38,8 @@
         std::function<std::set<HostId>()> closedHosts;
     };
 
-    FleetAgent(Scheduler& scheduler, RowStore& store, HostRecord self, Duration leaseTime, Handlers handlers);
+    FleetAgent(Scheduler& scheduler, RowStore& store, HostRecord self, Duration leaseTime, OwnershipRule rule,
+        Handlers handlers);
 
     void start();
     void setLeaseTime(Duration leaseTime);
@@ -41,7 +52,7 @@
     void stepDown(const UpstreamId& engine);
     /// Gives up all engines and removes this host's row.
     void release();
-    /// @return whether the store has confirmed this host's row lately.
+    /// @return whether the store has confirmed this host's row lately, so that orders may be sent now.
     bool isSessionValid() const;
     /// @return whether the store answers, as far as the last call tells.
     bool reachesStore() const { return !m_feed.isLost() && !m_isRenewalLost; }
@@ -59,9 +70,17 @@
     /// @param rows this host's row, or nothing if it does not exist.
     void ownRowRead(const std::vector<StoredRow>& rows);
     void claim(const std::vector<UpstreamId>& engines);
-    void claimed(const std::vector<UpstreamId>& engines, const CommitResult& result);
-    /// Learns from a claim that met another one who owns the engines.
-    void claimRefused(const std::vector<UpstreamId>& engines, const std::vector<StoredRow>& current);
+    /// @return conditions under which engines may be claimed: their rows are as they were read, and hosts
+    /// that
+    ///     are taken for dead have not renewed their rows since.
+    std::vector<RowCondition> claimConditions(const std::vector<UpstreamId>& engines) const;
+    void claimed(const std::vector<UpstreamId>& engines, RowVersion version);
+    /// Learns from a claim that met another one who owns the engines, or that their owner lives.
+    void claimRefused(const std::vector<RowCondition>& conditions, const std::vector<StoredRow>& current);
+    /// @return whether an own row may be used for orders: it is of the lease that lasts.
+    bool isOfSession(FencingNumber number) const;
+    /// @return engines that this host owned when its lease ended.
+    std::vector<UpstreamId> lapsedEngines(const std::set<UpstreamId>& inUse) const;
     void reviewOwnership();
     void removeDeadHosts();
     /// @return whether all hosts hear each other and all engines have owners.
@@ -74,9 +93,12 @@
     RowStore& m_store;
     HostRecord m_self;
     Duration m_leaseTime;
+    OwnershipRule m_rule;
     Handlers m_handlers;
     FleetRegistry m_registry;
     RowVersion m_ownVersion;
+    /// Version of this host's row at the first renewal since its lease was last interrupted.
+    RowVersion m_sessionStart;
     MonotonicTime m_started;
     std::optional<MonotonicTime> m_lastRenewal;
     std::map<UpstreamId, FencingNumber> m_owned;
--- a/src/gateway/fleet_agent_test.cc
+++ b/src/gateway/fleet_agent_test.cc
@@ -18,9 +18,9 @@
 
 /// One host of the fleet, with what it owns.
 struct Host {
-    Host(VirtualScheduler& scheduler, FakeRowStore& store, const std::string& name, int64_t incarnation,
-        std::set<UpstreamId> engines)
-        : agent(scheduler, store, record(name, incarnation), leaseTime,
+    Host(VirtualScheduler& scheduler, RowStore& store, const std::string& name, int64_t incarnation,
+        std::set<UpstreamId> engines, OwnershipRule rule = OwnershipRule::EnginesCheckNumbers)
+        : agent(scheduler, store, record(name, incarnation), leaseTime, rule,
             { [] {}, [this](const UpstreamId& engine, FencingNumber number) { owned[engine] = number; },
                 [this](const UpstreamId& engine) { owned.erase(engine); }, [engines] { return engines; },
                 [this] { return closed; } })
@@ -51,6 +51,50 @@
     void awaitChanges(std::string, RowVersion, Duration, ReadCallback) override { }
 };
 
+/// One host's way to a store that may turn the host away while it serves the others, and may hold what the
+/// host reads back while its writes get through.
+class HostStore : public RowStore {
+public:
+    explicit HostStore(FakeRowStore& store)
+        : m_store(store)
+    {
+    }
+
+    bool refusesReads = false;
+    bool refusesWrites = false;
+
+    void readTable(std::string table, ReadCallback callback) override
+    {
+        m_store.readTable(std::move(table), guard(std::move(callback)));
+    }
+    void readRow(RowKey id, ReadCallback callback) override
+    {
+        m_store.readRow(std::move(id), guard(std::move(callback)));
+    }
+    void awaitChanges(std::string table, RowVersion after, Duration wait, ReadCallback callback) override
+    {
+        m_store.awaitChanges(std::move(table), after, wait, guard(std::move(callback)));
+    }
+    void commit(RowTransaction transaction, CommitCallback callback) override
+    {
+        if (refusesWrites)
+            transaction.conditions.push_back({ { "none", "none" }, RowVersion(1) });
+        m_store.commit(std::move(transaction), [this, callback](const CommitResult& result) {
+            callback(refusesWrites ? CommitResult(std::nullopt, RowStoreError::Refused) : result);
+        });
+    }
+
+private:
+    ReadCallback guard(ReadCallback callback)
+    {
+        return [this, callback = std::move(callback)](const RowResult<RowSet>& result) {
+            callback(refusesReads ? RowResult<RowSet> { std::nullopt, RowStoreError::Refused } : result);
+        };
+    }
+
+    FakeRowStore& m_store;
+};
+
 std::set<UpstreamId> engineSet()
 {
     std::set<UpstreamId> engines;
@@ -213,7 +257,11 @@
         store.put(FleetRows::ownerKey(engine),
             FleetRows::encode(OwnerRecord { engine, HostId("c"), Incarnation(9), {} }));
     scheduler.advance(1100ms);
-    BOOST_TEST(store.conflicts == 1);
+    // The first refusal names the owner, the second the owner's row, which shows that it lives.
+    BOOST_TEST(store.conflicts == 2);
+    BOOST_TEST(a.owned.empty());
+    scheduler.advance(2s);
+    BOOST_TEST(store.conflicts == 2);
     BOOST_TEST((a.agent.registry().ownerVersion(UpstreamId("engine-0")) > RowVersion(0)));
 }
 
@@ -235,6 +283,97 @@
     BOOST_TEST(store.conflicts <= 40);
 }
 
+// Guards against two hosts that order one engine with different numbers, which engines without fencing carry
+// out: the store turned the owner away, another host took over, and the owner's writes get through again
+// before it has read who owns its engines.
+BOOST_AUTO_TEST_CASE(AnOwnerWhoseLeaseEndedOrdersOnlyWhatItClaimedAnew)
+{
+    VirtualScheduler scheduler;
+    FakeRowStore store(scheduler);
+    HostStore way(store);
+    Host a(scheduler, way, "a", 1, engineSet(), OwnershipRule::LeaseEnds);
+    Host b(scheduler, store, "b", 2, engineSet(), OwnershipRule::LeaseEnds);
+    scheduler.advance(4s);
+    BOOST_TEST(a.owned.size() == 3);
+    way.refusesReads = way.refusesWrites = true;
+    scheduler.advance(7s);
+    BOOST_TEST(!a.agent.isSessionValid());
+    BOOST_TEST(b.owned.size() == 6);
+    way.refusesWrites = false;
+    for (int step = 0; step < 300; ++step) {
+        scheduler.advance(10ms);
+        for (const auto& [engine, number] : b.owned)
+            BOOST_TEST(!(a.agent.isSessionValid() && a.owned.count(engine) > 0));
+    }
+    way.refusesReads = false;
+    scheduler.advance(5s);
+    BOOST_TEST(b.owned.size() == 6);
+}
+
+// Guards against engines without an owner after their host's lease ended while no other host took over.
+BOOST_AUTO_TEST_CASE(AnOwnerClaimsItsEnginesAgainAfterAnOutage)
+{
+    VirtualScheduler scheduler;
+    FakeRowStore store(scheduler);
+    Host a(scheduler, store, "a", 1, engineSet(), OwnershipRule::LeaseEnds);
+    Host b(scheduler, store, "b", 2, engineSet(), OwnershipRule::LeaseEnds);
+    scheduler.advance(4s);
+    const auto before = a.owned;
+    store.fault = RowStoreError::Refused;
+    scheduler.advance(10s);
+    BOOST_TEST(!a.agent.isSessionValid());
+    store.fault.reset();
+    scheduler.advance(5s);
+    BOOST_TEST(a.agent.isSessionValid());
+    BOOST_TEST(a.owned.size() == 3);
+    for (const auto& [engine, number] : before)
+        BOOST_TEST((a.owned.at(engine) > number));
+}
+
+// Guards against a host that takes the engines of living hosts after it could not read the table for a while:
+// their renewals have passed it by.
+BOOST_AUTO_TEST_CASE(AHostThatMissedRenewalsTakesNoEngines)
+{
+    VirtualScheduler scheduler;
+    FakeRowStore store(scheduler);
+    HostStore way(store);
+    Host a(scheduler, way, "a", 1, engineSet(), OwnershipRule::LeaseEnds);
+    Host b(scheduler, store, "b", 2, engineSet(), OwnershipRule::LeaseEnds);
+    scheduler.advance(4s);
+    const auto before = b.owned;
+    way.refusesReads = true;
+    scheduler.advance(8s);
+    BOOST_TEST((b.owned == before));
+    way.refusesReads = false;
+    scheduler.advance(3s);
+    BOOST_TEST((b.owned == before));
+}
+
+// Guards against an owner that counts its lease from the answer of a renewal instead of from its sending, or
+// that goes on ordering to the very end, when the order may arrive after the lease.
+BOOST_AUTO_TEST_CASE(ALeaseEndsBeforeAnotherHostMayTakeOver)
+{
+    VirtualScheduler scheduler;
+    FakeRowStore store(scheduler);
+    HostStore way(store);
+    Host a(scheduler, way, "a", 1, engineSet(), OwnershipRule::LeaseEnds);
+    Host b(scheduler, store, "b", 2, engineSet(), OwnershipRule::LeaseEnds);
+    scheduler.advance(4s);
+    way.refusesReads = way.refusesWrites = true;
+    std::optional<MonotonicTime> lastOrder;
+    std::optional<MonotonicTime> takenOver;
+    for (int step = 0; step < 700; ++step) {
+        scheduler.advance(10ms);
+        if (a.agent.isSessionValid())
+            lastOrder = scheduler.now();
+        if (!takenOver && b.owned.size() > 3)
+            takenOver = scheduler.now();
+    }
+    BOOST_REQUIRE(lastOrder.has_value());
+    BOOST_REQUIRE(takenOver.has_value());
+    BOOST_TEST(toMilliseconds(*takenOver - *lastOrder) >= 400);
+}
+
 // Guards against engines without an owner for a lease time after a planned stop.
 BOOST_AUTO_TEST_CASE(AStoppingHostHandsItsEnginesOver)
 {
--- a/src/gateway/fleet_registry.cc
+++ b/src/gateway/fleet_registry.cc
@@ -207,6 +207,18 @@
     return found == m_hosts.end() ? RowVersion(0) : found->second.version;
 }
 
+std::optional<HostId> FleetRegistry::silentOwner(const UpstreamId& engine) const
+{
+    const auto found = m_owners.find(engine);
+    if (found == m_owners.end() || found->second.record.host == m_self)
+        return std::nullopt;
+    const OwnerRecord& record = found->second.record;
+    const auto host = m_hosts.find(record.host);
+    if (host != m_hosts.end() && host->second.record.incarnation != record.incarnation)
+        return std::nullopt;
+    return record.host;
+}
+
 bool FleetRegistry::mayReclaim(const UpstreamId& engine, MonotonicTime now) const
 {
     const auto found = m_owners.find(engine);
--- a/src/gateway/fleet_registry.h
+++ b/src/gateway/fleet_registry.h
@@ -78,6 +78,9 @@
     /// @return version of the row that names the engine's owner; 0 without one.
     RowVersion ownerVersion(const UpstreamId& engine) const;
     RowVersion hostVersion(const HostId& host) const;
+    /// @return the host that an engine's row names, if only its silence tells that it is dead: it has not
+    ///     started anew since, and is not this host.
+    std::optional<HostId> silentOwner(const UpstreamId& engine) const;
     const std::optional<std::string>& linkSecret() const { return m_linkSecret; }
 
     /// Chooses the engines without a living owner that this host should claim, so that each host gets about
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -19,6 +19,7 @@
 /// Time before the platform would kill the process, for the last writes.
 constexpr Duration exitMargin = std::chrono::milliseconds(400);
 constexpr Duration idleCheckInterval = std::chrono::milliseconds(50);
+constexpr Duration openOrderInterval = std::chrono::milliseconds(10);
 constexpr Duration memberInterval = std::chrono::milliseconds(500);
 /// Callers reuse connections for almost as long as the limit says, which is measured at their end.
 constexpr Duration idleSlack = std::chrono::milliseconds(1000);
@@ -52,6 +53,14 @@
         0 };
 }
 
+/// Where owners must stop at the end of their lease, it outlasts a short outage of the store.
+constexpr int leaseTimesWithoutFencing = 2;
+
+Duration ownerLease(const GatewaySettings& settings)
+{
+    return settings.enginesCheckFencing ? settings.leaseTime : settings.leaseTime * leaseTimesWithoutFencing;
+}
+
 } // namespace
 
 Gateway::Gateway(EventLoop& loop, HttpClient& client, const PlatformPorts& ports, GatewaySettings settings)
@@ -71,7 +80,8 @@
     , m_usage(m_settings.usageWindow, m_settings.host,
           m_settings.isFirstStart ? m_started - m_settings.usageWindow : m_started)
     , m_retries(m_settings.retries)
-    , m_fleet(loop, ports.store, recordOf(m_settings, m_incarnation), m_settings.leaseTime,
+    , m_fleet(loop, ports.store, recordOf(m_settings, m_incarnation), ownerLease(m_settings),
+          m_settings.enginesCheckFencing ? OwnershipRule::EnginesCheckNumbers : OwnershipRule::LeaseEnds,
           { [this] { fleetChanged(); },
               [this](const UpstreamId& engine, FencingNumber number) { m_owners.claimed(engine, number); },
               [this](const UpstreamId& engine) { m_owners.lost(engine); }, [this] { return engineIds(); },
@@ -149,7 +159,7 @@
     m_settings.usageWindow = settings.usageWindow;
     m_settings.retries = settings.retries;
     m_settings.directoryLifetime = settings.directoryLifetime;
-    m_fleet.setLeaseTime(settings.leaseTime);
+    m_fleet.setLeaseTime(ownerLease(settings));
     m_usage.setWindow(settings.usageWindow);
     m_usage.setTolerance(settings.usageTolerance);
     m_retries.setLimits(settings.retries);
@@ -288,8 +298,7 @@
     std::set<HostId> inTouch;
     for (const auto& [host, state] : m_mesh.peersInTouch())
         inTouch.insert(host);
-    if (m_settings.enginesCheckFencing)
-        m_fleet.setInTouch(inTouch);
+    m_fleet.setInTouch(m_settings.enginesCheckFencing ? inTouch : hostsInReachOfStore());
     m_configuration.setPeersInTouch(static_cast<int64_t>(inTouch.size()));
     m_upstreams.setReader(isReader(m_settings.host, inTouch));
     m_usage.setMembers(members);
@@ -323,7 +332,6 @@
     m_fleet.reconsider();
 }
 
-// Where engines take orders from anyone, an owner must stop before others may take over.
 bool Gateway::mayOrder() const
 {
     return !m_isStopping && (m_settings.enginesCheckFencing || m_fleet.isSessionValid());
@@ -344,6 +352,16 @@
     return engines;
 }
 
+std::set<HostId> Gateway::hostsInReachOfStore() const
+{
+    std::set<HostId> hosts;
+    for (const auto& [host, state] : m_mesh.peersInTouch()) {
+        if (state->heartbeat.reachesStore)
+            hosts.insert(host);
+    }
+    return hosts;
+}
+
 std::set<HostId> Gateway::closedHosts() const
 {
     std::set<HostId> closed;
@@ -363,12 +381,20 @@
     m_stopped = std::move(done);
     m_stopDeadline = m_loop.now() + m_settings.stopTime - exitMargin;
     m_mesh.sendHeartbeats();
-    m_fleet.release();
+    releaseWhenQuiet();
     const Duration named = m_settings.directoryLifetime * keptLifetimes;
     const Duration latest = m_settings.stopTime / 2;
     m_loop.runAfter(std::min(named, latest), [this] { beginDrain(); });
 }
 
+void Gateway::releaseWhenQuiet()
+{
+    if (m_owners.hasOpenOrders())
+        m_loop.runAfter(openOrderInterval, [this] { releaseWhenQuiet(); });
+    else
+        m_fleet.release();
+}
+
 // Callers have had time to hear of the other hosts. What starts from now on might not end in time.
 void Gateway::beginDrain()
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -58,8 +58,11 @@
     void upstreamsChanged();
     bool mayOrder() const;
     std::set<UpstreamId> engineIds() const;
+    std::set<HostId> hostsInReachOfStore() const;
     std::set<HostId> closedHosts() const;
 
+    /// Hands the engines over once no order is on its way, so that none arrives after one of the next owner.
+    void releaseWhenQuiet();
     void beginDrain();
     void finishIfIdle();
 
