Admit prompts in portions while an engine's streams pause too long

The engine reads a piece of a prompt in each step and an event takes several steps, so prompts of 9,000 tokens that wait one behind the other stretch every pause of the streams beside them.

Change: entries measure the longest pause of each stream and tell the engine's owner at its end. While pauses are longer than the route's target, the owner admits prompts in portions that are read within a part of that target, each after the one before was read; the part adapts. Log lines of calls have the longest pause.

--- a/src/experiment/fleet_simulation.cc
+++ b/src/experiment/fleet_simulation.cc
@@ -293,7 +293,7 @@
 void FleetSimulation::report(const Call& call, RunOutcome outcome)
 {
     atOwner(call.engine, [this, key = call.key, outcome, engine = call.engine](EngineScheduler& scheduler) {
-        scheduler.runEnded(key, outcome, m_scheduler.now());
+        scheduler.runEnded(key, { outcome, {} }, m_scheduler.now());
         carryOut(engine);
     });
 }
--- a/src/gateway/caller_call.cc
+++ b/src/gateway/caller_call.cc
@@ -194,6 +194,7 @@
     request.prompt = m_attributes.promptTokens.value_or(Tokens(1));
     request.output = m_attributes.maximumOutputTokens.value_or(Tokens(1));
     request.priority = m_priority;
+    request.targetPause = m_admission.route->targetPause;
     m_search.prepare(request, choices);
     m_services.engines.noteAsked(engine, request.prompt);
     m_run = m_services.broker.ask(owner, engine, request, [weak = weak_from_this()](const RunAnswer& answer) {
@@ -271,6 +272,7 @@
     m_answer.reset();
     m_answerHeaders = HttpHeaders();
     m_body.clear();
+    m_pauses.restart();
     m_isForeignAnswer = false;
     m_isExchanging = true;
     m_services.picker.started(upstream);
@@ -328,6 +330,7 @@
                 m_call->resumeReading();
         });
     }
+    m_pauses.event(m_services.loop.now());
     m_exchange->sendChunk(events);
     if (m_call && m_exchange->bufferedBytes() > maximumBufferedBytes)
         m_call->pauseReading();
@@ -340,7 +343,7 @@
         m_services.picker.ended(m_upstream, outcome, m_services.loop.now());
     m_call.reset();
     if (m_run)
-        m_services.broker.ended(*std::exchange(m_run, std::nullopt), runOutcome);
+        m_services.broker.ended(*std::exchange(m_run, std::nullopt), { runOutcome, m_pauses.longest() });
 }
 
 void CallerCall::upstreamDone(const HttpClientResult& result)
@@ -569,6 +572,7 @@
         .with("sends", m_sends)
         .with("status", m_answer ? m_answer->status : 0)
         .with("first_byte_ms", m_firstByte ? toMilliseconds(*m_firstByte) : -1)
+        .with("longest_pause_ms", toMilliseconds(m_pauses.longest()))
         .with("ms", toMilliseconds(elapsed()))
         .with("outcome", outcome)
         .with("reason", reason);
--- a/src/gateway/caller_call.h
+++ b/src/gateway/caller_call.h
@@ -2,6 +2,7 @@
 
 #include "gateway/call_services.h"
 #include "gateway/event_relay.h"
+#include "gateway/pause_meter.h"
 #include "gateway/start_search.h"
 #include "transport/http_server.h"
 
@@ -95,6 +96,7 @@
     HttpHeaders m_answerHeaders;
     std::string m_body;
     EventRelay m_events;
+    PauseMeter m_pauses;
     bool m_isExchanging = false;
     bool m_isForeignAnswer = false;
     bool m_hasStartedAnswer = false;
--- a/src/gateway/engine_owners.cc
+++ b/src/gateway/engine_owners.cc
@@ -98,12 +98,12 @@
         owned->scheduler->runProgressed(key, m_scheduler.now());
 }
 
-void EngineOwners::runEnded(const UpstreamId& engine, const RunKey& key, RunOutcome outcome)
+void EngineOwners::runEnded(const UpstreamId& engine, const RunKey& key, RunEnding ending)
 {
     Owned* owned = find(engine);
     if (!owned || !owned->scheduler)
         return;
-    owned->scheduler->runEnded(key, outcome, m_scheduler.now());
+    owned->scheduler->runEnded(key, ending, m_scheduler.now());
     carryOut(engine);
 }
 
--- a/src/gateway/engine_owners.h
+++ b/src/gateway/engine_owners.h
@@ -36,7 +36,7 @@
 
     void request(const UpstreamId& engine, RunRequest request);
     void runProgressed(const UpstreamId& engine, const RunKey& key);
-    void runEnded(const UpstreamId& engine, const RunKey& key, RunOutcome outcome);
+    void runEnded(const UpstreamId& engine, const RunKey& key, RunEnding ending);
     void hostLost(const HostId& host);
 
     void released(const AdapterRelease& release);
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -121,7 +121,7 @@
     m_prefillRate.observe(run.backlogAtGrant, now - run.granted);
 }
 
-void EngineScheduler::runEnded(const RunKey& key, RunOutcome outcome, MonotonicTime now)
+void EngineScheduler::runEnded(const RunKey& key, RunEnding ending, MonotonicTime now)
 {
     m_waiting.erase(std::remove_if(m_waiting.begin(), m_waiting.end(),
                         [&key](const RunRequest& waiting) { return waiting.key == key; }),
@@ -139,7 +139,9 @@
         m_placeTurnover += std::chrono::duration_cast<Duration>(turnoverWeight * (since - m_placeTurnover));
         m_lastIdle = now;
     }
-    if (outcome == RunOutcome::AdapterMissing)
+    if (run.hasProgressed)
+        m_prefillPacer.streamEnded(ending.longestPause, run.request.targetPause);
+    if (ending.outcome == RunOutcome::AdapterMissing)
         m_places.missing(run.request.adapter, now);
 }
 
@@ -154,7 +156,7 @@
             lost.push_back(key);
     }
     for (const RunKey& key : lost)
-        runEnded(key, RunOutcome::Finished, now);
+        runEnded(key, RunEnding(), now);
 }
 
 void EngineScheduler::orderAnswered(OrderOutcome outcome, MonotonicTime now)
@@ -248,8 +250,14 @@
     std::stable_sort(m_waiting.begin(), m_waiting.end(),
         [&rank](const RunRequest& a, const RunRequest& b) { return rank(a) < rank(b); });
     std::vector<RunRequest> still;
+    // Shorter prompts do not overtake one that waits until the prompts before it are read.
+    bool isPaced = false;
     for (RunRequest& request : m_waiting) {
-        if (!isServable(request.adapter) || !hasRoom(request)) {
+        const bool canRun = isServable(request.adapter) && hasRoom(request);
+        isPaced = isPaced
+            || (canRun
+                && !m_prefillPacer.admits(m_backlog, request.prompt, shortestTargetPause(), m_prefillRate));
+        if (!canRun || isPaced) {
             still.push_back(std::move(request));
             continue;
         }
@@ -376,6 +384,17 @@
     return fitsCache && static_cast<int>(m_runs.size()) < m_limits.batchSlots;
 }
 
+Duration EngineScheduler::shortestTargetPause() const
+{
+    Duration shortest {};
+    for (const auto& [key, run] : m_runs) {
+        const Duration target = run.request.targetPause;
+        if (target > Duration::zero() && (shortest == Duration::zero() || target < shortest))
+            shortest = target;
+    }
+    return shortest;
+}
+
 Tokens EngineScheduler::queuedPrompts() const
 {
     Tokens queued = m_backlog;
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gateway/engine_places.h"
-#include "gateway/prefill_rate.h"
+#include "gateway/prefill_pacer.h"
 #include "gateway/run_request.h"
 #include "gateway/serving_configuration.h"
 #include "gateway/upstream_entry.h"
@@ -50,7 +50,7 @@
     void request(RunRequest request, MonotonicTime now);
     /// The engine's first event for a run has arrived.
     void runProgressed(const RunKey& key, MonotonicTime now);
-    void runEnded(const RunKey& key, RunOutcome outcome, MonotonicTime now);
+    void runEnded(const RunKey& key, RunEnding ending, MonotonicTime now);
     /// Ends all runs of a host that is gone.
     void hostLost(const HostId& host, MonotonicTime now);
 
@@ -79,6 +79,8 @@
     bool needsPlace(const AdapterRef& adapter) const { return !adapter.adapter.empty(); }
     bool isServable(const AdapterRef& adapter) const;
     bool hasRoom(const RunRequest& request) const;
+    /// @return the shortest target pause of the streams that run, or zero if there is none.
+    Duration shortestTargetPause() const;
     Tokens cacheNeed(const RunRequest& request) const;
     /// @return prompt tokens that wait here or are being read at the engine.
     Tokens queuedPrompts() const;
@@ -106,6 +108,7 @@
     std::vector<RunDenial> m_denials;
     AdapterPopularity m_popularity;
     PrefillRate m_prefillRate;
+    PrefillPacer m_prefillPacer;
     /// Times between two places becoming idle, as a moving average.
     Duration m_placeTurnover = std::chrono::milliseconds(150);
     MonotonicTime m_lastIdle;
--- a/src/gateway/engine_scheduler_test.cc
+++ b/src/gateway/engine_scheduler_test.cc
@@ -52,6 +52,20 @@
         return request.key;
     }
 
+    /// A stream with a prompt of its own length on an adapter that is present.
+    RunKey stream(Tokens prompt)
+    {
+        RunRequest request;
+        request.key = { HostId("host-1"), RunId(m_nextRun++) };
+        request.adapter = { model, AdapterId("a1") };
+        request.prompt = prompt;
+        request.onTimeStart = now + 5s;
+        request.latestStart = now + 5s;
+        request.targetPause = 500ms;
+        scheduler.request(request, now);
+        return request.key;
+    }
+
     SchedulerDecisions decide()
     {
         SchedulerDecisions decisions = scheduler.decide(now);
@@ -128,7 +142,7 @@
     BOOST_TEST(fixture.decide().grants.size() == 2);
     fixture.request("a3");
     BOOST_TEST(fixture.completeOrders().empty());
-    fixture.scheduler.runEnded(second, RunOutcome::Finished, fixture.now);
+    fixture.scheduler.runEnded(second, RunEnding(), fixture.now);
     const auto orders = fixture.completeOrders();
     BOOST_REQUIRE(!orders.empty());
     BOOST_TEST((orders.front().action == AdapterOrder::Action::Unload));
@@ -216,7 +230,7 @@
     auto decisions = fixture.decide();
     BOOST_TEST(decisions.grants.empty());
     BOOST_TEST(!decisions.order.has_value());
-    fixture.scheduler.runEnded(running, RunOutcome::Finished, fixture.now);
+    fixture.scheduler.runEnded(running, RunEnding(), fixture.now);
     std::vector<RunGrant> grants;
     const auto orders = fixture.completeOrders(&grants);
     BOOST_REQUIRE(orders.size() == 2);
@@ -297,4 +311,27 @@
     BOOST_TEST(fixture.scheduler.summary(fixture.now).running == 0);
 }
 
+// Load: long prompts arrive while streams run whose pauses were too long. Guards against prompts that are
+// given to the engine all at once, and against short ones that overtake a long one for ever.
+BOOST_AUTO_TEST_CASE(LongPromptsAreReadOneAfterTheOther)
+{
+    Fixture fixture;
+    fixture.report({ { AdapterId("a1"), 1 } });
+    const RunKey stalled = fixture.stream(Tokens(100));
+    const RunKey running = fixture.stream(Tokens(100));
+    BOOST_TEST(fixture.decide().grants.size() == 2);
+    for (const RunKey& key : { stalled, running })
+        fixture.scheduler.runProgressed(key, fixture.now);
+    fixture.scheduler.runEnded(stalled, { RunOutcome::Finished, 700ms }, fixture.now);
+    const RunKey first = fixture.stream(Tokens(9000));
+    const RunKey second = fixture.stream(Tokens(9000));
+    fixture.stream(Tokens(10));
+    BOOST_TEST(fixture.decide().grants.size() == 1);
+    fixture.now += 200ms;
+    fixture.scheduler.runProgressed(first, fixture.now);
+    const SchedulerDecisions next = fixture.decide();
+    BOOST_REQUIRE(!next.grants.empty());
+    BOOST_TEST((next.grants.front().key == second));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -203,6 +203,7 @@
     json.push_back(message.priority);
     json.push_back(microseconds(message.onTimeWithin));
     json.push_back(microseconds(message.latestWithin));
+    json.push_back(microseconds(message.targetPause));
     return json;
 }
 
@@ -217,6 +218,7 @@
     message.priority = json.at(7).get<int>();
     message.onTimeWithin = duration(json.at(8));
     message.latestWithin = duration(json.at(9));
+    message.targetPause = duration(json.at(10));
     return message;
 }
 
@@ -259,7 +261,8 @@
     Json json = frame(FrameType::RunEnd);
     json.push_back(message.engine.value());
     json.push_back(message.run.value());
-    json.push_back(static_cast<int>(message.outcome));
+    json.push_back(static_cast<int>(message.ending.outcome));
+    json.push_back(microseconds(message.ending.longestPause));
     return json;
 }
 
@@ -293,7 +296,7 @@
             RunId(json.at(2).get<int64_t>()) };
     case FrameType::RunEnd:
         return PeerRunEnd { UpstreamId(json.at(1).get<std::string>()), RunId(json.at(2).get<int64_t>()),
-            enumerator(json.at(3), RunOutcome::EngineFailed) };
+            { enumerator(json.at(3), RunOutcome::EngineFailed), duration(json.at(4)) } };
     case FrameType::Usage:
         return PeerUsage { Incarnation(json.at(1).get<int64_t>()), decodeUsage(json.at(2)) };
     }
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -71,6 +71,7 @@
     /// From the time at which the message is sent.
     Duration onTimeWithin {};
     Duration latestWithin {};
+    Duration targetPause {};
 };
 
 struct PeerRunGrant {
@@ -95,7 +96,7 @@
 struct PeerRunEnd {
     UpstreamId engine;
     RunId run;
-    RunOutcome outcome = RunOutcome::Finished;
+    RunEnding ending;
 };
 
 using PeerMessage = std::variant<PeerHeartbeat, PeerOperatorRequest, PeerOperatorRows, PeerUpstreamRows,
--- a/src/gateway/peer_message_test.cc
+++ b/src/gateway/peer_message_test.cc
@@ -45,10 +45,10 @@
         PeerUpstreamRows { { { { "", "s-1" }, "\xff{}", RowVersion(4), false },
             { { "", "s-2" }, "", RowVersion(5), true } } },
         PeerRunRequest {
-            UpstreamId("engine-1"), RunId(5), adapter, Tokens(10), Tokens(20), 1, 700ms, 1500ms },
+            UpstreamId("engine-1"), RunId(5), adapter, Tokens(10), Tokens(20), 1, 700ms, 1500ms, 400ms },
         PeerRunGrant { RunId(5), 3, 8 }, PeerRunDenial { RunId(5), RunRefusal::EngineUnusable, 200ms },
         PeerRunProgress { UpstreamId("engine-1"), RunId(5) },
-        PeerRunEnd { UpstreamId("engine-1"), RunId(5), RunOutcome::AdapterMissing },
+        PeerRunEnd { UpstreamId("engine-1"), RunId(5), { RunOutcome::AdapterMissing, 30ms } },
         PeerUsage { Incarnation(77), { { WorkspaceId("busy"), 900, 300 } } } };
 }
 
--- /dev/null
+++ b/src/gateway/prefill_pacer.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "gateway/prefill_rate.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace lacewing::gateway {
+
+/// Bounds the prompt tokens that an engine has to read at once, so that its running streams keep their pace.
+///
+/// Load pattern: long prompts arrive while streams run. An engine reads a piece of a prompt in each step, and
+/// one event takes several steps, so prompts that wait one behind the other stretch every pause of the
+/// streams until the last of them is read. When streams report longer pauses than their route allows, prompts
+/// are admitted in portions that the engine reads within a part of such a pause, each after the one before
+/// has been read. The part shrinks while pauses are too long and grows while they are not, until nothing is
+/// held back.
+class PrefillPacer {
+public:
+    /// A stream has ended.
+    ///
+    /// @param longestPause between two of its events.
+    /// @param targetPause the longest one that is on time; zero if the stream has none.
+    void streamEnded(Duration longestPause, Duration targetPause)
+    {
+        if (targetPause == Duration::zero())
+            return;
+        if (longestPause > targetPause)
+            m_share = std::max(lowestShare, std::min(m_share, firstShare) * decrease);
+        else
+            m_share = std::min(unboundedShare, m_share + increase);
+    }
+
+    /// @param unread prompt tokens that the engine has been given and has not read yet.
+    /// @param prompt tokens of a further prompt.
+    /// @param targetPause shortest one of the streams that run at the engine; zero if there is none.
+    /// @return whether the engine may be given the prompt now.
+    bool admits(Tokens unread, Tokens prompt, Duration targetPause, const PrefillRate& rate) const
+    {
+        const bool isBounded = m_share < unboundedShare && targetPause > Duration::zero();
+        if (!isBounded || unread <= Tokens(0))
+            return true;
+        return rate.timeFor(unread + prompt) <= std::chrono::duration_cast<Duration>(m_share * targetPause);
+    }
+
+    /// @return the part of a pause that reading may take.
+    double share() const { return m_share; }
+
+private:
+    static constexpr double unboundedShare = 3;
+    /// The part with which a bound begins; the rest of a pause is for the steps themselves.
+    static constexpr double firstShare = 0.8;
+    static constexpr double lowestShare = 0.3;
+    static constexpr double decrease = 0.92;
+    static constexpr double increase = 0.003;
+
+    double m_share = unboundedShare;
+};
+
+} // namespace lacewing::gateway
--- a/src/gateway/run_broker.cc
+++ b/src/gateway/run_broker.cc
@@ -25,7 +25,7 @@
     }
     const MonotonicTime now = m_scheduler.now();
     const PeerRunRequest message { engine, run, request.adapter, request.prompt, request.output,
-        request.priority, request.onTimeStart - now, request.latestStart - now };
+        request.priority, request.onTimeStart - now, request.latestStart - now, request.targetPause };
     if (!m_mesh->send(owner, message))
         answered(request.key, RunDenial { request.key, RunRefusal::NotOwner });
     return run;
@@ -67,16 +67,16 @@
         m_mesh->send(found->second.owner, PeerRunProgress { found->second.engine, run });
 }
 
-void RunBroker::ended(RunId run, RunOutcome outcome)
+void RunBroker::ended(RunId run, RunEnding ending)
 {
     const auto node = m_asked.extract(run);
     if (!node)
         return;
     const Asked& asked = node.mapped();
     if (asked.owner == m_self)
-        m_owners->runEnded(asked.engine, { m_self, run }, outcome);
+        m_owners->runEnded(asked.engine, { m_self, run }, ending);
     else
-        m_mesh->send(asked.owner, PeerRunEnd { asked.engine, run, outcome });
+        m_mesh->send(asked.owner, PeerRunEnd { asked.engine, run, ending });
 }
 
 void RunBroker::requestFromPeer(const HostId& peer, const PeerRunRequest& message)
@@ -90,6 +90,7 @@
     request.priority = message.priority;
     request.onTimeStart = now + message.onTimeWithin;
     request.latestStart = now + message.latestWithin;
+    request.targetPause = message.targetPause;
     m_owners->request(message.engine, std::move(request));
 }
 
@@ -105,7 +106,7 @@
     else if (const auto* progress = std::get_if<PeerRunProgress>(&message))
         m_owners->runProgressed(progress->engine, { peer, progress->run });
     else if (const auto* end = std::get_if<PeerRunEnd>(&message))
-        m_owners->runEnded(end->engine, { peer, end->run }, end->outcome);
+        m_owners->runEnded(end->engine, { peer, end->run }, end->ending);
 }
 
 void RunBroker::peerLost(const HostId& peer)
--- a/src/gateway/run_broker.h
+++ b/src/gateway/run_broker.h
@@ -31,7 +31,7 @@
     RunId ask(const HostId& owner, const UpstreamId& engine, RunRequest request, Callback callback);
     void progressed(RunId run);
     /// Ends a run that was granted, or withdraws a request that was not answered yet.
-    void ended(RunId run, RunOutcome outcome);
+    void ended(RunId run, RunEnding ending);
 
     // For the gateway, which receives these from owners and peers.
 
--- a/src/gateway/run_request.h
+++ b/src/gateway/run_request.h
@@ -47,6 +47,8 @@
     Tokens output;
     /// Rank; 0 is the most urgent.
     int priority = 0;
+    /// Longest pause between two events of an answer on time; zero if there is no such limit.
+    Duration targetPause {};
     /// A start after this time gives a late answer.
     MonotonicTime onTimeStart;
     /// A start after this time is of no use to the caller.
@@ -86,7 +88,6 @@
     Duration expectedWait {};
 };
 
-/// How a run that was granted ended.
 enum class RunOutcome {
     /// The engine answered, or the caller left.
     Finished,
@@ -96,4 +97,11 @@
     EngineFailed,
 };
 
+/// How a run that was granted ended.
+struct RunEnding {
+    RunOutcome outcome = RunOutcome::Finished;
+    /// Longest pause between two events of its answer.
+    Duration longestPause {};
+};
+
 } // namespace lacewing::gateway
--- a/src/gateway/serving_configuration.h
+++ b/src/gateway/serving_configuration.h
@@ -44,6 +44,8 @@
     Duration timeout {};
     /// Time to the answer, or to a stream's first event, within which the answer is on time.
     Duration targetLatency {};
+    /// Longest pause between two events of a stream that is on time; zero if there is no such limit.
+    Duration targetPause {};
     /// Rank; 0 is the most urgent.
     int priority = 0;
     /// Most upstreams to which one request may be sent.
