Know what engines keep of prompts, and read prompts in portions with a break between

Change: a portion of prompts begins only when the one before it is read, or has taken far too long; the rate is measured over the time in which an engine reads without a break; the owner decides again when a first event arrives. PromptMemory follows which parts of prompts an engine keeps for an adapter (own runs, least recently used parts yield, an unload drops them); a run costs only what is not kept, in the backlog, the portions, the estimates and the rate. Heartbeats tell the rate, which entries had assumed. Parts travel as hashes.

--- a/src/experiment/fleet_simulation.cc
+++ b/src/experiment/fleet_simulation.cc
@@ -199,7 +199,8 @@
     candidate.updateInterval = isOwn ? Duration::zero() : m_shape.heartbeatInterval;
     const auto asked = host.asked.find(index);
     if (!isOwn && asked != host.asked.end() && asked->second.heartbeat == engine.heartbeat)
-        candidate.prefillBacklog += gateway::PrefillRate().timeFor(asked->second.prompts);
+        candidate.prefillBacklog += gateway::PrefillRate::readingTime(
+            asked->second.prompts, std::max(1.0, summary.promptTokensPerMillisecond));
     return candidate;
 }
 
--- a/src/gateway/call_attributes.h
+++ b/src/gateway/call_attributes.h
@@ -2,10 +2,12 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "gateway/run_request.h"
 #include "transport/http_message.h"
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace lacewing::gateway {
 
@@ -22,6 +24,8 @@
     /// Empty for the model's own weights.
     AdapterId adapter;
     std::optional<Tokens> promptTokens;
+    /// The parts of the prompt in order; the last one belongs to the request or its session.
+    std::vector<PromptPart> promptParts;
     std::optional<Tokens> maximumOutputTokens;
 };
 
--- a/src/gateway/caller_call.cc
+++ b/src/gateway/caller_call.cc
@@ -192,6 +192,7 @@
     RunRequest request;
     request.adapter = { m_attributes.model, m_attributes.adapter };
     request.prompt = m_attributes.promptTokens.value_or(Tokens(1));
+    request.parts = m_attributes.promptParts;
     request.output = m_attributes.maximumOutputTokens.value_or(Tokens(1));
     request.priority = m_priority;
     request.targetPause = m_admission.route->targetPause;
--- a/src/gateway/engine_owners.cc
+++ b/src/gateway/engine_owners.cc
@@ -94,8 +94,12 @@
 void EngineOwners::runProgressed(const UpstreamId& engine, const RunKey& key)
 {
     Owned* owned = find(engine);
-    if (owned && owned->scheduler)
-        owned->scheduler->runProgressed(key, m_scheduler.now());
+    if (!owned || !owned->scheduler)
+        return;
+    owned->scheduler->runProgressed(key, m_scheduler.now());
+    // The engine may have read all that it had.
+    if (owned->scheduler->hasWaitingRuns())
+        carryOut(engine);
 }
 
 void EngineOwners::runEnded(const UpstreamId& engine, const RunKey& key, RunEnding ending)
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -60,6 +60,7 @@
     , m_places(loads)
 {
     m_places.setCapacity(m_limits.adapterPlaces);
+    m_promptMemory.setCapacity(m_limits.cacheTokens);
 }
 
 EngineScheduler::~EngineScheduler()
@@ -71,6 +72,7 @@
 {
     m_limits = limits;
     m_places.setCapacity(limits.adapterPlaces);
+    m_promptMemory.setCapacity(limits.cacheTokens);
 }
 
 void EngineScheduler::request(RunRequest request, MonotonicTime now)
@@ -117,8 +119,9 @@
         return;
     Run& run = found->second;
     run.hasProgressed = true;
-    m_backlog -= run.request.prompt;
-    m_prefillRate.observe(run.backlogAtGrant, now - run.granted);
+    m_backlog -= run.unread;
+    m_promptMemory.read(run.request.adapter, run.request.parts);
+    m_prefillRate.read(run.unread, now);
 }
 
 void EngineScheduler::runEnded(const RunKey& key, RunEnding ending, MonotonicTime now)
@@ -132,7 +135,7 @@
     const Run run = std::move(found->second);
     m_runs.erase(found);
     if (!run.hasProgressed)
-        m_backlog -= run.request.prompt;
+        m_backlog -= run.unread;
     m_cacheInUse -= cacheNeed(run.request);
     if (m_places.unuse(run.request.adapter)) {
         const Duration since = std::min<Duration>(now - m_lastIdle, std::chrono::seconds(1));
@@ -176,6 +179,8 @@
     case OrderOutcome::Accepted:
     case OrderOutcome::AlreadyHolds:
         m_failedOrders = 0;
+        if (order.action == AdapterOrder::Action::Unload)
+            m_promptMemory.forget(order.adapter);
         if (m_places.orderTookEffect(order, outcome, now) && m_sequence)
             ++*m_sequence;
         break;
@@ -253,10 +258,12 @@
     // Shorter prompts do not overtake one that waits until the prompts before it are read.
     bool isPaced = false;
     for (RunRequest& request : m_waiting) {
+        const bool isIdle = m_backlog == Tokens(0);
         const bool canRun = isServable(request.adapter) && hasRoom(request);
         isPaced = isPaced
             || (canRun
-                && !m_prefillPacer.admits(m_backlog, request.prompt, shortestTargetPause(), m_prefillRate));
+                && !m_prefillPacer.admits(
+                    unread(request), isIdle, shortestTargetPause(), m_prefillRate, now));
         if (!canRun || isPaced) {
             still.push_back(std::move(request));
             continue;
@@ -268,11 +275,15 @@
         grant.version = m_places.release(request.adapter);
         if (needsPlace(request.adapter))
             m_places.use(request.adapter);
-        m_backlog += request.prompt;
+        const Tokens prompt = unread(request);
+        if (isIdle)
+            m_prefillRate.begun(now);
+        m_prefillPacer.given(prompt, isIdle, m_prefillRate, now);
+        m_backlog += prompt;
         m_cacheInUse += cacheNeed(request);
         decisions.grants.push_back(grant);
         const RunKey key = request.key;
-        m_runs.insert_or_assign(key, Run { std::move(request), now, m_backlog, false });
+        m_runs.insert_or_assign(key, Run { std::move(request), prompt, false });
     }
     m_waiting = std::move(still);
 }
@@ -368,6 +379,12 @@
     return needsPlace(adapter) ? m_places.isPresent(adapter) : m_models.count(adapter.model) > 0;
 }
 
+Tokens EngineScheduler::unread(const RunRequest& request) const
+{
+    // The last token is always read.
+    return std::max(Tokens(1), request.prompt - m_promptMemory.held(request.adapter, request.parts));
+}
+
 Tokens EngineScheduler::cacheNeed(const RunRequest& request) const
 {
     const double output = expectedOutputShare * static_cast<double>(request.output.value());
@@ -399,13 +416,13 @@
 {
     Tokens queued = m_backlog;
     for (const RunRequest& request : m_waiting)
-        queued += request.prompt;
+        queued += unread(request);
     return queued;
 }
 
 Duration EngineScheduler::estimateStart(const RunRequest& request, MonotonicTime now) const
 {
-    const Duration reading = m_prefillRate.timeFor(queuedPrompts() + request.prompt);
+    const Duration reading = m_prefillRate.timeFor(queuedPrompts() + unread(request));
     // More urgent requests that come later are read first.
     if (!needsPlace(request.adapter) || isServable(request.adapter))
         return std::chrono::duration_cast<Duration>(overtakingFactor * reading);
@@ -452,6 +469,7 @@
     summary.isUsable = isUsable();
     summary.models.assign(m_models.begin(), m_models.end());
     summary.prefillBacklog = m_prefillRate.timeFor(queuedPrompts());
+    summary.promptTokensPerMillisecond = m_prefillRate.tokensPerMillisecond();
     summary.running = static_cast<int>(m_runs.size());
     summary.waiting = static_cast<int>(m_waiting.size());
     summary.openPlaces = m_places.open(awaitedAdapters());
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -2,6 +2,7 @@
 
 #include "gateway/engine_places.h"
 #include "gateway/prefill_pacer.h"
+#include "gateway/prompt_memory.h"
 #include "gateway/run_request.h"
 #include "gateway/serving_configuration.h"
 #include "gateway/upstream_entry.h"
@@ -63,15 +64,15 @@
     EngineSummary summary(MonotonicTime now) const;
     /// @return whether the engine has a copy of an adapter that it dropped.
     bool hasCopy(const AdapterRef& adapter) const { return m_places.isWarm(adapter); }
+    bool hasWaitingRuns() const { return !m_waiting.empty(); }
     /// @return requests that wait for a start.
     std::vector<RunKey> waitingRuns() const;
 
 private:
     struct Run {
         RunRequest request;
-        MonotonicTime granted;
-        /// Prompt tokens that were waiting at the engine when the run was granted, its own included.
-        Tokens backlogAtGrant;
+        /// Prompt tokens that the engine had to read for the run when it was granted.
+        Tokens unread;
         bool hasProgressed = false;
     };
 
@@ -81,8 +82,10 @@
     bool hasRoom(const RunRequest& request) const;
     /// @return the shortest target pause of the streams that run, or zero if there is none.
     Duration shortestTargetPause() const;
+    /// @return prompt tokens that the engine does not keep from earlier runs.
+    Tokens unread(const RunRequest& request) const;
     Tokens cacheNeed(const RunRequest& request) const;
-    /// @return prompt tokens that wait here or are being read at the engine.
+    /// @return prompt tokens that wait here or are being read at the engine, without those it keeps.
     Tokens queuedPrompts() const;
     Duration estimateStart(const RunRequest& request, MonotonicTime now) const;
     std::optional<AdapterRef> nextLoad(MonotonicTime now) const;
@@ -109,9 +112,11 @@
     AdapterPopularity m_popularity;
     PrefillRate m_prefillRate;
     PrefillPacer m_prefillPacer;
+    PromptMemory m_promptMemory;
     /// Times between two places becoming idle, as a moving average.
     Duration m_placeTurnover = std::chrono::milliseconds(150);
     MonotonicTime m_lastIdle;
+    /// Prompt tokens that the engine was given and has not read yet.
     Tokens m_backlog;
     Tokens m_cacheInUse;
     std::optional<int64_t> m_sequence;
--- a/src/gateway/engine_summary.h
+++ b/src/gateway/engine_summary.h
@@ -20,6 +20,8 @@
     std::vector<ModelId> models;
     /// Time to read the prompts that wait or are being read.
     Duration prefillBacklog {};
+    /// How fast it reads prompts.
+    double promptTokensPerMillisecond = 0;
     int running = 0;
     int waiting = 0;
     /// Places that are free or hold an adapter without a request.
--- a/src/gateway/engine_view.cc
+++ b/src/gateway/engine_view.cc
@@ -4,6 +4,13 @@
 
 namespace lacewing::gateway {
 
+namespace {
+
+/// Prompt tokens per millisecond; guards against an owner that says nothing of the engine's speed.
+constexpr double lowestReadingSpeed = 1;
+
+} // namespace
+
 EngineView::EngineView(const Clock& clock, const UpstreamDirectory& upstreams, const FleetAgent& fleet,
     const PeerMesh& mesh, const EngineOwners& owners, const UpstreamPicker& picker, HostId self,
     DataCentreId dataCentre)
@@ -81,7 +88,8 @@
             candidate.updateInterval = updateInterval;
             const auto asked = m_asked.find(entry->id);
             if (asked != m_asked.end() && asked->second.heard == told->heard)
-                candidate.prefillBacklog += m_rate.timeFor(asked->second.prompts);
+                candidate.prefillBacklog += PrefillRate::readingTime(
+                    asked->second.prompts, std::max(lowestReadingSpeed, summary.promptTokensPerMillisecond));
         }
         candidates.push_back(std::move(candidate));
     }
--- a/src/gateway/engine_view.h
+++ b/src/gateway/engine_view.h
@@ -48,7 +48,6 @@
     HostId m_self;
     DataCentreId m_dataCentre;
     std::map<UpstreamId, Asked> m_asked;
-    PrefillRate m_rate;
 };
 
 } // namespace lacewing::gateway
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -54,9 +54,9 @@
         const bool isLoaded = std::count(summary.models.begin(), summary.models.end(), model) > 0;
         held.push_back({ model.value(), isLoaded, std::move(adapters[0]), std::move(adapters[1]) });
     }
-    return Json::array(
-        { summary.engine.value(), microseconds(summary.prefillBacklog), summary.running, summary.waiting,
-            summary.openPlaces, summary.isUsable, microseconds(summary.fetchWait), std::move(held) });
+    return Json::array({ summary.engine.value(), microseconds(summary.prefillBacklog), summary.running,
+        summary.waiting, summary.openPlaces, summary.isUsable, microseconds(summary.fetchWait),
+        std::move(held), summary.promptTokensPerMillisecond });
 }
 
 EngineSummary decodeSummary(const Json& json)
@@ -69,6 +69,7 @@
     summary.openPlaces = json.at(4).get<int>();
     summary.isUsable = json.at(5).get<bool>();
     summary.fetchWait = duration(json.at(6));
+    summary.promptTokensPerMillisecond = json.at(8).get<double>();
     for (const Json& held : json.at(7)) {
         const ModelId model(held.at(0).get<std::string>());
         if (held.at(1).get<bool>())
@@ -204,6 +205,12 @@
     json.push_back(microseconds(message.onTimeWithin));
     json.push_back(microseconds(message.latestWithin));
     json.push_back(microseconds(message.targetPause));
+    Json parts = Json::array();
+    for (const PromptPart& part : message.parts) {
+        parts.push_back(part.id);
+        parts.push_back(part.tokens.value());
+    }
+    json.push_back(std::move(parts));
     return json;
 }
 
@@ -219,6 +226,10 @@
     message.onTimeWithin = duration(json.at(8));
     message.latestWithin = duration(json.at(9));
     message.targetPause = duration(json.at(10));
+    const Json& parts = json.at(11);
+    for (size_t index = 0; index + 1 < parts.size(); index += 2)
+        message.parts.push_back(
+            { parts.at(index).get<uint64_t>(), Tokens(parts.at(index + 1).get<int64_t>()) });
     return message;
 }
 
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -66,6 +66,7 @@
     RunId run;
     AdapterRef adapter;
     Tokens prompt;
+    std::vector<PromptPart> parts;
     Tokens output;
     int priority = 0;
     /// From the time at which the message is sent.
--- a/src/gateway/peer_message_test.cc
+++ b/src/gateway/peer_message_test.cc
@@ -30,6 +30,7 @@
     engine.running = 4;
     engine.waiting = 2;
     engine.openPlaces = 1;
+    engine.promptTokensPerMillisecond = 44.25;
     engine.adapters.push_back({ { ModelId("base"), AdapterId("a0") }, false });
     engine.adapters.push_back({ { ModelId("base"), AdapterId("a1") }, true });
     engine.adapters.push_back({ { ModelId("next"), AdapterId("a2") }, true });
@@ -44,8 +45,8 @@
         PeerOperatorRows { { { { "", "config" }, "\xff{}", RowVersion(4), false } } },
         PeerUpstreamRows { { { { "", "s-1" }, "\xff{}", RowVersion(4), false },
             { { "", "s-2" }, "", RowVersion(5), true } } },
-        PeerRunRequest {
-            UpstreamId("engine-1"), RunId(5), adapter, Tokens(10), Tokens(20), 1, 700ms, 1500ms, 400ms },
+        PeerRunRequest { UpstreamId("engine-1"), RunId(5), adapter, Tokens(10),
+            { { ~0ULL, Tokens(7) }, { 8, Tokens(3) } }, Tokens(20), 1, 700ms, 1500ms, 400ms },
         PeerRunGrant { RunId(5), 3, 8 }, PeerRunDenial { RunId(5), RunRefusal::EngineUnusable, 200ms },
         PeerRunProgress { UpstreamId("engine-1"), RunId(5) },
         PeerRunEnd { UpstreamId("engine-1"), RunId(5), { RunOutcome::AdapterMissing, 30ms } },
--- a/src/gateway/prefill_pacer.h
+++ b/src/gateway/prefill_pacer.h
@@ -33,30 +33,57 @@
             m_share = std::min(unboundedShare, m_share + increase);
     }
 
-    /// @param unread prompt tokens that the engine has been given and has not read yet.
+    /// The engine is given a prompt.
+    ///
+    /// @param isIdle it had nothing to read.
+    void given(Tokens prompt, bool isIdle, const PrefillRate& rate, MonotonicTime now)
+    {
+        if (isPortionOver(isIdle, rate, now)) {
+            m_portion = Tokens(0);
+            m_begun = now;
+        }
+        m_portion += prompt;
+    }
+
     /// @param prompt tokens of a further prompt.
+    /// @param isIdle the engine has nothing to read.
     /// @param targetPause shortest one of the streams that run at the engine; zero if there is none.
     /// @return whether the engine may be given the prompt now.
-    bool admits(Tokens unread, Tokens prompt, Duration targetPause, const PrefillRate& rate) const
+    bool admits(
+        Tokens prompt, bool isIdle, Duration targetPause, const PrefillRate& rate, MonotonicTime now) const
     {
         const bool isBounded = m_share < unboundedShare && targetPause > Duration::zero();
-        if (!isBounded || unread <= Tokens(0))
+        if (!isBounded || isPortionOver(isIdle, rate, now))
             return true;
-        return rate.timeFor(unread + prompt) <= std::chrono::duration_cast<Duration>(m_share * targetPause);
+        return rate.timeFor(m_portion + prompt)
+            <= std::chrono::duration_cast<Duration>(m_share * targetPause);
     }
 
     /// @return the part of a pause that reading may take.
     double share() const { return m_share; }
 
 private:
-    static constexpr double unboundedShare = 3;
+    /// A run that never begins must not hold the others back.
+    bool isPortionOver(bool isIdle, const PrefillRate& rate, MonotonicTime now) const
+    {
+        return isIdle || now - m_begun > lostRunFactor * rate.timeFor(m_portion) + lostRunSlack;
+    }
+
+    static constexpr double unboundedShare = 1.6;
     /// The part with which a bound begins; the rest of a pause is for the steps themselves.
-    static constexpr double firstShare = 0.8;
+    static constexpr double firstShare = 1;
     static constexpr double lowestShare = 0.3;
-    static constexpr double decrease = 0.92;
-    static constexpr double increase = 0.003;
+    static constexpr double decrease = 0.93;
+    static constexpr double increase = 0.002;
+
+    /// A portion that takes this many times as long as expected, and a little more, has lost a run.
+    static constexpr int lostRunFactor = 2;
+    static constexpr Duration lostRunSlack = std::chrono::milliseconds(200);
 
-    double m_share = unboundedShare;
+    double m_share = firstShare;
+    /// What the engine has been given since it last had nothing to read, and since when.
+    Tokens m_portion;
+    MonotonicTime m_begun;
 };
 
 } // namespace lacewing::gateway
--- a/src/gateway/prefill_pacer_test.cc
+++ b/src/gateway/prefill_pacer_test.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Duration targetPause = 500ms;
+const MonotonicTime start(100s);
 
 } // namespace
 
@@ -18,9 +19,10 @@
 BOOST_AUTO_TEST_CASE(NothingIsHeldBackWhileStreamsKeepTheirPace)
 {
     PrefillPacer pacer;
-    for (int run = 0; run < 100; ++run)
+    for (int run = 0; run < 400; ++run)
         pacer.streamEnded(targetPause, targetPause);
-    BOOST_TEST(pacer.admits(Tokens(1000000), Tokens(1000000), targetPause, PrefillRate()));
+    pacer.given(Tokens(1000000), true, PrefillRate(), start);
+    BOOST_TEST(pacer.admits(Tokens(1000000), false, targetPause, PrefillRate(), start));
 }
 
 // Load: long prompts beside streams. Guards against pauses that grow with the prompts that wait.
@@ -29,11 +31,16 @@
     PrefillPacer pacer;
     const PrefillRate rate;
     pacer.streamEnded(targetPause + 1ms, targetPause);
-    Tokens unread;
-    while (pacer.admits(unread, Tokens(1000), targetPause, rate))
-        unread += Tokens(1000);
-    BOOST_TEST((unread > Tokens(0)));
-    BOOST_TEST((rate.timeFor(unread) < targetPause));
+    Tokens portion;
+    while (pacer.admits(Tokens(1000), portion == Tokens(0), targetPause, rate, start)) {
+        pacer.given(Tokens(1000), portion == Tokens(0), rate, start);
+        portion += Tokens(1000);
+    }
+    BOOST_TEST((portion > Tokens(0)));
+    BOOST_TEST((rate.timeFor(portion) < targetPause));
+    // What has been read of the portion makes no room until all of it is read.
+    BOOST_TEST(!pacer.admits(Tokens(1000), false, targetPause, rate, start + 300ms));
+    BOOST_TEST(pacer.admits(Tokens(1000), true, targetPause, rate, start + 300ms));
 }
 
 // Guards against a prompt that is never read because it alone is longer than a portion.
@@ -42,8 +49,9 @@
     PrefillPacer pacer;
     for (int run = 0; run < 100; ++run)
         pacer.streamEnded(10s, targetPause);
-    BOOST_TEST(pacer.admits(Tokens(0), Tokens(1000000), targetPause, PrefillRate()));
-    BOOST_TEST(!pacer.admits(Tokens(1), Tokens(1000000), targetPause, PrefillRate()));
+    BOOST_TEST(pacer.admits(Tokens(1000000), true, targetPause, PrefillRate(), start));
+    pacer.given(Tokens(1), true, PrefillRate(), start);
+    BOOST_TEST(!pacer.admits(Tokens(1000000), false, targetPause, PrefillRate(), start));
 }
 
 // Guards against a bound that stays after its cause is gone, and against one without a stream to protect.
@@ -51,10 +59,21 @@
 {
     PrefillPacer pacer;
     pacer.streamEnded(1s, targetPause);
-    BOOST_TEST(pacer.admits(Tokens(100000), Tokens(100000), Duration::zero(), PrefillRate()));
+    pacer.given(Tokens(1000000), true, PrefillRate(), start);
+    BOOST_TEST(pacer.admits(Tokens(100000), false, Duration::zero(), PrefillRate(), start));
     for (int run = 0; run < 1000; ++run)
         pacer.streamEnded(100ms, targetPause);
-    BOOST_TEST(pacer.admits(Tokens(1000000), Tokens(1000000), targetPause, PrefillRate()));
+    BOOST_TEST(pacer.admits(Tokens(1000000), false, targetPause, PrefillRate(), start));
+}
+
+// Guards against a run that an engine never begins and that holds back all others.
+BOOST_AUTO_TEST_CASE(ALostRunDoesNotHoldTheOthersBack)
+{
+    PrefillPacer pacer;
+    const PrefillRate rate;
+    pacer.given(Tokens(10000), true, rate, start);
+    BOOST_TEST(!pacer.admits(Tokens(1000), false, targetPause, rate, start + rate.timeFor(Tokens(10000))));
+    BOOST_TEST(pacer.admits(Tokens(1000), false, targetPause, rate, start + 3 * rate.timeFor(Tokens(10000))));
 }
 
 // Guards against a bound that a request without a target of its own moves.
--- a/src/gateway/prefill_rate.h
+++ b/src/gateway/prefill_rate.h
@@ -7,29 +7,43 @@
 
 namespace lacewing::gateway {
 
-/// Estimates how fast an engine reads prompts, from the time that runs take to their first event.
+/// Estimates how fast an engine reads prompts, from how many it reads without a break.
 ///
 /// Load pattern: requests for a popular adapter pile up at one engine, which reads their prompts one after
 /// the other; the estimate tells how long a further one would wait there.
 class PrefillRate {
 public:
-    /// @param backlog prompt tokens that were waiting at the engine when the run started, its own included.
-    /// @param elapsed time from the start to the first event.
-    void observe(Tokens backlog, Duration elapsed)
+    /// The engine had nothing to read and has been given a prompt.
+    void begun(MonotonicTime now)
     {
-        const double readingTime = toSeconds(elapsed - fixedTime) * millisecondsPerSecond;
-        if (backlog.value() < minimumSample || readingTime <= 0)
+        m_since = now + fixedTime;
+        m_read = Tokens(0);
+    }
+    /// The engine has read a prompt, as its first event shows.
+    ///
+    /// @param tokens that it had to read.
+    void read(Tokens tokens, MonotonicTime now)
+    {
+        m_read += tokens;
+        const Duration elapsed = now - m_since;
+        if (m_read < minimumSample || elapsed < shortestSample)
             return;
-        const double sample = static_cast<double>(backlog.value()) / readingTime;
+        const double sample
+            = static_cast<double>(m_read.value()) / (toSeconds(elapsed) * millisecondsPerSecond);
         m_tokensPerMillisecond += sampleWeight * (sample - m_tokensPerMillisecond);
         m_tokensPerMillisecond = std::clamp(m_tokensPerMillisecond, lowest, highest);
+        m_since = now;
+        m_read = Tokens(0);
     }
 
+    double tokensPerMillisecond() const { return m_tokensPerMillisecond; }
     /// @return how long the engine takes to read so many tokens.
-    Duration timeFor(Tokens tokens) const
+    Duration timeFor(Tokens tokens) const { return readingTime(tokens, m_tokensPerMillisecond); }
+    /// @param tokensPerMillisecond must not be 0.
+    static Duration readingTime(Tokens tokens, double tokensPerMillisecond)
     {
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
-            static_cast<double>(tokens.value()) / m_tokensPerMillisecond));
+            static_cast<double>(tokens.value()) / tokensPerMillisecond));
     }
 
 private:
@@ -37,13 +51,18 @@
     static constexpr double initial = 20;
     static constexpr double lowest = 1;
     static constexpr double highest = 1000;
-    static constexpr double sampleWeight = 0.1;
-    /// Tokens; a short prompt tells little about the rate.
-    static constexpr int64_t minimumSample = 1500;
+    static constexpr double sampleWeight = 0.15;
+    /// Short prompts and short times tell little about the rate.
+    static constexpr Tokens minimumSample { 1500 };
+    static constexpr Duration shortestSample = std::chrono::milliseconds(20);
     /// Time to the first event that does not depend on the prompt: the way there and back and two steps.
     static constexpr Duration fixedTime = std::chrono::milliseconds(20);
 
     double m_tokensPerMillisecond = initial;
+    /// Since when the engine has been reading.
+    MonotonicTime m_since;
+    /// What it has read since then.
+    Tokens m_read;
 };
 
 } // namespace lacewing::gateway
--- /dev/null
+++ b/src/gateway/prefill_rate_test.cc
@@ -0,0 +1,45 @@
+#include "gateway/prefill_rate.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lacewing;
+using namespace lacewing::gateway;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(PrefillRateTest)
+
+// Load: prompts wait one behind the other. Guards against a rate that counts a prompt again for each one that
+// was granted while it was being read.
+BOOST_AUTO_TEST_CASE(PromptsInARowAreCountedOnce)
+{
+    PrefillRate rate;
+    MonotonicTime now(100s);
+    for (int portion = 0; portion < 50; ++portion) {
+        rate.begun(now);
+        now += 20ms;
+        for (int prompt = 0; prompt < 4; ++prompt) {
+            now += 50ms;
+            rate.read(Tokens(2000), now);
+        }
+        now += 100ms;
+    }
+    BOOST_TEST(rate.tokensPerMillisecond() == 40, boost::test_tools::tolerance(0.05));
+    BOOST_TEST(toMilliseconds(rate.timeFor(Tokens(4000))) >= 95);
+    BOOST_TEST(toMilliseconds(rate.timeFor(Tokens(4000))) <= 105);
+}
+
+// Guards against a rate out of one short prompt, whose time is mostly that of the way and of the first steps.
+BOOST_AUTO_TEST_CASE(ShortPromptsTellNothing)
+{
+    PrefillRate rate;
+    const double before = rate.tokensPerMillisecond();
+    MonotonicTime now(100s);
+    for (int run = 0; run < 100; ++run) {
+        rate.begun(now);
+        now += 21ms;
+        rate.read(Tokens(200), now);
+    }
+    BOOST_TEST(rate.tokensPerMillisecond() == before);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/run_broker.cc
+++ b/src/gateway/run_broker.cc
@@ -24,8 +24,9 @@
         return run;
     }
     const MonotonicTime now = m_scheduler.now();
-    const PeerRunRequest message { engine, run, request.adapter, request.prompt, request.output,
-        request.priority, request.onTimeStart - now, request.latestStart - now, request.targetPause };
+    const PeerRunRequest message { engine, run, request.adapter, request.prompt, request.parts,
+        request.output, request.priority, request.onTimeStart - now, request.latestStart - now,
+        request.targetPause };
     if (!m_mesh->send(owner, message))
         answered(request.key, RunDenial { request.key, RunRefusal::NotOwner });
     return run;
@@ -86,6 +87,7 @@
     request.key = { peer, message.run };
     request.adapter = message.adapter;
     request.prompt = message.prompt;
+    request.parts = message.parts;
     request.output = message.output;
     request.priority = message.priority;
     request.onTimeStart = now + message.onTimeWithin;
--- a/src/gateway/run_request.h
+++ b/src/gateway/run_request.h
@@ -3,7 +3,9 @@
 #include "base/clock.h"
 #include "base/ids.h"
 
+#include <cstdint>
 #include <optional>
+#include <vector>
 
 namespace lacewing::gateway {
 
@@ -26,6 +28,13 @@
     }
 };
 
+/// A part of a prompt that other prompts may share.
+struct PromptPart {
+    /// Hash of the part's name.
+    uint64_t id = 0;
+    Tokens tokens;
+};
+
 /// Which run of which host.
 struct RunKey {
     HostId host;
@@ -43,6 +52,8 @@
     RunKey key;
     AdapterRef adapter;
     Tokens prompt;
+    /// The parts of the prompt in order, if they are known.
+    std::vector<PromptPart> parts;
     /// Most tokens that it may generate.
     Tokens output;
     /// Rank; 0 is the most urgent.
