Let few hosts follow the operators' rows in a large fleet

Change: the hosts that already follow the upstreams' rows for the others follow the operators' rows too; the others look every 12 s and ask a peer that has a newer row, each at a random moment, so that no peer serves all. Readers are chosen among hosts that reach the store, and a new reader calls at once. A host that has heard of a newer configuration denies nothing until it has it. Links are pinged only after a heartbeat is overdue; with heartbeats and pings both due after a second, large fleets sent both. An arriving heartbeat no longer builds a map of all peers.

--- a/src/gateway/configuration_keeper.cc
+++ b/src/gateway/configuration_keeper.cc
@@ -9,10 +9,9 @@
 namespace {
 
 /// A change must be in force within a few seconds. A connection that went silent would hide it for this long.
-constexpr Duration shortestFeedWait = std::chrono::milliseconds(1400);
-/// In a large fleet the other hosts' heartbeats tell of changes too, so each host asks less often.
-constexpr Duration feedWaitPerHost = std::chrono::milliseconds(200);
-constexpr Duration longestFeedWait = std::chrono::seconds(12);
+constexpr Duration feedWait = std::chrono::milliseconds(1400);
+/// A host that hears of changes from readers looks by itself this often.
+constexpr Duration relayedFeedInterval = std::chrono::seconds(12);
 constexpr Duration freshness = std::chrono::milliseconds(2300);
 
 } // namespace
@@ -23,13 +22,15 @@
     , m_decoder(decoder)
     , m_handlers(std::move(handlers))
     , m_feed(scheduler, store, *this,
-          { decoder.operatorTable(), [this] { return feedWait(); }, [] { return Duration::zero(); } })
+          { decoder.operatorTable(), [this] { return m_isReader ? feedWait : Duration::zero(); },
+              [this] { return m_isReader ? Duration::zero() : relayedFeedInterval; } })
 {
 }
 
-Duration ConfigurationKeeper::feedWait() const
+void ConfigurationKeeper::setReader(bool isReader)
 {
-    return std::clamp(feedWaitPerHost * m_peersInTouch, shortestFeedWait, longestFeedWait);
+    if (!std::exchange(m_isReader, isReader) && isReader)
+        m_feed.hurry();
 }
 
 std::optional<Duration> ConfigurationKeeper::age() const
@@ -44,11 +45,12 @@
 bool ConfigurationKeeper::isFresh() const
 {
     const auto current = age();
-    return current && *current < freshness;
+    return m_heardVersion <= m_rowVersion && current && *current < freshness;
 }
 
 void ConfigurationKeeper::peerConfirmed(RowVersion version, Duration age)
 {
+    m_heardVersion = std::max(m_heardVersion, version);
     if (version != m_rowVersion)
         return;
     const MonotonicTime time = m_scheduler.now() - age;
--- a/src/gateway/configuration_keeper.h
+++ b/src/gateway/configuration_keeper.h
@@ -39,20 +39,22 @@
     std::vector<StoredRow> rowsAfter(RowVersion version) const;
     /// @return time since the configuration was last known to be the newest, or nothing before that.
     std::optional<Duration> age() const;
-    /// A peer has the same row and knew it to be the newest some time ago.
+    /// A peer knew its row to be the newest some time ago.
+    ///
+    /// @param version of the peer's row; one that is newer than this host's shows that its own is not.
     void peerConfirmed(RowVersion version, Duration age);
     /// Takes over from a peer what is newer.
     void peerOffered(const std::vector<StoredRow>& rows);
 
-    /// @param peers hosts whose heartbeats tell of changes.
-    void setPeersInTouch(int64_t peers) { m_peersInTouch = peers; }
+    /// @param isReader whether this host follows the store closely; the others hear of changes from readers.
+    void setReader(bool isReader);
+    bool isReader() const { return m_isReader; }
 
     const std::map<AdapterRef, int64_t>& releases() const { return m_releases; }
 
 private:
     void tableRead(const std::vector<StoredRow>& rows) override { rowsChanged(rows); }
     void rowsChanged(const std::vector<StoredRow>& rows) override;
-    Duration feedWait() const;
     void apply(const std::vector<StoredRow>& rows, const char* source);
     void applyConfiguration(const StoredRow& row, const char* source);
     void applyRelease(const StoredRow& row, const AdapterRelease& release, const char* source);
@@ -67,7 +69,9 @@
     /// The newest row of each key that was applied.
     std::map<std::string, StoredRow> m_rows;
     std::map<AdapterRef, int64_t> m_releases;
-    int64_t m_peersInTouch = 0;
+    bool m_isReader = true;
+    /// Newest version of the configuration that a peer has told of.
+    RowVersion m_heardVersion;
     /// When a peer's confirmation of the row in force dates from.
     std::optional<MonotonicTime> m_confirmed;
     StoreFeed m_feed;
--- a/src/gateway/configuration_keeper_test.cc
+++ b/src/gateway/configuration_keeper_test.cc
@@ -101,4 +101,54 @@
     BOOST_TEST(!fixture.keeper.isFresh());
 }
 
+// Guards against denials by a host that has heard of a newer configuration and does not have it yet.
+BOOST_AUTO_TEST_CASE(IsNotFreshOnceAPeerHasANewerOne)
+{
+    Fixture fixture;
+    fixture.put("3");
+    fixture.keeper.start();
+    fixture.scheduler.advance(1s);
+    BOOST_TEST(fixture.keeper.isFresh());
+    const RowVersion newer(fixture.keeper.rowVersion().value() + 1);
+    fixture.keeper.peerConfirmed(newer, 0ms);
+    BOOST_TEST(!fixture.keeper.isFresh());
+    fixture.keeper.peerOffered({ configurationRow(newer.value(), "5") });
+    BOOST_TEST(fixture.keeper.isFresh());
+}
+
+// Load: configurations in quick succession in a large fleet. Guards against a call of every host for every
+// one of them.
+BOOST_AUTO_TEST_CASE(AHostThatIsNoReaderCallsTheStoreSeldom)
+{
+    constexpr int seconds = 60;
+    Fixture fixture;
+    fixture.put("1");
+    fixture.keeper.start();
+    fixture.scheduler.advance(100ms);
+    fixture.keeper.setReader(false);
+    fixture.store.calls = 0;
+    for (int second = 2; second < seconds; ++second) {
+        fixture.put(std::to_string(second).c_str());
+        fixture.scheduler.advance(1s);
+    }
+    BOOST_TEST(fixture.store.calls <= 7);
+}
+
+// Guards against a fleet that misses changes for a long time after its readers are gone.
+BOOST_AUTO_TEST_CASE(ANewReaderAsksAtOnce)
+{
+    Fixture fixture;
+    fixture.put("3");
+    fixture.keeper.start();
+    fixture.scheduler.advance(100ms);
+    fixture.keeper.setReader(false);
+    fixture.scheduler.advance(3s);
+    fixture.put("8");
+    fixture.scheduler.advance(1s);
+    BOOST_TEST(fixture.revision() == 3);
+    fixture.keeper.setReader(true);
+    fixture.scheduler.advance(100ms);
+    BOOST_TEST(fixture.revision() == 8);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -31,7 +31,7 @@
     return Incarnation(static_cast<int64_t>(((high << 32) | device()) >> 1));
 }
 
-/// In a large fleet only some hosts follow the upstreams' rows closely, and tell the others.
+/// In a large fleet only some hosts follow the rows of upstreams and operators closely, and tell the others.
 constexpr size_t smallFleet = 12;
 constexpr size_t hostsPerReader = 12;
 constexpr size_t fewestReaders = 6;
@@ -90,7 +90,7 @@
           { [this](const HostId& peer, const PeerMessage& message) { peerMessage(peer, message); },
               [this](const HostId& peer) { m_broker.peerLost(peer); },
               [this](HeartbeatAudience audience) { return heartbeat(audience); } })
-    , m_operatorRows(loop, m_configuration,
+    , m_operatorRows(loop, m_configuration, m_random,
           [this](const HostId& peer, const PeerMessage& message) { m_mesh.send(peer, message); })
     , m_owners(loop, ports.engines, m_upstreams, m_configuration, m_settings.host,
           { [this](const RunGrant& grant) { m_broker.answered(grant.key, grant); },
@@ -255,7 +255,7 @@
         m_operatorRows.heartbeatArrived(peer, heartbeat->operatorVersion);
         if (heartbeat->configurationAge)
             m_configuration.peerConfirmed(heartbeat->configurationVersion, *heartbeat->configurationAge);
-        m_owners.loads().setPeersInFlight(m_mesh.fetchesInFlight(), m_mesh.peersInTouch().size());
+        m_owners.loads().setPeersInFlight(m_mesh.fetchesInFlight(), m_peersInTouch);
         return;
     }
     if (const auto* request = std::get_if<PeerOperatorRequest>(&message)) {
@@ -299,8 +299,10 @@
     for (const auto& [host, state] : m_mesh.peersInTouch())
         inTouch.insert(host);
     m_fleet.setInTouch(m_settings.enginesCheckFencing ? inTouch : hostsInReachOfStore());
-    m_configuration.setPeersInTouch(static_cast<int64_t>(inTouch.size()));
-    m_upstreams.setReader(isReader(m_settings.host, inTouch));
+    m_peersInTouch = inTouch.size();
+    const bool reads = isReader(m_settings.host, hostsInReachOfStore());
+    m_configuration.setReader(reads);
+    m_upstreams.setReader(reads);
     m_usage.setMembers(members);
     m_retries.setHosts(members.size());
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -92,7 +92,8 @@
     std::unique_ptr<HttpServer> m_metricsServer;
     std::unordered_map<CallerCall*, std::shared_ptr<CallerCall>> m_calls;
     PeriodicTimer m_memberTimer;
-    /// Since when this host or a peer that it heard has followed all spending.
+    /// As of the last look at the members.
+    size_t m_peersInTouch = 0;
     bool m_isStopping = false;
     MonotonicTime m_stopDeadline;
     std::function<void()> m_stopped;
--- a/src/gateway/operator_row_exchange.h
+++ b/src/gateway/operator_row_exchange.h
@@ -1,38 +1,45 @@
 #pragma once
 
 #include "base/lifetime.h"
+#include "base/random.h"
 #include "base/scheduler.h"
 #include "gateway/configuration_keeper.h"
 #include "gateway/peer_message.h"
 
 #include <functional>
+#include <vector>
 
 namespace lacewing::gateway {
 
-/// Brings rows of operators from peers to a host that the store does not serve, or whose connection to the
-/// store has gone silent.
+/// Brings rows of operators from peers to a host that does not follow the store closely, that the store does
+/// not serve, or whose connection to the store has gone silent.
 ///
-/// Load pattern: usually the store tells all hosts of a change at the same moment, and a large fleet must not
-/// send the configuration between all pairs of hosts as well. A host that hears of a newer row therefore
-/// waits a moment for the store, and then asks one peer.
+/// Load pattern: a change concerns all hosts at the same moment, and neither the store nor one peer may have
+/// to send the configuration to all of them. A host that hears of a newer row waits for a random time, in
+/// which the store may tell it and further peers get the row, and then asks one of those that have it.
 class OperatorRowExchange {
 public:
     using Send = std::function<void(const HostId& peer, const PeerMessage& message)>;
 
-    /// @param scheduler, keeper must outlive the exchange.
-    OperatorRowExchange(Scheduler& scheduler, ConfigurationKeeper& keeper, Send send);
+    /// @param scheduler, keeper, random must outlive the exchange.
+    OperatorRowExchange(Scheduler& scheduler, ConfigurationKeeper& keeper, Random& random, Send send);
 
     /// @param newest version of the newest row that the peer has.
     void heartbeatArrived(const HostId& peer, RowVersion newest);
     void requested(const HostId& peer, const PeerOperatorRequest& request);
 
 private:
-    void askIfBehind(const HostId& peer, RowVersion newest);
+    void askIfBehind();
+    Duration patience();
 
     Scheduler& m_scheduler;
     ConfigurationKeeper& m_keeper;
+    Random& m_random;
     Send m_send;
     bool m_isWaiting = false;
+    /// Newest version that a peer has told of, and the peers that have it.
+    RowVersion m_newest;
+    std::vector<HostId> m_holders;
     Lifetime m_lifetime;
 };
 
--- a/src/gateway/operator_row_exchange_test.cc
+++ b/src/gateway/operator_row_exchange_test.cc
@@ -7,6 +7,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <deque>
+#include <map>
+#include <memory>
 
 using namespace lacewing;
 using namespace lacewing::gateway;
@@ -32,8 +34,10 @@
     Host(VirtualScheduler& scheduler, const RowDecoder& decoder)
         : store(scheduler)
         , keeper(scheduler, store, decoder, { [] {}, [](const AdapterRelease&) {} })
-        , exchange(scheduler, keeper,
-              [this](const HostId&, const PeerMessage& message) { sent.push_back(message); })
+        , exchange(scheduler, keeper, random, [this](const HostId& peer, const PeerMessage& message) {
+            sent.push_back(message);
+            asked.push_back(peer);
+        })
     {
         store.put({ "op", "config" }, "1");
         keeper.start();
@@ -62,6 +66,8 @@
     FakeRowStore store;
     ConfigurationKeeper keeper;
     std::deque<PeerMessage> sent;
+    std::vector<HostId> asked;
+    Random random { 1 };
     OperatorRowExchange exchange;
 };
 
@@ -117,4 +123,37 @@
     BOOST_TEST(fixture.cut.sent.size() == 1);
 }
 
+// Load: a large fleet in which few hosts follow the store. Guards against all others asking the same host,
+// whose link the configuration would fill, and against hosts that are not told at all.
+BOOST_AUTO_TEST_CASE(HostsThatDoNotReadAskDifferentPeers)
+{
+    constexpr int hostCount = 180;
+    constexpr int readerCount = 16;
+    constexpr Duration heartbeatInterval = 1s;
+    VirtualScheduler scheduler;
+    AnyRowDecoder decoder;
+    std::vector<std::unique_ptr<Host>> hosts;
+    for (int index = 0; index < hostCount; ++index) {
+        hosts.push_back(std::make_unique<Host>(scheduler, decoder));
+        hosts.back()->random = Random(static_cast<uint64_t>(index));
+    }
+    scheduler.advance(200ms);
+    for (const auto& host : hosts)
+        host->keeper.setReader(false);
+    const RowVersion newest(50);
+    for (int reader = 0; reader < readerCount; ++reader) {
+        for (const auto& host : hosts)
+            host->exchange.heartbeatArrived(HostId("reader-" + std::to_string(reader)), newest);
+        scheduler.advance(heartbeatInterval / readerCount);
+    }
+    scheduler.advance(1s);
+    std::map<HostId, int> asked;
+    for (const auto& host : hosts) {
+        BOOST_TEST(!host->asked.empty());
+        ++asked[host->asked.front()];
+    }
+    for (const auto& [peer, count] : asked)
+        BOOST_TEST(count <= hostCount / 4);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/peer_mesh.cc
+++ b/src/gateway/peer_mesh.cc
@@ -73,6 +73,8 @@
     options.secret = secret;
     options.connectTimeout = connectTimeout;
     options.silenceTimeout = shortestSilenceTime * 2;
+    // A heartbeat is due before a ping is.
+    options.pingInterval = longestHeartbeatInterval * 3 / 2;
     PeerLinkHandlers handlers;
     handlers.onConnected = [this](const PeerIdentity& peer) {
         LogEvent(LogLevel::Info, "peer_connected").with("peer", peer.host);
--- a/src/gateway/prefill_pacer.h
+++ b/src/gateway/prefill_pacer.h
@@ -71,7 +71,7 @@
 
     static constexpr double unboundedShare = 1.6;
     /// The part with which a bound begins; the rest of a pause is for the steps themselves.
-    static constexpr double firstShare = 1;
+    static constexpr double firstShare = 0.8;
     static constexpr double lowestShare = 0.3;
     static constexpr double decrease = 0.93;
     static constexpr double increase = 0.002;
--- a/src/gateway/store_feed.cc
+++ b/src/gateway/store_feed.cc
@@ -32,6 +32,14 @@
     next();
 }
 
+void StoreFeed::hurry()
+{
+    if (m_timer == 0)
+        return;
+    m_scheduler.cancel(m_timer);
+    next();
+}
+
 std::optional<Duration> StoreFeed::age() const
 {
     if (!m_lastAnswer)
--- a/src/gateway/store_feed.h
+++ b/src/gateway/store_feed.h
@@ -42,6 +42,8 @@
     StoreFeed& operator=(const StoreFeed&) = delete;
 
     void start();
+    /// Calls the store now instead of at the end of the interval, unless a call is under way.
+    void hurry();
     /// @return time since the newest answer of the store, or nothing before the first.
     std::optional<Duration> age() const;
     /// @return whether the last call got no answer.
--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -2,6 +2,8 @@
 
 #include "base/log.h"
 
+#include <utility>
+
 namespace lacewing::gateway {
 
 namespace {
@@ -28,6 +30,12 @@
 {
 }
 
+void UpstreamDirectory::setReader(bool isReader)
+{
+    if (!std::exchange(m_isReader, isReader) && isReader)
+        m_feed.hurry();
+}
+
 bool UpstreamDirectory::isPresent(const Known& known) const
 {
     return !known.keptUntil || m_scheduler.now() < *known.keptUntil;
--- a/src/gateway/upstream_directory.h
+++ b/src/gateway/upstream_directory.h
@@ -26,7 +26,7 @@
     UpstreamDirectory(Scheduler& scheduler, RowStore& store, const RowDecoder& decoder, Handlers handlers);
 
     /// @param isReader whether this host follows the store closely and tells the others.
-    void setReader(bool isReader) { m_isReader = isReader; }
+    void setReader(bool isReader);
     /// Takes over rows from a reader.
     void peerOffered(const std::vector<StoredRow>& rows);
 
