Count engines by what their owners say, and renew rows seldom while all hosts hear each other

Change: where no row names a living owner, the heartbeat of a peer that says it owns the engine counts. Renewals become rare when all hosts hear each other, whether or not all engines have owners.

--- a/src/gateway/caller_call_test.cc
+++ b/src/gateway/caller_call_test.cc
@@ -191,7 +191,8 @@
         DataCentreId("dc-1"), 0 };
     FleetAgent fleet { scheduler, store, self, 3s, OwnershipRule::EnginesCheckNumbers,
         { [] {}, [](const UpstreamId&, FencingNumber) {}, [](const UpstreamId&) {},
-            [] { return std::set<UpstreamId>(); }, [] { return std::set<HostId>(); } } };
+            [] { return std::set<UpstreamId>(); }, [] { return std::set<HostId>(); },
+            [] { return ToldOwners(); } } };
     PeerMesh mesh { loop, self, {} };
     struct NoControl : EngineControl {
         void order(const EngineTarget&, const AdapterOrder&, OrderCallback) override { }
--- a/src/gateway/fleet_agent.cc
+++ b/src/gateway/fleet_agent.cc
@@ -206,10 +206,10 @@
         rereadOwnRow();
 }
 
-bool FleetAgent::isSettled() const
+bool FleetAgent::hearsAllHosts() const
 {
     const MonotonicTime now = m_scheduler.now();
-    return !m_hasUnowned && now - m_started > unsettledTime && !m_registry.missesHosts(now);
+    return now - m_started > unsettledTime && !m_registry.missesHosts(now);
 }
 
 Duration FleetAgent::calmInterval(Duration usual) const
@@ -223,7 +223,7 @@
 Duration FleetAgent::renewalInterval() const
 {
     const Duration usual = m_leaseTime * renewalPercent / 100;
-    return m_rule == OwnershipRule::EnginesCheckNumbers && isSettled() ? calmInterval(usual) : usual;
+    return m_rule == OwnershipRule::EnginesCheckNumbers && hearsAllHosts() ? calmInterval(usual) : usual;
 }
 
 Duration FleetAgent::currentFeedInterval() const
@@ -237,10 +237,10 @@
 
 void FleetAgent::setInTouch(const std::set<HostId>& hosts)
 {
-    const bool wasSettled = isSettled();
+    const bool heardAll = hearsAllHosts();
     m_registry.setInTouch(hosts, m_scheduler.now());
     // The others may not hear this host, and then look at its row.
-    if (wasSettled && !isSettled() && m_registry.hostCount() > smallFleet) {
+    if (heardAll && !hearsAllHosts() && m_registry.hostCount() > smallFleet) {
         renew();
         m_renewalTimer.start();
     }
@@ -271,9 +271,9 @@
         return;
     const auto closed = m_handlers.closedHosts();
     const std::set<UpstreamId> inUse = m_handlers.engines();
-    m_hasUnowned = std::any_of(inUse.begin(), inUse.end(),
-        [this, now](const UpstreamId& engine) { return !m_registry.owner(engine, now); });
-    auto engines = m_registry.enginesToClaim(inUse, closed, now);
+    const ToldOwners told = m_handlers.toldOwners();
+    m_hasUnowned = m_registry.hasUnowned(inUse, told, now);
+    auto engines = m_registry.enginesToClaim(inUse, told, closed, now);
     for (const UpstreamId& engine : lapsedEngines(inUse))
         engines.push_back(engine);
     if (!engines.empty())
--- a/src/gateway/fleet_agent.h
+++ b/src/gateway/fleet_agent.h
@@ -36,6 +36,8 @@
         /// @return hosts that take no further engines, because they are stopping or the store is out of their
         ///     reach.
         std::function<std::set<HostId>()> closedHosts;
+        /// @return engines whose owners say so in their heartbeats and may give them orders.
+        std::function<ToldOwners()> toldOwners;
     };
 
     FleetAgent(Scheduler& scheduler, RowStore& store, HostRecord self, Duration leaseTime, OwnershipRule rule,
@@ -45,6 +47,7 @@
     void setLeaseTime(Duration leaseTime);
     /// Tells which hosts' heartbeats arrive.
     void setInTouch(const std::set<HostId>& hosts);
+    const HostId& self() const { return m_self.host; }
     const FleetRegistry& registry() const { return m_registry; }
     /// Looks for engines to claim now, because an engine came or an owner left.
     void reconsider();
@@ -83,8 +86,10 @@
     std::vector<UpstreamId> lapsedEngines(const std::set<UpstreamId>& inUse) const;
     void reviewOwnership();
     void removeDeadHosts();
+    /// @return whether all hosts hear each other, so that rows need not show who lives.
+    bool hearsAllHosts() const;
     /// @return whether all hosts hear each other and all engines have owners.
-    bool isSettled() const;
+    bool isSettled() const { return hearsAllHosts() && !m_hasUnowned; }
     Duration calmInterval(Duration usual) const;
     Duration renewalInterval() const;
     Duration currentFeedInterval() const;
--- a/src/gateway/fleet_agent_test.cc
+++ b/src/gateway/fleet_agent_test.cc
@@ -22,8 +22,9 @@
         std::set<UpstreamId> engines, OwnershipRule rule = OwnershipRule::EnginesCheckNumbers)
         : agent(scheduler, store, record(name, incarnation), leaseTime, rule,
             { [] {}, [this](const UpstreamId& engine, FencingNumber number) { owned[engine] = number; },
-                [this](const UpstreamId& engine) { owned.erase(engine); }, [engines] { return engines; },
-                [this] { return closed; } })
+                [this](const UpstreamId& engine) { owned.erase(engine); },
+                [this, engines] { return inUse ? *inUse : engines; }, [this] { return closed; },
+                [this] { return told ? *told : ToldOwners(); } })
     {
         agent.start();
     }
@@ -41,6 +42,10 @@
 
     std::map<UpstreamId, FencingNumber> owned;
     std::set<HostId> closed;
+    /// Engines in use, if they change during the test.
+    const std::set<UpstreamId>* inUse = nullptr;
+    /// What heartbeats tell, if the test has them.
+    const ToldOwners* told = nullptr;
     FleetAgent agent;
 };
 
@@ -374,6 +379,62 @@
     BOOST_TEST(toMilliseconds(*takenOver - *lastOrder) >= 400);
 }
 
+// Load: a large fleet starts and its engines come up one after the other. Guards against engines that no host
+// claims for long because each host divides them by another old view of the table, and against renewals at
+// short intervals as long as that lasts.
+BOOST_AUTO_TEST_CASE(ALargeFleetOwnsItsEnginesSoonAfterTheyComeUp)
+{
+    constexpr int hostCount = 195;
+    constexpr int engineCount = 117;
+    constexpr Duration startTime = 4s;
+    constexpr Duration heartbeatInterval = 1s;
+    VirtualScheduler scheduler;
+    FakeRowStore store(scheduler);
+    ToldOwners told;
+    std::set<UpstreamId> engines;
+    std::vector<std::unique_ptr<Host>> hosts;
+    std::set<HostId> names;
+    for (int index = 0; index < hostCount; ++index) {
+        const std::string name = "host-" + std::to_string(index);
+        names.insert(HostId(name));
+        hosts.push_back(std::make_unique<Host>(scheduler, store, name, index + 1, std::set<UpstreamId>()));
+        hosts.back()->inUse = &engines;
+        hosts.back()->told = &told;
+    }
+    const auto owned = [&hosts] {
+        size_t count = 0;
+        for (const auto& host : hosts)
+            count += host->owned.size();
+        return count;
+    };
+    constexpr Duration step = 100ms;
+    int elapsed = 0;
+    int callsAtEnd = 0;
+    for (Duration time {}; time < startTime + 10s; time += step, ++elapsed) {
+        if (time < startTime) {
+            const auto up = static_cast<int>(engineCount * (time + step) / startTime);
+            for (int index = 0; index < up; ++index)
+                engines.insert(UpstreamId("engine-" + std::to_string(index)));
+        }
+        scheduler.advance(step);
+        for (const auto& host : hosts)
+            host->agent.setInTouch(names);
+        if (elapsed % (heartbeatInterval / step) == 0) {
+            told.clear();
+            for (const auto& host : hosts) {
+                for (const auto& entry : host->owned)
+                    told.emplace(entry.first, host->agent.self());
+            }
+        }
+        if (time == startTime + heartbeatInterval * 2) {
+            BOOST_TEST(owned() == static_cast<size_t>(engineCount));
+            callsAtEnd = store.calls;
+        }
+    }
+    // Each host renews and reads at intervals of many seconds.
+    BOOST_TEST(store.calls - callsAtEnd <= hostCount * 3);
+}
+
 // Guards against engines without an owner for a lease time after a planned stop.
 BOOST_AUTO_TEST_CASE(AStoppingHostHandsItsEnginesOver)
 {
--- a/src/gateway/fleet_registry.cc
+++ b/src/gateway/fleet_registry.cc
@@ -230,8 +230,24 @@
     return hasStartedAnew && isAlive(host->first, now) && now - host->second.startSeen < m_leaseTime;
 }
 
-std::vector<UpstreamId> FleetRegistry::enginesToClaim(
-    const std::set<UpstreamId>& engines, const std::set<HostId>& closed, MonotonicTime now) const
+const HostId* FleetRegistry::ownerHost(
+    const UpstreamId& engine, const ToldOwners& told, MonotonicTime now) const
+{
+    if (owner(engine, now))
+        return &m_owners.at(engine).record.host;
+    const auto said = told.find(engine);
+    return said == told.end() ? nullptr : &said->second;
+}
+
+bool FleetRegistry::hasUnowned(
+    const std::set<UpstreamId>& engines, const ToldOwners& told, MonotonicTime now) const
+{
+    return std::any_of(engines.begin(), engines.end(),
+        [&](const UpstreamId& engine) { return !ownerHost(engine, told, now); });
+}
+
+std::vector<UpstreamId> FleetRegistry::enginesToClaim(const std::set<UpstreamId>& engines,
+    const ToldOwners& told, const std::set<HostId>& closed, MonotonicTime now) const
 {
     std::map<HostId, int> owned;
     for (const HostRecord& host : liveHosts(now)) {
@@ -241,20 +257,20 @@
     std::vector<UpstreamId> unowned;
     std::vector<UpstreamId> claims;
     for (const UpstreamId& engine : engines) {
-        const bool isReclaimable = mayReclaim(engine, now);
-        if (!isReclaimable && !owner(engine, now)) {
+        const bool isReclaimable = mayReclaim(engine, now) && told.count(engine) == 0;
+        const HostId* host = isReclaimable ? &m_owners.at(engine).record.host : ownerHost(engine, told, now);
+        if (!host) {
             unowned.push_back(engine);
             continue;
         }
-        const HostId& host = m_owners.at(engine).record.host;
-        const auto count = owned.find(host);
+        const auto count = owned.find(*host);
         if (count == owned.end()) {
             if (isReclaimable)
                 unowned.push_back(engine);
             continue;
         }
         ++count->second;
-        if (isReclaimable && host == m_self)
+        if (isReclaimable && *host == m_self)
             claims.push_back(engine);
     }
     for (const UpstreamId& engine : unowned) {
--- a/src/gateway/fleet_registry.h
+++ b/src/gateway/fleet_registry.h
@@ -32,6 +32,9 @@
     FencingNumber fencingNumber;
 };
 
+/// Which host says that it owns an engine.
+using ToldOwners = std::map<UpstreamId, HostId>;
+
 /// Encodes and decodes the rows of the fleet's own table.
 class FleetRows {
 public:
@@ -91,9 +94,13 @@
     /// others leave it a moment for that, so that no claims meet.
     ///
     /// @param engines all engines in use.
+    /// @param told owners that say so themselves; they count where no row names a living one, since the table
+    ///     is read seldom in a large fleet.
     /// @param closed hosts that take no further engines.
-    std::vector<UpstreamId> enginesToClaim(
-        const std::set<UpstreamId>& engines, const std::set<HostId>& closed, MonotonicTime now) const;
+    std::vector<UpstreamId> enginesToClaim(const std::set<UpstreamId>& engines, const ToldOwners& told,
+        const std::set<HostId>& closed, MonotonicTime now) const;
+    /// @return whether some engine has no living owner by rows or by what owners say.
+    bool hasUnowned(const std::set<UpstreamId>& engines, const ToldOwners& told, MonotonicTime now) const;
     /// @return engines that this host's rows own but that are not in use any more.
     std::vector<UpstreamId> ownedBySelf() const;
     /// @return hosts that have been dead for longer than a time.
@@ -115,6 +122,8 @@
         RowVersion version;
     };
 
+    /// @return the host that owns an engine by a row or by its own words, or null.
+    const HostId* ownerHost(const UpstreamId& engine, const ToldOwners& told, MonotonicTime now) const;
     /// @return whether an engine's last owner has started anew and may still take the engine back.
     bool mayReclaim(const UpstreamId& engine, MonotonicTime now) const;
 
--- a/src/gateway/fleet_registry_test.cc
+++ b/src/gateway/fleet_registry_test.cc
@@ -94,7 +94,7 @@
         int64_t version = 1;
         for (const char* host : { "host-a", "host-b", "host-c", "host-d", "host-e" })
             registry.apply(hostRow(host, 1, version++), start);
-        const auto claims = registry.enginesToClaim(engines, {}, start);
+        const auto claims = registry.enginesToClaim(engines, {}, {}, start);
         BOOST_TEST(claims.size() >= 2);
         BOOST_TEST(claims.size() <= 3);
         for (const UpstreamId& engine : claims)
@@ -118,10 +118,10 @@
                 ownerRow(("engine-" + std::to_string(index)).c_str(), "host-b", 1, 3 + index), start);
         registry->apply(hostRow("host-b", 2, 8), start);
     }
-    BOOST_TEST(other.enginesToClaim(engineSet(4), {}, start + 2500ms).empty());
-    BOOST_TEST(self.enginesToClaim(engineSet(4), {}, start + 500ms).size() == 4);
-    BOOST_TEST(other.enginesToClaim(engineSet(4), {}, start + 3200ms).size() == 2);
-    BOOST_TEST(other.enginesToClaim(engineSet(4), { HostId("host-b") }, start + 500ms).size() == 4);
+    BOOST_TEST(other.enginesToClaim(engineSet(4), {}, {}, start + 2500ms).empty());
+    BOOST_TEST(self.enginesToClaim(engineSet(4), {}, {}, start + 500ms).size() == 4);
+    BOOST_TEST(other.enginesToClaim(engineSet(4), {}, {}, start + 3200ms).size() == 2);
+    BOOST_TEST(other.enginesToClaim(engineSet(4), {}, { HostId("host-b") }, start + 500ms).size() == 4);
 }
 
 // Guards against engines that go to a host which is about to stop.
@@ -131,7 +131,7 @@
     const MonotonicTime start(100s);
     registry.apply(hostRow("host-a", 1, 1), start);
     registry.apply(hostRow("host-b", 1, 2), start);
-    BOOST_TEST(registry.enginesToClaim(engineSet(4), { HostId("host-b") }, start).size() == 4);
+    BOOST_TEST(registry.enginesToClaim(engineSet(4), {}, { HostId("host-b") }, start).size() == 4);
 }
 
 // Guards against a foreign or damaged row that stops the reader.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -85,7 +85,7 @@
           { [this] { fleetChanged(); },
               [this](const UpstreamId& engine, FencingNumber number) { m_owners.claimed(engine, number); },
               [this](const UpstreamId& engine) { m_owners.lost(engine); }, [this] { return engineIds(); },
-              [this] { return closedHosts(); } })
+              [this] { return closedHosts(); }, [this] { return toldOwners(); } })
     , m_mesh(loop, recordOf(m_settings, m_incarnation),
           { [this](const HostId& peer, const PeerMessage& message) { peerMessage(peer, message); },
               [this](const HostId& peer) { m_broker.peerLost(peer); },
@@ -374,6 +374,19 @@
     return closed;
 }
 
+ToldOwners Gateway::toldOwners() const
+{
+    ToldOwners told;
+    for (const auto& [host, state] : m_mesh.peersInTouch()) {
+        const bool mayOrder = m_settings.enginesCheckFencing || state->heartbeat.reachesStore;
+        if (state->heartbeat.isStopping || !mayOrder)
+            continue;
+        for (const EngineSummary& engine : state->heartbeat.engines)
+            told.emplace(engine.engine, host);
+    }
+    return told;
+}
+
 void Gateway::stop(std::function<void()> done)
 {
     if (m_isStopping)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -60,6 +60,7 @@
     std::set<UpstreamId> engineIds() const;
     std::set<HostId> hostsInReachOfStore() const;
     std::set<HostId> closedHosts() const;
+    ToldOwners toldOwners() const;
 
     /// Hands the engines over once no order is on its way, so that none arrives after one of the next owner.
     void releaseWhenQuiet();
