Give up answers that have no end

Cause: servers in trouble may send bytes without end, in a head or a body. Calls to engines and to the store were bounded by the time without progress only, so a drip of bytes kept a report or a read open for ever, and with it all orders of an engine; interim answers had no bound; an answer that is passed on as a whole could take 64 MiB, and an event of a stream as much.

The connection is closed, the upstream is judged as after a broken answer, the caller gets the truth about its request, and a log line and a counter tell so.

--- a/src/gateway/caller_call.cc
+++ b/src/gateway/caller_call.cc
@@ -37,6 +37,8 @@
 constexpr Duration stoppingRetryAfter = milliseconds(20);
 /// The answer of a stream is not read any further while the caller has this much to take.
 constexpr size_t maximumBufferedBytes = 256 * 1024;
+/// Longest answer that is passed on as a whole rather than as a stream.
+constexpr size_t maximumHeldBytes = 4 * 1024 * 1024;
 
 bool isSuccess(int status)
 {
@@ -273,6 +275,7 @@
     m_answer.reset();
     m_answerHeaders = HttpHeaders();
     m_body.clear();
+    m_heldBytes = 0;
     m_pauses.restart();
     m_isForeignAnswer = false;
     m_isExchanging = true;
@@ -304,17 +307,35 @@
 
 void CallerCall::bodyArrived(std::string_view bytes)
 {
-    if (!m_answer || m_isForeignAnswer)
+    if (!m_answer)
         return;
     const bool isStream = m_answer->isEventStream && isSuccess(m_answer->status)
         && (m_answer->isSealed || m_hasStartedAnswer);
-    if (!isStream) {
-        m_body += bytes;
+    if (!isStream || m_isForeignAnswer) {
+        m_heldBytes += bytes.size();
+        if (m_heldBytes > maximumHeldBytes)
+            giveUpAnswer();
+        else if (!m_isForeignAnswer)
+            m_body += bytes;
         return;
     }
     const std::string events = m_events.accept(bytes);
     if (!events.empty())
         forwardEvents(events);
+    if (m_events.isEndless())
+        giveUpAnswer();
+}
+
+void CallerCall::giveUpAnswer()
+{
+    if (!m_call)
+        return;
+    LogEvent(LogLevel::Warning, "answer_without_end")
+        .with("request", m_attributes.requestId)
+        .with("upstream", m_upstream)
+        .with("held_bytes", m_heldBytes);
+    ++m_services.metrics.counter("lacewing_answers_without_end_total");
+    m_call->cancel();
 }
 
 void CallerCall::forwardEvents(const std::string& events)
--- a/src/gateway/caller_call.h
+++ b/src/gateway/caller_call.h
@@ -47,6 +47,8 @@
     HttpClientRequest upstreamRequest(const UpstreamEntry& entry);
     void headersArrived(int status, const HttpHeaders& headers);
     void bodyArrived(std::string_view bytes);
+    /// Closes the connection to an upstream whose answer has no end.
+    void giveUpAnswer();
     void upstreamDone(const HttpClientResult& result);
     void exchangeEnded(ExchangeOutcome outcome, RunOutcome runOutcome);
     void handleNotExecuted();
@@ -95,6 +97,8 @@
     std::optional<AnswerAttributes> m_answer;
     HttpHeaders m_answerHeaders;
     std::string m_body;
+    /// Bytes of the answer that were not passed on.
+    size_t m_heldBytes = 0;
     EventRelay m_events;
     PauseMeter m_pauses;
     bool m_isExchanging = false;
--- a/src/gateway/caller_call_test.cc
+++ b/src/gateway/caller_call_test.cc
@@ -386,4 +386,36 @@
     BOOST_TEST(fixture.client.calls.empty());
 }
 
+// Guards against a server in trouble whose body has no end: it fills the host's memory, and its caller waits
+// until the deadline although another upstream could answer.
+BOOST_AUTO_TEST_CASE(AnAnswerWithoutEndIsGivenUp)
+{
+    const std::string piece(100000, 'x');
+    const auto flood = [&piece](UpstreamCall& upstream) {
+        for (int round = 0; round < 1000 && !upstream.isCancelled; ++round)
+            upstream.handlers.onBody(piece);
+        BOOST_TEST(upstream.isCancelled);
+        upstream.end(HttpClientError::Cancelled);
+    };
+    Fixture fixture;
+    fixture.send("/once/1");
+    fixture.upstream(0).head(200, "r-1", false);
+    flood(fixture.upstream(0));
+    BOOST_TEST(fixture.client.calls.size() == 1);
+    BOOST_TEST(fixture.exchange->answerStatus == 502);
+    fixture.send("/safe/1");
+    fixture.upstream(1).head(200, "r-0", false);
+    flood(fixture.upstream(1));
+    BOOST_REQUIRE(fixture.client.calls.size() == 3);
+    fixture.upstream(2).head(200, "r-1", false);
+    fixture.upstream(2).end();
+    BOOST_TEST(fixture.exchange->answerStatus == 200);
+    fixture.send("/stream/1");
+    fixture.upstream(3).head(200, "r-1", true);
+    fixture.upstream(3).handlers.onBody("id: 1\ndata: a\n\nid: 2\ndata: ");
+    flood(fixture.upstream(3));
+    BOOST_TEST(fixture.exchange->answerBody == "id: 1\ndata: a\n\n");
+    BOOST_TEST(fixture.exchange->isAborted);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/event_relay.h
+++ b/src/gateway/event_relay.h
@@ -13,6 +13,8 @@
 public:
     /// @return the whole events that the bytes complete, without those that were passed on before.
     std::string accept(std::string_view bytes);
+    /// @return whether an event has grown beyond any size that is one, so that its end will not come.
+    bool isEndless() const { return m_pending.size() > maximumEventBytes; }
     /// @return what is left after the last whole event.
     const std::string& remainder() const { return m_pending; }
     /// Forgets an event that was cut off, before the stream goes on elsewhere.
@@ -23,6 +25,8 @@
     bool hasEvents() const { return m_hasEvents; }
 
 private:
+    static constexpr size_t maximumEventBytes = 1024 * 1024;
+
     bool isRepeat(const std::string& id) const;
 
     std::string m_pending;
--- a/src/gateway/event_relay_test.cc
+++ b/src/gateway/event_relay_test.cc
@@ -33,4 +33,17 @@
     BOOST_TEST(relay.lastId().value() == "7");
 }
 
+// Guards against memory that fills with an event which never ends.
+BOOST_AUTO_TEST_CASE(TellsAnEventWithoutEnd)
+{
+    EventRelay relay;
+    const std::string piece(100000, 'x');
+    relay.accept("id: 1\ndata: ");
+    for (int round = 0; round < 10; ++round)
+        relay.accept(piece);
+    BOOST_TEST(!relay.isEndless());
+    relay.accept(piece);
+    BOOST_TEST(relay.isEndless());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -21,7 +21,7 @@
     ConnectionRefused,
     /// The connection broke.
     ConnectionLost,
-    /// No progress within the timeout.
+    /// No progress, or no end of the answer, within the timeout.
     TimedOut,
     /// The server's answer was not valid HTTP or too large.
     InvalidAnswer,
@@ -42,6 +42,8 @@
     Duration connectTimeout = std::chrono::seconds(1);
     /// Longest time without any progress; 0 for none.
     Duration progressTimeout = std::chrono::seconds(5);
+    /// Longest time from the start to the end of the answer, also while it makes progress; 0 for none.
+    Duration totalTimeout = Duration::zero();
     /// Never sends on a pooled connection that was idle for longer than this. Zero always makes a new one.
     Duration maximumIdleAge = std::chrono::seconds(30);
     size_t maximumAnswerBytes = 64 * 1024 * 1024;
--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -27,6 +27,8 @@
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
 constexpr int statusAboveAll = 1000;
+/// A server that sends more of them will send no final answer.
+constexpr int maximumInterimAnswers = 16;
 
 /// An idle connection is closed after this time, so that connections to servers no longer in use go away.
 constexpr timeval maximumIdleTime { 60, 0 };
@@ -138,6 +140,7 @@
     m_loop.cancel(m_connectTimer);
     m_loop.cancel(m_progressTimer);
     m_loop.cancel(m_resumeTimer);
+    m_loop.cancel(m_totalTimer);
     if (m_exchange)
         m_exchange->connection = nullptr;
     m_exchange.reset();
@@ -167,6 +170,10 @@
     m_hasBadChunk = false;
     m_wasCutShort = false;
     m_isReusable = false;
+    m_interimAnswers = 0;
+    if (m_exchange->request.totalTimeout > Duration::zero())
+        m_totalTimer
+            = m_loop.runAfter(m_exchange->request.totalTimeout, [this] { fail(HttpClientError::TimedOut); });
     const bool isNew = m_phase == Phase::New;
     m_phase = isNew ? Phase::Connecting : Phase::Busy;
     if (!isNew)
@@ -374,6 +381,8 @@
     const int status = evhttp_request_get_response_code(request);
     if (status < statusContinue || status >= statusFinal || status == statusSwitchingProtocols)
         return false;
+    if (++m_interimAnswers > maximumInterimAnswers)
+        return false;
     evhttp_clear_headers(evhttp_request_get_input_headers(request));
     request->response_code = statusContinue;
     return true;
@@ -425,6 +434,7 @@
     exchange->connection = nullptr;
     m_loop.cancel(m_progressTimer);
     m_loop.cancel(m_resumeTimer);
+    m_loop.cancel(m_totalTimer);
     if (m_isReusable && !m_isDisconnected && evbuffer_get_length(bufferevent_get_input(m_stream)) == 0) {
         m_phase = Phase::Idle;
         m_idleSince = m_loop.now();
@@ -454,6 +464,7 @@
     m_loop.cancel(m_connectTimer);
     m_loop.cancel(m_progressTimer);
     m_loop.cancel(m_resumeTimer);
+    m_loop.cancel(m_totalTimer);
     if (m_exchange)
         m_exchange->connection = nullptr;
     m_exchange.reset();
--- a/src/transport/http_client_connection.h
+++ b/src/transport/http_client_connection.h
@@ -124,6 +124,9 @@
     TimerId m_connectTimer = 0;
     TimerId m_progressTimer = 0;
     TimerId m_resumeTimer = 0;
+    TimerId m_totalTimer = 0;
+    /// Interim answers before the final one.
+    int m_interimAnswers = 0;
 };
 
 } // namespace lacewing
--- a/src/transport/http_client_connection_test.cc
+++ b/src/transport/http_client_connection_test.cc
@@ -88,4 +88,104 @@
     BOOST_TEST((body == sent));
 }
 
+namespace {
+
+/// What a server sends first, and then again and again until the connection is closed.
+struct EndlessAnswer {
+    const char* name;
+    std::string begin;
+    std::string repeated;
+};
+
+std::vector<EndlessAnswer> endlessAnswers()
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    return { { "no answer", "", std::string(1000, 'x') }, { "line ends", "", "\r\n" },
+        { "status line", "HTTP/1.1 200 ", std::string(1000, 'O') },
+        { "header field", head + "A: ", std::string(1000, 'a') }, { "header fields", head, "A: b\r\n" },
+        { "interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+        { "body without length", head + "\r\n", std::string(1000, 'b') },
+        { "long body", head + "Content-Length: 9000000000\r\n\r\n", std::string(1000, 'b') },
+        { "chunks", chunkedHead, "5\r\nhello\r\n" }, { "chunk size", chunkedHead, "0000" },
+        { "chunk extension", chunkedHead + "5;", std::string(1000, 'e') },
+        { "trailer", chunkedHead + "0\r\n", "T: t\r\n" } };
+}
+
+} // namespace
+
+// Guards against a server in trouble that sends without end: the call must end by itself, with little memory,
+// and the connection be closed, however the bytes come.
+BOOST_AUTO_TEST_CASE(AnswersWithoutEndAreGivenUp)
+{
+    constexpr size_t maximumBytes = 100000;
+    constexpr auto totalTimeout = std::chrono::milliseconds(200);
+    for (const EndlessAnswer& answer : endlessAnswers()) {
+        BOOST_TEST_CONTEXT(answer.name)
+        {
+            HttpClientRequest request;
+            request.server = server.address();
+            request.maximumAnswerBytes = maximumBytes;
+            request.totalTimeout = totalTimeout;
+            std::optional<HttpClientResult> result;
+            size_t bodyBytes = 0;
+            HttpClientHandlers handlers;
+            handlers.onBody = [&](std::string_view bytes) { bodyBytes += bytes.size(); };
+            handlers.onDone = [&](const HttpClientResult& done) { result = done; };
+            server.peers.clear();
+            const MonotonicTime begin = loop.now();
+            const auto call = client->send(std::move(request), std::move(handlers));
+            runUntil(loop, [&] { return !server.peers.empty() && server.peers[0]->received("\r\n\r\n"); });
+            server.peers[0]->send(answer.begin);
+            runUntil(loop, [&] {
+                if (!result)
+                    server.peers[0]->send(answer.repeated);
+                return result.has_value();
+            });
+            BOOST_TEST(result->error.has_value());
+            BOOST_TEST(bodyBytes <= maximumBytes);
+            BOOST_TEST(toMilliseconds(loop.now() - begin) < 2 * toMilliseconds(totalTimeout));
+            runUntil(loop, [&] { return server.peers[0]->isClosed(); });
+        }
+    }
+    BOOST_TEST(client->connectionCount() == 0);
+}
+
+// Guards against a call without a total timeout that a flood of an endless answer does not end either.
+BOOST_AUTO_TEST_CASE(AFloodOfAnAnswerWithoutEndIsCutBySize)
+{
+    for (const EndlessAnswer& answer : endlessAnswers()) {
+        BOOST_TEST_CONTEXT(answer.name)
+        {
+            std::string flood = answer.begin;
+            while (flood.size() < 300000)
+                flood += answer.repeated;
+            HttpClientRequest request;
+            request.server = server.address();
+            request.maximumAnswerBytes = 100000;
+            request.progressTimeout = std::chrono::milliseconds(300);
+            std::optional<HttpClientResult> result;
+            HttpClientHandlers handlers;
+            handlers.onDone = [&](const HttpClientResult& done) { result = done; };
+            server.peers.clear();
+            const auto call = client->send(std::move(request), std::move(handlers));
+            runUntil(loop, [&] { return !server.peers.empty() && server.peers[0]->received("\r\n\r\n"); });
+            server.peers[0]->send(flood);
+            runUntil(loop, [&] { return result.has_value(); });
+            BOOST_TEST(result->error.has_value());
+        }
+    }
+}
+
+// Guards against an idle connection that takes in bytes without end after a whole answer.
+BOOST_AUTO_TEST_CASE(BytesAfterAnAnswerCloseTheConnection)
+{
+    std::string body;
+    const HttpClientResult result = fetch("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 1000, body);
+    BOOST_TEST(!result.error);
+    for (int piece = 0; piece < 100; ++piece)
+        server.peers[0]->send(std::string(10000, 'x'));
+    runUntil(loop, [&] { return server.peers[0]->isClosed(); });
+    BOOST_TEST(client->connectionCount() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
