--- a/src/gateway/caller_call.cc
+++ b/src/gateway/caller_call.cc
@@ -18,6 +18,7 @@
 constexpr int statusBadGateway = 502;
 constexpr int statusUnavailable = 503;
 constexpr int statusGatewayTimeout = 504;
+constexpr int firstServerError = 500;
 
 /// Most sends of one request, those that were not executed included.
 constexpr int maximumSends = 4;
@@ -37,13 +38,6 @@
 constexpr Duration stoppingRetryAfter = milliseconds(20);
 /// The answer of a stream is not read any further while the caller has this much to take.
 constexpr size_t maximumBufferedBytes = 256 * 1024;
-/// Longest answer that is passed on as a whole rather than as a stream.
-constexpr size_t maximumHeldBytes = 4 * 1024 * 1024;
-
-bool isSuccess(int status)
-{
-    return status >= 200 && status < 300;
-}
 
 bool isPromiseOfNoRun(int status)
 {
@@ -243,8 +237,8 @@
         fields.workspace = m_admission.workspace->id;
     fields.urgency = m_urgency;
     fields.expectedVersion = m_version;
-    if (m_events.hasEvents())
-        fields.lastEventId = m_events.lastId();
+    if (m_answer.events().hasEvents())
+        fields.lastEventId = m_answer.events().lastId();
     HttpClientRequest request;
     request.server = entry.address;
     request.method = m_exchange->method();
@@ -272,12 +266,7 @@
         return;
     }
     ++m_sends;
-    m_answer.reset();
-    m_answerHeaders = HttpHeaders();
-    m_body.clear();
-    m_heldBytes = 0;
-    m_pauses.restart();
-    m_isForeignAnswer = false;
+    m_answer.begin();
     m_isExchanging = true;
     m_services.picker.started(upstream);
     HttpClientHandlers handlers;
@@ -294,35 +283,20 @@
 void CallerCall::headersArrived(int status, const HttpHeaders& headers)
 {
     m_services.loop.cancel(std::exchange(m_silenceTimer, 0));
-    m_answer = m_services.translator.readAnswer(status, headers);
-    m_answerHeaders = headers;
-    if (m_answer->load)
-        m_services.picker.loadReported(m_upstream, *m_answer->load, m_services.loop.now());
-    if (m_answer->keepAlive)
-        m_services.picker.keepAliveReported(m_upstream, *m_answer->keepAlive);
-    const bool mustName = isSuccess(status);
-    m_isForeignAnswer
-        = m_answer->requestId != m_attributes.requestId && (mustName || !m_answer->requestId.empty());
+    const AnswerAttributes attributes = m_services.translator.readAnswer(status, headers);
+    if (attributes.load)
+        m_services.picker.loadReported(m_upstream, *attributes.load, m_services.loop.now());
+    if (attributes.keepAlive)
+        m_services.picker.keepAliveReported(m_upstream, *attributes.keepAlive);
+    m_answer.headArrived(attributes, headers, m_attributes.requestId);
 }
 
 void CallerCall::bodyArrived(std::string_view bytes)
 {
-    if (!m_answer)
-        return;
-    const bool isStream = m_answer->isEventStream && isSuccess(m_answer->status)
-        && (m_answer->isSealed || m_hasStartedAnswer);
-    if (!isStream || m_isForeignAnswer) {
-        m_heldBytes += bytes.size();
-        if (m_heldBytes > maximumHeldBytes)
-            giveUpAnswer();
-        else if (!m_isForeignAnswer)
-            m_body += bytes;
-        return;
-    }
-    const std::string events = m_events.accept(bytes);
+    const std::string events = m_answer.bodyArrived(bytes, m_services.loop.now());
     if (!events.empty())
         forwardEvents(events);
-    if (m_events.isEndless())
+    if (m_answer.isEndless())
         giveUpAnswer();
 }
 
@@ -333,7 +307,7 @@
     LogEvent(LogLevel::Warning, "answer_without_end")
         .with("request", m_attributes.requestId)
         .with("upstream", m_upstream)
-        .with("held_bytes", m_heldBytes);
+        .with("held_bytes", m_answer.heldBytes());
     ++m_services.metrics.counter("lacewing_answers_without_end_total");
     m_call->cancel();
 }
@@ -346,13 +320,13 @@
         m_firstByte = elapsed();
         if (m_run)
             m_services.broker.progressed(*m_run);
-        m_exchange->startStream(m_answer->status, m_services.translator.callerHeaders(m_answerHeaders));
+        m_exchange->startStream(
+            m_answer.attributes()->status, m_services.translator.callerHeaders(m_answer.headers()));
         m_exchange->onDrained([this] {
             if (m_call)
                 m_call->resumeReading();
         });
     }
-    m_pauses.event(m_services.loop.now());
     m_exchange->sendChunk(events);
     if (m_call && m_exchange->bufferedBytes() > maximumBufferedBytes)
         m_call->pauseReading();
@@ -365,26 +339,25 @@
         m_services.picker.ended(m_upstream, outcome, m_services.loop.now());
     m_call.reset();
     if (m_run)
-        m_services.broker.ended(*std::exchange(m_run, std::nullopt), { runOutcome, m_pauses.longest() });
+        m_services.broker.ended(*std::exchange(m_run, std::nullopt), { runOutcome, m_answer.longestPause() });
 }
 
 void CallerCall::upstreamDone(const HttpClientResult& result)
 {
     if (m_isFinished)
         return;
-    const bool isWhole = !result.error && m_answer && !m_isForeignAnswer;
-    if (isWhole && m_answer->isNotExecuted) {
+    const bool isWhole = !result.error && m_answer.isOwn();
+    if (isWhole && m_answer.attributes()->isNotExecuted) {
         exchangeEnded(ExchangeOutcome::Rejected, RunOutcome::AdapterMissing);
         handleNotExecuted();
         return;
     }
-    const bool isWholeStream = isWhole && m_answer->isEventStream && isSuccess(m_answer->status);
-    if (isWholeStream) {
+    if (isWhole && m_answer.isStream()) {
         exchangeEnded(ExchangeOutcome::Answered, RunOutcome::Finished);
         forwardAnswer();
         return;
     }
-    if (!result.requestSent && !m_answer) {
+    if (!result.requestSent && !m_answer.attributes()) {
         exchangeEnded(ExchangeOutcome::Unreachable, RunOutcome::EngineFailed);
         if (m_hasStartedAnswer)
             handleBrokenStream();
@@ -396,7 +369,7 @@
     }
     ++m_runs;
     m_mayHaveRun = true;
-    if (result.error == HttpClientError::ConnectionLost && !m_answer)
+    if (result.error == HttpClientError::ConnectionLost && !m_answer.attributes())
         m_services.picker.keptConnectionLost(m_upstream);
     if (!isWhole) {
         exchangeEnded(ExchangeOutcome::Unreachable, RunOutcome::EngineFailed);
@@ -406,7 +379,7 @@
             handleFailure(result.error ? lacewing::toString(*result.error) : "foreign_answer");
         return;
     }
-    const bool isFailure = m_answer->status >= 500 || m_hasStartedAnswer;
+    const bool isFailure = m_answer.attributes()->status >= firstServerError || m_hasStartedAnswer;
     exchangeEnded(isFailure ? ExchangeOutcome::Failed : ExchangeOutcome::Answered, RunOutcome::Finished);
     if (m_hasStartedAnswer) {
         // The stream was to go on here, but the upstream answered with something else.
@@ -423,24 +396,22 @@
 void CallerCall::forwardAnswer()
 {
     if (m_hasStartedAnswer) {
-        if (!m_events.remainder().empty())
-            m_exchange->sendChunk(m_events.remainder());
+        if (!m_answer.rest().empty())
+            m_exchange->sendChunk(m_answer.rest());
         m_exchange->endStream();
         finish("answered", "");
         return;
     }
-    const int status = m_answer->status;
+    const int status = m_answer.attributes()->status;
     // An answer that nobody vouches for must not pass for one, and a status that promises that the request
     // has not run must be true.
-    const bool isUnvouched = isSuccess(status) && (!m_answer->isSealed || m_answer->hasContentEncoding);
     const bool isFalsePromise = isPromiseOfNoRun(status) && !m_admission.route->mayRepeat();
-    if (isUnvouched || isFalsePromise) {
-        fail(statusBadGateway, isUnvouched ? "unvouched_answer" : "ambiguous_status");
+    if (m_answer.isUnvouched() || isFalsePromise) {
+        fail(statusBadGateway, m_answer.isUnvouched() ? "unvouched_answer" : "ambiguous_status");
         return;
     }
     m_firstByte = elapsed();
-    const std::string body = m_answer->isEventStream ? m_events.remainder() : m_body;
-    reply(status, m_services.translator.callerHeaders(m_answerHeaders), body, "answered", "");
+    reply(status, m_services.translator.callerHeaders(m_answer.headers()), m_answer.rest(), "answered", "");
 }
 
 bool CallerCall::mayRepeat() const
@@ -487,9 +458,9 @@
 
 void CallerCall::handleBrokenStream()
 {
-    m_events.restart();
+    m_answer.cutOff();
     const bool canResume
-        = m_admission.route->isResumable && m_events.lastId() && mayRepeat() && trySendAgain();
+        = m_admission.route->isResumable && m_answer.events().lastId() && mayRepeat() && trySendAgain();
     if (canResume) {
         m_search.allowOneMore();
         chooseUpstream();
@@ -592,9 +563,9 @@
         .with("upstream", m_upstream)
         .with("asks", m_search.asks())
         .with("sends", m_sends)
-        .with("status", m_answer ? m_answer->status : 0)
+        .with("status", m_answer.attributes() ? m_answer.attributes()->status : 0)
         .with("first_byte_ms", m_firstByte ? toMilliseconds(*m_firstByte) : -1)
-        .with("longest_pause_ms", toMilliseconds(m_pauses.longest()))
+        .with("longest_pause_ms", toMilliseconds(m_answer.longestPause()))
         .with("ms", toMilliseconds(elapsed()))
         .with("outcome", outcome)
         .with("reason", reason);
--- a/src/gateway/caller_call.h
+++ b/src/gateway/caller_call.h
@@ -1,9 +1,8 @@
 #pragma once
 
 #include "gateway/call_services.h"
-#include "gateway/event_relay.h"
-#include "gateway/pause_meter.h"
 #include "gateway/start_search.h"
+#include "gateway/upstream_answer.h"
 #include "transport/http_server.h"
 
 #include <functional>
@@ -94,15 +93,8 @@
     std::optional<int64_t> m_version;
     std::optional<int> m_urgency;
     std::unique_ptr<HttpClientCall> m_call;
-    std::optional<AnswerAttributes> m_answer;
-    HttpHeaders m_answerHeaders;
-    std::string m_body;
-    /// Bytes of the answer that were not passed on.
-    size_t m_heldBytes = 0;
-    EventRelay m_events;
-    PauseMeter m_pauses;
+    UpstreamAnswer m_answer;
     bool m_isExchanging = false;
-    bool m_isForeignAnswer = false;
     bool m_hasStartedAnswer = false;
     bool m_isFinished = false;
     /// Whether an upstream may have run the request, so that no refusal may be given.
