--- a/src/gateway/fleet_agent.h
+++ b/src/gateway/fleet_agent.h
@@ -14,9 +14,8 @@
 enum class OwnershipRule {
     /// Engines refuse orders with an old fencing number, so an owner may go on while the store is away.
     EnginesCheckNumbers,
-    /// Engines take orders from anyone, so an owner stops when its lease ends. After a lease that has ended
-    /// it
-    /// must claim its engines again, even if its row still names it.
+    /// Engines take orders from anyone, so an owner stops when its lease ends. Afterwards it must claim its
+    /// engines again, even if their rows still name it.
     LeaseEnds,
 };
 
@@ -73,9 +72,8 @@
     /// @param rows this host's row, or nothing if it does not exist.
     void ownRowRead(const std::vector<StoredRow>& rows);
     void claim(const std::vector<UpstreamId>& engines);
-    /// @return conditions under which engines may be claimed: their rows are as they were read, and hosts
-    /// that
-    ///     are taken for dead have not renewed their rows since.
+    /// @return conditions under which engines may be claimed: their rows are as they were read, and no host
+    ///     that is taken for dead has renewed its row since.
     std::vector<RowCondition> claimConditions(const std::vector<UpstreamId>& engines) const;
     void claimed(const std::vector<UpstreamId>& engines, RowVersion version);
     /// Learns from a claim that met another one who owns the engines, or that their owner lives.
