Space heartbeats by up to 1.5 s in large fleets

Change: beyond 125 hosts heartbeats are spaced further, up to 1.5 s. Links take the times after which they are pinged and closed from the size of the fleet. The error with which entries judge engines stays at a second at most.

Smaller fleets keep all their times.

--- a/src/gateway/engine_view.cc
+++ b/src/gateway/engine_view.cc
@@ -8,6 +8,8 @@
 
 /// Prompt tokens per millisecond; guards against an owner that says nothing of the engine's speed.
 constexpr double lowestReadingSpeed = 1;
+/// Beyond this, copies of adapters would follow the error of judgement rather than the load.
+constexpr Duration longestError = std::chrono::milliseconds(1000);
 
 } // namespace
 
@@ -58,7 +60,7 @@
     const ServiceId& service, const AdapterRef& adapter, const std::set<UpstreamId>& excluded)
 {
     const MonotonicTime now = m_clock.now();
-    const Duration updateInterval = m_mesh.heartbeatInterval();
+    const Duration updateInterval = std::min(m_mesh.heartbeatInterval(), longestError);
     std::vector<EngineCandidate> candidates;
     for (const UpstreamEntry* entry : m_upstreams.usable(service)) {
         if (excluded.count(entry->id) > 0)
--- a/src/gateway/peer_mesh.cc
+++ b/src/gateway/peer_mesh.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr Duration shortestHeartbeatInterval = std::chrono::milliseconds(200);
-constexpr Duration longestHeartbeatInterval = std::chrono::milliseconds(1000);
+constexpr Duration longestHeartbeatInterval = std::chrono::milliseconds(1500);
 /// Each host hears one heartbeat in this time on average, however many hosts there are.
 constexpr Duration heartbeatSpacing = std::chrono::milliseconds(8);
 constexpr Duration connectInterval = std::chrono::milliseconds(100);
@@ -41,6 +41,17 @@
     return std::clamp(spaced, shortestHeartbeatInterval, longestHeartbeatInterval);
 }
 
+Duration PeerMesh::linkSilenceTime() const
+{
+    return std::max(shortestSilenceTime, heartbeatInterval()) * 2;
+}
+
+// A heartbeat is due before a ping is, so that a link that works needs no pings.
+Duration PeerMesh::pingInterval() const
+{
+    return linkSilenceTime() * 3 / 4;
+}
+
 Duration PeerMesh::silenceTime() const
 {
     return std::max(shortestSilenceTime, heartbeatInterval() * silentIntervals);
@@ -60,6 +71,8 @@
             m_states.forget(host);
     }
     m_hosts = std::move(hosts);
+    if (m_links)
+        m_links->setSilence(linkSilenceTime(), pingInterval());
     connectMissing();
 }
 
@@ -72,9 +85,8 @@
     options.listenAddress = m_self.peerAddress;
     options.secret = secret;
     options.connectTimeout = connectTimeout;
-    options.silenceTimeout = shortestSilenceTime * 2;
-    // A heartbeat is due before a ping is.
-    options.pingInterval = longestHeartbeatInterval * 3 / 2;
+    options.silenceTimeout = linkSilenceTime();
+    options.pingInterval = pingInterval();
     PeerLinkHandlers handlers;
     handlers.onConnected = [this](const PeerIdentity& peer) {
         LogEvent(LogLevel::Info, "peer_connected").with("peer", peer.host);
--- a/src/gateway/peer_mesh.h
+++ b/src/gateway/peer_mesh.h
@@ -61,6 +61,9 @@
 
 private:
     Duration silenceTime() const;
+    /// @return the time after which a link on which nothing arrives is closed.
+    Duration linkSilenceTime() const;
+    Duration pingInterval() const;
     /// @return peers that were heard before this time are out of touch.
     MonotonicTime oldestHeartbeat() const { return m_loop.now() - silenceTime(); }
     void listen(const std::string& secret);
--- a/src/transport/peer_links.cc
+++ b/src/transport/peer_links.cc
@@ -65,6 +65,11 @@
     bool startListening(std::string& error);
 
     SocketAddress address() const override { return m_address; }
+    void setSilence(Duration silenceTimeout, Duration pingInterval) override
+    {
+        m_options->silenceTimeout = silenceTimeout;
+        m_options->pingInterval = pingInterval;
+    }
     void connect(const HostId& host, const SocketAddress& address) override;
     void disconnect(const HostId& host) override;
     bool isConnected(const HostId& host) const override { return link(host) != nullptr; }
@@ -100,7 +105,7 @@
     bool acceptWaiting();
 
     EventLoop& m_loop;
-    std::shared_ptr<const PeerLinkOptions> m_options;
+    std::shared_ptr<PeerLinkOptions> m_options;
     /// Shared, so that a handler that destroys this object is not destroyed while it runs.
     std::shared_ptr<const PeerLinkHandlers> m_handlers;
     std::shared_ptr<LinkTraffic> m_traffic;
--- a/src/transport/peer_links.h
+++ b/src/transport/peer_links.h
@@ -80,6 +80,10 @@
         EventLoop& loop, const PeerLinkOptions& options, PeerLinkHandlers handlers, std::string& error);
 
     virtual SocketAddress address() const = 0;
+    /// Changes the times after which a link on which nothing is received is closed, and after which its peer
+    /// is pinged; the latter should be shorter. Links that are up take them over at their next ping at the
+    /// latest.
+    virtual void setSilence(Duration silenceTimeout, Duration pingInterval) = 0;
     /// Connects to a peer unless there is a link or an attempt already. Does not retry by itself.
     virtual void connect(const HostId& host, const SocketAddress& address) = 0;
     /// Closes a link after its output has been sent.
--- a/src/transport/peer_links_test.cc
+++ b/src/transport/peer_links_test.cc
@@ -265,6 +265,23 @@
     checkEvents(a, { "rejected:silent", "b:connected", "b:silent", "c:silent" });
 }
 
+// Guards against links that keep the times of a fleet of another size.
+BOOST_AUTO_TEST_CASE(SilenceMayChangeWhileALinkIsUp)
+{
+    EventLoop loop;
+    Host a(loop, "a", [](PeerLinkOptions& options) {
+        options.silenceTimeout = 60s;
+        options.pingInterval = 20ms;
+    });
+    RawLinkPeer silent(loop);
+    silent.connectAs(identity("b"), secret, a.links->address());
+    runUntil(loop, [&] { return silent.up; });
+    silent.stopReading();
+    a.links->setSilence(300ms, 20ms);
+    runUntil(loop, [&] { return a.events.size() == 2; });
+    checkEvents(a, { "b:connected", "b:silent" });
+}
+
 // Guards against an idle link that is closed as silent because nobody sends.
 BOOST_AUTO_TEST_CASE(IdleLinkIsPinged)
 {
