--- a/src/gateway/fleet_agent_test.cc
+++ b/src/gateway/fleet_agent_test.cc
@@ -108,6 +108,18 @@
     return engines;
 }
 
+/// Two hosts that own three engines each, which take orders from anyone. The store may treat the first one
+/// differently.
+struct TwoHostsWithLeases {
+    TwoHostsWithLeases() { scheduler.advance(4s); }
+
+    VirtualScheduler scheduler;
+    FakeRowStore store { scheduler };
+    HostStore way { store };
+    Host a { scheduler, way, "a", 1, engineSet(), OwnershipRule::LeaseEnds };
+    Host b { scheduler, store, "b", 2, engineSet(), OwnershipRule::LeaseEnds };
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(FleetAgentTest)
@@ -291,14 +303,8 @@
 // Guards against two hosts that order one engine with different numbers, which engines without fencing carry
 // out: the store turned the owner away, another host took over, and the owner's writes get through again
 // before it has read who owns its engines.
-BOOST_AUTO_TEST_CASE(AnOwnerWhoseLeaseEndedOrdersOnlyWhatItClaimedAnew)
+BOOST_FIXTURE_TEST_CASE(AnOwnerWhoseLeaseEndedOrdersOnlyWhatItClaimedAnew, TwoHostsWithLeases)
 {
-    VirtualScheduler scheduler;
-    FakeRowStore store(scheduler);
-    HostStore way(store);
-    Host a(scheduler, way, "a", 1, engineSet(), OwnershipRule::LeaseEnds);
-    Host b(scheduler, store, "b", 2, engineSet(), OwnershipRule::LeaseEnds);
-    scheduler.advance(4s);
     BOOST_TEST(a.owned.size() == 3);
     way.refusesReads = way.refusesWrites = true;
     scheduler.advance(7s);
@@ -316,13 +322,8 @@
 }
 
 // Guards against engines without an owner after their host's lease ended while no other host took over.
-BOOST_AUTO_TEST_CASE(AnOwnerClaimsItsEnginesAgainAfterAnOutage)
+BOOST_FIXTURE_TEST_CASE(AnOwnerClaimsItsEnginesAgainAfterAnOutage, TwoHostsWithLeases)
 {
-    VirtualScheduler scheduler;
-    FakeRowStore store(scheduler);
-    Host a(scheduler, store, "a", 1, engineSet(), OwnershipRule::LeaseEnds);
-    Host b(scheduler, store, "b", 2, engineSet(), OwnershipRule::LeaseEnds);
-    scheduler.advance(4s);
     const auto before = a.owned;
     store.fault = RowStoreError::Refused;
     scheduler.advance(10s);
@@ -337,14 +338,8 @@
 
 // Guards against a host that takes the engines of living hosts after it could not read the table for a while:
 // their renewals have passed it by.
-BOOST_AUTO_TEST_CASE(AHostThatMissedRenewalsTakesNoEngines)
+BOOST_FIXTURE_TEST_CASE(AHostThatMissedRenewalsTakesNoEngines, TwoHostsWithLeases)
 {
-    VirtualScheduler scheduler;
-    FakeRowStore store(scheduler);
-    HostStore way(store);
-    Host a(scheduler, way, "a", 1, engineSet(), OwnershipRule::LeaseEnds);
-    Host b(scheduler, store, "b", 2, engineSet(), OwnershipRule::LeaseEnds);
-    scheduler.advance(4s);
     const auto before = b.owned;
     way.refusesReads = true;
     scheduler.advance(8s);
@@ -356,14 +351,8 @@
 
 // Guards against an owner that counts its lease from the answer of a renewal instead of from its sending, or
 // that goes on ordering to the very end, when the order may arrive after the lease.
-BOOST_AUTO_TEST_CASE(ALeaseEndsBeforeAnotherHostMayTakeOver)
+BOOST_FIXTURE_TEST_CASE(ALeaseEndsBeforeAnotherHostMayTakeOver, TwoHostsWithLeases)
 {
-    VirtualScheduler scheduler;
-    FakeRowStore store(scheduler);
-    HostStore way(store);
-    Host a(scheduler, way, "a", 1, engineSet(), OwnershipRule::LeaseEnds);
-    Host b(scheduler, store, "b", 2, engineSet(), OwnershipRule::LeaseEnds);
-    scheduler.advance(4s);
     way.refusesReads = way.refusesWrites = true;
     std::optional<MonotonicTime> lastOrder;
     std::optional<MonotonicTime> takenOver;
