Log the limits that upstreams state, and count what is sent to them

An upstream in need states in its responses how many requests a second it takes from all hosts. Each host now records the limits it sees (upstream_limit in the log when one is stated, changed or dropped) and counts the calls, orders and reports that it sends to upstreams with a limit. No decision depends on it yet.

--- a/src/gateway/call_attributes.h
+++ b/src/gateway/call_attributes.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "gateway/request_rate.h"
 #include "gateway/run_request.h"
 #include "transport/http_message.h"
 
@@ -60,6 +61,8 @@
     /// The upstream states that it has not run the request and never will.
     bool isNotExecuted = false;
     std::optional<ReportedLoad> load;
+    /// Requests that the upstream takes from all hosts together, if it states a limit.
+    std::optional<RequestRate> requestLimit;
     /// Time for which the upstream keeps an idle connection open.
     std::optional<Duration> keepAlive;
     /// Whether the body is an event stream.
--- a/src/gateway/call_services.h
+++ b/src/gateway/call_services.h
@@ -10,6 +10,7 @@
 #include "gateway/retry_allowance.h"
 #include "gateway/run_broker.h"
 #include "gateway/upstream_directory.h"
+#include "gateway/upstream_limits.h"
 #include "gateway/upstream_picker.h"
 #include "gateway/workspace_rate_limiter.h"
 #include "transport/http_client.h"
@@ -26,6 +27,7 @@
     EngineView& engines;
     RunBroker& broker;
     UpstreamPicker& picker;
+    UpstreamLimits& limits;
     WorkspaceRateLimiter& usage;
     const CallAdmitter& admitter;
     RetryAllowance& retries;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -82,6 +82,7 @@
           { [this] { upstreamsChanged(); },
               [this](const std::vector<StoredRow>& rows) { m_mesh.sendToAll(PeerUpstreamRows { rows }); } })
     , m_picker(m_random.next())
+    , m_limits(m_settings.host)
     , m_usage(m_settings.usageWindow, m_settings.host,
           m_settings.isFirstStart ? m_started - m_settings.usageWindow : m_started)
     , m_retries(m_settings.retries)
@@ -100,13 +101,14 @@
     , m_owners(loop, platform.engines, m_upstreams, m_configuration, m_settings.host,
           { [this](const RunGrant& grant) { m_broker.answered(grant.key, grant); },
               [this](const RunDenial& denial) { m_broker.answered(denial.key, denial); },
-              [this](const UpstreamId& engine) { m_fleet.stepDown(engine); }, [this] { return mayOrder(); } })
+              [this](const UpstreamId& engine) { m_fleet.stepDown(engine); }, [this] { return mayOrder(); },
+              [this](const UpstreamId& engine, const char* kind) { engineRequestSent(engine, kind); } })
     , m_broker(loop, m_settings.host)
     , m_engineView(
           loop, m_upstreams, m_fleet, m_mesh, m_owners, m_picker, m_settings.host, m_settings.dataCentre)
     , m_admitter(m_configuration, m_usage, m_random)
     , m_services { loop, client, platform.calls, m_configuration, m_upstreams, m_engineView, m_broker,
-        m_picker, m_usage, m_admitter, m_retries, m_metrics, m_random, m_settings.dataCentre,
+        m_picker, m_limits, m_usage, m_admitter, m_retries, m_metrics, m_random, m_settings.dataCentre,
         [this] { reportUsage(); } }
     , m_memberTimer(
           loop, [] { return memberInterval; }, [this] { updateMembers(); })
@@ -222,6 +224,7 @@
 {
     m_metrics.gauge("lacewing_open_calls") = static_cast<double>(m_calls.size());
     m_metrics.gauge("lacewing_owned_engines") = static_cast<double>(m_owners.summaries().size());
+    m_metrics.gauge("lacewing_limited_upstreams") = static_cast<double>(m_limits.limitedCount());
     m_metrics.gauge("lacewing_peers_in_touch") = static_cast<double>(m_mesh.peersInTouch().size());
     const auto configuration = m_configuration.current();
     m_metrics.gauge("lacewing_configuration_revision")
@@ -282,6 +285,12 @@
     m_broker.peerMessage(peer, message);
 }
 
+void Gateway::engineRequestSent(const UpstreamId& engine, const char* kind)
+{
+    if (m_limits.rate(engine))
+        ++m_metrics.counter("lacewing_limited_upstream_requests_total", { { "kind", kind } });
+}
+
 void Gateway::reportUsage()
 {
     ++m_metrics.counter("lacewing_early_usage_reports_total");
@@ -334,6 +343,7 @@
 void Gateway::upstreamsChanged()
 {
     m_picker.retain(m_upstreams.ids());
+    m_limits.retain(m_upstreams.startTimes(), m_loop.now());
     m_owners.fetchLimiter().setEngines(engineIds().size());
     m_owners.refresh();
     m_fleet.claimUnownedEngines();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -56,6 +56,7 @@
 
     PeerHeartbeat heartbeat(HeartbeatAudience audience);
     void reportUsage();
+    void engineRequestSent(const UpstreamId& engine, const char* kind);
     void peerMessage(const HostId& peer, const PeerMessage& message);
     void fleetChanged();
     void updateMembers();
@@ -84,6 +85,7 @@
     ConfigurationTracker m_configuration;
     UpstreamDirectory m_upstreams;
     UpstreamPicker m_picker;
+    UpstreamLimits m_limits;
     WorkspaceRateLimiter m_usage;
     RetryAllowance m_retries;
     FleetAgent m_fleet;
--- a/src/gateway/owned_engines.cc
+++ b/src/gateway/owned_engines.cc
@@ -236,6 +236,7 @@
     order.holder = m_self;
     order.fencingNumber = owned.fencingNumber;
     ++m_outstandingOrders;
+    m_handlers.onEngineRequest(engine, "order");
     m_control.order({ engine, entry->address }, order,
         m_lifetime.guard([this, engine, generation, order](OrderOutcome outcome) {
             --m_outstandingOrders;
@@ -274,9 +275,10 @@
         owned->scheduler->reportArrived(report, m_scheduler.now());
         applyDecisions(engine);
     };
-    if (entry)
+    if (entry) {
+        m_handlers.onEngineRequest(engine, "report");
         m_control.report({ engine, entry->address }, m_lifetime.guard(callback));
-    else
+    } else
         m_scheduler.runAfter(Duration::zero(), m_lifetime.guard([callback] { callback(std::nullopt); }));
 }
 
--- a/src/gateway/owned_engines.h
+++ b/src/gateway/owned_engines.h
@@ -24,6 +24,8 @@
         std::function<void(const UpstreamId& engine)> onFenced;
         /// @return whether orders may be sent now.
         std::function<bool()> mayOrder;
+        /// An order or a report request is sent to an engine; the kind is "order" or "report".
+        std::function<void(const UpstreamId& engine, const char* kind)> onEngineRequest;
     };
 
     OwnedEngines(Scheduler& scheduler, EngineControl& control, const UpstreamDirectory& upstreams,
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -14,6 +14,7 @@
 
 constexpr int statusUnauthorized = 401;
 constexpr int statusNotFound = 404;
+constexpr int statusMisdirected = 421;
 constexpr int statusTooManyRequests = 429;
 constexpr int statusBadGateway = 502;
 constexpr int statusUnavailable = 503;
@@ -43,7 +44,7 @@
 /// @return whether callers may take the status as a statement that the request has not run.
 bool impliesNotExecuted(int status)
 {
-    return status == 408 || status == 421 || status == 429 || status == 503;
+    return status == 408 || status == statusMisdirected || status == 429 || status == 503;
 }
 
 } // namespace
@@ -270,6 +271,10 @@
     ++m_sends;
     m_response.begin();
     m_isExchanging = true;
+    m_sentAt = m_services.loop.now();
+    m_upstreamStartedAt = entry->startedAt;
+    if (m_services.limits.rate(upstream))
+        ++m_services.metrics.counter("lacewing_limited_upstream_requests_total", { { "kind", "call" } });
     m_services.picker.started(upstream);
     HttpClientHandlers handlers;
     handlers.onHeaders = [this](int status, const HttpHeaders& headers) { headersArrived(status, headers); };
@@ -291,6 +296,32 @@
     if (attributes.keepAlive)
         m_services.picker.keepAliveReported(m_upstream, *attributes.keepAlive);
     m_response.headArrived(attributes, headers, m_attributes.requestId);
+    observeLimit(attributes);
+}
+
+void ProxiedCall::observeLimit(const ResponseAttributes& attributes)
+{
+    // The late response to another request may state a limit that no longer holds, and a misdirected request
+    // was answered by another upstream.
+    if (!m_response.matchesRequest() || attributes.status == statusMisdirected)
+        return;
+    LimitObservation observation;
+    observation.upstream = m_upstream;
+    observation.startedAt = m_upstreamStartedAt;
+    observation.rate = attributes.requestLimit;
+    observation.isConclusive = m_response.isSuccess();
+    observation.requestSent = m_sentAt;
+    const auto before = m_services.limits.rate(m_upstream);
+    const auto changed = m_services.limits.observe(observation, m_services.loop.now());
+    if (!changed)
+        return;
+    LogEvent(LogLevel::Info, "upstream_limit")
+        .with("request", m_attributes.requestId)
+        .with("upstream", m_upstream)
+        .with("limit", changed->rate ? std::to_string(changed->rate->perSecond()) : "none")
+        .with("before", before ? std::to_string(before->perSecond()) : "none")
+        .with("revision", changed->revision);
+    ++m_services.metrics.counter("lacewing_upstream_limit_changes_total", { { "source", "response" } });
 }
 
 void ProxiedCall::bodyArrived(std::string_view bytes)
--- a/src/gateway/proxied_call.h
+++ b/src/gateway/proxied_call.h
@@ -49,6 +49,8 @@
     void send(const UpstreamId& upstream);
     HttpClientRequest upstreamRequest(const UpstreamEntry& entry);
     void headersArrived(int status, const HttpHeaders& headers);
+    /// Records what the head of a response says about the upstream's limit.
+    void observeLimit(const ResponseAttributes& attributes);
     void bodyArrived(std::string_view bytes);
     /// Closes the connection to an upstream whose response exceeds the size limit.
     void abortOversizedResponse();
@@ -93,6 +95,9 @@
     AdmissionSearch m_search;
 
     UpstreamId m_upstream;
+    MonotonicTime m_sentAt;
+    /// Start of the process of the upstream that the request was sent to.
+    int64_t m_upstreamStartedAt = 0;
     std::optional<RunId> m_run;
     std::optional<int64_t> m_version;
     std::optional<int> m_urgency;
--- a/src/gateway/proxied_call_test.cc
+++ b/src/gateway/proxied_call_test.cc
@@ -200,6 +200,7 @@
     } control;
     OwnedEngines owners { scheduler, control, upstreams, configuration, self.host, {} };
     UpstreamPicker picker { 1 };
+    UpstreamLimits limits { self.host };
     RunBroker broker { scheduler, self.host };
     EngineView view { scheduler, upstreams, fleet, mesh, owners, picker, self.host, self.dataCentre };
     WorkspaceRateLimiter usage { 8s, self.host, MonotonicTime() };
@@ -208,7 +209,7 @@
     Random random { 1 };
     CallAdmitter admitter { configuration, usage, random };
     CallServices services { scheduler, client, translator, configuration, upstreams, view, broker, picker,
-        usage, admitter, retries, metrics, random, self.dataCentre, [] {} };
+        limits, usage, admitter, retries, metrics, random, self.dataCentre, [] {} };
     std::shared_ptr<FakeExchange> exchange;
     std::shared_ptr<ProxiedCall> call;
 };
--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -73,6 +73,16 @@
     return ids;
 }
 
+std::map<UpstreamId, int64_t> UpstreamDirectory::startTimes() const
+{
+    std::map<UpstreamId, int64_t> startTimes;
+    for (const auto& [id, known] : m_known) {
+        if (isPresent(known))
+            startTimes.emplace(id, known.entry.startedAt);
+    }
+    return startTimes;
+}
+
 bool UpstreamDirectory::handleRemoval(const UpstreamId& id)
 {
     const auto found = m_known.find(id);
--- a/src/gateway/upstream_directory.h
+++ b/src/gateway/upstream_directory.h
@@ -40,6 +40,8 @@
     /// @return the upstream, even if it is draining, or null if it is unknown.
     const UpstreamEntry* find(const UpstreamId& id) const;
     std::set<UpstreamId> ids() const;
+    /// @return the upstreams and the starts of their processes.
+    std::map<UpstreamId, int64_t> startTimes() const;
 
 private:
     struct KnownUpstream {
--- /dev/null
+++ b/src/gateway/upstream_limits.cc
@@ -0,0 +1,96 @@
+#include "gateway/upstream_limits.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace lacewing::gateway {
+
+namespace {
+
+constexpr Duration absenceUntilForgotten = std::chrono::minutes(5);
+
+bool isNewer(const UpstreamLimit& a, const UpstreamLimit& b)
+{
+    return std::tie(a.startedAt, a.revision, a.observer) > std::tie(b.startedAt, b.revision, b.observer);
+}
+
+/// @return whether a limit permits less than another one; no limit permits most.
+bool isTighter(const std::optional<RequestRate>& a, const std::optional<RequestRate>& b)
+{
+    return a && (!b || *a < *b);
+}
+
+} // namespace
+
+UpstreamLimits::UpstreamLimits(HostId self)
+    : m_self(std::move(self))
+{
+}
+
+std::optional<UpstreamLimit> UpstreamLimits::observe(const LimitObservation& observation, MonotonicTime now)
+{
+    const auto found = m_known.find(observation.upstream);
+    const bool isKnown = found != m_known.end() && found->second.limit.startedAt == observation.startedAt;
+    const std::optional<RequestRate> known = isKnown ? found->second.limit.rate : std::nullopt;
+    if (observation.rate == known)
+        return std::nullopt;
+    const bool isOld = isKnown && observation.requestSent < found->second.learned;
+    const bool mayRelax = !isOld && (observation.rate || observation.isConclusive);
+    if (!isTighter(observation.rate, known) && !mayRelax)
+        return std::nullopt;
+    UpstreamLimit limit;
+    limit.upstream = observation.upstream;
+    limit.startedAt = observation.startedAt;
+    limit.revision = LimitRevision(isKnown ? found->second.limit.revision.value() + 1 : 1);
+    limit.observer = m_self;
+    limit.rate = observation.rate;
+    m_known.insert_or_assign(observation.upstream, KnownLimit { limit, now, std::nullopt });
+    return limit;
+}
+
+bool UpstreamLimits::merge(const UpstreamLimit& limit, MonotonicTime now)
+{
+    const auto found = m_known.find(limit.upstream);
+    if (found != m_known.end() && !isNewer(limit, found->second.limit))
+        return false;
+    m_known.insert_or_assign(limit.upstream, KnownLimit { limit, now, std::nullopt });
+    return true;
+}
+
+std::optional<RequestRate> UpstreamLimits::rate(const UpstreamId& upstream) const
+{
+    const auto found = m_known.find(upstream);
+    return found == m_known.end() ? std::nullopt : found->second.limit.rate;
+}
+
+std::vector<UpstreamLimit> UpstreamLimits::all() const
+{
+    std::vector<UpstreamLimit> limits;
+    for (const auto& [upstream, known] : m_known)
+        limits.push_back(known.limit);
+    return limits;
+}
+
+size_t UpstreamLimits::limitedCount() const
+{
+    return static_cast<size_t>(std::count_if(m_known.begin(), m_known.end(),
+        [](const auto& entry) { return entry.second.limit.rate.has_value(); }));
+}
+
+void UpstreamLimits::retain(const std::map<UpstreamId, int64_t>& startedAt, MonotonicTime now)
+{
+    for (auto known = m_known.begin(); known != m_known.end();) {
+        std::optional<MonotonicTime>& absentSince = known->second.absentSince;
+        const auto present = startedAt.find(known->first);
+        if (present != startedAt.end())
+            absentSince.reset();
+        else if (!absentSince)
+            absentSince = now;
+        const bool hasRestarted
+            = present != startedAt.end() && present->second > known->second.limit.startedAt;
+        const bool isGone = absentSince && now - *absentSince > absenceUntilForgotten;
+        known = hasRestarted || isGone ? m_known.erase(known) : std::next(known);
+    }
+}
+
+} // namespace lacewing::gateway
