--- a/src/experiment/experiment_report.cc
+++ b/src/experiment/experiment_report.cc
@@ -41,11 +41,12 @@
 
 std::string row(const std::string& arm, const FleetResult& result, double bound)
 {
-    return format("| %s | %.3f | %.2f | %.2f | %.2f | %.2f | %.2f | %.2f | %.2f | %.0f | %.0f | %d | %.2f | ",
+    return format("| %s | %.3f | %.2f | %.2f | %.2f | %.2f | %.2f | %.2f | %.2f | %.0f | %.0f | %d | %.2f | "
+                  "%.2f | ",
                arm.c_str(), result.all.worth(), result.all.worth() / bound, result.worstSeconds(),
                result.worst("class/"), result.worst("size/"), result.worst("data-centre/"),
                result.worst("workspace/"), result.worst("rank/"), result.waitMilliseconds(0.5),
-               result.waitMilliseconds(0.99), result.fetches, result.busiestByMean)
+               result.waitMilliseconds(0.99), result.fetches, result.busiestByMean, result.worstLimitRatio)
         + refusalText(result) + " |\n";
 }
 
@@ -87,6 +88,7 @@
         sum.refusals[reason] += count;
     sum.fetches += other.fetches;
     sum.busiestByMean = std::max(sum.busiestByMean, other.busiestByMean);
+    sum.worstLimitRatio = std::max(sum.worstLimitRatio, other.worstLimitRatio);
 }
 
 std::string markdownReport(const std::vector<LoadResults>& loads)
@@ -96,8 +98,9 @@
         text += format("\n### %s, %d engines (bound %.3f)\n\n", load.load.c_str(), load.engines, load.bound);
         text += "| arm | worth | of bound | worst seconds | worst class | worst size | worst data centre | "
                 "worst "
-                "workspace | worst rank | p50 ms | p99 ms | fetches | busiest/mean | refusals |\n";
-        text += "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+                "workspace | worst rank | p50 ms | p99 ms | fetches | busiest/mean | of limit | refusals |\n";
+        text += "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- "
+                "|\n";
         for (const auto& [arm, result] : load.arms)
             text += row(arm, result, load.bound);
     }
--- a/src/experiment/fleet_result.h
+++ b/src/experiment/fleet_result.h
@@ -33,6 +33,9 @@
     int fetches = 0;
     /// Reading time of the busiest engine by the mean of all.
     double busiestByMean = 0;
+    /// Largest number of requests that an engine with a limit got by the number that it allowed; 0 if no
+    /// limit was stated.
+    double worstLimitRatio = 0;
 
     /// @return the worth of the worst group whose name begins with a prefix.
     double worst(const std::string& prefix) const;
--- a/src/experiment/fleet_simulation.cc
+++ b/src/experiment/fleet_simulation.cc
@@ -30,6 +30,8 @@
 constexpr Duration silenceTime = seconds(1);
 constexpr Duration takeoverTime = milliseconds(1500);
 constexpr int slownessOfStore = 4;
+/// Requests count against an engine's limit once the hosts have known it for this time.
+constexpr Duration limitLearningTime = milliseconds(500);
 /// Answers that begin in the last seconds end after the load.
 constexpr Duration drainTime = seconds(16);
 constexpr int usualUrgency = 5;
@@ -82,6 +84,7 @@
     for (const Engine& engine : m_engines) {
         busiest = std::max(busiest, toSeconds(engine.model->busyTime()));
         total += toSeconds(engine.model->busyTime());
+        m_result.worstLimitRatio = std::max(m_result.worstLimitRatio, engine.limit.worstRatio());
     }
     m_result.busiestByMean = total > 0 ? busiest * static_cast<double>(m_engines.size()) / total : 0;
     return m_result;
@@ -198,9 +201,11 @@
         = isOwn ? engine.scheduler->hasCopy(adapterOf(call)) : engine.copies.has(adapterOf(call));
     candidate.updateInterval = isOwn ? Duration::zero() : m_shape.heartbeatInterval;
     const auto asked = host.asked.find(index);
-    if (!isOwn && asked != host.asked.end() && asked->second.heartbeat == engine.heartbeat)
+    if (!isOwn && asked != host.asked.end() && asked->second.heartbeat == engine.heartbeat) {
         candidate.prefillBacklog += gateway::PrefillRate::prefillTime(
             asked->second.prompts, std::max(1.0, summary.promptTokensPerMillisecond));
+        candidate.limitWait += asked->second.count * summary.startInterval;
+    }
     return candidate;
 }
 
@@ -209,8 +214,9 @@
     Engine& engine = m_engines[call->engine];
     Asked& asked = m_hosts[static_cast<size_t>(call->arrival.host)].asked[call->engine];
     if (asked.heartbeat != engine.heartbeat)
-        asked = { engine.heartbeat, Tokens(0) };
+        asked = { engine.heartbeat, Tokens(0), 0 };
     asked.prompts += call->arrival.prompt;
+    ++asked.count;
     call->key = { HostId("host-" + std::to_string(call->arrival.host)), gateway::RunId(m_nextRun++) };
     RunRequest request;
     request.key = call->key;
@@ -250,6 +256,7 @@
     ++call->sends;
     call->isRunning = true;
     m_scheduler.runAfter(m_shape.linkDelay, [this, call, urgency] {
+        requestArrived(call->engine);
         m_engines[call->engine].model->run(adapterOf(*call), call->arrival.prompt, classOf(*call).events,
             urgency, [this, call](ModelEngine::RunEvent event) { runEvent(call, event); });
     });
@@ -262,6 +269,7 @@
     switch (event) {
     case ModelEngine::RunEvent::FirstEvent:
         call->firstEvent = m_scheduler.now() + m_shape.linkDelay;
+        limitTold(call->engine);
         atOwner(call->engine, [this, key = call->key](EngineScheduler& scheduler) {
             scheduler.runProgressed(key, m_scheduler.now());
         });
@@ -321,9 +329,43 @@
     ++engine.generation;
     engine.scheduler
         = std::make_unique<EngineScheduler>(engine.id, limits, *m_hosts[static_cast<size_t>(host)].loads);
+    engine.scheduler->setRequestRate(
+        engine.limitTold ? engine.limit.rate() : std::nullopt, m_scheduler.now());
     m_scheduler.runAfter(Duration::zero(), [this, index] { carryOut(index); });
 }
 
+void FleetSimulation::stateLimits(std::optional<gateway::RequestRate> rate)
+{
+    for (size_t index = 0; index < m_engines.size(); index += failingPart)
+        m_engines[index].limit.state(rate, m_scheduler.now());
+}
+
+void FleetSimulation::requestArrived(size_t index)
+{
+    Engine& engine = m_engines[index];
+    if (engine.limitTold && m_scheduler.now() >= *engine.limitTold + limitLearningTime)
+        engine.limit.requestArrived(m_scheduler.now());
+}
+
+void FleetSimulation::limitTold(size_t index)
+{
+    Engine& engine = m_engines[index];
+    const auto rate = engine.limit.rate();
+    if (!rate && !engine.limitTold)
+        return;
+    if (!rate)
+        engine.limitTold.reset();
+    else if (!engine.limitTold)
+        engine.limitTold = m_scheduler.now() + m_shape.linkDelay;
+    // One link delay to the host that sent the request, and one from there to the owner.
+    m_scheduler.runAfter(m_shape.linkDelay, [this, index, rate] {
+        atOwner(index, [this, index, rate](EngineScheduler& scheduler) {
+            scheduler.setRequestRate(rate, m_scheduler.now());
+            carryOut(index);
+        });
+    });
+}
+
 void FleetSimulation::loseOwner(size_t index)
 {
     Engine& engine = m_engines[index];
@@ -354,6 +396,7 @@
         });
     if (decisions.needsReport)
         m_scheduler.runAfter(m_shape.linkDelay, [this, index] {
+            requestArrived(index);
             const ModelEngine& model = *m_engines[index].model;
             const auto report = model.isUp() ? std::make_optional(model.report()) : std::nullopt;
             atOwner(index, [this, index, report](EngineScheduler& scheduler) {
@@ -380,6 +423,7 @@
 void FleetSimulation::giveOrder(size_t index, const gateway::PlannedOrder& order)
 {
     m_scheduler.runAfter(m_shape.linkDelay, [this, index, order] {
+        requestArrived(index);
         m_engines[index].model->order(order, [this, index](gateway::OrderOutcome outcome) {
             atOwner(index, [this, index, outcome](EngineScheduler& scheduler) {
                 scheduler.orderAnswered(outcome, m_scheduler.now());
@@ -412,6 +456,12 @@
 
 void FleetSimulation::scheduleFaults()
 {
+    if (m_pattern == LoadPattern::LimitedEngines) {
+        m_scheduler.runAfter(patternStart, [this] { stateLimits(gateway::RequestRate(firstLimit)); });
+        m_scheduler.runAfter(
+            patternStart + limitLength, [this] { stateLimits(gateway::RequestRate(secondLimit)); });
+        m_scheduler.runAfter(patternStart + 2 * limitLength, [this] { stateLimits(std::nullopt); });
+    }
     m_scheduler.runAfter(patternStart, [this] {
         if (m_pattern == LoadPattern::SlowWeightStore)
             m_store.setSlowness(slownessOfStore);
--- a/src/experiment/fleet_simulation.h
+++ b/src/experiment/fleet_simulation.h
@@ -5,6 +5,7 @@
 #include "experiment/fleet_result.h"
 #include "experiment/load_pattern.h"
 #include "experiment/model_engine.h"
+#include "experiment/stated_limit.h"
 #include "gateway/admission_search.h"
 
 #include <map>
@@ -40,12 +41,16 @@
         gateway::EngineSummary told;
         gateway::CachedAdapters copies;
         int heartbeat = 0;
+        StatedLimit limit;
+        /// When a host first got a response with a limit.
+        std::optional<MonotonicTime> limitTold;
     };
 
     /// Prompts that a host has sent to an engine since the engine's last heartbeat.
     struct Asked {
         int heartbeat = 0;
         Tokens prompts;
+        int64_t count = 0;
     };
 
     struct Host {
@@ -103,6 +108,11 @@
     // Faults.
     void scheduleFaults();
     void killHost(size_t host);
+    /// Counts a request, an order or a report request against the engine's limit.
+    void requestArrived(size_t engine);
+    void stateLimits(std::optional<gateway::RequestRate> rate);
+    /// Tells the engine's owner the limit that the engine states in a response.
+    void limitTold(size_t engine);
 
     const RequestClass& classOf(const Call& call) const { return m_shape.classes[call.arrival.requestClass]; }
     gateway::AdapterRef adapterOf(const Call& call) const;
--- a/src/experiment/lacewinglb_experiment_main.cc
+++ b/src/experiment/lacewinglb_experiment_main.cc
@@ -1,6 +1,7 @@
 // Compares placement policies on virtual time; see docs/experiments/queueing.md.
 #include "experiment/experiment_report.h"
 #include "experiment/fleet_simulation.h"
+#include "experiment/limit_simulation.h"
 #include "experiment/worth_bound.h"
 
 #include <absl/flags/flag.h>
@@ -17,6 +18,9 @@
 ABSL_FLAG(std::string, arm, "", "play only this policy; empty: all");
 ABSL_FLAG(int, seeds, 2, "number of seeds, whose figures are put together");
 ABSL_FLAG(double, demand, 1, "factor by which callers send more than usual");
+ABSL_FLAG(int, hosts, 0, "number of hosts; 0: as many as engines");
+ABSL_FLAG(std::vector<std::string>, limit_hosts, {},
+    "instead, play upstreams that state limits before so many hosts, separated by commas");
 ABSL_FLAG(std::string, html, "", "file to write plots to; empty: none");
 
 namespace lacewing::experiment {
@@ -51,8 +55,38 @@
     return arms;
 }
 
+/// @return nothing unless the text is a number above 0.
+std::optional<size_t> positiveNumber(const std::string& text)
+{
+    const int number = std::atoi(text.c_str());
+    return number < 1 ? std::nullopt : std::make_optional(static_cast<size_t>(number));
+}
+
+int playLimits()
+{
+    std::cout << "| hosts | seed | requests by allowed requests, worst window | served | refused |\n"
+              << "| --- | --- | --- | --- | --- |\n";
+    for (const std::string& text : absl::GetFlag(FLAGS_limit_hosts)) {
+        const auto hosts = positiveNumber(text);
+        if (!hosts) {
+            std::cerr << "--limit_hosts: \"" << text << "\" is not a number above 0\n";
+            return BadArguments;
+        }
+        for (int seed = 1; seed <= absl::GetFlag(FLAGS_seeds); ++seed) {
+            LimitSimulation fleet({ *hosts, 4, 60 }, static_cast<uint64_t>(seed));
+            fleet.playTroubles();
+            std::cout << "| " << *hosts << " | " << seed << " | " << fleet.worstRatio() << " | "
+                      << fleet.served() << " | " << fleet.refused() << " |\n"
+                      << std::flush;
+        }
+    }
+    return Success;
+}
+
 int run()
 {
+    if (!absl::GetFlag(FLAGS_limit_hosts).empty())
+        return playLimits();
     const std::string load = absl::GetFlag(FLAGS_load);
     const auto pattern = loadPatternNamed(load);
     const std::vector<Arm> arms = chosenArms();
@@ -62,12 +96,14 @@
     }
     std::vector<LoadResults> results;
     for (const std::string& text : absl::GetFlag(FLAGS_engines)) {
-        const int engines = std::atoi(text.c_str());
-        if (engines < 1) {
+        const auto number = positiveNumber(text);
+        if (!number) {
             std::cerr << "--engines: \"" << text << "\" is not a number above 0\n";
             return BadArguments;
         }
-        FleetShape shape = FleetShape::ofEngines(engines);
+        FleetShape shape = FleetShape::ofEngines(static_cast<int>(*number));
+        if (absl::GetFlag(FLAGS_hosts) > 0)
+            shape.hosts = absl::GetFlag(FLAGS_hosts);
         shape.requestsPerSecond *= absl::GetFlag(FLAGS_demand);
         for (const LoadPattern each : pattern ? std::vector<LoadPattern> { *pattern } : allLoadPatterns()) {
             results.push_back(playLoad(shape, each, arms));
--- /dev/null
+++ b/src/experiment/limit_simulation.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "base/random.h"
+#include "base/simulated_network.h"
+#include "base/virtual_scheduler.h"
+#include "experiment/stated_limit.h"
+#include "gateway/upstream_permits.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace lacewing::experiment {
+
+/// Plays a fleet of hosts before upstreams that state limits, on virtual time: callers send requests through
+/// random hosts, which run the gateway's UpstreamLimits and UpstreamPermits. Hosts can join, restart, freeze
+/// and be cut off from each other at any moment.
+class LimitSimulation {
+public:
+    struct Shape {
+        size_t hosts = 7;
+        size_t upstreams = 4;
+        /// Requests of all callers together.
+        double requestsPerSecond = 60;
+    };
+
+    LimitSimulation(const Shape& shape, uint64_t seed);
+    ~LimitSimulation();
+    LimitSimulation(const LimitSimulation&) = delete;
+    LimitSimulation& operator=(const LimitSimulation&) = delete;
+
+    void advance(Duration duration) { m_scheduler.advance(duration); }
+    MonotonicTime now() const { return m_scheduler.now(); }
+
+    /// An upstream states a limit from its next response on; nothing drops it.
+    void stateLimit(size_t upstream, std::optional<double> perSecond);
+
+    HostId host(size_t index) const;
+    /// Starts a host, with a process that knows nothing.
+    void start(const HostId& host);
+    void restart(const HostId& host);
+    void setFrozen(const HostId& host, bool isFrozen) { m_network.setPaused(host, isFrozen); }
+    /// Cuts the links between the first hosts and all others, or heals them.
+    void setCut(size_t count, bool isCut);
+
+    /// Plays limits that are stated, changed and dropped, while hosts join, restart, freeze and are cut off.
+    void playTroubles();
+
+    /// @return the worst ratio of requests to allowed requests at any upstream.
+    double worstRatio() const;
+    int served() const { return m_served; }
+    int refused() const { return m_refused; }
+
+private:
+    struct Host;
+
+    static UpstreamId upstreamId(size_t index);
+    std::set<HostId> peersInTouch(const Host& host) const;
+    void send(const HostId& from, const HostId& to, const gateway::PeerMessage& message);
+    void sendToAll(const HostId& from, const gateway::PeerMessage& message);
+    /// Sends all known limits to a peer, as when a link is established.
+    void introduce(const HostId& from, const HostId& to);
+    void sendHeartbeats(const HostId& from, const std::weak_ptr<char>& life);
+    void heartbeatArrived(const HostId& from, const HostId& to);
+
+    void scheduleCall();
+    /// Sends a request to the upstream, or to the next one that its limit permits.
+    ///
+    /// @param tried upstreams that have no start to offer.
+    void choose(const HostId& id, size_t upstream, std::set<size_t> tried);
+    void sendRequest(const HostId& id, size_t upstream);
+    void responded(
+        const HostId& id, size_t upstream, MonotonicTime sent, std::optional<gateway::RequestRate> rate);
+
+    VirtualScheduler m_scheduler;
+    Random m_random;
+    SimulatedNetwork m_network;
+    Duration m_heartbeatInterval;
+    double m_requestsPerSecond;
+    std::vector<StatedLimit> m_upstreams;
+    std::map<HostId, std::unique_ptr<Host>> m_hosts;
+    int m_served = 0;
+    int m_refused = 0;
+};
+
+} // namespace lacewing::experiment
--- a/src/experiment/load_pattern.cc
+++ b/src/experiment/load_pattern.cc
@@ -39,6 +39,7 @@
     { LoadPattern::EngineCrashes, "engine-crashes" },
     { LoadPattern::SlowWeightStore, "slow-weight-store" },
     { LoadPattern::OwnersKilled, "owners-killed" },
+    { LoadPattern::LimitedEngines, "limited-engines" },
 };
 
 bool isInPattern(Duration at)
--- a/src/experiment/load_pattern.h
+++ b/src/experiment/load_pattern.h
@@ -31,6 +31,8 @@
     SlowWeightStore,
     /// A quarter of the hosts, owners of engines, is killed.
     OwnersKilled,
+    /// A quarter of the engines states a limit of requests a second, changes it and drops it.
+    LimitedEngines,
 };
 
 /// All patterns, in the order of the report.
@@ -58,6 +60,11 @@
 /// One in so many engines or hosts fails, the first one included.
 constexpr int failingPart = 4;
 /// How long an engine that has crashed is away.
+/// Limits in requests a second that engines state, one after the other.
+constexpr double firstLimit = 1;
+constexpr double secondLimit = 2.5;
+/// How long engines state each limit.
+constexpr Duration limitLength = std::chrono::seconds(4);
 constexpr Duration engineOutage = std::chrono::seconds(4);
 
 /// @return the requests of a run in order of time; the same seed gives the same requests.
--- a/src/gateway/admission_search.h
+++ b/src/gateway/admission_search.h
@@ -48,10 +48,14 @@
 
     void denied(const RunDenial& denial)
     {
-        if (denial.reason == RunRefusal::Overloaded)
+        m_isOverloaded = m_isOverloaded || denial.reason == RunRefusal::Overloaded;
+        if (denial.reason == RunRefusal::Overloaded || denial.reason == RunRefusal::UpstreamLimit)
             m_retryAfter = std::min(m_retryAfter.value_or(denial.retryAfter), denial.retryAfter);
     }
 
+    /// @return whether only limits that engines state have kept the request from starting.
+    bool isLimitedOnly() const { return m_retryAfter && !m_isOverloaded; }
+
     /// Allows one more attempt, because an engine that admitted the request did not run it.
     void allowOneMore() { m_attempts = std::min(m_attempts, maximumAttempts - 1); }
 
@@ -76,6 +80,7 @@
     Duration m_limit {};
     int m_attempts = 0;
     std::optional<Duration> m_retryAfter;
+    bool m_isOverloaded = false;
 };
 
 } // namespace lacewing::gateway
--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -27,6 +27,8 @@
         return "not_executed";
     case CallRefusal::Stopping:
         return "stopping";
+    case CallRefusal::UpstreamLimit:
+        return "upstream_limit";
     }
     return "unknown";
 }
--- a/src/gateway/call_admission.h
+++ b/src/gateway/call_admission.h
@@ -22,6 +22,8 @@
     NotInTime,
     NotExecuted,
     Stopping,
+    /// The upstreams that could serve the request have stated limits, which are exhausted.
+    UpstreamLimit,
 };
 
 /// @return the reason in snake_case, as logs and metrics name it.
--- a/src/gateway/call_services.h
+++ b/src/gateway/call_services.h
@@ -11,6 +11,7 @@
 #include "gateway/run_broker.h"
 #include "gateway/upstream_directory.h"
 #include "gateway/upstream_limits.h"
+#include "gateway/upstream_permits.h"
 #include "gateway/upstream_picker.h"
 #include "gateway/workspace_rate_limiter.h"
 #include "transport/http_client.h"
@@ -28,6 +29,7 @@
     RunBroker& broker;
     UpstreamPicker& picker;
     UpstreamLimits& limits;
+    UpstreamPermits& permits;
     WorkspaceRateLimiter& usage;
     const CallAdmitter& admitter;
     RetryAllowance& retries;
@@ -36,6 +38,8 @@
     DataCentreId dataCentre;
     /// Sends the workspaces' usage to all peers before the next heartbeat.
     std::function<void()> reportUsage;
+    /// Applies a limit that an upstream has stated and tells it to all peers.
+    std::function<void(const UpstreamLimit& limit)> limitObserved;
     /// False once the host drains, since a new stream could be cut off by the end of the process.
     bool acceptsStreams = true;
 };
--- a/src/gateway/engine_chooser.cc
+++ b/src/gateway/engine_chooser.cc
@@ -15,6 +15,8 @@
 constexpr Duration fetchCost = milliseconds(350);
 /// Expected cost of loading an adapter from the engine's cached copy.
 constexpr Duration cachedLoadCost = milliseconds(150);
+/// Orders until an adapter is loaded, which count against the limit that an engine states.
+constexpr int ordersForLoad = 3;
 constexpr Duration remainingLoadCost = milliseconds(60);
 /// Engines further down the adapter's ranking are less likely to have a cached copy.
 constexpr Duration homeRankCost = milliseconds(40);
@@ -33,6 +35,8 @@
     openSlots = summary.openSlots;
     fetchWait = summary.fetchWait;
     waiting = summary.waiting;
+    limitWait = summary.limitWait;
+    startInterval = summary.startInterval;
     for (const AdapterSummary& held : summary.adapters) {
         if (held.adapter != adapter)
             continue;
@@ -44,7 +48,7 @@
 Duration EngineChooser::cost(
     const EngineCandidate& candidate, bool needsAdapter, size_t homeRank, Random& random)
 {
-    Duration cost = candidate.prefillBacklog;
+    Duration cost = std::max(candidate.prefillBacklog, candidate.limitWait);
     if (!candidate.isInCallersDataCentre)
         cost += dataCentreCost;
     if (candidate.isSuspect)
@@ -58,6 +62,7 @@
     cost += candidate.hasCopy ? cachedLoadCost
                               : candidate.fetchWait + fetchCost
             + homeRankCost * static_cast<int64_t>(std::min(homeRank, maximumCountedRank));
+    cost += ordersForLoad * candidate.startInterval;
     if (candidate.openSlots <= 0)
         cost += slotWaitCost + candidate.waiting * milliseconds(20);
     return cost;
--- a/src/gateway/engine_chooser.h
+++ b/src/gateway/engine_chooser.h
@@ -26,6 +26,10 @@
     Duration updateInterval {};
     /// Expected wait until the fetch of an adapter that is not loaded could start.
     Duration fetchWait {};
+    /// Expected wait for a start within the limit that the engine states.
+    Duration limitWait {};
+    /// Time between two starts or orders within that limit; zero without a limit.
+    Duration startInterval {};
     int openSlots = 0;
     int waiting = 0;
 
--- a/src/gateway/engine_chooser_test.cc
+++ b/src/gateway/engine_chooser_test.cc
@@ -133,4 +133,19 @@
         BOOST_TEST(EngineChooser::rank(adapter, candidates, random).front() != candidates[0].engine);
 }
 
+// Load: an engine that holds the adapter takes one request a second. Guards against requests that queue for
+// it while other engines are free.
+BOOST_AUTO_TEST_CASE(AnEngineAtItsLimitComesAfterTheOthers)
+{
+    auto candidates = engines(3);
+    candidates[1].holdsAdapter = true;
+    candidates[1].startInterval = 1s;
+    BOOST_TEST(rank(adapter, candidates).front() == candidates[1].engine);
+    candidates[1].limitWait = 1s;
+    BOOST_TEST(rank(adapter, candidates).back() == candidates[1].engine);
+    candidates[1] = engines(3)[1];
+    candidates[1].startInterval = 1s;
+    BOOST_TEST(rank(adapter, candidates).back() == candidates[1].engine);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -33,6 +33,10 @@
 constexpr int lastOnTimeUrgency = 6;
 constexpr int lateUrgency = 8;
 
+/// Orders until an adapter can be used: to unload another one, to load it, and to learn that it is loaded.
+constexpr size_t ordersForLoad = 3;
+constexpr size_t ordersWhileLoading = 1;
+
 /// Lower bound of the retry delay that a denial suggests.
 constexpr Duration shortestRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration longestRetryAfter = std::chrono::seconds(2);
@@ -50,6 +54,8 @@
         return "engine_leaving";
     case RunRefusal::EngineUnusable:
         return "engine_unusable";
+    case RunRefusal::UpstreamLimit:
+        return "upstream_limit";
     }
     return "unknown";
 }
@@ -231,15 +237,17 @@
     SchedulerDecisions decisions;
     decisions.denials = std::exchange(m_denials, {});
     grantRuns(decisions, now);
-    denyExpired(decisions, now);
+    denyHopeless(decisions, now);
     planOrder(decisions, now);
     m_fetchLimiter.setDemand(this, fetchDemand());
     if (!m_sequence && !m_isReportPending && !m_order) {
-        if (now >= m_nextReport) {
+        const Duration wait = std::max<Duration>(m_nextReport - now, m_pacer.waitFor(0, now));
+        if (wait <= Duration::zero()) {
             decisions.needsReport = true;
             m_isReportPending = true;
+            m_pacer.started(now);
         } else
-            decisions.reevaluateAfter = m_nextReport - now;
+            decisions.reevaluateAfter = wait;
     }
     const bool hasWork = !m_waiting.empty() || m_slots.loading() > 0;
     if (hasWork && !decisions.reevaluateAfter)
@@ -265,7 +273,8 @@
             || (canRun
                 && !m_prefillPacer.admits(
                     uncachedTokens(request), isIdle, shortestTargetPause(), m_prefillRate, now));
-        if (!canRun || isPaced) {
+        const bool isWithinLimit = m_pacer.waitFor(0, now) == Duration::zero();
+        if (!canRun || isPaced || !isWithinLimit) {
             remaining.push_back(std::move(request));
             continue;
         }
@@ -280,6 +289,7 @@
         if (isIdle)
             m_prefillRate.busyPeriodStarted(now);
         m_prefillPacer.admitted(prompt, isIdle, m_prefillRate, now);
+        m_pacer.started(now);
         m_backlog += prompt;
         m_cacheInUse += cacheDemand(request);
         decisions.grants.push_back(grant);
@@ -289,26 +299,46 @@
     m_waiting = std::move(remaining);
 }
 
-void EngineScheduler::denyExpired(SchedulerDecisions& decisions, MonotonicTime now)
+// The waiting requests are in the order of their start. Orders count against the limit that the engine
+// states, too.
+void EngineScheduler::denyHopeless(SchedulerDecisions& decisions, MonotonicTime now)
 {
     std::vector<RunRequest> remaining;
+    std::set<AdapterRef> ordered;
+    size_t ahead = 0;
     for (RunRequest& request : m_waiting) {
-        if (now > request.latestStart)
-            decisions.denials.push_back(
-                { request.key, RunRefusal::Overloaded, shortestRetryAfter, Duration::zero() });
-        else
+        const size_t orders = ordered.count(request.adapter) > 0 ? 0 : ordersUntilServable(request.adapter);
+        const Duration limitWait = m_pacer.waitFor(ahead + orders, now);
+        if (now + limitWait <= request.latestStart) {
+            ahead += orders + 1;
+            ordered.insert(request.adapter);
             remaining.push_back(std::move(request));
+            continue;
+        }
+        const bool isLimited = limitWait > Duration::zero();
+        decisions.denials.push_back(
+            { request.key, isLimited ? RunRefusal::UpstreamLimit : RunRefusal::Overloaded,
+                std::max<Duration>(limitWait - (request.onTimeStart - now), shortestRetryAfter), limitWait });
     }
     m_waiting = std::move(remaining);
 }
 
+size_t EngineScheduler::ordersUntilServable(const AdapterRef& adapter) const
+{
+    if (isServable(adapter) || !needsSlot(adapter))
+        return 0;
+    return m_slots.has(adapter) ? ordersWhileLoading : ordersForLoad;
+}
+
 void EngineScheduler::planOrder(SchedulerDecisions& decisions, MonotonicTime now)
 {
-    if (m_order || !m_sequence || m_isReportPending || now < m_nextOrder)
+    const bool isWithinLimit = m_pacer.waitFor(0, now) == Duration::zero();
+    if (m_order || !m_sequence || m_isReportPending || now < m_nextOrder || !isWithinLimit)
         return;
     m_order = chooseOrder(now);
     if (!m_order)
         return;
+    m_pacer.started(now);
     m_order->expectedSequence = *m_sequence;
     decisions.order = m_order;
 }
@@ -476,6 +506,8 @@
     summary.waiting = static_cast<int>(m_waiting.size());
     summary.openSlots = m_slots.openCount(awaitedAdapters());
     summary.fetchWait = m_fetchLimiter.expectedWait();
+    summary.limitWait = m_pacer.waitFor(m_waiting.size(), now);
+    summary.startInterval = m_pacer.interval();
     summary.adapters = m_slots.summaries();
     return summary;
 }
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -3,6 +3,7 @@
 #include "gateway/engine_adapter_slots.h"
 #include "gateway/prefill_pacer.h"
 #include "gateway/prefix_cache_model.h"
+#include "gateway/request_pacer.h"
 #include "gateway/run_request.h"
 #include "gateway/serving_configuration.h"
 #include "gateway/upstream_entry.h"
@@ -45,6 +46,8 @@
     const UpstreamId& engine() const { return m_engine; }
 
     void setLimits(const EngineLimits& limits);
+    /// Sets the rate at which runs may be granted; nothing if the engine states no limit.
+    void setRequestRate(std::optional<RequestRate> rate, MonotonicTime now) { m_pacer.setRate(rate, now); }
     /// Sets the minimum version of an adapter that operators have released; requests start only on versions
     /// at least as new.
     void setRelease(const AdapterRef& adapter, int64_t version) { m_slots.setRelease(adapter, version); }
@@ -94,7 +97,10 @@
     int fetchDemand() const;
 
     void grantRuns(SchedulerDecisions& decisions, MonotonicTime now);
-    void denyExpired(SchedulerDecisions& decisions, MonotonicTime now);
+    /// @return number of orders that must be sent before a run of the adapter can start.
+    size_t ordersUntilServable(const AdapterRef& adapter) const;
+    /// Denies the requests that can't start in time.
+    void denyHopeless(SchedulerDecisions& decisions, MonotonicTime now);
     void planOrder(SchedulerDecisions& decisions, MonotonicTime now);
     std::optional<PlannedOrder> chooseOrder(MonotonicTime now);
     std::optional<PlannedOrder> chooseLoad(MonotonicTime now);
@@ -113,6 +119,7 @@
     AdapterPopularity m_popularity;
     PrefillRate m_prefillRate;
     PrefillPacer m_prefillPacer;
+    RequestPacer m_pacer;
     PrefixCacheModel m_prefixCache;
     /// Moving average of the time between two slots becoming idle.
     Duration m_slotTurnover = std::chrono::milliseconds(150);
--- a/src/gateway/engine_scheduler_test.cc
+++ b/src/gateway/engine_scheduler_test.cc
@@ -336,4 +336,47 @@
     BOOST_TEST((next.grants.front().key == second));
 }
 
+// Load: an engine in need states that it takes one request a second, while requests for many adapters arrive.
+// Guards against orders that count against the limit as requests do and exceed it, against a limit that is
+// not used, and against requests that wait for a start which the limit does not permit in time.
+BOOST_AUTO_TEST_CASE(RunsOrdersAndReportsKeepWithinTheLimitOfTheEngine)
+{
+    Fixture fixture;
+    fixture.report({ { AdapterId("a0"), 1 } });
+    fixture.scheduler.setRequestRate(RequestRate(1), fixture.now);
+    std::vector<MonotonicTime> sent;
+    std::map<RunKey, MonotonicTime> arrived;
+    size_t granted = 0;
+    for (int step = 0; step < 2000; ++step, fixture.now += 10ms) {
+        if (step % 5 == 0)
+            arrived[fixture.request(("a" + std::to_string(step / 5 % 6)).c_str())] = fixture.now;
+        const SchedulerDecisions decisions = fixture.decide();
+        for (const RunGrant& grant : decisions.grants) {
+            sent.push_back(fixture.now);
+            ++granted;
+            fixture.scheduler.runProgressed(grant.key, fixture.now);
+            fixture.scheduler.runEnded(grant.key, {}, fixture.now);
+        }
+        for (const RunDenial& denial : decisions.denials) {
+            BOOST_TEST((fixture.now - arrived.at(denial.key) < 1s));
+            BOOST_TEST((denial.retryAfter >= 100ms));
+        }
+        if (decisions.needsReport) {
+            sent.push_back(fixture.now);
+            fixture.scheduler.reportArrived(std::nullopt, fixture.now);
+        }
+        if (decisions.order) {
+            sent.push_back(fixture.now);
+            fixture.scheduler.orderAnswered(OrderOutcome::Accepted, fixture.now);
+        }
+    }
+    BOOST_TEST(granted >= 10u);
+    for (size_t first = 0; first < sent.size(); ++first) {
+        size_t last = first;
+        while (last < sent.size() && sent[last] - sent[first] < 4s)
+            ++last;
+        BOOST_TEST(last - first <= 6u);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/engine_summary.h
+++ b/src/gateway/engine_summary.h
@@ -28,6 +28,10 @@
     int openSlots = 0;
     /// Expected wait before a further fetch starts.
     Duration fetchWait {};
+    /// Time until a further request can start within the limit that the engine states.
+    Duration limitWait {};
+    /// Time between two starts within that limit; zero without a limit.
+    Duration startInterval {};
     std::vector<AdapterSummary> adapters;
 };
 
--- a/src/gateway/engine_view.cc
+++ b/src/gateway/engine_view.cc
@@ -90,9 +90,11 @@
         if (published) {
             candidate.updateInterval = updateInterval;
             const auto recorded = m_recordedRequests.find(entry->id);
-            if (recorded != m_recordedRequests.end() && recorded->second.heard == published->heard)
+            if (recorded != m_recordedRequests.end() && recorded->second.heard == published->heard) {
                 candidate.prefillBacklog += PrefillRate::prefillTime(recorded->second.prompts,
                     std::max(minimumPrefillRate, summary.promptTokensPerMillisecond));
+                candidate.limitWait += recorded->second.count * summary.startInterval;
+            }
         }
         candidates.push_back(std::move(candidate));
     }
@@ -108,8 +110,9 @@
         return;
     RecordedRequests& recorded = m_recordedRequests[engine];
     if (recorded.heard != published->heard)
-        recorded = { published->heard, Tokens(0) };
+        recorded = { published->heard, Tokens(0), 0 };
     recorded.prompts += prompt;
+    ++recorded.count;
 }
 
 } // namespace lacewing::gateway
--- a/src/gateway/engine_view.h
+++ b/src/gateway/engine_view.h
@@ -35,6 +35,7 @@
     struct RecordedRequests {
         MonotonicTime heard;
         Tokens prompts;
+        int64_t count = 0;
     };
 
     static bool entryHolds(const UpstreamEntry& entry, const AdapterRef& adapter);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -102,14 +102,20 @@
           { [this](const RunGrant& grant) { m_broker.answered(grant.key, grant); },
               [this](const RunDenial& denial) { m_broker.answered(denial.key, denial); },
               [this](const UpstreamId& engine) { m_fleet.stepDown(engine); }, [this] { return mayOrder(); },
-              [this](const UpstreamId& engine, const char* kind) { engineRequestSent(engine, kind); } })
+              [this](const UpstreamId& engine, const char* kind) { engineRequestSent(engine, kind); },
+              [this](const UpstreamId& engine) { return requestRate(engine); } })
     , m_broker(loop, m_settings.host)
     , m_engineView(
           loop, m_upstreams, m_fleet, m_mesh, m_owners, m_picker, m_settings.host, m_settings.dataCentre)
     , m_admitter(m_configuration, m_usage, m_random)
+    , m_permits(loop, m_limits, m_settings.host,
+          { [this](const HostId& peer, const PeerMessage& message) { return m_mesh.send(peer, message); },
+              [this] { return permitDeciders(); }, [this] { return shareInTouch(); },
+              [this](const UpstreamId& upstream) { return m_engineView.ownerOf(upstream).has_value(); } })
     , m_services { loop, client, platform.calls, m_configuration, m_upstreams, m_engineView, m_broker,
-        m_picker, m_limits, m_usage, m_admitter, m_retries, m_metrics, m_random, m_settings.dataCentre,
-        [this] { reportUsage(); } }
+        m_picker, m_limits, m_permits, m_usage, m_admitter, m_retries, m_metrics, m_random,
+        m_settings.dataCentre, [this] { reportUsage(); },
+        [this](const UpstreamLimit& limit) { limitObserved(limit); } }
     , m_memberTimer(
           loop, [] { return memberInterval; }, [this] { updateMembers(); })
 {
@@ -250,6 +256,8 @@
     if (audience == HeartbeatAudience::AllPeers)
         m_owners.fetchLimiter().told();
     heartbeat.engines = m_owners.summaries();
+    if (audience == HeartbeatAudience::NewPeer)
+        heartbeat.limits = m_limits.all();
     return heartbeat;
 }
 
@@ -263,6 +271,7 @@
         m_operatorRows.onHeartbeat(peer, heartbeat->operatorVersion);
         if (heartbeat->configurationAge)
             m_configuration.recordPeerVersion(heartbeat->configurationVersion, *heartbeat->configurationAge);
+        limitsTold(peer, heartbeat->limits);
         m_owners.fetchLimiter().setPeersInFlight(m_mesh.fetchesInFlight(), m_peersInTouch);
         return;
     }
@@ -282,6 +291,11 @@
         m_usage.peerReported(peer, usage->incarnation, usage->usage, m_loop.now());
         return;
     }
+    if (const auto* limit = std::get_if<PeerUpstreamLimit>(&message)) {
+        limitsTold(peer, { limit->limit });
+        return;
+    }
+    m_permits.peerMessage(peer, message);
     m_broker.peerMessage(peer, message);
 }
 
@@ -297,6 +311,55 @@
     m_mesh.sendToAll(PeerUsage { m_incarnation, m_usage.earlyReport(m_loop.now()) });
 }
 
+void Gateway::limitObserved(const UpstreamLimit& limit)
+{
+    m_mesh.sendToAll(PeerUpstreamLimit { limit });
+    m_owners.requestRateChanged(limit.upstream);
+}
+
+void Gateway::limitsTold(const HostId& peer, const std::vector<UpstreamLimit>& limits)
+{
+    for (const UpstreamLimit& limit : limits) {
+        const UpstreamEntry* entry = m_upstreams.find(limit.upstream);
+        const bool hasRestarted = entry && entry->startedAt > limit.startedAt;
+        const auto before = m_limits.rate(limit.upstream);
+        if (hasRestarted || !m_limits.merge(limit, m_loop.now()) || before == limit.rate)
+            continue;
+        LogEvent(LogLevel::Info, "upstream_limit")
+            .with("upstream", limit.upstream)
+            .with("limit", limit.rate ? std::to_string(limit.rate->perSecond()) : "none")
+            .with("before", before ? std::to_string(before->perSecond()) : "none")
+            .with("revision", limit.revision)
+            .with("peer", peer);
+        ++m_metrics.counter("lacewing_upstream_limit_changes_total", { { "source", "peer" } });
+        m_owners.requestRateChanged(limit.upstream);
+    }
+}
+
+std::set<HostId> Gateway::permitDeciders() const
+{
+    std::set<HostId> hosts;
+    for (const auto& [host, state] : m_mesh.peersInTouch()) {
+        if (!state->heartbeat.isStopping)
+            hosts.insert(host);
+    }
+    return hosts;
+}
+
+double Gateway::shareInTouch() const
+{
+    const size_t others = m_mesh.hosts().size();
+    const auto inTouch = std::count_if(m_mesh.hosts().begin(), m_mesh.hosts().end(),
+        [this](const auto& entry) { return m_mesh.isInTouch(entry.first); });
+    return (static_cast<double>(inTouch) + 1) / (static_cast<double>(others) + 1);
+}
+
+std::optional<RequestRate> Gateway::requestRate(const UpstreamId& upstream) const
+{
+    const auto limit = m_limits.rate(upstream);
+    return limit ? std::make_optional(*limit * shareInTouch()) : std::nullopt;
+}
+
 void Gateway::fleetChanged()
 {
     m_mesh.update(m_fleet.registry());
@@ -318,6 +381,8 @@
     m_configuration.setReader(reads);
     m_upstreams.setReader(reads);
     m_usage.setMembers(members);
+    if (m_limits.limitedCount() > 0)
+        m_owners.requestRatesChanged();
     m_retries.setHostCount(members.size());
 }
 
@@ -343,6 +408,7 @@
 void Gateway::upstreamsChanged()
 {
     m_picker.retain(m_upstreams.ids());
+    m_permits.retain(m_upstreams.ids());
     m_limits.retain(m_upstreams.startTimes(), m_loop.now());
     m_owners.fetchLimiter().setEngines(engineIds().size());
     m_owners.refresh();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -56,6 +56,16 @@
 
     PeerHeartbeat heartbeat(HeartbeatAudience audience);
     void reportUsage();
+    /// Handles a limit that an upstream has stated to this host.
+    void limitObserved(const UpstreamLimit& limit);
+    /// Handles limits that a peer has told.
+    void limitsTold(const HostId& peer, const std::vector<UpstreamLimit>& limits);
+    /// @return the hosts that may decide on the use of upstreams with a limit, without this one.
+    std::set<HostId> permitDeciders() const;
+    /// @return the rate at which this host may grant requests to an upstream; nothing without a limit.
+    std::optional<RequestRate> requestRate(const UpstreamId& upstream) const;
+    /// @return the part of the live hosts that is in touch, this one included.
+    double shareInTouch() const;
     void engineRequestSent(const UpstreamId& engine, const char* kind);
     void peerMessage(const HostId& peer, const PeerMessage& message);
     void fleetChanged();
@@ -95,6 +105,7 @@
     RunBroker m_broker;
     EngineView m_engineView;
     CallAdmitter m_admitter;
+    UpstreamPermits m_permits;
     CallServices m_services;
     std::unique_ptr<HttpServer> m_callerServer;
     std::unique_ptr<HttpServer> m_directoryServer;
--- a/src/gateway/owned_engines.cc
+++ b/src/gateway/owned_engines.cc
@@ -54,6 +54,7 @@
     owned.scheduler = std::make_unique<EngineScheduler>(engine, *limits, m_fetchLimiter);
     for (const auto& [adapter, version] : m_configuration.releases())
         owned.scheduler->setRelease(adapter, version);
+    owned.scheduler->setRequestRate(m_handlers.requestRate(engine), m_scheduler.now());
     applyDecisions(engine);
 }
 
@@ -155,6 +156,25 @@
     }
 }
 
+void OwnedEngines::requestRateChanged(const UpstreamId& engine)
+{
+    OwnedEngine* owned = find(engine);
+    if (!owned || !owned->scheduler)
+        return;
+    owned->scheduler->setRequestRate(m_handlers.requestRate(engine), m_scheduler.now());
+    if (owned->scheduler->hasWaitingRuns())
+        applyDecisions(engine);
+}
+
+void OwnedEngines::requestRatesChanged()
+{
+    std::vector<UpstreamId> engines;
+    for (const auto& [engine, owned] : m_engines)
+        engines.push_back(engine);
+    for (const UpstreamId& engine : engines)
+        requestRateChanged(engine);
+}
+
 std::vector<EngineSummary> OwnedEngines::summaries() const
 {
     std::vector<EngineSummary> summaries;
--- a/src/gateway/owned_engines.h
+++ b/src/gateway/owned_engines.h
@@ -26,6 +26,8 @@
         std::function<bool()> mayOrder;
         /// An order or a report request is sent to an engine; the kind is "order" or "report".
         std::function<void(const UpstreamId& engine, const char* kind)> onEngineRequest;
+        /// @return the rate at which this host may grant runs on an engine; nothing without a limit.
+        std::function<std::optional<RequestRate>(const UpstreamId& engine)> requestRate;
     };
 
     OwnedEngines(Scheduler& scheduler, EngineControl& control, const UpstreamDirectory& upstreams,
@@ -42,6 +44,10 @@
     void hostLost(const HostId& host);
 
     void released(const AdapterRelease& release);
+    /// Handles a change of the rate at which runs on an engine may be granted.
+    void requestRateChanged(const UpstreamId& engine);
+    /// Handles a change of the rates of several engines.
+    void requestRatesChanged();
     /// Handles a change of the upstreams or the configuration.
     void refresh();
     std::vector<EngineSummary> summaries() const;
--- a/src/gateway/owned_engines_test.cc
+++ b/src/gateway/owned_engines_test.cc
@@ -101,7 +101,8 @@
     std::vector<RunDenial> denials;
     OwnedEngines owners { scheduler, control, upstreams, configuration, HostId("host-1"),
         { [](const RunGrant&) {}, [this](const RunDenial& denial) { denials.push_back(denial); },
-            [](const UpstreamId&) {}, [] { return true; }, [](const UpstreamId&, const char*) {} } };
+            [](const UpstreamId&) {}, [] { return true; }, [](const UpstreamId&, const char*) {},
+            [](const UpstreamId&) { return std::optional<RequestRate>(); } } };
 };
 
 } // namespace
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -23,7 +23,10 @@
     RunEnd,
     UpstreamRows,
     Usage,
-    OperatorRequest
+    OperatorRequest,
+    UpstreamLimit,
+    PermitRequest,
+    PermitAnswer
 };
 
 Json frame(FrameType type)
@@ -56,7 +59,8 @@
     }
     return Json::array({ summary.engine.value(), microseconds(summary.prefillBacklog), summary.running,
         summary.waiting, summary.openSlots, summary.isUsable, microseconds(summary.fetchWait),
-        std::move(held), summary.promptTokensPerMillisecond });
+        std::move(held), summary.promptTokensPerMillisecond, microseconds(summary.limitWait),
+        microseconds(summary.startInterval) });
 }
 
 EngineSummary decodeSummary(const Json& json)
@@ -70,6 +74,11 @@
     summary.isUsable = json.at(5).get<bool>();
     summary.fetchWait = duration(json.at(6));
     summary.promptTokensPerMillisecond = json.at(8).get<double>();
+    // Hosts of an earlier version don't send the following fields.
+    if (json.size() > 10) {
+        summary.limitWait = duration(json.at(9));
+        summary.startInterval = duration(json.at(10));
+    }
     for (const Json& held : json.at(7)) {
         const ModelId model(held.at(0).get<std::string>());
         if (held.at(1).get<bool>())
@@ -99,6 +108,49 @@
     return reports;
 }
 
+Json encode(const UpstreamLimit& limit)
+{
+    return Json::array({ limit.upstream.value(), limit.startedAt, limit.revision.value(),
+        limit.observer.value(), limit.rate ? Json(limit.rate->perSecond()) : Json() });
+}
+
+UpstreamLimit decodeLimit(const Json& json)
+{
+    UpstreamLimit limit;
+    limit.upstream = UpstreamId(json.at(0).get<std::string>());
+    limit.startedAt = json.at(1).get<int64_t>();
+    limit.revision = LimitRevision(json.at(2).get<int64_t>());
+    limit.observer = HostId(json.at(3).get<std::string>());
+    if (!json.at(4).is_null())
+        limit.rate = RequestRate(std::max(0.0, json.at(4).get<double>()));
+    return limit;
+}
+
+Json encode(const PeerUpstreamLimit& message)
+{
+    Json json = frame(FrameType::UpstreamLimit);
+    json.push_back(encode(message.limit));
+    return json;
+}
+
+Json encode(const PeerPermitRequest& message)
+{
+    Json json = frame(FrameType::PermitRequest);
+    json.push_back(message.upstream.value());
+    json.push_back(message.permit.value());
+    json.push_back(microseconds(message.patience));
+    return json;
+}
+
+Json encode(const PeerPermitAnswer& message)
+{
+    Json json = frame(FrameType::PermitAnswer);
+    json.push_back(message.permit.value());
+    json.push_back(message.isGranted);
+    json.push_back(microseconds(message.wait));
+    return json;
+}
+
 Json encode(const PeerUsage& message)
 {
     Json json = frame(FrameType::Usage);
@@ -125,6 +177,10 @@
     json.push_back(message.configurationAge ? Json(microseconds(*message.configurationAge)) : Json());
     json.push_back(message.reachesStore);
     json.push_back(message.operatorVersion.value());
+    Json limits = Json::array();
+    for (const UpstreamLimit& limit : message.limits)
+        limits.push_back(encode(limit));
+    json.push_back(std::move(limits));
     return json;
 }
 
@@ -145,6 +201,11 @@
         message.configurationAge = duration(json.at(10));
     message.reachesStore = json.at(11).get<bool>();
     message.operatorVersion = RowVersion(json.at(12).get<int64_t>());
+    // Hosts of an earlier version don't send limits.
+    if (json.size() > 13) {
+        for (const Json& limit : json.at(13))
+            message.limits.push_back(decodeLimit(limit));
+    }
     return message;
 }
 
@@ -301,7 +362,7 @@
         return decodeRunGrant(json);
     case FrameType::RunDenial:
         return PeerRunDenial { RunId(json.at(1).get<int64_t>()),
-            enumerator(json.at(2), RunRefusal::EngineUnusable), duration(json.at(3)) };
+            enumerator(json.at(2), RunRefusal::UpstreamLimit), duration(json.at(3)) };
     case FrameType::RunProgress:
         return PeerRunProgress { UpstreamId(json.at(1).get<std::string>()),
             RunId(json.at(2).get<int64_t>()) };
@@ -310,6 +371,14 @@
             { enumerator(json.at(3), RunOutcome::EngineFailed), duration(json.at(4)) } };
     case FrameType::Usage:
         return PeerUsage { Incarnation(json.at(1).get<int64_t>()), decodeUsage(json.at(2)) };
+    case FrameType::UpstreamLimit:
+        return PeerUpstreamLimit { decodeLimit(json.at(1)) };
+    case FrameType::PermitRequest:
+        return PeerPermitRequest { UpstreamId(json.at(1).get<std::string>()),
+            PermitId(json.at(2).get<int64_t>()), duration(json.at(3)) };
+    case FrameType::PermitAnswer:
+        return PeerPermitAnswer { PermitId(json.at(1).get<int64_t>()), json.at(2).get<bool>(),
+            duration(json.at(3)) };
     }
     return std::nullopt;
 }
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -2,6 +2,7 @@
 
 #include "gateway/engine_scheduler.h"
 #include "gateway/run_request.h"
+#include "gateway/upstream_limits.h"
 #include "gateway/workspace_rate_limiter.h"
 #include "state/row_store.h"
 
@@ -13,6 +14,9 @@
 
 namespace lacewing::gateway {
 
+/// Identifies a request for permission to use an upstream; unique within the requesting host.
+using PermitId = StrongNumber<struct PermitIdTag>;
+
 /// Sent to every peer at short intervals. Shows that the host is alive and carries its state.
 struct PeerHeartbeat {
     Incarnation incarnation;
@@ -36,6 +40,9 @@
     int fetchesInFlight = 0;
     /// State of the engines that the host owns.
     std::vector<EngineSummary> engines;
+    /// All limits of upstreams that the host knows, in the first heartbeat on a link. Later changes are sent
+    /// as PeerUpstreamLimit.
+    std::vector<UpstreamLimit> limits;
 };
 
 /// Usage on a host since its last report, sent between two heartbeats.
@@ -100,8 +107,29 @@
     RunEnding ending;
 };
 
+/// An upstream has stated another limit, or none.
+struct PeerUpstreamLimit {
+    UpstreamLimit limit;
+};
+
+/// Asks the deciding host for permission to send a request to an upstream that has stated a limit.
+struct PeerPermitRequest {
+    UpstreamId upstream;
+    PermitId permit;
+    /// Time for which the request can wait for its start.
+    Duration patience {};
+};
+
+struct PeerPermitAnswer {
+    PermitId permit;
+    bool isGranted = false;
+    /// Time until the start if granted, otherwise until it may be worth asking again.
+    Duration wait {};
+};
+
 using PeerMessage = std::variant<PeerHeartbeat, PeerOperatorRequest, PeerOperatorRows, PeerUpstreamRows,
-    PeerRunRequest, PeerRunGrant, PeerRunDenial, PeerRunProgress, PeerRunEnd, PeerUsage>;
+    PeerRunRequest, PeerRunGrant, PeerRunDenial, PeerRunProgress, PeerRunEnd, PeerUsage, PeerUpstreamLimit,
+    PeerPermitRequest, PeerPermitAnswer>;
 
 /// @return the message as one CBOR frame.
 std::string encodePeerMessage(const PeerMessage& message);
--- a/src/gateway/peer_message_test.cc
+++ b/src/gateway/peer_message_test.cc
@@ -1,5 +1,6 @@
 #include "gateway/peer_message.h"
 
+#include "base/cbor.h"
 #include "base/random.h"
 
 #include <boost/test/unit_test.hpp>
@@ -10,6 +11,11 @@
 
 namespace {
 
+UpstreamLimit limit()
+{
+    return { UpstreamId("u-1"), 5, LimitRevision(3), HostId("host-1"), RequestRate(0.25) };
+}
+
 PeerHeartbeat heartbeat()
 {
     PeerHeartbeat message;
@@ -31,10 +37,13 @@
     engine.waiting = 2;
     engine.openSlots = 1;
     engine.promptTokensPerMillisecond = 44.25;
+    engine.limitWait = 800ms;
+    engine.startInterval = 2s;
     engine.adapters.push_back({ { ModelId("base"), AdapterId("a0") }, false });
     engine.adapters.push_back({ { ModelId("base"), AdapterId("a1") }, true });
     engine.adapters.push_back({ { ModelId("next"), AdapterId("a2") }, true });
     message.engines.push_back(engine);
+    message.limits = { limit(), { UpstreamId("u-2"), 6, LimitRevision(1), HostId("host-2"), std::nullopt } };
     return message;
 }
 
@@ -50,7 +59,9 @@
         PeerRunGrant { RunId(5), 3, 8 }, PeerRunDenial { RunId(5), RunRefusal::EngineUnusable, 200ms },
         PeerRunProgress { UpstreamId("engine-1"), RunId(5) },
         PeerRunEnd { UpstreamId("engine-1"), RunId(5), { RunOutcome::AdapterMissing, 30ms } },
-        PeerUsage { Incarnation(77), { { WorkspaceId("busy"), 900, 300 } } } };
+        PeerUsage { Incarnation(77), { { WorkspaceId("busy"), 900, 300 } } }, PeerUpstreamLimit { limit() },
+        PeerPermitRequest { UpstreamId("u-1"), PermitId(4), 300ms },
+        PeerPermitAnswer { PermitId(4), true, 120ms } };
 }
 
 } // namespace
@@ -73,6 +84,10 @@
     BOOST_TEST((message.engines.at(0).prefillBacklog == 120ms));
     const EngineSummary& engine = message.engines.at(0);
     BOOST_TEST((engine.models == std::vector { ModelId("base") }));
+    BOOST_TEST((engine.startInterval == 2s));
+    BOOST_REQUIRE(message.limits.size() == 2);
+    BOOST_TEST((message.limits[0].rate == std::optional<RequestRate>(0.25)));
+    BOOST_TEST(!message.limits[1].rate);
     BOOST_REQUIRE(engine.adapters.size() == 3);
     BOOST_TEST(!engine.adapters[0].isLoading);
     BOOST_TEST(engine.adapters[1].isLoading);
@@ -95,4 +110,19 @@
     BOOST_TEST(!decodePeerMessage("\x81\x18\x63").has_value());
 }
 
+// Guards against dropping the heartbeats of hosts of an earlier version while a fleet is being replaced.
+BOOST_AUTO_TEST_CASE(ReadsHeartbeatsWithoutLimits)
+{
+    auto json = *fromCbor(encodePeerMessage(heartbeat()));
+    json.erase(json.size() - 1);
+    auto& engine = json[7][0];
+    engine.erase(engine.size() - 1);
+    engine.erase(engine.size() - 1);
+    const auto decoded = decodePeerMessage(toCbor(json));
+    BOOST_REQUIRE(decoded.has_value());
+    const auto& message = std::get<PeerHeartbeat>(*decoded);
+    BOOST_TEST(message.limits.empty());
+    BOOST_TEST((message.engines.at(0).startInterval == 0s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -35,6 +35,10 @@
 constexpr Duration noUpstreamRetryAfter = milliseconds(400);
 /// Engines without an owner get a new one within a short time.
 constexpr Duration noOwnerRetryAfter = milliseconds(100);
+/// Fraction of the target latency for which a request may wait for a start within an upstream's limit.
+constexpr double limitWaitFraction = 0.5;
+/// Lower bound of the retry delay while upstreams are at their limits.
+constexpr Duration shortestLimitRetryAfter = milliseconds(100);
 constexpr Duration staleRetryAfter = milliseconds(500);
 /// Another host can serve the request at once.
 constexpr Duration stoppingRetryAfter = milliseconds(20);
@@ -62,6 +66,9 @@
 {
     m_services.loop.cancel(m_deadlineTimer);
     m_services.loop.cancel(m_attemptTimer);
+    m_services.loop.cancel(m_startTimer);
+    if (m_permit)
+        m_services.permits.cancel(*m_permit);
 }
 
 Duration ProxiedCall::elapsed() const
@@ -75,6 +82,12 @@
     return std::chrono::duration_cast<Duration>(duration * (0.8 + 0.4 * m_services.random.uniform()));
 }
 
+// Before that time the request would be rejected again.
+Duration ProxiedCall::jitteredUpwards(Duration duration)
+{
+    return std::chrono::duration_cast<Duration>(duration * (1 + 0.4 * m_services.random.uniform()));
+}
+
 void ProxiedCall::start()
 {
     m_attributes = m_services.translator.readRequest(m_exchange->headers());
@@ -152,15 +165,71 @@
 
 void ProxiedCall::choosePlain()
 {
+    const auto usable = m_services.upstreams.usable(m_admission.serviceId);
+    const bool hasUnlimited = std::any_of(usable.begin(), usable.end(), [this](const UpstreamEntry* entry) {
+        return m_tried.count(entry->id) == 0 && !m_services.limits.rate(entry->id);
+    });
+    // A request waits for a limited upstream only if no other one can serve it.
+    const Duration patience = hasUnlimited ? Duration::zero() : timeUntilLate();
     std::vector<PickCandidate> candidates;
-    for (const UpstreamEntry* entry : m_services.upstreams.usable(m_admission.serviceId))
-        candidates.push_back({ entry->id, entry->slots, entry->dataCentre == m_services.dataCentre });
-    auto upstream = m_services.picker.pick(candidates, m_tried, m_services.loop.now());
-    if (!upstream) {
-        refuse(candidates.empty() ? CallRefusal::NoUpstream : CallRefusal::NotExecuted, noUpstreamRetryAfter);
+    std::optional<Duration> shortestWait;
+    for (const UpstreamEntry* entry : usable) {
+        const Duration wait = m_services.permits.expectedWait(entry->id);
+        if (wait > patience)
+            shortestWait = std::min(shortestWait.value_or(wait), wait);
+        else
+            candidates.push_back({ entry->id, entry->slots, entry->dataCentre == m_services.dataCentre });
+    }
+    const auto upstream = m_services.picker.pick(candidates, m_tried, m_services.loop.now());
+    if (upstream)
+        sendWithinLimit(*upstream, patience);
+    else if (shortestWait)
+        refuse(CallRefusal::UpstreamLimit, std::max(*shortestWait - patience, shortestLimitRetryAfter));
+    else
+        refuse(usable.empty() ? CallRefusal::NoUpstream : CallRefusal::NotExecuted, noUpstreamRetryAfter);
+}
+
+Duration ProxiedCall::timeUntilLate() const
+{
+    const auto latestStart
+        = std::chrono::duration_cast<Duration>(limitWaitFraction * m_admission.route->targetLatency);
+    return std::max<Duration>(latestStart - elapsed(), Duration::zero());
+}
+
+void ProxiedCall::sendWithinLimit(const UpstreamId& upstream, Duration patience)
+{
+    if (!m_services.limits.rate(upstream)) {
+        send(upstream);
+        return;
+    }
+    m_upstream = upstream;
+    m_permit = m_services.permits.request(
+        upstream, patience, [weak = weak_from_this()](const PermitAnswer& answer) {
+            if (const auto call = weak.lock())
+                call->permitAnswered(answer);
+        });
+}
+
+void ProxiedCall::permitAnswered(const PermitAnswer& answer)
+{
+    m_permit.reset();
+    if (m_isFinished)
+        return;
+    ++m_services.metrics.counter(
+        "lacewing_permits_total", { { "outcome", answer.isGranted ? "granted" : "denied" } });
+    if (!answer.isGranted) {
+        LogEvent(LogLevel::Info, "permit_denied")
+            .with("request", m_attributes.requestId)
+            .with("upstream", m_upstream)
+            .with("wait_ms", toMilliseconds(answer.wait));
+        chooseUpstream();
         return;
     }
-    send(*upstream);
+    m_startTimer = m_services.loop.runAfter(answer.wait, [this] {
+        m_startTimer = 0;
+        const auto self = shared_from_this();
+        send(m_upstream);
+    });
 }
 
 void ProxiedCall::chooseEngine()
@@ -168,6 +237,7 @@
     const AdapterRef adapter { m_attributes.model, m_attributes.adapter };
     const auto candidates = m_services.engines.candidates(m_admission.serviceId, adapter, m_tried);
     const std::vector<UpstreamId> ranked = EngineChooser::rank(adapter, candidates, m_services.random);
+    std::optional<Duration> shortestWait;
     for (const UpstreamId& engine : ranked) {
         if (const auto owner = m_services.engines.ownerOf(engine)) {
             askOwner(*owner, engine, ranked.size());
@@ -178,11 +248,20 @@
             ? std::nullopt
             : std::make_optional(release->second);
         m_urgency.reset();
-        send(engine);
+        const Duration wait = m_services.permits.expectedWait(engine);
+        if (wait > Duration::zero()) {
+            shortestWait = std::min(shortestWait.value_or(wait), wait);
+            continue;
+        }
+        sendWithinLimit(engine, Duration::zero());
         return;
     }
-    const auto room = m_search.retryAfter();
-    refuse(room ? CallRefusal::Overloaded : CallRefusal::NoUpstream, room.value_or(noUpstreamRetryAfter));
+    if (const auto retryAfter = m_search.retryAfter())
+        refuse(overloadRefusal(), *retryAfter);
+    else if (shortestWait)
+        refuse(CallRefusal::UpstreamLimit, *shortestWait);
+    else
+        refuse(CallRefusal::NoUpstream, noUpstreamRetryAfter);
 }
 
 void ProxiedCall::askOwner(const HostId& owner, const UpstreamId& engine, size_t choices)
@@ -227,7 +306,12 @@
         chooseUpstream();
         return;
     }
-    refuse(CallRefusal::Overloaded, m_search.retryAfter().value_or(noOwnerRetryAfter));
+    refuse(overloadRefusal(), m_search.retryAfter().value_or(noOwnerRetryAfter));
+}
+
+CallRefusal ProxiedCall::overloadRefusal() const
+{
+    return m_search.isLimitedOnly() ? CallRefusal::UpstreamLimit : CallRefusal::Overloaded;
 }
 
 HttpClientRequest ProxiedCall::upstreamRequest(const UpstreamEntry& entry)
@@ -322,6 +406,7 @@
         .with("before", before ? std::to_string(before->perSecond()) : "none")
         .with("revision", changed->revision);
     ++m_services.metrics.counter("lacewing_upstream_limit_changes_total", { { "source", "response" } });
+    m_services.limitObserved(*changed);
 }
 
 void ProxiedCall::bodyArrived(std::string_view bytes)
@@ -564,7 +649,8 @@
             m_admission.workspace->id, std::exchange(m_admission.charge, 0), m_services.loop.now());
     ++m_services.metrics.counter("lacewing_refusals_total", { { "reason", toString(refusal) } });
     if (retryAfter)
-        retryAfter = jittered(*retryAfter);
+        retryAfter
+            = refusal == CallRefusal::UpstreamLimit ? jitteredUpwards(*retryAfter) : jittered(*retryAfter);
     reply(statusUnavailable, m_services.translator.localReplyHeaders(m_attributes.requestId, retryAfter), "",
         "refused", toString(refusal));
 }
@@ -592,6 +678,7 @@
         return;
     m_services.loop.cancel(std::exchange(m_deadlineTimer, 0));
     m_services.loop.cancel(std::exchange(m_attemptTimer, 0));
+    m_services.loop.cancel(std::exchange(m_startTimer, 0));
     LogEvent(LogLevel::Info, "call")
         .with("request", m_attributes.requestId)
         .with("route", m_admission.route ? m_admission.route->id.value() : "")
--- a/src/gateway/proxied_call.h
+++ b/src/gateway/proxied_call.h
@@ -45,6 +45,17 @@
     void askOwner(const HostId& owner, const UpstreamId& engine, size_t choices);
     void ownerAnswered(const RunAnswer& answer);
 
+    /// Sends the request once the limit that the upstream states permits it, or chooses another upstream.
+    ///
+    /// @param patience time for which the request may wait for its start.
+    void sendWithinLimit(const UpstreamId& upstream, Duration patience);
+    void permitAnswered(const PermitAnswer& answer);
+    /// @return the time for which the request can wait and still be answered on time.
+    Duration timeUntilLate() const;
+
+    /// @return the reason for a refusal after owners have denied the request.
+    CallRefusal overloadRefusal() const;
+
     // Exchange with the upstream.
     void send(const UpstreamId& upstream);
     HttpClientRequest upstreamRequest(const UpstreamEntry& entry);
@@ -76,6 +87,7 @@
 
     Duration elapsed() const;
     Duration jittered(Duration duration);
+    Duration jitteredUpwards(Duration duration);
 
     CallServices& m_services;
     std::shared_ptr<HttpExchange> m_exchange;
@@ -98,6 +110,7 @@
     MonotonicTime m_sentAt;
     /// Start of the process of the upstream that the request was sent to.
     int64_t m_upstreamStartedAt = 0;
+    std::optional<PermitId> m_permit;
     std::optional<RunId> m_run;
     std::optional<int64_t> m_version;
     std::optional<int> m_urgency;
@@ -112,6 +125,8 @@
 
     TimerId m_deadlineTimer = 0;
     TimerId m_attemptTimer = 0;
+    /// Runs while the request waits for the start that it was permitted.
+    TimerId m_startTimer = 0;
 };
 
 } // namespace lacewing::gateway
--- a/src/gateway/proxied_call_test.cc
+++ b/src/gateway/proxied_call_test.cc
@@ -100,6 +100,8 @@
         attributes.isSealed = headers.count("seal") > 0;
         attributes.isEventStream = headers.count("stream") > 0;
         attributes.isNotExecuted = headers.count("not-executed") > 0;
+        if (const auto limit = headers.find("limit"))
+            attributes.requestLimit = RequestRate(std::stod(*limit));
         return attributes;
     }
     HttpHeaders callerHeaders(const HttpHeaders& headers) const override { return headers; }
@@ -107,7 +109,7 @@
     {
         HttpHeaders headers;
         if (retryAfter)
-            headers.add("retry", "1");
+            headers.add("retry", std::to_string(toMilliseconds(*retryAfter)));
         return headers;
     }
 };
@@ -178,6 +180,15 @@
         call->start();
     }
     UpstreamCall& upstream(size_t index) { return *client.calls.at(index); }
+    /// Serves a request by an upstream that states a limit.
+    UpstreamId serveWithLimit(const std::string& limit)
+    {
+        send("/once/1");
+        UpstreamCall& last = *client.calls.back();
+        last.handlers.onHeaders(200, { { "id", "r-1" }, { "seal", "1" }, { "limit", limit } });
+        last.end();
+        return UpstreamId(*last.request.headers.find("expect"));
+    }
 
     VirtualScheduler scheduler;
     EventLoop loop;
@@ -207,9 +218,14 @@
     RetryAllowance retries { RetryLimits() };
     MetricsRegistry metrics;
     Random random { 1 };
+    std::set<HostId> peers;
+    UpstreamPermits permits { scheduler, limits, self.host,
+        { [](const HostId&, const PeerMessage&) { return true; }, [this] { return peers; },
+            [] { return 1.0; }, [](const UpstreamId&) { return false; } } };
     CallAdmitter admitter { configuration, usage, random };
     CallServices services { scheduler, client, translator, configuration, upstreams, view, broker, picker,
-        limits, usage, admitter, retries, metrics, random, self.dataCentre, [] {} };
+        limits, permits, usage, admitter, retries, metrics, random, self.dataCentre, [] {},
+        [](const UpstreamLimit&) {} };
     std::shared_ptr<FakeExchange> exchange;
     std::shared_ptr<ProxiedCall> call;
 };
@@ -422,4 +438,60 @@
     BOOST_TEST(fixture.exchange->isAborted);
 }
 
+// Guards against sending an upstream more than it states that it takes while another one is free.
+BOOST_AUTO_TEST_CASE(WhatALimitDoesNotPermitGoesToAnotherUpstream)
+{
+    Fixture fixture;
+    const UpstreamId limited = fixture.serveWithLimit("0.5");
+    const size_t before = fixture.client.calls.size();
+    for (int request = 0; request < 50; ++request) {
+        fixture.send("/once/1");
+        fixture.scheduler.advance(1ms);
+        BOOST_REQUIRE(fixture.client.calls.size() == before + static_cast<size_t>(request) + 1);
+        UpstreamCall& last = *fixture.client.calls.back();
+        BOOST_TEST((UpstreamId(*last.request.headers.find("expect")) != limited));
+        last.head(200, "r-1", false);
+        last.end();
+    }
+}
+
+// Guards against requests that wait for their deadline while all upstreams are at their limits, and against a
+// retry delay after which they are refused again.
+BOOST_AUTO_TEST_CASE(WithAllUpstreamsAtTheirLimitsARequestIsRefusedAtOnce)
+{
+    Fixture fixture;
+    while (fixture.limits.limitedCount() < 2)
+        fixture.serveWithLimit("0.5");
+    const size_t before = fixture.client.calls.size();
+    fixture.send("/once/1");
+    fixture.scheduler.advance(5ms);
+    BOOST_TEST(fixture.exchange->responseStatus == 503);
+    BOOST_TEST(fixture.client.calls.size() == before);
+    const int64_t retryAfter = std::stoll(*fixture.exchange->responseHeaders.find("retry"));
+    BOOST_TEST(retryAfter >= 1000);
+    fixture.scheduler.advance(std::chrono::milliseconds(retryAfter));
+    fixture.send("/once/1");
+    fixture.scheduler.advance(110ms);
+    BOOST_TEST(fixture.client.calls.size() == before + 1);
+    BOOST_TEST(fixture.exchange->responseStatus == 0);
+}
+
+// Guards against a frozen host that uses a permit long after it was given, and against waiting for a host
+// that does not answer.
+BOOST_AUTO_TEST_CASE(APermitThatIsNotAnsweredCountsAsRefused)
+{
+    Fixture fixture;
+    const UpstreamId limited = fixture.serveWithLimit("100");
+    for (int peer = 0; peer < 20; ++peer)
+        fixture.peers.insert(HostId("peer-" + std::to_string(peer)));
+    const size_t before = fixture.client.calls.size();
+    for (int request = 0; request < 20; ++request) {
+        fixture.send("/once/1");
+        fixture.scheduler.advance(160ms);
+        UpstreamCall& last = *fixture.client.calls.back();
+        BOOST_TEST((UpstreamId(*last.request.headers.find("expect")) != limited));
+    }
+    BOOST_TEST(fixture.client.calls.size() == before + 20);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/run_request.h
+++ b/src/gateway/run_request.h
@@ -76,6 +76,8 @@
     EngineLeaving,
     /// The engine does not answer its owner, or holds no model yet.
     EngineUnusable,
+    /// The limit that the engine states permits no start in time.
+    UpstreamLimit,
 };
 
 /// @return the reason's name in snake_case, for logs and metrics.
