Tell owners and deciding hosts the limit with each request for a start

A host that can't reach the one that has seen a limit of an upstream, but reaches hosts that know it, could grant starts without the limit: those hosts have the limit from the other one and don't tell it again.

A request for a run or a permit now carries what its sender knows of the upstream's limit; the newest revision holds as before.

--- a/src/experiment/limit_simulation.cc
+++ b/src/experiment/limit_simulation.cc
@@ -107,16 +107,20 @@
 void LimitSimulation::setCut(size_t count, bool isCut)
 {
     for (size_t inside = 0; inside < count; ++inside) {
-        for (size_t outside = count; outside < m_hosts.size(); ++outside) {
-            m_network.setConnected(host(inside), host(outside), !isCut);
-            if (isCut)
-                continue;
-            introduce(host(inside), host(outside));
-            introduce(host(outside), host(inside));
-        }
+        for (size_t outside = count; outside < m_hosts.size(); ++outside)
+            setConnected(host(inside), host(outside), !isCut);
     }
 }
 
+void LimitSimulation::setConnected(const HostId& a, const HostId& b, bool isConnected)
+{
+    m_network.setConnected(a, b, isConnected);
+    if (!isConnected)
+        return;
+    introduce(a, b);
+    introduce(b, a);
+}
+
 void LimitSimulation::playTroubles()
 {
     constexpr size_t cutHosts = 3;
@@ -174,10 +178,14 @@
     m_network.send(from, to, [this, from, to, frame = gateway::encodePeerMessage(message)] {
         Host& host = *m_hosts.at(to);
         const auto message = gateway::decodePeerMessage(frame);
-        if (const auto* limit = std::get_if<PeerUpstreamLimit>(&*message))
+        if (const auto* limit = std::get_if<PeerUpstreamLimit>(&*message)) {
             host.limits.merge(limit->limit, now());
-        else
-            host.permits.peerMessage(from, *message);
+            return;
+        }
+        const auto* request = std::get_if<gateway::PeerPermitRequest>(&*message);
+        if (request && request->limit)
+            host.limits.merge(*request->limit, now());
+        host.permits.peerMessage(from, *message);
     });
 }
 
@@ -222,12 +230,18 @@
     const Duration wait = fromSeconds(-std::log(1 - m_random.uniform()) / m_requestsPerSecond);
     m_scheduler.runAfter(wait, [this] {
         scheduleCall();
-        const HostId id = host(m_random.below(m_hosts.size()));
+        const HostId id = drawEntry();
         if (!m_network.isPaused(id))
             choose(id, m_random.below(m_upstreams.size()), {});
     });
 }
 
+HostId LimitSimulation::drawEntry()
+{
+    return m_entries.empty() ? host(m_random.below(m_hosts.size()))
+                             : host(m_entries[m_random.below(m_entries.size())]);
+}
+
 void LimitSimulation::choose(const HostId& id, size_t upstream, std::set<size_t> tried)
 {
     Host& host = *m_hosts.at(id);
--- a/src/experiment/limit_simulation.h
+++ b/src/experiment/limit_simulation.h
@@ -37,10 +37,14 @@
     void stateLimit(size_t upstream, std::optional<double> perSecond);
 
     HostId host(size_t index) const;
+    /// Lets callers use these hosts only, by index; by default they use all.
+    void setEntries(std::vector<size_t> hosts) { m_entries = std::move(hosts); }
     /// Starts a host, with a process that knows nothing.
     void start(const HostId& host);
     void restart(const HostId& host);
     void setFrozen(const HostId& host, bool isFrozen) { m_network.setPaused(host, isFrozen); }
+    /// Cuts or heals the link between two hosts.
+    void setConnected(const HostId& a, const HostId& b, bool isConnected);
     /// Cuts the links between the first hosts and all others, or heals them.
     void setCut(size_t count, bool isCut);
 
@@ -65,6 +69,7 @@
     void heartbeatArrived(const HostId& from, const HostId& to);
 
     void scheduleCall();
+    HostId drawEntry();
     /// Sends a request to the upstream, or to the next one that its limit permits.
     ///
     /// @param tried upstreams that have no start to offer.
@@ -80,6 +85,7 @@
     double m_requestsPerSecond;
     std::vector<StatedLimit> m_upstreams;
     std::map<HostId, std::unique_ptr<Host>> m_hosts;
+    std::vector<size_t> m_entries;
     int m_served = 0;
     int m_refused = 0;
 };
--- a/src/experiment/limit_simulation_test.cc
+++ b/src/experiment/limit_simulation_test.cc
@@ -66,4 +66,25 @@
     }
 }
 
+// Guards against a deciding host that grants everything because it can't reach the host that has seen the
+// limit, while it reaches those that ask it.
+BOOST_AUTO_TEST_CASE(ADecidingHostLearnsALimitFromThoseThatAskIt)
+{
+    for (size_t entry = 1; entry < 7; ++entry) {
+        LimitSimulation fleet({ 7, 4, 60 }, entry);
+        fleet.advance(2s);
+        for (size_t other = 1; other < 7; ++other) {
+            if (other != entry)
+                fleet.setConnected(fleet.host(0), fleet.host(other), false);
+        }
+        for (size_t upstream = 0; upstream < 4; ++upstream)
+            fleet.stateLimit(upstream, 1);
+        fleet.setEntries({ 0 });
+        fleet.advance(1s);
+        fleet.setEntries({ entry });
+        fleet.advance(15s);
+        BOOST_TEST(fleet.worstRatio() <= 1, "entry " << entry);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -104,7 +104,7 @@
               [this](const UpstreamId& engine) { m_fleet.stepDown(engine); }, [this] { return mayOrder(); },
               [this](const UpstreamId& engine, const char* kind) { engineRequestSent(engine, kind); },
               [this](const UpstreamId& engine) { return requestRate(engine); } })
-    , m_broker(loop, m_settings.host)
+    , m_broker(loop, m_limits, m_settings.host)
     , m_engineView(
           loop, m_upstreams, m_fleet, m_mesh, m_owners, m_picker, m_settings.host, m_settings.dataCentre)
     , m_admitter(m_configuration, m_usage, m_random)
@@ -295,6 +295,10 @@
         limitsTold(peer, { limit->limit });
         return;
     }
+    if (const auto* request = std::get_if<PeerRunRequest>(&message); request && request->limit)
+        limitsTold(peer, { *request->limit });
+    if (const auto* request = std::get_if<PeerPermitRequest>(&message); request && request->limit)
+        limitsTold(peer, { *request->limit });
     m_permits.peerMessage(peer, message);
     m_broker.peerMessage(peer, message);
 }
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -126,6 +126,19 @@
     return limit;
 }
 
+Json encode(const std::optional<UpstreamLimit>& limit)
+{
+    return limit ? encode(*limit) : Json();
+}
+
+/// @return the limit at an index of a frame, which hosts of an earlier version don't send.
+std::optional<UpstreamLimit> decodeOptionalLimit(const Json& json, size_t index)
+{
+    if (json.size() <= index || json.at(index).is_null())
+        return std::nullopt;
+    return decodeLimit(json.at(index));
+}
+
 Json encode(const PeerUpstreamLimit& message)
 {
     Json json = frame(FrameType::UpstreamLimit);
@@ -139,6 +152,7 @@
     json.push_back(message.upstream.value());
     json.push_back(message.permit.value());
     json.push_back(microseconds(message.patience));
+    json.push_back(encode(message.limit));
     return json;
 }
 
@@ -272,6 +286,7 @@
         parts.push_back(part.tokens.value());
     }
     json.push_back(std::move(parts));
+    json.push_back(encode(message.limit));
     return json;
 }
 
@@ -291,6 +306,7 @@
     for (size_t index = 0; index + 1 < parts.size(); index += 2)
         message.parts.push_back(
             { parts.at(index).get<uint64_t>(), Tokens(parts.at(index + 1).get<int64_t>()) });
+    message.limit = decodeOptionalLimit(json, 12);
     return message;
 }
 
@@ -375,7 +391,7 @@
         return PeerUpstreamLimit { decodeLimit(json.at(1)) };
     case FrameType::PermitRequest:
         return PeerPermitRequest { UpstreamId(json.at(1).get<std::string>()),
-            PermitId(json.at(2).get<int64_t>()), duration(json.at(3)) };
+            PermitId(json.at(2).get<int64_t>()), duration(json.at(3)), decodeOptionalLimit(json, 4) };
     case FrameType::PermitAnswer:
         return PeerPermitAnswer { PermitId(json.at(1).get<int64_t>()), json.at(2).get<bool>(),
             duration(json.at(3)) };
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -80,6 +80,8 @@
     Duration onTimeWithin {};
     Duration latestWithin {};
     Duration targetPause {};
+    /// What the sender knows of the engine's limit, which the owner may have missed.
+    std::optional<UpstreamLimit> limit;
 };
 
 struct PeerRunGrant {
@@ -118,6 +120,8 @@
     PermitId permit;
     /// Time for which the request can wait for its start.
     Duration patience {};
+    /// What the sender knows of the upstream's limit, which the deciding host may have missed.
+    std::optional<UpstreamLimit> limit;
 };
 
 struct PeerPermitAnswer {
--- a/src/gateway/peer_message_test.cc
+++ b/src/gateway/peer_message_test.cc
@@ -55,12 +55,12 @@
         PeerUpstreamRows { { { { "", "s-1" }, "\xff{}", RowVersion(4), false },
             { { "", "s-2" }, "", RowVersion(5), true } } },
         PeerRunRequest { UpstreamId("engine-1"), RunId(5), adapter, Tokens(10),
-            { { ~0ULL, Tokens(7) }, { 8, Tokens(3) } }, Tokens(20), 1, 700ms, 1500ms, 400ms },
+            { { ~0ULL, Tokens(7) }, { 8, Tokens(3) } }, Tokens(20), 1, 700ms, 1500ms, 400ms, limit() },
         PeerRunGrant { RunId(5), 3, 8 }, PeerRunDenial { RunId(5), RunRefusal::EngineUnusable, 200ms },
         PeerRunProgress { UpstreamId("engine-1"), RunId(5) },
         PeerRunEnd { UpstreamId("engine-1"), RunId(5), { RunOutcome::AdapterMissing, 30ms } },
         PeerUsage { Incarnation(77), { { WorkspaceId("busy"), 900, 300 } } }, PeerUpstreamLimit { limit() },
-        PeerPermitRequest { UpstreamId("u-1"), PermitId(4), 300ms },
+        PeerPermitRequest { UpstreamId("u-1"), PermitId(4), 300ms, limit() },
         PeerPermitAnswer { PermitId(4), true, 120ms } };
 }
 
--- a/src/gateway/proxied_call_test.cc
+++ b/src/gateway/proxied_call_test.cc
@@ -212,7 +212,7 @@
     OwnedEngines owners { scheduler, control, upstreams, configuration, self.host, {} };
     UpstreamPicker picker { 1 };
     UpstreamLimits limits { self.host };
-    RunBroker broker { scheduler, self.host };
+    RunBroker broker { scheduler, limits, self.host };
     EngineView view { scheduler, upstreams, fleet, mesh, owners, picker, self.host, self.dataCentre };
     WorkspaceRateLimiter usage { 8s, self.host, MonotonicTime() };
     RetryAllowance retries { RetryLimits() };
--- a/src/gateway/run_broker.cc
+++ b/src/gateway/run_broker.cc
@@ -2,8 +2,9 @@
 
 namespace lacewing::gateway {
 
-RunBroker::RunBroker(Scheduler& scheduler, HostId self)
+RunBroker::RunBroker(Scheduler& scheduler, const UpstreamLimits& limits, HostId self)
     : m_scheduler(scheduler)
+    , m_limits(limits)
     , m_self(std::move(self))
 {
 }
@@ -26,7 +27,7 @@
     const MonotonicTime now = m_scheduler.now();
     const PeerRunRequest message { engine, run, request.adapter, request.prompt, request.parts,
         request.output, request.priority, request.onTimeStart - now, request.latestStart - now,
-        request.targetPause };
+        request.targetPause, m_limits.known(engine) };
     if (!m_mesh->send(owner, message))
         answered(request.key, RunDenial { request.key, RunRefusal::NotOwner });
     return run;
--- a/src/gateway/run_broker.h
+++ b/src/gateway/run_broker.h
@@ -19,7 +19,8 @@
 public:
     using Callback = std::function<void(const RunAnswer& answer)>;
 
-    RunBroker(Scheduler& scheduler, HostId self);
+    /// @param limits must outlive the broker.
+    RunBroker(Scheduler& scheduler, const UpstreamLimits& limits, HostId self);
 
     /// Both must outlive the broker.
     void connect(OwnedEngines& owners, PeerMesh& mesh);
@@ -51,6 +52,7 @@
     void requestFromPeer(const HostId& peer, const PeerRunRequest& message);
 
     Scheduler& m_scheduler;
+    const UpstreamLimits& m_limits;
     HostId m_self;
     OwnedEngines* m_owners = nullptr;
     PeerMesh* m_mesh = nullptr;
--- a/src/gateway/upstream_limits.cc
+++ b/src/gateway/upstream_limits.cc
@@ -63,6 +63,12 @@
     return found == m_known.end() ? std::nullopt : found->second.limit.rate;
 }
 
+std::optional<UpstreamLimit> UpstreamLimits::known(const UpstreamId& upstream) const
+{
+    const auto found = m_known.find(upstream);
+    return found == m_known.end() ? std::nullopt : std::make_optional(found->second.limit);
+}
+
 std::vector<UpstreamLimit> UpstreamLimits::all() const
 {
     std::vector<UpstreamLimit> limits;
--- a/src/gateway/upstream_limits.h
+++ b/src/gateway/upstream_limits.h
@@ -58,6 +58,8 @@
     bool merge(const UpstreamLimit& limit, MonotonicTime now);
     /// @return the limit, or nothing if the upstream takes any number of requests.
     std::optional<RequestRate> rate(const UpstreamId& upstream) const;
+    /// @return the last limit that was learned, also if it was lifted; nothing if none was ever stated.
+    std::optional<UpstreamLimit> known(const UpstreamId& upstream) const;
     /// @return all limits, including those that were lifted.
     std::vector<UpstreamLimit> all() const;
     /// @return number of upstreams with a limit in force.
--- a/src/gateway/upstream_permits.cc
+++ b/src/gateway/upstream_permits.cc
@@ -49,8 +49,8 @@
     const PermitId permit(m_nextPermit++);
     m_pending.emplace(permit, PendingPermit { upstream, m_scheduler.now(), std::move(callback) });
     const HostId host = decider(upstream);
-    const bool isSent
-        = host != m_self && m_handlers.send(host, PeerPermitRequest { upstream, permit, patience });
+    const bool isSent = host != m_self
+        && m_handlers.send(host, PeerPermitRequest { upstream, permit, patience, m_limits.known(upstream) });
     const PermitAnswer answer
         = host == m_self ? decide(upstream, patience) : PermitAnswer { false, undecidedRetry };
     m_scheduler.runAfter(isSent ? answerTimeout : Duration::zero(),
