Gateway: one class for the exchange of limits, one walk over the peers

UpstreamLimitExchange holds what the gateway and the call did about limits that are observed or told. updateMembers() walked the peers in touch three times and built two sets of them anew; one walk fills both. No change of behaviour.

--- a/src/gateway/call_services.h
+++ b/src/gateway/call_services.h
@@ -28,7 +28,7 @@
     EngineView& engines;
     RunBroker& broker;
     UpstreamPicker& picker;
-    UpstreamLimits& limits;
+    const UpstreamLimits& limits;
     UpstreamPermits& permits;
     WorkspaceRateLimiter& usage;
     const CallAdmitter& admitter;
@@ -38,8 +38,8 @@
     DataCentreId dataCentre;
     /// Sends the workspaces' usage to all peers before the next heartbeat.
     std::function<void()> reportUsage;
-    /// Applies a limit that an upstream has stated and tells it to all peers.
-    std::function<void(const UpstreamLimit& limit)> limitObserved;
+    /// Handles what a response says about the limit of its upstream.
+    std::function<void(const LimitObservation& observation, const std::string& requestId)> limitObserved;
     /// False once the host drains, since a new stream could be cut off by the end of the process.
     bool acceptsStreams = true;
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -108,6 +108,9 @@
     , m_engineView(
           loop, m_upstreams, m_fleet, m_mesh, m_owners, m_picker, m_settings.host, m_settings.dataCentre)
     , m_admitter(m_configuration, m_usage, m_random)
+    , m_limitExchange(loop, m_limits, m_upstreams, m_metrics,
+          { [this](const PeerMessage& message) { m_mesh.sendToAll(message); },
+              [this](const UpstreamId& upstream) { m_owners.requestRateChanged(upstream); } })
     , m_permits(loop, m_limits, m_settings.host,
           { [this](const HostId& peer, const PeerMessage& message) { return m_mesh.send(peer, message); },
               [this] { return permitDeciders(); }, [this] { return shareInTouch(); },
@@ -115,7 +118,9 @@
     , m_services { loop, client, platform.calls, m_configuration, m_upstreams, m_engineView, m_broker,
         m_picker, m_limits, m_permits, m_usage, m_admitter, m_retries, m_metrics, m_random,
         m_settings.dataCentre, [this] { reportUsage(); },
-        [this](const UpstreamLimit& limit) { limitObserved(limit); } }
+        [this](const LimitObservation& observation, const std::string& requestId) {
+            m_limitExchange.observed(observation, requestId);
+        } }
     , m_memberTimer(
           loop, [] { return memberInterval; }, [this] { updateMembers(); })
 {
@@ -263,6 +268,7 @@
 
 void Gateway::peerMessage(const HostId& peer, const PeerMessage& message)
 {
+    m_limitExchange.onMessage(peer, message);
     if (const auto* heartbeat = std::get_if<PeerHeartbeat>(&message)) {
         const MonotonicTime now = m_loop.now();
         m_usage.peerReported(peer, heartbeat->incarnation, heartbeat->usage, now);
@@ -271,7 +277,6 @@
         m_operatorRows.onHeartbeat(peer, heartbeat->operatorVersion);
         if (heartbeat->configurationAge)
             m_configuration.recordPeerVersion(heartbeat->configurationVersion, *heartbeat->configurationAge);
-        limitsTold(peer, heartbeat->limits);
         m_owners.fetchLimiter().setPeersInFlight(m_mesh.fetchesInFlight(), m_peersInTouch);
         return;
     }
@@ -291,14 +296,6 @@
         m_usage.peerReported(peer, usage->incarnation, usage->usage, m_loop.now());
         return;
     }
-    if (const auto* limit = std::get_if<PeerUpstreamLimit>(&message)) {
-        limitsTold(peer, { limit->limit });
-        return;
-    }
-    if (const auto* request = std::get_if<PeerRunRequest>(&message); request && request->limit)
-        limitsTold(peer, { *request->limit });
-    if (const auto* request = std::get_if<PeerPermitRequest>(&message); request && request->limit)
-        limitsTold(peer, { *request->limit });
     m_permits.peerMessage(peer, message);
     m_broker.peerMessage(peer, message);
 }
@@ -315,31 +312,6 @@
     m_mesh.sendToAll(PeerUsage { m_incarnation, m_usage.earlyReport(m_loop.now()) });
 }
 
-void Gateway::limitObserved(const UpstreamLimit& limit)
-{
-    m_mesh.sendToAll(PeerUpstreamLimit { limit });
-    m_owners.requestRateChanged(limit.upstream);
-}
-
-void Gateway::limitsTold(const HostId& peer, const std::vector<UpstreamLimit>& limits)
-{
-    for (const UpstreamLimit& limit : limits) {
-        const UpstreamEntry* entry = m_upstreams.find(limit.upstream);
-        const bool hasRestarted = entry && entry->startedAt > limit.startedAt;
-        const auto before = m_limits.rate(limit.upstream);
-        if (hasRestarted || !m_limits.merge(limit, m_loop.now()) || before == limit.rate)
-            continue;
-        LogEvent(LogLevel::Info, "upstream_limit")
-            .with("upstream", limit.upstream)
-            .with("limit", limit.rate ? std::to_string(limit.rate->perSecond()) : "none")
-            .with("before", before ? std::to_string(before->perSecond()) : "none")
-            .with("revision", limit.revision)
-            .with("peer", peer);
-        ++m_metrics.counter("lacewing_upstream_limit_changes_total", { { "source", "peer" } });
-        m_owners.requestRateChanged(limit.upstream);
-    }
-}
-
 std::set<HostId> Gateway::permitDeciders() const
 {
     std::set<HostId> hosts;
@@ -377,11 +349,15 @@
     for (const auto& [host, record] : m_mesh.hosts())
         members[host] = m_mesh.isInTouch(host);
     std::set<HostId> inTouch;
-    for (const auto& [host, state] : m_mesh.peersInTouch())
+    std::set<HostId> reachingStore;
+    for (const auto& [host, state] : m_mesh.peersInTouch()) {
         inTouch.insert(host);
-    m_fleet.setInTouch(m_settings.enginesCheckFencing ? inTouch : hostsReachingStore());
+        if (state->heartbeat.reachesStore)
+            reachingStore.insert(host);
+    }
+    m_fleet.setInTouch(m_settings.enginesCheckFencing ? inTouch : reachingStore);
     m_peersInTouch = inTouch.size();
-    const bool reads = isReader(m_settings.host, hostsReachingStore());
+    const bool reads = isReader(m_settings.host, reachingStore);
     m_configuration.setReader(reads);
     m_upstreams.setReader(reads);
     m_usage.setMembers(members);
@@ -439,16 +415,6 @@
     return engines;
 }
 
-std::set<HostId> Gateway::hostsReachingStore() const
-{
-    std::set<HostId> hosts;
-    for (const auto& [host, state] : m_mesh.peersInTouch()) {
-        if (state->heartbeat.reachesStore)
-            hosts.insert(host);
-    }
-    return hosts;
-}
-
 std::set<HostId> Gateway::ineligibleHosts() const
 {
     std::set<HostId> closed;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/operator_row_exchange.h"
 #include "gateway/proxied_call.h"
+#include "gateway/upstream_limit_exchange.h"
 #include "transport/http_server.h"
 
 #include <memory>
@@ -56,10 +57,6 @@
 
     PeerHeartbeat heartbeat(HeartbeatAudience audience);
     void reportUsage();
-    /// Handles a limit that an upstream has stated to this host.
-    void limitObserved(const UpstreamLimit& limit);
-    /// Handles limits that a peer has told.
-    void limitsTold(const HostId& peer, const std::vector<UpstreamLimit>& limits);
     /// @return the hosts that may decide on the use of upstreams with a limit, without this one.
     std::set<HostId> permitDeciders() const;
     /// @return the rate at which this host may grant requests to an upstream; nothing without a limit.
@@ -75,7 +72,6 @@
     void upstreamsChanged();
     bool mayOrder() const;
     std::set<UpstreamId> engineIds() const;
-    std::set<HostId> hostsReachingStore() const;
     std::set<HostId> ineligibleHosts() const;
     ReportedOwners reportedOwners() const;
 
@@ -105,6 +101,7 @@
     RunBroker m_broker;
     EngineView m_engineView;
     CallAdmitter m_admitter;
+    UpstreamLimitExchange m_limitExchange;
     UpstreamPermits m_permits;
     CallServices m_services;
     std::unique_ptr<HttpServer> m_callerServer;
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -395,18 +395,7 @@
     observation.rate = attributes.requestLimit;
     observation.isConclusive = m_response.isSuccess();
     observation.requestSent = m_sentAt;
-    const auto before = m_services.limits.rate(m_upstream);
-    const auto changed = m_services.limits.observe(observation, m_services.loop.now());
-    if (!changed)
-        return;
-    LogEvent(LogLevel::Info, "upstream_limit")
-        .with("request", m_attributes.requestId)
-        .with("upstream", m_upstream)
-        .with("limit", changed->rate ? std::to_string(changed->rate->perSecond()) : "none")
-        .with("before", before ? std::to_string(before->perSecond()) : "none")
-        .with("revision", changed->revision);
-    ++m_services.metrics.counter("lacewing_upstream_limit_changes_total", { { "source", "response" } });
-    m_services.limitObserved(*changed);
+    m_services.limitObserved(observation, m_attributes.requestId);
 }
 
 void ProxiedCall::bodyArrived(std::string_view bytes)
--- a/src/gateway/proxied_call_test.cc
+++ b/src/gateway/proxied_call_test.cc
@@ -225,7 +225,9 @@
     CallAdmitter admitter { configuration, usage, random };
     CallServices services { scheduler, client, translator, configuration, upstreams, view, broker, picker,
         limits, permits, usage, admitter, retries, metrics, random, self.dataCentre, [] {},
-        [](const UpstreamLimit&) {} };
+        [this](const LimitObservation& observation, const std::string&) {
+            limits.observe(observation, scheduler.now());
+        } };
     std::shared_ptr<FakeExchange> exchange;
     std::shared_ptr<ProxiedCall> call;
 };
--- /dev/null
+++ b/src/gateway/upstream_limit_exchange.cc
@@ -0,0 +1,73 @@
+#include "gateway/upstream_limit_exchange.h"
+
+#include "base/log.h"
+
+namespace lacewing::gateway {
+
+namespace {
+
+std::string text(const std::optional<RequestRate>& rate)
+{
+    return rate ? std::to_string(rate->perSecond()) : "none";
+}
+
+} // namespace
+
+UpstreamLimitExchange::UpstreamLimitExchange(const Clock& clock, UpstreamLimits& limits,
+    const UpstreamDirectory& upstreams, MetricsRegistry& metrics, Handlers handlers)
+    : m_clock(clock)
+    , m_limits(limits)
+    , m_upstreams(upstreams)
+    , m_metrics(metrics)
+    , m_handlers(std::move(handlers))
+{
+}
+
+void UpstreamLimitExchange::observed(const LimitObservation& observation, const std::string& requestId)
+{
+    const auto before = m_limits.rate(observation.upstream);
+    const auto changed = m_limits.observe(observation, m_clock.now());
+    if (!changed)
+        return;
+    LogEvent(LogLevel::Info, "upstream_limit")
+        .with("upstream", changed->upstream)
+        .with("limit", text(changed->rate))
+        .with("before", text(before))
+        .with("revision", changed->revision)
+        .with("request", requestId);
+    ++m_metrics.counter("lacewing_upstream_limit_changes_total", { { "source", "response" } });
+    m_handlers.sendToAll(PeerUpstreamLimit { *changed });
+    m_handlers.onChange(changed->upstream);
+}
+
+void UpstreamLimitExchange::onMessage(const HostId& peer, const PeerMessage& message)
+{
+    if (const auto* heartbeat = std::get_if<PeerHeartbeat>(&message)) {
+        for (const UpstreamLimit& limit : heartbeat->limits)
+            told(peer, limit);
+    } else if (const auto* change = std::get_if<PeerUpstreamLimit>(&message))
+        told(peer, change->limit);
+    else if (const auto* run = std::get_if<PeerRunRequest>(&message); run && run->limit)
+        told(peer, *run->limit);
+    else if (const auto* permit = std::get_if<PeerPermitRequest>(&message); permit && permit->limit)
+        told(peer, *permit->limit);
+}
+
+void UpstreamLimitExchange::told(const HostId& peer, const UpstreamLimit& limit)
+{
+    const UpstreamEntry* entry = m_upstreams.find(limit.upstream);
+    const bool hasRestarted = entry && entry->startedAt > limit.startedAt;
+    const auto before = m_limits.rate(limit.upstream);
+    if (hasRestarted || !m_limits.merge(limit, m_clock.now()) || before == limit.rate)
+        return;
+    LogEvent(LogLevel::Info, "upstream_limit")
+        .with("upstream", limit.upstream)
+        .with("limit", text(limit.rate))
+        .with("before", text(before))
+        .with("revision", limit.revision)
+        .with("peer", peer);
+    ++m_metrics.counter("lacewing_upstream_limit_changes_total", { { "source", "peer" } });
+    m_handlers.onChange(limit.upstream);
+}
+
+} // namespace lacewing::gateway
