Limits: deciding hosts that stop step back, denials as before without a limit

- A stopping host decided on permits beside the host that the others had chosen; it now decides only if no other host is in touch.
- Denials of requests that were late for want of a place suggested a longer delay than before the change for limits; restored.
- An owner whose report waits for the limit looked at its waiting requests only then; it looks at least every 250 ms.

--- a/src/experiment/limit_simulation.cc
+++ b/src/experiment/limit_simulation.cc
@@ -44,7 +44,11 @@
                    fleet.send(id, peer, message);
                    return true;
                },
-                  [&fleet, this] { return fleet.peersInTouch(*this); },
+                  [&fleet, id, this] {
+                      std::set<HostId> deciders = fleet.peersInTouch(*this);
+                      deciders.insert(id);
+                      return deciders;
+                  },
                   [&fleet, this] {
                       const auto inTouch = static_cast<double>(fleet.peersInTouch(*this).size());
                       return (inTouch + 1) / static_cast<double>(fleet.m_hosts.size());
--- a/src/gateway/engine_chooser.cc
+++ b/src/gateway/engine_chooser.cc
@@ -15,8 +15,6 @@
 constexpr Duration fetchCost = milliseconds(350);
 /// Expected cost of loading an adapter from the engine's cached copy.
 constexpr Duration cachedLoadCost = milliseconds(150);
-/// Orders until an adapter is loaded, which count against the limit that an engine states.
-constexpr int ordersForLoad = 3;
 constexpr Duration remainingLoadCost = milliseconds(60);
 /// Engines further down the adapter's ranking are less likely to have a cached copy.
 constexpr Duration homeRankCost = milliseconds(40);
--- a/src/gateway/engine_chooser.h
+++ b/src/gateway/engine_chooser.h
@@ -46,6 +46,9 @@
 /// adapter's ranking. An engine that unloaded the adapter recently ranks before those that would have to
 /// fetch it.
 ///
+/// An engine in need may state how many requests a second it takes. It then costs the wait for the next
+/// start, and the starts that the orders for a load take, so that other engines get what it can't take.
+///
 /// In a large fleet all hosts see the same engine as the least loaded one until its owner publishes its
 /// backlog again, and would all send to it meanwhile (herding). Each request therefore adds a random error to
 /// the cost of the engines that hold its adapter, as large as the prompts that an engine can prefill between
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -33,8 +33,7 @@
 constexpr int lastOnTimeUrgency = 6;
 constexpr int lateUrgency = 8;
 
-/// Orders until an adapter can be used: to unload another one, to load it, and to learn that it is loaded.
-constexpr size_t ordersForLoad = 3;
+/// Orders until an adapter that is being loaded can be used: to learn that it is loaded.
 constexpr size_t ordersWhileLoading = 1;
 
 /// Lower bound of the retry delay that a denial suggests.
@@ -247,7 +246,7 @@
             m_isReportPending = true;
             m_pacer.started(now);
         } else
-            decisions.reevaluateAfter = wait;
+            decisions.reevaluateAfter = std::min(wait, modelReportInterval);
     }
     const bool hasWork = !m_waiting.empty() || m_slots.loading() > 0;
     if (hasWork && !decisions.reevaluateAfter)
@@ -316,9 +315,10 @@
             continue;
         }
         const bool isLimited = limitWait > Duration::zero();
+        const Duration slack = std::max<Duration>(request.onTimeStart - now, Duration::zero());
         decisions.denials.push_back(
             { request.key, isLimited ? RunRefusal::UpstreamLimit : RunRefusal::Overloaded,
-                std::max<Duration>(limitWait - (request.onTimeStart - now), shortestRetryAfter), limitWait });
+                std::max<Duration>(limitWait - slack, shortestRetryAfter), limitWait });
     }
     m_waiting = std::move(remaining);
 }
@@ -327,7 +327,7 @@
 {
     if (isServable(adapter) || !needsSlot(adapter))
         return 0;
-    return m_slots.has(adapter) ? ordersWhileLoading : ordersForLoad;
+    return m_slots.has(adapter) ? ordersWhileLoading : static_cast<size_t>(ordersForLoad);
 }
 
 void EngineScheduler::planOrder(SchedulerDecisions& decisions, MonotonicTime now)
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -32,7 +32,8 @@
 /// resource. Requests for a loaded adapter start at once; requests for any other adapter share a single load.
 /// A slot in use is never evicted; among the idle ones the adapter with the lowest recent demand is. In a
 /// burst, requests that can still meet their latency target go before those that can't, and a request that
-/// could not start before its deadline is denied on arrival instead of when the deadline passes.
+/// could not start before its deadline is denied on arrival instead of when the deadline passes. An engine in
+/// need may state how many requests a second it takes; runs, orders and reports keep within that together.
 ///
 /// Has no clock and does no I/O: each call reports an event, and decide() returns the actions to take.
 class EngineScheduler {
--- a/src/gateway/engine_summary.h
+++ b/src/gateway/engine_summary.h
@@ -6,6 +6,10 @@
 
 namespace lacewing::gateway {
 
+/// Orders until an adapter can be used: to unload another one, to load it, and to learn that it is loaded.
+/// They count against the limit of requests that an engine states.
+constexpr int ordersForLoad = 3;
+
 /// State of an adapter as the engine's owner publishes it to the other hosts.
 struct AdapterSummary {
     AdapterRef adapter;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -319,6 +319,8 @@
         if (!state->heartbeat.isStopping)
             hosts.insert(host);
     }
+    if (!m_isStopping || hosts.empty())
+        hosts.insert(m_settings.host);
     return hosts;
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -57,7 +57,7 @@
 
     PeerHeartbeat heartbeat(HeartbeatAudience audience);
     void reportUsage();
-    /// @return the hosts that may decide on the use of upstreams with a limit, without this one.
+    /// @return the hosts that may decide on the use of upstreams with a limit.
     std::set<HostId> permitDeciders() const;
     /// @return the rate at which this host may grant requests to an upstream; nothing without a limit.
     std::optional<RequestRate> requestRate(const UpstreamId& upstream) const;
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -174,6 +174,8 @@
     std::vector<PickCandidate> candidates;
     std::optional<Duration> shortestWait;
     for (const UpstreamEntry* entry : usable) {
+        if (m_tried.count(entry->id) > 0)
+            continue;
         const Duration wait = m_services.permits.expectedWait(entry->id);
         if (wait > patience)
             shortestWait = std::min(shortestWait.value_or(wait), wait);
--- a/src/gateway/upstream_permits.cc
+++ b/src/gateway/upstream_permits.cc
@@ -36,12 +36,9 @@
 {
     const auto rank
         = [&upstream](const HostId& host) { return stableHash(host.value() + '@' + upstream.value()); };
-    HostId best = m_self;
-    for (const HostId& peer : m_handlers.peers()) {
-        if (rank(peer) > rank(best))
-            best = peer;
-    }
-    return best;
+    const std::set<HostId> hosts = m_handlers.deciders();
+    return *std::max_element(
+        hosts.begin(), hosts.end(), [&rank](const HostId& a, const HostId& b) { return rank(a) < rank(b); });
 }
 
 PermitId UpstreamPermits::request(const UpstreamId& upstream, Duration patience, Callback callback)
--- a/src/gateway/upstream_permits.h
+++ b/src/gateway/upstream_permits.h
@@ -37,8 +37,8 @@
     struct Handlers {
         /// @return false if there is no link to the peer.
         std::function<bool(const HostId& peer, const PeerMessage& message)> send;
-        /// @return the hosts that can decide, without this one: they are in touch and not stopping.
-        std::function<std::set<HostId>()> peers;
+        /// @return the hosts that can decide, at least one: those in touch that are not stopping.
+        std::function<std::set<HostId>()> deciders;
         /// @return the part of the fleet that is in touch, from 0 to 1.
         std::function<double()> shareInTouch;
         /// @return whether an owner in touch schedules the requests to the upstream.
