--- a/src/experiment/fleet_shape.cc
+++ b/src/experiment/fleet_shape.cc
@@ -1,5 +1,7 @@
 #include "experiment/fleet_shape.h"
 
+#include "gateway/heartbeat_interval.h"
+
 #include <algorithm>
 
 namespace lacewing::experiment {
@@ -7,17 +9,20 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+void FleetShape::setHosts(int count)
+{
+    hosts = count;
+    heartbeatInterval = gateway::heartbeatIntervalFor(static_cast<size_t>(count));
+}
+
 FleetShape FleetShape::ofEngines(int engines)
 {
     FleetShape shape;
     shape.engines = engines;
-    shape.hosts = std::max(3, engines);
+    shape.setHosts(std::max(3, engines));
     shape.requestsPerSecond = 6.0 * engines;
     shape.adapters = std::clamp(engines * 250, 750, 10'000);
     shape.fullSpeedLoads = std::max(4, engines * 2 / 3);
-    // As PeerMesh spaces its heartbeats.
-    shape.heartbeatInterval
-        = std::clamp<Duration>(milliseconds(8) * shape.hosts, milliseconds(200), seconds(1));
     shape.classes = {
         { "summary", 0.72, Tokens(2368), 8, milliseconds(800), seconds(4), 1.8, 0.53, 1 },
         { "background", 0.1, Tokens(2368), 8, seconds(1), seconds(12), 1.8, 0.53, 1 },
--- a/src/experiment/fleet_shape.h
+++ b/src/experiment/fleet_shape.h
@@ -59,6 +59,8 @@
     Duration heartbeatInterval = std::chrono::milliseconds(200);
     std::vector<RequestClass> classes;
 
+    /// Sets the number of hosts, and the interval of their heartbeats with it.
+    void setHosts(int count);
     /// @return a fleet with so many engines under a load that keeps about half of them reading prompts.
     static FleetShape ofEngines(int engines);
 };
--- a/src/experiment/lacewinglb_experiment_main.cc
+++ b/src/experiment/lacewinglb_experiment_main.cc
@@ -103,7 +103,7 @@
         }
         FleetShape shape = FleetShape::ofEngines(static_cast<int>(*number));
         if (absl::GetFlag(FLAGS_hosts) > 0)
-            shape.hosts = absl::GetFlag(FLAGS_hosts);
+            shape.setHosts(absl::GetFlag(FLAGS_hosts));
         shape.requestsPerSecond *= absl::GetFlag(FLAGS_demand);
         for (const LoadPattern each : pattern ? std::vector<LoadPattern> { *pattern } : allLoadPatterns()) {
             results.push_back(playLoad(shape, each, arms));
--- a/src/experiment/limit_simulation.cc
+++ b/src/experiment/limit_simulation.cc
@@ -1,5 +1,7 @@
 #include "experiment/limit_simulation.h"
 
+#include "gateway/heartbeat_interval.h"
+
 #include <algorithm>
 #include <cmath>
 #include <iterator>
@@ -17,12 +19,6 @@
 
 namespace {
 
-// As PeerMesh spaces its heartbeats.
-constexpr Duration heartbeatSpacing = milliseconds(8);
-constexpr Duration shortestHeartbeatInterval = milliseconds(200);
-constexpr Duration longestHeartbeatInterval = milliseconds(1500);
-constexpr Duration shortestHeartbeatTimeout = seconds(1);
-constexpr int missedHeartbeats = 3;
 constexpr Duration linkDelay = milliseconds(1);
 constexpr Duration shortestWork = milliseconds(5);
 constexpr Duration longestWork = milliseconds(65);
@@ -68,8 +64,7 @@
 LimitSimulation::LimitSimulation(const Shape& shape, uint64_t seed)
     : m_random(seed)
     , m_network(m_scheduler, seed)
-    , m_heartbeatInterval(std::clamp<Duration>(heartbeatSpacing * static_cast<int64_t>(shape.hosts),
-          shortestHeartbeatInterval, longestHeartbeatInterval))
+    , m_heartbeatInterval(gateway::heartbeatIntervalFor(shape.hosts))
     , m_requestsPerSecond(shape.requestsPerSecond)
     , m_upstreams(shape.upstreams)
 {
@@ -168,7 +163,7 @@
 
 std::set<HostId> LimitSimulation::peersInTouch(const Host& host) const
 {
-    const Duration timeout = std::max(shortestHeartbeatTimeout, missedHeartbeats * m_heartbeatInterval);
+    const Duration timeout = gateway::heartbeatTimeoutFor(m_heartbeatInterval);
     std::set<HostId> peers;
     for (const auto& [peer, heard] : host.heard) {
         if (now() - heard < timeout)
--- a/src/gateway/call_services.h
+++ b/src/gateway/call_services.h
@@ -7,6 +7,7 @@
 #include "gateway/call_attributes.h"
 #include "gateway/configuration_tracker.h"
 #include "gateway/engine_view.h"
+#include "gateway/plain_upstream_selector.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/run_broker.h"
 #include "gateway/upstream_directory.h"
@@ -30,12 +31,12 @@
     UpstreamPicker& picker;
     const UpstreamLimits& limits;
     UpstreamPermits& permits;
+    PlainUpstreamSelector& plainSelector;
     WorkspaceRateLimiter& usage;
     const CallAdmitter& admitter;
     RetryAllowance& retries;
     MetricsRegistry& metrics;
     Random& random;
-    DataCentreId dataCentre;
     /// Sends the workspaces' usage to all peers before the next heartbeat.
     std::function<void()> reportUsage;
     /// Handles what a response says about the limit of its upstream.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -115,9 +115,10 @@
           { [this](const HostId& peer, const PeerMessage& message) { return m_mesh.send(peer, message); },
               [this] { return permitDeciders(); }, [this] { return shareInTouch(); },
               [this](const UpstreamId& upstream) { return m_engineView.ownerOf(upstream).has_value(); } })
+    , m_plainSelector(m_upstreams, m_picker, m_limits, m_permits, m_settings.dataCentre)
     , m_services { loop, client, platform.calls, m_configuration, m_upstreams, m_engineView, m_broker,
-        m_picker, m_limits, m_permits, m_usage, m_admitter, m_retries, m_metrics, m_random,
-        m_settings.dataCentre, [this] { reportUsage(); },
+        m_picker, m_limits, m_permits, m_plainSelector, m_usage, m_admitter, m_retries, m_metrics, m_random,
+        [this] { reportUsage(); },
         [this](const LimitObservation& observation, const std::string& requestId) {
             m_limitExchange.observed(observation, requestId);
         } }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -103,6 +103,7 @@
     CallAdmitter m_admitter;
     UpstreamLimitExchange m_limitExchange;
     UpstreamPermits m_permits;
+    PlainUpstreamSelector m_plainSelector;
     CallServices m_services;
     std::unique_ptr<HttpServer> m_callerServer;
     std::unique_ptr<HttpServer> m_directoryServer;
--- a/src/gateway/peer_mesh.cc
+++ b/src/gateway/peer_mesh.cc
@@ -1,6 +1,7 @@
 #include "gateway/peer_mesh.h"
 
 #include "base/log.h"
+#include "gateway/heartbeat_interval.h"
 
 #include <algorithm>
 
@@ -8,18 +9,9 @@
 
 namespace {
 
-constexpr Duration minimumHeartbeatInterval = std::chrono::milliseconds(200);
-constexpr Duration maximumHeartbeatInterval = std::chrono::milliseconds(1500);
-/// Average time between two heartbeats that a host receives, whatever the number of hosts, unless one of the
-/// bounds above applies.
-constexpr Duration heartbeatSpacing = std::chrono::milliseconds(8);
 constexpr Duration connectInterval = std::chrono::milliseconds(100);
 /// Time between two attempts to connect to the same peer.
 constexpr Duration attemptInterval = std::chrono::milliseconds(200);
-/// A peer is out of touch after the longer of this time and missedHeartbeatLimit intervals without a
-/// heartbeat.
-constexpr Duration minimumHeartbeatTimeout = std::chrono::milliseconds(1000);
-constexpr int missedHeartbeatLimit = 3;
 constexpr Duration connectTimeout = std::chrono::milliseconds(500);
 /// The host with the higher ID delays its attempts by this time, so that the other one connects first and the
 /// two do not open a link to each other at once.
@@ -40,8 +32,7 @@
 
 Duration PeerMesh::heartbeatInterval() const
 {
-    const Duration spaced = heartbeatSpacing * static_cast<int64_t>(m_hosts.size());
-    return std::clamp(spaced, minimumHeartbeatInterval, maximumHeartbeatInterval);
+    return heartbeatIntervalFor(m_hosts.size());
 }
 
 Duration PeerMesh::linkIdleTimeout() const
@@ -57,7 +48,7 @@
 
 Duration PeerMesh::heartbeatTimeout() const
 {
-    return std::max(minimumHeartbeatTimeout, heartbeatInterval() * missedHeartbeatLimit);
+    return heartbeatTimeoutFor(heartbeatInterval());
 }
 
 void PeerMesh::update(const FleetRegistry& registry)
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -165,30 +165,15 @@
 
 void ProxiedCall::choosePlain()
 {
-    const auto usable = m_services.upstreams.usable(m_admission.serviceId);
-    const bool hasUnlimited = std::any_of(usable.begin(), usable.end(), [this](const UpstreamEntry* entry) {
-        return m_tried.count(entry->id) == 0 && !m_services.limits.rate(entry->id);
-    });
-    // A request waits for a limited upstream only if no other one can serve it.
-    const Duration patience = hasUnlimited ? Duration::zero() : timeUntilLate();
-    std::vector<PickCandidate> candidates;
-    std::optional<Duration> shortestWait;
-    for (const UpstreamEntry* entry : usable) {
-        if (m_tried.count(entry->id) > 0)
-            continue;
-        const Duration wait = m_services.permits.expectedWait(entry->id);
-        if (wait > patience)
-            shortestWait = std::min(shortestWait.value_or(wait), wait);
-        else
-            candidates.push_back({ entry->id, entry->slots, entry->dataCentre == m_services.dataCentre });
-    }
-    const auto upstream = m_services.picker.pick(candidates, m_tried, m_services.loop.now());
-    if (upstream)
-        sendWithinLimit(*upstream, patience);
-    else if (shortestWait)
-        refuse(CallRefusal::UpstreamLimit, std::max(*shortestWait - patience, shortestLimitRetryAfter));
+    const auto selection = m_services.plainSelector.select(
+        m_admission.serviceId, m_tried, timeUntilLate(), m_services.loop.now());
+    if (selection.upstream)
+        sendWithinLimit(*selection.upstream, selection.patience);
+    else if (selection.limitedFor)
+        refuse(CallRefusal::UpstreamLimit, std::max(*selection.limitedFor, shortestLimitRetryAfter));
     else
-        refuse(usable.empty() ? CallRefusal::NoUpstream : CallRefusal::NotExecuted, noUpstreamRetryAfter);
+        refuse(selection.hasUpstreams ? CallRefusal::NotExecuted : CallRefusal::NoUpstream,
+            noUpstreamRetryAfter);
 }
 
 Duration ProxiedCall::timeUntilLate() const
--- a/src/gateway/proxied_call_test.cc
+++ b/src/gateway/proxied_call_test.cc
@@ -223,8 +223,9 @@
         { [](const HostId&, const PeerMessage&) { return true; }, [this] { return deciders; },
             [] { return 1.0; }, [](const UpstreamId&) { return false; } } };
     CallAdmitter admitter { configuration, usage, random };
+    PlainUpstreamSelector selector { upstreams, picker, limits, permits, self.dataCentre };
     CallServices services { scheduler, client, translator, configuration, upstreams, view, broker, picker,
-        limits, permits, usage, admitter, retries, metrics, random, self.dataCentre, [] {},
+        limits, permits, selector, usage, admitter, retries, metrics, random, [] {},
         [this](const LimitObservation& observation, const std::string&) {
             limits.observe(observation, scheduler.now());
         } };
