Load adapters for callers that come back to an engine at its limit

An owner that denies a request for that reason now loads the adapter at the pace of the limit, one at a time, so that it is there when the caller comes back after the time that it was told. An engine at its limit that has not been used for some seconds is published without the cost of its limit.

--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -35,6 +35,11 @@
 
 /// Orders until an adapter that is being loaded can be used: to learn that it is loaded.
 constexpr size_t ordersWhileLoading = 1;
+/// Number of starts that the limit permits within which a deferred load must complete and be used.
+constexpr int startsUntilDeferredLoadExpires = 4 * ordersForLoad;
+/// An engine at its limit counts as unused after the longer of these times without a run.
+constexpr Duration shortestUnusedTime = std::chrono::seconds(5);
+constexpr int startsUntilUnused = 3;
 
 /// Lower bound of the retry delay that a denial suggests.
 constexpr Duration shortestRetryAfter = std::chrono::milliseconds(100);
@@ -248,7 +253,7 @@
         } else
             decisions.reevaluateAfter = std::min(wait, modelReportInterval);
     }
-    const bool hasWork = !m_waiting.empty() || m_slots.loading() > 0;
+    const bool hasWork = !m_waiting.empty() || m_slots.loading() > 0 || m_deferredLoad;
     if (hasWork && !decisions.reevaluateAfter)
         decisions.reevaluateAfter = waitingPollInterval;
     return decisions;
@@ -289,6 +294,9 @@
             m_prefillRate.busyPeriodStarted(now);
         m_prefillPacer.admitted(prompt, isIdle, m_prefillRate, now);
         m_pacer.started(now);
+        m_lastGrant = now;
+        if (m_deferredLoad && m_deferredLoad->adapter == request.adapter)
+            m_deferredLoad.reset();
         m_backlog += prompt;
         m_cacheInUse += cacheDemand(request);
         decisions.grants.push_back(grant);
@@ -305,6 +313,12 @@
     std::vector<RunRequest> remaining;
     std::set<AdapterRef> ordered;
     size_t ahead = 0;
+    if (m_deferredLoad && (!m_pacer.isLimited() || now > m_deferredLoad->until))
+        m_deferredLoad.reset();
+    if (m_deferredLoad) {
+        ahead = ordersUntilServable(m_deferredLoad->adapter);
+        ordered.insert(m_deferredLoad->adapter);
+    }
     for (RunRequest& request : m_waiting) {
         const size_t orders = ordered.count(request.adapter) > 0 ? 0 : ordersUntilServable(request.adapter);
         const Duration limitWait = m_pacer.waitFor(ahead + orders, now);
@@ -315,6 +329,8 @@
             continue;
         }
         const bool isLimited = limitWait > Duration::zero();
+        if (isLimited && orders > 0)
+            deferLoad(request.adapter, now);
         const Duration slack = std::max<Duration>(request.onTimeStart - now, Duration::zero());
         decisions.denials.push_back(
             { request.key, isLimited ? RunRefusal::UpstreamLimit : RunRefusal::Overloaded,
@@ -323,6 +339,18 @@
     m_waiting = std::move(remaining);
 }
 
+void EngineScheduler::deferLoad(const AdapterRef& adapter, MonotonicTime now)
+{
+    if (!m_deferredLoad)
+        m_deferredLoad = DeferredLoad { adapter, now + startsUntilDeferredLoadExpires * m_pacer.interval() };
+}
+
+bool EngineScheduler::isUnused(MonotonicTime now) const
+{
+    return !m_deferredLoad
+        && now - m_lastGrant > std::max(shortestUnusedTime, startsUntilUnused * m_pacer.interval());
+}
+
 size_t EngineScheduler::ordersUntilServable(const AdapterRef& adapter) const
 {
     if (isServable(adapter) || !needsSlot(adapter))
@@ -373,6 +401,10 @@
         best = request.adapter;
         most = demand[request.adapter];
     }
+    const bool isDeferredWanted = !best && m_deferredLoad && !m_slots.has(m_deferredLoad->adapter)
+        && m_models.count(m_deferredLoad->adapter.model) > 0;
+    if (isDeferredWanted && (m_slots.hasCachedCopy(m_deferredLoad->adapter) || m_fetchLimiter.mayStart()))
+        return m_deferredLoad->adapter;
     return best;
 }
 
@@ -475,6 +507,8 @@
     std::set<AdapterRef> awaited;
     for (const RunRequest& request : m_waiting)
         awaited.insert(request.adapter);
+    if (m_deferredLoad)
+        awaited.insert(m_deferredLoad->adapter);
     return awaited;
 }
 
@@ -507,7 +541,9 @@
     summary.openSlots = m_slots.openCount(awaitedAdapters());
     summary.fetchWait = m_fetchLimiter.expectedWait();
     summary.limitWait = m_pacer.waitFor(m_waiting.size(), now);
-    summary.startInterval = m_pacer.interval();
+    // Hosts send an unused engine requests as if it had no limit, since only a response shows that it has
+    // ended.
+    summary.startInterval = isUnused(now) ? Duration::zero() : m_pacer.interval();
     summary.adapters = m_slots.summaries();
     return summary;
 }
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -97,6 +97,12 @@
     std::set<AdapterRef> awaitedAdapters() const;
     int fetchDemand() const;
 
+    /// Keeps an adapter for loading although the limit permits no start in time for the request that named
+    /// it.
+    void deferLoad(const AdapterRef& adapter, MonotonicTime now);
+    /// @return whether the engine has not been used for so long that its limit may have ended unnoticed.
+    bool isUnused(MonotonicTime now) const;
+
     void grantRuns(SchedulerDecisions& decisions, MonotonicTime now);
     /// @return number of orders that must be sent before a run of the adapter can start.
     size_t ordersUntilServable(const AdapterRef& adapter) const;
@@ -121,6 +127,14 @@
     PrefillRate m_prefillRate;
     PrefillPacer m_prefillPacer;
     RequestPacer m_pacer;
+    /// Adapter that is loaded for callers that were told to come back; one at a time, so that loads which
+    /// take several seconds do not evict each other.
+    struct DeferredLoad {
+        AdapterRef adapter;
+        MonotonicTime until;
+    };
+    std::optional<DeferredLoad> m_deferredLoad;
+    MonotonicTime m_lastGrant;
     PrefixCacheModel m_prefixCache;
     /// Moving average of the time between two slots becoming idle.
     Duration m_slotTurnover = std::chrono::milliseconds(150);
--- a/src/gateway/engine_scheduler_test.cc
+++ b/src/gateway/engine_scheduler_test.cc
@@ -379,4 +379,46 @@
     }
 }
 
+// Load: an engine with a limit holds none of the adapters that are asked for. Guards against denying all
+// requests because of the orders that a load takes, so that the engine is never used again and its limit
+// never ends (soak, seed 727).
+BOOST_AUTO_TEST_CASE(AnEngineAtItsLimitLoadsAnAdapterForCallersThatComeBack)
+{
+    for (const double perSecond : { 0.3, 1.0 }) {
+        Fixture fixture;
+        fixture.report({ { AdapterId("a8"), 1 }, { AdapterId("a9"), 1 } });
+        fixture.scheduler.setRequestRate(RequestRate(perSecond), fixture.now);
+        std::optional<PlannedOrder> order;
+        size_t granted = 0;
+        for (int step = 0; step < 3000 && granted == 0; ++step, fixture.now += 10ms) {
+            if (step % 20 == 0)
+                fixture.request(step % 60 == 0 ? "a1" : "a2");
+            const SchedulerDecisions decisions = fixture.decide();
+            granted += decisions.grants.size();
+            if (!decisions.order)
+                continue;
+            const bool isRepeated = order && order->adapter == decisions.order->adapter;
+            const bool isLoad = decisions.order->action == AdapterOrder::Action::Load;
+            order = decisions.order;
+            fixture.scheduler.orderAnswered(
+                isLoad && !isRepeated ? OrderOutcome::Accepted : OrderOutcome::AlreadyHolds, fixture.now);
+        }
+        BOOST_TEST(granted > 0u, perSecond << " a second");
+    }
+}
+
+// Guards against hosts that go on avoiding an engine because of a limit which it has long dropped.
+BOOST_AUTO_TEST_CASE(AnUnusedEngineIsOfferedAgainInSpiteOfItsLimit)
+{
+    Fixture fixture;
+    fixture.report({ { AdapterId("a1"), 1 } });
+    fixture.scheduler.setRequestRate(RequestRate(1), fixture.now);
+    fixture.now += 2s;
+    fixture.request("a1");
+    BOOST_TEST(fixture.decide().grants.size() == 1u);
+    BOOST_TEST((fixture.scheduler.summary(fixture.now).startInterval == 1s));
+    fixture.now += 6s;
+    BOOST_TEST((fixture.scheduler.summary(fixture.now).startInterval == 0s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
