Permits: wait 50 ms for an answer, ask a silent host rarely, forget waits of former limits

Now a request waits 50 ms and the host is asked again after 500 ms. A wait that was learned under a former limit is dropped when the limit changes.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -110,7 +110,10 @@
     , m_admitter(m_configuration, m_usage, m_random)
     , m_limitExchange(loop, m_limits, m_upstreams, m_metrics,
           { [this](const PeerMessage& message) { m_mesh.sendToAll(message); },
-              [this](const UpstreamId& upstream) { m_owners.requestRateChanged(upstream); } })
+              [this](const UpstreamId& upstream) {
+                  m_permits.limitChanged(upstream);
+                  m_owners.requestRateChanged(upstream);
+              } })
     , m_permits(loop, m_limits, m_settings.host,
           { [this](const HostId& peer, const PeerMessage& message) { return m_mesh.send(peer, message); },
               [this] { return permitDeciders(); }, [this] { return shareInTouch(); },
--- a/src/gateway/upstream_permits.cc
+++ b/src/gateway/upstream_permits.cc
@@ -8,8 +8,11 @@
 
 namespace {
 
-/// An answer that arrives later counts as refused, since the host may have been frozen meanwhile.
-constexpr Duration answerTimeout = std::chrono::milliseconds(150);
+/// An answer that arrives later counts as refused, since the host may have been frozen meanwhile. Requests to
+/// plain upstreams have about 100 ms.
+constexpr Duration answerTimeout = std::chrono::milliseconds(50);
+/// Time for which a host that does not answer is not asked again about an upstream.
+constexpr Duration silentRetry = std::chrono::milliseconds(500);
 /// Hosts agree on the deciding host, and engines get a new owner, within a short time.
 constexpr Duration undecidedRetry = std::chrono::milliseconds(100);
 
@@ -48,8 +51,9 @@
     const HostId host = decider(upstream);
     const bool isSent = host != m_self
         && m_handlers.send(host, PeerPermitRequest { upstream, permit, patience, m_limits.known(upstream) });
-    const PermitAnswer answer
-        = host == m_self ? decide(upstream, patience) : PermitAnswer { false, undecidedRetry };
+    const PermitAnswer answer = host == m_self
+        ? decide(upstream, patience)
+        : PermitAnswer { false, isSent ? silentRetry : undecidedRetry };
     m_scheduler.runAfter(isSent ? answerTimeout : Duration::zero(),
         m_lifetime.guard([this, permit, answer] { deliver(permit, answer); }));
     return permit;
@@ -79,7 +83,7 @@
         return;
     const PendingPermit& pending = node.mapped();
     const MonotonicTime now = m_scheduler.now();
-    if (now - pending.asked > answerTimeout)
+    if (answer.isGranted && now - pending.asked > answerTimeout)
         answer = { false, undecidedRetry };
     if (!answer.isGranted)
         m_nextStart[pending.upstream] = now + answer.wait;
--- a/src/gateway/upstream_permits.h
+++ b/src/gateway/upstream_permits.h
@@ -57,6 +57,8 @@
     PermitId request(const UpstreamId& upstream, Duration patience, Callback callback);
     /// Withdraws a request whose callback has not run.
     void cancel(PermitId permit) { m_pending.erase(permit); }
+    /// Handles a change of an upstream's limit.
+    void limitChanged(const UpstreamId& upstream) { m_nextStart.erase(upstream); }
     /// Forgets what is known of all other upstreams.
     void retain(const std::set<UpstreamId>& upstreams);
     /// Handles a message of a peer that asks or answers.
--- a/src/gateway/upstream_permits_test.cc
+++ b/src/gateway/upstream_permits_test.cc
@@ -103,13 +103,23 @@
     permits.request(upstream, 0s, [&answer](const PermitAnswer& given) { answer = given; });
     BOOST_REQUIRE(sent.size() == 1);
     BOOST_TEST(std::get<PeerPermitRequest>(sent[0]).limit.has_value());
-    scheduler.advance(100ms);
+    scheduler.advance(40ms);
     BOOST_TEST(!answer);
-    scheduler.advance(60ms);
+    scheduler.advance(20ms);
     BOOST_REQUIRE(answer);
     BOOST_TEST(!answer->isGranted);
+    BOOST_TEST((permits.expectedWait(upstream) > 400ms));
     // The late answer has no request any more.
     permits.peerMessage(peer, PeerPermitAnswer { std::get<PeerPermitRequest>(sent[0]).permit, true, 0s });
 }
 
+// Guards against refusing requests because of a wait that a former, lower limit had caused.
+BOOST_AUTO_TEST_CASE(AChangedLimitEndsTheWait)
+{
+    BOOST_TEST(!ask(0s).isGranted);
+    BOOST_TEST((permits.expectedWait(upstream) > 0s));
+    permits.limitChanged(upstream);
+    BOOST_TEST((permits.expectedWait(upstream) == 0s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
