Count a request once for the retry allowance

A request that was refused a permit, or whose upstream left between the choice and the send, was counted again with each further choice, so that the host allowed itself more retries than the fleet's share. ARequestThatIsRefusedAPermitCountsOnce failed before.

--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -118,6 +118,7 @@
         m_deadlineTimer = 0;
         deadlinePassed();
     });
+    m_services.retries.countRequest(m_admission.serviceId, m_services.loop.now());
     chooseUpstream();
 }
 
@@ -153,8 +154,6 @@
 {
     if (m_isFinished)
         return;
-    if (m_sends == 0 && m_search.attempts() == 0)
-        m_services.retries.countRequest(m_admission.serviceId, m_services.loop.now());
     const bool needsEngine
         = m_admission.service && m_admission.service->engine && !m_attributes.model.empty();
     if (needsEngine)
@@ -380,7 +379,7 @@
     observation.upstream = m_upstream;
     observation.startedAt = m_upstreamStartedAt;
     observation.rate = attributes.requestLimit;
-    observation.isConclusive = m_response.isSuccess();
+    observation.isConclusive = m_response.isSuccess() && !attributes.hasUnreadableLimit;
     observation.requestSent = m_sentAt;
     m_services.limitObserved(observation, m_attributes.requestId);
 }
--- a/src/gateway/proxied_call_test.cc
+++ b/src/gateway/proxied_call_test.cc
@@ -497,4 +497,29 @@
     BOOST_TEST(fixture.client.calls.size() == before + 20);
 }
 
+// Guards against an allowance for retries that grows with each permit that is refused.
+BOOST_AUTO_TEST_CASE(ARequestThatIsRefusedAPermitCountsOnce)
+{
+    Fixture fixture;
+    while (fixture.limits.limitedCount() < 2)
+        fixture.serveWithLimit("0.5");
+    const auto allowed = [](RetryAllowance& retries, MonotonicTime now) {
+        int count = 0;
+        while (retries.tryRetry(service, now))
+            ++count;
+        return count;
+    };
+    RetryAllowance counted = fixture.retries;
+    for (int request = 0; request < 20; ++request) {
+        // Long enough for the waits of the request before to be over, so that permits are asked for.
+        fixture.scheduler.advance(600ms);
+        fixture.deciders = { HostId("peer-1") };
+        fixture.send("/once/1");
+        counted.countRequest(service, fixture.scheduler.now());
+        fixture.scheduler.advance(200ms);
+    }
+    const MonotonicTime now = fixture.scheduler.now();
+    BOOST_TEST(allowed(fixture.retries, now) == allowed(counted, now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
