--- a/src/gateway/call_attributes.h
+++ b/src/gateway/call_attributes.h
@@ -63,6 +63,8 @@
     std::optional<ReportedLoad> load;
     /// Requests that the upstream takes from all hosts together, if it states a limit.
     std::optional<RequestRate> requestLimit;
+    /// The upstream states a limit that is no valid number.
+    bool hasUnreadableLimit = false;
     /// Time for which the upstream keeps an idle connection open.
     std::optional<Duration> keepAlive;
     /// Whether the body is an event stream.
--- a/src/gateway/upstream_limits.cc
+++ b/src/gateway/upstream_limits.cc
@@ -30,6 +30,8 @@
 std::optional<UpstreamLimit> UpstreamLimits::observe(const LimitObservation& observation, MonotonicTime now)
 {
     const auto found = m_known.find(observation.upstream);
+    if (found != m_known.end() && observation.startedAt < found->second.limit.startedAt)
+        return std::nullopt;
     const bool isKnown = found != m_known.end() && found->second.limit.startedAt == observation.startedAt;
     const std::optional<RequestRate> known = isKnown ? found->second.limit.rate : std::nullopt;
     if (observation.rate == known)
--- a/src/gateway/upstream_limits_test.cc
+++ b/src/gateway/upstream_limits_test.cc
@@ -90,4 +90,13 @@
     BOOST_TEST(!limits.rate(upstream));
 }
 
+// Guards against a late response of a former process that replaces the limit of the present one.
+BOOST_AUTO_TEST_CASE(AResponseOfAFormerProcessChangesNothing)
+{
+    UpstreamLimits limits(HostId("host-1"));
+    limits.observe({ upstream, 2, rate(3), true, start }, start);
+    BOOST_TEST(!limits.observe({ upstream, 1, rate(1), true, start }, start + 1s));
+    BOOST_TEST((limits.rate(upstream) == rate(3)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
