Owned engines and limits: one loop over engines, one record of a change, one set of present upstreams

UpstreamLimitExchange logged and counted a change in two places that differed by one field. upstreamsChanged() built the set of present upstreams twice. No change of behaviour: log fields, counters and tests are the same.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -393,8 +393,9 @@
 
 void Gateway::upstreamsChanged()
 {
-    m_picker.retain(m_upstreams.ids());
-    m_permits.retain(m_upstreams.ids());
+    const std::set<UpstreamId> present = m_upstreams.ids();
+    m_picker.retain(present);
+    m_permits.retain(present);
     m_limits.retain(m_upstreams.startTimes(), m_loop.now());
     m_owners.fetchLimiter().setEngines(engineIds().size());
     m_owners.refresh();
--- a/src/gateway/owned_engines.cc
+++ b/src/gateway/owned_engines.cc
@@ -112,12 +112,17 @@
     applyDecisions(engine);
 }
 
-void OwnedEngines::hostLost(const HostId& host)
+std::vector<UpstreamId> OwnedEngines::ownedIds() const
 {
     std::vector<UpstreamId> engines;
     for (const auto& [engine, owned] : m_engines)
         engines.push_back(engine);
-    for (const UpstreamId& engine : engines) {
+    return engines;
+}
+
+void OwnedEngines::hostLost(const HostId& host)
+{
+    for (const UpstreamId& engine : ownedIds()) {
         OwnedEngine* owned = find(engine);
         if (!owned || !owned->scheduler)
             continue;
@@ -137,10 +142,7 @@
 
 void OwnedEngines::refresh()
 {
-    std::vector<UpstreamId> engines;
-    for (const auto& [engine, owned] : m_engines)
-        engines.push_back(engine);
-    for (const UpstreamId& engine : engines) {
+    for (const UpstreamId& engine : ownedIds()) {
         OwnedEngine* owned = find(engine);
         const UpstreamEntry* entry = m_upstreams.find(engine);
         if (!owned || !entry)
@@ -168,10 +170,7 @@
 
 void OwnedEngines::requestRatesChanged()
 {
-    std::vector<UpstreamId> engines;
-    for (const auto& [engine, owned] : m_engines)
-        engines.push_back(engine);
-    for (const UpstreamId& engine : engines)
+    for (const UpstreamId& engine : ownedIds())
         requestRateChanged(engine);
 }
 
--- a/src/gateway/owned_engines.h
+++ b/src/gateway/owned_engines.h
@@ -70,6 +70,8 @@
     };
 
     OwnedEngine* find(const UpstreamId& engine);
+    /// @return the owned engines as a copy, since handlers may change the set.
+    std::vector<UpstreamId> ownedIds() const;
     void startScheduler(const UpstreamId& engine, OwnedEngine& owned);
     void denyWaiting(const EngineScheduler& scheduler, RunRefusal reason);
     void applyDecisions(const UpstreamId& engine);
--- a/src/gateway/upstream_limit_exchange.cc
+++ b/src/gateway/upstream_limit_exchange.cc
@@ -29,17 +29,23 @@
     const auto changed = m_limits.observe(observation, m_clock.now());
     if (!changed)
         return;
-    LogEvent(LogLevel::Info, "upstream_limit")
-        .with("upstream", changed->upstream)
-        .with("limit", text(changed->rate))
-        .with("before", text(before))
-        .with("revision", changed->revision)
-        .with("request", requestId);
-    ++m_metrics.counter("lacewing_upstream_limit_changes_total", { { "source", "response" } });
+    recordChange(*changed, before, "response", "request", requestId);
     m_handlers.sendToAll(PeerUpstreamLimit { *changed });
     m_handlers.onChange(changed->upstream);
 }
 
+void UpstreamLimitExchange::recordChange(const UpstreamLimit& limit, const std::optional<RequestRate>& before,
+    const char* source, const char* sourceField, const std::string& sourceId)
+{
+    LogEvent(LogLevel::Info, "upstream_limit")
+        .with("upstream", limit.upstream)
+        .with("limit", text(limit.rate))
+        .with("before", text(before))
+        .with("revision", limit.revision)
+        .with(sourceField, sourceId);
+    ++m_metrics.counter("lacewing_upstream_limit_changes_total", { { "source", source } });
+}
+
 void UpstreamLimitExchange::onMessage(const HostId& peer, const PeerMessage& message)
 {
     if (const auto* heartbeat = std::get_if<PeerHeartbeat>(&message)) {
@@ -60,13 +66,7 @@
     const auto before = m_limits.rate(limit.upstream);
     if (hasRestarted || !m_limits.merge(limit, m_clock.now()) || before == limit.rate)
         return;
-    LogEvent(LogLevel::Info, "upstream_limit")
-        .with("upstream", limit.upstream)
-        .with("limit", text(limit.rate))
-        .with("before", text(before))
-        .with("revision", limit.revision)
-        .with("peer", peer);
-    ++m_metrics.counter("lacewing_upstream_limit_changes_total", { { "source", "peer" } });
+    recordChange(limit, before, "peer", "peer", peer.value());
     m_handlers.onChange(limit.upstream);
 }
 
--- a/src/gateway/upstream_limit_exchange.h
+++ b/src/gateway/upstream_limit_exchange.h
@@ -33,6 +33,12 @@
     void onMessage(const HostId& peer, const PeerMessage& message);
 
 private:
+    /// Logs and counts a change.
+    ///
+    /// @param source value of the metric's label.
+    /// @param sourceField, sourceId the log field that names the request or the peer, and its value.
+    void recordChange(const UpstreamLimit& limit, const std::optional<RequestRate>& before,
+        const char* source, const char* sourceField, const std::string& sourceId);
     void told(const HostId& peer, const UpstreamLimit& limit);
 
     const Clock& m_clock;
