--- a/src/transport/http_test_support.h
+++ b/src/transport/http_test_support.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "transport/event_loop.h"
+#include "transport/loop_testing.h"
 #include "transport/socket_address.h"
 
 #include <boost/test/unit_test.hpp>
@@ -10,26 +11,12 @@
 #include <event2/listener.h>
 #include <unistd.h>
 
-#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
 namespace lacewing {
 
-/// Runs the loop until a condition holds.
-inline void runUntil(EventLoop& loop, const std::function<bool()>& condition)
-{
-    std::function<void()> check = [&] {
-        if (condition())
-            loop.stop();
-        else
-            loop.runAfter(std::chrono::milliseconds(1), check);
-    };
-    loop.runAfter(Duration::zero(), check);
-    loop.run();
-}
-
 /// One end of a TCP connection that sends and receives bytes as they are.
 class RawPeer {
 public:
@@ -49,6 +36,12 @@
     RawPeer& operator=(const RawPeer&) = delete;
 
     void send(std::string_view bytes) { bufferevent_write(m_stream, bytes.data(), bytes.size()); }
+    /// Hands the bytes to the socket without a round of the loop.
+    void sendAtOnce(std::string_view bytes)
+    {
+        BOOST_REQUIRE(::send(bufferevent_getfd(m_stream), bytes.data(), bytes.size(), MSG_NOSIGNAL)
+            == static_cast<ssize_t>(bytes.size()));
+    }
     void pauseReading() { bufferevent_disable(m_stream, EV_READ); }
     void resumeReading() { bufferevent_enable(m_stream, EV_READ); }
     /// Closes the connection after what was sent, as far as the socket takes it at once.
--- a/src/transport/peer_links.cc
+++ b/src/transport/peer_links.cc
@@ -97,6 +97,7 @@
     /// Makes a proved incoming connection the link. This object may be gone when it returns.
     void accept(const HostId& host, const std::shared_ptr<PeerConnection>& connection);
     void reportConnected(const PeerIdentity& peer);
+    /// This object may be gone when it returns.
     void endedOfPeer(const PeerConnection& connection, LinkError error);
     void report(const HostId& host, LinkError error);
     void scheduleDelivery();
@@ -335,8 +336,14 @@
             connections.attempt.reset();
         if (wasWaiting)
             connections.waiting.reset();
-        // A waiting connection takes the place of a failed attempt.
-        if (wasLink || (wasAttempt && !connections.waiting))
+        if (wasAttempt && connections.waiting) {
+            // Accepted at once: in a later round the waiting connection may have timed out too, and the
+            // failed attempt would never be reported.
+            const HostId peer = host;
+            accept(peer, std::exchange(connections.waiting, nullptr));
+            return;
+        }
+        if (wasLink || wasAttempt)
             report(host, error);
         if (connections.waiting)
             scheduleDelivery();
