Take a connection to a peer that was made in time although the process was delayed

A host that was frozen or short of processor time for longer than the connect timeout took the peer for unreachable and dropped a connection that had been made at once.

Cause: if an event is due and its timeout too, libevent removes the event from the active queue and reports only the timeout. The socket itself is now asked whether it has a peer. Without the change the new test ends with b:unreachable.

--- a/src/transport/peer_connection.cc
+++ b/src/transport/peer_connection.cc
@@ -36,6 +36,13 @@
     static_cast<LinkTraffic*>(argument)->sentBytes += static_cast<int64_t>(change->n_deleted);
 }
 
+bool hasPeer(int socket)
+{
+    sockaddr_storage address {};
+    socklen_t size = sizeof(address);
+    return getpeername(socket, reinterpret_cast<sockaddr*>(&address), &size) == 0;
+}
+
 void disableNagle(int socket)
 {
     const int on = 1;
@@ -114,19 +121,22 @@
     setTimer(Duration::zero(), &PeerConnection::finishPending);
 }
 
-void PeerConnection::onConnectEvent(int, short events, void* argument)
+void PeerConnection::onConnectEvent(int, short, void* argument)
 {
     auto* connection = static_cast<PeerConnection*>(argument);
     const auto self = connection->shared_from_this();
-    connection->connectFinished((events & EV_TIMEOUT) != 0);
+    connection->connectFinished();
 }
 
-void PeerConnection::connectFinished(bool timedOut)
+void PeerConnection::connectFinished()
 {
-    int error = ETIMEDOUT;
+    int error = 0;
     socklen_t size = sizeof(error);
-    if (!timedOut)
-        getsockopt(m_connectSocket, SOL_SOCKET, SO_ERROR, &error, &size);
+    getsockopt(m_connectSocket, SOL_SOCKET, SO_ERROR, &error, &size);
+    // The socket is asked, since libevent reports only the timeout if both are due after a delay of this
+    // process.
+    if (error == 0 && !hasPeer(m_connectSocket))
+        error = ETIMEDOUT;
     if (error != 0) {
         finish(error == ECONNREFUSED ? LinkError::Refused : LinkError::Unreachable);
         return;
--- a/src/transport/peer_connection.h
+++ b/src/transport/peer_connection.h
@@ -96,7 +96,7 @@
     static void onStreamEvent(bufferevent* stream, short events, void* argument);
 
     void startConnect(const SocketAddress& address);
-    void connectFinished(bool timedOut);
+    void connectFinished();
     void startStream(int socket);
     void handshakeTimedOut();
     void readInput();
--- a/src/transport/peer_links_test.cc
+++ b/src/transport/peer_links_test.cc
@@ -338,6 +338,19 @@
     ::close(full);
 }
 
+// Guards against a peer that is taken for unreachable because the process was delayed while it connected.
+BOOST_AUTO_TEST_CASE(ADelayedProcessTakesAConnectionThatWasMadeInTime)
+{
+    constexpr auto timeout = 100ms;
+    EventLoop loop;
+    Host a(loop, "a", [&](PeerLinkOptions& options) { options.connectTimeout = timeout; });
+    Host b(loop, "b");
+    a.connect(b);
+    std::this_thread::sleep_for(2 * timeout);
+    runUntil(loop, [&] { return !a.events.empty(); });
+    checkEvents(a, { "b:connected" });
+}
+
 // Guards against unbounded memory for a peer that sends too much or reads too little.
 BOOST_AUTO_TEST_CASE(LimitsCloseTheLink)
 {
