--- a/src/transport/http_client_test.cc
+++ b/src/transport/http_client_test.cc
@@ -5,6 +5,8 @@
 
 #include <fcntl.h>
 
+#include <thread>
+
 using namespace lacewing;
 using namespace std::chrono_literals;
 
@@ -165,6 +167,24 @@
     BOOST_TEST(result->requestSent);
 }
 
+// Guards against an answer or a connection that came in time and is given up because the process was delayed.
+BOOST_AUTO_TEST_CASE(ADelayedProcessTakesWhatCameInTime)
+{
+    constexpr auto timeout = 300ms;
+    HttpClientRequest sent = request(rawServer.address());
+    sent.connectTimeout = timeout;
+    sent.progressTimeout = timeout;
+    sent.totalTimeout = 3 * timeout;
+    send(std::move(sent));
+    std::this_thread::sleep_for(timeout + 100ms);
+    RawPeer& peer = acceptRequest();
+    peer.sendAtOnce(emptyAnswer);
+    std::this_thread::sleep_for(3 * timeout);
+    finish();
+    BOOST_TEST(!result->error);
+    BOOST_TEST(result->status == 200);
+}
+
 // Guards against a request reported as sent that no server has seen, which must not be counted as unknown.
 BOOST_AUTO_TEST_CASE(FailedConnectionHasSentNothing)
 {
