--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -32,13 +32,6 @@
 constexpr double connectTimeoutFraction = 0.3;
 constexpr Duration shortestConnectTimeout = milliseconds(40);
 constexpr Duration longestConnectTimeout = milliseconds(300);
-constexpr Duration noUpstreamRetryAfter = milliseconds(400);
-/// Engines without an owner get a new one within a short time.
-constexpr Duration noOwnerRetryAfter = milliseconds(100);
-/// Fraction of the target latency for which a request may wait for a start within an upstream's limit.
-constexpr double limitWaitFraction = 0.5;
-/// Lower bound of the retry delay while upstreams are at their limits.
-constexpr Duration shortestLimitRetryAfter = milliseconds(100);
 constexpr Duration staleRetryAfter = milliseconds(500);
 /// Another host can serve the request at once.
 constexpr Duration stoppingRetryAfter = milliseconds(20);
@@ -66,9 +59,6 @@
 {
     m_services.loop.cancel(m_deadlineTimer);
     m_services.loop.cancel(m_attemptTimer);
-    m_services.loop.cancel(m_startTimer);
-    if (m_permit)
-        m_services.permits.cancel(*m_permit);
 }
 
 Duration ProxiedCall::elapsed() const
@@ -108,18 +98,34 @@
         return;
     }
     m_timeLimit = std::min(m_attributes.deadline.value_or(defaultTimeout), m_admission.route->timeout);
-    m_search = AdmissionSearch(m_arrival, m_admission.route->targetLatency, m_timeLimit);
-    m_priority = m_admission.workspace && m_admission.workspace->priority ? *m_admission.workspace->priority
-                                                                          : m_admission.route->priority;
     if (!chargeWorkspace())
         return;
+    startSearch();
     m_exchange->onClientLeft([this] { callerLeft(); });
     m_deadlineTimer = m_services.loop.runAfter(m_timeLimit + deadlineGrace, [this] {
         m_deadlineTimer = 0;
         deadlinePassed();
     });
     m_services.retries.countRequest(m_admission.serviceId, m_services.loop.now());
-    chooseUpstream();
+    m_search->next();
+}
+
+void ProxiedCall::startSearch()
+{
+    const int priority = m_admission.workspace && m_admission.workspace->priority
+        ? *m_admission.workspace->priority
+        : m_admission.route->priority;
+    const UpstreamSearch::Subject subject { m_attributes, m_admission, m_arrival, m_timeLimit, priority };
+    UpstreamSearch::Handlers handlers;
+    handlers.onStart = [this] {
+        const auto self = shared_from_this();
+        send();
+    };
+    handlers.onExhausted = [this](CallRefusal refusal, Duration retryAfter) {
+        const auto self = shared_from_this();
+        refuse(refusal, retryAfter);
+    };
+    m_search = std::make_unique<UpstreamSearch>(m_services, subject, std::move(handlers));
 }
 
 void ProxiedCall::deny(CallRefusal refusal)
@@ -150,156 +156,6 @@
     return false;
 }
 
-void ProxiedCall::chooseUpstream()
-{
-    if (m_isFinished)
-        return;
-    const bool needsEngine
-        = m_admission.service && m_admission.service->engine && !m_attributes.model.empty();
-    if (needsEngine)
-        chooseEngine();
-    else
-        choosePlain();
-}
-
-void ProxiedCall::choosePlain()
-{
-    const auto selection = m_services.plainSelector.select(
-        m_admission.serviceId, m_tried, timeUntilLate(), m_services.loop.now());
-    if (selection.upstream)
-        sendWithinLimit(*selection.upstream, selection.patience);
-    else if (selection.limitedFor)
-        refuse(CallRefusal::UpstreamLimit, std::max(*selection.limitedFor, shortestLimitRetryAfter));
-    else
-        refuse(selection.hasUpstreams ? CallRefusal::NotExecuted : CallRefusal::NoUpstream,
-            noUpstreamRetryAfter);
-}
-
-Duration ProxiedCall::timeUntilLate() const
-{
-    const auto latestStart
-        = std::chrono::duration_cast<Duration>(limitWaitFraction * m_admission.route->targetLatency);
-    return std::max<Duration>(latestStart - elapsed(), Duration::zero());
-}
-
-void ProxiedCall::sendWithinLimit(const UpstreamId& upstream, Duration patience)
-{
-    if (!m_services.limits.rate(upstream)) {
-        send(upstream);
-        return;
-    }
-    m_upstream = upstream;
-    m_permit = m_services.permits.request(
-        upstream, patience, [weak = weak_from_this()](const PermitAnswer& answer) {
-            if (const auto call = weak.lock())
-                call->permitAnswered(answer);
-        });
-}
-
-void ProxiedCall::permitAnswered(const PermitAnswer& answer)
-{
-    m_permit.reset();
-    if (m_isFinished)
-        return;
-    ++m_services.metrics.counter(
-        "lacewing_permits_total", { { "outcome", answer.isGranted ? "granted" : "denied" } });
-    if (!answer.isGranted) {
-        LogEvent(LogLevel::Info, "permit_denied")
-            .with("request", m_attributes.requestId)
-            .with("upstream", m_upstream)
-            .with("wait_ms", toMilliseconds(answer.wait));
-        chooseUpstream();
-        return;
-    }
-    m_startTimer = m_services.loop.runAfter(answer.wait, [this] {
-        m_startTimer = 0;
-        const auto self = shared_from_this();
-        send(m_upstream);
-    });
-}
-
-void ProxiedCall::chooseEngine()
-{
-    const AdapterRef adapter { m_attributes.model, m_attributes.adapter };
-    const auto candidates = m_services.engines.candidates(m_admission.serviceId, adapter, m_tried);
-    const std::vector<UpstreamId> ranked = EngineChooser::rank(adapter, candidates, m_services.random);
-    std::optional<Duration> shortestWait;
-    for (const UpstreamId& engine : ranked) {
-        if (const auto owner = m_services.engines.ownerOf(engine)) {
-            askOwner(*owner, engine, ranked.size());
-            return;
-        }
-        const auto release = m_services.configuration.releases().find(adapter);
-        m_version = release == m_services.configuration.releases().end()
-            ? std::nullopt
-            : std::make_optional(release->second);
-        m_urgency.reset();
-        const Duration wait = m_services.permits.expectedWait(engine);
-        if (wait > Duration::zero()) {
-            shortestWait = std::min(shortestWait.value_or(wait), wait);
-            continue;
-        }
-        sendWithinLimit(engine, Duration::zero());
-        return;
-    }
-    if (const auto retryAfter = m_search.retryAfter())
-        refuse(overloadRefusal(), *retryAfter);
-    else if (shortestWait)
-        refuse(CallRefusal::UpstreamLimit, *shortestWait);
-    else
-        refuse(CallRefusal::NoUpstream, noUpstreamRetryAfter);
-}
-
-void ProxiedCall::askOwner(const HostId& owner, const UpstreamId& engine, size_t choices)
-{
-    m_upstream = engine;
-    RunRequest request;
-    request.adapter = { m_attributes.model, m_attributes.adapter };
-    request.prompt = m_attributes.promptTokens.value_or(Tokens(1));
-    request.parts = m_attributes.promptParts;
-    request.output = m_attributes.maximumOutputTokens.value_or(Tokens(1));
-    request.priority = m_priority;
-    request.targetPause = m_admission.route->targetPause;
-    m_search.prepare(request, choices);
-    m_services.engines.recordRequest(engine, request.prompt);
-    m_run = m_services.broker.ask(owner, engine, request, [weak = weak_from_this()](const RunAnswer& answer) {
-        if (const auto call = weak.lock())
-            call->ownerAnswered(answer);
-    });
-}
-
-void ProxiedCall::ownerAnswered(const RunAnswer& answer)
-{
-    if (m_isFinished)
-        return;
-    if (const auto* grant = std::get_if<RunGrant>(&answer)) {
-        m_version = grant->version;
-        m_urgency = grant->urgency;
-        send(m_upstream);
-        return;
-    }
-    const RunDenial& denial = std::get<RunDenial>(answer);
-    LogEvent(LogLevel::Info, "start_denied")
-        .with("request", m_attributes.requestId)
-        .with("upstream", m_upstream)
-        .with("run", denial.key.run)
-        .with("reason", gateway::toString(denial.reason))
-        .with("retry_after_ms", toMilliseconds(denial.retryAfter));
-    m_run.reset();
-    m_tried.insert(m_upstream);
-    m_search.denied(denial);
-    if (m_search.hasAttemptsLeft()) {
-        chooseUpstream();
-        return;
-    }
-    refuse(overloadRefusal(), m_search.retryAfter().value_or(noOwnerRetryAfter));
-}
-
-CallRefusal ProxiedCall::overloadRefusal() const
-{
-    return m_search.isLimitedOnly() ? CallRefusal::UpstreamLimit : CallRefusal::Overloaded;
-}
-
 HttpClientRequest ProxiedCall::upstreamRequest(const UpstreamEntry& entry)
 {
     ForwardingFields fields;
@@ -308,8 +164,8 @@
     fields.expectedUpstream = entry.id;
     if (m_admission.workspace)
         fields.workspace = m_admission.workspace->id;
-    fields.urgency = m_urgency;
-    fields.expectedVersion = m_version;
+    fields.urgency = m_search->urgency();
+    fields.expectedVersion = m_search->version();
     if (m_response.events().hasEvents())
         fields.lastEventId = m_response.events().lastId();
     HttpClientRequest request;
@@ -328,14 +184,13 @@
     return request;
 }
 
-void ProxiedCall::send(const UpstreamId& upstream)
+void ProxiedCall::send()
 {
+    const UpstreamId& upstream = m_search->upstream();
     const UpstreamEntry* entry = m_services.upstreams.findUsable(upstream);
-    m_tried.insert(upstream);
-    m_upstream = upstream;
     if (!entry) {
         exchangeEnded(ExchangeOutcome::Answered, RunOutcome::EngineFailed);
-        chooseUpstream();
+        m_search->next();
         return;
     }
     ++m_sends;
@@ -362,9 +217,9 @@
     m_services.loop.cancel(std::exchange(m_attemptTimer, 0));
     const ResponseAttributes attributes = m_services.translator.readResponse(status, headers);
     if (attributes.load)
-        m_services.picker.loadReported(m_upstream, *attributes.load, m_services.loop.now());
+        m_services.picker.loadReported(m_search->upstream(), *attributes.load, m_services.loop.now());
     if (attributes.keepAlive)
-        m_services.picker.keepAliveReported(m_upstream, *attributes.keepAlive);
+        m_services.picker.keepAliveReported(m_search->upstream(), *attributes.keepAlive);
     m_response.headArrived(attributes, headers, m_attributes.requestId);
     observeLimit(attributes);
 }
@@ -376,7 +231,7 @@
     if (!m_response.matchesRequest() || attributes.status == statusMisdirected)
         return;
     LimitObservation observation;
-    observation.upstream = m_upstream;
+    observation.upstream = m_search->upstream();
     observation.startedAt = m_upstreamStartedAt;
     observation.rate = attributes.requestLimit;
     observation.isConclusive = m_response.isSuccess() && !attributes.hasUnreadableLimit;
@@ -399,7 +254,7 @@
         return;
     LogEvent(LogLevel::Warning, "answer_without_end")
         .with("request", m_attributes.requestId)
-        .with("upstream", m_upstream)
+        .with("upstream", m_search->upstream())
         .with("held_bytes", m_response.unforwardedBytes());
     ++m_services.metrics.counter("lacewing_answers_without_end_total");
     m_call->cancel();
@@ -411,8 +266,7 @@
         m_hasStartedAnswer = true;
         m_mayHaveRun = true;
         m_firstByte = elapsed();
-        if (m_run)
-            m_services.broker.progressed(*m_run);
+        m_search->runProgressed();
         m_exchange->startStream(
             m_response.attributes()->status, m_services.translator.callerHeaders(m_response.headers()));
         m_exchange->onDrained([this] {
@@ -429,11 +283,9 @@
 {
     m_services.loop.cancel(std::exchange(m_attemptTimer, 0));
     if (std::exchange(m_isExchanging, false))
-        m_services.picker.ended(m_upstream, outcome, m_services.loop.now());
+        m_services.picker.ended(m_search->upstream(), outcome, m_services.loop.now());
     m_call.reset();
-    if (m_run)
-        m_services.broker.ended(
-            *std::exchange(m_run, std::nullopt), { runOutcome, m_response.longestPause() });
+    m_search->runEnded({ runOutcome, m_response.longestPause() });
 }
 
 void ProxiedCall::upstreamDone(const HttpClientResult& result)
@@ -456,15 +308,15 @@
         if (m_hasStartedAnswer)
             handleBrokenStream();
         else if (m_sends < maximumSends)
-            chooseUpstream();
+            m_search->next();
         else
-            refuse(CallRefusal::NotExecuted, noUpstreamRetryAfter);
+            refuse(CallRefusal::NotExecuted, UpstreamSearch::noUpstreamRetryAfter);
         return;
     }
     ++m_possibleRuns;
     m_mayHaveRun = true;
     if (result.error == HttpClientError::ConnectionLost && !m_response.attributes())
-        m_services.picker.reusedConnectionLost(m_upstream);
+        m_services.picker.reusedConnectionLost(m_search->upstream());
     if (!isComplete) {
         exchangeEnded(ExchangeOutcome::Unreachable, RunOutcome::EngineFailed);
         if (m_hasStartedAnswer)
@@ -481,7 +333,7 @@
         return;
     }
     if (isFailure && mayRepeat() && tryRetry()) {
-        chooseUpstream();
+        m_search->next();
         return;
     }
     forwardResponse();
@@ -532,20 +384,20 @@
         return;
     }
     if (m_sends < maximumSends && tryRetry()) {
-        m_search.allowOneMore();
-        chooseUpstream();
+        m_search->allowOneMoreOwner();
+        m_search->next();
         return;
     }
     if (m_mayHaveRun)
         fail(statusBadGateway, "not_executed_after_failure");
     else
-        refuse(CallRefusal::NotExecuted, noUpstreamRetryAfter);
+        refuse(CallRefusal::NotExecuted, UpstreamSearch::noUpstreamRetryAfter);
 }
 
 void ProxiedCall::handleFailure(const char* reason)
 {
     if (mayRepeat() && tryRetry()) {
-        chooseUpstream();
+        m_search->next();
         return;
     }
     fail(statusBadGateway, reason);
@@ -557,8 +409,8 @@
     const bool canResume
         = m_admission.route->isResumable && m_response.events().lastId() && mayRepeat() && tryRetry();
     if (canResume) {
-        m_search.allowOneMore();
-        chooseUpstream();
+        m_search->allowOneMoreOwner();
+        m_search->next();
         return;
     }
     m_exchange->abort();
@@ -575,13 +427,14 @@
         = std::chrono::duration_cast<Duration>(attemptTimeoutFraction * m_admission.route->targetLatency);
     m_attemptTimer = m_services.loop.runAfter(wait, [this] {
         m_attemptTimer = 0;
-        const bool hasOther = m_services.upstreams.usable(m_admission.serviceId).size() > m_tried.size();
+        const bool hasOther
+            = m_services.upstreams.usable(m_admission.serviceId).size() > m_search->triedCount();
         if (!hasOther || !tryRetry())
             return;
         ++m_possibleRuns;
         m_mayHaveRun = true;
         exchangeEnded(ExchangeOutcome::Unreachable, RunOutcome::EngineFailed);
-        chooseUpstream();
+        m_search->next();
     });
 }
 
@@ -596,7 +449,7 @@
     } else if (wasSent || m_mayHaveRun)
         fail(statusGatewayTimeout, "upstream_timeout");
     else
-        refuse(CallRefusal::NotInTime, noUpstreamRetryAfter);
+        refuse(CallRefusal::NotInTime, UpstreamSearch::noUpstreamRetryAfter);
 }
 
 void ProxiedCall::callerLeft()
@@ -653,15 +506,16 @@
         return;
     m_services.loop.cancel(std::exchange(m_deadlineTimer, 0));
     m_services.loop.cancel(std::exchange(m_attemptTimer, 0));
-    m_services.loop.cancel(std::exchange(m_startTimer, 0));
+    if (m_search)
+        m_search->stop();
     LogEvent(LogLevel::Info, "call")
         .with("request", m_attributes.requestId)
         .with("route", m_admission.route ? m_admission.route->id.value() : "")
         .with("workspace", m_admission.workspace ? m_admission.workspace->id.value() : "")
         .with("revision", m_configuration ? m_configuration->revision().value() : 0)
         .with("adapter", m_attributes.adapter)
-        .with("upstream", m_upstream)
-        .with("asks", m_search.attempts())
+        .with("upstream", m_search ? m_search->upstream() : UpstreamId())
+        .with("asks", m_search ? m_search->askedOwners() : 0)
         .with("sends", m_sends)
         .with("status", m_response.attributes() ? m_response.attributes()->status : 0)
         .with("first_byte_ms", m_firstByte ? toMilliseconds(*m_firstByte) : -1)
--- a/src/gateway/proxied_call.h
+++ b/src/gateway/proxied_call.h
@@ -1,14 +1,13 @@
 #pragma once
 
-#include "gateway/admission_search.h"
 #include "gateway/call_services.h"
 #include "gateway/upstream_response.h"
+#include "gateway/upstream_search.h"
 #include "transport/http_server.h"
 
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace lacewing::gateway {
@@ -35,29 +34,12 @@
 private:
     // Admission.
     bool chargeWorkspace();
+    void startSearch();
     void deny(CallRefusal refusal);
 
-    // Upstream selection.
-    void chooseUpstream();
-    void choosePlain();
-    void chooseEngine();
-    /// @param choices number of engines that can be asked, including this one.
-    void askOwner(const HostId& owner, const UpstreamId& engine, size_t choices);
-    void ownerAnswered(const RunAnswer& answer);
-
-    /// Sends the request once the limit that the upstream states permits it, or chooses another upstream.
-    ///
-    /// @param patience time for which the request may wait for its start.
-    void sendWithinLimit(const UpstreamId& upstream, Duration patience);
-    void permitAnswered(const PermitAnswer& answer);
-    /// @return the time for which the request can wait and still be answered on time.
-    Duration timeUntilLate() const;
-
-    /// @return the reason for a refusal after owners have denied the request.
-    CallRefusal overloadRefusal() const;
-
     // Exchange with the upstream.
-    void send(const UpstreamId& upstream);
+    /// Sends the request to the upstream that the search has found.
+    void send();
     HttpClientRequest upstreamRequest(const UpstreamEntry& entry);
     void headersArrived(int status, const HttpHeaders& headers);
     /// Records what the head of a response says about the upstream's limit.
@@ -98,22 +80,16 @@
     CallAdmission m_admission;
     /// Time from the arrival of the request within which the response must be complete.
     Duration m_timeLimit {};
-    int m_priority = 0;
 
-    std::set<UpstreamId> m_tried;
     /// Number of sends that may have run the request.
     int m_possibleRuns = 0;
     int m_sends = 0;
-    AdmissionSearch m_search;
+    /// Null until the request is admitted.
+    std::unique_ptr<UpstreamSearch> m_search;
 
-    UpstreamId m_upstream;
     MonotonicTime m_sentAt;
     /// Start of the process of the upstream that the request was sent to.
     int64_t m_upstreamStartedAt = 0;
-    std::optional<PermitId> m_permit;
-    std::optional<RunId> m_run;
-    std::optional<int64_t> m_version;
-    std::optional<int> m_urgency;
     std::unique_ptr<HttpClientCall> m_call;
     UpstreamResponse m_response;
     bool m_isExchanging = false;
@@ -125,8 +101,6 @@
 
     TimerId m_deadlineTimer = 0;
     TimerId m_attemptTimer = 0;
-    /// Runs while the request waits for the start that it was permitted.
-    TimerId m_startTimer = 0;
 };
 
 } // namespace lacewing::gateway
--- /dev/null
+++ b/src/gateway/upstream_search.cc
@@ -0,0 +1,208 @@
+#include "gateway/upstream_search.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+
+namespace lacewing::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Engines without an owner get a new one within a short time.
+constexpr Duration noOwnerRetryAfter = milliseconds(100);
+/// Fraction of the target latency for which a call may wait for a start within an upstream's limit.
+constexpr double limitWaitFraction = 0.5;
+/// Lower bound of the retry delay while upstreams are at their limits.
+constexpr Duration shortestLimitRetryAfter = milliseconds(100);
+
+} // namespace
+
+UpstreamSearch::UpstreamSearch(CallServices& services, const Subject& subject, Handlers handlers)
+    : m_services(services)
+    , m_subject(subject)
+    , m_handlers(std::move(handlers))
+    , m_owners(subject.arrival, subject.admission.route->targetLatency, subject.timeLimit)
+{
+}
+
+UpstreamSearch::~UpstreamSearch()
+{
+    stop();
+}
+
+void UpstreamSearch::stop()
+{
+    m_isStopped = true;
+    m_services.loop.cancel(std::exchange(m_startTimer, 0));
+    if (m_permit)
+        m_services.permits.cancel(*std::exchange(m_permit, std::nullopt));
+}
+
+void UpstreamSearch::next()
+{
+    if (m_isStopped)
+        return;
+    const CallAdmission& admission = m_subject.admission;
+    const bool needsEngine
+        = admission.service && admission.service->engine && !m_subject.attributes.model.empty();
+    if (needsEngine)
+        chooseEngine();
+    else
+        choosePlain();
+}
+
+void UpstreamSearch::chooseEngine()
+{
+    const AdapterRef adapter { m_subject.attributes.model, m_subject.attributes.adapter };
+    const auto candidates = m_services.engines.candidates(m_subject.admission.serviceId, adapter, m_tried);
+    const std::vector<UpstreamId> ranked = EngineChooser::rank(adapter, candidates, m_services.random);
+    std::optional<Duration> shortestWait;
+    for (const UpstreamId& engine : ranked) {
+        if (const auto owner = m_services.engines.ownerOf(engine)) {
+            askOwner(*owner, engine, ranked.size());
+            return;
+        }
+        const auto release = m_services.configuration.releases().find(adapter);
+        m_version = release == m_services.configuration.releases().end()
+            ? std::nullopt
+            : std::make_optional(release->second);
+        m_urgency.reset();
+        const Duration wait = m_services.permits.expectedWait(engine);
+        if (wait > Duration::zero()) {
+            shortestWait = std::min(shortestWait.value_or(wait), wait);
+            continue;
+        }
+        startWithinLimit(engine, Duration::zero());
+        return;
+    }
+    if (const auto retryAfter = m_owners.retryAfter())
+        m_handlers.onExhausted(overloadRefusal(), *retryAfter);
+    else if (shortestWait)
+        m_handlers.onExhausted(CallRefusal::UpstreamLimit, *shortestWait);
+    else
+        m_handlers.onExhausted(CallRefusal::NoUpstream, noUpstreamRetryAfter);
+}
+
+void UpstreamSearch::askOwner(const HostId& owner, const UpstreamId& engine, size_t choices)
+{
+    const CallAttributes& attributes = m_subject.attributes;
+    m_upstream = engine;
+    RunRequest request;
+    request.adapter = { attributes.model, attributes.adapter };
+    request.prompt = attributes.promptTokens.value_or(Tokens(1));
+    request.parts = attributes.promptParts;
+    request.output = attributes.maximumOutputTokens.value_or(Tokens(1));
+    request.priority = m_subject.priority;
+    request.targetPause = m_subject.admission.route->targetPause;
+    m_owners.prepare(request, choices);
+    m_services.engines.recordRequest(engine, request.prompt);
+    m_run = m_services.broker.ask(
+        owner, engine, request, m_lifetime.guard([this](const RunAnswer& answer) { ownerAnswered(answer); }));
+}
+
+void UpstreamSearch::ownerAnswered(const RunAnswer& answer)
+{
+    if (m_isStopped)
+        return;
+    if (const auto* grant = std::get_if<RunGrant>(&answer)) {
+        m_version = grant->version;
+        m_urgency = grant->urgency;
+        start(m_upstream);
+        return;
+    }
+    const RunDenial& denial = std::get<RunDenial>(answer);
+    LogEvent(LogLevel::Info, "start_denied")
+        .with("request", m_subject.attributes.requestId)
+        .with("upstream", m_upstream)
+        .with("run", denial.key.run)
+        .with("reason", gateway::toString(denial.reason))
+        .with("retry_after_ms", toMilliseconds(denial.retryAfter));
+    m_run.reset();
+    m_tried.insert(m_upstream);
+    m_owners.denied(denial);
+    if (m_owners.hasAttemptsLeft()) {
+        next();
+        return;
+    }
+    m_handlers.onExhausted(overloadRefusal(), m_owners.retryAfter().value_or(noOwnerRetryAfter));
+}
+
+CallRefusal UpstreamSearch::overloadRefusal() const
+{
+    return m_owners.isLimitedOnly() ? CallRefusal::UpstreamLimit : CallRefusal::Overloaded;
+}
+
+void UpstreamSearch::choosePlain()
+{
+    const auto selection = m_services.plainSelector.select(
+        m_subject.admission.serviceId, m_tried, timeUntilLate(), m_services.loop.now());
+    if (selection.upstream)
+        startWithinLimit(*selection.upstream, selection.patience);
+    else if (selection.limitedFor)
+        m_handlers.onExhausted(
+            CallRefusal::UpstreamLimit, std::max(*selection.limitedFor, shortestLimitRetryAfter));
+    else
+        m_handlers.onExhausted(selection.hasUpstreams ? CallRefusal::NotExecuted : CallRefusal::NoUpstream,
+            noUpstreamRetryAfter);
+}
+
+Duration UpstreamSearch::timeUntilLate() const
+{
+    const auto latestStart
+        = std::chrono::duration_cast<Duration>(limitWaitFraction * m_subject.admission.route->targetLatency);
+    const Duration elapsed = m_services.loop.now() - m_subject.arrival;
+    return std::max<Duration>(latestStart - elapsed, Duration::zero());
+}
+
+void UpstreamSearch::startWithinLimit(const UpstreamId& upstream, Duration patience)
+{
+    if (!m_services.limits.rate(upstream)) {
+        start(upstream);
+        return;
+    }
+    m_upstream = upstream;
+    m_permit = m_services.permits.request(
+        upstream, patience, m_lifetime.guard([this](const PermitAnswer& answer) { permitAnswered(answer); }));
+}
+
+void UpstreamSearch::permitAnswered(const PermitAnswer& answer)
+{
+    m_permit.reset();
+    ++m_services.metrics.counter(
+        "lacewing_permits_total", { { "outcome", answer.isGranted ? "granted" : "denied" } });
+    if (!answer.isGranted) {
+        LogEvent(LogLevel::Info, "permit_denied")
+            .with("request", m_subject.attributes.requestId)
+            .with("upstream", m_upstream)
+            .with("wait_ms", toMilliseconds(answer.wait));
+        next();
+        return;
+    }
+    m_startTimer = m_services.loop.runAfter(answer.wait, [this] {
+        m_startTimer = 0;
+        start(m_upstream);
+    });
+}
+
+void UpstreamSearch::start(const UpstreamId& upstream)
+{
+    m_upstream = upstream;
+    m_tried.insert(upstream);
+    m_handlers.onStart();
+}
+
+void UpstreamSearch::runProgressed()
+{
+    if (m_run)
+        m_services.broker.progressed(*m_run);
+}
+
+void UpstreamSearch::runEnded(const RunEnding& ending)
+{
+    if (m_run)
+        m_services.broker.ended(*std::exchange(m_run, std::nullopt), ending);
+}
+
+} // namespace lacewing::gateway
