Read answers that wait in the socket before their progress timeout is applied

In the gateway this concerns calls to the store and to engines' control addresses, not callers' requests, which have no progress timeout.

Cause: libevent takes 32 events in a round until a round was full, and then runs all timers that are due. So the timers of the other connections ran before their input was read. If input waits when the timeout passes, the call now gets 50 ms more, once, which is many rounds.

--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -33,6 +33,10 @@
 /// An idle connection is closed after this time, so that connections to servers no longer in use go away.
 constexpr timeval maximumIdleTime { 60, 0 };
 
+/// Time for input that waits in the socket when the progress timeout passes. After a delay of this process a
+/// round of the loop takes the input of some connections only, before it runs the timers of all.
+constexpr Duration lateReadTime = std::chrono::milliseconds(50);
+
 /// evhttp replaces a missing timeout by one of 50 s. This one never runs out; the timers of
 /// HttpClientConnection bound the time instead.
 constexpr timeval noTimeout { 365 * 24 * 3600, 0 };
@@ -532,7 +536,10 @@
     const Duration rest = m_lastProgress + timeout - m_loop.now();
     if (rest > Duration::zero())
         armProgressTimer(rest);
-    else
+    else if (!m_isReadingLate && hasUnreadInput(bufferevent_getfd(m_stream))) {
+        m_isReadingLate = true;
+        armProgressTimer(lateReadTime);
+    } else
         fail(HttpClientError::TimedOut);
 }
 
--- a/src/transport/http_client_connection.h
+++ b/src/transport/http_client_connection.h
@@ -94,7 +94,11 @@
     void deliverHeld();
     void finishAnswer();
     void fail(HttpClientError error);
-    void noteProgress() { m_lastProgress = m_loop.now(); }
+    void noteProgress()
+    {
+        m_lastProgress = m_loop.now();
+        m_isReadingLate = false;
+    }
     void checkProgress();
     void armProgressTimer(Duration delay);
     bool isCurrent(const HttpClientExchange* exchange) const { return m_exchange.get() == exchange; }
@@ -121,6 +125,8 @@
     bool m_isDisconnected = false;
     MonotonicTime m_idleSince {};
     MonotonicTime m_lastProgress {};
+    /// Whether the progress timeout has passed while input was waiting in the socket.
+    bool m_isReadingLate = false;
     TimerId m_connectTimer = 0;
     TimerId m_progressTimer = 0;
     TimerId m_resumeTimer = 0;
--- a/src/transport/http_client_test.cc
+++ b/src/transport/http_client_test.cc
@@ -185,6 +185,30 @@
     BOOST_TEST(result->status == 200);
 }
 
+// Guards against answers given up, of many that came in time, because the process was delayed and one round
+// of the loop doesn't read them all before the timers run.
+BOOST_AUTO_TEST_CASE(ADelayedProcessTakesAllAnswersThatCameInTime)
+{
+    constexpr int count = 300;
+    constexpr auto timeout = 4s;
+    std::vector<std::unique_ptr<HttpClientCall>> calls;
+    int answers = 0;
+    int failures = 0;
+    HttpClientHandlers handlers;
+    handlers.onDone = [&](const HttpClientResult& done) { ++(done.error ? failures : answers); };
+    for (size_t number = 1; number <= count; ++number) {
+        HttpClientRequest sent = request(rawServer.address());
+        sent.progressTimeout = timeout;
+        calls.push_back(client->send(std::move(sent), handlers));
+        acceptRequest(number);
+    }
+    for (const auto& peer : rawServer.peers)
+        peer->sendAtOnce(emptyAnswer);
+    std::this_thread::sleep_for(timeout);
+    runUntil(loop, [&] { return answers + failures == count; });
+    BOOST_TEST(failures == 0);
+}
+
 // Guards against a request reported as sent that no server has seen, which must not be counted as unknown.
 BOOST_AUTO_TEST_CASE(FailedConnectionHasSentNothing)
 {
--- a/src/transport/http_server_connection.cc
+++ b/src/transport/http_server_connection.cc
@@ -381,7 +381,7 @@
         // A timeout that was due before the request was complete says nothing about the client. Neither does
         // one while input waits: after a delay of this process both are due, and libevent reports only the
         // timeout.
-        const bool isLate = m_phase == Phase::Reading && !hasUnreadInput();
+        const bool isLate = m_phase == Phase::Reading && !hasUnreadInput(bufferevent_getfd(m_stream));
         if (isLate || m_phase == Phase::Lingering)
             handleReadTimeout();
         // libevent stops reading after a timeout.
@@ -405,13 +405,8 @@
     if (m_phase != Phase::Reading || m_part != Part::Head || m_check.hasStarted() || bufferedBytes() > 0)
         return false;
     // A request that has arrived but not been read yet must be answered.
-    return evbuffer_get_length(bufferevent_get_input(m_stream)) == 0 && !hasUnreadInput();
-}
-
-bool HttpServerConnection::hasUnreadInput() const
-{
-    char byte = 0;
-    return recv(bufferevent_getfd(m_stream), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    return evbuffer_get_length(bufferevent_get_input(m_stream)) == 0
+        && !hasUnreadInput(bufferevent_getfd(m_stream));
 }
 
 void HttpServerConnection::closeIfIdle()
--- a/src/transport/http_server_connection.h
+++ b/src/transport/http_server_connection.h
@@ -110,8 +110,6 @@
     void handleEvent(short events);
     void handleReadTimeout();
     bool isIdle() const;
-    /// @return whether bytes of the client wait in the socket.
-    bool hasUnreadInput() const;
     void setReadTimeout(Duration timeout);
     void startLingering();
     void close();
--- a/src/transport/socket_address.cc
+++ b/src/transport/socket_address.cc
@@ -65,4 +65,10 @@
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
 }
 
+bool hasUnreadInput(int socket)
+{
+    char byte = 0;
+    return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 } // namespace lacewing
--- a/src/transport/socket_address.h
+++ b/src/transport/socket_address.h
@@ -33,4 +33,7 @@
 /// Sends small writes on a TCP socket at once.
 void disableDelay(int socket);
 
+/// @return whether bytes wait to be read from a connection.
+bool hasUnreadInput(int socket);
+
 } // namespace lacewing
