--- /dev/null
+++ b/src/gateway/fake_call_services_test.h
@@ -0,0 +1,216 @@
+#pragma once
+
+#include "base/virtual_scheduler.h"
+#include "gateway/call_services.h"
+#include "gateway/fake_row_decoder_test.h"
+#include "gateway/fake_row_store_test.h"
+
+#include <chrono>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lacewing::gateway {
+
+/// The service of all routes.
+inline const ServiceId service("plain");
+
+/// One request that the gateway has sent to an upstream.
+struct UpstreamCall {
+    HttpClientRequest request;
+    HttpClientHandlers handlers;
+    bool isCancelled = false;
+
+    void head(int status, const std::string& id, bool isStream, bool isSealed = true)
+    {
+        HttpHeaders headers { { "id", id } };
+        if (isStream)
+            headers.add("stream", "1");
+        if (isSealed)
+            headers.add("seal", "1");
+        handlers.onHeaders(status, headers);
+    }
+    void notExecuted(int status)
+    {
+        handlers.onHeaders(status, { { "not-executed", "1" } });
+        handlers.onDone({ std::nullopt, true, status });
+    }
+    void end(std::optional<HttpClientError> error = std::nullopt, bool wasSent = true)
+    {
+        handlers.onDone({ error, wasSent, 0 });
+    }
+};
+
+class FakeHttpClient : public HttpClient {
+public:
+    std::unique_ptr<HttpClientCall> send(HttpClientRequest request, HttpClientHandlers handlers) override
+    {
+        auto call = std::make_shared<UpstreamCall>();
+        call->request = std::move(request);
+        call->handlers = std::move(handlers);
+        calls.push_back(call);
+        return std::make_unique<Handle>(call);
+    }
+    size_t connectionCount() const override { return calls.size(); }
+
+    std::vector<std::shared_ptr<UpstreamCall>> calls;
+
+private:
+    struct Handle : HttpClientCall {
+        explicit Handle(std::shared_ptr<UpstreamCall> call)
+            : call(std::move(call))
+        {
+        }
+        ~Handle() override { call->isCancelled = true; }
+        void cancel() override { call->isCancelled = true; }
+        void pauseReading() override { }
+        void resumeReading() override { }
+
+        std::shared_ptr<UpstreamCall> call;
+    };
+};
+
+/// Translates with short header names in place of the platform's.
+class PlainTranslator : public CallTranslator {
+public:
+    CallAttributes readRequest(const HttpHeaders& headers) const override
+    {
+        CallAttributes attributes;
+        attributes.requestId = headers.find("id").value_or("");
+        attributes.key = headers.find("key");
+        attributes.deadline = std::chrono::seconds(4);
+        return attributes;
+    }
+    HttpHeaders upstreamHeaders(const HttpHeaders&, const ForwardingFields& fields) const override
+    {
+        HttpHeaders headers { { "expect", fields.expectedUpstream.value() } };
+        if (fields.lastEventId)
+            headers.add("last-event", *fields.lastEventId);
+        if (fields.deadline)
+            headers.add("deadline", std::to_string(toMilliseconds(*fields.deadline)));
+        return headers;
+    }
+    ResponseAttributes readResponse(int status, const HttpHeaders& headers) const override
+    {
+        ResponseAttributes attributes;
+        attributes.status = status;
+        attributes.requestId = headers.find("id").value_or("");
+        attributes.isSealed = headers.count("seal") > 0;
+        attributes.isEventStream = headers.count("stream") > 0;
+        attributes.isNotExecuted = headers.count("not-executed") > 0;
+        if (const auto limit = headers.find("limit"))
+            attributes.requestLimit = RequestRate(std::stod(*limit));
+        return attributes;
+    }
+    HttpHeaders callerHeaders(const HttpHeaders& headers) const override { return headers; }
+    HttpHeaders localReplyHeaders(const std::string&, std::optional<Duration> retryAfter) const override
+    {
+        HttpHeaders headers;
+        if (retryAfter)
+            headers.add("retry", std::to_string(toMilliseconds(*retryAfter)));
+        return headers;
+    }
+};
+
+/// Decodes every upstream row as usable, and every configuration as the same built-in one.
+class BuiltInRows : public FakeRowDecoder {
+public:
+    std::shared_ptr<const ServingConfiguration> readConfiguration(
+        const std::string&, std::string&) const override
+    {
+        ServingConfiguration::Builder builder(Revision(1));
+        builder.add(route("/once/", RouteKind::AtMostOnce, 1, false));
+        builder.add(route("/safe/", RouteKind::Idempotent, 2, false));
+        builder.add(route("/stream/", RouteKind::Stream, 1, false));
+        builder.add(route("/resume/", RouteKind::Stream, 2, true));
+        ServiceConfiguration plain;
+        plain.id = service;
+        builder.add(plain);
+        ServingWorkspace workspace;
+        workspace.id = WorkspaceId("w-1");
+        builder.add(workspace, { "key-1" });
+        return builder.build();
+    }
+    std::optional<UpstreamEntry> readUpstream(const StoredRow& row) const override
+    {
+        UpstreamEntry entry;
+        entry.id = UpstreamId(row.id.key);
+        entry.service = service;
+        entry.address = { "127.0.0.1", 1 };
+        return entry;
+    }
+
+private:
+    static Route route(const char* prefix, RouteKind kind, int attempts, bool isResumable)
+    {
+        Route route;
+        route.id = RouteId(prefix);
+        route.host = "a.example";
+        route.pathPrefix = prefix;
+        route.kind = kind;
+        route.maximumAttempts = attempts;
+        route.isResumable = isResumable;
+        route.timeout = std::chrono::seconds(3);
+        route.targetLatency = std::chrono::milliseconds(200);
+        route.services = { { service, 1 } };
+        return route;
+    }
+};
+
+/// The components that calls share, with a virtual clock, two upstreams and a client that keeps the requests.
+struct FakeCallServices {
+    FakeCallServices()
+    {
+        store.put({ "op", "config" }, "{}");
+        store.put({ "servers", "s-1" }, "ready");
+        store.put({ "servers", "s-2" }, "ready");
+        configuration.start();
+        upstreams.start();
+        scheduler.advance(std::chrono::milliseconds(50));
+        for (int request = 0; request < 100; ++request)
+            retries.countRequest(service, scheduler.now());
+    }
+
+    VirtualScheduler scheduler;
+    EventLoop loop;
+    FakeRowStore store { scheduler };
+    BuiltInRows rows;
+    PlainTranslator translator;
+    FakeHttpClient client;
+    ConfigurationTracker configuration { scheduler, store, rows, { [] {}, [](const AdapterRelease&) {} } };
+    UpstreamDirectory upstreams { scheduler, store, rows, { [] {}, [](const std::vector<StoredRow>&) {} } };
+    HostRecord self { HostId("host-1"), Incarnation(1), { "127.0.0.1", 1 }, { "127.0.0.1", 2 },
+        DataCentreId("dc-1"), 0 };
+    FleetAgent fleet { scheduler, store, self, std::chrono::seconds(3), OwnershipRule::EnginesCheckFencing,
+        { [] {}, [](const UpstreamId&, FencingNumber) {}, [](const UpstreamId&) {},
+            [] { return std::set<UpstreamId>(); }, [] { return std::set<HostId>(); },
+            [] { return ReportedOwners(); } } };
+    PeerMesh mesh { loop, self, {} };
+    struct NoControl : EngineControl {
+        void order(const EngineTarget&, const AdapterOrder&, OrderCallback) override { }
+        void report(const EngineTarget&, ReportCallback) override { }
+    } control;
+    OwnedEngines owners { scheduler, control, upstreams, configuration, self.host, {} };
+    UpstreamPicker picker { 1 };
+    UpstreamLimits limits { self.host };
+    RunBroker broker { scheduler, limits, self.host };
+    EngineView view { scheduler, upstreams, fleet, mesh, owners, picker, self.host, self.dataCentre };
+    WorkspaceRateLimiter usage { std::chrono::seconds(8), self.host, MonotonicTime() };
+    RetryAllowance retries { RetryLimits() };
+    MetricsRegistry metrics;
+    Random random { 1 };
+    std::set<HostId> deciders { self.host };
+    UpstreamPermits permits { scheduler, limits, self.host,
+        { [](const HostId&, const PeerMessage&) { return true; }, [this] { return deciders; },
+            [] { return 1.0; }, [](const UpstreamId&) { return false; } } };
+    CallAdmitter admitter { configuration, usage, random };
+    PlainUpstreamSelector selector { upstreams, picker, limits, permits, self.dataCentre };
+    CallServices services { scheduler, client, translator, configuration, upstreams, view, broker, picker,
+        limits, permits, selector, usage, admitter, retries, metrics, random, [] {},
+        [this](const LimitObservation& observation, const std::string&) {
+            limits.observe(observation, scheduler.now());
+        } };
+};
+
+} // namespace lacewing::gateway
