--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -100,7 +100,7 @@
     m_timeLimit = std::min(m_attributes.deadline.value_or(defaultTimeout), m_admission.route->timeout);
     if (!chargeWorkspace())
         return;
-    startSearch();
+    createSearch();
     m_exchange->onClientLeft([this] { callerLeft(); });
     m_deadlineTimer = m_services.loop.runAfter(m_timeLimit + deadlineGrace, [this] {
         m_deadlineTimer = 0;
@@ -110,7 +110,7 @@
     m_search->next();
 }
 
-void ProxiedCall::startSearch()
+void ProxiedCall::createSearch()
 {
     const int priority = m_admission.workspace && m_admission.workspace->priority
         ? *m_admission.workspace->priority
--- a/src/gateway/proxied_call.h
+++ b/src/gateway/proxied_call.h
@@ -34,7 +34,7 @@
 private:
     // Admission.
     bool chargeWorkspace();
-    void startSearch();
+    void createSearch();
     void deny(CallRefusal refusal);
 
     // Exchange with the upstream.
--- a/src/transport/peer_connection.cc
+++ b/src/transport/peer_connection.cc
@@ -6,8 +6,6 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -43,12 +41,6 @@
     return getpeername(socket, reinterpret_cast<sockaddr*>(&address), &size) == 0;
 }
 
-void disableNagle(int socket)
-{
-    const int on = 1;
-    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-}
-
 } // namespace
 
 std::shared_ptr<PeerConnection> PeerConnection::connect(
@@ -63,7 +55,7 @@
 std::shared_ptr<PeerConnection> PeerConnection::accept(const Context& context, int socket)
 {
     auto connection = std::make_shared<PeerConnection>(context, LinkRole::Acceptor);
-    disableNagle(socket);
+    disableDelay(socket);
     connection->startStream(socket);
     return connection;
 }
@@ -106,7 +98,7 @@
         m_connectSocket = socket(native->storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     LinkError error = LinkError::Unreachable;
     if (m_connectSocket >= 0) {
-        disableNagle(m_connectSocket);
+        disableDelay(m_connectSocket);
         if (::connect(m_connectSocket, native->pointer(), native->size) == 0 || errno == EINPROGRESS) {
             m_connectEvent
                 = event_new(m_loop.base(), m_connectSocket, EV_WRITE, &PeerConnection::onConnectEvent, this);
