--- a/src/gateway/event_relay.cc
+++ b/src/gateway/event_relay.cc
@@ -68,7 +68,9 @@
             continue;
         if (id)
             m_lastId = id;
-        m_hasEvents = true;
+        else
+            ++m_unnumberedEventCount;
+        ++m_eventCount;
         events += event;
     }
     return events;
--- a/src/gateway/event_relay.h
+++ b/src/gateway/event_relay.h
@@ -24,7 +24,11 @@
 
     /// @return id of the last complete event that had one, or nothing if none had.
     const std::optional<std::string>& lastId() const { return m_lastId; }
-    bool hasEvents() const { return m_hasEvents; }
+    bool hasEvents() const { return m_eventCount > 0; }
+    /// @return number of events that were returned.
+    int64_t eventCount() const { return m_eventCount; }
+    /// @return number of events without an id that were returned.
+    int64_t unnumberedEventCount() const { return m_unnumberedEventCount; }
 
 private:
     static constexpr size_t maximumEventBytes = 1024 * 1024;
@@ -33,7 +37,8 @@
 
     std::string m_pending;
     std::optional<std::string> m_lastId;
-    bool m_hasEvents = false;
+    int64_t m_eventCount = 0;
+    int64_t m_unnumberedEventCount = 0;
 };
 
 } // namespace lacewing::gateway
--- a/src/gateway/fake_call_services_test.h
+++ b/src/gateway/fake_call_services_test.h
@@ -21,6 +21,7 @@
     HttpClientRequest request;
     HttpClientHandlers handlers;
     bool isCancelled = false;
+    bool isOnReusedConnection = false;
 
     void head(int status, const std::string& id, bool isStream, bool isSealed = true)
     {
@@ -66,6 +67,7 @@
         void cancel() override { call->isCancelled = true; }
         void pauseReading() override { }
         void resumeReading() override { }
+        bool isOnReusedConnection() const override { return call->isOnReusedConnection; }
 
         std::shared_ptr<UpstreamCall> call;
     };
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -288,10 +288,32 @@
     m_search->runEnded({ runOutcome, m_response.longestPause() });
 }
 
+void ProxiedCall::recordStreamEnd(const HttpClientResult& result)
+{
+    const EventRelay& events = m_response.events();
+    const bool isUnfinished = !events.remainder().empty();
+    const char* end = result.error ? "error" : isUnfinished ? "unfinished_event" : "complete";
+    ++m_services.metrics.counter("lacewing_stream_ends_total", { { "end", end } });
+    if (!result.error && !isUnfinished && events.unnumberedEventCount() == 0)
+        return;
+    LogEvent(LogLevel::Warning, "stream_end")
+        .with("request", m_attributes.requestId)
+        .with("upstream", m_search->upstream())
+        .with("framing", toString(m_response.framing()))
+        .with("reused_connection", m_call && m_call->isOnReusedConnection())
+        .with("error", result.error ? lacewing::toString(*result.error) : "none")
+        .with("events", events.eventCount())
+        .with("unnumbered_events", events.unnumberedEventCount())
+        .with("last_event", events.lastId().value_or(""))
+        .with("unfinished_bytes", events.remainder().size());
+}
+
 void ProxiedCall::upstreamDone(const HttpClientResult& result)
 {
     if (m_isFinished)
         return;
+    if (m_response.isStream())
+        recordStreamEnd(result);
     const bool isComplete = !result.error && m_response.matchesRequest();
     if (isComplete && m_response.attributes()->isNotExecuted) {
         exchangeEnded(ExchangeOutcome::Rejected, RunOutcome::AdapterMissing);
@@ -520,6 +542,8 @@
         .with("status", m_response.attributes() ? m_response.attributes()->status : 0)
         .with("first_byte_ms", m_firstByte ? toMilliseconds(*m_firstByte) : -1)
         .with("longest_pause_ms", toMilliseconds(m_response.longestPause()))
+        .with("events", m_response.events().eventCount())
+        .with("last_event", m_response.events().lastId().value_or(""))
         .with("ms", toMilliseconds(elapsed()))
         .with("outcome", outcome)
         .with("reason", reason);
--- a/src/gateway/proxied_call.h
+++ b/src/gateway/proxied_call.h
@@ -48,6 +48,9 @@
     /// Closes the connection to an upstream whose response exceeds the size limit.
     void abortOversizedResponse();
     void upstreamDone(const HttpClientResult& result);
+    /// Counts the end of a response that is an event stream, and logs one that is not the end of a whole
+    /// stream of numbered events.
+    void recordStreamEnd(const HttpClientResult& result);
     void exchangeEnded(ExchangeOutcome outcome, RunOutcome runOutcome);
     void handleNotExecuted();
     void handleFailure(const char* reason);
--- a/src/gateway/upstream_response.cc
+++ b/src/gateway/upstream_response.cc
@@ -11,6 +11,19 @@
 
 } // namespace
 
+const char* toString(BodyFraming framing)
+{
+    switch (framing) {
+    case BodyFraming::Length:
+        return "length";
+    case BodyFraming::Chunks:
+        return "chunks";
+    case BodyFraming::ConnectionClose:
+        return "connection_close";
+    }
+    return "unknown";
+}
+
 void UpstreamResponse::begin()
 {
     m_attributes.reset();
@@ -47,6 +60,13 @@
     return events;
 }
 
+BodyFraming UpstreamResponse::framing() const
+{
+    if (m_headers.count("Transfer-Encoding") > 0)
+        return BodyFraming::Chunks;
+    return m_headers.count("Content-Length") > 0 ? BodyFraming::Length : BodyFraming::ConnectionClose;
+}
+
 bool UpstreamResponse::isSuccess() const
 {
     return m_attributes && m_attributes->status >= firstSuccess && m_attributes->status < firstRedirection;
--- a/src/gateway/upstream_response.h
+++ b/src/gateway/upstream_response.h
@@ -10,6 +10,17 @@
 
 namespace lacewing::gateway {
 
+/// What marks the end of a response's body.
+enum class BodyFraming {
+    Length,
+    Chunks,
+    /// The end of the connection; whatever the upstream sends before it belongs to the body.
+    ConnectionClose,
+};
+
+/// @return the framing's name in snake_case, for logs.
+const char* toString(BodyFraming framing);
+
 /// Receives the responses of upstreams to one request.
 ///
 /// Keeps the head of the latest response and either buffers its body or splits it into events to forward. The
@@ -31,6 +42,8 @@
     /// @return the attributes of the head, or nothing before it has arrived.
     const std::optional<ResponseAttributes>& attributes() const { return m_attributes; }
     const HttpHeaders& headers() const { return m_headers; }
+    /// @return the framing that the head states.
+    BodyFraming framing() const;
     /// @return whether a head has arrived and belongs to the request that was sent.
     bool matchesRequest() const { return m_attributes && !m_isMismatched; }
     bool isSuccess() const;
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -50,6 +50,8 @@
             m_exchange->connection->resumeReading();
     }
 
+    bool isOnReusedConnection() const override { return m_exchange->isOnReusedConnection; }
+
 private:
     EventLoop& m_loop;
     std::shared_ptr<HttpClientExchange> m_exchange;
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -77,6 +77,8 @@
     /// Stops reading from the socket, so that the server is slowed down; the progress timeout is suspended.
     virtual void pauseReading() = 0;
     virtual void resumeReading() = 0;
+    /// @return whether the request was sent on a connection that has carried a request before.
+    virtual bool isOnReusedConnection() const = 0;
 };
 
 /// HTTP/1.1 client with a connection pool per server, on an event loop.
--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -180,6 +180,7 @@
             = m_loop.runAfter(m_exchange->request.totalTimeout, [this] { fail(HttpClientError::TimedOut); });
     const bool isNew = m_phase == Phase::New;
     m_phase = isNew ? Phase::Connecting : Phase::Busy;
+    m_exchange->isOnReusedConnection = !isNew;
     if (!isNew)
         bufferevent_set_timeouts(m_stream, nullptr, nullptr);
     const size_t limit
--- a/src/transport/http_client_exchange.h
+++ b/src/transport/http_client_exchange.h
@@ -21,6 +21,8 @@
     HttpClientConnection* connection = nullptr;
     bool requestSent = false;
     bool isPaused = false;
+    /// Whether the connection has carried a request before this one.
+    bool isOnReusedConnection = false;
 
     bool isEnded() const { return m_isEnded; }
     void deliverHeaders(int status, const HttpHeaders& headers)
