Don't join the first events of two runs

Cause: the bytes of an unfinished event were dropped only where a stream was resumed after an event that had been passed on. A run that broke off inside its first event was followed by another one through handleFailure(), which dropped nothing.

Each response now begins without bytes of the one before (UpstreamResponse::begin), whichever way led to it, so no path of a call can forget it.

--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -427,7 +427,6 @@
 
 void ProxiedCall::handleBrokenStream()
 {
-    m_response.discardIncompleteEvent();
     const bool canResume
         = m_admission.route->isResumable && m_response.events().lastId() && mayRepeat() && tryRetry();
     if (canResume) {
--- a/src/gateway/proxied_call_test.cc
+++ b/src/gateway/proxied_call_test.cc
@@ -127,6 +127,26 @@
     BOOST_TEST(!fixture.exchange->isAborted);
 }
 
+// Guards against an event that is joined from two runs, the first of which broke off before its first whole
+// event.
+BOOST_AUTO_TEST_CASE(AnUnfinishedFirstEventIsNotJoinedWithTheNextRun)
+{
+    const std::string first = "id: 1\ndata: a\n\n";
+    for (size_t length = 1; length < first.size(); ++length) {
+        Fixture fixture;
+        fixture.send("/resume/1");
+        fixture.upstream(0).head(200, "r-1", true);
+        fixture.upstream(0).handlers.onBody(first.substr(0, length));
+        fixture.upstream(0).end(HttpClientError::ConnectionLost);
+        BOOST_REQUIRE(fixture.client.calls.size() == 2);
+        fixture.upstream(1).head(200, "r-1", true);
+        fixture.upstream(1).handlers.onBody("id: 1\ndata: b\n\n");
+        fixture.upstream(1).end();
+        BOOST_TEST(fixture.exchange->responseBody == "id: 1\ndata: b\n\n");
+        BOOST_TEST(fixture.exchange->isEnded);
+    }
+}
+
 // Guards against a stream ending as complete because the engine at which it was to be resumed failed (hunt on
 // falaj-mf, trouble-1, seed 45357281704).
 BOOST_AUTO_TEST_CASE(AFailedResumptionDoesNotCompleteTheStream)
--- a/src/gateway/upstream_response.cc
+++ b/src/gateway/upstream_response.cc
@@ -30,6 +30,8 @@
     m_headers = HttpHeaders();
     m_body.clear();
     m_unforwardedBytes = 0;
+    // An event is never joined from the responses of two upstreams.
+    m_events.discardPartialEvent();
     m_pauses.restart();
     m_isMismatched = false;
 }
--- a/src/gateway/upstream_response.h
+++ b/src/gateway/upstream_response.h
@@ -30,14 +30,13 @@
 /// body never ends.
 class UpstreamResponse {
 public:
-    /// Resets the response before the request is sent, but keeps track of the events that have arrived.
+    /// Resets the response before the request is sent, but keeps track of the complete events that have
+    /// arrived.
     void begin();
     /// @param requestId id of the request that was sent; a successful response must have the same id.
     void headArrived(ResponseAttributes attributes, HttpHeaders headers, const std::string& requestId);
     /// @return complete events to forward to the caller.
     std::string bodyArrived(std::string_view bytes, MonotonicTime now);
-    /// Drops an incomplete event after the stream was interrupted.
-    void discardIncompleteEvent() { m_events.discardPartialEvent(); }
 
     /// @return the attributes of the head, or nothing before it has arrived.
     const std::optional<ResponseAttributes>& attributes() const { return m_attributes; }
--- a/src/gateway/upstream_response_test.cc
+++ b/src/gateway/upstream_response_test.cc
@@ -51,7 +51,6 @@
     response.headArrived(head(200, "r-1", true), {}, "r-1");
     BOOST_TEST(response.bodyArrived("id: 1\ndata: a\n\nid", now) == "id: 1\ndata: a\n\n");
     BOOST_TEST(response.remainingBody() == "id");
-    response.discardIncompleteEvent();
     // The stream is resumed at an upstream, whose response does not need a seal.
     response.begin();
     response.headArrived(head(200, "r-1", true, false), {}, "r-1");
