Don't end a stream as complete with a part of an event

Callers got a part of an event and a stream that looked complete, where the engine's answer ended in an orderly way inside an event: with the last chunk, at the stated length, or with the close of an answer without a length, which is also how the operating system closes the connections of an engine process that ends.

Cause: an end of the answer without an error of transport counted as the end of the stream, and what was left after the last whole event was passed on.

A stream is now complete only if its bytes end with an event; line ends may follow. Any other end is that of a broken stream: resumed where the route allows it, else cut off so that it doesn't look complete, or answered 502 before its first event.

--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -279,6 +279,13 @@
         m_call->pauseReading();
 }
 
+const char* ProxiedCall::failureReason(const HttpClientResult& result) const
+{
+    if (result.error)
+        return lacewing::toString(*result.error);
+    return m_response.hasUnfinishedEvent() ? "unfinished_event" : "foreign_answer";
+}
+
 void ProxiedCall::exchangeEnded(ExchangeOutcome outcome, RunOutcome runOutcome)
 {
     m_services.loop.cancel(std::exchange(m_attemptTimer, 0));
@@ -291,7 +298,7 @@
 void ProxiedCall::recordStreamEnd(const HttpClientResult& result)
 {
     const EventRelay& events = m_response.events();
-    const bool isUnfinished = !events.remainder().empty();
+    const bool isUnfinished = m_response.hasUnfinishedEvent();
     const char* end = result.error ? "error" : isUnfinished ? "unfinished_event" : "complete";
     ++m_services.metrics.counter("lacewing_stream_ends_total", { { "end", end } });
     if (!result.error && !isUnfinished && events.unnumberedEventCount() == 0)
@@ -314,7 +321,7 @@
         return;
     if (m_response.isStream())
         recordStreamEnd(result);
-    const bool isComplete = !result.error && m_response.matchesRequest();
+    const bool isComplete = !result.error && m_response.matchesRequest() && !m_response.hasUnfinishedEvent();
     if (isComplete && m_response.attributes()->isNotExecuted) {
         exchangeEnded(ExchangeOutcome::Rejected, RunOutcome::AdapterMissing);
         handleNotExecuted();
@@ -344,7 +351,7 @@
         if (m_hasStartedAnswer)
             handleBrokenStream();
         else
-            handleFailure(result.error ? lacewing::toString(*result.error) : "foreign_answer");
+            handleFailure(failureReason(result));
         return;
     }
     const bool isFailure = m_response.attributes()->status >= firstServerError || m_hasStartedAnswer;
--- a/src/gateway/proxied_call.h
+++ b/src/gateway/proxied_call.h
@@ -51,6 +51,8 @@
     /// Counts the end of a response that is an event stream, and logs one that is not the end of a whole
     /// stream of numbered events.
     void recordStreamEnd(const HttpClientResult& result);
+    /// @return why a response can't be forwarded, for logs and metrics.
+    const char* failureReason(const HttpClientResult& result) const;
     void exchangeEnded(ExchangeOutcome outcome, RunOutcome runOutcome);
     void handleNotExecuted();
     void handleFailure(const char* reason);
--- a/src/gateway/proxied_call_test.cc
+++ b/src/gateway/proxied_call_test.cc
@@ -109,6 +109,40 @@
     BOOST_TEST(fixture.client.calls.size() == 1);
 }
 
+// Guards against a stream that ends as complete with a part of an event, because the upstream's response
+// ended there in an orderly way.
+BOOST_AUTO_TEST_CASE(AnOrderlyEndInsideAnEventDoesNotCompleteTheStream)
+{
+    const std::string event = "id: 2\ndata: b\n\n";
+    for (size_t length = 1; length < event.size(); ++length) {
+        Fixture fixture;
+        fixture.send("/stream/1");
+        fixture.upstream(0).head(200, "r-1", true);
+        fixture.upstream(0).handlers.onBody("id: 1\ndata: a\n\n" + event.substr(0, length));
+        fixture.upstream(0).end();
+        BOOST_TEST(fixture.exchange->responseBody == "id: 1\ndata: a\n\n");
+        BOOST_TEST(fixture.exchange->isAborted);
+        fixture.send("/stream/1");
+        fixture.upstream(1).head(200, "r-1", true);
+        fixture.upstream(1).handlers.onBody(event.substr(0, length));
+        fixture.upstream(1).end();
+        BOOST_TEST(fixture.exchange->responseStatus == 502);
+        BOOST_TEST(fixture.client.calls.size() == 2);
+    }
+}
+
+// Guards against taking line ends after the last event for a part of another one.
+BOOST_AUTO_TEST_CASE(LineEndsAfterTheLastEventAreForwarded)
+{
+    Fixture fixture;
+    fixture.send("/stream/1");
+    fixture.upstream(0).head(200, "r-1", true);
+    fixture.upstream(0).handlers.onBody("id: 1\ndata: a\n\n\r\n");
+    fixture.upstream(0).end();
+    BOOST_TEST(fixture.exchange->responseBody == "id: 1\ndata: a\n\n\r\n");
+    BOOST_TEST(fixture.exchange->isEnded);
+}
+
 // Guards against losing or repeating an event when a stream is resumed at another engine.
 BOOST_AUTO_TEST_CASE(AResumableStreamIsResumedAtAnotherUpstream)
 {
--- a/src/gateway/upstream_response.h
+++ b/src/gateway/upstream_response.h
@@ -51,6 +51,11 @@
     /// @return whether the response is a success that must not be forwarded, since it lacks the upstream's
     /// seal or has a content encoding.
     bool isUnverified() const;
+    /// @return whether the body that has arrived stops inside an event. Line ends after an event don't count.
+    bool hasUnfinishedEvent() const
+    {
+        return m_events.remainder().find_first_not_of("\r\n") != std::string::npos;
+    }
     /// @return whether the body exceeds the maximum size of a response or of an event.
     bool exceedsSizeLimit() const
     {
