Take only events for events of a stream

Callers got the head or the text of an error in the middle of their stream, which then ended as complete, as cut off, or went on with events of the next run.

An engine in trouble writes an error into the body of an answer that only the end of its connection ends, or breaks off inside an event and goes on with such text, and HTTP has no mark there.

EventFormat tells events from other text: lines have the field names of server-sent events or of the platform, one id that is a number, and data. What is none ends the answer as broken at the last event before it, and the connection is closed. Text that breaks off inside the data of an event and ends that line can't be told from data, and is passed on.

--- a/src/gateway/call_attributes.h
+++ b/src/gateway/call_attributes.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "gateway/event_format.h"
 #include "gateway/request_rate.h"
 #include "gateway/run_request.h"
 #include "transport/http_message.h"
@@ -83,6 +84,8 @@
     virtual HttpHeaders upstreamHeaders(
         const HttpHeaders& callerHeaders, const ForwardingFields& fields) const = 0;
     virtual ResponseAttributes readResponse(int status, const HttpHeaders& headers) const = 0;
+    /// @return the format of the events of an upstream's stream.
+    virtual const EventFormat& eventFormat() const = 0;
     /// @return the upstream's headers without hop-by-hop fields.
     virtual HttpHeaders callerHeaders(const HttpHeaders& upstreamHeaders) const = 0;
     /// @param retryAfter time after which the caller should retry, if it should.
--- a/src/gateway/event_relay.cc
+++ b/src/gateway/event_relay.cc
@@ -1,8 +1,5 @@
 #include "gateway/event_relay.h"
 
-#include <algorithm>
-#include <cstdlib>
-
 namespace lacewing::gateway {
 
 namespace {
@@ -20,56 +17,33 @@
     return std::nullopt;
 }
 
-std::optional<std::string> eventId(std::string_view event)
-{
-    constexpr std::string_view field = "id:";
-    size_t lineStart = 0;
-    while (lineStart < event.size()) {
-        const size_t end = std::min(event.find('\n', lineStart), event.size());
-        std::string_view line = event.substr(lineStart, end - lineStart);
-        lineStart = end + 1;
-        if (line.substr(0, field.size()) != field)
-            continue;
-        line.remove_prefix(field.size());
-        while (!line.empty() && (line.front() == ' ' || line.back() == '\r' || line.back() == ' '))
-            line = line.front() == ' ' ? line.substr(1) : line.substr(0, line.size() - 1);
-        return std::string(line);
-    }
-    return std::nullopt;
-}
-
-std::optional<long long> toNumber(const std::string& text)
-{
-    if (text.empty() || !std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; }))
-        return std::nullopt;
-    return std::strtoll(text.c_str(), nullptr, 10);
-}
-
 } // namespace
 
-bool EventRelay::wasForwarded(const std::string& id) const
+void EventRelay::beginResponse()
 {
-    if (!m_lastId)
-        return false;
-    const auto last = toNumber(*m_lastId);
-    const auto number = toNumber(id);
-    return last && number ? *number <= *last : id == *m_lastId;
+    m_pending.clear();
+    m_fault.reset();
 }
 
 std::string EventRelay::accept(std::string_view bytes)
 {
-    m_pending += bytes;
     std::string events;
+    if (m_fault)
+        return events;
+    m_pending += bytes;
     while (const auto length = firstEventLength(m_pending)) {
         const std::string event = m_pending.substr(0, *length);
+        const ParsedEvent parsed = m_format.parse(event);
+        if (parsed.fault) {
+            m_fault = parsed.fault;
+            m_pending.clear();
+            break;
+        }
         m_pending.erase(0, *length);
-        const auto id = eventId(event);
-        if (id && wasForwarded(*id))
+        if (parsed.id && m_lastId && parsed.id->number <= m_lastId->number)
             continue;
-        if (id)
-            m_lastId = id;
-        else
-            ++m_unnumberedEventCount;
+        if (parsed.id)
+            m_lastId = parsed.id;
         ++m_eventCount;
         events += event;
     }
--- a/src/gateway/fake_call_services_test.h
+++ b/src/gateway/fake_call_services_test.h
@@ -105,6 +105,7 @@
             attributes.requestLimit = RequestRate(std::stod(*limit));
         return attributes;
     }
+    const EventFormat& eventFormat() const override { return m_eventFormat; }
     HttpHeaders callerHeaders(const HttpHeaders& headers) const override { return headers; }
     HttpHeaders localReplyHeaders(const std::string&, std::optional<Duration> retryAfter) const override
     {
@@ -113,6 +114,9 @@
             headers.add("retry", std::to_string(toMilliseconds(*retryAfter)));
         return headers;
     }
+
+private:
+    EventFormat m_eventFormat;
 };
 
 /// Decodes every upstream row as usable, and every configuration as the same built-in one.
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -52,6 +52,7 @@
     , m_exchange(std::move(exchange))
     , m_finished(std::move(finished))
     , m_arrival(services.loop.now())
+    , m_response(services.translator.eventFormat())
 {
 }
 
@@ -167,7 +168,7 @@
     fields.urgency = m_search->urgency();
     fields.expectedVersion = m_search->version();
     if (m_response.events().hasEvents())
-        fields.lastEventId = m_response.events().lastId();
+        fields.lastEventId = lastEventId();
     HttpClientRequest request;
     request.server = entry.address;
     request.method = m_exchange->method();
@@ -246,6 +247,8 @@
         forwardEvents(events);
     if (m_response.exceedsSizeLimit())
         abortOversizedResponse();
+    else if (m_response.events().fault() && m_call)
+        m_call->cancel();
 }
 
 void ProxiedCall::abortOversizedResponse()
@@ -279,8 +282,16 @@
         m_call->pauseReading();
 }
 
+std::optional<std::string> ProxiedCall::lastEventId() const
+{
+    const auto& id = m_response.events().lastId();
+    return id ? std::make_optional(id->text) : std::nullopt;
+}
+
 const char* ProxiedCall::failureReason(const HttpClientResult& result) const
 {
+    if (m_response.events().fault())
+        return "malformed_event";
     if (result.error)
         return lacewing::toString(*result.error);
     return m_response.hasUnfinishedEvent() ? "unfinished_event" : "foreign_answer";
@@ -299,9 +310,15 @@
 {
     const EventRelay& events = m_response.events();
     const bool isUnfinished = m_response.hasUnfinishedEvent();
-    const char* end = result.error ? "error" : isUnfinished ? "unfinished_event" : "complete";
+    const char* end = "complete";
+    if (events.fault())
+        end = "malformed_event";
+    else if (result.error)
+        end = "error";
+    else if (isUnfinished)
+        end = "unfinished_event";
     ++m_services.metrics.counter("lacewing_stream_ends_total", { { "end", end } });
-    if (!result.error && !isUnfinished && events.unnumberedEventCount() == 0)
+    if (!result.error && !isUnfinished)
         return;
     LogEvent(LogLevel::Warning, "stream_end")
         .with("request", m_attributes.requestId)
@@ -310,8 +327,8 @@
         .with("reused_connection", m_call && m_call->isOnReusedConnection())
         .with("error", result.error ? lacewing::toString(*result.error) : "none")
         .with("events", events.eventCount())
-        .with("unnumbered_events", events.unnumberedEventCount())
-        .with("last_event", events.lastId().value_or(""))
+        .with("last_event", lastEventId().value_or(""))
+        .with("fault", events.fault() ? gateway::toString(*events.fault()) : "none")
         .with("unfinished_bytes", events.remainder().size());
 }
 
@@ -434,8 +451,7 @@
 
 void ProxiedCall::handleBrokenStream()
 {
-    const bool canResume
-        = m_admission.route->isResumable && m_response.events().lastId() && mayRepeat() && tryRetry();
+    const bool canResume = m_admission.route->isResumable && lastEventId() && mayRepeat() && tryRetry();
     if (canResume) {
         m_search->allowOneMoreOwner();
         m_search->next();
@@ -549,7 +565,7 @@
         .with("first_byte_ms", m_firstByte ? toMilliseconds(*m_firstByte) : -1)
         .with("longest_pause_ms", toMilliseconds(m_response.longestPause()))
         .with("events", m_response.events().eventCount())
-        .with("last_event", m_response.events().lastId().value_or(""))
+        .with("last_event", lastEventId().value_or(""))
         .with("ms", toMilliseconds(elapsed()))
         .with("outcome", outcome)
         .with("reason", reason);
--- a/src/gateway/proxied_call.h
+++ b/src/gateway/proxied_call.h
@@ -49,8 +49,10 @@
     void abortOversizedResponse();
     void upstreamDone(const HttpClientResult& result);
     /// Counts the end of a response that is an event stream, and logs one that is not the end of a whole
-    /// stream of numbered events.
+    /// stream.
     void recordStreamEnd(const HttpClientResult& result);
+    /// @return id of the last event that was forwarded to the caller.
+    std::optional<std::string> lastEventId() const;
     /// @return why a response can't be forwarded, for logs and metrics.
     const char* failureReason(const HttpClientResult& result) const;
     void exchangeEnded(ExchangeOutcome outcome, RunOutcome runOutcome);
--- a/src/gateway/proxied_call_test.cc
+++ b/src/gateway/proxied_call_test.cc
@@ -131,6 +131,36 @@
     }
 }
 
+// Guards against forwarding the text of an error that an upstream writes into a stream, and against a stream
+// that ends as complete after it.
+BOOST_AUTO_TEST_CASE(AnErrorTextInAStreamIsNotForwarded)
+{
+    const std::string event = "id: 1\ndata: a\n\n";
+    const std::string head = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 9\r\n\r\nexhausted";
+    for (const char* path : { "/stream/1", "/resume/1" }) {
+        for (const std::string& text :
+            { head, "id: 2\ndata: b\n" + head, std::string("data: exhausted\n\n") }) {
+            Fixture fixture;
+            fixture.send(path);
+            fixture.upstream(0).head(200, "r-1", true);
+            fixture.upstream(0).handlers.onBody(event + text);
+            BOOST_TEST(fixture.upstream(0).isCancelled);
+            fixture.upstream(0).end(HttpClientError::Cancelled);
+            if (fixture.client.calls.size() == 1) {
+                BOOST_TEST(fixture.exchange->responseBody == event);
+                BOOST_TEST(fixture.exchange->isAborted);
+                continue;
+            }
+            BOOST_TEST(fixture.upstream(1).request.headers.find("last-event").value() == "1");
+            fixture.upstream(1).head(200, "r-1", true);
+            fixture.upstream(1).handlers.onBody("id: 2\ndata: c\n\n");
+            fixture.upstream(1).end();
+            BOOST_TEST(fixture.exchange->responseBody == event + "id: 2\ndata: c\n\n");
+            BOOST_TEST(!fixture.exchange->isAborted);
+        }
+    }
+}
+
 // Guards against taking line ends after the last event for a part of another one.
 BOOST_AUTO_TEST_CASE(LineEndsAfterTheLastEventAreForwarded)
 {
--- a/src/gateway/upstream_response.cc
+++ b/src/gateway/upstream_response.cc
@@ -31,7 +31,7 @@
     m_body.clear();
     m_unforwardedBytes = 0;
     // An event is never joined from the responses of two upstreams.
-    m_events.discardPartialEvent();
+    m_events.beginResponse();
     m_pauses.restart();
     m_isMismatched = false;
 }
--- a/src/gateway/upstream_response.h
+++ b/src/gateway/upstream_response.h
@@ -27,9 +27,15 @@
 /// events of a resumed stream continue from one upstream to the next.
 ///
 /// Load pattern: a failing upstream sends a response to another request, one without a seal, or one whose
-/// body never ends.
+/// body never ends, breaks off inside an event or goes on with text that is no event.
 class UpstreamResponse {
 public:
+    /// @param format of the events of a stream; must outlive the response.
+    explicit UpstreamResponse(const EventFormat& format)
+        : m_events(format)
+    {
+    }
+
     /// Resets the response before the request is sent, but keeps track of the complete events that have
     /// arrived.
     void begin();
@@ -51,10 +57,10 @@
     /// @return whether the response is a success that must not be forwarded, since it lacks the upstream's
     /// seal or has a content encoding.
     bool isUnverified() const;
-    /// @return whether the body that has arrived stops inside an event. Line ends after an event don't count.
+    /// @return whether the body that has arrived does not end with an event, although line ends may follow.
     bool hasUnfinishedEvent() const
     {
-        return m_events.remainder().find_first_not_of("\r\n") != std::string::npos;
+        return m_events.fault() || m_events.remainder().find_first_not_of("\r\n") != std::string::npos;
     }
     /// @return whether the body exceeds the maximum size of a response or of an event.
     bool exceedsSizeLimit() const
--- a/src/gateway/upstream_response_test.cc
+++ b/src/gateway/upstream_response_test.cc
@@ -9,6 +9,7 @@
 namespace {
 
 const MonotonicTime now(100s);
+const EventFormat format;
 
 ResponseAttributes head(int status, const char* id, bool isStream = false, bool isSealed = true)
 {
@@ -28,7 +29,7 @@
 // failure that has no request id.
 BOOST_AUTO_TEST_CASE(ASuccessMustHaveTheRequestId)
 {
-    UpstreamResponse response;
+    UpstreamResponse response(format);
     response.headArrived(head(200, ""), {}, "r-1");
     BOOST_TEST(!response.matchesRequest());
     response.headArrived(head(200, "r-0"), {}, "r-1");
@@ -42,7 +43,7 @@
 // Guards against forwarding events of a stream without the upstream's seal, and against losing a body.
 BOOST_AUTO_TEST_CASE(OnlyASealedStreamIsForwardedAsEvents)
 {
-    UpstreamResponse response;
+    UpstreamResponse response(format);
     response.begin();
     response.headArrived(head(200, "r-1", true, false), {}, "r-1");
     BOOST_TEST(response.bodyArrived("id: 1\ndata: a\n\n", now).empty());
@@ -68,7 +69,7 @@
 {
     const std::string piece(1000000, 'x');
     for (const char* id : { "r-1", "r-0" }) {
-        UpstreamResponse response;
+        UpstreamResponse response(format);
         response.headArrived(head(200, id), {}, "r-1");
         for (int round = 0; round < 4; ++round)
             response.bodyArrived(piece, now);
