Don't take an answer without a request id on a reused connection for the answer to the request

Callers of postings were told 503, not run, for requests that ran, and requests ran at two services, where a service wrote an earlier refusal once more on a kept connection before it ran the next request there.

Cause: an answer had to name its request only if it was a success. A failure without an id counted as the answer to whatever request was on the connection. That is safe only on a connection that no other request has used.

Such an answer is judged like one that names another request: the outcome of the request is unknown (502, or another run where the route allows it). In both cases the connection is now closed at once, since the true answer may follow on it and would have been taken for that of the next request. The log has a line foreign_answer, the metrics lacewing_foreign_answers_total.

--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -221,8 +221,27 @@
         m_services.picker.loadReported(m_search->upstream(), *attributes.load, m_services.loop.now());
     if (attributes.keepAlive)
         m_services.picker.keepAliveReported(m_search->upstream(), *attributes.keepAlive);
-    m_response.headArrived(attributes, headers, m_attributes.requestId);
+    m_response.headArrived(
+        attributes, headers, { m_attributes.requestId, m_call && m_call->isOnReusedConnection() });
     observeLimit(attributes);
+    if (m_response.isForeign())
+        abortForeignResponse();
+}
+
+void ProxiedCall::abortForeignResponse()
+{
+    if (!m_call)
+        return;
+    const ResponseAttributes& attributes = *m_response.attributes();
+    LogEvent(LogLevel::Warning, "foreign_answer")
+        .with("request", m_attributes.requestId)
+        .with("upstream", m_search->upstream())
+        .with("status", attributes.status)
+        .with("answer_request", attributes.requestId)
+        .with("reused_connection", m_call->isOnReusedConnection());
+    ++m_services.metrics.counter("lacewing_foreign_answers_total");
+    // The response to this request may follow on the connection, so no other request may use it.
+    m_call->cancel();
 }
 
 void ProxiedCall::observeLimit(const ResponseAttributes& attributes)
@@ -292,9 +311,9 @@
 {
     if (m_response.events().fault())
         return "malformed_event";
-    if (result.error)
-        return lacewing::toString(*result.error);
-    return m_response.hasUnfinishedEvent() ? "unfinished_event" : "foreign_answer";
+    if (m_response.isForeign())
+        return "foreign_answer";
+    return result.error ? lacewing::toString(*result.error) : "unfinished_event";
 }
 
 void ProxiedCall::exchangeEnded(ExchangeOutcome outcome, RunOutcome runOutcome)
--- a/src/gateway/proxied_call.h
+++ b/src/gateway/proxied_call.h
@@ -45,6 +45,8 @@
     /// Records what the head of a response says about the upstream's limit.
     void observeLimit(const ResponseAttributes& attributes);
     void bodyArrived(std::string_view bytes);
+    /// Closes the connection on which a response to another request has arrived.
+    void abortForeignResponse();
     /// Closes the connection to an upstream whose response exceeds the size limit.
     void abortOversizedResponse();
     void upstreamDone(const HttpClientResult& result);
--- a/src/gateway/proxied_call_test.cc
+++ b/src/gateway/proxied_call_test.cc
@@ -81,6 +81,22 @@
     BOOST_TEST(fixture.exchange->responseHeaders.count("retry") == 1);
 }
 
+// Guards against a second run and against a refusal of a request that runs, if the upstream writes an earlier
+// refusal once more on a kept connection.
+BOOST_AUTO_TEST_CASE(ARepeatedRefusalOnAKeptConnectionIsNoStatementAboutTheRequest)
+{
+    for (const int status : { 421, 429, 503 }) {
+        Fixture fixture;
+        fixture.send("/once/1");
+        fixture.upstream(0).isOnReusedConnection = true;
+        fixture.upstream(0).handlers.onHeaders(status, { { "not-executed", "1" } });
+        BOOST_TEST(fixture.upstream(0).isCancelled);
+        fixture.upstream(0).end(HttpClientError::Cancelled);
+        BOOST_TEST(fixture.client.calls.size() == 1);
+        BOOST_TEST(fixture.exchange->responseStatus == 502);
+    }
+}
+
 // Guards against forwarding a response to another request, or one without the upstream's seal.
 BOOST_AUTO_TEST_CASE(MismatchedAndUnsealedResponsesAreNotForwarded)
 {
--- a/src/gateway/upstream_response.cc
+++ b/src/gateway/upstream_response.cc
@@ -37,12 +37,13 @@
 }
 
 void UpstreamResponse::headArrived(
-    ResponseAttributes attributes, HttpHeaders headers, const std::string& requestId)
+    ResponseAttributes attributes, HttpHeaders headers, const SentRequest& request)
 {
     m_attributes = std::move(attributes);
     m_headers = std::move(headers);
-    const std::string& responseRequestId = m_attributes->requestId;
-    m_isMismatched = responseRequestId != requestId && (isSuccess() || !responseRequestId.empty());
+    const std::string& id = m_attributes->requestId;
+    const bool needsId = isSuccess() || request.isOnReusedConnection;
+    m_isMismatched = id != request.id && (needsId || !id.empty());
 }
 
 std::string UpstreamResponse::bodyArrived(std::string_view bytes, MonotonicTime now)
--- a/src/gateway/upstream_response.h
+++ b/src/gateway/upstream_response.h
@@ -21,12 +21,20 @@
 /// @return the framing's name in snake_case, for logs.
 const char* toString(BodyFraming framing);
 
+/// What tells whether a response belongs to a request.
+struct SentRequest {
+    std::string id;
+    /// Whether the connection has carried a request before this one.
+    bool isOnReusedConnection = false;
+};
+
 /// Receives the responses of upstreams to one request.
 ///
 /// Keeps the head of the latest response and either buffers its body or splits it into events to forward. The
 /// events of a resumed stream continue from one upstream to the next.
 ///
-/// Load pattern: a failing upstream sends a response to another request, one without a seal, or one whose
+/// Load pattern: a failing upstream sends a response to another request, an earlier refusal again, a response
+/// without a seal, or one whose
 /// body never ends, breaks off inside an event or goes on with text that is no event.
 class UpstreamResponse {
 public:
@@ -39,8 +47,10 @@
     /// Resets the response before the request is sent, but keeps track of the complete events that have
     /// arrived.
     void begin();
-    /// @param requestId id of the request that was sent; a successful response must have the same id.
-    void headArrived(ResponseAttributes attributes, HttpHeaders headers, const std::string& requestId);
+    /// @param request the request that was sent. A response must have its id. Only a failure may lack one,
+    /// and only on a connection that no other request has used, since on a reused one it may be an earlier
+    /// response that the upstream has written once more.
+    void headArrived(ResponseAttributes attributes, HttpHeaders headers, const SentRequest& request);
     /// @return complete events to forward to the caller.
     std::string bodyArrived(std::string_view bytes, MonotonicTime now);
 
@@ -49,6 +59,8 @@
     const HttpHeaders& headers() const { return m_headers; }
     /// @return the framing that the head states.
     BodyFraming framing() const;
+    /// @return whether a head has arrived that belongs to another request.
+    bool isForeign() const { return m_attributes && m_isMismatched; }
     /// @return whether a head has arrived and belongs to the request that was sent.
     bool matchesRequest() const { return m_attributes && !m_isMismatched; }
     bool isSuccess() const;
--- a/src/gateway/upstream_response_test.cc
+++ b/src/gateway/upstream_response_test.cc
@@ -10,6 +10,8 @@
 
 const MonotonicTime now(100s);
 const EventFormat format;
+const SentRequest newConnection { "r-1", false };
+const SentRequest reusedConnection { "r-1", true };
 
 ResponseAttributes head(int status, const char* id, bool isStream = false, bool isSealed = true)
 {
@@ -30,34 +32,47 @@
 BOOST_AUTO_TEST_CASE(ASuccessMustHaveTheRequestId)
 {
     UpstreamResponse response(format);
-    response.headArrived(head(200, ""), {}, "r-1");
+    response.headArrived(head(200, ""), {}, newConnection);
     BOOST_TEST(!response.matchesRequest());
-    response.headArrived(head(200, "r-0"), {}, "r-1");
+    response.headArrived(head(200, "r-0"), {}, newConnection);
     BOOST_TEST(!response.matchesRequest());
-    response.headArrived(head(503, ""), {}, "r-1");
+    response.headArrived(head(503, ""), {}, newConnection);
     BOOST_TEST(response.matchesRequest());
-    response.headArrived(head(503, "r-0"), {}, "r-1");
+    response.headArrived(head(503, "r-0"), {}, newConnection);
     BOOST_TEST(!response.matchesRequest());
 }
 
+// Guards against taking an earlier refusal, which the upstream has written once more on a kept connection,
+// for the response to the request.
+BOOST_AUTO_TEST_CASE(OnAReusedConnectionEachResponseMustHaveTheRequestId)
+{
+    UpstreamResponse response(format);
+    for (const int status : { 200, 421, 429, 500, 503 }) {
+        response.headArrived(head(status, ""), {}, reusedConnection);
+        BOOST_TEST(response.isForeign());
+        response.headArrived(head(status, "r-1"), {}, reusedConnection);
+        BOOST_TEST(response.matchesRequest());
+    }
+}
+
 // Guards against forwarding events of a stream without the upstream's seal, and against losing a body.
 BOOST_AUTO_TEST_CASE(OnlyASealedStreamIsForwardedAsEvents)
 {
     UpstreamResponse response(format);
     response.begin();
-    response.headArrived(head(200, "r-1", true, false), {}, "r-1");
+    response.headArrived(head(200, "r-1", true, false), {}, newConnection);
     BOOST_TEST(response.bodyArrived("id: 1\ndata: a\n\n", now).empty());
     BOOST_TEST(response.isUnverified());
     response.begin();
-    response.headArrived(head(200, "r-1", true), {}, "r-1");
+    response.headArrived(head(200, "r-1", true), {}, newConnection);
     BOOST_TEST(response.bodyArrived("id: 1\ndata: a\n\nid", now) == "id: 1\ndata: a\n\n");
     BOOST_TEST(response.remainingBody() == "id");
     // The stream is resumed at an upstream, whose response does not need a seal.
     response.begin();
-    response.headArrived(head(200, "r-1", true, false), {}, "r-1");
+    response.headArrived(head(200, "r-1", true, false), {}, newConnection);
     BOOST_TEST(response.bodyArrived("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", now) == "id: 2\ndata: b\n\n");
     response.begin();
-    response.headArrived(head(200, "r-1"), {}, "r-1");
+    response.headArrived(head(200, "r-1"), {}, newConnection);
     response.bodyArrived("seat ", now);
     response.bodyArrived("7", now);
     BOOST_TEST(response.remainingBody() == "seat 7");
@@ -70,7 +85,7 @@
     const std::string piece(1000000, 'x');
     for (const char* id : { "r-1", "r-0" }) {
         UpstreamResponse response(format);
-        response.headArrived(head(200, id), {}, "r-1");
+        response.headArrived(head(200, id), {}, newConnection);
         for (int round = 0; round < 4; ++round)
             response.bodyArrived(piece, now);
         BOOST_TEST(!response.exceedsSizeLimit());
