Don't take an answer without a length for whole after a failed write

Callers would get a short body, or a stream without its last events, as complete: an upstream answers before it has read the whole request, without a length, and its connection is reset.

Cause: the system tells the error of a socket once. While the request is still being sent, the write gets it; the answer is read on, since it may be an early refusal, and its end reads like an orderly close.

Where only the end of the connection marks the end of the body, the answer is now lost once a write has failed. Early refusals with a length or chunks are taken as before (EarlyRefusalOfLargeBodyIsSeen).

--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -173,6 +173,7 @@
     m_isAfterChunk = false;
     m_hasBadChunk = false;
     m_wasCutShort = false;
+    m_endsWithConnection = false;
     m_isReusable = false;
     m_interimAnswers = 0;
     if (m_exchange->request.totalTimeout > Duration::zero())
@@ -368,8 +369,8 @@
     }
     const bool hasNoBody
         = m_exchange->request.method == "HEAD" || status == statusNoContent || status == statusNotModified;
-    m_isReusable
-        = !framing->closes && !m_wasCutShort && (hasNoBody || framing->chunked || framing->contentLength);
+    m_endsWithConnection = !hasNoBody && !framing->chunked && !framing->contentLength;
+    m_isReusable = !framing->closes && !m_wasCutShort && !m_endsWithConnection;
     if (m_exchange->isPaused) {
         m_held.status = status;
         m_held.headers = std::move(*headers);
@@ -413,6 +414,9 @@
         error = connectError();
     if (m_hasBadChunk)
         error = HttpClientError::InvalidAnswer;
+    // The failed write took the socket's error, so a broken connection reads like one that was closed.
+    if (!error && m_wasCutShort && m_endsWithConnection)
+        error = HttpClientError::ConnectionLost;
     if (m_isStarting) {
         failLater(error.value_or(HttpClientError::ConnectFailed));
         return;
--- a/src/transport/http_client_connection.h
+++ b/src/transport/http_client_connection.h
@@ -120,7 +120,10 @@
     bool m_hasHeaders = false;
     bool m_isAfterChunk = false;
     bool m_hasBadChunk = false;
+    /// Whether the connection broke while the request was sent.
     bool m_wasCutShort = false;
+    /// Whether only the end of the connection marks the end of the answer's body.
+    bool m_endsWithConnection = false;
     bool m_isReusable = false;
     bool m_isDisconnected = false;
     MonotonicTime m_idleSince {};
--- a/src/transport/http_client_test.cc
+++ b/src/transport/http_client_test.cc
@@ -416,6 +416,23 @@
     BOOST_TEST(result->status == 413);
 }
 
+// Guards against an answer that is taken for a whole one although the connection broke, because the system
+// tells an error of a socket only once: to the write of the request, after which the reads end without an
+// error.
+BOOST_AUTO_TEST_CASE(AnswerWithoutLengthIsNotWholeAfterAFailedWrite)
+{
+    HttpClientRequest sent = request(rawServer.address());
+    sent.method = "POST";
+    sent.body = std::string(32 * 1024 * 1024, 'x');
+    send(std::move(sent));
+    RawPeer& peer = acceptRequest();
+    peer.pauseReading();
+    peer.sendAtOnce("HTTP/1.1 200 OK\r\n\r\n1234");
+    peer.close();
+    finish();
+    BOOST_TEST((result->error == HttpClientError::ConnectionLost));
+}
+
 // Guards against a target or header value that adds a field to the request, or a second request.
 BOOST_AUTO_TEST_CASE(ValuesCannotSplitTheRequest)
 {
