Keep the body of an upstream's failure that has the content type of a stream

Callers got such a failure, which is passed on as the upstream's answer with its seal, without its body.

Cause: the body was kept in one place and read from another: the rule for which bytes are events stood twice, and only one of the two looked at the status.

Evidence: AFailureWithTheTypeOfAStreamKeepsItsBody failed before. Found by reading, not seen by callers.

The rule now stands in one function.

--- a/src/gateway/upstream_response.cc
+++ b/src/gateway/upstream_response.cc
@@ -50,8 +50,7 @@
 {
     if (!m_attributes)
         return "";
-    const bool forwardsEvents = isStream() && (m_attributes->isSealed || m_events.hasEvents());
-    if (!forwardsEvents || m_isMismatched) {
+    if (!carriesEvents() || m_isMismatched) {
         m_unforwardedBytes += bytes.size();
         if (!m_isMismatched && !exceedsSizeLimit())
             m_body += bytes;
@@ -63,6 +62,11 @@
     return events;
 }
 
+bool UpstreamResponse::carriesEvents() const
+{
+    return isStream() && (m_attributes->isSealed || m_events.hasEvents());
+}
+
 BodyFraming UpstreamResponse::framing() const
 {
     if (m_headers.count("Transfer-Encoding") > 0)
@@ -82,7 +86,7 @@
 
 const std::string& UpstreamResponse::remainingBody() const
 {
-    return m_attributes && m_attributes->isEventStream ? m_events.remainder() : m_body;
+    return carriesEvents() ? m_events.remainder() : m_body;
 }
 
 } // namespace lacewing::gateway
--- a/src/gateway/upstream_response.h
+++ b/src/gateway/upstream_response.h
@@ -87,6 +87,9 @@
     Duration longestPause() const { return m_pauses.longest(); }
 
 private:
+    /// @return whether the body is split into events.
+    bool carriesEvents() const;
+
     /// Maximum size of a response that is not forwarded as a stream.
     static constexpr size_t maximumBodyBytes = 4 * 1024 * 1024;
 
--- a/src/gateway/upstream_response_test.cc
+++ b/src/gateway/upstream_response_test.cc
@@ -78,6 +78,17 @@
     BOOST_TEST(response.remainingBody() == "seat 7");
 }
 
+// Guards against an upstream's failure that reaches the caller without its body, because the failure has the
+// content type of a stream.
+BOOST_AUTO_TEST_CASE(AFailureWithTheTypeOfAStreamKeepsItsBody)
+{
+    UpstreamResponse response(format);
+    response.begin();
+    response.headArrived(head(500, "r-1", true), {}, newConnection);
+    BOOST_TEST(response.bodyArrived("id: 1\ndata: exhausted\n\n", now).empty());
+    BOOST_TEST(response.remainingBody() == "id: 1\ndata: exhausted\n\n");
+}
+
 // Guards against unbounded memory use by a response that never ends, whether or not it belongs to the
 // request.
 BOOST_AUTO_TEST_CASE(DetectsAnOversizedResponse)
