Don't forward an encoded stream as events

Callers got the encoded bytes of a stream as events, or a stream that was resumed ended as complete although the response of the second engine had a content encoding and was not read.

Cause: whether the upstream's body may be passed on was checked only for responses that are passed on whole.

Found by reading, not seen by callers.

A response with a content encoding is no stream of events, so it takes the way of any other success that must not be forwarded: 502 before the first event, a broken stream after it.

--- a/src/gateway/fake_call_services_test.h
+++ b/src/gateway/fake_call_services_test.h
@@ -101,6 +101,7 @@
         attributes.isSealed = headers.count("seal") > 0;
         attributes.isEventStream = headers.count("stream") > 0;
         attributes.isNotExecuted = headers.count("not-executed") > 0;
+        attributes.hasContentEncoding = headers.count("encoding") > 0;
         if (const auto limit = headers.find("limit"))
             attributes.requestLimit = RequestRate(std::stod(*limit));
         return attributes;
--- a/src/gateway/proxied_call_test.cc
+++ b/src/gateway/proxied_call_test.cc
@@ -177,6 +177,29 @@
     }
 }
 
+// Guards against forwarding encoded bytes as events, and against a stream that ends as complete because the
+// response of the engine at which it was to be resumed could not be read.
+BOOST_AUTO_TEST_CASE(AnEncodedStreamIsNotForwarded)
+{
+    const HttpHeaders encoded { { "id", "r-1" }, { "stream", "1" }, { "seal", "1" }, { "encoding", "gzip" } };
+    Fixture fixture;
+    fixture.send("/stream/1");
+    fixture.upstream(0).handlers.onHeaders(200, encoded);
+    fixture.upstream(0).handlers.onBody("id: 1\ndata: a\n\n");
+    fixture.upstream(0).end();
+    BOOST_TEST(fixture.exchange->responseStatus == 502);
+    fixture.send("/resume/1");
+    fixture.upstream(1).head(200, "r-1", true);
+    fixture.upstream(1).handlers.onBody("id: 1\ndata: a\n\n");
+    fixture.upstream(1).end(HttpClientError::ConnectionLost);
+    BOOST_REQUIRE(fixture.client.calls.size() == 3);
+    fixture.upstream(2).handlers.onHeaders(200, encoded);
+    fixture.upstream(2).handlers.onBody("id: 2\ndata: b\n\n");
+    fixture.upstream(2).end();
+    BOOST_TEST(fixture.exchange->responseBody == "id: 1\ndata: a\n\n");
+    BOOST_TEST(fixture.exchange->isAborted);
+}
+
 // Guards against taking line ends after the last event for a part of another one.
 BOOST_AUTO_TEST_CASE(LineEndsAfterTheLastEventAreForwarded)
 {
--- a/src/gateway/upstream_response.h
+++ b/src/gateway/upstream_response.h
@@ -64,8 +64,11 @@
     /// @return whether a head has arrived and belongs to the request that was sent.
     bool matchesRequest() const { return m_attributes && !m_isMismatched; }
     bool isSuccess() const;
-    /// @return whether the response is a successful event stream.
-    bool isStream() const { return m_attributes && m_attributes->isEventStream && isSuccess(); }
+    /// @return whether the response is a successful event stream that can be read.
+    bool isStream() const
+    {
+        return isSuccess() && m_attributes->isEventStream && !m_attributes->hasContentEncoding;
+    }
     /// @return whether the response is a success that must not be forwarded, since it lacks the upstream's
     /// seal or has a content encoding.
     bool isUnverified() const;
