Don't take a stream that ends with its head for a whole one

Callers got status 200 and an empty stream that looked complete, where an engine closed the connection after the head of an answer without a length, as the operating system does for an engine process that ends.

Cause: without a length only the end of the connection marks the end of a body, and an empty body counted as whole.

Evidence: AStreamThatEndsWithItsHeadIsNotComplete failed 2 checks before.

A stream that has brought no event in such an answer is now cut off; a length of zero or a last chunk still says that the stream is whole. After an event, an orderly close between two events of an answer without a length can't be told from its end.

--- a/src/gateway/event_relay.cc
+++ b/src/gateway/event_relay.cc
@@ -23,6 +23,7 @@
 {
     m_pending.clear();
     m_fault.reset();
+    m_hasResponseEvents = false;
 }
 
 std::string EventRelay::accept(std::string_view bytes)
@@ -40,6 +41,7 @@
             break;
         }
         m_pending.erase(0, *length);
+        m_hasResponseEvents = true;
         if (parsed.id && m_lastId && parsed.id->number <= m_lastId->number)
             continue;
         if (parsed.id)
--- a/src/gateway/event_relay.h
+++ b/src/gateway/event_relay.h
@@ -34,6 +34,8 @@
     /// @return the bytes after the last complete event; empty after a fault.
     const std::string& remainder() const { return m_pending; }
 
+    /// @return whether this response has had an event, returned or not.
+    bool hasResponseEvents() const { return m_hasResponseEvents; }
     /// @return id of the last complete event that had one, or nothing if none had.
     const std::optional<EventId>& lastId() const { return m_lastId; }
     bool hasEvents() const { return m_eventCount > 0; }
@@ -46,6 +48,7 @@
     const EventFormat& m_format;
     std::string m_pending;
     std::optional<EventFault> m_fault;
+    bool m_hasResponseEvents = false;
     std::optional<EventId> m_lastId;
     int64_t m_eventCount = 0;
 };
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -313,7 +313,7 @@
         return "malformed_event";
     if (m_response.isForeign())
         return "foreign_answer";
-    return result.error ? lacewing::toString(*result.error) : "unfinished_event";
+    return result.error ? lacewing::toString(*result.error) : "stream_cut_off";
 }
 
 void ProxiedCall::exchangeEnded(ExchangeOutcome outcome, RunOutcome runOutcome)
@@ -328,16 +328,16 @@
 void ProxiedCall::recordStreamEnd(const HttpClientResult& result)
 {
     const EventRelay& events = m_response.events();
-    const bool isUnfinished = m_response.hasUnfinishedEvent();
+    const bool isCutOff = m_response.isCutOff();
     const char* end = "complete";
     if (events.fault())
         end = "malformed_event";
     else if (result.error)
         end = "error";
-    else if (isUnfinished)
-        end = "unfinished_event";
+    else if (isCutOff)
+        end = "cut_off";
     ++m_services.metrics.counter("lacewing_stream_ends_total", { { "end", end } });
-    if (!result.error && !isUnfinished)
+    if (!result.error && !isCutOff)
         return;
     LogEvent(LogLevel::Warning, "stream_end")
         .with("request", m_attributes.requestId)
@@ -357,7 +357,7 @@
         return;
     if (m_response.isStream())
         recordStreamEnd(result);
-    const bool isComplete = !result.error && m_response.matchesRequest() && !m_response.hasUnfinishedEvent();
+    const bool isComplete = !result.error && m_response.matchesRequest() && !m_response.isCutOff();
     if (isComplete && m_response.attributes()->isNotExecuted) {
         exchangeEnded(ExchangeOutcome::Rejected, RunOutcome::AdapterMissing);
         handleNotExecuted();
--- a/src/gateway/proxied_call_test.cc
+++ b/src/gateway/proxied_call_test.cc
@@ -200,6 +200,31 @@
     BOOST_TEST(fixture.exchange->isAborted);
 }
 
+// Guards against an empty stream that looks complete, because the upstream closed the connection after the
+// head of a response without a length.
+BOOST_AUTO_TEST_CASE(AStreamThatEndsWithItsHeadIsNotComplete)
+{
+    Fixture fixture;
+    fixture.send("/stream/1");
+    fixture.upstream(0).head(200, "r-1", true);
+    fixture.upstream(0).end();
+    BOOST_TEST(fixture.exchange->responseStatus == 502);
+    fixture.send("/resume/1");
+    fixture.upstream(1).head(200, "r-1", true);
+    fixture.upstream(1).handlers.onBody("id: 1\ndata: a\n\n");
+    fixture.upstream(1).end(HttpClientError::ConnectionLost);
+    BOOST_REQUIRE(fixture.client.calls.size() == 3);
+    fixture.upstream(2).head(200, "r-1", true);
+    fixture.upstream(2).end();
+    BOOST_TEST(fixture.exchange->isAborted);
+    // The upstream states that the body is empty.
+    fixture.send("/stream/1");
+    fixture.upstream(3).handlers.onHeaders(
+        200, { { "id", "r-1" }, { "stream", "1" }, { "seal", "1" }, { "Content-Length", "0" } });
+    fixture.upstream(3).end();
+    BOOST_TEST(fixture.exchange->responseStatus == 200);
+}
+
 // Guards against taking line ends after the last event for a part of another one.
 BOOST_AUTO_TEST_CASE(LineEndsAfterTheLastEventAreForwarded)
 {
--- a/src/gateway/upstream_response.cc
+++ b/src/gateway/upstream_response.cc
@@ -84,6 +84,18 @@
     return isSuccess() && (!m_attributes->isSealed || m_attributes->hasContentEncoding);
 }
 
+bool UpstreamResponse::endsInsideEvent() const
+{
+    return m_events.fault() || m_events.remainder().find_first_not_of("\r\n") != std::string::npos;
+}
+
+bool UpstreamResponse::isCutOff() const
+{
+    if (!carriesEvents())
+        return false;
+    return endsInsideEvent() || (framing() == BodyFraming::ConnectionClose && !m_events.hasResponseEvents());
+}
+
 const std::string& UpstreamResponse::remainingBody() const
 {
     return carriesEvents() ? m_events.remainder() : m_body;
--- a/src/gateway/upstream_response.h
+++ b/src/gateway/upstream_response.h
@@ -72,11 +72,9 @@
     /// @return whether the response is a success that must not be forwarded, since it lacks the upstream's
     /// seal or has a content encoding.
     bool isUnverified() const;
-    /// @return whether the body that has arrived does not end with an event, although line ends may follow.
-    bool hasUnfinishedEvent() const
-    {
-        return m_events.fault() || m_events.remainder().find_first_not_of("\r\n") != std::string::npos;
-    }
+    /// @return whether the body of a stream, if it ends here, is not that of a whole stream: it does not end
+    /// with an event, or it has none although only the end of the connection marks its end.
+    bool isCutOff() const;
     /// @return whether the body exceeds the maximum size of a response or of an event.
     bool exceedsSizeLimit() const
     {
@@ -92,6 +90,8 @@
 private:
     /// @return whether the body is split into events.
     bool carriesEvents() const;
+    /// @return whether the body that has arrived does not end with an event, although line ends may follow.
+    bool endsInsideEvent() const;
 
     /// Maximum size of a response that is not forwarded as a stream.
     static constexpr size_t maximumBodyBytes = 4 * 1024 * 1024;
