Let the repeat of a running call wait for the call's answer (daemon)

Cause: the answer leaves the host while its row is still being written, and a repeat that found the row of a running call was told so at once. Weighed: holding the answer back until its row is written (each call pays a write and, in an outage of the table, the whole outage), or telling peers the answer before the table has it (a message to all for each call).

Evidence: RepeatWaitsForTheAnswerThatIsBeingWritten (the call ends 0 to 2 s after the repeat came) failed for each of the 21 times before.

The repeat reads the row again after 20 ms and then at doubling intervals up to 500 ms, for 5 s at most, which covers a write and one retry of it.

--- a/src/daemon/entry_request.cc
+++ b/src/daemon/entry_request.cc
@@ -19,6 +19,12 @@
 constexpr Duration reserveTimeout = std::chrono::milliseconds(200);
 constexpr Duration retryAfterFault = std::chrono::seconds(1);
 constexpr Duration retryAfterOutage = std::chrono::seconds(5);
+/// Time that a repeat of a running call waits for the call's answer. Covers the writing of the answer of a
+/// call that has just been answered, with one retry.
+constexpr Duration claimPatience = std::chrono::seconds(5);
+/// Delay before the claim of a running call is read again; it doubles up to the longest one.
+constexpr Duration firstClaimDelay = std::chrono::milliseconds(20);
+constexpr Duration longestClaimDelay = std::chrono::milliseconds(500);
 /// Delay between attempts when no upstream can be chosen.
 constexpr Duration noUpstreamRetryDelay = std::chrono::milliseconds(100);
 /// Maximum attempts for one request, including the first.
@@ -50,6 +56,7 @@
     , m_writer(ResponseWriter::create(m_exchange, m_request, m_id))
     , m_arrival(now())
     , m_lastProgress(now())
+    , m_claimDelay(firstClaimDelay)
 {
     const int64_t deadline = m_request.route.startDeadlineMs;
     m_startDeadline = now() + (deadline > 0 ? std::chrono::milliseconds(deadline) : defaultStartDeadline);
@@ -116,8 +123,7 @@
         m_writer->finish({ result.answer->status, result.answer->contentType, "", {} });
         return finish(Outcome::Answered, "", Tokens(0));
     case ClaimVerdict::InProgress:
-        return fail({ statusConflict, std::string(refusal::claimInProgress),
-            "a call with this Idempotency-Key is running", Outcome::Unknown, retryAfterFault });
+        return waitForClaim();
     case ClaimVerdict::Unknown:
         return fail({ statusBadGateway, std::string(refusal::claimOutcomeUnknown),
             "a call with this Idempotency-Key may have run, and its answer is lost", Outcome::Unknown,
@@ -131,6 +137,19 @@
     }
 }
 
+void EntryRequest::waitForClaim()
+{
+    if (now() + m_claimDelay > std::min(m_arrival + claimPatience, m_startDeadline)) {
+        return fail({ statusConflict, std::string(refusal::claimInProgress),
+            "a call with this Idempotency-Key is running", Outcome::Unknown, retryAfterFault });
+    }
+    m_retryTimer = m_context.scheduler.runAfter(m_claimDelay, [this] {
+        m_retryTimer = 0;
+        claim();
+    });
+    m_claimDelay = std::min(2 * m_claimDelay, longestClaimDelay);
+}
+
 void EntryRequest::endClaim(Outcome outcome, const ResponseEnd* answer)
 {
     if (!std::exchange(m_hasClaim, false))
--- a/src/daemon/entry_request.h
+++ b/src/daemon/entry_request.h
@@ -60,6 +60,8 @@
     void reserved(const ReserveResult& result);
     void claim();
     void claimed(const ClaimResult& result);
+    /// Reads the claim of a running call again later, or ends the request if the call runs on.
+    void waitForClaim();
     void endClaim(Outcome outcome, const ResponseEnd* answer);
     void dispatch();
     RunRequest makeRunRequest() const;
@@ -91,6 +93,8 @@
     MonotonicTime m_arrival;
     MonotonicTime m_startDeadline;
     MonotonicTime m_lastProgress;
+    /// Delay before the claim of a running call is read the next time.
+    Duration m_claimDelay;
     int m_attempts = 0;
     std::set<UpstreamId> m_excluded;
     RoutedTarget m_target;
--- a/src/daemon/entry_request_test.cc
+++ b/src/daemon/entry_request_test.cc
@@ -1,5 +1,6 @@
 #include "daemon/entry_request.h"
 
+#include "base/digest.h"
 #include "base/virtual_scheduler.h"
 #include "daemon/fake_exchange_test.h"
 #include "state/refusal.h"
@@ -73,7 +74,7 @@
     }
 
     /// Starts a streamed completion, or a call to a plain service.
-    EntryRequest& start(bool isCompletion, bool isRepeatable)
+    EntryRequest& start(bool isCompletion, bool isRepeatable, RequestId id = RequestId("r1"))
     {
         AdmittedRequest request;
         request.workspace = WorkspaceId("w");
@@ -89,7 +90,7 @@
             request.baseModel = ModelId("m");
         } else {
             request.service = ServiceCall { "desk", "POST", "/book", "text/plain", "x" };
-            request.requestId = RequestId("r1");
+            request.requestId = std::move(id);
         }
         EntryContext context { scheduler, messenger, metrics, wallet, router, budget, claims,
             [this] { return StreamId(++lastStream); }, [](StreamId) {} };
@@ -186,6 +187,44 @@
     BOOST_TEST(*exchange->responseHeaders.find("Lacewing-Outcome") == "unknown");
 }
 
+// Guards against telling the repeat of an answered call that it is running, because the answer has left the
+// host before it is written to the table.
+BOOST_AUTO_TEST_CASE(RepeatWaitsForTheAnswerThatIsBeingWritten)
+{
+    for (int tenths = 0; tenths <= 20; ++tenths) {
+        const std::unique_ptr<TableService> peerTable = table.client(HostId("peer"));
+        ClaimRegistry peerClaims(scheduler, *peerTable, HostId("peer"), Incarnation(1),
+            [](const HostId&, Incarnation) { return true; });
+        const RequestId id("r" + std::to_string(tenths));
+        const std::string fingerprint = sha256Hex("POST /book\nx");
+        std::optional<ClaimVerdict> verdict;
+        peerClaims.begin(
+            WorkspaceId("w"), id, fingerprint, [&](const ClaimResult& result) { verdict = result.verdict; });
+        scheduler.advance(100ms);
+        BOOST_REQUIRE((verdict == ClaimVerdict::Run));
+        exchange = std::make_shared<FakeExchange>("POST", "/", HttpHeaders(), "");
+        start(false, false, id);
+        scheduler.advance(tenths * 100ms);
+        peerClaims.complete(WorkspaceId("w"), id, { 200, "text/plain", "seat 7" }, [](bool) {});
+        scheduler.advance(1s);
+        BOOST_TEST(exchange->responseStatus == 200);
+        BOOST_TEST(exchange->responseBody == "seat 7");
+    }
+    BOOST_TEST(messenger.runs.empty());
+}
+
+// Guards against a repeat that waits for a running call until its own deadline.
+BOOST_AUTO_TEST_CASE(RepeatOfACallThatRunsOnIsToldSo)
+{
+    claims.begin(WorkspaceId("w"), RequestId("r1"), sha256Hex("POST /book\nx"), [](const ClaimResult&) {});
+    scheduler.advance(100ms);
+    start(false, false);
+    BOOST_TEST(exchange->responseStatus == 0);
+    scheduler.advance(5s);
+    BOOST_TEST(exchange->responseStatus == 409);
+    BOOST_TEST(messenger.runs.empty());
+}
+
 // Guards against sending a non-repeatable call before its claim is written to the table.
 BOOST_AUTO_TEST_CASE(NonRepeatableCallIsNotSentWhileTheTableIsDown)
 {
