--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -168,7 +168,7 @@
     fields.urgency = m_search->urgency();
     fields.expectedVersion = m_search->version();
     if (m_response.events().hasEvents())
-        fields.lastEventId = lastEventId();
+        fields.lastEventId = m_response.lastEventId();
     HttpClientRequest request;
     request.server = entry.address;
     request.method = m_exchange->method();
@@ -221,29 +221,21 @@
         m_services.picker.loadReported(m_search->upstream(), *attributes.load, m_services.loop.now());
     if (attributes.keepAlive)
         m_services.picker.keepAliveReported(m_search->upstream(), *attributes.keepAlive);
-    m_response.headArrived(
-        attributes, headers, { m_attributes.requestId, m_call && m_call->isOnReusedConnection() });
+    const ExchangeContext exchange = exchangeContext();
+    m_response.headArrived(attributes, headers, { exchange.requestId, exchange.isOnReusedConnection });
     observeLimit(attributes);
-    if (m_response.isForeign())
-        abortForeignResponse();
-}
-
-void ProxiedCall::abortForeignResponse()
-{
-    if (!m_call)
+    if (!m_response.isForeign() || !m_call)
         return;
-    const ResponseAttributes& attributes = *m_response.attributes();
-    LogEvent(LogLevel::Warning, "foreign_answer")
-        .with("request", m_attributes.requestId)
-        .with("upstream", m_search->upstream())
-        .with("status", attributes.status)
-        .with("answer_request", attributes.requestId)
-        .with("reused_connection", m_call->isOnReusedConnection());
-    ++m_services.metrics.counter("lacewing_foreign_answers_total");
+    recordForeignResponse(m_services.metrics, exchange, attributes);
     // The response to this request may follow on the connection, so no other request may use it.
     m_call->cancel();
 }
 
+ExchangeContext ProxiedCall::exchangeContext() const
+{
+    return { m_attributes.requestId, m_search->upstream(), m_call && m_call->isOnReusedConnection() };
+}
+
 void ProxiedCall::observeLimit(const ResponseAttributes& attributes)
 {
     // The late response to another request may state a limit that no longer holds, and a misdirected request
@@ -264,21 +256,11 @@
     const std::string events = m_response.bodyArrived(bytes, m_services.loop.now());
     if (!events.empty())
         forwardEvents(events);
-    if (m_response.exceedsSizeLimit())
-        abortOversizedResponse();
-    else if (m_response.events().fault() && m_call)
-        m_call->cancel();
-}
-
-void ProxiedCall::abortOversizedResponse()
-{
-    if (!m_call)
+    const bool isOversized = m_response.exceedsSizeLimit();
+    if (!m_call || (!isOversized && !m_response.events().fault()))
         return;
-    LogEvent(LogLevel::Warning, "answer_without_end")
-        .with("request", m_attributes.requestId)
-        .with("upstream", m_search->upstream())
-        .with("held_bytes", m_response.unforwardedBytes());
-    ++m_services.metrics.counter("lacewing_answers_without_end_total");
+    if (isOversized)
+        recordOversizedResponse(m_services.metrics, exchangeContext(), m_response);
     m_call->cancel();
 }
 
@@ -301,21 +283,6 @@
         m_call->pauseReading();
 }
 
-std::optional<std::string> ProxiedCall::lastEventId() const
-{
-    const auto& id = m_response.events().lastId();
-    return id ? std::make_optional(id->text) : std::nullopt;
-}
-
-const char* ProxiedCall::failureReason(const HttpClientResult& result) const
-{
-    if (m_response.events().fault())
-        return "malformed_event";
-    if (m_response.isForeign())
-        return "foreign_answer";
-    return result.error ? lacewing::toString(*result.error) : "stream_cut_off";
-}
-
 void ProxiedCall::exchangeEnded(ExchangeOutcome outcome, RunOutcome runOutcome)
 {
     m_services.loop.cancel(std::exchange(m_attemptTimer, 0));
@@ -325,38 +292,12 @@
     m_search->runEnded({ runOutcome, m_response.longestPause() });
 }
 
-void ProxiedCall::recordStreamEnd(const HttpClientResult& result)
-{
-    const EventRelay& events = m_response.events();
-    const bool isCutOff = m_response.isCutOff();
-    const char* end = "complete";
-    if (events.fault())
-        end = "malformed_event";
-    else if (result.error)
-        end = "error";
-    else if (isCutOff)
-        end = "cut_off";
-    ++m_services.metrics.counter("lacewing_stream_ends_total", { { "end", end } });
-    if (!result.error && !isCutOff)
-        return;
-    LogEvent(LogLevel::Warning, "stream_end")
-        .with("request", m_attributes.requestId)
-        .with("upstream", m_search->upstream())
-        .with("framing", toString(m_response.framing()))
-        .with("reused_connection", m_call && m_call->isOnReusedConnection())
-        .with("error", result.error ? lacewing::toString(*result.error) : "none")
-        .with("events", events.eventCount())
-        .with("last_event", lastEventId().value_or(""))
-        .with("fault", events.fault() ? gateway::toString(*events.fault()) : "none")
-        .with("unfinished_bytes", events.remainder().size());
-}
-
 void ProxiedCall::upstreamDone(const HttpClientResult& result)
 {
     if (m_isFinished)
         return;
     if (m_response.isStream())
-        recordStreamEnd(result);
+        recordStreamEnd(m_services.metrics, exchangeContext(), m_response, result.error);
     const bool isComplete = !result.error && m_response.matchesRequest() && !m_response.isCutOff();
     if (isComplete && m_response.attributes()->isNotExecuted) {
         exchangeEnded(ExchangeOutcome::Rejected, RunOutcome::AdapterMissing);
@@ -387,7 +328,7 @@
         if (m_hasStartedAnswer)
             handleBrokenStream();
         else
-            handleFailure(failureReason(result));
+            handleFailure(failureReason(m_response, result.error));
         return;
     }
     const bool isFailure = m_response.attributes()->status >= firstServerError || m_hasStartedAnswer;
@@ -470,7 +411,8 @@
 
 void ProxiedCall::handleBrokenStream()
 {
-    const bool canResume = m_admission.route->isResumable && lastEventId() && mayRepeat() && tryRetry();
+    const bool canResume
+        = m_admission.route->isResumable && m_response.lastEventId() && mayRepeat() && tryRetry();
     if (canResume) {
         m_search->allowOneMoreOwner();
         m_search->next();
@@ -584,7 +526,7 @@
         .with("first_byte_ms", m_firstByte ? toMilliseconds(*m_firstByte) : -1)
         .with("longest_pause_ms", toMilliseconds(m_response.longestPause()))
         .with("events", m_response.events().eventCount())
-        .with("last_event", lastEventId().value_or(""))
+        .with("last_event", m_response.lastEventId().value_or(""))
         .with("ms", toMilliseconds(elapsed()))
         .with("outcome", outcome)
         .with("reason", reason);
--- a/src/gateway/proxied_call.h
+++ b/src/gateway/proxied_call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/call_services.h"
+#include "gateway/response_diagnostics.h"
 #include "gateway/upstream_response.h"
 #include "gateway/upstream_search.h"
 #include "transport/http_server.h"
@@ -45,18 +46,8 @@
     /// Records what the head of a response says about the upstream's limit.
     void observeLimit(const ResponseAttributes& attributes);
     void bodyArrived(std::string_view bytes);
-    /// Closes the connection on which a response to another request has arrived.
-    void abortForeignResponse();
-    /// Closes the connection to an upstream whose response exceeds the size limit.
-    void abortOversizedResponse();
+    ExchangeContext exchangeContext() const;
     void upstreamDone(const HttpClientResult& result);
-    /// Counts the end of a response that is an event stream, and logs one that is not the end of a whole
-    /// stream.
-    void recordStreamEnd(const HttpClientResult& result);
-    /// @return id of the last event that was forwarded to the caller.
-    std::optional<std::string> lastEventId() const;
-    /// @return why a response can't be forwarded, for logs and metrics.
-    const char* failureReason(const HttpClientResult& result) const;
     void exchangeEnded(ExchangeOutcome outcome, RunOutcome runOutcome);
     void handleNotExecuted();
     void handleFailure(const char* reason);
--- /dev/null
+++ b/src/gateway/response_diagnostics.cc
@@ -0,0 +1,70 @@
+#include "gateway/response_diagnostics.h"
+
+#include "base/log.h"
+
+namespace lacewing::gateway {
+
+namespace {
+
+const char* streamEndLabel(const UpstreamResponse& response, std::optional<HttpClientError> error)
+{
+    if (response.events().fault())
+        return "malformed_event";
+    if (error)
+        return "error";
+    return response.isCutOff() ? "cut_off" : "complete";
+}
+
+} // namespace
+
+const char* failureReason(const UpstreamResponse& response, std::optional<HttpClientError> error)
+{
+    if (response.isForeign())
+        return "foreign_answer";
+    if (response.events().fault())
+        return "malformed_event";
+    return error ? lacewing::toString(*error) : "stream_cut_off";
+}
+
+void recordStreamEnd(MetricsRegistry& metrics, const ExchangeContext& exchange,
+    const UpstreamResponse& response, std::optional<HttpClientError> error)
+{
+    const EventRelay& events = response.events();
+    ++metrics.counter("lacewing_stream_ends_total", { { "end", streamEndLabel(response, error) } });
+    if (!error && !response.isCutOff())
+        return;
+    LogEvent(LogLevel::Warning, "stream_end")
+        .with("request", exchange.requestId)
+        .with("upstream", exchange.upstream)
+        .with("framing", toString(response.framing()))
+        .with("reused_connection", exchange.isOnReusedConnection)
+        .with("error", error ? lacewing::toString(*error) : "none")
+        .with("events", events.eventCount())
+        .with("last_event", response.lastEventId().value_or(""))
+        .with("fault", events.fault() ? toString(*events.fault()) : "none")
+        .with("unfinished_bytes", events.remainder().size());
+}
+
+void recordForeignResponse(
+    MetricsRegistry& metrics, const ExchangeContext& exchange, const ResponseAttributes& attributes)
+{
+    LogEvent(LogLevel::Warning, "foreign_answer")
+        .with("request", exchange.requestId)
+        .with("upstream", exchange.upstream)
+        .with("status", attributes.status)
+        .with("answer_request", attributes.requestId)
+        .with("reused_connection", exchange.isOnReusedConnection);
+    ++metrics.counter("lacewing_foreign_answers_total");
+}
+
+void recordOversizedResponse(
+    MetricsRegistry& metrics, const ExchangeContext& exchange, const UpstreamResponse& response)
+{
+    LogEvent(LogLevel::Warning, "answer_without_end")
+        .with("request", exchange.requestId)
+        .with("upstream", exchange.upstream)
+        .with("held_bytes", response.unforwardedBytes());
+    ++metrics.counter("lacewing_answers_without_end_total");
+}
+
+} // namespace lacewing::gateway
--- /dev/null
+++ b/src/gateway/response_diagnostics.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "base/metrics.h"
+#include "gateway/upstream_response.h"
+#include "transport/http_client.h"
+
+#include <optional>
+#include <string>
+
+namespace lacewing::gateway {
+
+/// The exchange with an upstream that a log line is about.
+struct ExchangeContext {
+    std::string requestId;
+    UpstreamId upstream;
+    /// Whether the connection has carried a request before this one.
+    bool isOnReusedConnection = false;
+};
+
+/// @param error of the transport, if there was one.
+/// @return why a response can't be forwarded, for logs and metrics.
+const char* failureReason(const UpstreamResponse& response, std::optional<HttpClientError> error);
+
+/// Counts the end of a response that is an event stream, and logs one that is not the end of a whole stream.
+///
+/// @param error of the transport, if there was one.
+void recordStreamEnd(MetricsRegistry& metrics, const ExchangeContext& exchange,
+    const UpstreamResponse& response, std::optional<HttpClientError> error);
+
+/// Counts and logs a response that belongs to another request.
+void recordForeignResponse(
+    MetricsRegistry& metrics, const ExchangeContext& exchange, const ResponseAttributes& attributes);
+
+/// Counts and logs a response that exceeds the size limit.
+void recordOversizedResponse(
+    MetricsRegistry& metrics, const ExchangeContext& exchange, const UpstreamResponse& response);
+
+} // namespace lacewing::gateway
--- a/src/gateway/upstream_response.cc
+++ b/src/gateway/upstream_response.cc
@@ -84,6 +84,12 @@
     return isSuccess() && (!m_attributes->isSealed || m_attributes->hasContentEncoding);
 }
 
+std::optional<std::string> UpstreamResponse::lastEventId() const
+{
+    const auto& id = m_events.lastId();
+    return id ? std::make_optional(id->text) : std::nullopt;
+}
+
 bool UpstreamResponse::endsInsideEvent() const
 {
     return m_events.fault() || m_events.remainder().find_first_not_of("\r\n") != std::string::npos;
--- a/src/gateway/upstream_response.h
+++ b/src/gateway/upstream_response.h
@@ -85,6 +85,8 @@
     /// @return the part of the body that has not been returned as events.
     const std::string& remainingBody() const;
     const EventRelay& events() const { return m_events; }
+    /// @return id of the last event that was returned, or nothing if none had one.
+    std::optional<std::string> lastEventId() const;
     Duration longestPause() const { return m_pauses.longest(); }
 
 private:
