Don't take an error head inside the data of an event for data

Callers would get the head of an error as a part of an event, where an engine breaks off inside the data of an event whose lines end with a line feed and goes on with a head, whose lines end with carriage return and line feed.

Cause: each line was judged alone, and the first line of the head is joined with the data.

Evidence: EventFormatTest/AHeadAfterAPartOfAnEventIsNoEvent failed before.

All lines of an event must now end alike. A server that wrote both ends in one event would lose its streams; none is known.

--- a/src/gateway/event_format.cc
+++ b/src/gateway/event_format.cc
@@ -12,16 +12,21 @@
 constexpr std::string_view idField = "id";
 constexpr std::string_view dataField = "data";
 
+struct Line {
+    std::string_view text;
+    /// Whether a carriage return stands before the line feed.
+    bool hasCarriageReturn = false;
+};
+
 /// Removes the first line from the text.
-///
-/// @return the line without its end.
-std::string_view takeLine(std::string_view& text)
+Line takeLine(std::string_view& text)
 {
     const size_t end = std::min(text.find('\n'), text.size());
-    std::string_view line = text.substr(0, end);
+    Line line { text.substr(0, end), false };
     text.remove_prefix(std::min(end + 1, text.size()));
-    if (!line.empty() && line.back() == '\r')
-        line.remove_suffix(1);
+    line.hasCarriageReturn = !line.text.empty() && line.text.back() == '\r';
+    if (line.hasCarriageReturn)
+        line.text.remove_suffix(1);
     return line;
 }
 
@@ -50,6 +55,8 @@
         return "unreadable_id";
     case EventFault::MissingData:
         return "missing_data";
+    case EventFault::MixedLineEnds:
+        return "mixed_line_ends";
     }
     return "unknown";
 }
@@ -68,27 +75,31 @@
 ParsedEvent EventFormat::parse(std::string_view event) const
 {
     ParsedEvent parsed;
-    bool hasFields = false;
+    std::optional<bool> hasCarriageReturns;
     bool hasData = false;
     while (!event.empty()) {
-        const std::string_view line = takeLine(event);
-        const bool isComment = !line.empty() && line.front() == ':';
-        if (line.empty() || isComment)
+        const Line line = takeLine(event);
+        const bool isComment = !line.text.empty() && line.text.front() == ':';
+        if (isComment || (line.text.empty() && !hasCarriageReturns))
             continue;
-        const size_t colon = std::min(line.find(':'), line.size());
-        const std::string_view name = line.substr(0, colon);
-        if (!isKnownField(name))
+        const bool isMixed = hasCarriageReturns.value_or(line.hasCarriageReturn) != line.hasCarriageReturn;
+        hasCarriageReturns = line.hasCarriageReturn;
+        const size_t colon = std::min(line.text.find(':'), line.text.size());
+        const std::string_view name = line.text.substr(0, colon);
+        if (!line.text.empty() && !isKnownField(name))
             return { std::nullopt, EventFault::UnknownField };
-        hasFields = true;
+        if (isMixed)
+            return { std::nullopt, EventFault::MixedLineEnds };
         hasData = hasData || name == dataField;
         if (name != idField)
             continue;
         if (parsed.id)
             return { std::nullopt, EventFault::RepeatedId };
-        parsed.id = readId(trimmedField(line.substr(std::min(colon + 1, line.size()))));
+        parsed.id = readId(trimmedField(line.text.substr(std::min(colon + 1, line.text.size()))));
         if (!parsed.id)
             return { std::nullopt, EventFault::UnreadableId };
     }
+    const bool hasFields = hasCarriageReturns.has_value();
     if (hasFields && !parsed.id)
         return { std::nullopt, EventFault::MissingId };
     if (hasFields && !hasData)
--- a/src/gateway/event_format.h
+++ b/src/gateway/event_format.h
@@ -17,6 +17,9 @@
     /// The id is not a decimal number, so its place in the stream is unknown.
     UnreadableId,
     MissingData,
+    /// Some lines end with a line feed alone and some with a carriage return before it, which no sender of
+    /// events does.
+    MixedLineEnds,
 };
 
 /// @return the fault's name in snake_case, for logs.
@@ -31,7 +34,7 @@
 
 /// What was found in an event.
 struct ParsedEvent {
-    /// Empty in an event that consists of comments.
+    /// Empty in text that consists of comments.
     std::optional<EventId> id;
     std::optional<EventFault> fault;
 };
@@ -46,7 +49,7 @@
     /// @param extraFields names of the fields that events may have beside those of server-sent events.
     explicit EventFormat(std::vector<std::string> extraFields = {});
 
-    /// @param event the lines of an event, with the empty line at its end.
+    /// @param event the lines of an event, with the empty line at its end and any comments before it.
     ParsedEvent parse(std::string_view event) const;
 
 private:
--- a/src/gateway/event_format_test.cc
+++ b/src/gateway/event_format_test.cc
@@ -55,4 +55,15 @@
     }
 }
 
+// Guards against passing on an error text that follows a part of an event: after each byte of an event whose
+// lines end in one way, a head whose lines end in another way is no part of it.
+BOOST_AUTO_TEST_CASE(AHeadAfterAPartOfAnEventIsNoEvent)
+{
+    const std::string event = "id: 3\ndata: token\n";
+    for (size_t length = 1; length <= event.size(); ++length) {
+        const std::string text = event.substr(0, length) + "HTTP/1.1 503 Service Unavailable\r\n\r\n";
+        BOOST_TEST(EventFormat().parse(text).fault.has_value(), "accepted after " << length << " bytes");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
