Don't count comments in a stream as events

Callers would get a stream of comments or empty lines as complete, and a stream that broke off before its first event was cut off instead of begun anew, because a comment had been passed on.

Cause: any part that was no fault counted as an event.

Evidence: AStreamOfCommentsThatEndsWithItsConnectionIsNotComplete and AStreamThatBreaksOffAfterACommentBeginsAnewAtAnotherUpstream failed before.

Comments are passed on with the event that follows them, or at the end of the stream.

--- a/src/gateway/event_relay.cc
+++ b/src/gateway/event_relay.cc
@@ -4,13 +4,14 @@
 
 namespace {
 
-/// @return the length of the first complete event including its terminating empty line, or nothing.
-std::optional<size_t> firstEventLength(std::string_view text)
+/// @return the end of the first part of the text that ends with an empty line, behind that line, or nothing.
+std::optional<size_t> firstPartEnd(std::string_view text, size_t begin)
 {
-    size_t lineStart = 0;
-    for (size_t end = text.find('\n'); end != std::string_view::npos; end = text.find('\n', lineStart)) {
+    size_t lineStart = begin;
+    for (size_t end = text.find('\n', begin); end != std::string_view::npos;
+         end = text.find('\n', lineStart)) {
         const bool isEmpty = end == lineStart || (end == lineStart + 1 && text[lineStart] == '\r');
-        if (isEmpty && lineStart > 0)
+        if (isEmpty && lineStart > begin)
             return end + 1;
         lineStart = end + 1;
     }
@@ -26,28 +27,38 @@
     m_hasResponseEvents = false;
 }
 
+bool EventRelay::endsInsideEvent() const
+{
+    const ParsedEvent rest = m_format.parse(m_pending);
+    return m_fault || rest.fault || rest.id;
+}
+
 std::string EventRelay::accept(std::string_view bytes)
 {
     std::string events;
     if (m_fault)
         return events;
     m_pending += bytes;
-    while (const auto length = firstEventLength(m_pending)) {
-        const std::string event = m_pending.substr(0, *length);
-        const ParsedEvent parsed = m_format.parse(event);
+    size_t begin = 0;
+    // Comments go with the event that follows them.
+    for (auto end = firstPartEnd(m_pending, begin); end; end = firstPartEnd(m_pending, begin)) {
+        const std::string part = m_pending.substr(0, *end);
+        const ParsedEvent parsed = m_format.parse(part);
         if (parsed.fault) {
             m_fault = parsed.fault;
             m_pending.clear();
             break;
         }
-        m_pending.erase(0, *length);
+        begin = parsed.id ? 0 : *end;
+        if (!parsed.id)
+            continue;
+        m_pending.erase(0, *end);
         m_hasResponseEvents = true;
-        if (parsed.id && m_lastId && parsed.id->number <= m_lastId->number)
+        if (m_lastId && parsed.id->number <= m_lastId->number)
             continue;
-        if (parsed.id)
-            m_lastId = parsed.id;
+        m_lastId = parsed.id;
         ++m_eventCount;
-        events += event;
+        events += part;
     }
     return events;
 }
--- a/src/gateway/event_relay.h
+++ b/src/gateway/event_relay.h
@@ -24,19 +24,22 @@
 
     /// Starts with the response of another engine: drops an incomplete event and what followed the last one.
     void beginResponse();
-    /// @return the events that the bytes complete, without events that have been returned before. Nothing is
-    /// returned after text that is no event.
+    /// @return the events that the bytes complete, with the comments before them, without events that have
+    /// been returned before. Nothing is returned after text that is no event.
     std::string accept(std::string_view bytes);
     /// @return what is wrong with the text after the last event of this response, or nothing.
     std::optional<EventFault> fault() const { return m_fault; }
+    /// @return whether the bytes that have arrived do not end with an event; line ends and comments may
+    /// follow.
+    bool endsInsideEvent() const;
     /// @return whether the incomplete event exceeds the maximum size of an event.
     bool exceedsSizeLimit() const { return m_pending.size() > maximumEventBytes; }
-    /// @return the bytes after the last complete event; empty after a fault.
+    /// @return the bytes after the last event; empty after a fault.
     const std::string& remainder() const { return m_pending; }
 
     /// @return whether this response has had an event, returned or not.
     bool hasResponseEvents() const { return m_hasResponseEvents; }
-    /// @return id of the last complete event that had one, or nothing if none had.
+    /// @return id of the last event that was returned, or nothing if none was.
     const std::optional<EventId>& lastId() const { return m_lastId; }
     bool hasEvents() const { return m_eventCount > 0; }
     /// @return number of events that were returned.
--- a/src/gateway/proxied_call_test.cc
+++ b/src/gateway/proxied_call_test.cc
@@ -225,6 +225,34 @@
     BOOST_TEST(fixture.exchange->responseStatus == 200);
 }
 
+// Guards against a stream without an event that looks complete: comments and line ends are no pieces, so an
+// upstream that sent only those before the connection closed has not made a whole stream.
+BOOST_AUTO_TEST_CASE(AStreamOfCommentsThatEndsWithItsConnectionIsNotComplete)
+{
+    for (const char* text : { ": keep-alive\n\n", "\n\n" }) {
+        Fixture fixture;
+        fixture.send("/stream/1");
+        fixture.upstream(0).head(200, "r-1", true);
+        fixture.upstream(0).handlers.onBody(text);
+        fixture.upstream(0).end();
+        const bool looksComplete = fixture.exchange->responseStatus == 200 && !fixture.exchange->isAborted;
+        BOOST_TEST(!looksComplete);
+    }
+}
+
+// Guards against cutting off a stream that could begin anew elsewhere, because a comment came before the
+// upstream broke off.
+BOOST_AUTO_TEST_CASE(AStreamThatBreaksOffAfterACommentBeginsAnewAtAnotherUpstream)
+{
+    Fixture fixture;
+    fixture.send("/resume/1");
+    fixture.upstream(0).head(200, "r-1", true);
+    fixture.upstream(0).handlers.onBody(": keep-alive\n\nid: 1\nda");
+    fixture.upstream(0).end(HttpClientError::ConnectionLost);
+    BOOST_TEST(!fixture.exchange->isAborted);
+    BOOST_TEST(fixture.client.calls.size() == 2);
+}
+
 // Guards against taking line ends after the last event for a part of another one.
 BOOST_AUTO_TEST_CASE(LineEndsAfterTheLastEventAreForwarded)
 {
--- a/src/gateway/upstream_response.cc
+++ b/src/gateway/upstream_response.cc
@@ -90,16 +90,11 @@
     return id ? std::make_optional(id->text) : std::nullopt;
 }
 
-bool UpstreamResponse::endsInsideEvent() const
-{
-    return m_events.fault() || m_events.remainder().find_first_not_of("\r\n") != std::string::npos;
-}
-
 bool UpstreamResponse::isCutOff() const
 {
     if (!carriesEvents())
         return false;
-    return endsInsideEvent() || (framing() == BodyFraming::ConnectionClose && !m_events.hasResponseEvents());
+    return m_events.endsInsideEvent() || (framing() == BodyFraming::ConnectionClose && !m_events.hasResponseEvents());
 }
 
 const std::string& UpstreamResponse::remainingBody() const
--- a/src/gateway/upstream_response.h
+++ b/src/gateway/upstream_response.h
@@ -85,15 +85,13 @@
     /// @return the part of the body that has not been returned as events.
     const std::string& remainingBody() const;
     const EventRelay& events() const { return m_events; }
-    /// @return id of the last event that was returned, or nothing if none had one.
+    /// @return id of the last event that was returned, or nothing if none was.
     std::optional<std::string> lastEventId() const;
     Duration longestPause() const { return m_pauses.longest(); }
 
 private:
     /// @return whether the body is split into events.
     bool carriesEvents() const;
-    /// @return whether the body that has arrived does not end with an event, although line ends may follow.
-    bool endsInsideEvent() const;
 
     /// Maximum size of a response that is not forwarded as a stream.
     static constexpr size_t maximumBodyBytes = 4 * 1024 * 1024;
