Read events only on routes with streams, and not in answers to HEAD

Callers would be answered 502 where a plain service answers with the content type of a stream, or an engine answers HEAD.

Cause: since the format of events is checked, the content type alone decided that a body must have events.

Evidence: ABodyOfTheTypeOfAStreamOnARouteWithoutStreamsIsForwarded and TheHeadOfAStreamIsForwardedToHead failed before.

--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -222,7 +222,9 @@
     if (attributes.keepAlive)
         m_services.picker.keepAliveReported(m_search->upstream(), *attributes.keepAlive);
     const ExchangeContext exchange = exchangeContext();
-    m_response.headArrived(attributes, headers, { exchange.requestId, exchange.isOnReusedConnection });
+    const bool expectsEvents = m_admission.route->kind == RouteKind::Stream && m_exchange->method() != "HEAD";
+    m_response.headArrived(
+        attributes, headers, { exchange.requestId, exchange.isOnReusedConnection, expectsEvents });
     observeLimit(attributes);
     if (!m_response.isForeign() || !m_call)
         return;
--- a/src/gateway/proxied_call_test.cc
+++ b/src/gateway/proxied_call_test.cc
@@ -253,6 +253,33 @@
     BOOST_TEST(fixture.client.calls.size() == 2);
 }
 
+// Guards against 502 for a request that the upstream has answered well: an answer to HEAD has no body, so it
+// is not a stream that ended with its head.
+BOOST_AUTO_TEST_CASE(TheHeadOfAStreamIsForwardedToHead)
+{
+    Fixture fixture;
+    const HttpHeaders headers { { "Host", "a.example" }, { "id", "r-1" }, { "key", "key-1" } };
+    const auto exchange = std::make_shared<FakeExchange>("HEAD", "/once/1", headers, "");
+    const auto call = std::make_shared<ProxiedCall>(fixture.services, exchange, [](ProxiedCall*) {});
+    call->start();
+    fixture.upstream(0).head(200, "r-1", true);
+    fixture.upstream(0).end();
+    BOOST_TEST(exchange->responseStatus == 200);
+}
+
+// Guards against replacing a service's answer by 502 where the route has no streams: only their events need
+// ids.
+BOOST_AUTO_TEST_CASE(ABodyOfTheTypeOfAStreamOnARouteWithoutStreamsIsForwarded)
+{
+    Fixture fixture;
+    fixture.send("/once/1");
+    fixture.upstream(0).head(200, "r-1", true);
+    fixture.upstream(0).handlers.onBody("data: seat 7\n\n");
+    fixture.upstream(0).end();
+    BOOST_TEST(fixture.exchange->responseStatus == 200);
+    BOOST_TEST(fixture.exchange->responseBody == "data: seat 7\n\n");
+}
+
 // Guards against taking line ends after the last event for a part of another one.
 BOOST_AUTO_TEST_CASE(LineEndsAfterTheLastEventAreForwarded)
 {
--- a/src/gateway/upstream_response.cc
+++ b/src/gateway/upstream_response.cc
@@ -41,6 +41,7 @@
 {
     m_attributes = std::move(attributes);
     m_headers = std::move(headers);
+    m_expectsEvents = request.expectsEvents;
     const std::string& id = m_attributes->requestId;
     const bool needsId = isSuccess() || request.isOnReusedConnection;
     m_isMismatched = id != request.id && (needsId || !id.empty());
--- a/src/gateway/upstream_response.h
+++ b/src/gateway/upstream_response.h
@@ -21,11 +21,13 @@
 /// @return the framing's name in snake_case, for logs.
 const char* toString(BodyFraming framing);
 
-/// What tells whether a response belongs to a request.
+/// What is known of a request when its response arrives.
 struct SentRequest {
     std::string id;
     /// Whether the connection has carried a request before this one.
     bool isOnReusedConnection = false;
+    /// Whether the body of an event stream is read as events, which is so on routes with streams only.
+    bool expectsEvents = true;
 };
 
 /// Receives the responses of upstreams to one request.
@@ -67,7 +69,8 @@
     /// @return whether the response is a successful event stream that can be read.
     bool isStream() const
     {
-        return isSuccess() && m_attributes->isEventStream && !m_attributes->hasContentEncoding;
+        return m_expectsEvents && isSuccess() && m_attributes->isEventStream
+            && !m_attributes->hasContentEncoding;
     }
     /// @return whether the response is a success that must not be forwarded, since it lacks the upstream's
     /// seal or has a content encoding.
@@ -104,6 +107,7 @@
     EventRelay m_events;
     PauseMeter m_pauses;
     bool m_isMismatched = false;
+    bool m_expectsEvents = false;
 };
 
 } // namespace lacewing::gateway
