Don't take a stream without any event for a whole one, whatever its framing

Callers got a stream with 2 of 5 events that ended as complete, where the engine at which it was to be resumed answered 200 with an empty body that has a length or a last chunk.

Cause: only a body that the end of the connection ends had to have an event.

An engine that has run a request has made an event, so an answer without one completes no stream. A stream that broke off between its last event and its end can't be completed by an empty answer any more: it is cut off, and its caller may resume it.

--- a/src/gateway/proxied_call_test.cc
+++ b/src/gateway/proxied_call_test.cc
@@ -200,29 +200,55 @@
     BOOST_TEST(fixture.exchange->isAborted);
 }
 
-// Guards against an empty stream that looks complete, because the upstream closed the connection after the
-// head of a response without a length.
+// Guards against an empty stream that looks complete, and against the end of a resumed stream without a
+// further event, because the upstream closed the connection after its head or says that the body is empty.
 BOOST_AUTO_TEST_CASE(AStreamThatEndsWithItsHeadIsNotComplete)
+{
+    const HttpHeaders head { { "id", "r-1" }, { "stream", "1" }, { "seal", "1" } };
+    HttpHeaders empty = head;
+    empty.add("Content-Length", "0");
+    for (const HttpHeaders& headers : { head, empty }) {
+        Fixture fixture;
+        fixture.send("/stream/1");
+        fixture.upstream(0).handlers.onHeaders(200, headers);
+        fixture.upstream(0).end();
+        BOOST_TEST(fixture.exchange->responseStatus == 502);
+        fixture.send("/resume/1");
+        fixture.upstream(1).head(200, "r-1", true);
+        fixture.upstream(1).handlers.onBody("id: 1\ndata: a\n\n");
+        fixture.upstream(1).end(HttpClientError::ConnectionLost);
+        BOOST_REQUIRE(fixture.client.calls.size() == 3);
+        fixture.upstream(2).handlers.onHeaders(200, headers);
+        fixture.upstream(2).end();
+        BOOST_TEST(fixture.exchange->isAborted);
+    }
+}
+
+// Guards against 502 for a request that the upstream has answered well: an answer to HEAD has no body, so it
+// is not a stream that ended with its head.
+BOOST_AUTO_TEST_CASE(TheHeadOfAStreamIsForwardedToHead)
 {
     Fixture fixture;
-    fixture.send("/stream/1");
+    const HttpHeaders headers { { "Host", "a.example" }, { "id", "r-1" }, { "key", "key-1" } };
+    const auto exchange = std::make_shared<FakeExchange>("HEAD", "/once/1", headers, "");
+    const auto call = std::make_shared<ProxiedCall>(fixture.services, exchange, [](ProxiedCall*) {});
+    call->start();
     fixture.upstream(0).head(200, "r-1", true);
     fixture.upstream(0).end();
-    BOOST_TEST(fixture.exchange->responseStatus == 502);
-    fixture.send("/resume/1");
-    fixture.upstream(1).head(200, "r-1", true);
-    fixture.upstream(1).handlers.onBody("id: 1\ndata: a\n\n");
-    fixture.upstream(1).end(HttpClientError::ConnectionLost);
-    BOOST_REQUIRE(fixture.client.calls.size() == 3);
-    fixture.upstream(2).head(200, "r-1", true);
-    fixture.upstream(2).end();
-    BOOST_TEST(fixture.exchange->isAborted);
-    // The upstream states that the body is empty.
-    fixture.send("/stream/1");
-    fixture.upstream(3).handlers.onHeaders(
-        200, { { "id", "r-1" }, { "stream", "1" }, { "seal", "1" }, { "Content-Length", "0" } });
-    fixture.upstream(3).end();
+    BOOST_TEST(exchange->responseStatus == 200);
+}
+
+// Guards against replacing a service's answer by 502 where the route has no streams: only their events need
+// ids.
+BOOST_AUTO_TEST_CASE(ABodyOfTheTypeOfAStreamOnARouteWithoutStreamsIsForwarded)
+{
+    Fixture fixture;
+    fixture.send("/once/1");
+    fixture.upstream(0).head(200, "r-1", true);
+    fixture.upstream(0).handlers.onBody("data: seat 7\n\n");
+    fixture.upstream(0).end();
     BOOST_TEST(fixture.exchange->responseStatus == 200);
+    BOOST_TEST(fixture.exchange->responseBody == "data: seat 7\n\n");
 }
 
 // Guards against a stream without an event that looks complete: comments and line ends are no pieces, so an
@@ -253,33 +279,6 @@
     BOOST_TEST(fixture.client.calls.size() == 2);
 }
 
-// Guards against 502 for a request that the upstream has answered well: an answer to HEAD has no body, so it
-// is not a stream that ended with its head.
-BOOST_AUTO_TEST_CASE(TheHeadOfAStreamIsForwardedToHead)
-{
-    Fixture fixture;
-    const HttpHeaders headers { { "Host", "a.example" }, { "id", "r-1" }, { "key", "key-1" } };
-    const auto exchange = std::make_shared<FakeExchange>("HEAD", "/once/1", headers, "");
-    const auto call = std::make_shared<ProxiedCall>(fixture.services, exchange, [](ProxiedCall*) {});
-    call->start();
-    fixture.upstream(0).head(200, "r-1", true);
-    fixture.upstream(0).end();
-    BOOST_TEST(exchange->responseStatus == 200);
-}
-
-// Guards against replacing a service's answer by 502 where the route has no streams: only their events need
-// ids.
-BOOST_AUTO_TEST_CASE(ABodyOfTheTypeOfAStreamOnARouteWithoutStreamsIsForwarded)
-{
-    Fixture fixture;
-    fixture.send("/once/1");
-    fixture.upstream(0).head(200, "r-1", true);
-    fixture.upstream(0).handlers.onBody("data: seat 7\n\n");
-    fixture.upstream(0).end();
-    BOOST_TEST(fixture.exchange->responseStatus == 200);
-    BOOST_TEST(fixture.exchange->responseBody == "data: seat 7\n\n");
-}
-
 // Guards against taking line ends after the last event for a part of another one.
 BOOST_AUTO_TEST_CASE(LineEndsAfterTheLastEventAreForwarded)
 {
--- a/src/gateway/upstream_response.cc
+++ b/src/gateway/upstream_response.cc
@@ -95,7 +95,7 @@
 {
     if (!carriesEvents())
         return false;
-    return m_events.endsInsideEvent() || (framing() == BodyFraming::ConnectionClose && !m_events.hasResponseEvents());
+    return m_events.endsInsideEvent() || !m_events.hasResponseEvents();
 }
 
 const std::string& UpstreamResponse::remainingBody() const
--- a/src/gateway/upstream_response.h
+++ b/src/gateway/upstream_response.h
@@ -76,7 +76,7 @@
     /// seal or has a content encoding.
     bool isUnverified() const;
     /// @return whether the body of a stream, if it ends here, is not that of a whole stream: it does not end
-    /// with an event, or it has none although only the end of the connection marks its end.
+    /// with an event, or it has none. An engine that has run a request has made one.
     bool isCutOff() const;
     /// @return whether the body exceeds the maximum size of a response or of an event.
     bool exceedsSizeLimit() const
