Check chunk sizes of requests before the parser sees them

Callers' chunked requests with a size that is no hexadecimal number were taken or left without an answer on arm64: a size of `x` or `%` counted as 255, so the end of the body was not where another parser sees it, and requests could be smuggled.

Cause: libevhtp marks bytes that are no digit with -1 in a table of char, and char is unsigned on arm64.

The new HttpServerConnectionTest/ChunkSizeWithAByteThatIsNoDigitIsRefused, with each byte that is no digit as the first, middle and last of a size, failed from byte 0 on with request_timeout for malformed_chunk, and passes now. transport_test passes on arm64 only so far; it was not run on x86-64.

HttpChunkCheck follows the framing of the body, at any cut of the input, and fails at the first wrong byte, so that the parser never gets it. It compares with ASCII characters only. It takes over the bounds on the size line and on the sum of sizes from the hooks of single chunks, because otherwise the answer to a body with two faults would depend on how it was cut.

--- a/src/transport/http_server_connection.cc
+++ b/src/transport/http_server_connection.cc
@@ -141,8 +141,22 @@
         dispatch();
 }
 
+bool HttpServerConnection::checkChunks(size_t offset)
+{
+    evbuffer* input = bufferevent_get_input(m_stream);
+    std::string_view bytes(
+        reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), evbuffer_get_length(input));
+    bytes.remove_prefix(offset);
+    return m_chunkCheck->check(bytes) != HttpChunkCheck::Result::Failed;
+}
+
+// The parser consumes all of the input in each round, up to the trailer.
 void HttpServerConnection::runParser()
 {
+    if (m_chunkCheck && !checkChunks(0)) {
+        reject(m_chunkCheck->fault());
+        return;
+    }
     m_parse(m_stream, m_connection);
     if (m_phase != Phase::Reading) {
         reportRejection(m_fault);
@@ -316,6 +330,7 @@
     m_finishRequest(m_stream, m_connection);
     m_phase = Phase::Reading;
     m_part = Part::Head;
+    m_chunkCheck.reset();
     m_check.reset(HttpHeadCheck::Section::Head);
     setReadTimeout(m_context.options.readTimeout);
     if (evbuffer_get_length(bufferevent_get_input(m_stream)) > 0)
--- a/src/transport/http_server_connection.h
+++ b/src/transport/http_server_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "transport/event_loop.h"
+#include "transport/http_chunk_check.h"
 #include "transport/http_head_check.h"
 #include "transport/http_server.h"
 #include "transport/http_server_exchange.h"
@@ -9,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 struct evhtp_connection;
@@ -84,11 +86,10 @@
     bool acceptHeaders(evhtp_request& request);
     bool acceptFraming(evhtp_request& request, int minorVersion);
     bool acceptBody(evhtp_request& request, std::string_view bytes);
-    bool acceptChunkSize(uint64_t length);
-    void endChunkedBody();
+    bool startChunkedBody();
+    bool endChunkedBody();
     void parserGaveUp();
     bool refuse(int status, const char* reason);
-    size_t parsedBytes() const;
 
     static void onReadable(bufferevent*, void* self);
     static void onWritten(bufferevent*, void* self);
@@ -96,6 +97,8 @@
 
     void processInput();
     void readRequest();
+    /// @param offset of the body's first unchecked byte in the input.
+    bool checkChunks(size_t offset);
     void runParser();
     void finishTrailer();
     void checkHeadTime();
@@ -129,7 +132,8 @@
     HttpFault m_fault;
     HttpRequestHead m_head;
     std::string m_body;
-    size_t m_chunkStart = 0;
+    /// Set while a chunked body is read and until the next request.
+    std::optional<HttpChunkCheck> m_chunkCheck;
     std::weak_ptr<HttpServerExchange> m_exchange;
     MonotonicTime m_headStarted {};
     MonotonicTime m_lingerEnd {};
--- a/src/transport/http_server_connection_test.cc
+++ b/src/transport/http_server_connection_test.cc
@@ -112,4 +112,37 @@
     }
 }
 
+// Guards against a byte of a chunk's size that libevhtp's parser takes for a digit where char is unsigned, so
+// that the body ends elsewhere than for another parser.
+BOOST_AUTO_TEST_CASE(ChunkSizeWithAByteThatIsNoDigitIsRefused)
+{
+    const std::string_view digits = "0123456789abcdefABCDEF";
+    // As much data as the longest size that such a parser may have read.
+    const std::string rest = "\r\n" + std::string(0xfff, 'x') + "\r\n0\r\n\r\n";
+    for (int value = 0; value <= 0xff; ++value) {
+        const auto byte = static_cast<char>(static_cast<unsigned char>(value));
+        if (digits.find(byte) != std::string_view::npos)
+            continue;
+        for (std::string line : { "011", "101", "110" }) {
+            line[line.find('0')] = byte;
+            // A carriage return at the end of a line is refused at the one that follows.
+            const std::string refused = chunkedHead + line + "\r";
+            BOOST_TEST_CONTEXT("byte " << value << " in " << line)
+            {
+                for (const auto& [bytes, pieceLength] :
+                    { std::pair(refused + rest, refused.size() + rest.size()),
+                        std::pair(refused, size_t { 1 }),
+                        std::pair(chunkedHead + "1\r\na\r\n" + line + "\r", size_t { 1 }) }) {
+                    const std::string answer = talk(bytes, pieceLength);
+                    // Ends the case, since each request that is taken waits for a timeout.
+                    BOOST_REQUIRE(countOf(answer, "HTTP/1.1 400 ") == 1u);
+                    BOOST_TEST(rejections == std::vector<std::string> { "malformed_chunk" },
+                        boost::test_tools::per_element());
+                    BOOST_TEST(seen == "");
+                }
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/transport/http_server_hooks.cc
+++ b/src/transport/http_server_hooks.cc
@@ -12,10 +12,6 @@
 constexpr int statusBadRequest = 400;
 constexpr int statusTooLarge = 413;
 
-/// libevhtp's parser lets longer sizes overflow. With this bound, a line of a chunk has at most 16 digits and
-/// no extension.
-constexpr size_t maximumChunkLineBytes = 16 + 2;
-
 HttpFault parserFault(htpparse_error error)
 {
     switch (error) {
@@ -65,24 +61,12 @@
         return result(accepted);
     }
 
-    static evhtp_res chunk(evhtp_request_t*, uint64_t length, void* self)
-    {
-        return result(from(self).acceptChunkSize(length));
-    }
-
-    static evhtp_res chunkEnd(evhtp_request_t*, void* self)
-    {
-        from(self).m_chunkStart = from(self).parsedBytes();
-        return EVHTP_RES_OK;
-    }
-
     // The parser takes the first line of a trailer for the end of the message and the second one for another
     // request. So it is stopped before the trailer, which is then checked and skipped.
     static evhtp_res chunksEnd(evhtp_request_t*, void* self)
     {
-        if (!from(self).acceptChunkSize(0))
+        if (!from(self).endChunkedBody())
             return EVHTP_RES_ERROR;
-        from(self).endChunkedBody();
         return EVHTP_RES_PAUSE;
     }
 
@@ -104,8 +88,6 @@
     };
     set(evhtp_hook_on_headers, &Hooks::headers);
     set(evhtp_hook_on_read, &Hooks::body);
-    set(evhtp_hook_on_new_chunk, &Hooks::chunk);
-    set(evhtp_hook_on_chunk_complete, &Hooks::chunkEnd);
     set(evhtp_hook_on_chunks_complete, &Hooks::chunksEnd);
     set(evhtp_hook_on_connection_fini, &Hooks::connectionEnd);
 }
@@ -124,16 +106,12 @@
     return false;
 }
 
-size_t HttpServerConnection::parsedBytes() const
-{
-    return htparser_get_total_bytes_read(m_connection->parser);
-}
-
 bool HttpServerConnection::acceptHeaders(evhtp_request& request)
 {
     const char* method = htparser_get_methodstr(m_connection->parser);
     if (!method || !request.uri || !request.uri->path || !request.uri->path->full)
         return refuse(statusBadRequest, "malformed_start_line");
+    m_chunkCheck.reset();
     m_head = { method, request.uri->path->full, "", {} };
     // Taken here because libevhtp replaces it by the body of a form.
     if (request.uri->query_raw)
@@ -160,7 +138,8 @@
     m_isHeadRequest = m_head.method == "HEAD";
     m_chunked = minorVersion > 0;
     m_closeAfterAnswer = framing->closes;
-    m_chunkStart = parsedBytes();
+    if (framing->chunked && !startChunkedBody())
+        return false;
     // After this hook libevhtp answers any Expect field if the flag is set. It is not needed for a body that
     // has arrived already.
     const bool isBodyAwaited = (framing->chunked || length > 0)
@@ -180,20 +159,23 @@
     return true;
 }
 
-bool HttpServerConnection::acceptChunkSize(uint64_t length)
+// Runs inside the parser, which keeps the head and what follows it in the input until it returns.
+bool HttpServerConnection::startChunkedBody()
 {
-    // The parser counts single bytes while it reads the line of a chunk.
-    if (parsedBytes() - m_chunkStart > maximumChunkLineBytes)
-        return refuse(statusBadRequest, "malformed_chunk");
-    if (length > m_context.options.maximumBodyBytes - m_body.size())
-        return refuse(statusTooLarge, "body_too_large");
-    return true;
+    m_chunkCheck.emplace().reset(m_context.options.maximumBodyBytes);
+    if (checkChunks(m_check.length()))
+        return true;
+    return refuse(m_chunkCheck->fault().status, m_chunkCheck->fault().reason);
 }
 
-void HttpServerConnection::endChunkedBody()
+bool HttpServerConnection::endChunkedBody()
 {
+    // The parser's end of the body must be that of the check.
+    if (!m_chunkCheck || !m_chunkCheck->isDone())
+        return refuse(statusBadRequest, "malformed_chunk");
     m_part = Part::Trailer;
     m_check.reset(HttpHeadCheck::Section::Trailer);
+    return true;
 }
 
 // libevhtp frees a connection after a fault without an answer. This sends one, and keeps the bufferevent to
