Refuse a chunked request whose coding the parser doesn't recognize

A caller's request with spaces or tabs around the coding, such as "Transfer-Encoding: chunked " or one with a tab before it, ran with an empty body. The body was then read as the next request and answered 400.

Cause: the check of the framing trims the value, and libevhtp's parser, which skips only spaces before it, takes any other value for a request without a body.

A request that the parser ends although its body is chunked is refused as unsupported_transfer_encoding before the handler has it.

--- a/src/transport/http_server_connection.cc
+++ b/src/transport/http_server_connection.cc
@@ -13,6 +13,7 @@
 
 namespace {
 
+constexpr int statusBadRequest = 400;
 constexpr int statusRequestTimeout = 408;
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
@@ -162,6 +163,11 @@
         reportRejection(m_fault);
         return;
     }
+    // The parser skips only spaces before the coding, and takes any other value for a request without a body.
+    if (m_part == Part::Complete && m_chunkCheck) {
+        reject({ statusBadRequest, "unsupported_transfer_encoding" });
+        return;
+    }
     // Pausing the parser at the end of the request has stopped reading too.
     bufferevent_enable(m_stream, EV_READ);
 }
--- a/src/transport/http_server_connection_test.cc
+++ b/src/transport/http_server_connection_test.cc
@@ -145,4 +145,27 @@
     }
 }
 
+// Guards against a chunked body that the parser doesn't take for one because of spaces around the coding: the
+// request ran with an empty body, and the body was taken for another request.
+BOOST_AUTO_TEST_CASE(SpacesAroundTheCodingDontEmptyTheBody)
+{
+    const std::string rest = "5\r\nhello\r\n0\r\n\r\nGET /c HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    const std::pair<std::string, bool> cases[] = { { "chunked", true }, { " chunked", true },
+        { "  Chunked", true }, { "\tchunked", false }, { " \tchunked", false }, { " chunked ", false },
+        { " chunked\t", false }, { " chunked \t ", false } };
+    for (const auto& [value, isTaken] : cases) {
+        const std::string bytes
+            = "POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding:" + value + "\r\n\r\n" + rest;
+        for (const size_t pieceLength : { bytes.size(), size_t { 1 } }) {
+            BOOST_TEST_CONTEXT("value [" << value << "] in pieces of " << pieceLength)
+            {
+                const std::string answer = talk(bytes, pieceLength);
+                BOOST_TEST(seen == (isTaken ? "POST/p,,,hello;GET/c,,,;" : ""));
+                BOOST_TEST(countOf(answer, "HTTP/1.1 400 ") == (isTaken ? 0u : 1u));
+                BOOST_TEST(countOf(answer, "unsupported_transfer_encoding") == (isTaken ? 0u : 1u));
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
