Reset a connection whose answer without chunks is cut off, whoever closes it

Callers of HTTP/1.0 would take a stream that was cut off for a whole one: a caller that has ended its side, a host that stops, and the write timeout of a slow caller closed the connection in an orderly way, which is the end of such a body.

Cause: only abort() made the close a reset; the other ways to the end of a connection did not.

Evidence: AnEarlyEndOfAStreamWithoutChunksIsAReset (two of three ends) and AStreamWithoutChunksThatIsCutForASlowClientIsAReset failed before.

The connection knows whether only its end marks the end of the answer, and resets until the answer has been sent whole.

--- a/src/transport/http_server_connection.cc
+++ b/src/transport/http_server_connection.cc
@@ -72,6 +72,8 @@
 
 void HttpServerConnection::release()
 {
+    if (m_endsWithConnection && m_stream)
+        resetOnClose();
     m_phase = Phase::Closed;
     if (m_connection)
         evhtp_connection_free(m_connection);
@@ -297,6 +299,7 @@
         evhtp_request_enable_flag(request, EVHTP_REQ_FLAG_CHUNKED);
     if (!hasBody(status))
         m_isHeadRequest = true;
+    m_endsWithConnection = !m_chunked && !m_isHeadRequest;
     evhtp_send_reply_start(request, code);
 }
 
@@ -348,14 +351,17 @@
 void HttpServerConnection::abort()
 {
     m_exchange.reset();
-    if (!m_chunked) {
-        // Without chunks the end of the connection is the end of the answer, so only a reset shows the cut.
-        const linger reset { 1, 0 };
-        setsockopt(bufferevent_getfd(m_stream), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-    }
+    if (!m_chunked)
+        resetOnClose();
     close();
 }
 
+void HttpServerConnection::resetOnClose()
+{
+    const linger reset { 1, 0 };
+    setsockopt(bufferevent_getfd(m_stream), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
 size_t HttpServerConnection::bufferedBytes() const
 {
     return evbuffer_get_length(bufferevent_get_output(m_stream));
@@ -377,6 +383,7 @@
 
 void HttpServerConnection::startLingering()
 {
+    m_endsWithConnection = false;
     if (m_clientSentAll) {
         close();
         return;
--- a/src/transport/http_server_connection.h
+++ b/src/transport/http_server_connection.h
@@ -115,6 +115,8 @@
     bool isIdle() const;
     void setReadTimeout(Duration timeout);
     void startLingering();
+    /// Makes the close of the connection a reset.
+    void resetOnClose();
     void close();
     void release();
 
@@ -140,6 +142,9 @@
     bool m_headIsPartial = false;
     bool m_isHeadRequest = false;
     bool m_chunked = false;
+    /// Whether an orderly close would look like the end of the answer that is sent, so that only a reset
+    /// shows that it is cut off.
+    bool m_endsWithConnection = false;
     bool m_closeAfterAnswer = false;
     bool m_clientSentAll = false;
 };
--- a/src/transport/http_server_test.cc
+++ b/src/transport/http_server_test.cc
@@ -383,4 +383,46 @@
     BOOST_TEST(peer->all().substr(peer->all().size() - 8) == "\r\n\r\nbody");
 }
 
+// Guards against an answer that looks whole to a client of HTTP/1.0 although it ended early: such a client
+// takes an orderly close for the end of the body, so only a reset shows the cut.
+BOOST_AUTO_TEST_CASE(AnEarlyEndOfAStreamWithoutChunksIsAReset)
+{
+    enum class End { Abort, HalfClosedClient, ServerStops };
+    for (const End end : { End::Abort, End::HalfClosedClient, End::ServerStops }) {
+        BOOST_TEST_CONTEXT("end " << static_cast<int>(end))
+        {
+            exchanges.clear();
+            startAndSend("GET /a HTTP/1.0\r\n\r\n");
+            exchanges[0]->startStream(200, {});
+            exchanges[0]->sendChunk("part");
+            runUntil(loop, [&] { return peer->received("part"); });
+            if (end == End::Abort)
+                exchanges[0]->abort();
+            else if (end == End::HalfClosedClient)
+                peer->endSending();
+            else
+                server.reset();
+            waitForClose();
+            BOOST_TEST(peer->isReset());
+        }
+    }
+}
+
+// Guards against an answer that looks whole to a client of HTTP/1.0 that reads on after it was disconnected
+// because it had stopped reading.
+BOOST_AUTO_TEST_CASE(AStreamWithoutChunksThatIsCutForASlowClientIsAReset)
+{
+    options.writeTimeout = 20ms;
+    startAndSend("GET /a HTTP/1.0\r\n\r\n");
+    bool hasLeft = false;
+    exchanges[0]->onClientLeft([&] { hasLeft = true; });
+    peer->pauseReading();
+    exchanges[0]->startStream(200, {});
+    exchanges[0]->sendChunk(std::string(64 * 1024 * 1024, 'x'));
+    runUntil(loop, [&] { return hasLeft; });
+    peer->resumeReading();
+    waitForClose();
+    BOOST_TEST(peer->isReset());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/transport/http_test_support.h
+++ b/src/transport/http_test_support.h
@@ -61,6 +61,10 @@
     bool received(std::string_view text) const { return m_received.find(text) != std::string::npos; }
     const std::string& all() const { return m_received; }
     bool isClosed() const { return m_isClosed; }
+    /// @return whether the other end has closed the connection by a reset.
+    bool isReset() const { return m_isReset; }
+    /// Sends nothing more, but reads on.
+    void endSending() { shutdown(bufferevent_getfd(m_stream), SHUT_WR); }
 
 private:
     static int connectTo(const SocketAddress& server)
@@ -79,11 +83,16 @@
             static_cast<RawPeer*>(self)->m_received.append(bytes, length);
         }
     }
-    static void onEvent(bufferevent*, short, void* self) { static_cast<RawPeer*>(self)->m_isClosed = true; }
+    static void onEvent(bufferevent*, short events, void* self)
+    {
+        static_cast<RawPeer*>(self)->m_isReset = (events & BEV_EVENT_ERROR) != 0;
+        static_cast<RawPeer*>(self)->m_isClosed = true;
+    }
 
     bufferevent* m_stream;
     std::string m_received;
     bool m_isClosed = false;
+    bool m_isReset = false;
 };
 
 /// A server that keeps its connections as raw peers.
