Test that a cut head of an answer is an error at HttpClient

Guards against a server that stops in the middle of its answer's head and closes or resets, and whose answer then counts as complete. Cuts six heads after each byte, on a new connection and on one that has carried a whole answer.

--- a/src/transport/http_client_connection_test.cc
+++ b/src/transport/http_client_connection_test.cc
@@ -30,6 +30,44 @@
         runUntil(loop, [&] { return result.has_value(); });
         return *result;
     }
+
+    struct CutResult {
+        HttpClientResult result;
+        int heads = 0;
+    };
+
+    // Sends a request, answers it with raw bytes, ends the connection once they are read, and returns how the
+    // request ended.
+    CutResult fetchCut(const std::string& answer, bool isReset, bool isKept, std::string& body)
+    {
+        HttpClientRequest request;
+        request.server = server.address();
+        std::optional<HttpClientResult> result;
+        CutResult cut;
+        HttpClientHandlers handlers;
+        handlers.onHeaders = [&](int, const HttpHeaders&) { ++cut.heads; };
+        handlers.onBody = [&](std::string_view bytes) { body += bytes; };
+        handlers.onDone = [&](const HttpClientResult& done) { result = done; };
+        const size_t earlier = isKept ? server.peers[0]->all().size() : 0;
+        const auto call = client->send(std::move(request), std::move(handlers));
+        BOOST_REQUIRE(call->isOnReusedConnection() == isKept);
+        runUntil(loop, [&] {
+            return !server.peers.empty()
+                && server.peers[0]->all().find("\r\n\r\n", earlier) != std::string::npos;
+        });
+        server.peers[0]->send(answer);
+        // A reset would drop what the client has not read.
+        loop.runAfter(std::chrono::milliseconds(1), [this] { loop.stop(); });
+        loop.run();
+        BOOST_REQUIRE(!result);
+        if (isReset)
+            server.peers[0]->reset();
+        else
+            server.peers[0]->close();
+        runUntil(loop, [&] { return result.has_value(); });
+        cut.result = *result;
+        return cut;
+    }
 };
 
 const std::string chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -176,6 +214,57 @@
     }
 }
 
+namespace {
+
+const std::string wholeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/// The head of an answer, and whether an orderly end of the connection right after it ends the whole answer.
+struct AnswerHead {
+    std::string bytes;
+    bool isWholeAnswer;
+};
+
+std::vector<AnswerHead> answerHeads()
+{
+    const std::string begin = "HTTP/1.1 200 OK\r\nX-A: b\r\n";
+    return { { begin + "Content-Length: 4\r\n\r\n", false },
+        { begin + "Transfer-Encoding: chunked\r\n\r\n", false }, { begin + "\r\n", true },
+        { "HTTP/1.1 100 Continue\r\n\r\n" + begin + "Content-Length: 4\r\n\r\n", false },
+        { "HTTP/1.1 204 No Content\r\nX-A: b\r\n\r\n", true },
+        { "HTTP/1.1 503 Unavailable\r\nX-A: b\r\nContent-Length: 0\r\n\r\n", true } };
+}
+
+} // namespace
+
+// Guards against a head that is cut at any byte and counts as an answer, as a status or as the begin of a
+// body, on a new connection and on one that has carried a whole answer.
+BOOST_AUTO_TEST_CASE(CutHeadIsNoAnswer)
+{
+    for (const AnswerHead& head : answerHeads()) {
+        const size_t cuts = head.bytes.size() + (head.isWholeAnswer ? 0 : 1);
+        for (size_t variant = 0; variant < 4 * cuts; ++variant) {
+            const size_t length = variant / 4;
+            const bool isReset = variant % 2 != 0;
+            const bool isKept = variant % 4 >= 2;
+            BOOST_TEST_CONTEXT(head.bytes.substr(0, length) << ", reset " << isReset << ", kept " << isKept)
+            {
+                std::string body;
+                server.peers.clear();
+                if (isKept) {
+                    BOOST_TEST(!fetch(wholeAnswer, wholeAnswer.size(), body).error);
+                    body.clear();
+                }
+                const CutResult cut = fetchCut(head.bytes.substr(0, length), isReset, isKept, body);
+                BOOST_TEST((cut.result.error == HttpClientError::ConnectionLost));
+                BOOST_TEST(cut.result.requestSent);
+                BOOST_TEST(cut.heads == (length == head.bytes.size() ? 1 : 0));
+                BOOST_TEST(body == "");
+            }
+        }
+    }
+    BOOST_TEST(client->connectionCount() == 0);
+}
+
 // Guards against an idle connection that takes in bytes without end after a whole answer.
 BOOST_AUTO_TEST_CASE(BytesAfterAnAnswerCloseTheConnection)
 {
--- a/src/transport/http_test_support.h
+++ b/src/transport/http_test_support.h
@@ -9,6 +9,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <memory>
@@ -58,6 +59,14 @@
         bufferevent_free(m_stream);
         m_stream = nullptr;
     }
+    /// Resets the connection, which drops what was not sent.
+    void reset()
+    {
+        const linger noWait { 1, 0 };
+        setsockopt(bufferevent_getfd(m_stream), SOL_SOCKET, SO_LINGER, &noWait, sizeof(noWait));
+        bufferevent_free(m_stream);
+        m_stream = nullptr;
+    }
     bool received(std::string_view text) const { return m_received.find(text) != std::string::npos; }
     const std::string& all() const { return m_received; }
     bool isClosed() const { return m_isClosed; }
