Send what was handed over before a stream is cut off

Callers that read slowly got a stream that was cut inside an event, although the gateway had the whole event, and had to resume it further back than they needed to.

Cause: abort() closed the connection and dropped what the socket had not taken yet.

An aborted answer is now flushed like a whole one, without its last chunk; without chunks the connection is reset after it. A client that takes nothing is still bounded by the write timeout.

--- a/src/transport/http_server_connection.cc
+++ b/src/transport/http_server_connection.cc
@@ -348,12 +348,22 @@
         closeIfIdle();
 }
 
+// What was handed over before is still sent, so that a stream is not cut off inside one of its pieces.
 void HttpServerConnection::abort()
 {
-    m_exchange.reset();
-    if (!m_chunked)
+    m_isCutOff = true;
+    m_closeAfterAnswer = true;
+    finishAnswer();
+}
+
+void HttpServerConnection::answerFlushed()
+{
+    if (m_isCutOff && !m_chunked) {
         resetOnClose();
-    close();
+        close();
+        return;
+    }
+    startLingering();
 }
 
 void HttpServerConnection::resetOnClose()
@@ -372,7 +382,7 @@
     if (bufferedBytes() > 0)
         return;
     if (m_phase == Phase::Flushing)
-        startLingering();
+        answerFlushed();
     else if (m_phase == Phase::Answered)
         startNextRequest();
     else if (m_phase == Phase::Reading && m_context.draining)
--- a/src/transport/http_server_connection.h
+++ b/src/transport/http_server_connection.h
@@ -114,6 +114,8 @@
     void handleReadTimeout();
     bool isIdle() const;
     void setReadTimeout(Duration timeout);
+    /// Ends a connection whose last answer has been sent.
+    void answerFlushed();
     void startLingering();
     /// Makes the close of the connection a reset.
     void resetOnClose();
@@ -145,6 +147,8 @@
     /// Whether an orderly close would look like the end of the answer that is sent, so that only a reset
     /// shows that it is cut off.
     bool m_endsWithConnection = false;
+    /// Whether the answer was ended before it was whole.
+    bool m_isCutOff = false;
     bool m_closeAfterAnswer = false;
     bool m_clientSentAll = false;
 };
--- a/src/transport/http_server_test.cc
+++ b/src/transport/http_server_test.cc
@@ -383,6 +383,24 @@
     BOOST_TEST(peer->all().substr(peer->all().size() - 8) == "\r\n\r\nbody");
 }
 
+// Guards against a stream that is cut off inside a piece, because the server drops what a slow client has not
+// taken yet when the stream is aborted.
+BOOST_AUTO_TEST_CASE(AnAbortedStreamEndsWithAWholePiece)
+{
+    startAndSend("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    peer->pauseReading();
+    const std::string piece(1024 * 1024, 'x');
+    exchanges[0]->startStream(200, {});
+    for (int count = 0; count < 16; ++count)
+        exchanges[0]->sendChunk(piece);
+    exchanges[0]->abort();
+    peer->resumeReading();
+    waitForClose();
+    const std::string chunk = "100000\r\n" + piece + "\r\n";
+    BOOST_TEST(peer->all().size() > 16 * chunk.size());
+    BOOST_TEST((peer->all().substr(peer->all().size() - chunk.size()) == chunk));
+}
+
 // Guards against an answer that looks whole to a client of HTTP/1.0 although it ended early: such a client
 // takes an orderly close for the end of the body, so only a reset shows the cut.
 BOOST_AUTO_TEST_CASE(AnEarlyEndOfAStreamWithoutChunksIsAReset)
