Take only events for events of an engine's stream (daemon)

Callers of lacewinglbd would get the events of another run in their stream: an engine that writes an error, or the head of a further response, into its answer and goes on with events was read on. The text was skipped, tokens whose index the caller already had were skipped too, and the tokens after them were passed on, in a stream that ended as answered.

Cause: EngineStreamParser ignored every line that does not begin with "data:", so only text that broke an event was noticed.

A line is now an empty one, a comment or a field of server-sent events. Anything else makes the stream malformed: the connection is closed, and the stream is resumed after its last token or ends as unknown.

--- /dev/null
+++ b/src/daemon/engine_run_test.cc
@@ -0,0 +1,86 @@
+#include "daemon/upstream_run_fixture_test.h"
+#include "state/refusal.h"
+
+using namespace lacewing;
+
+namespace {
+
+const std::string streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+const std::string finishEvent
+    = "data: {\"usage\":{\"prompt_tokens\":1,\"completion_tokens\":2},\"finish_reason\":\"stop\"}\n\n"
+      "data: [DONE]\n\n";
+
+std::string tokenEvent(int index, const std::string& text)
+{
+    return "data: {\"token_index\":" + std::to_string(index) + ",\"text\":\"" + text + "\"}\n\n";
+}
+
+struct Fixture : UpstreamRunFixture {
+    /// Starts a run, and answers it with the bytes and the end of the connection.
+    void answer(const std::string& answer, int64_t resumeFrom = 0)
+    {
+        const size_t connection = server.peers.size();
+        start(makeEngineRun, resumeFrom);
+        RawPeer& peer = accept(connection);
+        peer.send(answer);
+        peer.close();
+        finish();
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EngineRunTest, Fixture)
+
+// Guards against joining the bytes of an unfinished event with the events of the run that follows.
+BOOST_AUTO_TEST_CASE(UnfinishedEventIsNotJoinedWithTheNextRun)
+{
+    const std::string event = tokenEvent(1, "b");
+    for (size_t length = 1; length + 2 < event.size(); ++length) {
+        BOOST_TEST_CONTEXT(event.substr(0, length))
+        {
+            answer(streamHead + tokenEvent(0, "a") + event.substr(0, length));
+            BOOST_TEST(bytes == "a");
+            BOOST_TEST((end->outcome == Outcome::Unknown));
+            answer(streamHead + event + finishEvent, 1);
+            BOOST_TEST(bytes == "b");
+            BOOST_TEST((end->outcome == Outcome::Answered));
+        }
+    }
+}
+
+// Guards against taking the orderly end of an answer for the end of the stream, whichever way marks it.
+BOOST_AUTO_TEST_CASE(OrderlyEndInsideTheStreamIsNoAnswer)
+{
+    const std::string whole = tokenEvent(0, "a") + finishEvent;
+    for (size_t length = 0; length < whole.find("\n\ndata: [DONE]"); length += 7) {
+        const std::string body = whole.substr(0, length);
+        const std::string size = std::to_string(length);
+        for (const std::string& framed : { "Content-Length: " + size + "\r\n\r\n" + body, "\r\n" + body }) {
+            BOOST_TEST_CONTEXT(framed)
+            {
+                answer("HTTP/1.1 200 OK\r\n" + framed);
+                BOOST_TEST((end->outcome == Outcome::Unknown));
+                BOOST_TEST(end->code == refusal::upstreamLost);
+            }
+        }
+    }
+}
+
+// Guards against going on after an error message or another response in the middle of a stream.
+BOOST_AUTO_TEST_CASE(TextInsideTheStreamEndsIt)
+{
+    for (const char* text :
+        { "engine exhausted\n\n", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n",
+            "data: {\"error\":{\"code\":\"failed\"}}\n\n" }) {
+        BOOST_TEST_CONTEXT(text)
+        {
+            answer(streamHead + tokenEvent(0, "a") + text + tokenEvent(0, "x") + tokenEvent(1, "y")
+                + finishEvent);
+            BOOST_TEST((end->outcome == Outcome::Unknown));
+            BOOST_TEST(bytes.find('y') == std::string::npos);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/protocol/engine_stream.cc
+++ b/src/protocol/engine_stream.cc
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <iterator>
+
 namespace lacewing {
 
 namespace {
@@ -9,7 +12,9 @@
 using Json = nlohmann::json;
 
 constexpr size_t longestEvent = 1024 * 1024;
-constexpr std::string_view dataField = "data:";
+constexpr std::string_view dataField = "data";
+/// The other fields of server-sent events, which carry no tokens.
+constexpr std::string_view skippedFields[] = { "event", "id", "retry" };
 
 int64_t integerOr(const Json& object, const char* key, int64_t fallback)
 {
@@ -29,12 +34,7 @@
         start = end + 1;
         if (!line.empty() && line.back() == '\r')
             line.remove_suffix(1);
-        if (line.substr(0, dataField.size()) != dataField)
-            continue;
-        line.remove_prefix(dataField.size());
-        if (!line.empty() && line.front() == ' ')
-            line.remove_prefix(1);
-        if (!parseEvent(line, tokens))
+        if (!parseLine(line, tokens))
             return std::nullopt;
     }
     m_buffer.erase(0, start);
@@ -45,6 +45,23 @@
     return tokens;
 }
 
+bool EngineStreamParser::parseLine(std::string_view line, std::vector<EngineToken>& tokens)
+{
+    const size_t colon = std::min(line.find(':'), line.size());
+    const std::string_view field = line.substr(0, colon);
+    const bool isComment = field.empty();
+    if (isComment || std::count(std::begin(skippedFields), std::end(skippedFields), field) > 0)
+        return true;
+    if (field != dataField) {
+        m_lastError = "text that is no event";
+        return false;
+    }
+    line.remove_prefix(std::min(colon + 1, line.size()));
+    if (!line.empty() && line.front() == ' ')
+        line.remove_prefix(1);
+    return parseEvent(line, tokens);
+}
+
 bool EngineStreamParser::parseEvent(std::string_view data, std::vector<EngineToken>& tokens)
 {
     if (data == "[DONE]")
--- a/src/protocol/engine_stream.h
+++ b/src/protocol/engine_stream.h
@@ -22,7 +22,9 @@
     std::string reason;
 };
 
-/// Parses an engine's server-sent event stream piece by piece.
+/// Parses an engine's server-sent event stream piece by piece. Text that is no event makes the stream
+/// malformed, because an engine that fails writes an error message, or the head of another response, into its
+/// answer.
 class EngineStreamParser {
 public:
     /// Parses the next bytes.
@@ -36,6 +38,7 @@
     const std::string& lastError() const { return m_lastError; }
 
 private:
+    bool parseLine(std::string_view line, std::vector<EngineToken>& tokens);
     bool parseEvent(std::string_view data, std::vector<EngineToken>& tokens);
 
     std::string m_buffer;
--- a/src/protocol/engine_stream_test.cc
+++ b/src/protocol/engine_stream_test.cc
@@ -42,6 +42,34 @@
     BOOST_TEST(!parser.finish());
 }
 
+// Guards against skipping an error message or the head of another response, and then going on with the events
+// after it.
+BOOST_AUTO_TEST_CASE(TextThatIsNoEventIsAnError)
+{
+    const std::string token = "data: {\"token_index\":0,\"text\":\"a\"}\n\n";
+    for (const char* text : { "engine exhausted\n", "HTTP/1.1 500 Internal Server Error\r\n",
+             "Content-Type: text/plain\r\n", "{\"error\":{\"code\":\"failed\"}}\n",
+             "dadata: {\"token_index\":1,\"text\":\"b\"}\n", " data: {}\n" }) {
+        BOOST_TEST_CONTEXT(text)
+        {
+            EngineStreamParser parser;
+            BOOST_TEST((parser.feed(token) != std::nullopt));
+            BOOST_TEST((parser.feed(text) == std::nullopt));
+            BOOST_TEST(!parser.lastError().empty());
+        }
+    }
+}
+
+// Guards against breaking streams that use the other fields of server-sent events.
+BOOST_AUTO_TEST_CASE(OtherFieldsOfEventsAreSkipped)
+{
+    EngineStreamParser parser;
+    const auto tokens = parser.feed(
+        "\n: comment\nid: 7\nevent: token\nretry: 10\ndata: {\"token_index\":0,\"text\":\"a\"}\n\n");
+    BOOST_REQUIRE(tokens);
+    BOOST_TEST(tokens->size() == 1u);
+}
+
 // Guards against malformed engine output that is relayed.
 BOOST_AUTO_TEST_CASE(MalformedEventsAreErrors)
 {
