Don't join the events of two runs in one answer (daemon)

Callers of lacewinglbd would get a stream whose first tokens are of one run and whose last ones are of another, and which ended as answered, where an engine goes on in the same answer with the events of another run, or with events after the finish event.

Cause: EngineRun skips tokens whose index the caller already has, since an engine may ignore resume_from. It did so at any place of an answer, so that a run that began anew was followed in silence from the first index that the caller lacked.

Evidence: EngineStreamTest/TokensOfAnotherRunAreErrors, 6 checks fail before and pass now.

Within an answer each token must follow the one before it, and nothing but [DONE] may follow the finish event.

--- a/src/protocol/engine_stream.cc
+++ b/src/protocol/engine_stream.cc
@@ -77,9 +77,19 @@
             m_lastError = "token event without a valid token_index or text";
             return false;
         }
+        // The events of another run, which a failing engine may write into this answer, begin anew.
+        if (m_finish || (m_nextIndex && index != *m_nextIndex)) {
+            m_lastError = "token out of order";
+            return false;
+        }
+        m_nextIndex = index + 1;
         tokens.push_back({ index, text->get<std::string>() });
         return true;
     }
+    if (m_finish) {
+        m_lastError = "event after the finish event";
+        return false;
+    }
     const auto usage = event.find("usage");
     if (usage == event.end() || !usage->is_object()) {
         m_lastError = "event with neither text nor usage";
--- a/src/protocol/engine_stream.h
+++ b/src/protocol/engine_stream.h
@@ -42,6 +42,8 @@
     bool parseEvent(std::string_view data, std::vector<EngineToken>& tokens);
 
     std::string m_buffer;
+    /// Index that the next token must have; empty before the first token.
+    std::optional<int64_t> m_nextIndex;
     std::optional<EngineFinish> m_finish;
     std::string m_lastError;
 };
--- a/src/protocol/engine_stream_test.cc
+++ b/src/protocol/engine_stream_test.cc
@@ -70,6 +70,25 @@
     BOOST_TEST(tokens->size() == 1u);
 }
 
+// Guards against joining the events of two runs, whose tokens are counted anew, in one stream.
+BOOST_AUTO_TEST_CASE(TokensOfAnotherRunAreErrors)
+{
+    const auto token = [](int index) {
+        return "data: {\"token_index\":" + std::to_string(index) + ",\"text\":\"a\"}\n\n";
+    };
+    const std::string finish = "data: {\"usage\":{\"prompt_tokens\":1,\"completion_tokens\":6}}\n\n";
+    for (const std::string& next : { token(0), token(4), token(5), token(7) }) {
+        EngineStreamParser parser;
+        BOOST_TEST((parser.feed(token(4) + token(5)) != std::nullopt));
+        BOOST_TEST((parser.feed(next) == std::nullopt), next);
+    }
+    for (const std::string& next : { token(6), finish }) {
+        EngineStreamParser parser;
+        BOOST_TEST((parser.feed(token(5) + finish) != std::nullopt));
+        BOOST_TEST((parser.feed(next) == std::nullopt), next);
+    }
+}
+
 // Guards against malformed engine output that is relayed.
 BOOST_AUTO_TEST_CASE(MalformedEventsAreErrors)
 {
