Don't end an engine's answer as whole without its last tokens (daemon)

Callers of lacewinglbd would get an answer that ended as answered without its last tokens, or the whole of another, shorter answer, if the engine's finish event came too early.

Cause: the finish event alone counted as the end. Its count of tokens was charged, but not compared with the tokens that had come.

Evidence: EngineRunTest/FinishMustCountTheTokens fails before and passes now.

The answer is whole only if it has as many tokens as the finish event says; else it is resumed, or ends as unknown. The protocol already defined the count as that of all tokens, also of a resumed answer.

--- a/src/daemon/engine_run.cc
+++ b/src/daemon/engine_run.cc
@@ -102,7 +102,7 @@
     void finish(const HttpClientResult& result)
     {
         RunEnd end;
-        if (m_status == statusOk && m_parser.finish() && !m_isCorrupt)
+        if (isWhole())
             end = answered(*m_parser.finish());
         else if (!result.requestSent)
             end = refusedRun(m_request.stream, refusal::upstreamUnreachable, statusUnavailable, retryDelay);
@@ -114,6 +114,13 @@
         onEnd(end);
     }
 
+    bool isWhole() const
+    {
+        const auto& finish = m_parser.finish();
+        return m_status == statusOk && !m_isCorrupt && finish
+            && finish->generatedTokens.value() == m_nextToken;
+    }
+
     RunEnd answered(const EngineFinish& finish) const
     {
         RunEnd end;
--- a/src/daemon/engine_run_test.cc
+++ b/src/daemon/engine_run_test.cc
@@ -83,4 +83,13 @@
     }
 }
 
+// Guards against a stream that ends as complete although its last tokens are missing.
+BOOST_AUTO_TEST_CASE(FinishMustCountTheTokens)
+{
+    answer(streamHead + tokenEvent(0, "a") + finishEvent);
+    BOOST_TEST((end->outcome == Outcome::Unknown));
+    answer(streamHead + tokenEvent(0, "a") + tokenEvent(1, "b") + finishEvent);
+    BOOST_TEST((end->outcome == Outcome::Answered));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
