Report only stated refusals of engines as not run (daemon)

Callers of lacewinglbd were told refused_not_run for requests that had run: an engine that fails a running request before its first token answers 500 adapter_evicted, and a failing engine or a proxy before it answers 500, 502 or 503 with any body.

Cause: EngineRun took each complete answer other than 200 as a promise that nothing was run, though the protocol names four answers that promise it.

Evidence: EngineRunTest/OnlyStatedRefusalsAreNotRun, seven other answers were taken as not run before, none now; the four stated refusals still are.

An answer counts as not run only with the status and code of a stated refusal; any other one leaves the outcome unknown.

--- a/src/daemon/engine_run.cc
+++ b/src/daemon/engine_run.cc
@@ -5,6 +5,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <iterator>
+
 namespace lacewing {
 
 namespace {
@@ -20,6 +23,21 @@
     return requestClass == RequestClass::Interactive ? 0 : 1;
 }
 
+/// An error response that promises that the request was not run.
+struct StatedRefusal {
+    int status;
+    std::string_view code;
+};
+
+constexpr StatedRefusal statedRefusals[] = { { 400, refusal::invalidRequest },
+    { 404, "adapter_not_resident" }, { 429, refusal::queueFull }, { 503, "not_ready" } };
+
+bool isStatedRefusal(int status, std::string_view code)
+{
+    return std::any_of(std::begin(statedRefusals), std::end(statedRefusals),
+        [&](const StatedRefusal& stated) { return stated.status == status && stated.code == code; });
+}
+
 /// Selects the engine's API path by the kind of prompt in the body.
 const char* enginePath(const RunRequest& request)
 {
@@ -101,13 +119,14 @@
 
     void finish(const HttpClientResult& result)
     {
+        const std::string code = errorCode();
         RunEnd end;
         if (isWhole())
             end = answered(*m_parser.finish());
         else if (!result.requestSent)
             end = refusedRun(m_request.stream, refusal::upstreamUnreachable, statusUnavailable, retryDelay);
-        else if (!result.error && m_status != statusOk)
-            end = refused();
+        else if (!result.error && isStatedRefusal(m_status, code))
+            end = refusedRun(m_request.stream, code, statusUnavailable, retryDelay);
         else
             end = lost();
         const auto onEnd = m_listener.onEnd;
@@ -133,15 +152,14 @@
         return end;
     }
 
-    /// An error response from an engine guarantees that the request was not run.
-    RunEnd refused() const
+    /// @return the code in the body of an error response, or "".
+    std::string errorCode() const
     {
         const auto json = nlohmann::json::parse(m_errorBody, nullptr, false);
         const nlohmann::json::json_pointer pointer("/error/code");
-        std::string code(refusal::upstreamRefused);
-        if (json.is_object() && json.contains(pointer) && json[pointer].is_string())
-            code = json[pointer].get<std::string>();
-        return refusedRun(m_request.stream, code, statusUnavailable, retryDelay);
+        if (!json.is_object() || !json.contains(pointer) || !json[pointer].is_string())
+            return "";
+        return json[pointer].get<std::string>();
     }
 
     RunEnd lost() const
--- a/src/daemon/engine_run_test.cc
+++ b/src/daemon/engine_run_test.cc
@@ -15,6 +15,18 @@
     return "data: {\"token_index\":" + std::to_string(index) + ",\"text\":\"" + text + "\"}\n\n";
 }
 
+std::string errorBody(const std::string& code)
+{
+    return R"({"error":{"code":")" + code + R"(","message":"text"}})";
+}
+
+std::string errorAnswer(const std::string& status, const std::string& body)
+{
+    const std::string length
+        = status == "204" ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    return "HTTP/1.1 " + status + " Error\r\n" + length + "\r\n" + body;
+}
+
 struct Fixture : UpstreamRunFixture {
     /// Starts a run, and answers it with the bytes and the end of the connection.
     void answer(const std::string& answer, int64_t resumeFrom = 0)
@@ -92,4 +104,27 @@
     BOOST_TEST((end->outcome == Outcome::Answered));
 }
 
+// Guards against telling callers "not run" for requests of which the engine has not said so.
+BOOST_AUTO_TEST_CASE(OnlyStatedRefusalsAreNotRun)
+{
+    const std::pair<const char*, const char*> refusals[] = { { "400", "invalid_request" },
+        { "404", "adapter_not_resident" }, { "429", "queue_full" }, { "503", "not_ready" } };
+    for (const auto& [status, code] : refusals) {
+        answer(errorAnswer(status, errorBody(code)));
+        BOOST_TEST((end->outcome == Outcome::RefusedNotRun), status);
+        BOOST_TEST(end->code == code);
+    }
+    const std::pair<const char*, std::string> others[] = { { "500", errorBody("adapter_evicted") },
+        { "500", errorBody("queue_full") }, { "503", errorBody("overloaded") }, { "503", "" },
+        { "502", "<html>Bad Gateway</html>" }, { "404", "{}" }, { "204", "" } };
+    for (const auto& [status, body] : others) {
+        BOOST_TEST_CONTEXT(status << " " << body)
+        {
+            answer(errorAnswer(status, body));
+            BOOST_TEST((end->outcome == Outcome::Unknown));
+            BOOST_TEST(end->code == refusal::upstreamLost);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
