Take only answers that name their call for answers (daemon)

Callers of lacewinglbd would be told refused_not_run for requests that run, or get an earlier answer for theirs, where an upstream writes an earlier answer once more on a kept connection before it runs the next request. The entry also sends such a request to a further upstream, so calls that may run once only could run twice.

Cause: EngineRun and ServiceRun took whatever came first on a kept connection for the answer to their request; nothing in an answer says which request it is to.

AnswersOfTheSameConnectionMustNameTheCall covers upstreams that name calls, and answers that name another one.

Each attempt sends a unique Lacewing-Call-Id, and the answer must name it; only the first answer on a connection may lack it. Any other answer leaves the outcome unknown, and its connection is closed. The request_id is no such id: it stays the same when a request is repeated. The stand-ins name the call in each answer.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -110,7 +110,8 @@
           loop, m_settings.dataCentre,
           [this](const UpstreamId& upstream) { return m_member.leases().holderOf(leaseNameOf(upstream)); },
           seedOf(m_settings, m_incarnation) + 2)
-    , m_owners({ loop, *m_client, m_network, m_metrics }, m_loadLimiter,
+    , m_callIds(m_settings.host.value() + "-" + std::to_string(m_incarnation.value()))
+    , m_owners({ loop, *m_client, m_network, m_metrics, m_callIds }, m_loadLimiter,
           { [this](const UpstreamId& upstream, Duration margin) {
                return m_member.leases().mayAct(leaseNameOf(upstream), margin);
            },
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -15,6 +15,7 @@
 #include "daemon/peer_network.h"
 #include "daemon/quota_service.h"
 #include "daemon/settings.h"
+#include "protocol/call_ids.h"
 #include "protocol/configuration_codec.h"
 #include "protocol/http_object_store.h"
 #include "protocol/http_table_service.h"
@@ -88,6 +89,7 @@
     QuotaService m_quota;
     FleetLoadLimiter m_loadLimiter;
     UpstreamRouter m_router;
+    CallIds m_callIds;
     OwnerService m_owners;
     EntryService m_entries;
     std::unique_ptr<class DaemonHttp> m_http;
--- a/src/daemon/engine_owner.cc
+++ b/src/daemon/engine_owner.cc
@@ -122,7 +122,8 @@
 std::unique_ptr<UpstreamRun> EngineOwner::makeRun(const RunRequest& request, UpstreamRun::Listener listener)
 {
     const UpstreamTarget target { config().id, m_address,
-        m_residency.nameOf({ request.adapter, request.version }), upstreamProgressTimeout };
+        m_residency.nameOf({ request.adapter, request.version }), upstreamProgressTimeout,
+        context().callIds.next() };
     return makeEngineRun(context().client, target, request, std::move(listener));
 }
 
--- a/src/daemon/engine_run.cc
+++ b/src/daemon/engine_run.cc
@@ -1,5 +1,6 @@
 #include "daemon/flow_window.h"
 #include "daemon/upstream_run.h"
+#include "protocol/call_ids.h"
 #include "protocol/completion_request.h"
 #include "state/refusal.h"
 
@@ -62,12 +63,14 @@
         request.method = "POST";
         request.target = enginePath(m_request);
         request.headers.add("Content-Type", "application/json");
+        request.headers.add(callIdField, m_target.callId);
         request.body = buildEngineBody(m_request.body, m_target.residentName, m_request.requestId.value(),
             priorityOf(m_request.requestClass), m_request.resumeFrom, m_request.workspace)
                            .value_or("{}");
         request.progressTimeout = m_target.progressTimeout;
         HttpClientHandlers handlers;
-        handlers.onHeaders = [this](int status, const HttpHeaders&) { m_status = status; };
+        handlers.onHeaders
+            = [this](int status, const HttpHeaders& headers) { receiveHeaders(status, headers); };
         handlers.onBody = [this](std::string_view bytes) { receive(bytes); };
         handlers.onDone = [this](const HttpClientResult& result) { finish(result); };
         m_call = m_client.send(std::move(request), std::move(handlers));
@@ -76,20 +79,32 @@
     void addWindow(int64_t bytes) override { m_window.add(bytes, m_call.get()); }
 
 private:
+    void receiveHeaders(int status, const HttpHeaders& headers)
+    {
+        m_status = status;
+        if (!isAnswerToCall(headers, m_target.callId, *m_call))
+            abandonAnswer();
+    }
+
     void receive(std::string_view bytes)
     {
+        if (m_isUnusable)
+            return;
         if (m_status != statusOk) {
             m_errorBody += bytes.substr(
                 0, maximumErrorBodyBytes - std::min(maximumErrorBodyBytes, m_errorBody.size()));
             return;
         }
-        if (m_isCorrupt)
-            return;
         const auto tokens = m_parser.feed(bytes);
-        if (!tokens || !relay(*tokens)) {
-            m_isCorrupt = true;
-            m_call->cancel();
-        }
+        if (!tokens || !relay(*tokens))
+            abandonAnswer();
+    }
+
+    /// Closes the connection, whose further bytes can't be told from those of other answers.
+    void abandonAnswer()
+    {
+        m_isUnusable = true;
+        m_call->cancel();
     }
 
     /// Forwards tokens to the listener, skipping those that the caller already has.
@@ -136,7 +151,7 @@
     bool isWhole() const
     {
         const auto& finish = m_parser.finish();
-        return m_status == statusOk && !m_isCorrupt && finish
+        return m_status == statusOk && !m_isUnusable && finish
             && finish->generatedTokens.value() == m_nextToken;
     }
 
@@ -181,7 +196,8 @@
     int64_t m_nextToken;
     FlowWindow m_window;
     int m_status = 0;
-    bool m_isCorrupt = false;
+    /// Whether the answer is malformed, or the answer to another call.
+    bool m_isUnusable = false;
     std::string m_errorBody;
     EngineStreamParser m_parser;
     // Declared last, so that it is destroyed before the members that its callbacks use.
--- a/src/daemon/engine_run_test.cc
+++ b/src/daemon/engine_run_test.cc
@@ -1,6 +1,8 @@
 #include "daemon/upstream_run_fixture_test.h"
 #include "state/refusal.h"
 
+#include <sstream>
+
 using namespace lacewing;
 
 namespace {
@@ -127,4 +129,51 @@
     }
 }
 
+// Guards against taking an earlier refusal that the engine sends once more for the answer to the next
+// request, which runs.
+BOOST_AUTO_TEST_CASE(EarlierRefusalOnceMoreIsNoAnswer)
+{
+    const std::string refused = errorAnswer("429", errorBody("queue_full"));
+    start(makeEngineRun);
+    accept().send(refused);
+    finish();
+    BOOST_TEST((end->outcome == Outcome::RefusedNotRun));
+    start(makeEngineRun);
+    accept(0, 2).send(refused + streamHead + tokenEvent(0, "a") + finishEvent);
+    finish();
+    BOOST_TEST((end->outcome == Outcome::Unknown));
+    BOOST_TEST(bytes == "");
+    runUntil(loop, [this] { return server.peers[0]->isClosed(); });
+}
+
+// Guards against rejecting the answers of an engine that names the call in each, and against taking one that
+// names another call.
+BOOST_AUTO_TEST_CASE(AnswersOfTheSameConnectionMustNameTheCall)
+{
+    const std::string stream = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string events = tokenEvent(0, "a") + tokenEvent(1, "b") + finishEvent;
+    std::ostringstream chunk;
+    chunk << std::hex << events.size() << "\r\n" << events << "\r\n0\r\n\r\n";
+    start(makeEngineRun);
+    const std::string refused = named(errorAnswer("429", errorBody("queue_full")), callId);
+    accept().send(refused);
+    finish();
+    BOOST_TEST((end->outcome == Outcome::RefusedNotRun));
+    start(makeEngineRun);
+    const std::string answered = named(stream, callId) + chunk.str();
+    accept(0, 2).send(answered);
+    finish();
+    BOOST_TEST((end->outcome == Outcome::Answered));
+    size_t requests = 2;
+    size_t connection = 0;
+    for (const std::string& earlier : { refused, answered }) {
+        start(makeEngineRun);
+        accept(connection++, ++requests).send(earlier);
+        requests = 0;
+        finish();
+        BOOST_TEST((end->outcome == Outcome::Unknown));
+        BOOST_TEST(bytes == "");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/daemon/service_owner.cc
+++ b/src/daemon/service_owner.cc
@@ -14,7 +14,8 @@
 
 std::unique_ptr<UpstreamRun> ServiceOwner::makeRun(const RunRequest& request, UpstreamRun::Listener listener)
 {
-    const UpstreamTarget target { config().id, m_address, "", upstreamProgressTimeout };
+    const UpstreamTarget target { config().id, m_address, "", upstreamProgressTimeout,
+        context().callIds.next() };
     return makeServiceRun(context().client, target, request, std::move(listener));
 }
 
--- a/src/daemon/service_run.cc
+++ b/src/daemon/service_run.cc
@@ -1,5 +1,6 @@
 #include "daemon/flow_window.h"
 #include "daemon/upstream_run.h"
+#include "protocol/call_ids.h"
 #include "state/refusal.h"
 
 namespace lacewing {
@@ -33,18 +34,15 @@
         request.target = m_request.path;
         request.headers.add("Content-Type", m_request.contentType);
         request.headers.add("Lacewing-Workspace", m_request.workspace.value());
+        request.headers.add(callIdField, m_target.callId);
         if (!m_request.requestId.empty())
             request.headers.add("Idempotency-Key", m_request.requestId.value());
         request.body = m_request.body;
         request.progressTimeout = m_target.progressTimeout;
         request.maximumIdleAge = m_request.repeatable ? repeatableIdleAge : nonRepeatableIdleAge;
         HttpClientHandlers handlers;
-        handlers.onHeaders = [this](int status, const HttpHeaders& headers) {
-            m_status = status;
-            m_contentType = headers.find("Content-Type").value_or("application/octet-stream");
-            m_isNotRun = headers.find("Lacewing-Not-Run") == "1"
-                && (status == statusTooManyRequests || status == statusUnavailable);
-        };
+        handlers.onHeaders
+            = [this](int status, const HttpHeaders& headers) { receiveHeaders(status, headers); };
         handlers.onBody = [this](std::string_view bytes) { receive(bytes); };
         handlers.onDone = [this](const HttpClientResult& result) { finish(result); };
         m_call = m_client.send(std::move(request), std::move(handlers));
@@ -53,6 +51,18 @@
     void addWindow(int64_t bytes) override { m_window.add(bytes, m_call.get()); }
 
 private:
+    void receiveHeaders(int status, const HttpHeaders& headers)
+    {
+        if (!isAnswerToCall(headers, m_target.callId, *m_call)) {
+            m_call->cancel();
+            return;
+        }
+        m_status = status;
+        m_contentType = headers.find("Content-Type").value_or("application/octet-stream");
+        m_isNotRun = headers.find("Lacewing-Not-Run") == "1"
+            && (status == statusTooManyRequests || status == statusUnavailable);
+    }
+
     void receive(std::string_view bytes)
     {
         if (m_isNotRun)
--- /dev/null
+++ b/src/daemon/service_run_test.cc
@@ -0,0 +1,59 @@
+#include "daemon/upstream_run_fixture_test.h"
+#include "state/refusal.h"
+
+using namespace lacewing;
+
+namespace {
+
+const std::string refused
+    = "HTTP/1.1 503 Unavailable\r\nLacewing-Not-Run: 1\r\nContent-Length: 7\r\n\r\nnot run";
+const std::string answered = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ServiceRunTest, UpstreamRunFixture)
+
+// Guards against taking an earlier answer that the service sends once more for the answer to the next
+// request, which runs.
+BOOST_AUTO_TEST_CASE(EarlierAnswerOnceMoreIsNoAnswer)
+{
+    for (const std::string& earlier : { refused, answered }) {
+        BOOST_TEST_CONTEXT(earlier)
+        {
+            const size_t connection = server.peers.size();
+            start(makeServiceRun);
+            accept(connection).send(earlier);
+            finish();
+            BOOST_TEST((end->outcome != Outcome::Unknown));
+            start(makeServiceRun);
+            accept(connection, 2).send(earlier + answered);
+            finish();
+            BOOST_TEST((end->outcome == Outcome::Unknown));
+            BOOST_TEST(end->code == refusal::upstreamLost);
+            BOOST_TEST(bytes == "");
+            runUntil(loop, [&] { return server.peers[connection]->isClosed(); });
+        }
+    }
+}
+
+// Guards against rejecting the answers of a service that names the call in each, and against taking one that
+// names another call.
+BOOST_AUTO_TEST_CASE(AnswersOfTheSameConnectionMustNameTheCall)
+{
+    start(makeServiceRun);
+    const std::string earlier = named(refused, callId);
+    accept().send(earlier);
+    finish();
+    BOOST_TEST((end->outcome == Outcome::RefusedNotRun));
+    start(makeServiceRun);
+    accept(0, 2).send(named(answered, callId));
+    finish();
+    BOOST_TEST((end->outcome == Outcome::Answered));
+    BOOST_TEST(bytes == "done");
+    start(makeServiceRun);
+    accept(0, 3).send(earlier);
+    finish();
+    BOOST_TEST((end->outcome == Outcome::Unknown));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/daemon/upstream_owner.h
+++ b/src/daemon/upstream_owner.h
@@ -4,6 +4,7 @@
 #include "base/scheduler.h"
 #include "coordination/request_queue.h"
 #include "daemon/upstream_run.h"
+#include "protocol/call_ids.h"
 #include "state/configuration.h"
 #include "state/peer_messages.h"
 #include "transport/http_client.h"
@@ -21,6 +22,7 @@
     HttpClient& client;
     PeerMessenger& peers;
     MetricsRegistry& metrics;
+    CallIds& callIds;
 };
 
 /// Dispatches the whole fleet's requests to one upstream while this daemon holds the upstream's lease.
--- a/src/daemon/upstream_owner_test.cc
+++ b/src/daemon/upstream_owner_test.cc
@@ -108,10 +108,11 @@
     UnusedHttpClient client;
     RecordingMessenger messenger;
     MetricsRegistry metrics;
+    CallIds callIds { "host" };
     bool leaseIsValid = true;
     std::map<StreamId, ManualRun*> runs;
-    ManualOwner owner { { scheduler, client, messenger, metrics }, [this](Duration) { return leaseIsValid; },
-        runs };
+    ManualOwner owner { { scheduler, client, messenger, metrics, callIds },
+        [this](Duration) { return leaseIsValid; }, runs };
 };
 
 } // namespace
--- a/src/daemon/upstream_run.h
+++ b/src/daemon/upstream_run.h
@@ -42,6 +42,8 @@
     std::string residentName;
     /// Longest time without received bytes.
     Duration progressTimeout = upstreamProgressTimeout;
+    /// Unique id of this run, which its answer names.
+    std::string callId;
 };
 
 /// @return a run on a model engine. The client must outlive the run.
--- a/src/daemon/upstream_run_fixture_test.h
+++ b/src/daemon/upstream_run_fixture_test.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/upstream_run.h"
+#include "protocol/call_ids.h"
 #include "transport/http_test_support.h"
 
 #include <algorithm>
@@ -22,6 +23,8 @@
         end.reset();
         UpstreamTarget target;
         target.address = server.address();
+        callId = "call-" + std::to_string(++m_calls);
+        target.callId = callId;
         RunRequest request;
         request.stream = StreamId(1);
         request.method = "POST";
@@ -46,6 +49,14 @@
         return *server.peers[connection];
     }
 
+    /// @return the answer with a header field that names a call.
+    static std::string named(const std::string& answer, const std::string& call)
+    {
+        const size_t headersStart = answer.find("\r\n") + 2;
+        return answer.substr(0, headersStart) + callIdField + ": " + call + "\r\n"
+            + answer.substr(headersStart);
+    }
+
     void finish()
     {
         runUntil(loop, [this] { return end.has_value(); });
@@ -54,6 +65,8 @@
     EventLoop loop;
     RawServer server { loop };
     std::unique_ptr<HttpClient> client = HttpClient::create(loop);
+    /// Id of the run.
+    std::string callId;
     /// What the run has passed on.
     std::string bytes;
     std::optional<RunEnd> end;
@@ -68,6 +81,8 @@
             ++count;
         return count;
     }
+
+    int m_calls = 0;
 };
 
 } // namespace lacewing
--- a/src/fakes/engine_http.cc
+++ b/src/fakes/engine_http.cc
@@ -1,6 +1,7 @@
 #include "fakes/engine_http.h"
 
 #include "fakes/json_fields.h"
+#include "fakes/named_exchange.h"
 
 #include <utility>
 
@@ -101,8 +102,9 @@
     m_metrics.counter("loads") = 0;
 }
 
-void EngineHttp::handle(const std::shared_ptr<HttpExchange>& exchange)
+void EngineHttp::handle(const std::shared_ptr<HttpExchange>& unnamed)
 {
+    const auto exchange = std::make_shared<NamedExchange>(unnamed);
     m_metrics.counter("forbidden_text_seen") += m_forbidden.countIn(*exchange);
     const std::string call = exchange->method() + " " + exchange->path();
     if (call == "POST /v1/completions")
--- a/src/fakes/engine_http_test.cc
+++ b/src/fakes/engine_http_test.cc
@@ -68,6 +68,22 @@
     BOOST_TEST(whole["finish_reason"] == last["finish_reason"]);
 }
 
+// Guards against answers on a kept connection that can't be told from the answers to earlier calls.
+BOOST_AUTO_TEST_CASE(AnswersNameTheCall)
+{
+    const auto idOfAnswer = [&](const std::string& target, const std::string& body, const std::string& id) {
+        HttpClientRequest made = request("POST", target, body);
+        made.headers.add("Lacewing-Call-Id", id);
+        return call(made).headers.find("Lacewing-Call-Id").value_or("");
+    };
+    const std::string completion = R"({"model":"a@1#1","prompt":"x","max_tokens":2,"stream":true})";
+    BOOST_TEST(idOfAnswer("/v1/completions", completion, "1") == "1");
+    BOOST_TEST(idOfAnswer("/admin/adapters/load", loadOrder, "2") == "2");
+    BOOST_TEST(idOfAnswer("/v1/completions", completion, "3") == "3");
+    BOOST_TEST(idOfAnswer("/v1/completions", R"({"model":"a@1#1","prompt":"x","max_tokens":2})", "4") == "4");
+    BOOST_TEST(call("GET", "/admin/status").headers.count("Lacewing-Call-Id") == 0u);
+}
+
 // Guards against a crash by a malformed body, and a request that runs although it is invalid.
 BOOST_AUTO_TEST_CASE(MalformedCallsAreRefused)
 {
--- a/src/fakes/service_http.cc
+++ b/src/fakes/service_http.cc
@@ -2,6 +2,7 @@
 
 #include "fakes/content_hash.h"
 #include "fakes/json_fields.h"
+#include "fakes/named_exchange.h"
 
 #include <utility>
 
@@ -49,8 +50,9 @@
     return m_random.chance(m_closeAfter) ? Fate::CloseAfter : Fate::Answered;
 }
 
-void ServiceHttp::handle(const std::shared_ptr<HttpExchange>& exchange)
+void ServiceHttp::handle(const std::shared_ptr<HttpExchange>& unnamed)
 {
+    const auto exchange = std::make_shared<NamedExchange>(unnamed);
     m_metrics.counter("forbidden_text_seen") += m_forbidden.countIn(*exchange);
     if (exchange->method() == "GET" && exchange->path() == "/runs")
         return exchange->reply(200, jsonHeaders(), toText(m_runs.show()));
--- a/src/fakes/service_http_test.cc
+++ b/src/fakes/service_http_test.cc
@@ -62,6 +62,17 @@
     BOOST_TEST(runs()["total"] == 1);
 }
 
+// Guards against answers on a kept connection that can't be told from the answers to earlier calls.
+BOOST_AUTO_TEST_CASE(AnswersNameTheCall)
+{
+    for (const char* share : { "0", "1" }) {
+        call("POST", "/control", std::string(R"({"refuse_not_run":)") + share + "}");
+        HttpClientRequest made = request("POST", "/bookings", "{}");
+        made.headers.add("Lacewing-Call-Id", share);
+        BOOST_TEST(call(made).headers.find("Lacewing-Call-Id").value_or("") == share);
+    }
+}
+
 // Guards against a silent call that is answered, or that runs although it went silent before the run.
 BOOST_AUTO_TEST_CASE(SilentCallsGetNoAnswer)
 {
