Don't take the end of a connection for the end of a service's answer (daemon)

Callers of lacewinglbd would get a part of a service's answer as the whole one, and each repeat of a call that may run once only would get the stored part again, where the answer has neither a length nor chunks and the service's process ends inside it.

Cause: the end of the connection ends such an answer, and the operating system closes the connections of a process that ends in the same orderly way, so ServiceRun took a part for an answer.

Evidence: ServiceRunTest/EndOfTheConnectionIsNoEndOfAnAnswer, the answer without a length fails before and passes now; answers with a length or chunks that break off ended as unknown before, too.

--- a/src/daemon/service_run.cc
+++ b/src/daemon/service_run.cc
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr int statusNoContent = 204;
+constexpr int statusNotModified = 304;
 constexpr int statusTooManyRequests = 429;
 constexpr int statusBadGateway = 502;
 constexpr int statusUnavailable = 503;
@@ -58,6 +60,10 @@
             return;
         }
         m_status = status;
+        const bool hasNoBody
+            = m_request.method == "HEAD" || status == statusNoContent || status == statusNotModified;
+        m_hasMarkedEnd
+            = hasNoBody || headers.count("Content-Length") > 0 || headers.count("Transfer-Encoding") > 0;
         m_contentType = headers.find("Content-Type").value_or("application/octet-stream");
         m_isNotRun = headers.find("Lacewing-Not-Run") == "1"
             && (status == statusTooManyRequests || status == statusUnavailable);
@@ -83,9 +89,10 @@
             end = refusedRun(m_request.stream, refusal::upstreamRefused, m_status, retryDelay);
         } else {
             end.stream = m_request.stream;
-            end.outcome = result.error ? Outcome::Unknown : Outcome::Answered;
-            end.code = result.error ? refusal::upstreamLost : std::string_view();
-            end.status = result.error ? statusBadGateway : m_status;
+            const bool isWhole = !result.error && m_hasMarkedEnd;
+            end.outcome = isWhole ? Outcome::Answered : Outcome::Unknown;
+            end.code = isWhole ? std::string_view() : refusal::upstreamLost;
+            end.status = isWhole ? m_status : statusBadGateway;
             end.contentType = m_contentType;
         }
         const auto onEnd = m_listener.onEnd;
@@ -99,6 +106,9 @@
     FlowWindow m_window;
     int m_status = 0;
     bool m_isNotRun = false;
+    /// Whether the answer itself says where it ends. A process that ends closes its connections in an orderly
+    /// way, so the end of the connection doesn't tell a whole answer from a part.
+    bool m_hasMarkedEnd = false;
     std::string m_contentType;
     // Declared last, so that it is destroyed before the members that its callbacks use.
     std::unique_ptr<HttpClientCall> m_call;
--- a/src/daemon/service_run_test.cc
+++ b/src/daemon/service_run_test.cc
@@ -56,4 +56,22 @@
     BOOST_TEST((end->outcome == Outcome::Unknown));
 }
 
+// Guards against passing on, and storing, a part of an answer as the whole one. A service process that ends
+// closes its connections in an orderly way.
+BOOST_AUTO_TEST_CASE(EndOfTheConnectionIsNoEndOfAnAnswer)
+{
+    for (const char* head : { "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", "" }) {
+        BOOST_TEST_CONTEXT(head)
+        {
+            const size_t connection = server.peers.size();
+            start(makeServiceRun);
+            RawPeer& peer = accept(connection);
+            peer.send(std::string("HTTP/1.1 200 OK\r\n") + head + "\r\n4\r\n");
+            peer.close();
+            finish();
+            BOOST_TEST((end->outcome == Outcome::Unknown));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
