Name the daemon's control calls, so that no earlier answer counts for them

Callers of lacewinglbd would see a booking run twice, or streams that are cut by an eviction, where the table or an engine writes an earlier answer once more on a kept connection: a claim or lease that was not written counted as written, so two hosts held it; an unload counted as done, so that the adapter was loaded again and then evicted by the late order while requests ran on it; an earlier status counted as the present one.

Cause: the daemon took any 200 for the answer to its order or commit, also that of another kind of call, and nothing in the answer says which call it is to. Write ids and fencing numbers catch a write that is repeated or late, not an answer.

HttpCallSet names calls like those of requests, where its port asks for it. A foreign answer ends the call as one whose answer was lost, which the ports already treat as unknown: commits are read back by their write id, orders are checked against a status.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -85,8 +85,9 @@
     , m_settings(std::move(settings))
     , m_incarnation(makeIncarnation())
     , m_client(HttpClient::create(loop))
-    , m_tableService(*m_client, m_settings.platformAddress, m_metrics)
-    , m_objectStore(*m_client, m_settings.platformAddress)
+    , m_callIds(m_settings.host.value() + "-" + std::to_string(m_incarnation.value()))
+    , m_tableService(*m_client, m_callIds, m_settings.platformAddress, m_metrics)
+    , m_objectStore(*m_client, m_callIds, m_settings.platformAddress)
     , m_network(loop, m_metrics, m_settings.host,
           { [this](const HostId& peer, const PeerMessage& message) { received(peer, message); },
               [this](const HostId& peer) { m_member.connected(peer); },
@@ -110,7 +111,6 @@
           loop, m_settings.dataCentre,
           [this](const UpstreamId& upstream) { return m_member.leases().holderOf(leaseNameOf(upstream)); },
           seedOf(m_settings, m_incarnation) + 2)
-    , m_callIds(m_settings.host.value() + "-" + std::to_string(m_incarnation.value()))
     , m_owners({ loop, *m_client, m_network, m_metrics, m_callIds }, m_loadLimiter,
           { [this](const UpstreamId& upstream, Duration margin) {
                return m_member.leases().mayAct(leaseNameOf(upstream), margin);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -74,6 +74,7 @@
     Incarnation m_incarnation;
     MetricsRegistry m_metrics;
     std::unique_ptr<HttpClient> m_client;
+    CallIds m_callIds;
     HttpTableService m_tableService;
     HttpObjectStore m_objectStore;
     ConfigurationCodec m_codec;
@@ -89,7 +90,6 @@
     QuotaService m_quota;
     FleetLoadLimiter m_loadLimiter;
     UpstreamRouter m_router;
-    CallIds m_callIds;
     OwnerService m_owners;
     EntryService m_entries;
     std::unique_ptr<class DaemonHttp> m_http;
--- a/src/daemon/engine_owner.cc
+++ b/src/daemon/engine_owner.cc
@@ -77,7 +77,7 @@
     , m_fencingNumber(fencingNumber)
     , m_loadLimiter(loadLimiter)
     , m_superseded(std::move(superseded))
-    , m_engine(context.client, m_address)
+    , m_engine(context.client, context.callIds, m_address)
     , m_residency(residencyOptions(config, fencingNumber),
           std::make_unique<CostAwareEviction>(CostAwareEviction::Options()))
 {
--- a/src/fakes/platform_http.cc
+++ b/src/fakes/platform_http.cc
@@ -1,5 +1,7 @@
 #include "fakes/platform_http.h"
 
+#include "fakes/named_exchange.h"
+
 #include <utility>
 
 namespace lacewing {
@@ -54,8 +56,9 @@
         faults.addProbability(service.name + ".lose_answers", service.loseAnswers);
 }
 
-void PlatformHttp::handle(const std::shared_ptr<HttpExchange>& exchange)
+void PlatformHttp::handle(const std::shared_ptr<HttpExchange>& unnamed)
 {
+    const auto exchange = std::make_shared<NamedExchange>(unnamed);
     const std::string& path = exchange->path();
     const std::string& method = exchange->method();
     if (method == "POST" && path.compare(0, 7, "/table/") == 0)
--- a/src/fakes/platform_http_test.cc
+++ b/src/fakes/platform_http_test.cc
@@ -44,6 +44,16 @@
     BOOST_TEST(call("POST", "/table/list", R"({"prefix":""})").body == R"({"rows":[]})");
 }
 
+// Guards against answers on a kept connection that can't be told from the answers to earlier calls.
+BOOST_AUTO_TEST_CASE(AnswersNameTheCall)
+{
+    for (const char* id : { "committed", "conflict" }) {
+        HttpClientRequest made = request("POST", "/table/commit", commitA);
+        made.headers.add("Lacewing-Call-Id", id);
+        BOOST_TEST(call(made).headers.find("Lacewing-Call-Id").value_or("") == id);
+    }
+}
+
 // Guards against a crash, or a write, by a malformed body.
 BOOST_AUTO_TEST_CASE(MalformedCallsAreRefused)
 {
--- a/src/protocol/engine_client.cc
+++ b/src/protocol/engine_client.cc
@@ -78,8 +78,8 @@
     return "invalid";
 }
 
-EngineClient::EngineClient(HttpClient& client, SocketAddress engine)
-    : m_calls(client)
+EngineClient::EngineClient(HttpClient& client, CallIds& callIds, SocketAddress engine)
+    : m_calls(client, &callIds)
     , m_engine(std::move(engine))
 {
 }
--- a/src/protocol/engine_client.h
+++ b/src/protocol/engine_client.h
@@ -31,8 +31,8 @@
     using StatusCallback = std::function<void(const std::optional<EngineStatus>& status)>;
     using OrderCallback = std::function<void(std::optional<EngineOrderError> error)>;
 
-    /// @param client must outlive the object.
-    EngineClient(HttpClient& client, SocketAddress engine);
+    /// @param client, callIds must outlive the object.
+    EngineClient(HttpClient& client, CallIds& callIds, SocketAddress engine);
 
     /// Reads the engine's status; nothing if it does not answer.
     void readStatus(StatusCallback callback);
--- a/src/protocol/http_call_set.cc
+++ b/src/protocol/http_call_set.cc
@@ -7,6 +7,14 @@
     const uint64_t id = m_nextCall++;
     Call& call = *m_calls.emplace(id, std::make_unique<Call>()).first->second;
     HttpClientHandlers handlers;
+    if (m_callIds) {
+        const std::string callId = m_callIds->next();
+        request.headers.add(callIdField, callId);
+        handlers.onHeaders = [&call, callId](int, const HttpHeaders& headers) {
+            if (!isAnswerToCall(headers, callId, *call.call))
+                call.call->cancel();
+        };
+    }
     handlers.onBody = [&call](std::string_view bytes) { call.body += bytes; };
     handlers.onDone = [this, id, callback = std::move(callback)](const HttpClientResult& result) {
         const auto node = m_calls.extract(id);
--- a/src/protocol/http_call_set.h
+++ b/src/protocol/http_call_set.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "protocol/call_ids.h"
 #include "transport/http_client.h"
 
 #include <cstdint>
@@ -18,8 +19,12 @@
     using Callback = std::function<void(const HttpClientResult& result, std::string& body)>;
 
     /// @param client must outlive the set.
-    explicit HttpCallSet(HttpClient& client)
+    /// @param callIds names the calls, so that an earlier answer that comes once more is not taken for
+    /// theirs; such a call fails as cancelled. Must outlive the set. Null if the server doesn't name calls in
+    /// its answers.
+    explicit HttpCallSet(HttpClient& client, CallIds* callIds = nullptr)
         : m_client(client)
+        , m_callIds(callIds)
     {
     }
 
@@ -32,6 +37,7 @@
     };
 
     HttpClient& m_client;
+    CallIds* m_callIds;
     uint64_t m_nextCall = 1;
     std::map<uint64_t, std::unique_ptr<Call>> m_calls;
 };
--- a/src/protocol/http_object_store.cc
+++ b/src/protocol/http_object_store.cc
@@ -12,8 +12,8 @@
 
 } // namespace
 
-HttpObjectStore::HttpObjectStore(HttpClient& client, SocketAddress server)
-    : m_calls(client)
+HttpObjectStore::HttpObjectStore(HttpClient& client, CallIds& callIds, SocketAddress server)
+    : m_calls(client, &callIds)
     , m_server(std::move(server))
 {
 }
--- a/src/protocol/http_object_store.h
+++ b/src/protocol/http_object_store.h
@@ -8,8 +8,8 @@
 /// The platform's object store over the HTTP protocol of docs/upstream-protocol.md.
 class HttpObjectStore : public ObjectStore {
 public:
-    /// @param client must outlive the store.
-    HttpObjectStore(HttpClient& client, SocketAddress server);
+    /// @param client, callIds must outlive the store.
+    HttpObjectStore(HttpClient& client, CallIds& callIds, SocketAddress server);
 
     void fetch(ContentHash hash, FetchCallback callback) override;
     void store(ContentHash hash, std::string content, StoreCallback callback) override;
--- a/src/protocol/http_table_service.cc
+++ b/src/protocol/http_table_service.cc
@@ -42,8 +42,9 @@
 
 } // namespace
 
-HttpTableService::HttpTableService(HttpClient& client, SocketAddress server, MetricsRegistry& metrics)
-    : m_calls(client)
+HttpTableService::HttpTableService(
+    HttpClient& client, CallIds& callIds, SocketAddress server, MetricsRegistry& metrics)
+    : m_calls(client, &callIds)
     , m_server(std::move(server))
     , m_metrics(metrics)
 {
--- a/src/protocol/http_table_service.h
+++ b/src/protocol/http_table_service.h
@@ -10,9 +10,9 @@
 /// callers of the port decide that, since a repeated commit needs its conditions checked anew.
 class HttpTableService : public TableService {
 public:
-    /// @param client, metrics must outlive the service.
+    /// @param client, callIds, metrics must outlive the service.
     /// @param server address of the platform.
-    HttpTableService(HttpClient& client, SocketAddress server, MetricsRegistry& metrics);
+    HttpTableService(HttpClient& client, CallIds& callIds, SocketAddress server, MetricsRegistry& metrics);
 
     void read(std::vector<std::string> keys, RowsCallback callback) override;
     void list(std::string prefix, RowsCallback callback) override;
