Count an answer that ends inside an event as wrong (replay)

The replay counted a stream as answered, or as cut off in an honest way, where the daemon ended its answer in an orderly way inside an event or wrote other text after the last one. It would not have shown the failure that callers of the gateway saw.

Cause: AnswerReader left the bytes after the last whole event unread.

Evidence: AnswerReaderTest/PartOfAnEventIsWrong, 8 checks fail before and pass now.

The daemon sends whole events only, so bytes that are left at an orderly end are a fault; a connection that breaks is still unknown.

--- a/src/replay/answer_reader.cc
+++ b/src/replay/answer_reader.cc
@@ -136,6 +136,9 @@
 void AnswerReader::finishStream()
 {
     m_result.served = Tokens(m_request.promptTokens + receivedTokens());
+    // The daemon sends whole events only, so an orderly end inside one is a fault.
+    if (!m_buffer.empty())
+        return wrong("the answer ends inside an event");
     if (!m_isDone)
         return fail(m_lastEvent);
     if (!m_request.trace.stream)
--- a/src/replay/answer_reader_test.cc
+++ b/src/replay/answer_reader_test.cc
@@ -36,7 +36,10 @@
     }
 
     /// Streams the text as the daemon does, split into pieces.
-    RequestResult stream(const PreparedRequest& request, const std::string& text, bool finished)
+    ///
+    /// @param rest bytes after the last event.
+    RequestResult stream(
+        const PreparedRequest& request, const std::string& text, bool finished, const std::string& rest = "")
     {
         RequestResult result;
         AnswerReader reader(request, result);
@@ -48,6 +51,7 @@
             bytes += formatFinishEvents(identity, request.finishReason,
                 { Tokens(request.promptTokens), Tokens(request.completionTokens) });
         }
+        bytes += rest;
         for (const char byte : bytes)
             reader.receive({ &byte, 1 }, 1s);
         reader.finish(std::nullopt, false, 2s);
@@ -94,6 +98,17 @@
     BOOST_TEST(result.code == "stream_cut");
 }
 
+// Guards against counting a part of an event, which the daemon never sends before an orderly end, as answered
+// or cut.
+BOOST_AUTO_TEST_CASE(PartOfAnEventIsWrong)
+{
+    const PreparedRequest request = prepare("completions", "a");
+    for (const char* rest : { "d", "data: {", "data: [DONE]\n", "engine exhausted" }) {
+        BOOST_TEST((stream(request, request.text, true, rest).ending == RequestEnding::Wrong), rest);
+        BOOST_TEST((stream(request, request.text, false, rest).ending == RequestEnding::Wrong), rest);
+    }
+}
+
 // Guards against taking the answer to another call, or of a second run, for the right one.
 BOOST_AUTO_TEST_CASE(ChecksServiceAnswers)
 {
