Tell in the daemon's log of an answer that is to another call

Operators of lacewinglbd would see only upstream_lost for an upstream that doesn't name calls in its answers, or that writes earlier answers once more, and could not tell it from one whose connections break.

--- a/src/daemon/engine_run.cc
+++ b/src/daemon/engine_run.cc
@@ -1,3 +1,4 @@
+#include "base/log.h"
 #include "daemon/flow_window.h"
 #include "daemon/upstream_run.h"
 #include "protocol/call_ids.h"
@@ -82,8 +83,10 @@
     void receiveHeaders(int status, const HttpHeaders& headers)
     {
         m_status = status;
-        if (!isAnswerToCall(headers, m_target.callId, *m_call))
-            abandonAnswer();
+        if (isAnswerToCall(headers, m_target.callId, *m_call))
+            return;
+        logForeignAnswer(m_target, status);
+        abandonAnswer();
     }
 
     void receive(std::string_view bytes)
@@ -212,6 +215,11 @@
     return std::make_unique<EngineRun>(client, target, request, std::move(listener));
 }
 
+void logForeignAnswer(const UpstreamTarget& target, int status)
+{
+    LogEvent(LogLevel::Warning, "foreign_answer").with("upstream", target.upstream).with("status", status);
+}
+
 RunEnd refusedRun(StreamId stream, std::string_view code, int status, Duration retryAfter)
 {
     RunEnd end;
--- a/src/daemon/service_run.cc
+++ b/src/daemon/service_run.cc
@@ -56,6 +56,7 @@
     void receiveHeaders(int status, const HttpHeaders& headers)
     {
         if (!isAnswerToCall(headers, m_target.callId, *m_call)) {
+            logForeignAnswer(m_target, status);
             m_call->cancel();
             return;
         }
--- a/src/daemon/upstream_run.h
+++ b/src/daemon/upstream_run.h
@@ -54,6 +54,9 @@
 std::unique_ptr<UpstreamRun> makeServiceRun(HttpClient& client, const UpstreamTarget& target,
     const RunRequest& request, UpstreamRun::Listener listener);
 
+/// Logs that an answer was rejected because it is not certainly the answer to this run.
+void logForeignAnswer(const UpstreamTarget& target, int status);
+
 /// @return the end of a request that was not run on any upstream.
 RunEnd refusedRun(StreamId stream, std::string_view code, int status, Duration retryAfter);
 
