Check chunk sizes of answers before evhttp sees them

An answer of an upstream or of the store whose chunk size has a sign, 0x, spaces, a NUL or more than 16 digits was taken as a whole answer.

Cause: evhttp reads the size with strtoll, up to a space or a NUL.

HttpChunkCheck sees the body first, and evhttp gets only what comes before a fault. So the data before it is delivered as before, and the answer ends with InvalidAnswer. This replaces the check of the line end after a chunk, which HttpChunkCheck includes.

--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -56,8 +56,6 @@
         evbuffer* body = evhttp_request_get_input_buffer(request);
         const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(body, -1));
         from(self).acceptBody({ bytes, evbuffer_get_length(body) });
-        from(self).m_isAfterChunk = request->chunked != 0;
-        from(self).checkChunkEnd();
     }
 
     // Called before onEnd. The request has been freed.
@@ -87,9 +85,9 @@
     {
         void* self = nullptr;
         bufferevent_getcb(stream, nullptr, nullptr, nullptr, &self);
-        from(self).checkChunkEnd();
+        from(self).checkChunks();
         const EvhttpCallbacks& evhttp = from(self).m_evhttp;
-        if (evhttp.onRead && !from(self).m_hasBadChunk)
+        if (evhttp.onRead)
             evhttp.onRead(stream, evhttp.argument);
         from(self).evhttpRan();
     }
@@ -119,6 +117,7 @@
     {
         if (info->n_added > 0)
             from(self).noteProgress();
+        from(self).m_uncheckedBytes += info->n_added;
     }
 };
 
@@ -170,7 +169,7 @@
     m_held = Held();
     m_error.reset();
     m_hasHeaders = false;
-    m_isAfterChunk = false;
+    m_chunkCheck.reset();
     m_hasBadChunk = false;
     m_wasCutShort = false;
     m_endsWithConnection = false;
@@ -184,9 +183,7 @@
     m_exchange->isOnReusedConnection = !isNew;
     if (!isNew)
         bufferevent_set_timeouts(m_stream, nullptr, nullptr);
-    const size_t limit
-        = std::min<size_t>(m_exchange->request.maximumAnswerBytes, std::numeric_limits<ev_ssize_t>::max());
-    evhttp_connection_set_max_body_size(m_connection, static_cast<ev_ssize_t>(limit));
+    evhttp_connection_set_max_body_size(m_connection, maximumBodyBytes());
     errno = 0;
     m_isStarting = true;
     const bool isMade = makeRequest();
@@ -203,6 +200,12 @@
     noteProgress();
 }
 
+ev_ssize_t HttpClientConnection::maximumBodyBytes() const
+{
+    constexpr ev_ssize_t largest = std::numeric_limits<ev_ssize_t>::max();
+    return static_cast<ev_ssize_t>(std::min<size_t>(m_exchange->request.maximumAnswerBytes, largest));
+}
+
 void HttpClientConnection::buildRequest()
 {
     m_request = evhttp_request_new(Callbacks::onEnd, this);
@@ -272,15 +275,35 @@
     acceptBody(bytes);
 }
 
-// evhttp does not check the line end after a chunk, and would take what stands there for the next size.
-void HttpClientConnection::checkChunkEnd()
+// Runs inside evhttp, which has taken the head from the input but nothing after it.
+void HttpClientConnection::startChunkedBody()
+{
+    m_chunkCheck.emplace().reset(static_cast<uint64_t>(maximumBodyBytes()));
+    m_uncheckedBytes = evbuffer_get_length(bufferevent_get_input(m_stream));
+    checkChunks();
+}
+
+// evhttp takes sizes with a sign, a prefix or spaces, and anything for the line end after a chunk. It gets
+// only what comes before a fault.
+void HttpClientConnection::checkChunks()
 {
-    constexpr std::string_view lineEnd = "\r\n";
-    char bytes[lineEnd.size()];
-    if (!m_isAfterChunk || evbuffer_copyout(bufferevent_get_input(m_stream), bytes, sizeof(bytes)) < 2)
+    if (!m_chunkCheck || m_hasBadChunk)
+        return;
+    evbuffer* input = bufferevent_get_input(m_stream);
+    const size_t checkedBytes = evbuffer_get_length(input) - m_uncheckedBytes;
+    std::string_view bytes(
+        reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), evbuffer_get_length(input));
+    bytes.remove_prefix(checkedBytes);
+    const HttpChunkCheck::Result result = m_chunkCheck->check(bytes);
+    m_uncheckedBytes = 0;
+    if (result != HttpChunkCheck::Result::Failed)
         return;
-    m_isAfterChunk = false;
-    m_hasBadChunk = m_hasBadChunk || std::string_view(bytes, sizeof(bytes)) != lineEnd;
+    m_hasBadChunk = true;
+    // The end of the input is frozen outside of libevent's own reading, so it can't be cut off there.
+    std::string accepted(checkedBytes + m_chunkCheck->acceptedBytes(), '\0');
+    evbuffer_remove(input, accepted.data(), accepted.size());
+    evbuffer_drain(input, evbuffer_get_length(input));
+    evbuffer_prepend(input, accepted.data(), accepted.size());
 }
 
 void HttpClientConnection::connecting(int errorNumber)
@@ -371,6 +394,8 @@
         = m_exchange->request.method == "HEAD" || status == statusNoContent || status == statusNotModified;
     m_endsWithConnection = !hasNoBody && !framing->chunked && !framing->contentLength;
     m_isReusable = !framing->closes && !m_wasCutShort && !m_endsWithConnection;
+    if (framing->chunked && !hasNoBody)
+        startChunkedBody();
     if (m_exchange->isPaused) {
         m_held.status = status;
         m_held.headers = std::move(*headers);
@@ -396,7 +421,7 @@
 
 void HttpClientConnection::acceptBody(std::string_view bytes)
 {
-    if (!m_exchange || bytes.empty() || m_hasBadChunk)
+    if (!m_exchange || bytes.empty())
         return;
     if (isHolding()) {
         m_held.body += bytes;
--- a/src/transport/http_client_connection.h
+++ b/src/transport/http_client_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "transport/event_loop.h"
+#include "transport/http_chunk_check.h"
 #include "transport/http_client_exchange.h"
 
 #include <event2/bufferevent.h>
@@ -71,6 +72,7 @@
         void* argument = nullptr;
     };
 
+    ev_ssize_t maximumBodyBytes() const;
     void buildRequest();
     bool makeRequest();
     void wrapCallbacks();
@@ -80,7 +82,8 @@
     void connecting(int errorNumber);
     bool hasInvalidStatus() const;
     void takePartOfChunk();
-    void checkChunkEnd();
+    void startChunkedBody();
+    void checkChunks();
     bool acceptHeaders(evhttp_request* request);
     bool skipInterimAnswer(evhttp_request* request);
     void acceptBody(std::string_view bytes);
@@ -114,11 +117,14 @@
     Phase m_phase = Phase::New;
     std::shared_ptr<HttpClientExchange> m_exchange;
     Held m_held;
+    /// Set while a chunked body is read.
+    std::optional<HttpChunkCheck> m_chunkCheck;
+    /// Bytes at the end of the input that m_chunkCheck has not seen.
+    size_t m_uncheckedBytes = 0;
     std::optional<HttpClientError> m_error;
     bool m_isStarting = false;
     bool m_wasRefused = false;
     bool m_hasHeaders = false;
-    bool m_isAfterChunk = false;
     bool m_hasBadChunk = false;
     /// Whether the connection broke while the request was sent.
     bool m_wasCutShort = false;
--- a/src/transport/http_client_connection_test.cc
+++ b/src/transport/http_client_connection_test.cc
@@ -102,6 +102,46 @@
     }
 }
 
+// Guards against a size that evhttp takes although other parsers refuse it or read another number.
+BOOST_AUTO_TEST_CASE(MalformedChunkSizeIsInvalid)
+{
+    std::vector<std::string> sizes = { "", "+5", "-0", "0x5", " 5", "\t5", "5 ", "5 5", "5\t", "+", "x",
+        "00000000000000005", "ffffffffffffffff" };
+    const std::string_view digits = "0123456789abcdefABCDEF";
+    for (int value = 0; value <= 0xff; ++value) {
+        const auto byte = static_cast<char>(static_cast<unsigned char>(value));
+        if (digits.find(byte) == std::string_view::npos)
+            sizes.push_back("5" + std::string(1, byte) + "5");
+    }
+    for (const std::string& size : sizes) {
+        const std::string answer = chunkedHead + "2\r\nok\r\n" + size + "\r\nhello\r\n0\r\n\r\n";
+        for (const size_t pieceLength : { answer.size(), size_t { 1 } }) {
+            BOOST_TEST_CONTEXT("size [" << size << "] in pieces of " << pieceLength)
+            {
+                std::string body;
+                const HttpClientResult result = fetch(answer, pieceLength, body);
+                BOOST_TEST((result.error == HttpClientError::InvalidAnswer));
+                BOOST_TEST(body == "ok");
+            }
+        }
+    }
+}
+
+// Guards against evhttp and the check of chunks disagreeing whether a body is chunked.
+BOOST_AUTO_TEST_CASE(SpacesAroundTheCodingAreSkipped)
+{
+    for (const std::string value : { "chunked", "\tchunked", " \t Chunked\t " }) {
+        const std::string answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding:" + value
+            + "\r\n\r\n5\r\nhello\r\n0\r\nTrailer: t\r\n\r\n";
+        for (size_t pieceLength = 1; pieceLength <= answer.size(); ++pieceLength) {
+            std::string body;
+            const HttpClientResult result = fetch(answer, pieceLength, body);
+            BOOST_TEST(!result.error);
+            BOOST_TEST(body == "hello");
+        }
+    }
+}
+
 // Guards against a connection that is not read any more after a pause, because input came between the call of
 // resumeReading() and the delivery of what was held back.
 BOOST_AUTO_TEST_CASE(PauseInsideHandlerIsFollowedByTheRest)
