Check the head of answers before evhttp sees it

Answers of upstreams and of the store were taken with a status such as +200, 200x, 0200 or (as 200), a version such as HTTP/+1.1 or HTTP/1.-1, or a NUL: of "Content-Length: 2", a NUL and "3", evhttp read a length of 2.

Cause: evhttp reads these numbers with atoi and sscanf, and hands lines over as C strings, so that the check of the fields can't see what follows a NUL.

HttpAnswerHeadCheck sees each byte of a head first: status lines have the form HTTP/1.d ddd, and no line has control bytes. evhttp gets only what comes before a fault, and the answer ends with InvalidAnswer. Line ends without a carriage return, and lines that continue the one before, are still taken.

--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -85,7 +85,7 @@
     {
         void* self = nullptr;
         bufferevent_getcb(stream, nullptr, nullptr, nullptr, &self);
-        from(self).checkChunks();
+        from(self).checkInput();
         const EvhttpCallbacks& evhttp = from(self).m_evhttp;
         if (evhttp.onRead)
             evhttp.onRead(stream, evhttp.argument);
@@ -169,8 +169,10 @@
     m_held = Held();
     m_error.reset();
     m_hasHeaders = false;
+    m_headCheck.emplace();
     m_chunkCheck.reset();
-    m_hasBadChunk = false;
+    m_uncheckedBytes = evbuffer_get_length(bufferevent_get_input(m_stream));
+    m_hasMalformedInput = false;
     m_wasCutShort = false;
     m_endsWithConnection = false;
     m_isReusable = false;
@@ -246,7 +248,7 @@
     wrapCallbacks();
     if (m_phase != Phase::Busy || !m_request)
         return;
-    if (m_hasBadChunk || hasInvalidStatus()) {
+    if (m_hasMalformedInput || hasInvalidStatus()) {
         fail(HttpClientError::InvalidAnswer);
         return;
     }
@@ -279,31 +281,42 @@
 void HttpClientConnection::startChunkedBody()
 {
     m_chunkCheck.emplace().reset(static_cast<uint64_t>(maximumBodyBytes()));
-    m_uncheckedBytes = evbuffer_get_length(bufferevent_get_input(m_stream));
-    checkChunks();
+    checkInput();
 }
 
-// evhttp takes sizes with a sign, a prefix or spaces, and anything for the line end after a chunk. It gets
+// evhttp takes numbers with a sign, a prefix or spaces, and anything for the line end after a chunk. It gets
 // only what comes before a fault.
-void HttpClientConnection::checkChunks()
+void HttpClientConnection::checkInput()
 {
-    if (!m_chunkCheck || m_hasBadChunk)
+    if (m_hasMalformedInput)
         return;
+    if (m_headCheck)
+        checkWith(*m_headCheck);
+    else if (m_chunkCheck)
+        checkWith(*m_chunkCheck);
+}
+
+template <typename Check> void HttpClientConnection::checkWith(Check& check)
+{
     evbuffer* input = bufferevent_get_input(m_stream);
     const size_t checkedBytes = evbuffer_get_length(input) - m_uncheckedBytes;
     std::string_view bytes(
         reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), evbuffer_get_length(input));
     bytes.remove_prefix(checkedBytes);
-    const HttpChunkCheck::Result result = m_chunkCheck->check(bytes);
     m_uncheckedBytes = 0;
-    if (result != HttpChunkCheck::Result::Failed)
-        return;
-    m_hasBadChunk = true;
-    // The end of the input is frozen outside of libevent's own reading, so it can't be cut off there.
-    std::string accepted(checkedBytes + m_chunkCheck->acceptedBytes(), '\0');
-    evbuffer_remove(input, accepted.data(), accepted.size());
+    m_hasMalformedInput = check.check(bytes) == Check::Result::Failed;
+    if (m_hasMalformedInput)
+        cutInput(checkedBytes + check.acceptedBytes());
+}
+
+// The end of the input is frozen outside of libevent's own reading, so it can't be cut off there.
+void HttpClientConnection::cutInput(size_t length)
+{
+    evbuffer* input = bufferevent_get_input(m_stream);
+    std::string kept(length, '\0');
+    evbuffer_remove(input, kept.data(), kept.size());
     evbuffer_drain(input, evbuffer_get_length(input));
-    evbuffer_prepend(input, accepted.data(), accepted.size());
+    evbuffer_prepend(input, kept.data(), kept.size());
 }
 
 void HttpClientConnection::connecting(int errorNumber)
@@ -380,8 +393,13 @@
     if (!m_exchange)
         return false;
     const int status = evhttp_request_get_response_code(request);
-    if (skipInterimAnswer(request))
+    m_uncheckedBytes = evbuffer_get_length(bufferevent_get_input(m_stream));
+    m_headCheck.reset();
+    if (skipInterimAnswer(request)) {
+        m_headCheck.emplace();
+        checkInput();
         return true;
+    }
     m_hasHeaders = true;
     auto headers = fieldsOfAnswer(*request);
     HttpFault fault;
@@ -437,7 +455,7 @@
         return;
     if (m_phase == Phase::Connecting)
         error = connectError();
-    if (m_hasBadChunk)
+    if (m_hasMalformedInput)
         error = HttpClientError::InvalidAnswer;
     // The failed write took the socket's error, so a broken connection reads like one that was closed.
     if (!error && m_wasCutShort && m_endsWithConnection)
--- a/src/transport/http_client_connection.h
+++ b/src/transport/http_client_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "transport/event_loop.h"
+#include "transport/http_answer_head_check.h"
 #include "transport/http_chunk_check.h"
 #include "transport/http_client_exchange.h"
 
@@ -83,7 +84,10 @@
     bool hasInvalidStatus() const;
     void takePartOfChunk();
     void startChunkedBody();
-    void checkChunks();
+    void checkInput();
+    /// @param check sees the bytes that no check has seen.
+    template <typename Check> void checkWith(Check& check);
+    void cutInput(size_t length);
     bool acceptHeaders(evhttp_request* request);
     bool skipInterimAnswer(evhttp_request* request);
     void acceptBody(std::string_view bytes);
@@ -117,15 +121,17 @@
     Phase m_phase = Phase::New;
     std::shared_ptr<HttpClientExchange> m_exchange;
     Held m_held;
+    /// Set while a head is read.
+    std::optional<HttpAnswerHeadCheck> m_headCheck;
     /// Set while a chunked body is read.
     std::optional<HttpChunkCheck> m_chunkCheck;
-    /// Bytes at the end of the input that m_chunkCheck has not seen.
+    /// Bytes at the end of the input that no check has seen.
     size_t m_uncheckedBytes = 0;
     std::optional<HttpClientError> m_error;
     bool m_isStarting = false;
     bool m_wasRefused = false;
     bool m_hasHeaders = false;
-    bool m_hasBadChunk = false;
+    bool m_hasMalformedInput = false;
     /// Whether the connection broke while the request was sent.
     bool m_wasCutShort = false;
     /// Whether only the end of the connection marks the end of the answer's body.
--- a/src/transport/http_client_connection_test.cc
+++ b/src/transport/http_client_connection_test.cc
@@ -127,6 +127,33 @@
     }
 }
 
+// Guards against a head of which evhttp reads a part only, or a number that isn't one.
+BOOST_AUTO_TEST_CASE(MalformedHeadIsInvalid)
+{
+    const std::string nul(1, '\0');
+    const std::string rest = "\r\nContent-Length: 2\r\n\r\nok";
+    const std::vector<std::string> answers = { "HTTP/1.1 +200 OK" + rest, "HTTP/1.1 200x OK" + rest,
+        "HTTP/1.1 0200 OK" + rest, "HTTP/1.1 \t200 OK" + rest, "HTTP/1.1 200" + nul + " OK" + rest,
+        "HTTP/1.1 4294967496 OK" + rest, "HTTP/+1.1 200 OK" + rest, "HTTP/1.-1 200 OK" + rest,
+        "HTTP/01.1 200 OK" + rest, "HTTP/1.1 200 OK\r\nX: a" + nul + "b" + rest,
+        "HTTP/1.1 200 OK\r\nContent-Length: 2" + nul + "3\r\n\r\nok" };
+    for (const std::string& malformed : answers) {
+        for (const std::string interim :
+            { "", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Hints\r\nA: b\r\n\r\n" }) {
+            const std::string answer = interim + malformed;
+            for (const size_t pieceLength : { answer.size(), size_t { 1 } }) {
+                BOOST_TEST_CONTEXT("answer [" << answer << "] in pieces of " << pieceLength)
+                {
+                    std::string body;
+                    const HttpClientResult result = fetch(answer, pieceLength, body);
+                    BOOST_TEST((result.error == HttpClientError::InvalidAnswer));
+                    BOOST_TEST(body == "");
+                }
+            }
+        }
+    }
+}
+
 // Guards against evhttp and the check of chunks disagreeing whether a body is chunked.
 BOOST_AUTO_TEST_CASE(SpacesAroundTheCodingAreSkipped)
 {
