Write log lines the same way whether char is signed or not

Log values with bytes of 0x80 and above, such as a name with an umlaut, were quoted where char is signed and not quoted where it is unsigned. The doc comment names spaces, quotes, equals signs and control characters only.

Cause: a plain char was compared with a space, and such bytes are negative where char is signed.

Evidence: LogTest/ValuesAreQuotedWhereNeeded failed with -fsigned-char and passes now. transport_test and base_test pass with -fsigned-char and with -funsigned-char on arm64.

The byte is compared as an unsigned char, which is also what the doc comment says.

--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -17,7 +17,8 @@
     if (value.empty())
         return true;
     for (const char c : value) {
-        if (c <= ' ' || c == '"' || c == '=' || c == 0x7f)
+        // Bytes of other characters than ASCII's are below ' ' where char is signed.
+        if (static_cast<unsigned char>(c) <= ' ' || c == '"' || c == '=' || c == 0x7f)
             return true;
     }
     return false;
