--- a/src/gateway/upstream_response.h
+++ b/src/gateway/upstream_response.h
@@ -36,8 +36,8 @@
 /// events of a resumed stream continue from one upstream to the next.
 ///
 /// Load pattern: a failing upstream sends a response to another request, an earlier refusal again, a response
-/// without a seal, or one whose
-/// body never ends, breaks off inside an event or goes on with text that is no event.
+/// without a seal, or one whose body never ends, breaks off inside an event or goes on with text that is no
+/// event.
 class UpstreamResponse {
 public:
     /// @param format of the events of a stream; must outlive the response.
--- a/src/transport/http_client_test.cc
+++ b/src/transport/http_client_test.cc
@@ -298,6 +298,25 @@
     BOOST_TEST(client->connectionCount() == 3u);
 }
 
+// Guards against an earlier answer that is taken for the one to a request, because the client does not tell
+// that the connection was used before.
+BOOST_AUTO_TEST_CASE(ACallTellsWhetherItsConnectionWasUsedBefore)
+{
+    for (const bool isReused : { false, true, true }) {
+        send(request(rawServer.address()));
+        acceptRequest().send(emptyAnswer);
+        BOOST_TEST(call->isOnReusedConnection() == isReused);
+        finish();
+        BOOST_TEST(rawServer.peers.size() == 1u);
+    }
+    HttpClientRequest sent = request(rawServer.address());
+    sent.maximumIdleAge = Duration::zero();
+    send(std::move(sent));
+    acceptRequest(2).send(emptyAnswer);
+    BOOST_TEST(!call->isOnReusedConnection());
+    finish();
+}
+
 // Guards against an upstream that fills memory while the caller reads slowly, and against a timeout of the
 // client's own making.
 BOOST_AUTO_TEST_CASE(PauseStopsTheServer)
