--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -222,9 +222,12 @@
     if (attributes.keepAlive)
         m_services.picker.keepAliveReported(m_search->upstream(), *attributes.keepAlive);
     const ExchangeContext exchange = exchangeContext();
-    const bool expectsEvents = m_admission.route->kind == RouteKind::Stream && m_exchange->method() != "HEAD";
-    m_response.headArrived(
-        attributes, headers, { exchange.requestId, exchange.isOnReusedConnection, expectsEvents });
+    SentRequest request;
+    request.id = exchange.requestId;
+    request.isOnReusedConnection = exchange.isOnReusedConnection;
+    request.expectsEvents = m_admission.route->kind == RouteKind::Stream;
+    request.isHead = m_exchange->method() == "HEAD";
+    m_response.headArrived(attributes, headers, request);
     observeLimit(attributes);
     if (!m_response.isForeign() || !m_call)
         return;
@@ -300,6 +303,8 @@
         return;
     if (m_response.isStream())
         recordStreamEnd(m_services.metrics, exchangeContext(), m_response, result.error);
+    if (!result.error && m_response.hasUnmarkedEnd())
+        recordUnmarkedEnd(m_services.metrics, exchangeContext(), m_response);
     const bool isComplete = !result.error && m_response.matchesRequest() && !m_response.isCutOff();
     if (isComplete && m_response.attributes()->isNotExecuted) {
         exchangeEnded(ExchangeOutcome::Rejected, RunOutcome::AdapterMissing);
@@ -527,6 +532,7 @@
         .with("status", m_response.attributes() ? m_response.attributes()->status : 0)
         .with("first_byte_ms", m_firstByte ? toMilliseconds(*m_firstByte) : -1)
         .with("longest_pause_ms", toMilliseconds(m_response.longestPause()))
+        .with("framing", toString(m_response.framing()))
         .with("events", m_response.events().eventCount())
         .with("last_event", m_response.lastEventId().value_or(""))
         .with("ms", toMilliseconds(elapsed()))
--- a/src/gateway/response_diagnostics.cc
+++ b/src/gateway/response_diagnostics.cc
@@ -45,6 +45,21 @@
         .with("unfinished_bytes", events.remainder().size());
 }
 
+void recordUnmarkedEnd(
+    MetricsRegistry& metrics, const ExchangeContext& exchange, const UpstreamResponse& response)
+{
+    const bool isStream = response.isStream();
+    ++metrics.counter("lacewing_unmarked_ends_total", { { "kind", isStream ? "stream" : "whole" } });
+    LogEvent(LogLevel::Info, "unmarked_end")
+        .with("request", exchange.requestId)
+        .with("upstream", exchange.upstream)
+        .with("status", response.attributes()->status)
+        .with("reused_connection", exchange.isOnReusedConnection)
+        .with("events", response.events().eventCount())
+        .with("last_event", response.lastEventId().value_or(""))
+        .with("other_bytes", response.unforwardedBytes());
+}
+
 void recordForeignResponse(
     MetricsRegistry& metrics, const ExchangeContext& exchange, const ResponseAttributes& attributes)
 {
--- a/src/gateway/response_diagnostics.h
+++ b/src/gateway/response_diagnostics.h
@@ -27,6 +27,10 @@
 void recordStreamEnd(MetricsRegistry& metrics, const ExchangeContext& exchange,
     const UpstreamResponse& response, std::optional<HttpClientError> error);
 
+/// Counts and logs a response that only the end of its connection ends, so that it may be a part of one.
+void recordUnmarkedEnd(
+    MetricsRegistry& metrics, const ExchangeContext& exchange, const UpstreamResponse& response);
+
 /// Counts and logs a response that belongs to another request.
 void recordForeignResponse(
     MetricsRegistry& metrics, const ExchangeContext& exchange, const ResponseAttributes& attributes);
--- a/src/gateway/response_diagnostics_test.cc
+++ b/src/gateway/response_diagnostics_test.cc
@@ -42,6 +42,16 @@
         BOOST_TEST(metrics.counter("lacewing_stream_ends_total", { { "end", end } }) == 1);
 }
 
+// Guards against logs and metrics that do not show whether a response stated where it ends.
+BOOST_AUTO_TEST_CASE(CountsResponsesThatOnlyTheEndOfTheConnectionEnds)
+{
+    MetricsRegistry metrics;
+    const UpstreamResponse response = stream("r-1", "id: 1\ndata: a\n\n");
+    BOOST_TEST(response.hasUnmarkedEnd());
+    recordUnmarkedEnd(metrics, exchange, response);
+    BOOST_TEST(metrics.counter("lacewing_unmarked_ends_total", { { "kind", "stream" } }) == 1);
+}
+
 // Guards against a failure that is logged as cancelled although the gateway has cancelled it for a reason.
 BOOST_AUTO_TEST_CASE(NamesTheReasonOfAFailure)
 {
--- a/src/gateway/upstream_response.cc
+++ b/src/gateway/upstream_response.cc
@@ -7,13 +7,17 @@
 namespace {
 
 constexpr int firstSuccess = 200;
+constexpr int statusNoContent = 204;
 constexpr int firstRedirection = 300;
+constexpr int statusNotModified = 304;
 
 } // namespace
 
 const char* toString(BodyFraming framing)
 {
     switch (framing) {
+    case BodyFraming::None:
+        return "none";
     case BodyFraming::Length:
         return "length";
     case BodyFraming::Chunks:
@@ -33,6 +37,7 @@
     // An event is never joined from the responses of two upstreams.
     m_events.beginResponse();
     m_pauses.restart();
+    m_framing = BodyFraming::None;
     m_isMismatched = false;
 }
 
@@ -41,7 +46,8 @@
 {
     m_attributes = std::move(attributes);
     m_headers = std::move(headers);
-    m_expectsEvents = request.expectsEvents;
+    m_expectsEvents = request.expectsEvents && !request.isHead;
+    m_framing = readFraming(request.isHead);
     const std::string& id = m_attributes->requestId;
     const bool needsId = isSuccess() || request.isOnReusedConnection;
     m_isMismatched = id != request.id && (needsId || !id.empty());
@@ -68,8 +74,11 @@
     return isStream() && (m_attributes->isSealed || m_events.hasEvents());
 }
 
-BodyFraming UpstreamResponse::framing() const
+BodyFraming UpstreamResponse::readFraming(bool isHeadRequest) const
 {
+    const int status = m_attributes->status;
+    if (isHeadRequest || status == statusNoContent || status == statusNotModified)
+        return BodyFraming::None;
     if (m_headers.count("Transfer-Encoding") > 0)
         return BodyFraming::Chunks;
     return m_headers.count("Content-Length") > 0 ? BodyFraming::Length : BodyFraming::ConnectionClose;
--- a/src/gateway/upstream_response.h
+++ b/src/gateway/upstream_response.h
@@ -12,6 +12,8 @@
 
 /// What marks the end of a response's body.
 enum class BodyFraming {
+    /// The response has no body.
+    None,
     Length,
     Chunks,
     /// The end of the connection; whatever the upstream sends before it belongs to the body.
@@ -28,6 +30,8 @@
     bool isOnReusedConnection = false;
     /// Whether the body of an event stream is read as events, which is so on routes with streams only.
     bool expectsEvents = true;
+    /// Whether the method is HEAD, so that the response has no body whatever its head states.
+    bool isHead = false;
 };
 
 /// Receives the responses of upstreams to one request.
@@ -59,8 +63,11 @@
     /// @return the attributes of the head, or nothing before it has arrived.
     const std::optional<ResponseAttributes>& attributes() const { return m_attributes; }
     const HttpHeaders& headers() const { return m_headers; }
-    /// @return the framing that the head states.
-    BodyFraming framing() const;
+    /// @return what marks the end of the body according to the head.
+    BodyFraming framing() const { return m_framing; }
+    /// @return whether the response, if it ends here without an error, is whole as far as can be seen, but
+    /// nothing in it marks its end. The connections of a process that ends are closed in the same way.
+    bool hasUnmarkedEnd() const { return matchesRequest() && m_framing == BodyFraming::ConnectionClose; }
     /// @return whether a head has arrived that belongs to another request.
     bool isForeign() const { return m_attributes && m_isMismatched; }
     /// @return whether a head has arrived and belongs to the request that was sent.
@@ -95,6 +102,7 @@
 private:
     /// @return whether the body is split into events.
     bool carriesEvents() const;
+    BodyFraming readFraming(bool isHeadRequest) const;
 
     /// Maximum size of a response that is not forwarded as a stream.
     static constexpr size_t maximumBodyBytes = 4 * 1024 * 1024;
@@ -106,6 +114,7 @@
     size_t m_unforwardedBytes = 0;
     EventRelay m_events;
     PauseMeter m_pauses;
+    BodyFraming m_framing = BodyFraming::None;
     bool m_isMismatched = false;
     bool m_expectsEvents = false;
 };
