Don't frame an answer as complete whose upstream has not marked its end

What callers saw: an answer that had been broken off arrived as complete. A stream that ended between two events came with a last chunk, a plain answer of which 5 of 20 bytes had been sent came with Content-Length: 5.

Cause: an answer with neither a length nor chunks ends with its connection, and the kernel closes the connections of a process that crashes in the same orderly way. The gateway took that close for the end and passed the answer on in chunks, or with a length that it had counted itself. So it said of the answer what its upstream had not said. A comment or an empty line before an event was not counted as the beginning of that event, so that a stream could also be cut there.

Fix: the caller's answer marks its end as the upstream's does. An answer without a marked end has neither a length nor chunks for the caller either and ends with the connection: in an orderly way where the upstream ended it so, else with a reset. A stream that began with chunks and goes on at an engine that marks no end is cut off. An answer without a marked end that stops after a part of a comment is cut off. Answers that are whole still arrive, whole.

--- a/src/daemon/fake_exchange_test.h
+++ b/src/daemon/fake_exchange_test.h
@@ -31,8 +31,9 @@
         responseBody = body;
         isEnded = true;
     }
-    void startStream(int status, const HttpHeaders& headers) override
+    void startStream(int status, const HttpHeaders& headers, StreamEnd end) override
     {
+        streamEnd = end;
         responseStatus = status;
         responseHeaders = headers;
     }
@@ -53,6 +54,8 @@
     int responseStatus = 0;
     HttpHeaders responseHeaders;
     std::string responseBody;
+    /// How the end of a streamed response is marked; nothing for one that was sent whole.
+    std::optional<StreamEnd> streamEnd;
     bool isEnded = false;
     /// Whether the exchange was ended without a complete response.
     bool isAborted = false;
--- a/src/fakes/named_exchange.h
+++ b/src/fakes/named_exchange.h
@@ -26,9 +26,9 @@
     {
         m_exchange->reply(status, named(headers), body);
     }
-    void startStream(int status, const HttpHeaders& headers) override
+    void startStream(int status, const HttpHeaders& headers, StreamEnd end) override
     {
-        m_exchange->startStream(status, named(headers));
+        m_exchange->startStream(status, named(headers), end);
     }
     void sendChunk(std::string_view bytes) override { m_exchange->sendChunk(bytes); }
     void endStream() override { m_exchange->endStream(); }
--- a/src/fakes/silenceable_exchange.h
+++ b/src/fakes/silenceable_exchange.h
@@ -41,10 +41,10 @@
         if (!*m_silent)
             m_exchange->reply(status, headers, body);
     }
-    void startStream(int status, const HttpHeaders& headers) override
+    void startStream(int status, const HttpHeaders& headers, StreamEnd end) override
     {
         if (!*m_silent)
-            m_exchange->startStream(status, headers);
+            m_exchange->startStream(status, headers, end);
     }
     void sendChunk(std::string_view bytes) override
     {
--- a/src/gateway/event_relay.cc
+++ b/src/gateway/event_relay.cc
@@ -33,6 +33,18 @@
     return m_fault || rest.fault || rest.id;
 }
 
+bool EventRelay::endsWithEmptyLine() const
+{
+    if (m_pending.empty())
+        return true;
+    if (m_pending.back() != '\n')
+        return false;
+    std::string_view text = std::string_view(m_pending).substr(0, m_pending.size() - 1);
+    if (!text.empty() && text.back() == '\r')
+        text.remove_suffix(1);
+    return text.empty() || text.back() == '\n';
+}
+
 std::string EventRelay::accept(std::string_view bytes)
 {
     std::string events;
--- a/src/gateway/event_relay.h
+++ b/src/gateway/event_relay.h
@@ -32,6 +32,9 @@
     /// @return whether the bytes that have arrived do not end with an event; line ends and comments may
     /// follow.
     bool endsInsideEvent() const;
+    /// @return whether nothing follows the empty line after the last event, or only comments and empty lines
+    /// that end with an empty line, too.
+    bool endsWithEmptyLine() const;
     /// @return whether the incomplete event exceeds the maximum size of an event.
     bool exceedsSizeLimit() const { return m_pending.size() > maximumEventBytes; }
     /// @return the bytes after the last event; empty after a fault.
--- a/src/gateway/event_relay_test.cc
+++ b/src/gateway/event_relay_test.cc
@@ -54,6 +54,22 @@
     BOOST_TEST(relay.accept("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
 }
 
+// Guards against taking a part of an event for a comment after the last one.
+BOOST_AUTO_TEST_CASE(TellsWhetherAnEmptyLineEndsTheText)
+{
+    const std::string event = "id: 1\ndata: a\n\n";
+    for (const char* rest : { "", "\n", "\r\n", ": ping\n\n", ": ping\r\n\r\n", ": a\n\n: b\n\n" }) {
+        EventRelay relay(format);
+        relay.accept(event + rest);
+        BOOST_TEST(relay.endsWithEmptyLine(), rest);
+    }
+    for (const char* rest : { "\r", ":", ": ping", ": ping\n", ": ping\r\n\r", ": a\n\n: b\n", "id: 2\n" }) {
+        EventRelay relay(format);
+        relay.accept(event + rest);
+        BOOST_TEST(!relay.endsWithEmptyLine(), rest);
+    }
+}
+
 // Guards against unbounded memory use by an event that never ends.
 BOOST_AUTO_TEST_CASE(DetectsAnOversizedEvent)
 {
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -276,8 +276,9 @@
         m_mayHaveRun = true;
         m_firstByte = elapsed();
         m_search->runProgressed();
-        m_exchange->startStream(
-            m_response.attributes()->status, m_services.translator.callerHeaders(m_response.headers()));
+        m_streamEnd = streamEnd();
+        m_exchange->startStream(m_response.attributes()->status,
+            m_services.translator.callerHeaders(m_response.headers()), m_streamEnd);
         m_exchange->onDrained([this] {
             if (m_call)
                 m_call->resumeReading();
@@ -355,6 +356,11 @@
 void ProxiedCall::forwardResponse()
 {
     if (m_hasStartedAnswer) {
+        if (streamEnd() == StreamEnd::ConnectionClose && m_streamEnd == StreamEnd::LastChunk) {
+            // A last chunk would tell the caller that the stream is whole.
+            handleBrokenStream();
+            return;
+        }
         if (!m_response.remainingBody().empty())
             m_exchange->sendChunk(m_response.remainingBody());
         m_exchange->endStream();
@@ -370,8 +376,21 @@
         return;
     }
     m_firstByte = elapsed();
-    reply(status, m_services.translator.callerHeaders(m_response.headers()), m_response.remainingBody(),
-        "answered", "");
+    const HttpHeaders headers = m_services.translator.callerHeaders(m_response.headers());
+    if (streamEnd() == StreamEnd::LastChunk) {
+        reply(status, headers, m_response.remainingBody(), "answered", "");
+        return;
+    }
+    m_exchange->startStream(status, headers, StreamEnd::ConnectionClose);
+    m_exchange->sendChunk(m_response.remainingBody());
+    m_exchange->endStream();
+    finish("answered", "");
+}
+
+StreamEnd ProxiedCall::streamEnd() const
+{
+    return m_response.framing() == BodyFraming::ConnectionClose ? StreamEnd::ConnectionClose
+                                                                : StreamEnd::LastChunk;
 }
 
 bool ProxiedCall::mayRepeat() const
--- a/src/gateway/proxied_call.h
+++ b/src/gateway/proxied_call.h
@@ -53,6 +53,9 @@
     void handleFailure(const char* reason);
     void handleBrokenStream();
     void forwardResponse();
+    /// @return how the end of the response is marked for the caller: as the upstream marks it, since the
+    /// caller must not be told that a response is whole unless the upstream has said so.
+    StreamEnd streamEnd() const;
     void forwardEvents(const std::string& events);
     bool mayRepeat() const;
     bool tryRetry();
@@ -94,6 +97,8 @@
     UpstreamResponse m_response;
     bool m_isExchanging = false;
     bool m_hasStartedAnswer = false;
+    /// How the end of the answer that has started is marked.
+    StreamEnd m_streamEnd = StreamEnd::LastChunk;
     bool m_isFinished = false;
     /// Whether an upstream may have run the request; if so, the call must not be answered with a rejection.
     bool m_mayHaveRun = false;
--- a/src/gateway/proxied_call_test.cc
+++ b/src/gateway/proxied_call_test.cc
@@ -125,6 +125,46 @@
     BOOST_TEST(fixture.client.calls.size() == 1);
 }
 
+// Guards against an answer that was broken off and reaches its caller as complete: nothing but the end of the
+// connection ended it at its upstream.
+BOOST_AUTO_TEST_CASE(AnAnswerWhoseEndIsNotMarkedIsNotFramedAsComplete)
+{
+    for (const auto& [path, isStream] : { std::pair("/once/1", false), std::pair("/stream/1", true) }) {
+        for (const char* framing : { "", "Transfer-Encoding", "Content-Length" }) {
+            Fixture fixture;
+            fixture.send(path);
+            HttpHeaders headers { { "id", "r-1" }, { "seal", "1" } };
+            if (isStream)
+                headers.add("stream", "1");
+            if (*framing)
+                headers.add(framing, "15");
+            fixture.upstream(0).handlers.onHeaders(200, headers);
+            fixture.upstream(0).handlers.onBody("id: 1\ndata: a\n\n");
+            fixture.upstream(0).end();
+            BOOST_TEST(fixture.exchange->responseBody == "id: 1\ndata: a\n\n");
+            BOOST_TEST(fixture.exchange->isEnded);
+            const bool isUnmarked = fixture.exchange->streamEnd == StreamEnd::ConnectionClose;
+            BOOST_TEST(isUnmarked == (*framing == '\0'));
+        }
+    }
+}
+
+// Guards against a last chunk after the answer of a second engine, whose end is not marked.
+BOOST_AUTO_TEST_CASE(AResumedStreamWhoseEndIsNotMarkedIsCutOff)
+{
+    Fixture fixture;
+    fixture.send("/resume/1");
+    fixture.upstream(0).handlers.onHeaders(
+        200, { { "id", "r-1" }, { "seal", "1" }, { "stream", "1" }, { "Transfer-Encoding", "chunked" } });
+    fixture.upstream(0).handlers.onBody("id: 1\ndata: a\n\n");
+    fixture.upstream(0).end(HttpClientError::ConnectionLost);
+    fixture.upstream(1).handlers.onHeaders(200, { { "id", "r-1" }, { "seal", "1" }, { "stream", "1" } });
+    fixture.upstream(1).handlers.onBody("id: 2\ndata: b\n\n");
+    fixture.upstream(1).end();
+    BOOST_TEST(fixture.exchange->responseBody == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    BOOST_TEST(fixture.exchange->isAborted);
+}
+
 // Guards against a stream that ends as complete with a part of an event, because the upstream's response
 // ended there in an orderly way.
 BOOST_AUTO_TEST_CASE(AnOrderlyEndInsideAnEventDoesNotCompleteTheStream)
--- a/src/gateway/upstream_response.cc
+++ b/src/gateway/upstream_response.cc
@@ -104,6 +104,8 @@
 {
     if (!carriesEvents())
         return false;
+    if (hasUnmarkedEnd() && !m_events.endsWithEmptyLine())
+        return true;
     return m_events.endsInsideEvent() || !m_events.hasResponseEvents();
 }
 
--- a/src/gateway/upstream_response.h
+++ b/src/gateway/upstream_response.h
@@ -83,7 +83,9 @@
     /// seal or has a content encoding.
     bool isUnverified() const;
     /// @return whether the body of a stream, if it ends here, is not that of a whole stream: it does not end
-    /// with an event, or it has none. An engine that has run a request has made one.
+    /// with an event, or it has none. An engine that has run a request has made one. Comments may follow the
+    /// last event, but where nothing marks the end of the body, a comment without an empty line after it may
+    /// be the beginning of an event.
     bool isCutOff() const;
     /// @return whether the body exceeds the maximum size of a response or of an event.
     bool exceedsSizeLimit() const
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -13,6 +13,14 @@
 
 class EventLoop;
 
+/// What marks the end of a streamed answer for the client.
+enum class StreamEnd {
+    /// The last chunk. Clients of HTTP/1.0 know no chunks, for them it is the end of the connection.
+    LastChunk,
+    /// The end of the connection, which does not tell the client that the answer is whole.
+    ConnectionClose,
+};
+
 /// One request that is being served, together with its answer. Kept alive by the handler through a shared
 /// pointer. After the client has left, all sending calls do nothing.
 class HttpExchange {
@@ -30,8 +38,13 @@
 
     /// Sends a whole answer.
     virtual void reply(int status, const HttpHeaders& headers, std::string_view body) = 0;
-    /// Starts a chunked answer.
-    virtual void startStream(int status, const HttpHeaders& headers) = 0;
+    /// Starts an answer in chunks.
+    void startStream(int status, const HttpHeaders& headers)
+    {
+        startStream(status, headers, StreamEnd::LastChunk);
+    }
+    /// Starts an answer whose body is sent in pieces.
+    virtual void startStream(int status, const HttpHeaders& headers, StreamEnd end) = 0;
     virtual void sendChunk(std::string_view bytes) = 0;
     virtual void endStream() = 0;
     /// Closes the connection at once, so that the client sees a cut-off answer and not a complete one.
--- a/src/transport/http_server_connection.cc
+++ b/src/transport/http_server_connection.cc
@@ -283,8 +283,13 @@
     finishAnswer();
 }
 
-void HttpServerConnection::sendHead(int status, const HttpHeaders& headers)
+void HttpServerConnection::sendHead(int status, const HttpHeaders& headers, StreamEnd end)
 {
+    const bool isHttp10 = !m_chunked;
+    if (end == StreamEnd::ConnectionClose) {
+        m_chunked = false;
+        m_closeAfterAnswer = true;
+    }
     evhtp_request* request = prepareAnswer(headers);
     const auto code = static_cast<evhtp_res>(status);
     if (hasBody(status) && m_chunked && !m_isHeadRequest) {
@@ -295,7 +300,7 @@
         addField(request, "Transfer-Encoding", "chunked");
     // Without chunks the end of the connection is the end of the body; the flag only keeps libevhtp from
     // adding "Content-Length: 0" to an answer in HTTP/1.1.
-    if (!hasBody(status) || m_chunked)
+    if (!hasBody(status) || !isHttp10)
         evhtp_request_enable_flag(request, EVHTP_REQ_FLAG_CHUNKED);
     if (!hasBody(status))
         m_isHeadRequest = true;
--- a/src/transport/http_server_connection.h
+++ b/src/transport/http_server_connection.h
@@ -55,7 +55,7 @@
     // For the exchange that is being answered.
 
     void sendWhole(int status, const HttpHeaders& headers, std::string_view body);
-    void sendHead(int status, const HttpHeaders& headers);
+    void sendHead(int status, const HttpHeaders& headers, StreamEnd end);
     void sendPiece(std::string_view bytes);
     void sendEnd();
     void abort();
--- a/src/transport/http_server_exchange.cc
+++ b/src/transport/http_server_exchange.cc
@@ -44,12 +44,12 @@
         detach()->sendWhole(status, headers, body);
 }
 
-void HttpServerExchange::startStream(int status, const HttpHeaders& headers)
+void HttpServerExchange::startStream(int status, const HttpHeaders& headers, StreamEnd end)
 {
     if (!m_connection || m_isStreaming)
         return;
     m_isStreaming = true;
-    m_connection->sendHead(status, headers);
+    m_connection->sendHead(status, headers, end);
 }
 
 void HttpServerExchange::sendChunk(std::string_view bytes)
--- a/src/transport/http_server_exchange.h
+++ b/src/transport/http_server_exchange.h
@@ -32,7 +32,7 @@
     const std::string& remoteIp() const override { return m_remoteIp; }
 
     void reply(int status, const HttpHeaders& headers, std::string_view body) override;
-    void startStream(int status, const HttpHeaders& headers) override;
+    void startStream(int status, const HttpHeaders& headers, StreamEnd end) override;
     void sendChunk(std::string_view bytes) override;
     void endStream() override;
     void abort() override;
--- a/src/transport/http_server_test.cc
+++ b/src/transport/http_server_test.cc
@@ -383,6 +383,22 @@
     BOOST_TEST(peer->all().substr(peer->all().size() - 8) == "\r\n\r\nbody");
 }
 
+// Guards against an answer that is framed as complete although the server only knows where it ended.
+BOOST_AUTO_TEST_CASE(AStreamThatEndsWithTheConnectionHasNeitherLengthNorChunks)
+{
+    startAndSend(getA + getB);
+    exchanges[0]->startStream(200, { { "Content-Length", "9" } }, StreamEnd::ConnectionClose);
+    exchanges[0]->sendChunk("body");
+    exchanges[0]->endStream();
+    waitForClose();
+    BOOST_TEST(!peer->isReset());
+    BOOST_TEST(peer->received("Connection: close\r\n"));
+    BOOST_TEST(!peer->received("Content-Length"));
+    BOOST_TEST(!peer->received("Transfer-Encoding"));
+    BOOST_TEST(peer->all().substr(peer->all().size() - 8) == "\r\n\r\nbody");
+    BOOST_TEST(exchanges.size() == 1);
+}
+
 // Guards against a stream that is cut off inside a piece, because the server drops what a slow client has not
 // taken yet when the stream is aborted.
 BOOST_AUTO_TEST_CASE(AnAbortedStreamEndsWithAWholePiece)
@@ -401,17 +417,22 @@
     BOOST_TEST((peer->all().substr(peer->all().size() - chunk.size()) == chunk));
 }
 
-// Guards against an answer that looks whole to a client of HTTP/1.0 although it ended early: such a client
-// takes an orderly close for the end of the body, so only a reset shows the cut.
+// Guards against an answer without chunks that looks whole although it ended early: the client takes an
+// orderly close for the end of the body, so only a reset shows the cut.
 BOOST_AUTO_TEST_CASE(AnEarlyEndOfAStreamWithoutChunksIsAReset)
 {
     enum class End { Abort, HalfClosedClient, ServerStops };
-    for (const End end : { End::Abort, End::HalfClosedClient, End::ServerStops }) {
-        BOOST_TEST_CONTEXT("end " << static_cast<int>(end))
+    const std::pair<std::string, StreamEnd> requests[]
+        = { { "GET /a HTTP/1.0\r\n\r\n", StreamEnd::LastChunk }, { getA, StreamEnd::ConnectionClose } };
+    for (const auto& [end, request] :
+        { std::pair(End::Abort, requests[0]), std::pair(End::HalfClosedClient, requests[0]),
+            std::pair(End::ServerStops, requests[0]), std::pair(End::Abort, requests[1]),
+            std::pair(End::HalfClosedClient, requests[1]), std::pair(End::ServerStops, requests[1]) }) {
+        BOOST_TEST_CONTEXT("end " << static_cast<int>(end) << " " << request.first)
         {
             exchanges.clear();
-            startAndSend("GET /a HTTP/1.0\r\n\r\n");
-            exchanges[0]->startStream(200, {});
+            startAndSend(request.first);
+            exchanges[0]->startStream(200, {}, request.second);
             exchanges[0]->sendChunk("part");
             runUntil(loop, [&] { return peer->received("part"); });
             if (end == End::Abort)
