Deliver what a stream without chunks has before the reset that cuts it off

Callers would lose events that the gateway had passed on, and see a part of one, where a stream without chunks is cut off for a slow caller.

Cause: only a reset shows that such a stream is cut off, and the kernel drops what it has not delivered when a connection is reset.

Fix: the connection is reset once the client has acknowledged all bytes, or has taken none for the write timeout.

--- a/src/transport/http_server_connection.cc
+++ b/src/transport/http_server_connection.cc
@@ -25,6 +25,8 @@
 // client has read it. So the server first stops sending and reads on for this long.
 constexpr Duration lingerTime = std::chrono::seconds(2);
 
+constexpr Duration deliveryCheckInterval = std::chrono::milliseconds(10);
+
 timeval toTimeval(Duration duration)
 {
     const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
@@ -75,6 +77,7 @@
     if (m_endsWithConnection && m_stream)
         resetOnClose();
     m_phase = Phase::Closed;
+    m_context.loop.cancel(std::exchange(m_deliveryTimer, 0));
     if (m_connection)
         evhtp_connection_free(m_connection);
     else if (m_stream)
@@ -363,12 +366,35 @@
 
 void HttpServerConnection::answerFlushed()
 {
-    if (m_isCutOff && !m_chunked) {
+    if (!m_isCutOff || m_chunked) {
+        startLingering();
+        return;
+    }
+    // Otherwise each further write event would start another check.
+    if (m_deliveryTimer != 0)
+        return;
+    m_undeliveredBytes = 0;
+    m_deliveryProgress = m_context.loop.now();
+    resetAfterDelivery();
+}
+
+void HttpServerConnection::resetAfterDelivery()
+{
+    const MonotonicTime now = m_context.loop.now();
+    const size_t undelivered = unacknowledgedBytes(bufferevent_getfd(m_stream));
+    if (undelivered != m_undeliveredBytes)
+        m_deliveryProgress = now;
+    m_undeliveredBytes = undelivered;
+    const bool isStuck = now - m_deliveryProgress >= m_context.options.writeTimeout;
+    if (undelivered == 0 || isStuck) {
         resetOnClose();
         close();
         return;
     }
-    startLingering();
+    m_deliveryTimer = m_context.loop.runAfter(deliveryCheckInterval, [this] {
+        m_deliveryTimer = 0;
+        resetAfterDelivery();
+    });
 }
 
 void HttpServerConnection::resetOnClose()
--- a/src/transport/http_server_connection.h
+++ b/src/transport/http_server_connection.h
@@ -117,6 +117,8 @@
     /// Ends a connection whose last answer has been sent.
     void answerFlushed();
     void startLingering();
+    /// Resets the connection once the client has what was sent, since a reset discards what is on its way.
+    void resetAfterDelivery();
     /// Makes the close of the connection a reset.
     void resetOnClose();
     void close();
@@ -141,6 +143,11 @@
     std::weak_ptr<HttpServerExchange> m_exchange;
     MonotonicTime m_headStarted {};
     MonotonicTime m_lingerEnd {};
+    /// Bytes that the client had not acknowledged when last checked.
+    size_t m_undeliveredBytes = 0;
+    /// When that number last changed.
+    MonotonicTime m_deliveryProgress {};
+    TimerId m_deliveryTimer = 0;
     bool m_headIsPartial = false;
     bool m_isHeadRequest = false;
     bool m_chunked = false;
--- a/src/transport/http_server_test.cc
+++ b/src/transport/http_server_test.cc
@@ -447,6 +447,23 @@
     }
 }
 
+// Guards against a reset that destroys what the server had accepted before a stream without chunks was cut
+// off, because a slow client has not taken it yet.
+BOOST_AUTO_TEST_CASE(AStreamWithoutChunksIsDeliveredBeforeTheResetThatCutsIt)
+{
+    startAndSend(getA);
+    peer->pauseReading();
+    const std::string piece(1024 * 1024, 'x');
+    exchanges[0]->startStream(200, {}, StreamEnd::ConnectionClose);
+    for (int count = 0; count < 16; ++count)
+        exchanges[0]->sendChunk(piece);
+    exchanges[0]->abort();
+    loop.runAfter(50ms, [&] { peer->resumeReading(); });
+    waitForClose();
+    BOOST_TEST(peer->isReset());
+    BOOST_TEST(peer->all().size() > 16 * piece.size());
+}
+
 // Guards against an answer that looks whole to a client of HTTP/1.0 that reads on after it was disconnected
 // because it had stopped reading.
 BOOST_AUTO_TEST_CASE(AStreamWithoutChunksThatIsCutForASlowClientIsAReset)
--- a/src/transport/socket_address.cc
+++ b/src/transport/socket_address.cc
@@ -1,8 +1,10 @@
 #include "transport/socket_address.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace lacewing {
 
@@ -65,6 +67,14 @@
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
 }
 
+size_t unacknowledgedBytes(int socket)
+{
+    int bytes = 0;
+    if (ioctl(socket, SIOCOUTQ, &bytes) != 0 || bytes < 0)
+        return 0;
+    return static_cast<size_t>(bytes);
+}
+
 bool hasUnreadInput(int socket)
 {
     char byte = 0;
--- a/src/transport/socket_address.h
+++ b/src/transport/socket_address.h
@@ -33,6 +33,10 @@
 /// Sends small writes on a TCP socket at once.
 void disableDelay(int socket);
 
+/// @return number of bytes that were written to a connection and that its peer has not acknowledged; 0 if the
+/// system can't tell.
+size_t unacknowledgedBytes(int socket);
+
 /// @return whether bytes wait to be read from a connection.
 bool hasUnreadInput(int socket);
 
