Reset connections with an answer without a marked end when the process ends

What callers would see: an answer that a killed or crashed gateway has broken off looks as if it had ended in an orderly way, where the answer has neither a length nor chunks (callers of HTTP/1.0, and all answers whose upstream marks no end).

Cause: the same class as the fault of the upstream's side: the kernel closes the connections of a process that ends in an orderly way, and the server asked for a reset only in its own close.

Fix: the reset on close is set when such an answer begins, and taken back when it is whole.

--- a/src/transport/http_server_connection.cc
+++ b/src/transport/http_server_connection.cc
@@ -74,8 +74,6 @@
 
 void HttpServerConnection::release()
 {
-    if (m_endsWithConnection && m_stream)
-        resetOnClose();
     m_phase = Phase::Closed;
     m_context.loop.cancel(std::exchange(m_deliveryTimer, 0));
     if (m_connection)
@@ -307,7 +305,9 @@
         evhtp_request_enable_flag(request, EVHTP_REQ_FLAG_CHUNKED);
     if (!hasBody(status))
         m_isHeadRequest = true;
-    m_endsWithConnection = !m_chunked && !m_isHeadRequest;
+    // From now on, since the kernel closes the connection if the process ends inside the answer.
+    if (!m_chunked && !m_isHeadRequest)
+        setResetOnClose(true);
     evhtp_send_reply_start(request, code);
 }
 
@@ -366,7 +366,7 @@
 
 void HttpServerConnection::answerFlushed()
 {
-    if (!m_isCutOff || m_chunked) {
+    if (!m_isCutOff || !m_isResetOnClose) {
         startLingering();
         return;
     }
@@ -387,7 +387,6 @@
     m_undeliveredBytes = undelivered;
     const bool isStuck = now - m_deliveryProgress >= m_context.options.writeTimeout;
     if (undelivered == 0 || isStuck) {
-        resetOnClose();
         close();
         return;
     }
@@ -397,10 +396,11 @@
     });
 }
 
-void HttpServerConnection::resetOnClose()
+void HttpServerConnection::setResetOnClose(bool isReset)
 {
-    const linger reset { 1, 0 };
-    setsockopt(bufferevent_getfd(m_stream), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    m_isResetOnClose = isReset;
+    const linger option { isReset ? 1 : 0, 0 };
+    setsockopt(bufferevent_getfd(m_stream), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
 }
 
 size_t HttpServerConnection::bufferedBytes() const
@@ -424,7 +424,7 @@
 
 void HttpServerConnection::startLingering()
 {
-    m_endsWithConnection = false;
+    setResetOnClose(false);
     if (m_clientSentAll) {
         close();
         return;
--- a/src/transport/http_server_connection.h
+++ b/src/transport/http_server_connection.h
@@ -119,8 +119,8 @@
     void startLingering();
     /// Resets the connection once the client has what was sent, since a reset discards what is on its way.
     void resetAfterDelivery();
-    /// Makes the close of the connection a reset.
-    void resetOnClose();
+    /// @param isReset whether the close of the connection is a reset, also if the process ends.
+    void setResetOnClose(bool isReset);
     void close();
     void release();
 
@@ -151,9 +151,9 @@
     bool m_headIsPartial = false;
     bool m_isHeadRequest = false;
     bool m_chunked = false;
-    /// Whether an orderly close would look like the end of the answer that is sent, so that only a reset
+    /// Set while an orderly close would look like the end of the answer that is sent, so that only a reset
     /// shows that it is cut off.
-    bool m_endsWithConnection = false;
+    bool m_isResetOnClose = false;
     /// Whether the answer was ended before it was whole.
     bool m_isCutOff = false;
     bool m_closeAfterAnswer = false;
