--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -332,6 +332,9 @@
     if (result.error == HttpClientError::ConnectionLost && !m_response.attributes())
         m_services.picker.reusedConnectionLost(m_search->upstream());
     if (!isComplete) {
+        if (!m_attributes.promptParts.empty())
+            recordBrokenRun(m_services.metrics, exchangeContext(), m_upstreamStartedAt,
+                m_attributes.promptParts, m_response.events().hasResponseEvents());
         exchangeEnded(ExchangeOutcome::Unreachable, RunOutcome::EngineFailed);
         if (m_hasStartedAnswer)
             handleBrokenStream();
--- a/src/gateway/response_diagnostics.h
+++ b/src/gateway/response_diagnostics.h
@@ -31,6 +31,13 @@
 void recordUnmarkedEnd(
     MetricsRegistry& metrics, const ExchangeContext& exchange, const UpstreamResponse& response);
 
+/// Counts and logs the end of a run that its engine broke off.
+///
+/// @param startedAt start of the engine's process.
+/// @param hasBegun whether a part of the answer had arrived.
+void recordBrokenRun(MetricsRegistry& metrics, const ExchangeContext& exchange, int64_t startedAt,
+    const std::vector<PromptPart>& parts, bool hasBegun);
+
 /// Counts and logs a response that belongs to another request.
 void recordForeignResponse(
     MetricsRegistry& metrics, const ExchangeContext& exchange, const ResponseAttributes& attributes);
