Keep prompts from engines on which engines end

Cause: each request with the part that crashes engines was new to the gateway. No host related a crash to the one before it, and each host sees only its own requests among those that break off together.

Fix: a host reports the parts of prompts that an engine has broken off before their answers began to all peers. A part that is in three separate crashes, and of which no answer has begun since, is taken for their cause; five crashes for a part that has been sound within the last minute. Parts that were in the same crashes are held together, so that prompts with only some of them still run, and a crash or an answer with some of them narrows the cause. Prompts with the cause are refused at once with 503 and a Retry-After that differs from caller to caller. Three probes at most, 3 s, 30 s and 10 minutes apart, or when engines of another version appear, show whether the cause has gone. All hosts hold what one has decided; a host that starts has it from its peers or from the store, which keeps it for the loss of all hosts. The state is bounded: 64 crashes, 64 quarantines.

Why it works: an engine ends once for each such prompt that reaches it, so three crashes are enough to tell the part, before the fifth. Engines that end at the same moment, all failures of one process and runs that break after their answer has begun are no evidence.

--- a/src/gateway/call_admission.h
+++ b/src/gateway/call_admission.h
@@ -24,6 +24,8 @@
     Stopping,
     /// The upstreams that could serve the request have stated limits, which are exhausted.
     UpstreamLimit,
+    /// Engines have ended on prompts like this one.
+    QuarantinedPrompt,
 };
 
 /// @return the reason in snake_case, as logs and metrics name it.
--- a/src/gateway/call_services.h
+++ b/src/gateway/call_services.h
@@ -8,6 +8,7 @@
 #include "gateway/configuration_tracker.h"
 #include "gateway/engine_view.h"
 #include "gateway/plain_upstream_selector.h"
+#include "gateway/quarantine_exchange.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/run_broker.h"
 #include "gateway/upstream_directory.h"
@@ -35,6 +36,7 @@
     WorkspaceRateLimiter& usage;
     const CallAdmitter& admitter;
     RetryAllowance& retries;
+    QuarantineExchange& quarantine;
     MetricsRegistry& metrics;
     Random& random;
     /// Sends the workspaces' usage to all peers before the next heartbeat.
--- /dev/null
+++ b/src/gateway/crash_history.cc
@@ -0,0 +1,151 @@
+#include "gateway/crash_history.h"
+
+#include <algorithm>
+
+namespace lacewing::gateway {
+
+namespace {
+
+constexpr size_t maximumCrashes = 64;
+constexpr size_t maximumPartsPerCrash = 1024;
+constexpr size_t maximumSoundParts = 4096;
+constexpr Duration crashLifetime = std::chrono::minutes(10);
+/// Time after the first report of a process in which others are about the same crash.
+constexpr Duration sameCrashTime = std::chrono::seconds(2);
+
+/// Crashes that a part must be in to be taken for their cause.
+constexpr int crashesOfUnknownPart = 3;
+/// The same for a part of which answers had begun shortly before.
+constexpr int crashesOfSoundPart = 5;
+constexpr Duration soundRotationTime = std::chrono::seconds(30);
+/// More parts than this are never the cause together.
+constexpr size_t maximumPartsOfCause = 8;
+
+} // namespace
+
+void CrashHistory::forgetOld(MonotonicTime now)
+{
+    while (!m_crashes.empty()
+        && (m_crashes.size() > maximumCrashes || now - m_crashes.front().time > crashLifetime))
+        m_crashes.pop_front();
+}
+
+void CrashHistory::add(const CrashReport& report, MonotonicTime now)
+{
+    if (report.parts.empty())
+        return;
+    const auto known = std::find_if(m_crashes.begin(), m_crashes.end(), [&report](const Crash& crash) {
+        return crash.engine == report.engine && crash.startedAt == report.startedAt;
+    });
+    if (known != m_crashes.end() && now - known->time < sameCrashTime) {
+        known->parts.add(report.parts);
+        known->parts.truncate(maximumPartsPerCrash);
+        return;
+    }
+    // The process has served on after the failure that was reported first, so that was no crash.
+    if (known != m_crashes.end())
+        m_crashes.erase(known);
+    m_crashes.push_back({ report.engine, report.startedAt, now, report.parts });
+    m_crashes.back().parts.truncate(maximumPartsPerCrash);
+    forgetOld(now);
+}
+
+void CrashHistory::clear(const PartSet& parts, MonotonicTime now)
+{
+    for (Crash& crash : m_crashes) {
+        if (crash.parts.intersects(parts))
+            crash.parts.remove(parts);
+    }
+    rememberSound(parts, now);
+}
+
+void CrashHistory::rememberSound(const PartSet& parts, MonotonicTime now)
+{
+    if (now - m_soundRotation > soundRotationTime || m_soundParts.size() > maximumSoundParts) {
+        m_formerSoundParts = std::move(m_soundParts);
+        m_soundParts.clear();
+        m_soundRotation = now;
+    }
+    m_soundParts.insert(parts.hashes().begin(), parts.hashes().end());
+}
+
+bool CrashHistory::hasSuspects(const PartSet& parts) const
+{
+    return std::any_of(m_crashes.begin(), m_crashes.end(),
+        [&parts](const Crash& crash) { return crash.parts.intersects(parts); });
+}
+
+bool CrashHistory::isSettled(const Crash& crash, MonotonicTime now) const
+{
+    return now - crash.time >= settlingTime;
+}
+
+bool CrashHistory::isUnexplained(
+    const Crash& crash, const std::vector<PartSet>& known, MonotonicTime now) const
+{
+    return isSettled(crash, now) && std::none_of(known.begin(), known.end(), [&crash](const PartSet& cause) {
+        return crash.parts.includes(cause);
+    });
+}
+
+int CrashHistory::countSeparate(const std::vector<size_t>& crashes) const
+{
+    int count = 0;
+    std::optional<MonotonicTime> last;
+    for (const size_t index : crashes) {
+        const MonotonicTime time = m_crashes[index].time;
+        if (last && time - *last < correlationTime)
+            continue;
+        last = time;
+        ++count;
+    }
+    return count;
+}
+
+int CrashHistory::requiredCrashes(uint64_t part) const
+{
+    const bool wasSound = m_soundParts.count(part) > 0 || m_formerSoundParts.count(part) > 0;
+    return wasSound ? crashesOfSoundPart : crashesOfUnknownPart;
+}
+
+std::optional<PartSet> CrashHistory::findCause(const std::vector<PartSet>& known, MonotonicTime now) const
+{
+    CrashesByPart byPart;
+    for (size_t index = 0; index < m_crashes.size(); ++index) {
+        if (!isUnexplained(m_crashes[index], known, now))
+            continue;
+        for (const uint64_t part : m_crashes[index].parts.hashes())
+            byPart[part].push_back(index);
+    }
+    const std::vector<size_t>* best = nullptr;
+    for (const auto& [part, crashes] : byPart) {
+        const bool isMore = !best || crashes.size() > best->size();
+        if (isMore && countSeparate(crashes) >= requiredCrashes(part))
+            best = &crashes;
+    }
+    if (!best)
+        return std::nullopt;
+    std::vector<uint64_t> cause;
+    for (const auto& [part, crashes] : byPart) {
+        if (crashes == *best)
+            cause.push_back(part);
+    }
+    PartSet result(std::move(cause));
+    result.truncate(maximumPartsOfCause);
+    return result;
+}
+
+PartSet CrashHistory::commonWithUnexplained(
+    const PartSet& set, const std::vector<PartSet>& known, MonotonicTime now) const
+{
+    for (const Crash& crash : m_crashes) {
+        if (!isUnexplained(crash, known, now))
+            continue;
+        const PartSet common = crash.parts.intersection(set);
+        if (!common.empty())
+            return common;
+    }
+    return {};
+}
+
+} // namespace lacewing::gateway
--- /dev/null
+++ b/src/gateway/crash_history.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "gateway/part_set.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <unordered_set>
+#include <vector>
+
+namespace lacewing::gateway {
+
+/// An engine's process broke off runs before their answers had begun, as one host saw it.
+struct CrashReport {
+    UpstreamId engine;
+    /// Start of the engine's process, which can end only once.
+    int64_t startedAt = 0;
+    /// Parts of the prompts of these runs.
+    PartSet parts;
+};
+
+/// The crashes of engines, and which parts of prompts they have in common.
+///
+/// Load pattern: an engine ends when it begins an answer, and all that it runs breaks off together; each host
+/// sees only its own requests among them. A part of which an answer has begun since is not the cause, which
+/// soon clears the parts that many sound requests share. Engines that end at the same moment, as in a rack
+/// that loses power, count as one crash, and so do all failures of one process.
+///
+/// Has no clock and does no I/O. Its size is bounded.
+class CrashHistory {
+public:
+    /// Crashes that are closer to each other than this count as one.
+    static constexpr Duration correlationTime = std::chrono::milliseconds(200);
+    /// Time after a crash in which the reports of all hosts arrive.
+    static constexpr Duration settlingTime = std::chrono::milliseconds(100);
+
+    void add(const CrashReport& report, MonotonicTime now);
+    /// An answer to a prompt with these parts has begun.
+    void clear(const PartSet& parts, MonotonicTime now);
+    /// @return whether one of the parts is in a crash.
+    bool hasSuspects(const PartSet& parts) const;
+
+    /// Finds the parts that are in most crashes, and in the same ones.
+    ///
+    /// @param known causes that explain a crash by themselves.
+    /// @return nothing if no part is in enough crashes.
+    std::optional<PartSet> findCause(const std::vector<PartSet>& known, MonotonicTime now) const;
+    /// @return the parts of a set that are in a settled crash which no known cause explains; empty if there
+    /// is none.
+    PartSet commonWithUnexplained(
+        const PartSet& set, const std::vector<PartSet>& known, MonotonicTime now) const;
+    /// @return number of crashes that are kept.
+    size_t size() const { return m_crashes.size(); }
+
+private:
+    struct Crash {
+        UpstreamId engine;
+        int64_t startedAt = 0;
+        MonotonicTime time;
+        PartSet parts;
+    };
+    /// What is known of a part: the crashes that it is in, by index.
+    using CrashesByPart = std::map<uint64_t, std::vector<size_t>>;
+
+    bool isSettled(const Crash& crash, MonotonicTime now) const;
+    bool isUnexplained(const Crash& crash, const std::vector<PartSet>& known, MonotonicTime now) const;
+    /// @return the number of crashes, where those at the same moment count as one.
+    int countSeparate(const std::vector<size_t>& crashes) const;
+    int requiredCrashes(uint64_t part) const;
+    void rememberSound(const PartSet& parts, MonotonicTime now);
+    void forgetOld(MonotonicTime now);
+
+    std::deque<Crash> m_crashes;
+    /// Parts with which answers began since the last rotation, and in the time before it.
+    std::unordered_set<uint64_t> m_soundParts;
+    std::unordered_set<uint64_t> m_formerSoundParts;
+    MonotonicTime m_soundRotation;
+};
+
+} // namespace lacewing::gateway
--- /dev/null
+++ b/src/gateway/crash_history_test.cc
@@ -0,0 +1,141 @@
+#include "gateway/crash_history.h"
+
+#include "base/random.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lacewing;
+using namespace lacewing::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr uint64_t shared = 1;
+constexpr uint64_t bad = 66;
+
+struct Fixture {
+    /// An engine ends with one run that has these parts.
+    void crash(std::vector<uint64_t> parts)
+    {
+        now += 1s;
+        history.add({ UpstreamId("e-" + std::to_string(++engines)), 1, PartSet(std::move(parts)) }, now);
+    }
+    std::optional<PartSet> cause(const std::vector<PartSet>& known = {})
+    {
+        return history.findCause(known, now + CrashHistory::settlingTime);
+    }
+
+    CrashHistory history;
+    MonotonicTime now { 100s };
+    int engines = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CrashHistoryTest)
+
+// Guards against missing the part that crashes have in common because sound requests share all others.
+BOOST_AUTO_TEST_CASE(FindsThePartThatCrashesHaveInCommon)
+{
+    Fixture fixture;
+    for (uint64_t subject = 100; subject < 103; ++subject) {
+        BOOST_TEST(!fixture.cause().has_value());
+        fixture.crash({ shared, subject, bad });
+        fixture.history.clear(PartSet({ shared, subject, subject + 1000 }), fixture.now);
+    }
+    BOOST_TEST((fixture.cause() == PartSet({ bad })));
+    BOOST_TEST(!fixture.cause({ PartSet({ bad }) }).has_value());
+}
+
+// Guards against shutting out all prompts of a workspace or route because their first part is in all crashes.
+BOOST_AUTO_TEST_CASE(APartWithWhichAnswersBeginIsNotTheCause)
+{
+    Fixture fixture;
+    for (int count = 0; count < 20; ++count) {
+        fixture.crash({ shared });
+        fixture.now += 100ms;
+        fixture.history.clear(PartSet({ shared }), fixture.now);
+        BOOST_TEST(!fixture.cause().has_value());
+    }
+}
+
+// Guards against blaming a busy part at once when engines end for other reasons: its answers take a while.
+BOOST_AUTO_TEST_CASE(APartWithWhichAnswersBeganBeforeNeedsMoreCrashes)
+{
+    Fixture fixture;
+    fixture.history.clear(PartSet({ shared }), fixture.now);
+    for (int count = 0; count < 4; ++count)
+        fixture.crash({ shared });
+    BOOST_TEST(!fixture.cause().has_value());
+    fixture.crash({ shared });
+    BOOST_TEST((fixture.cause() == PartSet({ shared })));
+}
+
+// Guards against taking the loss of a rack, or a host whose connections all break, for a part that crashes
+// engines.
+BOOST_AUTO_TEST_CASE(EnginesThatEndTogetherAreOneCrash)
+{
+    Fixture fixture;
+    for (int engine = 0; engine < 40; ++engine)
+        fixture.history.add({ UpstreamId("e-" + std::to_string(engine)), 1, PartSet({ shared, bad }) },
+            fixture.now + engine * 4ms);
+    fixture.now += 1s;
+    BOOST_TEST(!fixture.cause().has_value());
+}
+
+// Guards against counting each answer that a faulty engine breaks off.
+BOOST_AUTO_TEST_CASE(AProcessCrashesOnce)
+{
+    Fixture fixture;
+    for (int count = 0; count < 20; ++count) {
+        fixture.now += 700ms;
+        fixture.history.add({ UpstreamId("e-1"), 1, PartSet({ bad }) }, fixture.now);
+    }
+    BOOST_TEST(!fixture.cause().has_value());
+    BOOST_TEST(fixture.history.size() == 1);
+}
+
+// Guards against missing a crash because the same process had broken off an answer long before.
+BOOST_AUTO_TEST_CASE(AnEarlierBrokenAnswerDoesNotHideACrash)
+{
+    Fixture fixture;
+    for (int engine = 0; engine < 3; ++engine)
+        fixture.history.add(
+            { UpstreamId("e-" + std::to_string(engine)), 1, PartSet({ shared }) }, fixture.now);
+    fixture.now += 10s;
+    for (int engine = 0; engine < 3; ++engine) {
+        fixture.now += 1s;
+        fixture.history.add({ UpstreamId("e-" + std::to_string(engine)), 1, PartSet({ bad }) }, fixture.now);
+    }
+    BOOST_TEST((fixture.cause() == PartSet({ bad })));
+}
+
+// Guards against a decision before the reports of all hosts have arrived.
+BOOST_AUTO_TEST_CASE(WaitsForTheReportsOfOneCrash)
+{
+    Fixture fixture;
+    for (int count = 0; count < 3; ++count)
+        fixture.crash({ bad });
+    BOOST_TEST(!fixture.history.findCause({}, fixture.now + 50ms).has_value());
+    fixture.history.add({ UpstreamId("e-3"), 1, PartSet({ shared }) }, fixture.now + 20ms);
+    BOOST_TEST(fixture.history.size() == 3);
+    BOOST_TEST((fixture.cause() == PartSet({ bad })));
+}
+
+// Guards against memory that grows with the number of crashes, and of parts.
+BOOST_AUTO_TEST_CASE(KeepsABoundedHistory)
+{
+    Fixture fixture;
+    Random random(1);
+    for (int count = 0; count < 500; ++count) {
+        std::vector<uint64_t> parts;
+        for (int part = 0; part < 2000; ++part)
+            parts.push_back(random.next());
+        fixture.crash(std::move(parts));
+        fixture.history.clear(PartSet({ random.next(), random.next() }), fixture.now);
+    }
+    BOOST_TEST(fixture.history.size() <= 64u);
+    BOOST_TEST(!fixture.cause().has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/fake_call_services_test.h
+++ b/src/gateway/fake_call_services_test.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <memory>
 #include <set>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -82,6 +83,9 @@
         attributes.requestId = headers.find("id").value_or("");
         attributes.key = headers.find("key");
         attributes.deadline = std::chrono::seconds(4);
+        std::istringstream parts(headers.find("parts").value_or(""));
+        for (std::string part; std::getline(parts, part, ',');)
+            attributes.promptParts.push_back({ std::stoull(part), Tokens(10) });
         return attributes;
     }
     HttpHeaders upstreamHeaders(const HttpHeaders&, const ForwardingFields& fields) const override
@@ -145,9 +149,13 @@
         entry.id = UpstreamId(row.id.key);
         entry.service = service;
         entry.address = { "127.0.0.1", 1 };
+        entry.startedAt = startedAt;
         return entry;
     }
 
+    /// Start of the processes of upstreams whose rows are read from now on.
+    int64_t startedAt = 1;
+
 private:
     static Route route(const char* prefix, RouteKind kind, int attempts, bool isResumable)
     {
@@ -207,6 +215,10 @@
     RetryAllowance retries { RetryLimits() };
     MetricsRegistry metrics;
     Random random { 1 };
+    std::vector<PeerMessage> quarantineMessages;
+    QuarantineExchange quarantine { scheduler, random, metrics,
+        { [this](const PeerMessage& message) { quarantineMessages.push_back(message); },
+            [](const Quarantine&) {} } };
     std::set<HostId> deciders { self.host };
     UpstreamPermits permits { scheduler, limits, self.host,
         { [](const HostId&, const PeerMessage&) { return true; }, [this] { return deciders; },
@@ -214,7 +226,7 @@
     CallAdmitter admitter { configuration, usage, random };
     PlainUpstreamSelector selector { upstreams, picker, limits, permits, self.dataCentre };
     CallServices services { scheduler, client, translator, configuration, upstreams, view, broker, picker,
-        limits, permits, selector, usage, admitter, retries, metrics, random, [] {},
+        limits, permits, selector, usage, admitter, retries, quarantine, metrics, random, [] {},
         [this](const LimitObservation& observation, const std::string&) {
             limits.observe(observation, scheduler.now());
         } };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -20,6 +20,8 @@
 constexpr Duration exitMargin = std::chrono::milliseconds(400);
 constexpr Duration idleCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration openOrderInterval = std::chrono::milliseconds(10);
+/// Software versions of engines that are remembered.
+constexpr size_t maximumEngineVersions = 64;
 constexpr Duration memberInterval = std::chrono::milliseconds(500);
 /// Callers reuse idle connections for almost the whole timeout as measured on their side, so the server waits
 /// longer than that.
@@ -114,14 +116,18 @@
                   m_permits.limitChanged(upstream);
                   m_owners.requestRateChanged(upstream);
               } })
+    , m_quarantineRows(loop, platform.store)
+    , m_quarantine(loop, m_random, m_metrics,
+          { [this](const PeerMessage& message) { m_mesh.sendToAll(message); },
+              [this](const Quarantine& quarantine) { m_quarantineRows.save(quarantine); } })
     , m_permits(loop, m_limits, m_settings.host,
           { [this](const HostId& peer, const PeerMessage& message) { return m_mesh.send(peer, message); },
               [this] { return permitDeciders(); }, [this] { return shareInTouch(); },
               [this](const UpstreamId& upstream) { return m_engineView.ownerOf(upstream).has_value(); } })
     , m_plainSelector(m_upstreams, m_picker, m_limits, m_permits, m_settings.dataCentre)
     , m_services { loop, client, platform.calls, m_configuration, m_upstreams, m_engineView, m_broker,
-        m_picker, m_limits, m_permits, m_plainSelector, m_usage, m_admitter, m_retries, m_metrics, m_random,
-        [this] { reportUsage(); },
+        m_picker, m_limits, m_permits, m_plainSelector, m_usage, m_admitter, m_retries, m_quarantine,
+        m_metrics, m_random, [this] { reportUsage(); },
         [this](const LimitObservation& observation, const std::string& requestId) {
             m_limitExchange.observed(observation, requestId);
         } }
@@ -166,6 +172,7 @@
     m_configuration.start();
     m_upstreams.start();
     m_fleet.start();
+    m_quarantineRows.read([this](const Quarantine& quarantine) { m_quarantine.restore(quarantine); });
     m_memberTimer.start();
     LogEvent(LogLevel::Info, "started")
         .with("host", m_settings.host)
@@ -240,6 +247,7 @@
     m_metrics.gauge("lacewing_open_calls") = static_cast<double>(m_calls.size());
     m_metrics.gauge("lacewing_owned_engines") = static_cast<double>(m_owners.summaries().size());
     m_metrics.gauge("lacewing_limited_upstreams") = static_cast<double>(m_limits.limitedCount());
+    m_metrics.gauge("lacewing_quarantined_prompts") = static_cast<double>(m_quarantine.activeCount());
     m_metrics.gauge("lacewing_peers_in_touch") = static_cast<double>(m_mesh.peersInTouch().size());
     const auto configuration = m_configuration.current();
     m_metrics.gauge("lacewing_configuration_revision")
@@ -265,14 +273,17 @@
     if (audience == HeartbeatAudience::AllPeers)
         m_owners.fetchLimiter().told();
     heartbeat.engines = m_owners.summaries();
-    if (audience == HeartbeatAudience::NewPeer)
+    if (audience == HeartbeatAudience::NewPeer) {
         heartbeat.limits = m_limits.all();
+        heartbeat.quarantines = m_quarantine.all();
+    }
     return heartbeat;
 }
 
 void Gateway::peerMessage(const HostId& peer, const PeerMessage& message)
 {
     m_limitExchange.onMessage(peer, message);
+    m_quarantine.onMessage(peer, message);
     if (const auto* heartbeat = std::get_if<PeerHeartbeat>(&message)) {
         const MonotonicTime now = m_loop.now();
         m_usage.peerReported(peer, heartbeat->incarnation, heartbeat->usage, now);
@@ -391,8 +402,21 @@
     m_fleet.claimUnownedEngines();
 }
 
+void Gateway::noteEngineVersions()
+{
+    const bool isFirst = m_engineVersions.empty();
+    bool isNew = false;
+    for (const UpstreamId& engine : engineIds())
+        isNew = m_engineVersions.insert(m_upstreams.find(engine)->softwareVersion).second || isNew;
+    if (isNew && !isFirst)
+        m_quarantine.enginesReplaced();
+    if (m_engineVersions.size() > maximumEngineVersions)
+        m_engineVersions.clear();
+}
+
 void Gateway::upstreamsChanged()
 {
+    noteEngineVersions();
     const std::set<UpstreamId> present = m_upstreams.ids();
     m_picker.retain(present);
     m_permits.retain(present);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/operator_row_exchange.h"
 #include "gateway/proxied_call.h"
+#include "gateway/quarantine_rows.h"
 #include "gateway/upstream_limit_exchange.h"
 #include "transport/http_server.h"
 
@@ -69,6 +70,8 @@
     void updateMembers();
     void applyCallerLimits();
     void configurationChanged();
+    /// Tells the quarantine of engines with a version that none had before.
+    void noteEngineVersions();
     void upstreamsChanged();
     bool mayOrder() const;
     std::set<UpstreamId> engineIds() const;
@@ -102,6 +105,8 @@
     EngineView m_engineView;
     CallAdmitter m_admitter;
     UpstreamLimitExchange m_limitExchange;
+    QuarantineRows m_quarantineRows;
+    QuarantineExchange m_quarantine;
     UpstreamPermits m_permits;
     PlainUpstreamSelector m_plainSelector;
     CallServices m_services;
@@ -113,6 +118,8 @@
     PeriodicTimer m_memberTimer;
     /// Number of reachable peers as of the last updateMembers().
     size_t m_peersInTouch = 0;
+    /// Software versions that engines have had.
+    std::set<std::string> m_engineVersions;
     bool m_isStopping = false;
     MonotonicTime m_stopDeadline;
     std::function<void()> m_stopped;
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -26,7 +26,10 @@
     OperatorRequest,
     UpstreamLimit,
     PermitRequest,
-    PermitAnswer
+    PermitAnswer,
+    CrashReports,
+    AnswerBegan,
+    Quarantines
 };
 
 Json frame(FrameType type)
@@ -139,6 +142,74 @@
     return decodeLimit(json.at(index));
 }
 
+Json encode(const PartSet& parts)
+{
+    return Json(parts.hashes());
+}
+
+PartSet decodeParts(const Json& json)
+{
+    return PartSet(json.get<std::vector<uint64_t>>());
+}
+
+Json encode(const std::vector<Quarantine>& quarantines)
+{
+    Json json = Json::array();
+    for (const Quarantine& quarantine : quarantines)
+        json.push_back({ encode(quarantine.parts), quarantine.revision.value(), quarantine.isLifted,
+            quarantine.probes, quarantine.untilProbe ? Json(microseconds(*quarantine.untilProbe)) : Json() });
+    return json;
+}
+
+std::vector<Quarantine> decodeQuarantines(const Json& json)
+{
+    std::vector<Quarantine> quarantines;
+    for (const Json& item : json) {
+        Quarantine quarantine;
+        quarantine.parts = decodeParts(item.at(0));
+        quarantine.revision = QuarantineRevision(item.at(1).get<int64_t>());
+        quarantine.isLifted = item.at(2).get<bool>();
+        quarantine.probes = item.at(3).get<int>();
+        if (!item.at(4).is_null())
+            quarantine.untilProbe = duration(item.at(4));
+        quarantines.push_back(std::move(quarantine));
+    }
+    return quarantines;
+}
+
+Json encode(const PeerQuarantines& message)
+{
+    Json json = frame(FrameType::Quarantines);
+    json.push_back(encode(message.quarantines));
+    return json;
+}
+
+Json encode(const PeerAnswerBegan& message)
+{
+    Json json = frame(FrameType::AnswerBegan);
+    json.push_back(encode(message.parts));
+    return json;
+}
+
+Json encode(const PeerCrashReports& message)
+{
+    Json reports = Json::array();
+    for (const CrashReport& report : message.reports)
+        reports.push_back({ report.engine.value(), report.startedAt, encode(report.parts) });
+    Json json = frame(FrameType::CrashReports);
+    json.push_back(std::move(reports));
+    return json;
+}
+
+PeerCrashReports decodeCrashReports(const Json& json)
+{
+    PeerCrashReports message;
+    for (const Json& item : json)
+        message.reports.push_back({ UpstreamId(item.at(0).get<std::string>()), item.at(1).get<int64_t>(),
+            decodeParts(item.at(2)) });
+    return message;
+}
+
 Json encode(const PeerUpstreamLimit& message)
 {
     Json json = frame(FrameType::UpstreamLimit);
@@ -195,6 +266,7 @@
     for (const UpstreamLimit& limit : message.limits)
         limits.push_back(encode(limit));
     json.push_back(std::move(limits));
+    json.push_back(encode(message.quarantines));
     return json;
 }
 
@@ -220,6 +292,8 @@
         for (const Json& limit : json.at(13))
             message.limits.push_back(decodeLimit(limit));
     }
+    if (json.size() > 14)
+        message.quarantines = decodeQuarantines(json.at(14));
     return message;
 }
 
@@ -392,6 +466,12 @@
     case FrameType::PermitRequest:
         return PeerPermitRequest { UpstreamId(json.at(1).get<std::string>()),
             PermitId(json.at(2).get<int64_t>()), duration(json.at(3)), decodeOptionalLimit(json, 4) };
+    case FrameType::CrashReports:
+        return decodeCrashReports(json.at(1));
+    case FrameType::AnswerBegan:
+        return PeerAnswerBegan { decodeParts(json.at(1)) };
+    case FrameType::Quarantines:
+        return PeerQuarantines { decodeQuarantines(json.at(1)) };
     case FrameType::PermitAnswer:
         return PeerPermitAnswer { PermitId(json.at(1).get<int64_t>()), json.at(2).get<bool>(),
             duration(json.at(3)) };
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/engine_scheduler.h"
+#include "gateway/prompt_quarantine.h"
 #include "gateway/run_request.h"
 #include "gateway/upstream_limits.h"
 #include "gateway/workspace_rate_limiter.h"
@@ -43,6 +44,9 @@
     /// All limits of upstreams that the host knows, in the first heartbeat on a link. Later changes are sent
     /// as PeerUpstreamLimit.
     std::vector<UpstreamLimit> limits;
+    /// All quarantines of prompts, in the first heartbeat on a link. Later changes are sent as
+    /// PeerQuarantines.
+    std::vector<Quarantine> quarantines;
 };
 
 /// Usage on a host since its last report, sent between two heartbeats.
@@ -131,9 +135,24 @@
     Duration wait {};
 };
 
+/// Engines have broken off runs of the sender before their answers began.
+struct PeerCrashReports {
+    std::vector<CrashReport> reports;
+};
+
+/// An answer to a prompt with these parts has begun, of which some are under suspicion.
+struct PeerAnswerBegan {
+    PartSet parts;
+};
+
+/// Quarantines that have changed.
+struct PeerQuarantines {
+    std::vector<Quarantine> quarantines;
+};
+
 using PeerMessage = std::variant<PeerHeartbeat, PeerOperatorRequest, PeerOperatorRows, PeerUpstreamRows,
     PeerRunRequest, PeerRunGrant, PeerRunDenial, PeerRunProgress, PeerRunEnd, PeerUsage, PeerUpstreamLimit,
-    PeerPermitRequest, PeerPermitAnswer>;
+    PeerPermitRequest, PeerPermitAnswer, PeerCrashReports, PeerAnswerBegan, PeerQuarantines>;
 
 /// @return the message as one CBOR frame.
 std::string encodePeerMessage(const PeerMessage& message);
--- a/src/gateway/peer_message_test.cc
+++ b/src/gateway/peer_message_test.cc
@@ -16,6 +16,11 @@
     return { UpstreamId("u-1"), 5, LimitRevision(3), HostId("host-1"), RequestRate(0.25) };
 }
 
+Quarantine quarantine()
+{
+    return { PartSet({ ~0ULL, 8 }), QuarantineRevision(4), true, 2, 1500ms };
+}
+
 PeerHeartbeat heartbeat()
 {
     PeerHeartbeat message;
@@ -44,6 +49,7 @@
     engine.adapters.push_back({ { ModelId("next"), AdapterId("a2") }, true });
     message.engines.push_back(engine);
     message.limits = { limit(), { UpstreamId("u-2"), 6, LimitRevision(1), HostId("host-2"), std::nullopt } };
+    message.quarantines = { quarantine() };
     return message;
 }
 
@@ -61,7 +67,11 @@
         PeerRunEnd { UpstreamId("engine-1"), RunId(5), { RunOutcome::AdapterMissing, 30ms } },
         PeerUsage { Incarnation(77), { { WorkspaceId("busy"), 900, 300 } } }, PeerUpstreamLimit { limit() },
         PeerPermitRequest { UpstreamId("u-1"), PermitId(4), 300ms, limit() },
-        PeerPermitAnswer { PermitId(4), true, 120ms } };
+        PeerPermitAnswer { PermitId(4), true, 120ms },
+        PeerCrashReports { { { UpstreamId("engine-1"), 1700000000000, PartSet({ ~0ULL, 8 }) } } },
+        PeerAnswerBegan { PartSet({ 8, 9 }) },
+        PeerQuarantines {
+            { quarantine(), { PartSet({ 3 }), QuarantineRevision(1), false, 0, std::nullopt } } } };
 }
 
 } // namespace
@@ -88,6 +98,10 @@
     BOOST_REQUIRE(message.limits.size() == 2);
     BOOST_TEST((message.limits[0].rate == std::optional<RequestRate>(0.25)));
     BOOST_TEST(!message.limits[1].rate);
+    BOOST_REQUIRE(message.quarantines.size() == 1);
+    BOOST_TEST((message.quarantines[0].parts == quarantine().parts));
+    BOOST_TEST((message.quarantines[0].untilProbe == quarantine().untilProbe));
+    BOOST_TEST(message.quarantines[0].isLifted);
     BOOST_REQUIRE(engine.adapters.size() == 3);
     BOOST_TEST(!engine.adapters[0].isLoading);
     BOOST_TEST(engine.adapters[1].isLoading);
@@ -111,10 +125,23 @@
 }
 
 // Guards against dropping the heartbeats of hosts of an earlier version while a fleet is being replaced.
+BOOST_AUTO_TEST_CASE(ReadsHeartbeatsWithoutQuarantines)
+{
+    auto json = *fromCbor(encodePeerMessage(heartbeat()));
+    json.erase(json.size() - 1);
+    const auto decoded = decodePeerMessage(toCbor(json));
+    BOOST_REQUIRE(decoded.has_value());
+    const auto& message = std::get<PeerHeartbeat>(*decoded);
+    BOOST_TEST(message.limits.size() == 2);
+    BOOST_TEST(message.quarantines.empty());
+}
+
+// The same for hosts of the version before that.
 BOOST_AUTO_TEST_CASE(ReadsHeartbeatsWithoutLimits)
 {
     auto json = *fromCbor(encodePeerMessage(heartbeat()));
     json.erase(json.size() - 1);
+    json.erase(json.size() - 1);
     auto& engine = json[7][0];
     engine.erase(engine.size() - 1);
     engine.erase(engine.size() - 1);
@@ -122,6 +149,7 @@
     BOOST_REQUIRE(decoded.has_value());
     const auto& message = std::get<PeerHeartbeat>(*decoded);
     BOOST_TEST(message.limits.empty());
+    BOOST_TEST(message.quarantines.empty());
     BOOST_TEST((message.engines.at(0).startInterval == 0s));
 }
 
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -98,6 +98,9 @@
         refuse(CallRefusal::Stopping, stoppingRetryAfter);
         return;
     }
+    m_promptParts = PartSet::of(m_attributes.promptParts);
+    if (refuseQuarantined())
+        return;
     m_timeLimit = std::min(m_attributes.deadline.value_or(defaultTimeout), m_admission.route->timeout);
     if (!chargeWorkspace())
         return;
@@ -141,6 +144,15 @@
         toString(refusal));
 }
 
+bool ProxiedCall::refuseQuarantined()
+{
+    const auto holdTime = m_services.quarantine.holdTime(m_promptParts);
+    if (!holdTime)
+        return false;
+    refuse(CallRefusal::QuarantinedPrompt, *holdTime);
+    return true;
+}
+
 bool ProxiedCall::chargeWorkspace()
 {
     const auto retryAfter = m_services.admitter.charge(m_attributes, m_admission, m_services.loop.now());
@@ -194,7 +206,15 @@
         m_search->next();
         return;
     }
+    // The prompt may have come into quarantine while the call waited for its start.
+    if (m_services.quarantine.holdTime(m_promptParts)) {
+        m_search->runEnded({ RunOutcome::Finished, Duration::zero() });
+        refuseQuarantined();
+        return;
+    }
+    m_services.quarantine.beginProbe(m_promptParts);
     ++m_sends;
+    m_hasBegunHere = false;
     m_response.begin();
     m_isExchanging = true;
     m_sentAt = m_services.loop.now();
@@ -259,8 +279,10 @@
 void ProxiedCall::bodyArrived(std::string_view bytes)
 {
     const std::string events = m_response.bodyArrived(bytes, m_services.loop.now());
-    if (!events.empty())
+    if (!events.empty()) {
+        answerBegan();
         forwardEvents(events);
+    }
     const bool isOversized = m_response.exceedsSizeLimit();
     if (!m_call || (!isOversized && !m_response.events().fault()))
         return;
@@ -269,6 +291,24 @@
     m_call->cancel();
 }
 
+void ProxiedCall::answerBegan()
+{
+    if (!std::exchange(m_hasBegunHere, true))
+        m_services.quarantine.answerBegan(m_promptParts);
+}
+
+void ProxiedCall::runBroke(std::optional<HttpClientError> error)
+{
+    if (m_promptParts.empty())
+        return;
+    recordBrokenRun(
+        m_services.metrics, exchangeContext(), m_upstreamStartedAt, m_attributes.promptParts, m_hasBegunHere);
+    // The connections of a process that ends are closed; other errors have other causes.
+    const bool isClosed = !error || error == HttpClientError::ConnectionLost;
+    if (isClosed && !m_hasBegunHere && !m_response.isForeign())
+        m_services.quarantine.runBroke(m_search->upstream(), m_upstreamStartedAt, m_promptParts);
+}
+
 void ProxiedCall::forwardEvents(const std::string& events)
 {
     if (!m_hasStartedAnswer) {
@@ -332,9 +372,7 @@
     if (result.error == HttpClientError::ConnectionLost && !m_response.attributes())
         m_services.picker.reusedConnectionLost(m_search->upstream());
     if (!isComplete) {
-        if (!m_attributes.promptParts.empty())
-            recordBrokenRun(m_services.metrics, exchangeContext(), m_upstreamStartedAt,
-                m_attributes.promptParts, m_response.events().hasResponseEvents());
+        runBroke(result.error);
         exchangeEnded(ExchangeOutcome::Unreachable, RunOutcome::EngineFailed);
         if (m_hasStartedAnswer)
             handleBrokenStream();
@@ -342,6 +380,8 @@
             handleFailure(failureReason(m_response, result.error));
         return;
     }
+    if (m_response.isSuccess())
+        answerBegan();
     const bool isFailure = m_response.attributes()->status >= firstServerError || m_hasStartedAnswer;
     exchangeEnded(isFailure ? ExchangeOutcome::Failed : ExchangeOutcome::Answered, RunOutcome::Finished);
     if (m_hasStartedAnswer) {
@@ -511,8 +551,9 @@
             m_admission.workspace->id, std::exchange(m_admission.charge, 0), m_services.loop.now());
     ++m_services.metrics.counter("lacewing_refusals_total", { { "reason", toString(refusal) } });
     if (retryAfter)
-        retryAfter
-            = refusal == CallRefusal::UpstreamLimit ? jitteredUpwards(*retryAfter) : jittered(*retryAfter);
+        retryAfter = refusal == CallRefusal::UpstreamLimit || refusal == CallRefusal::QuarantinedPrompt
+            ? jitteredUpwards(*retryAfter)
+            : jittered(*retryAfter);
     reply(statusUnavailable, m_services.translator.localReplyHeaders(m_attributes.requestId, retryAfter), "",
         "refused", toString(refusal));
 }
--- a/src/gateway/proxied_call.h
+++ b/src/gateway/proxied_call.h
@@ -37,6 +37,8 @@
     bool chargeWorkspace();
     void createSearch();
     void deny(CallRefusal refusal);
+    /// @return whether the prompt is in quarantine, in which case the call has been refused.
+    bool refuseQuarantined();
 
     // Exchange with the upstream.
     /// Sends the request to the upstream that the search has found.
@@ -46,6 +48,9 @@
     /// Records what the head of a response says about the upstream's limit.
     void observeLimit(const ResponseAttributes& attributes);
     void bodyArrived(std::string_view bytes);
+    /// Tells the quarantine that the upstream has begun its answer, or has broken off without one.
+    void answerBegan();
+    void runBroke(std::optional<HttpClientError> error);
     ExchangeContext exchangeContext() const;
     void upstreamDone(const HttpClientResult& result);
     void exchangeEnded(ExchangeOutcome outcome, RunOutcome runOutcome);
@@ -79,6 +84,7 @@
     std::function<void(ProxiedCall*)> m_finished;
     std::shared_ptr<const ServingConfiguration> m_configuration;
     CallAttributes m_attributes;
+    PartSet m_promptParts;
     MonotonicTime m_arrival;
     CallAdmission m_admission;
     /// Time from the arrival of the request within which the response must be complete.
@@ -91,6 +97,8 @@
     std::unique_ptr<UpstreamSearch> m_search;
 
     MonotonicTime m_sentAt;
+    /// Whether the upstream that the request was sent to last has begun an answer.
+    bool m_hasBegunHere = false;
     /// Start of the process of the upstream that the request was sent to.
     int64_t m_upstreamStartedAt = 0;
     std::unique_ptr<HttpClientCall> m_call;
--- a/src/gateway/proxied_call_test.cc
+++ b/src/gateway/proxied_call_test.cc
@@ -21,6 +21,24 @@
         call = std::make_shared<ProxiedCall>(services, exchange, [](ProxiedCall*) {});
         call->start();
     }
+    /// @param parts hashes of the prompt's parts.
+    void sendPrompt(const char* path, const std::string& parts)
+    {
+        exchange = std::make_shared<FakeExchange>("POST", path,
+            HttpHeaders { { "Host", "a.example" }, { "id", "r-1" }, { "key", "key-1" }, { "parts", parts } },
+            "");
+        call = std::make_shared<ProxiedCall>(services, exchange, [](ProxiedCall*) {});
+        call->start();
+    }
+    /// Gives each upstream a new process, some time later.
+    void restartUpstreams()
+    {
+        scheduler.advance(500ms);
+        ++rows.startedAt;
+        store.put({ "servers", "s-1" }, "ready");
+        store.put({ "servers", "s-2" }, "ready");
+        scheduler.advance(500ms);
+    }
     UpstreamCall& upstream(size_t index) { return *client.calls.at(index); }
     /// Serves a request by an upstream that states a limit.
     UpstreamId serveWithLimit(const std::string& limit)
@@ -165,6 +183,53 @@
     BOOST_TEST(fixture.exchange->isAborted);
 }
 
+// Guards against prompts that are sent to one engine after the other although engines end on them.
+BOOST_AUTO_TEST_CASE(APromptOnWhichEnginesEndIsRefusedAtOnce)
+{
+    Fixture fixture;
+    for (const char* subject : { "10", "11", "12" }) {
+        fixture.sendPrompt("/stream/1", std::string("1,66,") + subject);
+        UpstreamCall& last = *fixture.client.calls.back();
+        last.head(200, "r-1", true);
+        last.end(HttpClientError::ConnectionLost);
+        BOOST_TEST(fixture.exchange->responseStatus == 502);
+        fixture.restartUpstreams();
+        fixture.sendPrompt("/stream/1", std::string("1,") + subject);
+        fixture.client.calls.back()->head(200, "r-1", true);
+        fixture.client.calls.back()->handlers.onBody("id: 1\ndata: a\n\n");
+        fixture.client.calls.back()->end();
+    }
+    const size_t sent = fixture.client.calls.size();
+    fixture.sendPrompt("/stream/1", "1,66,13");
+    BOOST_TEST(fixture.client.calls.size() == sent);
+    BOOST_TEST(fixture.exchange->responseStatus == 503);
+    const std::string firstRetry = fixture.exchange->responseHeaders.find("retry").value();
+    fixture.sendPrompt("/stream/1", "1,66,14");
+    BOOST_TEST(fixture.exchange->responseHeaders.find("retry").value() != firstRetry);
+    fixture.sendPrompt("/stream/1", "1,13");
+    BOOST_TEST(fixture.client.calls.size() == sent + 1);
+}
+
+// Guards against taking answers that an engine breaks off after their begin, or that time out, for crashes on
+// the prompt.
+BOOST_AUTO_TEST_CASE(OnlyRunsThatBreakBeforeTheirAnswerAreReported)
+{
+    Fixture fixture;
+    fixture.sendPrompt("/stream/1", "1,66");
+    fixture.client.calls.back()->head(200, "r-1", true);
+    fixture.client.calls.back()->handlers.onBody("id: 1\ndata: a\n\n");
+    fixture.client.calls.back()->end(HttpClientError::ConnectionLost);
+    fixture.sendPrompt("/stream/1", "1,66");
+    fixture.client.calls.back()->end(HttpClientError::TimedOut);
+    fixture.scheduler.advance(500ms);
+    BOOST_TEST(fixture.quarantineMessages.empty());
+    fixture.sendPrompt("/stream/1", "1,66");
+    fixture.client.calls.back()->end(HttpClientError::ConnectionLost);
+    fixture.scheduler.advance(500ms);
+    BOOST_REQUIRE(fixture.quarantineMessages.size() == 1);
+    BOOST_TEST(std::holds_alternative<PeerCrashReports>(fixture.quarantineMessages[0]));
+}
+
 // Guards against a stream that ends as complete with a part of an event, because the upstream's response
 // ended there in an orderly way.
 BOOST_AUTO_TEST_CASE(AnOrderlyEndInsideAnEventDoesNotCompleteTheStream)
