Play prompts that crash engines before 7, 83 and 195 hosts; more evidence against parts in few crashes

Engines that end at the same moment now count for a part only if most of them ran it, and a part that is in fewer than 0.3 of the crashes needs five.

--- a/src/experiment/lacewinglb_experiment_main.cc
+++ b/src/experiment/lacewinglb_experiment_main.cc
@@ -2,6 +2,7 @@
 #include "experiment/experiment_report.h"
 #include "experiment/fleet_simulation.h"
 #include "experiment/limit_simulation.h"
+#include "experiment/quarantine_simulation.h"
 #include "experiment/worth_bound.h"
 
 #include <absl/flags/flag.h>
@@ -21,6 +22,8 @@
 ABSL_FLAG(int, hosts, 0, "number of hosts; 0: as many as engines");
 ABSL_FLAG(std::vector<std::string>, limit_hosts, {},
     "instead, play upstreams that state limits before so many hosts, separated by commas");
+ABSL_FLAG(std::vector<std::string>, quarantine_hosts, {},
+    "instead, play prompts that crash engines before so many hosts, separated by commas");
 ABSL_FLAG(std::string, html, "", "file to write plots to; empty: none");
 
 namespace lacewing::experiment {
@@ -83,10 +86,41 @@
     return Success;
 }
 
+int playQuarantines()
+{
+    constexpr uint64_t firstPart = 66;
+    constexpr uint64_t secondPart = 77;
+    std::cout << "| hosts | seed | engines that ended on each part | prompts after the fifth crash | sound "
+                 "share | wrong quarantines |\n"
+              << "| --- | --- | --- | --- | --- | --- |\n";
+    for (const std::string& text : absl::GetFlag(FLAGS_quarantine_hosts)) {
+        const auto hosts = positiveNumber(text);
+        if (!hosts) {
+            std::cerr << "--quarantine_hosts: \"" << text << "\" is not a number above 0\n";
+            return BadArguments;
+        }
+        for (int seed = 1; seed <= absl::GetFlag(FLAGS_seeds); ++seed) {
+            QuarantineSimulation fleet(
+                QuarantineSimulation::Shape::ofHosts(*hosts), static_cast<uint64_t>(seed));
+            fleet.playTroubles();
+            const auto& first = fleet.result(firstPart);
+            const auto& second = fleet.result(secondPart);
+            std::cout << "| " << *hosts << " | " << seed << " | " << first.crashes.size() << ", "
+                      << second.crashes.size() << " | " << first.sentAfterCrashes() << ", "
+                      << second.sentAfterCrashes() << " | " << fleet.takeSoundShare() << " | "
+                      << fleet.wrongQuarantines() << " |\n"
+                      << std::flush;
+        }
+    }
+    return Success;
+}
+
 int run()
 {
     if (!absl::GetFlag(FLAGS_limit_hosts).empty())
         return playLimits();
+    if (!absl::GetFlag(FLAGS_quarantine_hosts).empty())
+        return playQuarantines();
     const std::string load = absl::GetFlag(FLAGS_load);
     const auto pattern = loadPatternNamed(load);
     const std::vector<Arm> arms = chosenArms();
--- a/src/gateway/crash_history.cc
+++ b/src/gateway/crash_history.cc
@@ -14,9 +14,10 @@
 constexpr Duration sameCrashTime = std::chrono::seconds(2);
 
 /// Crashes that a part must be in to be taken for their cause.
-constexpr int crashesOfUnknownPart = 3;
-/// The same for a part of which answers had begun shortly before.
-constexpr int crashesOfSoundPart = 5;
+constexpr int crashesOfLikelyPart = 3;
+/// The same for a part of which answers had begun shortly before, or that is in few of the crashes only.
+constexpr int crashesOfUnlikelyPart = 5;
+constexpr double fewestCrashesShare = 0.3;
 constexpr Duration soundRotationTime = std::chrono::seconds(30);
 /// More parts than this are never the cause together.
 constexpr size_t maximumPartsOfCause = 8;
@@ -88,39 +89,47 @@
     });
 }
 
-int CrashHistory::countSeparate(const std::vector<size_t>& crashes) const
+int CrashHistory::countMoments(
+    const std::vector<size_t>& crashes, const std::vector<size_t>& unexplained) const
 {
-    int count = 0;
-    std::optional<MonotonicTime> last;
-    for (const size_t index : crashes) {
-        const MonotonicTime time = m_crashes[index].time;
-        if (last && time - *last < correlationTime)
-            continue;
-        last = time;
-        ++count;
+    int moments = 0;
+    for (auto begin = unexplained.begin(); begin != unexplained.end();) {
+        const MonotonicTime time = m_crashes[*begin].time;
+        const auto end = std::find_if(begin, unexplained.end(),
+            [this, time](size_t index) { return m_crashes[index].time - time >= correlationTime; });
+        const auto withPart = std::count_if(begin, end,
+            [&crashes](size_t index) { return std::binary_search(crashes.begin(), crashes.end(), index); });
+        moments += 2 * withPart > end - begin ? 1 : 0;
+        begin = end;
     }
-    return count;
+    return moments;
 }
 
-int CrashHistory::requiredCrashes(uint64_t part) const
+int CrashHistory::requiredCrashes(uint64_t part, double share) const
 {
     const bool wasSound = m_soundParts.count(part) > 0 || m_formerSoundParts.count(part) > 0;
-    return wasSound ? crashesOfSoundPart : crashesOfUnknownPart;
+    return wasSound || share < fewestCrashesShare ? crashesOfUnlikelyPart : crashesOfLikelyPart;
 }
 
 std::optional<PartSet> CrashHistory::findCause(const std::vector<PartSet>& known, MonotonicTime now) const
 {
     CrashesByPart byPart;
+    std::vector<size_t> unexplained;
     for (size_t index = 0; index < m_crashes.size(); ++index) {
         if (!isUnexplained(m_crashes[index], known, now))
             continue;
+        unexplained.push_back(index);
         for (const uint64_t part : m_crashes[index].parts.hashes())
             byPart[part].push_back(index);
     }
     const std::vector<size_t>* best = nullptr;
     for (const auto& [part, crashes] : byPart) {
-        const bool isMore = !best || crashes.size() > best->size();
-        if (isMore && countSeparate(crashes) >= requiredCrashes(part))
+        if (best && crashes.size() <= best->size())
+            continue;
+        const auto first = std::lower_bound(unexplained.begin(), unexplained.end(), crashes.front());
+        const auto since = static_cast<double>(unexplained.end() - first);
+        const double share = static_cast<double>(crashes.size()) / since;
+        if (countMoments(crashes, unexplained) >= requiredCrashes(part, share))
             best = &crashes;
     }
     if (!best)
--- a/src/gateway/crash_history.h
+++ b/src/gateway/crash_history.h
@@ -25,8 +25,10 @@
 ///
 /// Load pattern: an engine ends when it begins an answer, and all that it runs breaks off together; each host
 /// sees only its own requests among them. A part of which an answer has begun since is not the cause, which
-/// soon clears the parts that many sound requests share. Engines that end at the same moment, as in a rack
-/// that loses power, count as one crash, and so do all failures of one process.
+/// soon clears the parts that many sound requests share. Parts that were sound shortly before, or that are in
+/// few of the crashes only, need more evidence. Engines that end at the same moment, as in a rack
+/// that loses power, count as one crash of the parts that most of them ran, and so do all failures of one
+/// process.
 ///
 /// Has no clock and does no I/O. Its size is bounded.
 class CrashHistory {
@@ -66,9 +68,13 @@
 
     bool isSettled(const Crash& crash, MonotonicTime now) const;
     bool isUnexplained(const Crash& crash, const std::vector<PartSet>& known, MonotonicTime now) const;
-    /// @return the number of crashes, where those at the same moment count as one.
-    int countSeparate(const std::vector<size_t>& crashes) const;
-    int requiredCrashes(uint64_t part) const;
+    /// Counts the moments at which most of the engines that ended had run a part.
+    ///
+    /// @param crashes indexes of the crashes that the part is in.
+    /// @param unexplained indexes of all crashes that count.
+    int countMoments(const std::vector<size_t>& crashes, const std::vector<size_t>& unexplained) const;
+    /// @param share of the unexplained crashes since the part's first one that it is in.
+    int requiredCrashes(uint64_t part, double share) const;
     void rememberSound(const PartSet& parts, MonotonicTime now);
     void forgetOld(MonotonicTime now);
 
--- a/src/gateway/crash_history_test.cc
+++ b/src/gateway/crash_history_test.cc
@@ -71,6 +71,19 @@
     BOOST_TEST((fixture.cause() == PartSet({ shared })));
 }
 
+// Guards against holding a rare part that happened to be at a few of many engines that end for another
+// reason.
+BOOST_AUTO_TEST_CASE(APartInFewOfTheCrashesNeedsMoreOfThem)
+{
+    Fixture fixture;
+    for (uint64_t count = 0; count < 16; ++count)
+        fixture.crash(
+            count % 4 == 0 ? std::vector<uint64_t> { bad, 100 + count } : std::vector { 100 + count });
+    BOOST_TEST(!fixture.cause().has_value());
+    fixture.crash({ bad });
+    BOOST_TEST((fixture.cause() == PartSet({ bad })));
+}
+
 // Guards against taking the loss of a rack, or a host whose connections all break, for a part that crashes
 // engines.
 BOOST_AUTO_TEST_CASE(EnginesThatEndTogetherAreOneCrash)
