Create the link secret once the store takes writes

Cause: the store refused calls in the second in which a new fleet started. Each host tried once to create the secret that links need, and not again.

Fix: a host whose attempt gets no answer or is refused tries again a second later; the condition still lets only one succeed.

Evidence: TheLinkSecretIsCreatedOnceTheStoreTakesWrites fails before and passes now.

--- a/src/gateway/fleet_agent.cc
+++ b/src/gateway/fleet_agent.cc
@@ -33,6 +33,7 @@
 constexpr Duration startupFeedInterval = std::chrono::milliseconds(400);
 /// Hosts of a new fleet spread the creation of the link secret over this time, so that few writes conflict.
 constexpr Duration secretCreationJitter = std::chrono::milliseconds(300);
+constexpr Duration secretRetryInterval = std::chrono::seconds(1);
 /// A fleet does not count as stable before this time after the start.
 constexpr Duration stabilisationTime = std::chrono::seconds(3);
 /// Hosts of a new fleet wait for this time before their first claims, so that they know each other when they
@@ -168,9 +169,11 @@
     RowTransaction transaction;
     transaction.conditions.push_back({ FleetRows::secretKey(), RowVersion(0) });
     transaction.writes.push_back({ FleetRows::secretKey(), toHex(*nonce) });
-    m_store.commit(std::move(transaction), m_lifetime.guard([](const CommitResult& result) {
-        if (!result.value && result.error != RowStoreError::Conflict)
-            LogEvent(LogLevel::Warning, "link_secret_failed").with("reason", toString(result.error));
+    m_store.commit(std::move(transaction), m_lifetime.guard([this](const CommitResult& result) {
+        if (result.value || result.error == RowStoreError::Conflict)
+            return;
+        LogEvent(LogLevel::Warning, "link_secret_failed").with("reason", toString(result.error));
+        m_scheduler.runAfter(secretRetryInterval, m_lifetime.guard([this] { createSecretLater(); }));
     }));
 }
 
--- a/src/gateway/fleet_agent_test.cc
+++ b/src/gateway/fleet_agent_test.cc
@@ -440,4 +440,22 @@
     BOOST_TEST(a.owned.size() >= 4);
 }
 
+// Guards against hosts that never connect to each other because the store refused the link secret when a new
+// fleet started.
+BOOST_AUTO_TEST_CASE(TheLinkSecretIsCreatedOnceTheStoreTakesWrites)
+{
+    VirtualScheduler scheduler;
+    FakeRowStore store(scheduler);
+    HostStore refusing(store);
+    refusing.refusesWrites = true;
+    Host a(scheduler, refusing, "host-a", 1, {});
+    Host b(scheduler, refusing, "host-b", 1, {});
+    scheduler.advance(5s);
+    BOOST_TEST(!a.agent.registry().linkSecret().has_value());
+    refusing.refusesWrites = false;
+    scheduler.advance(5s);
+    BOOST_REQUIRE(a.agent.registry().linkSecret().has_value());
+    BOOST_TEST((a.agent.registry().linkSecret() == b.agent.registry().linkSecret()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
