--- a/src/experiment/quarantine_simulation.cc
+++ b/src/experiment/quarantine_simulation.cc
@@ -256,7 +256,7 @@
     if (!sender)
         return;
     m_soundBegun += run.poison ? 0 : 1;
-    sender->answerBegan(run.prompt);
+    sender->answerBegan({ engineId(run.engine), run.startedAt, run.prompt });
 }
 
 void QuarantineSimulation::end(size_t index)
--- a/src/gateway/crash_history.h
+++ b/src/gateway/crash_history.h
@@ -21,14 +21,22 @@
     PartSet parts;
 };
 
+/// An engine's process has begun an answer to a prompt.
+struct AnswerBegin {
+    UpstreamId engine;
+    /// Start of the engine's process.
+    int64_t startedAt = 0;
+    PartSet parts;
+};
+
 /// The crashes of engines, and which parts of prompts they have in common.
 ///
 /// Load pattern: an engine ends when it begins an answer, and all that it runs breaks off together; each host
 /// sees only its own requests among them. A part of which an answer has begun since is not the cause, which
 /// soon clears the parts that many sound requests share. Parts that were sound shortly before, or that are in
 /// few of the crashes only, need more evidence. Engines that end at the same moment, as in a rack
-/// that loses power, count as one crash of the parts that most of them ran, and so do all failures of one
-/// process.
+/// that loses power, count as one crash of the parts that most of them ran. A process that begins another
+/// answer has not ended: its connections were broken for another reason.
 ///
 /// Has no clock and does no I/O. Its size is bounded.
 class CrashHistory {
@@ -39,10 +47,10 @@
     static constexpr Duration settlingTime = std::chrono::milliseconds(100);
 
     void add(const CrashReport& report, MonotonicTime now);
-    /// An answer to a prompt with these parts has begun.
-    void clear(const PartSet& parts, MonotonicTime now);
-    /// @return whether one of the parts is in a crash.
-    bool hasSuspects(const PartSet& parts) const;
+    /// Clears the parts of the prompt, and the engine's process.
+    void clear(const AnswerBegin& answer, MonotonicTime now);
+    /// @return whether an answer clears a part or a process.
+    bool isCleared(const AnswerBegin& answer) const;
 
     /// Finds the parts that are in most crashes, and in the same ones.
     ///
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -187,7 +187,9 @@
 Json encode(const PeerAnswerBegan& message)
 {
     Json json = frame(FrameType::AnswerBegan);
-    json.push_back(encode(message.parts));
+    json.push_back(message.answer.engine.value());
+    json.push_back(message.answer.startedAt);
+    json.push_back(encode(message.answer.parts));
     return json;
 }
 
@@ -469,7 +471,8 @@
     case FrameType::CrashReports:
         return decodeCrashReports(json.at(1));
     case FrameType::AnswerBegan:
-        return PeerAnswerBegan { decodeParts(json.at(1)) };
+        return PeerAnswerBegan { { UpstreamId(json.at(1).get<std::string>()), json.at(2).get<int64_t>(),
+            decodeParts(json.at(3)) } };
     case FrameType::Quarantines:
         return PeerQuarantines { decodeQuarantines(json.at(1)) };
     case FrameType::PermitAnswer:
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -140,9 +140,9 @@
     std::vector<CrashReport> reports;
 };
 
-/// An answer to a prompt with these parts has begun, of which some are under suspicion.
+/// An answer has begun that clears parts under suspicion, or the engine.
 struct PeerAnswerBegan {
-    PartSet parts;
+    AnswerBegin answer;
 };
 
 /// Quarantines that have changed.
--- a/src/gateway/prompt_quarantine.cc
+++ b/src/gateway/prompt_quarantine.cc
@@ -131,18 +131,19 @@
     return changes;
 }
 
-bool PromptQuarantine::isInformative(const PartSet& parts) const
+bool PromptQuarantine::isInformative(const AnswerBegin& answer) const
 {
-    if (m_history.hasSuspects(parts))
+    if (m_history.isCleared(answer))
         return true;
     return std::any_of(m_entries.begin(), m_entries.end(),
-        [&parts](const auto& item) { return !item.second.isLifted && item.first.intersects(parts); });
+        [&answer](const auto& item) { return !item.second.isLifted && item.first.intersects(answer.parts); });
 }
 
-PromptQuarantine::Changes PromptQuarantine::answerBegan(const PartSet& parts, MonotonicTime now)
+PromptQuarantine::Changes PromptQuarantine::answerBegan(const AnswerBegin& answer, MonotonicTime now)
 {
     Changes changes;
-    m_history.clear(parts, now);
+    const PartSet& parts = answer.parts;
+    m_history.clear(answer, now);
     for (const PartSet& cause : activeCauses()) {
         if (!cause.intersects(parts))
             continue;
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -43,10 +43,10 @@
     void crashed(const CrashReport& report, MonotonicTime now) { m_history.add(report, now); }
     /// Looks for causes; to be called when the reports of a crash have arrived (CrashHistory::settlingTime).
     Changes decide(MonotonicTime now);
-    /// @return whether peers must be told that an answer to a prompt with these parts has begun.
-    bool isInformative(const PartSet& parts) const;
-    /// An answer to a prompt with these parts has begun, at this host or another one.
-    Changes answerBegan(const PartSet& parts, MonotonicTime now);
+    /// @return whether peers must be told that an answer has begun.
+    bool isInformative(const AnswerBegin& answer) const;
+    /// An answer has begun, at this host or another one.
+    Changes answerBegan(const AnswerBegin& answer, MonotonicTime now);
     /// Takes over what a peer or the store tells.
     ///
     /// @return whether it is newer than what is known.
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -294,7 +294,7 @@
 void ProxiedCall::answerBegan()
 {
     if (!std::exchange(m_hasBegunHere, true))
-        m_services.quarantine.answerBegan(m_promptParts);
+        m_services.quarantine.answerBegan({ m_search->upstream(), m_upstreamStartedAt, m_promptParts });
 }
 
 void ProxiedCall::runBroke(std::optional<HttpClientError> error)
--- a/src/gateway/quarantine_exchange.cc
+++ b/src/gateway/quarantine_exchange.cc
@@ -77,14 +77,14 @@
     }));
 }
 
-void QuarantineExchange::answerBegan(const PartSet& prompt)
+void QuarantineExchange::answerBegan(const AnswerBegin& answer)
 {
-    if (prompt.empty())
+    if (answer.parts.empty())
         return;
-    const bool isInformative = m_quarantine.isInformative(prompt);
-    publish(m_quarantine.answerBegan(prompt, m_scheduler.now()), "answer_began");
+    const bool isInformative = m_quarantine.isInformative(answer);
+    publish(m_quarantine.answerBegan(answer, m_scheduler.now()), "answer_began");
     if (isInformative)
-        m_handlers.sendToAll(PeerAnswerBegan { prompt });
+        m_handlers.sendToAll(PeerAnswerBegan { answer });
 }
 
 std::optional<Duration> QuarantineExchange::holdTime(const PartSet& prompt) const
@@ -146,7 +146,7 @@
     else if (const auto* crashes = std::get_if<PeerCrashReports>(&message))
         crashed(crashes->reports);
     else if (const auto* began = std::get_if<PeerAnswerBegan>(&message))
-        publish(m_quarantine.answerBegan(began->parts, m_scheduler.now()), "answer_began");
+        publish(m_quarantine.answerBegan(began->answer, m_scheduler.now()), "answer_began");
 }
 
 void QuarantineExchange::restore(const Quarantine& quarantine)
--- a/src/gateway/quarantine_exchange.h
+++ b/src/gateway/quarantine_exchange.h
@@ -34,7 +34,7 @@
     /// @param startedAt start of the engine's process.
     void runBroke(const UpstreamId& engine, int64_t startedAt, const PartSet& prompt);
     /// The answer to a prompt has begun.
-    void answerBegan(const PartSet& prompt);
+    void answerBegan(const AnswerBegin& answer);
     /// @return the time after which to come back, if the prompt must not be sent now.
     std::optional<Duration> holdTime(const PartSet& prompt) const;
     /// To be called right before a prompt is sent, which may make it a probe.
