Refuse requests that the end of a stopping host could cut off

What operators saw: in a planned stop, requests that came late in the grace were taken and passed on, and cut without an answer at its end, among them requests that may not be repeated.

Requests came so late because the discovery lifetime was long; with the usual one of a second the host drains before.

Cause: a stopping host took each plain request, however long it might last.

Fix: a request that may run once only is refused at once with 503 if its time limit is longer than what is left of the grace, so it goes to another host and has not run. Draining, which ends streams too, begins after three eighths of the grace at the latest.

--- a/src/gateway/call_services.h
+++ b/src/gateway/call_services.h
@@ -45,6 +45,8 @@
     std::function<void(const LimitObservation& observation, const std::string& requestId)> limitObserved;
     /// False once the host drains, since a new stream could be cut off by the end of the process.
     bool acceptsStreams = true;
+    /// When the process ends; set once the host stops.
+    std::optional<MonotonicTime> stopDeadline;
 };
 
 } // namespace lacewing::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -477,10 +477,11 @@
     m_isStopping = true;
     m_stopped = std::move(done);
     m_stopDeadline = m_loop.now() + m_settings.stopTime - exitMargin;
+    m_services.stopDeadline = m_stopDeadline;
     m_mesh.sendHeartbeats();
     releaseWhenIdle();
     const Duration directoryGrace = m_settings.directoryLifetime * directoryGraceLifetimes;
-    const Duration longestGrace = m_settings.stopTime / 2;
+    const Duration longestGrace = m_settings.stopTime * 3 / 8;
     m_loop.runAfter(std::min(directoryGrace, longestGrace), [this] { beginDrain(); });
 }
 
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -102,6 +102,10 @@
     if (refuseQuarantined())
         return;
     m_timeLimit = std::min(m_attributes.deadline.value_or(defaultTimeout), m_admission.route->timeout);
+    if (mayOutlastHost()) {
+        refuse(CallRefusal::Stopping, stoppingRetryAfter);
+        return;
+    }
     if (!chargeWorkspace())
         return;
     createSearch();
@@ -153,6 +157,12 @@
     return true;
 }
 
+bool ProxiedCall::mayOutlastHost() const
+{
+    return m_services.stopDeadline && m_admission.route->kind == RouteKind::AtMostOnce
+        && m_services.loop.now() + m_timeLimit > *m_services.stopDeadline;
+}
+
 bool ProxiedCall::chargeWorkspace()
 {
     const auto retryAfter = m_services.admitter.charge(m_attributes, m_admission, m_services.loop.now());
--- a/src/gateway/proxied_call.h
+++ b/src/gateway/proxied_call.h
@@ -39,6 +39,9 @@
     void deny(CallRefusal refusal);
     /// @return whether the prompt is in quarantine, in which case the call has been refused.
     bool refuseQuarantined();
+    /// @return whether the end of the process could cut the call off, so that nobody would know whether the
+    /// request has run.
+    bool mayOutlastHost() const;
 
     // Exchange with the upstream.
     /// Sends the request to the upstream that the search has found.
--- a/src/gateway/proxied_call_test.cc
+++ b/src/gateway/proxied_call_test.cc
@@ -230,6 +230,23 @@
     BOOST_TEST(std::holds_alternative<PeerCrashReports>(fixture.quarantineMessages[0]));
 }
 
+// Guards against a request that is taken late in a planned stop and cut off by the end of the process.
+BOOST_AUTO_TEST_CASE(ARequestThatMayOutlastAStoppingHostIsRefused)
+{
+    Fixture fixture;
+    fixture.services.stopDeadline = fixture.scheduler.now() + 3500ms;
+    fixture.send("/once/1");
+    BOOST_TEST(fixture.client.calls.size() == 1);
+    fixture.scheduler.advance(600ms);
+    fixture.send("/once/1");
+    BOOST_TEST(fixture.client.calls.size() == 1);
+    BOOST_TEST(fixture.exchange->responseStatus == 503);
+    BOOST_TEST(fixture.exchange->responseHeaders.count("retry") == 1);
+    // Callers send what may be repeated once more.
+    fixture.send("/safe/1");
+    BOOST_TEST(fixture.client.calls.size() == 2);
+}
+
 // Guards against a stream that ends as complete with a part of an event, because the upstream's response
 // ended there in an orderly way.
 BOOST_AUTO_TEST_CASE(AnOrderlyEndInsideAnEventDoesNotCompleteTheStream)
