One name for a set of parts, records of calls in a file of their own

PartSet writes its hashes for logs and keys, call_record logs and counts a call that has ended, and the experiment tool reads numbers of hosts in one place.

--- a/src/experiment/lacewinglb_experiment_main.cc
+++ b/src/experiment/lacewinglb_experiment_main.cc
@@ -65,20 +65,33 @@
     return number < 1 ? std::nullopt : std::make_optional(static_cast<size_t>(number));
 }
 
+/// @return the numbers of a flag; nothing if one of them is not a number above 0, which is printed.
+std::optional<std::vector<size_t>> positiveNumbers(const char* flag, const std::vector<std::string>& texts)
+{
+    std::vector<size_t> numbers;
+    for (const std::string& text : texts) {
+        const auto number = positiveNumber(text);
+        if (!number) {
+            std::cerr << flag << ": \"" << text << "\" is not a number above 0\n";
+            return std::nullopt;
+        }
+        numbers.push_back(*number);
+    }
+    return numbers;
+}
+
 int playLimits()
 {
+    const auto sizes = positiveNumbers("--limit_hosts", absl::GetFlag(FLAGS_limit_hosts));
+    if (!sizes)
+        return BadArguments;
     std::cout << "| hosts | seed | requests by allowed requests, worst window | served | refused |\n"
               << "| --- | --- | --- | --- | --- |\n";
-    for (const std::string& text : absl::GetFlag(FLAGS_limit_hosts)) {
-        const auto hosts = positiveNumber(text);
-        if (!hosts) {
-            std::cerr << "--limit_hosts: \"" << text << "\" is not a number above 0\n";
-            return BadArguments;
-        }
+    for (const size_t hosts : *sizes) {
         for (int seed = 1; seed <= absl::GetFlag(FLAGS_seeds); ++seed) {
-            LimitSimulation fleet({ *hosts, 4, 60 }, static_cast<uint64_t>(seed));
+            LimitSimulation fleet({ hosts, 4, 60 }, static_cast<uint64_t>(seed));
             fleet.playTroubles();
-            std::cout << "| " << *hosts << " | " << seed << " | " << fleet.worstRatio() << " | "
+            std::cout << "| " << hosts << " | " << seed << " | " << fleet.worstRatio() << " | "
                       << fleet.served() << " | " << fleet.refused() << " |\n"
                       << std::flush;
         }
@@ -88,24 +101,22 @@
 
 int playQuarantines()
 {
+    const auto sizes = positiveNumbers("--quarantine_hosts", absl::GetFlag(FLAGS_quarantine_hosts));
+    if (!sizes)
+        return BadArguments;
     constexpr uint64_t firstPart = 66;
     constexpr uint64_t secondPart = 77;
     std::cout << "| hosts | seed | engines that ended on each part | prompts after the fifth crash | sound "
                  "share | wrong quarantines |\n"
               << "| --- | --- | --- | --- | --- | --- |\n";
-    for (const std::string& text : absl::GetFlag(FLAGS_quarantine_hosts)) {
-        const auto hosts = positiveNumber(text);
-        if (!hosts) {
-            std::cerr << "--quarantine_hosts: \"" << text << "\" is not a number above 0\n";
-            return BadArguments;
-        }
+    for (const size_t hosts : *sizes) {
         for (int seed = 1; seed <= absl::GetFlag(FLAGS_seeds); ++seed) {
             QuarantineSimulation fleet(
-                QuarantineSimulation::Shape::ofHosts(*hosts), static_cast<uint64_t>(seed));
+                QuarantineSimulation::Shape::ofHosts(hosts), static_cast<uint64_t>(seed));
             fleet.playTroubles();
             const auto& first = fleet.result(firstPart);
             const auto& second = fleet.result(secondPart);
-            std::cout << "| " << *hosts << " | " << seed << " | " << first.crashes.size() << ", "
+            std::cout << "| " << hosts << " | " << seed << " | " << first.crashes.size() << ", "
                       << second.crashes.size() << " | " << first.sentAfterCrashes() << ", "
                       << second.sentAfterCrashes() << " | " << fleet.takeSoundShare() << " | "
                       << fleet.wrongQuarantines() << " |\n"
--- a/src/gateway/part_set.cc
+++ b/src/gateway/part_set.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <sstream>
 
 namespace lacewing::gateway {
 
@@ -67,6 +68,18 @@
     m_hashes = std::move(merged);
 }
 
+std::string PartSet::text(char separator) const
+{
+    std::ostringstream text;
+    text << std::hex;
+    for (const uint64_t hash : m_hashes) {
+        if (hash != m_hashes.front())
+            text << separator;
+        text << hash;
+    }
+    return text.str();
+}
+
 void PartSet::truncate(size_t size)
 {
     if (m_hashes.size() > size)
--- a/src/gateway/part_set.h
+++ b/src/gateway/part_set.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <string>
 #include <vector>
 
 namespace lacewing::gateway {
@@ -35,6 +36,9 @@
     /// Keeps only the first parts, in ascending order of their hashes.
     void truncate(size_t size);
 
+    /// @return the hashes in hexadecimal.
+    std::string text(char separator) const;
+
     friend bool operator==(const PartSet& a, const PartSet& b) { return a.m_hashes == b.m_hashes; }
     friend bool operator!=(const PartSet& a, const PartSet& b) { return !(a == b); }
     friend bool operator<(const PartSet& a, const PartSet& b) { return a.m_hashes < b.m_hashes; }
--- a/src/gateway/part_set_test.cc
+++ b/src/gateway/part_set_test.cc
@@ -16,6 +16,12 @@
     BOOST_TEST(PartSet().empty());
 }
 
+BOOST_AUTO_TEST_CASE(NamesTheParts)
+{
+    BOOST_TEST(PartSet({ 255, 16, ~0ULL }).text(',') == "10,ff,ffffffffffffffff");
+    BOOST_TEST(PartSet().text(',') == "");
+}
+
 BOOST_AUTO_TEST_CASE(CombinesSets)
 {
     const PartSet a({ 1, 2, 3 });
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -1,6 +1,6 @@
 #include "gateway/proxied_call.h"
 
-#include "base/log.h"
+#include "gateway/call_record.h"
 
 #include <nlohmann/json.hpp>
 
@@ -312,7 +312,7 @@
     if (m_promptParts.empty())
         return;
     recordBrokenRun(
-        m_services.metrics, exchangeContext(), m_upstreamStartedAt, m_attributes.promptParts, m_hasBegunHere);
+        m_services.metrics, exchangeContext(), m_upstreamStartedAt, m_promptParts, m_hasBegunHere);
     // The connections of a process that ends are closed; other errors have other causes.
     const bool isClosed = !error || error == HttpClientError::ConnectionLost;
     if (isClosed && !m_hasBegunHere && !m_response.isForeign())
@@ -593,32 +593,16 @@
     m_services.loop.cancel(std::exchange(m_attemptTimer, 0));
     if (m_search)
         m_search->stop();
-    LogEvent(LogLevel::Info, "call")
-        .with("request", m_attributes.requestId)
-        .with("route", m_admission.route ? m_admission.route->id.value() : "")
-        .with("workspace", m_admission.workspace ? m_admission.workspace->id.value() : "")
-        .with("revision", m_configuration ? m_configuration->revision().value() : 0)
-        .with("adapter", m_attributes.adapter)
-        .with("upstream", m_search ? m_search->upstream() : UpstreamId())
-        .with("asks", m_search ? m_search->askedOwners() : 0)
-        .with("sends", m_sends)
-        .with("status", m_response.attributes() ? m_response.attributes()->status : 0)
-        .with("first_byte_ms", m_firstByte ? toMilliseconds(*m_firstByte) : -1)
-        .with("longest_pause_ms", toMilliseconds(m_response.longestPause()))
-        .with("framing", toString(m_response.framing()))
-        .with("events", m_response.events().eventCount())
-        .with("last_event", m_response.lastEventId().value_or(""))
-        .with("ms", toMilliseconds(elapsed()))
-        .with("outcome", outcome)
-        .with("reason", reason);
-    MetricsRegistry& metrics = m_services.metrics;
-    ++metrics.counter("lacewing_calls_total", { { "outcome", outcome } });
-    metrics.histogram("lacewing_call_seconds", { { "outcome", outcome } }).observe(toSeconds(elapsed()));
-    if (m_firstByte && m_admission.route) {
-        const char* kind = toString(m_admission.route->kind);
-        metrics.histogram("lacewing_first_byte_seconds", { { "kind", kind } })
-            .observe(toSeconds(*m_firstByte));
-    }
+    CallRecord record { m_attributes, m_admission, m_response };
+    record.revision = m_configuration ? m_configuration->revision() : Revision();
+    record.upstream = m_search ? m_search->upstream() : UpstreamId();
+    record.askedOwners = m_search ? m_search->askedOwners() : 0;
+    record.sends = m_sends;
+    record.firstByte = m_firstByte;
+    record.duration = elapsed();
+    record.outcome = outcome;
+    record.reason = reason;
+    recordCall(m_services.metrics, record);
     m_finished(this);
 }
 
--- a/src/gateway/quarantine_exchange.cc
+++ b/src/gateway/quarantine_exchange.cc
@@ -3,7 +3,6 @@
 #include "base/log.h"
 
 #include <algorithm>
-#include <sstream>
 
 namespace lacewing::gateway {
 
@@ -16,15 +15,6 @@
 /// Hosts decide at different times, so that most of them hear what the first one has decided.
 constexpr Duration decisionSpread = milliseconds(100);
 
-std::string text(const PartSet& parts)
-{
-    std::ostringstream text;
-    text << std::hex;
-    for (const uint64_t part : parts.hashes())
-        text << (text.tellp() > 0 ? "," : "") << part;
-    return text.str();
-}
-
 } // namespace
 
 QuarantineExchange::QuarantineExchange(
@@ -120,7 +110,7 @@
 {
     ++m_metrics.counter("lacewing_quarantine_changes_total", { { "source", source } });
     LogEvent(LogLevel::Warning, quarantine.isLifted ? "quarantine_lifted" : "prompt_quarantined")
-        .with("parts", text(quarantine.parts))
+        .with("parts", quarantine.parts.text(','))
         .with("revision", quarantine.revision)
         .with("probes", quarantine.probes)
         .with("next_probe_ms", quarantine.untilProbe ? toMilliseconds(*quarantine.untilProbe) : -1)
--- a/src/gateway/quarantine_rows.cc
+++ b/src/gateway/quarantine_rows.cc
@@ -4,8 +4,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <sstream>
-
 namespace lacewing::gateway {
 
 namespace {
@@ -17,14 +15,10 @@
 /// The store takes no larger transactions.
 constexpr size_t maximumWrites = 50;
 
-/// @return the parts' hashes in hexadecimal; at most 8 parts, so it is shorter than the longest key.
+/// @return the key of the row. A cause has so few parts that it is shorter than the longest key.
 std::string keyOf(const PartSet& parts)
 {
-    std::ostringstream key;
-    key << std::hex;
-    for (const uint64_t part : parts.hashes())
-        key << (key.tellp() > 0 ? "-" : "") << part;
-    return key.str();
+    return parts.text('-');
 }
 
 std::string encode(const Quarantine& quarantine)
--- a/src/gateway/response_diagnostics.cc
+++ b/src/gateway/response_diagnostics.cc
@@ -2,8 +2,6 @@
 
 #include "base/log.h"
 
-#include <sstream>
-
 namespace lacewing::gateway {
 
 namespace {
@@ -17,16 +15,6 @@
     return response.isCutOff() ? "cut_off" : "complete";
 }
 
-/// @return the hashes of the parts, in hexadecimal.
-std::string partList(const std::vector<PromptPart>& parts)
-{
-    std::ostringstream text;
-    text << std::hex;
-    for (const PromptPart& part : parts)
-        text << (text.tellp() > 0 ? "," : "") << part.id;
-    return text.str();
-}
-
 } // namespace
 
 const char* failureReason(const UpstreamResponse& response, std::optional<HttpClientError> error)
@@ -73,7 +61,7 @@
 }
 
 void recordBrokenRun(MetricsRegistry& metrics, const ExchangeContext& exchange, int64_t startedAt,
-    const std::vector<PromptPart>& parts, bool hasBegun)
+    const PartSet& prompt, bool hasBegun)
 {
     ++metrics.counter("lacewing_broken_runs_total", { { "answer", hasBegun ? "begun" : "none" } });
     LogEvent(LogLevel::Warning, "run_broken")
@@ -81,7 +69,7 @@
         .with("upstream", exchange.upstream)
         .with("upstream_started", startedAt)
         .with("answer_begun", hasBegun)
-        .with("parts", partList(parts));
+        .with("parts", prompt.text(','));
 }
 
 void recordForeignResponse(
--- a/src/gateway/response_diagnostics.h
+++ b/src/gateway/response_diagnostics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/metrics.h"
+#include "gateway/part_set.h"
 #include "gateway/upstream_response.h"
 #include "transport/http_client.h"
 
@@ -36,7 +37,7 @@
 /// @param startedAt start of the engine's process.
 /// @param hasBegun whether a part of the answer had arrived.
 void recordBrokenRun(MetricsRegistry& metrics, const ExchangeContext& exchange, int64_t startedAt,
-    const std::vector<PromptPart>& parts, bool hasBegun);
+    const PartSet& prompt, bool hasBegun);
 
 /// Counts and logs a response that belongs to another request.
 void recordForeignResponse(
