--- a/src/gateway/call_record.h
+++ b/src/gateway/call_record.h
@@ -11,6 +11,14 @@
 
 /// What the log and the metrics tell of a call that has ended.
 struct CallRecord {
+    CallRecord(const CallAttributes& callAttributes, const CallAdmission& callAdmission,
+        const UpstreamResponse& lastResponse)
+        : attributes(callAttributes)
+        , admission(callAdmission)
+        , response(lastResponse)
+    {
+    }
+
     const CallAttributes& attributes;
     const CallAdmission& admission;
     /// The response that arrived last.
--- a/src/gateway/call_services.h
+++ b/src/gateway/call_services.h
@@ -46,7 +46,7 @@
     /// False once the host drains, since a new stream could be cut off by the end of the process.
     bool acceptsStreams = true;
     /// When the process ends; set once the host stops.
-    std::optional<MonotonicTime> stopDeadline;
+    std::optional<MonotonicTime> stopDeadline = std::nullopt;
 };
 
 } // namespace lacewing::gateway
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -67,16 +67,11 @@
     return m_services.loop.now() - m_arrival;
 }
 
-// Spreads the retries of callers that were rejected at the same time.
-Duration ProxiedCall::jittered(Duration duration)
+Duration ProxiedCall::spread(Duration retryAfter, double shortest)
 {
-    return std::chrono::duration_cast<Duration>(duration * (0.8 + 0.4 * m_services.random.uniform()));
-}
-
-// Before that time the request would be rejected again.
-Duration ProxiedCall::jitteredUpwards(Duration duration)
-{
-    return std::chrono::duration_cast<Duration>(duration * (1 + 0.4 * m_services.random.uniform()));
+    constexpr double width = 0.4;
+    return std::chrono::duration_cast<Duration>(
+        retryAfter * (shortest + width * m_services.random.uniform()));
 }
 
 void ProxiedCall::start()
@@ -151,10 +146,9 @@
 bool ProxiedCall::refuseQuarantined()
 {
     const auto holdTime = m_services.quarantine.holdTime(m_promptParts);
-    if (!holdTime)
-        return false;
-    refuse(CallRefusal::QuarantinedPrompt, *holdTime);
-    return true;
+    if (holdTime)
+        refuse(CallRefusal::QuarantinedPrompt, *holdTime);
+    return holdTime.has_value();
 }
 
 bool ProxiedCall::mayOutlastHost() const
@@ -174,8 +168,8 @@
     ++m_services.metrics.counter(
         "lacewing_refusals_total", { { "reason", toString(CallRefusal::OverLimit) } });
     reply(statusTooManyRequests,
-        m_services.translator.localReplyHeaders(m_attributes.requestId, jittered(*retryAfter)), "", "refused",
-        toString(CallRefusal::OverLimit));
+        m_services.translator.localReplyHeaders(m_attributes.requestId, spread(*retryAfter, 0.8)), "",
+        "refused", toString(CallRefusal::OverLimit));
     return false;
 }
 
@@ -217,9 +211,8 @@
         return;
     }
     // The prompt may have come into quarantine while the call waited for its start.
-    if (m_services.quarantine.holdTime(m_promptParts)) {
+    if (refuseQuarantined()) {
         m_search->runEnded({ RunOutcome::Finished, Duration::zero() });
-        refuseQuarantined();
         return;
     }
     m_services.quarantine.beginProbe(m_promptParts);
@@ -560,10 +553,11 @@
         m_services.usage.refund(
             m_admission.workspace->id, std::exchange(m_admission.charge, 0), m_services.loop.now());
     ++m_services.metrics.counter("lacewing_refusals_total", { { "reason", toString(refusal) } });
+    // Before these have passed the request would be rejected again.
+    const bool isLowerBound
+        = refusal == CallRefusal::UpstreamLimit || refusal == CallRefusal::QuarantinedPrompt;
     if (retryAfter)
-        retryAfter = refusal == CallRefusal::UpstreamLimit || refusal == CallRefusal::QuarantinedPrompt
-            ? jitteredUpwards(*retryAfter)
-            : jittered(*retryAfter);
+        retryAfter = spread(*retryAfter, isLowerBound ? 1 : 0.8);
     reply(statusUnavailable, m_services.translator.localReplyHeaders(m_attributes.requestId, retryAfter), "",
         "refused", toString(refusal));
 }
@@ -593,7 +587,7 @@
     m_services.loop.cancel(std::exchange(m_attemptTimer, 0));
     if (m_search)
         m_search->stop();
-    CallRecord record { m_attributes, m_admission, m_response };
+    CallRecord record(m_attributes, m_admission, m_response);
     record.revision = m_configuration ? m_configuration->revision() : Revision();
     record.upstream = m_search ? m_search->upstream() : UpstreamId();
     record.askedOwners = m_search ? m_search->askedOwners() : 0;
--- a/src/gateway/proxied_call.h
+++ b/src/gateway/proxied_call.h
@@ -79,8 +79,10 @@
     void finish(const char* outcome, const char* reason);
 
     Duration elapsed() const;
-    Duration jittered(Duration duration);
-    Duration jitteredUpwards(Duration duration);
+    /// Spreads the retries of callers that were rejected at the same time.
+    ///
+    /// @param shortest fraction of the time after which the first of them may come back.
+    Duration spread(Duration retryAfter, double shortest);
 
     CallServices& m_services;
     std::shared_ptr<HttpExchange> m_exchange;
