--- a/src/gateway/configuration_tracker.cc
+++ b/src/gateway/configuration_tracker.cc
@@ -120,8 +120,14 @@
 
 void ConfigurationTracker::applyConfiguration(const StoredRow& row, const char* source)
 {
-    if (row.version <= m_rowVersion)
+    if (row.version <= m_rowVersion) {
+        if (row.version < m_rowVersion)
+            LogEvent(LogLevel::Warning, "configuration_row_ignored")
+                .with("version", row.version)
+                .with("known_version", m_rowVersion)
+                .with("source", source);
         return;
+    }
     std::string reason;
     const auto configuration = m_decoder.readConfiguration(row.value, reason);
     if (!configuration) {
--- a/src/gateway/store_feed.cc
+++ b/src/gateway/store_feed.cc
@@ -71,6 +71,9 @@
     const MonotonicTime now = m_scheduler.now();
     if (!result.value) {
         if (result.error == RowStoreError::HistoryLost) {
+            LogEvent(LogLevel::Warning, "store_history_lost")
+                .with("table", m_options.table)
+                .with("version", m_version.value_or(RowVersion()));
             m_version.reset();
             schedulePoll(Duration::zero());
             return;
--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -106,8 +106,15 @@
     const auto removed = m_removed.find(id);
     const bool isOld = (before != m_known.end() && row.version <= before->second.version)
         || (removed != m_removed.end() && row.version <= removed->second);
-    if (isOld)
+    if (isOld) {
+        const RowVersion known = before != m_known.end() ? before->second.version : removed->second;
+        if (row.version < known)
+            LogEvent(LogLevel::Warning, "upstream_row_ignored")
+                .with("upstream", id)
+                .with("version", row.version)
+                .with("known_version", known);
         return false;
+    }
     if (row.isDeleted) {
         m_removed[id] = row.version;
         return handleRemoval(id);
