--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/row_version.h"
 #include "base/strong_id.h"
 #include "base/strong_number.h"
 
@@ -25,8 +26,6 @@
 using FencingNumber = StrongNumber<struct FencingNumberTag>;
 /// Increases each time the daemon of a host starts.
 using Incarnation = StrongNumber<struct IncarnationTag>;
-/// Version of a table row; 0 means that the row does not exist.
-using RowVersion = StrongNumber<struct RowVersionTag>;
 /// Number of model tokens.
 using Tokens = StrongNumber<struct TokensTag>;
 /// Size in bytes.
--- a/src/gateway/configuration_tracker.cc
+++ b/src/gateway/configuration_tracker.cc
@@ -47,12 +47,14 @@
 bool ConfigurationTracker::isFresh() const
 {
     const auto current = age();
-    return m_peerVersion <= m_rowVersion && current && *current < freshnessTime;
+    const bool isNewest = m_peerVersion <= m_rowVersion && m_peerRevision <= revision();
+    return isNewest && current && *current < freshnessTime;
 }
 
-void ConfigurationTracker::recordPeerVersion(RowVersion version, Duration age)
+void ConfigurationTracker::recordPeerVersion(RowVersion version, Revision revision, Duration age)
 {
     m_peerVersion = std::max(m_peerVersion, version);
+    m_peerRevision = std::max(m_peerRevision, revision);
     if (version != m_rowVersion)
         return;
     const MonotonicTime time = m_scheduler.now() - age;
@@ -73,16 +75,18 @@
 {
     std::vector<StoredRow> rows;
     for (const auto& [key, row] : m_rows) {
-        if (row.version > version)
+        const bool isUnconfirmed = row.version.era() < m_newestRowVersion.era();
+        if (row.version > version || isUnconfirmed)
             rows.push_back(row);
     }
     return rows;
 }
 
-void ConfigurationTracker::recordRow(const StoredRow& row)
+void ConfigurationTracker::recordRow(const StoredRow& row, bool isNewest)
 {
-    m_rows[row.id.key] = row;
     m_newestRowVersion = std::max(m_newestRowVersion, row.version);
+    if (isNewest)
+        m_rows[row.id.key] = row;
 }
 
 void ConfigurationTracker::apply(const std::vector<StoredRow>& rows, const char* source)
@@ -106,10 +110,12 @@
     const StoredRow& row, const AdapterRelease& release, const char* source)
 {
     int64_t& known = m_releases[{ release.model, release.adapter }];
-    if (release.version <= known)
+    const bool isConfirmation = release.version == known && row.version > m_rows[row.id.key].version;
+    const bool isNewer = release.version > known;
+    recordRow(row, isNewer || isConfirmation);
+    if (!isNewer)
         return;
     known = release.version;
-    recordRow(row);
     LogEvent(LogLevel::Info, "adapter_released")
         .with("model", release.model)
         .with("adapter", release.adapter)
@@ -120,7 +126,8 @@
 
 void ConfigurationTracker::applyConfiguration(const StoredRow& row, const char* source)
 {
-    if (row.version <= m_rowVersion) {
+    const bool isOfCurrentEra = row.version.era() == m_rowVersion.era();
+    if (isOfCurrentEra && row.version <= m_rowVersion) {
         if (row.version < m_rowVersion)
             LogEvent(LogLevel::Warning, "configuration_row_ignored")
                 .with("version", row.version)
@@ -136,15 +143,23 @@
             .with("reason", reason);
         return;
     }
-    m_rowVersion = row.version;
-    recordRow(row);
-    if (m_current && configuration->revision() <= m_current->revision()) {
-        LogEvent(LogLevel::Warning, "configuration_not_newer").with("revision", configuration->revision());
+    m_rowVersion = std::max(m_rowVersion, row.version);
+    const bool isNewer = !m_current || configuration->revision() > m_current->revision();
+    const bool isConfirmation = m_current && configuration->revision() == m_current->revision()
+        && row.version > m_rows[row.id.key].version;
+    recordRow(row, isNewer || isConfirmation);
+    if (!isNewer) {
+        LogEvent(LogLevel::Warning, "configuration_not_newer")
+            .with("revision", configuration->revision())
+            .with("known_revision", m_current->revision())
+            .with("version", row.version)
+            .with("source", source);
         return;
     }
     m_current = configuration;
     LogEvent(LogLevel::Info, "configuration_applied")
         .with("revision", configuration->revision())
+        .with("version", row.version)
         .with("source", source);
     m_handlers.onConfiguration();
 }
--- a/src/gateway/configuration_tracker.h
+++ b/src/gateway/configuration_tracker.h
@@ -12,7 +12,11 @@
 namespace lacewing::gateway {
 
 /// Holds the newest configuration and the newest adapter releases that this process has received from the
-/// store or from a peer. Older versions are ignored.
+/// store or from a peer. Older ones are ignored.
+///
+/// Load pattern: the store comes back from a copy that lacks changes which have been confirmed. Within an era
+/// of the store a row with a higher version is newer. Rows of different eras are ordered by what they say: by
+/// the revision of the configuration, and by the version of the released adapter.
 class ConfigurationTracker : private StoreFeedListener {
 public:
     struct Handlers {
@@ -30,19 +34,25 @@
     /// @return whether the configuration was recently confirmed to be the newest, so that requests for
     ///     what it lacks may be rejected.
     bool isFresh() const;
-    /// @return version of the configuration's row; 0 if none has been received.
+    /// @return highest version of the configuration's row that has been received, also if it was not newer
+    /// than
+    ///     the current configuration; 0 if there is none.
     RowVersion rowVersion() const { return m_rowVersion; }
-    /// @return highest version of all applied rows, the configuration and the releases; 0 if there are none.
+    /// @return highest version of all received rows, the configuration and the releases; 0 if there are none.
     RowVersion newestRowVersion() const { return m_newestRowVersion; }
-    /// @return the applied rows with a version above `version`, to be sent to a peer.
+    /// @return revision of the current configuration; 0 if there is none.
+    Revision revision() const { return m_current ? m_current->revision() : Revision(); }
+    /// @return the applied rows with a version above `version`, and those that the store has not shown again
+    ///     since it came back from a copy; to be sent to a peer.
     std::vector<StoredRow> rowsAfter(RowVersion version) const;
     /// @return time since the configuration was last confirmed to be the newest, or nothing if it never was.
     std::optional<Duration> age() const;
     /// Records which configuration a peer has and when the peer last confirmed it to be the newest.
     ///
     /// @param version of the peer's row; a version above this host's own makes isFresh() false.
+    /// @param revision of the peer's configuration, to the same effect; 0 if the peer does not state it.
     /// @param age time since the peer's confirmation.
-    void recordPeerVersion(RowVersion version, Duration age);
+    void recordPeerVersion(RowVersion version, Revision revision, Duration age);
     /// Applies those of a peer's rows that are newer than this host's.
     void peerOffered(const std::vector<StoredRow>& rows);
 
@@ -59,7 +69,8 @@
     void apply(const std::vector<StoredRow>& rows, const char* source);
     void applyConfiguration(const StoredRow& row, const char* source);
     void applyRelease(const StoredRow& row, const AdapterRelease& release, const char* source);
-    void recordRow(const StoredRow& row);
+    /// @param isNewest whether the row has the newest content of its key, so that peers get it.
+    void recordRow(const StoredRow& row, bool isNewest);
 
     Scheduler& m_scheduler;
     const RowDecoder& m_decoder;
@@ -67,12 +78,13 @@
     std::shared_ptr<const ServingConfiguration> m_current;
     RowVersion m_rowVersion;
     RowVersion m_newestRowVersion;
-    /// The newest applied row of each key.
+    /// The row of each key with the newest content, at the highest version with this content.
     std::map<std::string, StoredRow> m_rows;
     std::map<AdapterRef, int64_t> m_releases;
     bool m_isReader = true;
-    /// Highest version of the configuration that any peer has reported.
+    /// Highest version and revision of the configuration that any peer has reported.
     RowVersion m_peerVersion;
+    Revision m_peerRevision;
     /// Time of the latest confirmation by a peer that the current row is the newest.
     std::optional<MonotonicTime> m_peerConfirmation;
     StoreFeed m_feed;
--- a/src/gateway/configuration_tracker_test.cc
+++ b/src/gateway/configuration_tracker_test.cc
@@ -94,11 +94,11 @@
     fixture.store.fault = RowStoreError::Refused;
     fixture.scheduler.advance(5s);
     BOOST_TEST(!fixture.tracker.isFresh());
-    fixture.tracker.recordPeerVersion(fixture.tracker.rowVersion(), 300ms);
+    fixture.tracker.recordPeerVersion(fixture.tracker.rowVersion(), Revision(), 300ms);
     BOOST_TEST(fixture.tracker.isFresh());
     fixture.scheduler.advance(3s);
     BOOST_TEST(!fixture.tracker.isFresh());
-    fixture.tracker.recordPeerVersion(RowVersion(99), 0ms);
+    fixture.tracker.recordPeerVersion(RowVersion(99), Revision(), 0ms);
     BOOST_TEST(!fixture.tracker.isFresh());
 }
 
@@ -110,10 +110,10 @@
     fixture.tracker.start();
     fixture.scheduler.advance(1s);
     BOOST_TEST(fixture.tracker.isFresh());
-    const RowVersion newer(fixture.tracker.rowVersion().value() + 1);
-    fixture.tracker.recordPeerVersion(newer, 0ms);
+    const RowVersion newer(fixture.tracker.rowVersion().number() + 1);
+    fixture.tracker.recordPeerVersion(newer, Revision(), 0ms);
     BOOST_TEST(!fixture.tracker.isFresh());
-    fixture.tracker.peerOffered({ configurationRow(newer.value(), "5") });
+    fixture.tracker.peerOffered({ configurationRow(newer.number(), "5") });
     BOOST_TEST(fixture.tracker.isFresh());
 }
 
@@ -153,4 +153,71 @@
     BOOST_TEST(fixture.revision() == 8);
 }
 
+// Guards against a change that is ignored because the store, which has come back from a copy, gives it a
+// lower version than the one before the loss had.
+BOOST_AUTO_TEST_CASE(AChangeAfterALossIsInForceAlthoughItsVersionIsLower)
+{
+    Fixture fixture;
+    fixture.put("3");
+    fixture.tracker.start();
+    fixture.scheduler.advance(2s);
+    for (int revision = 4; revision < 20; ++revision)
+        fixture.put(std::to_string(revision).c_str());
+    fixture.scheduler.advance(1s);
+    BOOST_TEST(fixture.revision() == 19);
+    fixture.store.restore(2s);
+    fixture.put("22");
+    fixture.scheduler.advance(2s);
+    BOOST_TEST(fixture.revision() == 22);
+    BOOST_TEST(fixture.tracker.isFresh());
+}
+
+// Guards against a withdrawn key that works again while the store shows an older configuration, in any number
+// of losses, and against a host that can't deny anything meanwhile.
+BOOST_AUTO_TEST_CASE(AConfirmedConfigurationNeverGoesBack)
+{
+    Fixture fixture;
+    fixture.put("3");
+    fixture.tracker.start();
+    fixture.scheduler.advance(5s);
+    fixture.put("8");
+    fixture.scheduler.advance(1s);
+    for (int loss = 0; loss < 5; ++loss) {
+        fixture.store.restore(3s);
+        fixture.scheduler.advance(1700ms);
+        BOOST_TEST(fixture.revision() == 8);
+        BOOST_TEST(fixture.tracker.isFresh());
+    }
+    fixture.put("8");
+    fixture.scheduler.advance(1s);
+    BOOST_TEST(fixture.revision() == 8);
+    BOOST_TEST(fixture.applied == 2);
+}
+
+// Guards against a host that starts after a loss and serves an older configuration although its peers know a
+// newer one, and against peers that take the older one over from it.
+BOOST_AUTO_TEST_CASE(AHostThatStartsAfterALossGetsTheNewerConfigurationFromAPeer)
+{
+    Fixture fixture;
+    fixture.put("3");
+    fixture.tracker.start();
+    fixture.scheduler.advance(5s);
+    fixture.put("8");
+    fixture.scheduler.advance(1s);
+    fixture.store.restore(3s);
+    fixture.scheduler.advance(2s);
+    ConfigurationTracker started { fixture.scheduler, fixture.store, fixture.decoder,
+        { [] {}, [](const AdapterRelease&) {} } };
+    started.start();
+    fixture.scheduler.advance(1s);
+    BOOST_TEST(started.revision() == Revision(3));
+    started.recordPeerVersion(fixture.tracker.rowVersion(), fixture.tracker.revision(), 0ms);
+    BOOST_TEST(!started.isFresh());
+    fixture.tracker.peerOffered(started.rowsAfter(RowVersion()));
+    started.peerOffered(fixture.tracker.rowsAfter(started.newestRowVersion()));
+    BOOST_TEST(started.revision() == Revision(8));
+    BOOST_TEST(fixture.revision() == 8);
+    BOOST_TEST(started.isFresh());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/fake_row_store_test.h
+++ b/src/gateway/fake_row_store_test.h
@@ -3,6 +3,7 @@
 #include "base/scheduler.h"
 #include "state/row_store.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <utility>
@@ -10,7 +11,7 @@
 
 namespace lacewing {
 
-/// An in-memory row store on virtual time with fault injection.
+/// An in-memory row store on virtual time with fault injection, which can come back from a copy of its rows.
 class FakeRowStore : public RowStore {
 public:
     explicit FakeRowStore(Scheduler& scheduler)
@@ -20,11 +21,35 @@
 
     void put(const RowKey& id, std::string value)
     {
-        m_rows[{ id.table, id.key }] = { id, std::move(value), RowVersion(++m_version), false };
+        ++m_version;
+        write(id, std::move(value));
     }
     void remove(const RowKey& id)
     {
-        m_rows[{ id.table, id.key }] = { id, "", RowVersion(++m_version), true };
+        ++m_version;
+        write(id, std::nullopt);
+    }
+    /// Comes back from a copy of the given age: later writes are gone, and their versions are given out
+    /// again.
+    void restore(Duration age)
+    {
+        const MonotonicTime copied = m_scheduler.now() - age;
+        const auto lost = std::find_if(
+            m_history.begin(), m_history.end(), [copied](const Write& write) { return write.time > copied; });
+        m_history.erase(lost, m_history.end());
+        m_era = StoreEra(m_era.value() + 1);
+        m_version = m_oldest = 0;
+        m_rows.clear();
+        for (const Write& write : m_history) {
+            m_version = write.number;
+            m_rows[{ write.id.table, write.id.key }] = write;
+        }
+    }
+    /// @return value of a row, or nothing if it does not exist.
+    std::optional<std::string> find(const RowKey& id) const
+    {
+        const auto found = m_rows.find({ id.table, id.key });
+        return found == m_rows.end() ? std::nullopt : found->second.value;
     }
     /// Discards the history, so that feeds must read whole tables again.
     void compact() { m_oldest = m_version; }
@@ -48,9 +73,9 @@
         answer(std::move(callback), [this, id] {
             RowSet rows;
             const auto found = m_rows.find({ id.table, id.key });
-            if (found != m_rows.end() && !found->second.isDeleted)
-                rows.rows.push_back(found->second);
-            rows.version = RowVersion(m_version);
+            if (found != m_rows.end() && found->second.value)
+                rows.rows.push_back(stored(found->second));
+            rows.version = RowVersion(m_era, m_version);
             return rows;
         });
     }
@@ -71,11 +96,11 @@
             std::vector<StoredRow> current;
             for (const RowCondition& condition : transaction.conditions) {
                 const auto found = m_rows.find({ condition.id.table, condition.id.key });
-                const bool exists = found != m_rows.end() && !found->second.isDeleted;
-                const RowVersion version = exists ? found->second.version : RowVersion(0);
+                const bool exists = found != m_rows.end() && found->second.value;
+                const RowVersion version = exists ? stored(found->second).version : RowVersion();
                 hasConflict = hasConflict || version != condition.expected;
                 if (exists)
-                    current.push_back(found->second);
+                    current.push_back(stored(found->second));
             }
             if (hasConflict) {
                 ++conflicts;
@@ -85,13 +110,12 @@
                 return;
             }
             ++m_version;
-            for (const RowWrite& write : transaction.writes)
-                m_rows[{ write.id.table, write.id.key }]
-                    = { write.id, write.value.value_or(""), RowVersion(m_version), !write.value };
+            for (const RowWrite& each : transaction.writes)
+                write(each.id, each.value);
             if (losesCommitResults)
                 callback(CommitResult(std::nullopt));
             else
-                callback(CommitResult(RowVersion(m_version)));
+                callback(CommitResult(RowVersion(m_era, m_version)));
         });
     }
 
@@ -99,6 +123,26 @@
     static constexpr Duration callTime = std::chrono::milliseconds(4);
     static constexpr Duration pollInterval = std::chrono::milliseconds(5);
 
+    struct Write {
+        RowKey id;
+        /// Nothing for a removal.
+        std::optional<std::string> value;
+        int64_t number = 0;
+        MonotonicTime time;
+    };
+
+    void write(const RowKey& id, std::optional<std::string> value)
+    {
+        const Write write { id, std::move(value), m_version, m_scheduler.now() };
+        m_rows[{ id.table, id.key }] = write;
+        m_history.push_back(write);
+    }
+
+    StoredRow stored(const Write& write) const
+    {
+        return { write.id, write.value.value_or(""), RowVersion(m_era, write.number), !write.value };
+    }
+
     template <typename Read> void answer(ReadCallback callback, Read read)
     {
         ++calls;
@@ -114,10 +158,10 @@
     {
         RowSet rows;
         for (const auto& [key, row] : m_rows) {
-            if (key.first == table && row.version > after && (withDeleted || !row.isDeleted))
-                rows.rows.push_back(row);
+            if (key.first == table && row.number > after.number() && (withDeleted || row.value))
+                rows.rows.push_back(stored(row));
         }
-        rows.version = RowVersion(m_version);
+        rows.version = RowVersion(m_era, m_version);
         return rows;
     }
 
@@ -129,7 +173,7 @@
                     callback({ std::nullopt, *fault });
                     return;
                 }
-                if (after.value() < m_oldest) {
+                if (after.number() < m_oldest || after.era() != m_era) {
                     callback({ std::nullopt, RowStoreError::HistoryLost });
                     return;
                 }
@@ -142,7 +186,9 @@
     }
 
     Scheduler& m_scheduler;
-    std::map<std::pair<std::string, std::string>, StoredRow> m_rows;
+    std::map<std::pair<std::string, std::string>, Write> m_rows;
+    std::vector<Write> m_history;
+    StoreEra m_era;
     int64_t m_version = 0;
     int64_t m_oldest = 0;
 };
--- a/src/gateway/fleet_agent.cc
+++ b/src/gateway/fleet_agent.cc
@@ -34,6 +34,8 @@
 /// Hosts of a new fleet spread the creation of the link secret over this time, so that few writes conflict.
 constexpr Duration secretCreationJitter = std::chrono::milliseconds(300);
 constexpr Duration secretRetryInterval = std::chrono::seconds(1);
+/// Hosts that learn from peers that the store has come back from a copy spread their reads over this time.
+constexpr Duration restoredReadJitter = std::chrono::milliseconds(1000);
 /// A fleet does not count as stable before this time after the start.
 constexpr Duration stabilisationTime = std::chrono::seconds(3);
 /// Hosts of a new fleet wait for this time before their first claims, so that they know each other when they
@@ -102,26 +104,73 @@
                                               : age < std::max(m_leaseTime, renewalInterval() * 2);
 }
 
-bool FleetAgent::isOfCurrentLease(FencingNumber number) const
+bool FleetAgent::isOfCurrentLease(RowVersion version) const
 {
-    return m_rule == OwnershipRule::EnginesCheckFencing || number.value() > m_leaseStart.value();
+    return m_rule == OwnershipRule::EnginesCheckFencing || version > m_leaseStart;
 }
 
-std::vector<UpstreamId> FleetAgent::expiredEngines(const std::set<UpstreamId>& inUse) const
+std::vector<UpstreamId> FleetAgent::enginesToReclaim(
+    const std::set<UpstreamId>& inUse, const ReportedOwners& reported) const
 {
-    std::vector<UpstreamId> expired;
+    std::vector<UpstreamId> engines;
+    std::set<UpstreamId> confirmed;
+    const Duration sinceCopy = m_scheduler.now() - m_restoredAt;
     for (const UpstreamId& engine : m_registry.ownedBySelf()) {
-        const FencingNumber number(m_registry.ownerVersion(engine).value());
-        if (inUse.count(engine) > 0 && !isOfCurrentLease(number))
-            expired.push_back(engine);
+        confirmed.insert(engine);
+        if (inUse.count(engine) == 0)
+            continue;
+        const RowVersion version = m_registry.ownerVersion(engine);
+        // The copy names this host, but another one has claimed the engine since and claims it again.
+        const bool isOutdated = mayBeCopied(version) && m_owned.count(engine) == 0
+            && reported.count(engine) == 0 && sinceCopy > m_leaseTime;
+        if (isOutdated || !isOfCurrentLease(version))
+            engines.push_back(engine);
+    }
+    for (const UpstreamId& engine : m_keptEngines) {
+        if (inUse.count(engine) > 0 && confirmed.count(engine) == 0)
+            engines.push_back(engine);
     }
-    return expired;
+    return engines;
+}
+
+void FleetAgent::peerKnowsEra(StoreEra era)
+{
+    if (era <= m_feed.era() || m_feed.era() == StoreEra() || std::exchange(m_isReadDue, true))
+        return;
+    const auto fraction = static_cast<int64_t>(stableHash(m_self.host.value()) % 1000);
+    m_scheduler.runAfter(restoredReadJitter * fraction / 1000, m_lifetime.guard([this] {
+        m_isReadDue = false;
+        m_feed.pollNow();
+    }));
+}
+
+void FleetAgent::storeRestored(RowVersion copy)
+{
+    LogEvent(LogLevel::Warning, "fleet_rows_restored")
+        .with("era", copy.era())
+        .with("version", copy)
+        .with("owned_engines", m_owned.size());
+    m_copy = copy;
+    m_restoredAt = m_scheduler.now();
+    m_isRestored = true;
+    for (const auto& [engine, number] : m_owned)
+        m_keptEngines.insert(engine);
+    m_handlers.onStoreRestored();
 }
 
 void FleetAgent::tableRead(const std::vector<StoredRow>& rows)
 {
     const MonotonicTime now = m_scheduler.now();
-    m_registry.reset(rows, now);
+    const bool isRestored = std::exchange(m_isRestored, false);
+    if (isRestored)
+        m_registry.restore(rows, now);
+    else
+        m_registry.reset(rows, now);
+    if (isRestored) {
+        m_ownVersion = m_registry.hostVersion(m_self.host);
+        m_isOwnRowMissing = true;
+        renew();
+    }
     if (!std::exchange(m_hasReadTable, true)) {
         m_ownVersion = m_registry.hostVersion(m_self.host);
         // After a restart the rows of the other hosts still show how many there are, so the first claims need
@@ -129,9 +178,11 @@
         m_isKnownHost = m_ownVersion != RowVersion(0);
         renew();
     }
-    if (!m_registry.linkSecret())
+    if (!m_registry.isSecretStored())
         createSecretLater();
     updateOwnership();
+    if (isRestored)
+        claimUnownedEngines();
     m_handlers.onFleetChanged();
 }
 
@@ -156,20 +207,27 @@
 }
 
 // Several hosts may try this at once. The condition lets only one succeed; the others receive its secret
-// through the feed.
+// through the feed. A secret that the store has lost is written again.
 void FleetAgent::createSecret()
 {
-    if (m_registry.linkSecret())
-        return;
-    const auto nonce = makeLinkNonce();
-    if (!nonce) {
-        LogEvent(LogLevel::Error, "link_secret_failed").with("reason", "no random bytes");
+    if (m_registry.isSecretStored())
         return;
+    const bool isKnown = m_registry.linkSecret().has_value();
+    std::string secret = m_registry.linkSecret().value_or("");
+    if (!isKnown) {
+        const auto nonce = makeLinkNonce();
+        if (!nonce) {
+            LogEvent(LogLevel::Error, "link_secret_failed").with("reason", "no random bytes");
+            return;
+        }
+        secret = toHex(*nonce);
     }
     RowTransaction transaction;
     transaction.conditions.push_back({ FleetRows::secretKey(), RowVersion(0) });
-    transaction.writes.push_back({ FleetRows::secretKey(), toHex(*nonce) });
-    m_store.commit(std::move(transaction), m_lifetime.guard([this](const CommitResult& result) {
+    transaction.writes.push_back({ FleetRows::secretKey(), secret });
+    m_store.commit(std::move(transaction), m_lifetime.guard([this, isKnown](const CommitResult& result) {
+        if (result.value && isKnown)
+            m_handlers.onRowsWrittenAgain("secret", 1);
         if (result.value || result.error == RowStoreError::Conflict)
             return;
         LogEvent(LogLevel::Warning, "link_secret_failed").with("reason", toString(result.error));
@@ -197,12 +255,19 @@
     m_isRenewalLost = !result.value && result.error != RowStoreError::Conflict;
     if (result.value) {
         m_ownVersion = *result.value;
+        if (m_isOwnRowMissing && !mayBeCopied(m_ownVersion)) {
+            m_isOwnRowMissing = false;
+            m_handlers.onRowsWrittenAgain("host", 1);
+        }
         const bool isFirst = !m_lastRenewal;
         // If the previous lease expired before this result arrived, another host may have owned the engines.
         const bool isNewSession = isFirst || m_scheduler.now() - *m_lastRenewal >= m_leaseTime;
         m_lastRenewal = sent;
-        if (isNewSession)
+        if (isNewSession) {
             m_leaseStart = m_ownVersion;
+            if (m_rule == OwnershipRule::LeaseOnly)
+                m_keptEngines.clear();
+        }
         m_registry.apply({ FleetRows::hostKey(m_self.host), FleetRows::encode(m_self), m_ownVersion, false },
             m_scheduler.now());
         if (isNewSession) {
@@ -289,8 +354,13 @@
     const ReportedOwners reported = m_handlers.reportedOwners();
     m_hasUnownedEngines = m_registry.hasUnownedEngines(inUse, reported, now);
     auto engines = m_registry.enginesToClaim(inUse, reported, ineligible, now);
-    for (const UpstreamId& engine : expiredEngines(inUse))
-        engines.push_back(engine);
+    const auto reclaims = enginesToReclaim(inUse, reported);
+    engines.erase(std::remove_if(engines.begin(), engines.end(),
+                      [&reclaims](const UpstreamId& engine) {
+                          return std::find(reclaims.begin(), reclaims.end(), engine) != reclaims.end();
+                      }),
+        engines.end());
+    engines.insert(engines.begin(), reclaims.begin(), reclaims.end());
     if (!engines.empty())
         claim(engines);
     removeDeadHosts();
@@ -302,7 +372,8 @@
     std::set<HostId> silent;
     for (const UpstreamId& engine : engines) {
         conditions.push_back({ FleetRows::ownerKey(engine), m_registry.ownerVersion(engine) });
-        if (const auto owner = m_registry.presumedDeadOwner(engine))
+        const auto owner = m_registry.presumedDeadOwner(engine);
+        if (owner && m_keptEngines.count(engine) == 0)
             silent.insert(*owner);
     }
     for (const HostId& host : silent)
@@ -340,8 +411,17 @@
         }));
 }
 
+void FleetAgent::countRewrites(const std::vector<UpstreamId>& engines)
+{
+    const auto kept = std::count_if(engines.begin(), engines.end(),
+        [this](const UpstreamId& engine) { return m_keptEngines.count(engine) > 0; });
+    if (kept > 0)
+        m_handlers.onRowsWrittenAgain("owner", static_cast<size_t>(kept));
+}
+
 void FleetAgent::claimed(const std::vector<UpstreamId>& engines, RowVersion version)
 {
+    countRewrites(engines);
     OwnerRecord record;
     record.host = m_self.host;
     record.incarnation = m_self.incarnation;
@@ -373,19 +453,38 @@
         claimUnownedEngines();
 }
 
-void FleetAgent::updateOwnership()
+std::map<UpstreamId, FencingNumber> FleetAgent::currentEngines()
 {
     std::map<UpstreamId, FencingNumber> owned;
+    for (const UpstreamId& engine : m_keptEngines) {
+        const auto before = m_owned.find(engine);
+        if (before != m_owned.end() && mayBeCopied(m_registry.ownerVersion(engine)))
+            owned[engine] = before->second;
+    }
     for (const UpstreamId& engine : m_registry.ownedBySelf()) {
-        const FencingNumber number(m_registry.ownerVersion(engine).value());
+        const RowVersion version = m_registry.ownerVersion(engine);
+        const FencingNumber number = FleetRows::fencingNumber(version);
         const auto fenced = m_fenced.find(engine);
-        if (isOfCurrentLease(number) && (fenced == m_fenced.end() || fenced->second != number))
+        const bool isFenced = fenced != m_fenced.end() && fenced->second == number;
+        if (!mayBeCopied(version) && isOfCurrentLease(version) && !isFenced)
             owned[engine] = number;
     }
+    return owned;
+}
+
+void FleetAgent::updateOwnership()
+{
+    const std::map<UpstreamId, FencingNumber> owned = currentEngines();
     const auto before = std::exchange(m_owned, owned);
+    const auto kept = m_keptEngines;
+    for (const UpstreamId& engine : kept) {
+        if (!mayBeCopied(m_registry.ownerVersion(engine)))
+            m_keptEngines.erase(engine);
+    }
     for (const auto& [engine, number] : before) {
-        const auto kept = owned.find(engine);
-        if (kept != owned.end() && kept->second == number)
+        const auto current = owned.find(engine);
+        const bool isRenumbered = current != owned.end() && kept.count(engine) > 0;
+        if (isRenumbered || (current != owned.end() && current->second == number))
             continue;
         LogEvent(LogLevel::Info, "engine_lost").with("engine", engine);
         m_handlers.onLost(engine);
@@ -394,8 +493,14 @@
         const auto earlier = before.find(engine);
         if (m_isReleased || (earlier != before.end() && earlier->second == number))
             continue;
-        LogEvent(LogLevel::Info, "engine_claimed").with("engine", engine).with("fencing_number", number);
-        m_handlers.onClaimed(engine, number);
+        const bool isRenumbered = earlier != before.end() && kept.count(engine) > 0;
+        LogEvent(LogLevel::Info, isRenumbered ? "engine_claimed_again" : "engine_claimed")
+            .with("engine", engine)
+            .with("fencing_number", number);
+        if (isRenumbered)
+            m_handlers.onRenumbered(engine, number);
+        else
+            m_handlers.onClaimed(engine, number);
     }
 }
 
@@ -406,6 +511,7 @@
         return;
     m_fenced[engine] = owned->second;
     m_owned.erase(owned);
+    m_keptEngines.erase(engine);
     LogEvent(LogLevel::Warning, "engine_fenced").with("engine", engine);
     m_handlers.onLost(engine);
 }
@@ -434,7 +540,7 @@
     m_isReleased = true;
     RowTransaction transaction;
     for (const auto& [engine, number] : m_owned) {
-        transaction.conditions.push_back({ FleetRows::ownerKey(engine), RowVersion(number.value()) });
+        transaction.conditions.push_back({ FleetRows::ownerKey(engine), m_registry.ownerVersion(engine) });
         transaction.writes.push_back({ FleetRows::ownerKey(engine), std::nullopt });
     }
     // Once this row is removed, the other hosts divide the engines among themselves without waiting for the
--- a/src/gateway/fleet_agent.h
+++ b/src/gateway/fleet_agent.h
@@ -23,6 +23,10 @@
 /// Renews this host's row in the fleet's table, claims engines that have no live owner, and watches the rows
 /// of the other hosts.
 ///
+/// The store may come back from a copy that lacks what hosts have written since. Each host then writes its
+/// own row, the rows of the engines that it owned, and the link secret again. Until it has, it stays the
+/// owner: rows of the copy neither take an engine from it nor give one to the host that they name.
+///
 /// Load pattern: all hosts of a large fleet may start at once, and later renew and read the same table. The
 /// intervals grow with the number of hosts once the fleet is stable, so that the load on the store stays
 /// bounded.
@@ -42,6 +46,15 @@
         std::function<std::set<HostId>()> ineligibleHosts;
         /// @return owners that report their ownership in heartbeats and may send orders.
         std::function<ReportedOwners()> reportedOwners;
+        /// Called when this host has claimed an engine again that it owned without interruption.
+        std::function<void(const UpstreamId& engine, FencingNumber fencingNumber)> onRenumbered
+            = [](const UpstreamId&, FencingNumber) {};
+        /// Called when the store has come back from a copy.
+        std::function<void()> onStoreRestored = [] {};
+        /// Called when rows that the copy lacked have been written again.
+        ///
+        /// @param kind of the rows: "host", "owner" or "secret".
+        std::function<void(const char* kind, size_t count)> onRowsWrittenAgain = [](const char*, size_t) {};
     };
 
     FleetAgent(Scheduler& scheduler, RowStore& store, HostRecord self, Duration leaseTime, OwnershipRule rule,
@@ -53,6 +66,10 @@
     void setInTouch(const std::set<HostId>& hosts);
     const HostId& self() const { return m_self.host; }
     const FleetRegistry& registry() const { return m_registry; }
+    /// @return era of the store when its table was last read; 0 if the store does not state it.
+    StoreEra storeEra() const { return m_feed.era(); }
+    /// Reads the table soon if a peer knows a later era of the store.
+    void peerKnowsEra(StoreEra era);
     /// Looks for engines to claim at once instead of at the next interval, because an engine was added or an
     /// owner left.
     void claimUnownedEngines();
@@ -67,6 +84,7 @@
     bool reachesStore() const { return !m_feed.isLost() && !m_isRenewalLost; }
 
 private:
+    void storeRestored(RowVersion copy) override;
     void tableRead(const std::vector<StoredRow>& rows) override;
     void rowsChanged(const std::vector<StoredRow>& rows) override;
     void feedResumed(Duration outage) override;
@@ -79,6 +97,8 @@
     /// @param rows this host's row; empty if it does not exist.
     void ownRowRead(const std::vector<StoredRow>& rows);
     void claim(const std::vector<UpstreamId>& engines);
+    /// Counts the rows of a claim that were written again after the store has come back from a copy.
+    void countRewrites(const std::vector<UpstreamId>& engines);
     /// @return conditions under which engines may be claimed: their rows have not changed since they were
     ///     read, and no owner that is presumed dead has renewed its row since.
     std::vector<RowCondition> claimConditions(const std::vector<UpstreamId>& engines) const;
@@ -88,9 +108,17 @@
     void claimConflicted(const std::vector<RowCondition>& conditions, const std::vector<StoredRow>& current);
     /// @return whether an engine's row was written under the current lease, so that orders may be sent.
     ///     Always true if engines check fencing numbers.
-    bool isOfCurrentLease(FencingNumber number) const;
-    /// @return engines whose rows name this host but were written under an expired lease.
-    std::vector<UpstreamId> expiredEngines(const std::set<UpstreamId>& inUse) const;
+    bool isOfCurrentLease(RowVersion version) const;
+    /// @return whether a row may be from a copy of the store, and so older than what is known from before.
+    bool mayBeCopied(RowVersion version) const { return version <= m_copy; }
+    /// @return the engines that this host owns, by the rows and by what it owned before the store came back
+    /// from
+    ///     a copy.
+    std::map<UpstreamId, FencingNumber> currentEngines();
+    /// @return engines to claim again: their rows name this host but were written under an expired lease, or
+    ///     this host owns them and the store has come back from a copy that does not say so.
+    std::vector<UpstreamId> enginesToReclaim(
+        const std::set<UpstreamId>& inUse, const ReportedOwners& reported) const;
     void updateOwnership();
     void removeDeadHosts();
     /// @return whether all live hosts are in touch with this one, so that liveness does not depend on rows.
@@ -115,6 +143,18 @@
     MonotonicTime m_started;
     std::optional<MonotonicTime> m_lastRenewal;
     std::map<UpstreamId, FencingNumber> m_owned;
+    /// Engines that this host owned when the store came back from a copy, until it has claimed them again or
+    /// another host has.
+    std::set<UpstreamId> m_keptEngines;
+    /// Bound of the versions in the store's latest copy; 0 if there was none.
+    RowVersion m_copy;
+    MonotonicTime m_restoredAt;
+    /// The table has not been read yet since the store came back from a copy.
+    bool m_isRestored = false;
+    /// The host's own row has not been renewed yet since then.
+    bool m_isOwnRowMissing = false;
+    /// A read of the table is due because a peer knows a later era.
+    bool m_isReadDue = false;
     /// Fencing numbers that engines have rejected; they are not used again.
     std::map<UpstreamId, FencingNumber> m_fenced;
     bool m_isRenewing = false;
--- a/src/gateway/fleet_agent_test.cc
+++ b/src/gateway/fleet_agent_test.cc
@@ -1,10 +1,12 @@
 #include "gateway/fleet_agent.h"
 
+#include "base/random.h"
 #include "base/virtual_scheduler.h"
 #include "gateway/fake_row_store_test.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -22,9 +24,13 @@
         std::set<UpstreamId> engines, OwnershipRule rule = OwnershipRule::EnginesCheckFencing)
         : agent(scheduler, store, record(name, incarnation), leaseTime, rule,
             { [] {}, [this](const UpstreamId& engine, FencingNumber number) { owned[engine] = number; },
-                [this](const UpstreamId& engine) { owned.erase(engine); },
+                [this](const UpstreamId& engine) {
+                    owned.erase(engine);
+                    ++losses;
+                },
                 [this, engines] { return inUse ? *inUse : engines; }, [this] { return ineligible; },
-                [this] { return reported ? *reported : ReportedOwners(); } })
+                [this] { return reported ? *reported : ReportedOwners(); },
+                [this](const UpstreamId& engine, FencingNumber number) { owned[engine] = number; } })
     {
         agent.start();
     }
@@ -41,6 +47,8 @@
     }
 
     std::map<UpstreamId, FencingNumber> owned;
+    /// Number of engines that this host has lost.
+    int losses = 0;
     std::set<HostId> ineligible;
     /// The engines in use, for tests that change them.
     const std::set<UpstreamId>* inUse = nullptr;
@@ -272,7 +280,7 @@
     store.put(FleetRows::hostKey(HostId("c")), FleetRows::encode(Host::record("c", 9)));
     for (const UpstreamId& engine : engineSet())
         store.put(FleetRows::ownerKey(engine),
-            FleetRows::encode(OwnerRecord { engine, HostId("c"), Incarnation(9), {} }));
+            FleetRows::encode(OwnerRecord { engine, HostId("c"), Incarnation(9) }));
     scheduler.advance(1100ms);
     // The first conflict returns the owner rows, the second the owner's host row, which shows that it is
     // alive.
@@ -294,7 +302,7 @@
     scheduler.advance(100ms);
     for (const UpstreamId& engine : engineSet())
         store.put(FleetRows::ownerKey(engine),
-            FleetRows::encode(OwnerRecord { engine, HostId("c"), Incarnation(9), {} }));
+            FleetRows::encode(OwnerRecord { engine, HostId("c"), Incarnation(9) }));
     store.put(FleetRows::hostKey(HostId("a")), FleetRows::encode(Host::record("a", 1)));
     store.conflicts = 0;
     scheduler.advance(10s);
@@ -458,4 +466,131 @@
     BOOST_TEST((a.agent.registry().linkSecret() == b.agent.registry().linkSecret()));
 }
 
+// Guards against engines without an owner, and with two of them, after the store has come back from a copy
+// that lacks the rows of the hosts or shows an earlier owner.
+BOOST_AUTO_TEST_CASE(OwnersWriteTheirRowsAgainAfterALoss)
+{
+    VirtualScheduler scheduler;
+    FakeRowStore store(scheduler);
+    Host a(scheduler, store, "a", 1, engineSet());
+    Host b(scheduler, store, "b", 2, engineSet());
+    scheduler.advance(4s);
+    const std::string secret = store.find(FleetRows::secretKey()).value();
+    ReportedOwners ofA;
+    ReportedOwners ofB;
+    for (const auto& entry : a.owned)
+        ofA.emplace(entry.first, HostId("a"));
+    for (const auto& entry : b.owned)
+        ofB.emplace(entry.first, HostId("b"));
+    a.reported = &ofB;
+    b.reported = &ofA;
+    const auto before = a.owned;
+    store.restore(1000s);
+    scheduler.advance(4s);
+    BOOST_TEST(a.owned.size() == 3);
+    BOOST_TEST(b.owned.size() == 3);
+    for (const auto& [engine, number] : a.owned) {
+        BOOST_REQUIRE(before.count(engine) == 1);
+        BOOST_TEST(number > before.at(engine));
+        BOOST_TEST(b.owned.count(engine) == 0);
+    }
+    for (const UpstreamId& engine : engineSet())
+        BOOST_TEST(store.find(FleetRows::ownerKey(engine)).has_value());
+    BOOST_TEST(store.find(FleetRows::secretKey()).value() == secret);
+    BOOST_TEST(a.losses == 0);
+}
+
+// Guards against an earlier owner that takes an engine back because a copy of the store names it.
+BOOST_AUTO_TEST_CASE(ARowOfACopyGivesNoEngineToTheHostThatItNames)
+{
+    VirtualScheduler scheduler;
+    FakeRowStore store(scheduler);
+    Host a(scheduler, store, "a", 1, engineSet());
+    scheduler.advance(4s);
+    BOOST_TEST(a.owned.size() == 6);
+    a.ineligible = { HostId("a") };
+    for (const UpstreamId& engine : engineSet())
+        a.agent.stepDown(engine);
+    Host b(scheduler, store, "b", 2, {});
+    for (const UpstreamId& engine : engineSet())
+        store.put(FleetRows::ownerKey(engine),
+            FleetRows::encode(OwnerRecord { engine, HostId("b"), Incarnation(2) }));
+    scheduler.advance(3s);
+    BOOST_TEST(a.owned.empty());
+    BOOST_TEST(b.owned.size() == 6);
+    ReportedOwners ofB;
+    for (const UpstreamId& engine : engineSet())
+        ofB.emplace(engine, HostId("b"));
+    a.reported = &ofB;
+    const std::set<UpstreamId> inUse = engineSet();
+    b.inUse = &inUse;
+    store.restore(5s);
+    for (int step = 0; step < 50; ++step) {
+        scheduler.advance(100ms);
+        BOOST_TEST(a.owned.empty());
+        BOOST_TEST(b.owned.size() == 6);
+    }
+}
+
+// Load: a fleet whose store loses seconds again and again, at any moment, while hosts restart. Guards against
+// engines with two orderers of one number or a number below an earlier one, and against engines that stay
+// without an owner.
+BOOST_AUTO_TEST_CASE(NumbersRiseThroughRandomLosses)
+{
+    for (uint64_t seed = 1; seed <= 40; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            Random random(seed);
+            VirtualScheduler scheduler;
+            FakeRowStore store(scheduler);
+            std::vector<std::unique_ptr<Host>> hosts;
+            int64_t incarnation = 0;
+            const auto start = [&](const std::string& name) {
+                return std::make_unique<Host>(scheduler, store, name, ++incarnation, engineSet());
+            };
+            for (const char* name : { "a", "b", "c" })
+                hosts.push_back(start(name));
+            ReportedOwners reported;
+            for (const auto& host : hosts)
+                host->reported = &reported;
+            std::map<UpstreamId, std::pair<FencingNumber, const Host*>> highest;
+            for (int step = 0; step < 600; ++step) {
+                const double event = step < 400 ? random.uniform() : 1;
+                if (event < 0.02)
+                    store.restore(std::chrono::milliseconds(static_cast<int>(random.uniform() * 8000)));
+                else if (event < 0.04)
+                    store.fault = store.fault ? std::nullopt : std::make_optional(RowStoreError::Unknown);
+                else if (event < 0.05) {
+                    auto& host = hosts[static_cast<size_t>(random.uniform() * 3)];
+                    const std::string name = host->agent.self().value();
+                    host.reset();
+                    host = start(name);
+                    host->reported = &reported;
+                }
+                if (step == 400)
+                    store.fault.reset();
+                scheduler.advance(50ms);
+                reported.clear();
+                for (const auto& host : hosts) {
+                    for (const auto& [engine, number] : host->owned) {
+                        reported.emplace(engine, host->agent.self());
+                        auto& known = highest[engine];
+                        if (number > known.first)
+                            known = { number, host.get() };
+                        // A lower number is of an owner that engines reject.
+                        if (number == known.first)
+                            BOOST_TEST(known.second == host.get());
+                    }
+                }
+            }
+            for (const UpstreamId& engine : engineSet()) {
+                const auto owners = std::count_if(hosts.begin(), hosts.end(),
+                    [&engine](const auto& host) { return host->owned.count(engine) > 0; });
+                BOOST_TEST(owners == 1);
+                BOOST_TEST(store.find(FleetRows::ownerKey(engine)).has_value());
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/fleet_registry.cc
+++ b/src/gateway/fleet_registry.cc
@@ -15,6 +15,11 @@
 /// Added to the lease time before a host counts as dead, since reads and renewals take time.
 constexpr Duration leaseGracePeriod = std::chrono::milliseconds(400);
 
+/// A fencing number consists of the number of a row's version and, above it, the era. Engines that read
+/// numbers as floating-point values keep all of these bits.
+constexpr int fencingNumberBits = 36;
+constexpr int fencingEraBits = 17;
+
 constexpr std::string_view hostPrefix = "host:";
 constexpr std::string_view ownerPrefix = "owner:";
 
@@ -25,6 +30,13 @@
 
 } // namespace
 
+FencingNumber FleetRows::fencingNumber(RowVersion version)
+{
+    const int64_t era = version.era().value() & ((int64_t(1) << fencingEraBits) - 1);
+    const int64_t number = version.number() & ((int64_t(1) << fencingNumberBits) - 1);
+    return FencingNumber((era << fencingNumberBits) | number);
+}
+
 std::string FleetRows::encode(const HostRecord& record)
 {
     return Json {
@@ -72,7 +84,6 @@
         record.engine = UpstreamId(row.id.key.substr(ownerPrefix.size()));
         record.host = HostId(json.at("host").get<std::string>());
         record.incarnation = Incarnation(json.at("incarnation").get<int64_t>());
-        record.fencingNumber = FencingNumber(row.version.value());
         return record;
     } catch (const Json::exception&) {
         return std::nullopt;
@@ -91,6 +102,7 @@
     const auto known = std::move(m_hosts);
     m_hosts.clear();
     m_owners.clear();
+    m_isSecretStored = false;
     for (const StoredRow& row : rows)
         apply(row, now);
     for (auto& [host, entry] : m_hosts) {
@@ -106,9 +118,37 @@
     }
 }
 
+void FleetRegistry::restore(const std::vector<StoredRow>& rows, MonotonicTime now)
+{
+    std::map<HostId, KnownHost> alive;
+    for (const auto& [host, known] : m_hosts) {
+        if (isAlive(host, now))
+            alive.emplace(host, known);
+    }
+    const auto before = m_hosts;
+    reset(rows, now);
+    for (auto& [host, entry] : m_hosts) {
+        const auto known = before.find(host);
+        const bool wasDead = known != before.end() && alive.count(host) == 0
+            && known->second.record.incarnation == entry.record.incarnation;
+        if (wasDead)
+            entry.lastChange = known->second.lastChange;
+    }
+    for (const auto& [host, known] : alive) {
+        const auto [entry, isMissing] = m_hosts.try_emplace(host, known);
+        if (isMissing)
+            entry->second.version = RowVersion();
+        entry->second.lastChange = now;
+        // A host in touch is known better than by a row of the copy.
+        if (known.isInTouch || host == m_self)
+            entry->second.record = known.record;
+    }
+}
+
 void FleetRegistry::apply(const StoredRow& row, MonotonicTime now)
 {
     if (row.id.key == FleetRows::secretKey().key) {
+        m_isSecretStored = !row.isDeleted;
         if (!row.isDeleted)
             m_linkSecret = row.value;
         return;
--- a/src/gateway/fleet_registry.h
+++ b/src/gateway/fleet_registry.h
@@ -24,12 +24,12 @@
     int64_t renewal = 0;
 };
 
-/// The row that names the owner of an engine. The row's version is the fencing number of the owner's orders.
+/// The row that names the owner of an engine. The row's version gives the fencing number of the owner's
+/// orders.
 struct OwnerRecord {
     UpstreamId engine;
     HostId host;
     Incarnation incarnation;
-    FencingNumber fencingNumber;
 };
 
 /// The owner of each engine according to the owners' own heartbeats.
@@ -44,6 +44,11 @@
     static RowKey ownerKey(const UpstreamId& engine) { return { table, "owner:" + engine.value() }; }
     static RowKey secretKey() { return { table, "link-secret" }; }
 
+    /// @return the fencing number of an owner by the version of its row. It rises with each claim, also when
+    /// the
+    ///     store has come back from a copy and gives out versions again, since engines remember numbers.
+    static FencingNumber fencingNumber(RowVersion version);
+
     static std::string encode(const HostRecord& record);
     static std::string encode(const OwnerRecord& record);
     /// @return nothing if the row is not a valid host row.
@@ -57,6 +62,9 @@
 /// A host counts as dead once its row has not changed for the lease time while the table was readable. The
 /// time is measured on the observer's clock, so clocks of different hosts are never compared. A host is in
 /// touch while its heartbeats arrive.
+///
+/// Load pattern: the store comes back from a copy that lacks the rows of hosts that are alive, or shows
+/// earlier ones. Such hosts are kept until they have renewed their rows or the lease time has passed.
 class FleetRegistry {
 public:
     FleetRegistry(HostId self, Incarnation incarnation, Duration leaseTime);
@@ -64,6 +72,8 @@
     void setLeaseTime(Duration leaseTime) { m_leaseTime = leaseTime; }
     /// Replaces all rows with those of a full read of the table.
     void reset(const std::vector<StoredRow>& rows, MonotonicTime now);
+    /// The same for the first read since the store has come back from a copy.
+    void restore(const std::vector<StoredRow>& rows, MonotonicTime now);
     void apply(const StoredRow& row, MonotonicTime now);
     /// Sets the hosts that are in touch. These are alive regardless of their rows; for the others the lease
     /// time counts from the last heartbeat or renewal, whichever is later.
@@ -88,6 +98,8 @@
     ///     and heartbeats: it has not restarted since, and is not this host.
     std::optional<HostId> presumedDeadOwner(const UpstreamId& engine) const;
     const std::optional<std::string>& linkSecret() const { return m_linkSecret; }
+    /// @return whether the table has the link secret.
+    bool isSecretStored() const { return m_isSecretStored; }
 
     /// Chooses the engines without a live owner that this host should claim, so that engines are spread
     /// evenly over the hosts.
@@ -139,6 +151,7 @@
     std::map<HostId, KnownHost> m_hosts;
     std::map<UpstreamId, KnownOwner> m_owners;
     std::optional<std::string> m_linkSecret;
+    bool m_isSecretStored = false;
 };
 
 } // namespace lacewing::gateway
--- a/src/gateway/fleet_registry_test.cc
+++ b/src/gateway/fleet_registry_test.cc
@@ -78,7 +78,8 @@
     registry.apply(hostRow("host-b", 1, 5), start);
     registry.apply(ownerRow("engine-0", "host-b", 1, 6), start);
     BOOST_TEST(registry.owner(UpstreamId("engine-0"), start).has_value());
-    BOOST_TEST(registry.owner(UpstreamId("engine-0"), start)->fencingNumber == FencingNumber(6));
+    const RowVersion version = registry.ownerVersion(UpstreamId("engine-0"));
+    BOOST_TEST(FleetRows::fencingNumber(version) == FencingNumber(6));
     registry.apply(hostRow("host-b", 2, 7), start);
     BOOST_TEST(!registry.owner(UpstreamId("engine-0"), start).has_value());
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -93,7 +93,10 @@
           { [this] { fleetChanged(); },
               [this](const UpstreamId& engine, FencingNumber number) { m_owners.claimed(engine, number); },
               [this](const UpstreamId& engine) { m_owners.lost(engine); }, [this] { return engineIds(); },
-              [this] { return ineligibleHosts(); }, [this] { return reportedOwners(); } })
+              [this] { return ineligibleHosts(); }, [this] { return reportedOwners(); },
+              [this](const UpstreamId& engine, FencingNumber number) { m_owners.renumbered(engine, number); },
+              [this] { storeRestored(); },
+              [this](const char* kind, size_t count) { rowsWrittenAgain(kind, count); } })
     , m_mesh(loop, recordOf(m_settings, m_incarnation),
           { [this](const HostId& peer, const PeerMessage& message) { peerMessage(peer, message); },
               [this](const HostId& peer) { m_broker.peerLost(peer); },
@@ -249,9 +252,9 @@
     m_metrics.gauge("lacewing_limited_upstreams") = static_cast<double>(m_limits.limitedCount());
     m_metrics.gauge("lacewing_quarantined_prompts") = static_cast<double>(m_quarantine.activeCount());
     m_metrics.gauge("lacewing_peers_in_touch") = static_cast<double>(m_mesh.peersInTouch().size());
-    const auto configuration = m_configuration.current();
+    m_metrics.gauge("lacewing_store_era") = static_cast<double>(m_fleet.storeEra().value());
     m_metrics.gauge("lacewing_configuration_revision")
-        = configuration ? static_cast<double>(configuration->revision().value()) : 0;
+        = static_cast<double>(m_configuration.revision().value());
     exchange.reply(statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.text());
 }
 
@@ -265,6 +268,8 @@
     heartbeat.callerAddress = m_settings.callerAddress;
     heartbeat.configurationVersion = m_configuration.rowVersion();
     heartbeat.operatorVersion = m_configuration.newestRowVersion();
+    heartbeat.configurationRevision = m_configuration.revision();
+    heartbeat.storeEra = m_fleet.storeEra();
     heartbeat.configurationAge = m_configuration.age();
     heartbeat.usageKnownFor = m_loop.now() - m_usage.knownSince();
     heartbeat.usage = audience == HeartbeatAudience::NewPeer ? m_usage.fullReport(m_loop.now())
@@ -289,9 +294,11 @@
         m_usage.peerReported(peer, heartbeat->incarnation, heartbeat->usage, now);
         const Duration knownFor = std::min(heartbeat->usageKnownFor, m_settings.usageWindow);
         m_usage.extendKnownSince(now - knownFor);
-        m_operatorRows.onHeartbeat(peer, heartbeat->operatorVersion);
+        m_operatorRows.onHeartbeat(peer, heartbeat->operatorVersion, heartbeat->configurationRevision);
         if (heartbeat->configurationAge)
-            m_configuration.recordPeerVersion(heartbeat->configurationVersion, *heartbeat->configurationAge);
+            m_configuration.recordPeerVersion(heartbeat->configurationVersion,
+                heartbeat->configurationRevision, *heartbeat->configurationAge);
+        m_fleet.peerKnowsEra(heartbeat->storeEra);
         m_owners.fetchLimiter().setPeersInFlight(m_mesh.fetchesInFlight(), m_peersInTouch);
         return;
     }
@@ -315,6 +322,30 @@
     m_broker.peerMessage(peer, message);
 }
 
+void Gateway::storeRestored()
+{
+    m_storeRestoredAt = m_loop.now();
+    ++m_metrics.counter("lacewing_store_losses_total");
+    // What all hosts know is written again by one of them.
+    for (const auto& [host, state] : m_mesh.peersInTouch()) {
+        if (state->heartbeat.reachesStore && host < m_settings.host)
+            return;
+    }
+    m_quarantineRows.reconcile([this] { return m_quarantine.all(); },
+        [this](const Quarantine& quarantine) { m_quarantine.restore(quarantine); },
+        [this](size_t count) { rowsWrittenAgain("quarantine", count); });
+}
+
+void Gateway::rowsWrittenAgain(const char* kind, size_t count)
+{
+    m_metrics.counter("lacewing_rows_written_again_total", { { "kind", kind } }) += count;
+    LogEvent(LogLevel::Info, "rows_written_again")
+        .with("kind", kind)
+        .with("count", count)
+        .with("era", m_fleet.storeEra())
+        .with("after_ms", toMilliseconds(m_loop.now() - m_storeRestoredAt));
+}
+
 void Gateway::engineRequestSent(const UpstreamId& engine, const char* kind)
 {
     if (m_limits.rate(engine))
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -70,6 +70,10 @@
     void updateMembers();
     void applyCallerLimits();
     void configurationChanged();
+    /// The store has come back from a copy.
+    void storeRestored();
+    /// Rows that the copy lacked have been written again.
+    void rowsWrittenAgain(const char* kind, size_t count);
     /// Tells the quarantine of engines with a version that none had before.
     void noteEngineVersions();
     void upstreamsChanged();
@@ -118,6 +122,7 @@
     PeriodicTimer m_memberTimer;
     /// Number of reachable peers as of the last updateMembers().
     size_t m_peersInTouch = 0;
+    MonotonicTime m_storeRestoredAt;
     /// Software versions that engines have had.
     std::set<std::string> m_engineVersions;
     bool m_isStopping = false;
--- a/src/gateway/operator_row_exchange.cc
+++ b/src/gateway/operator_row_exchange.cc
@@ -25,12 +25,18 @@
 {
 }
 
-void OperatorRowExchange::onHeartbeat(const HostId& peer, RowVersion newest)
+OperatorRowExchange::Offer OperatorRowExchange::own() const
 {
-    if (newest <= m_tracker.newestRowVersion() || newest < m_newestPeerVersion)
+    return { m_tracker.revision(), m_tracker.newestRowVersion() };
+}
+
+void OperatorRowExchange::onHeartbeat(const HostId& peer, RowVersion newest, Revision revision)
+{
+    const Offer offer { std::max(revision, m_tracker.revision()), newest };
+    if (offer <= own() || offer < m_bestOffer)
         return;
-    if (newest > m_newestPeerVersion) {
-        m_newestPeerVersion = newest;
+    if (offer > m_bestOffer) {
+        m_bestOffer = offer;
         m_sources.clear();
     }
     m_sources.push_back(peer);
@@ -51,7 +57,8 @@
 {
     m_isWaiting = false;
     const auto sources = std::exchange(m_sources, {});
-    if (sources.empty() || m_newestPeerVersion <= m_tracker.newestRowVersion())
+    const Offer best = std::exchange(m_bestOffer, {});
+    if (sources.empty() || best <= own())
         return;
     const auto chosen = static_cast<size_t>(m_random.uniform() * static_cast<double>(sources.size()));
     m_send(
--- a/src/gateway/operator_row_exchange.h
+++ b/src/gateway/operator_row_exchange.h
@@ -26,10 +26,17 @@
     OperatorRowExchange(Scheduler& scheduler, ConfigurationTracker& tracker, Random& random, Send send);
 
     /// @param newest highest row version that the peer has.
-    void onHeartbeat(const HostId& peer, RowVersion newest);
+    /// @param revision of the peer's configuration, which may be newer than this host's although the peer's
+    /// rows
+    ///     are not: the store may have come back from a copy that lacks it.
+    void onHeartbeat(const HostId& peer, RowVersion newest, Revision revision);
     void onRequest(const HostId& peer, const PeerOperatorRequest& request);
 
 private:
+    /// Revision of the configuration and highest version of the rows that a host has.
+    using Offer = std::pair<Revision, RowVersion>;
+
+    Offer own() const;
     void requestIfBehind();
     Duration requestDelay();
 
@@ -38,8 +45,8 @@
     Random& m_random;
     Send m_send;
     bool m_isWaiting = false;
-    /// Highest version that a peer has reported, and the peers that have it.
-    RowVersion m_newestPeerVersion;
+    /// The best offer of peers since the last request, and the peers that have made it.
+    Offer m_bestOffer;
     std::vector<HostId> m_sources;
     Lifetime m_lifetime;
 };
--- a/src/gateway/operator_row_exchange_test.cc
+++ b/src/gateway/operator_row_exchange_test.cc
@@ -94,7 +94,8 @@
     fixture.connected.store.put({ "op", "config" }, "5");
     fixture.connected.store.put({ "op", "a2" }, "7");
     fixture.scheduler.advance(1s);
-    fixture.disconnected.exchange.onHeartbeat(HostId("peer"), fixture.connected.tracker.newestRowVersion());
+    fixture.disconnected.exchange.onHeartbeat(
+        HostId("peer"), fixture.connected.tracker.newestRowVersion(), Revision(5));
     fixture.scheduler.advance(1s);
     fixture.disconnected.exchangeMessages(fixture.connected);
     BOOST_TEST(fixture.disconnected.release("a1") == 2);
@@ -113,13 +114,13 @@
     fixture.scheduler.advance(100ms);
     const RowVersion newest = fixture.connected.tracker.newestRowVersion();
     for (int peer = 0; peer < 80; ++peer)
-        fixture.disconnected.exchange.onHeartbeat(HostId("peer-" + std::to_string(peer)), newest);
+        fixture.disconnected.exchange.onHeartbeat(HostId("peer-" + std::to_string(peer)), newest, Revision());
     fixture.disconnected.store.put({ "op", "config" }, "5");
     fixture.scheduler.advance(1s);
     BOOST_TEST(fixture.disconnected.sent.empty());
-    const RowVersion newer(newest.value() + 3);
+    const RowVersion newer(newest.number() + 3);
     for (int peer = 0; peer < 80; ++peer)
-        fixture.disconnected.exchange.onHeartbeat(HostId("peer-" + std::to_string(peer)), newer);
+        fixture.disconnected.exchange.onHeartbeat(HostId("peer-" + std::to_string(peer)), newer, Revision());
     fixture.scheduler.advance(1s);
     BOOST_TEST(fixture.disconnected.sent.size() == 1);
 }
@@ -144,7 +145,7 @@
     const RowVersion newest(50);
     for (int reader = 0; reader < readerCount; ++reader) {
         for (const auto& host : hosts)
-            host->exchange.onHeartbeat(HostId("reader-" + std::to_string(reader)), newest);
+            host->exchange.onHeartbeat(HostId("reader-" + std::to_string(reader)), newest, Revision());
         scheduler.advance(heartbeatInterval / readerCount);
     }
     scheduler.advance(1s);
--- a/src/gateway/owned_engines.cc
+++ b/src/gateway/owned_engines.cc
@@ -41,6 +41,12 @@
     startScheduler(engine, owned);
 }
 
+void OwnedEngines::renumbered(const UpstreamId& engine, FencingNumber fencingNumber)
+{
+    if (OwnedEngine* owned = find(engine))
+        owned->fencingNumber = fencingNumber;
+}
+
 void OwnedEngines::startScheduler(const UpstreamId& engine, OwnedEngine& owned)
 {
     owned.generation = m_nextGeneration++;
--- a/src/gateway/owned_engines.h
+++ b/src/gateway/owned_engines.h
@@ -35,6 +35,8 @@
     ~OwnedEngines();
 
     void claimed(const UpstreamId& engine, FencingNumber fencingNumber);
+    /// Orders get another fencing number from now on; what waits and runs stays.
+    void renumbered(const UpstreamId& engine, FencingNumber fencingNumber);
     void lost(const UpstreamId& engine);
     bool owns(const UpstreamId& engine) const { return m_engines.count(engine) > 0; }
 
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -255,7 +255,7 @@
     json.push_back(message.incarnation.value());
     json.push_back(message.isReady);
     json.push_back(message.isStopping);
-    json.push_back(message.configurationVersion.value());
+    json.push_back(message.configurationVersion.number());
     json.push_back(microseconds(message.usageKnownFor));
     json.push_back(encode(message.usage));
     json.push_back(std::move(engines));
@@ -263,12 +263,14 @@
     json.push_back(message.callerAddress.text());
     json.push_back(message.configurationAge ? Json(microseconds(*message.configurationAge)) : Json());
     json.push_back(message.reachesStore);
-    json.push_back(message.operatorVersion.value());
+    json.push_back(message.operatorVersion.number());
     Json limits = Json::array();
     for (const UpstreamLimit& limit : message.limits)
         limits.push_back(encode(limit));
     json.push_back(std::move(limits));
     json.push_back(encode(message.quarantines));
+    json.push_back(Json::array({ message.storeEra.value(), message.configurationVersion.era().value(),
+        message.operatorVersion.era().value(), message.configurationRevision.value() }));
     return json;
 }
 
@@ -296,13 +298,24 @@
     }
     if (json.size() > 14)
         message.quarantines = decodeQuarantines(json.at(14));
+    // Nor do they send eras of the store.
+    if (json.size() > 15) {
+        const Json& eras = json.at(15);
+        message.storeEra = StoreEra(eras.at(0).get<int64_t>());
+        message.configurationVersion
+            = RowVersion(StoreEra(eras.at(1).get<int64_t>()), message.configurationVersion.number());
+        message.operatorVersion
+            = RowVersion(StoreEra(eras.at(2).get<int64_t>()), message.operatorVersion.number());
+        message.configurationRevision = Revision(eras.at(3).get<int64_t>());
+    }
     return message;
 }
 
 Json encode(const PeerOperatorRequest& message)
 {
     Json json = frame(FrameType::OperatorRequest);
-    json.push_back(message.after.value());
+    json.push_back(message.after.number());
+    json.push_back(message.after.era().value());
     return json;
 }
 
@@ -311,7 +324,8 @@
     Json rows = Json::array();
     for (const StoredRow& row : stored) {
         const std::vector<uint8_t> value(row.value.begin(), row.value.end());
-        rows.push_back(Json::array({ row.id.key, Json::binary(value), row.version.value(), row.isDeleted }));
+        rows.push_back(Json::array({ row.id.key, Json::binary(value), row.version.number(), row.isDeleted,
+            row.version.era().value() }));
     }
     Json json = frame(type);
     json.push_back(std::move(rows));
@@ -328,6 +342,12 @@
     return encode(FrameType::UpstreamRows, message.rows);
 }
 
+/// @return the era at an index of a frame, which hosts of an earlier version don't send.
+StoreEra eraAt(const Json& json, size_t index)
+{
+    return json.size() > index ? StoreEra(json.at(index).get<int64_t>()) : StoreEra();
+}
+
 std::vector<StoredRow> decodeRows(const Json& json)
 {
     std::vector<StoredRow> rows;
@@ -336,7 +356,7 @@
         row.id.key = item.at(0).get<std::string>();
         const auto& value = item.at(1).get_binary();
         row.value.assign(value.begin(), value.end());
-        row.version = RowVersion(item.at(2).get<int64_t>());
+        row.version = RowVersion(eraAt(item, 4), item.at(2).get<int64_t>());
         row.isDeleted = item.at(3).get<bool>();
         rows.push_back(std::move(row));
     }
@@ -443,7 +463,7 @@
     case FrameType::Heartbeat:
         return decodeHeartbeat(json);
     case FrameType::OperatorRequest:
-        return PeerOperatorRequest { RowVersion(json.at(1).get<int64_t>()) };
+        return PeerOperatorRequest { RowVersion(eraAt(json, 2), json.at(1).get<int64_t>()) };
     case FrameType::OperatorRows:
         return PeerOperatorRows { decodeRows(json.at(1)) };
     case FrameType::UpstreamRows:
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -31,6 +31,10 @@
     RowVersion configurationVersion;
     /// Highest store version of the operators' rows that the host has.
     RowVersion operatorVersion;
+    /// Revision of the host's current configuration; 0 if it has none or does not state it.
+    Revision configurationRevision;
+    /// Newest era of the store that the host knows of.
+    StoreEra storeEra;
     /// Time since the configuration was last confirmed to be the newest; nothing if it never was.
     std::optional<Duration> configurationAge;
     /// Time for which this host, or the peers it has heard from, have tracked all usage.
--- a/src/gateway/peer_message_test.cc
+++ b/src/gateway/peer_message_test.cc
@@ -129,6 +129,7 @@
 {
     auto json = *fromCbor(encodePeerMessage(heartbeat()));
     json.erase(json.size() - 1);
+    json.erase(json.size() - 1);
     const auto decoded = decodePeerMessage(toCbor(json));
     BOOST_REQUIRE(decoded.has_value());
     const auto& message = std::get<PeerHeartbeat>(*decoded);
@@ -136,12 +137,38 @@
     BOOST_TEST(message.quarantines.empty());
 }
 
+// The same for hosts that do not state eras of the store.
+BOOST_AUTO_TEST_CASE(ReadsMessagesWithoutEras)
+{
+    PeerHeartbeat sent = heartbeat();
+    sent.configurationVersion = RowVersion(StoreEra(3), 17);
+    sent.configurationRevision = Revision(5);
+    sent.storeEra = StoreEra(4);
+    auto json = *fromCbor(encodePeerMessage(sent));
+    const auto current = std::get<PeerHeartbeat>(*decodePeerMessage(toCbor(json)));
+    BOOST_TEST(current.configurationVersion == sent.configurationVersion);
+    BOOST_TEST(current.configurationRevision == sent.configurationRevision);
+    BOOST_TEST(current.storeEra == sent.storeEra);
+    json.erase(json.size() - 1);
+    const auto earlier = std::get<PeerHeartbeat>(*decodePeerMessage(toCbor(json)));
+    BOOST_TEST(earlier.configurationVersion == RowVersion(17));
+    BOOST_TEST(earlier.storeEra == StoreEra());
+    const PeerOperatorRows rows { { { { "", "config" }, "x", RowVersion(StoreEra(2), 8), false } } };
+    auto frame = *fromCbor(encodePeerMessage(rows));
+    BOOST_TEST(std::get<PeerOperatorRows>(*decodePeerMessage(toCbor(frame))).rows[0].version
+        == RowVersion(StoreEra(2), 8));
+    frame[1][0].erase(frame[1][0].size() - 1);
+    BOOST_TEST(
+        std::get<PeerOperatorRows>(*decodePeerMessage(toCbor(frame))).rows[0].version == RowVersion(8));
+}
+
 // The same for hosts of the version before that.
 BOOST_AUTO_TEST_CASE(ReadsHeartbeatsWithoutLimits)
 {
     auto json = *fromCbor(encodePeerMessage(heartbeat()));
     json.erase(json.size() - 1);
     json.erase(json.size() - 1);
+    json.erase(json.size() - 1);
     auto& engine = json[7][0];
     engine.erase(engine.size() - 1);
     engine.erase(engine.size() - 1);
--- a/src/gateway/quarantine_rows.cc
+++ b/src/gateway/quarantine_rows.cc
@@ -52,20 +52,50 @@
 {
 }
 
-void QuarantineRows::read(ReadCallback callback)
+void QuarantineRows::readAll(ReadCallback callback, std::function<void(const Revisions& stored)> done)
 {
-    m_store.readTable(quarantineTable, m_lifetime.guard([this, callback](const RowResult<RowSet>& result) {
-        if (!result.value) {
-            m_scheduler.runAfter(retryInterval, m_lifetime.guard([this, callback] { read(callback); }));
-            return;
-        }
-        for (const StoredRow& row : result.value->rows) {
-            if (const auto quarantine = decode(row.value))
+    m_store.readTable(
+        quarantineTable, m_lifetime.guard([this, callback, done](const RowResult<RowSet>& result) {
+            if (!result.value) {
+                m_scheduler.runAfter(
+                    retryInterval, m_lifetime.guard([this, callback, done] { readAll(callback, done); }));
+                return;
+            }
+            Revisions stored;
+            for (const StoredRow& row : result.value->rows) {
+                const auto quarantine = decode(row.value);
+                if (!quarantine) {
+                    LogEvent(LogLevel::Warning, "quarantine_row_skipped").with("key", row.id.key);
+                    continue;
+                }
+                stored[row.id.key] = quarantine->revision;
                 callback(*quarantine);
-            else
-                LogEvent(LogLevel::Warning, "quarantine_row_skipped").with("key", row.id.key);
+            }
+            done(stored);
+        }));
+}
+
+void QuarantineRows::read(ReadCallback callback)
+{
+    readAll(std::move(callback), [](const Revisions&) {});
+}
+
+void QuarantineRows::reconcile(std::function<std::vector<Quarantine>()> known, ReadCallback callback,
+    std::function<void(size_t count)> rewritten)
+{
+    readAll(std::move(callback), [this, known, rewritten](const Revisions& stored) {
+        size_t lacking = 0;
+        for (const Quarantine& quarantine : known()) {
+            const auto row = stored.find(keyOf(quarantine.parts));
+            const bool isLacking
+                = !quarantine.isLifted && (row == stored.end() || row->second < quarantine.revision);
+            if (isLacking || (quarantine.isLifted && row != stored.end()))
+                save(quarantine);
+            lacking += isLacking ? 1 : 0;
         }
-    }));
+        if (lacking > 0)
+            rewritten(lacking);
+    });
 }
 
 void QuarantineRows::save(const Quarantine& quarantine)
--- a/src/gateway/quarantine_rows_test.cc
+++ b/src/gateway/quarantine_rows_test.cc
@@ -85,4 +85,29 @@
     BOOST_TEST(restarted().size() == 1);
 }
 
+// Guards against a quarantine that is forgotten, and one that comes back after it was lifted, because the
+// store has come back from a copy.
+BOOST_AUTO_TEST_CASE(TheTableIsBroughtInLineAfterALoss)
+{
+    Quarantine lifted { PartSet({ 5 }), QuarantineRevision(2), false, 0, 3s };
+    rows.save(lifted);
+    scheduler.advance(5s);
+    lifted.isLifted = true;
+    rows.save(lifted);
+    rows.save(quarantine);
+    scheduler.advance(1s);
+    store.restore(3s);
+    size_t count = 0;
+    rows.reconcile(
+        [&] {
+            return std::vector<Quarantine> { quarantine, lifted };
+        },
+        [](const Quarantine&) {}, [&count](size_t rewritten) { count += rewritten; });
+    scheduler.advance(1s);
+    BOOST_TEST(count == 1);
+    const auto read = restarted();
+    BOOST_REQUIRE(read.size() == 1);
+    BOOST_TEST((read[0].parts == quarantine.parts));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/store_feed.cc
+++ b/src/gateway/store_feed.cc
@@ -74,8 +74,10 @@
             LogEvent(LogLevel::Warning, "store_history_lost")
                 .with("table", m_options.table)
                 .with("version", m_version.value_or(RowVersion()));
+            // A read of the whole table can lose its history only if the store comes back from a copy
+            // meanwhile.
+            schedulePoll(isWholeTable ? retryInterval : Duration::zero());
             m_version.reset();
-            schedulePoll(Duration::zero());
             return;
         }
         if (!std::exchange(m_isLost, true))
@@ -87,15 +89,18 @@
         return;
     }
     m_consecutiveFailures = 0;
-    const auto outage = m_lastAnswer ? now - *m_lastAnswer : Duration::zero();
+    const auto outage = m_lastAnswer ? std::make_optional(now - *m_lastAnswer) : std::nullopt;
     m_lastAnswer = now;
     if (std::exchange(m_isLost, false)) {
         LogEvent(LogLevel::Info, "store_regained")
             .with("table", m_options.table)
-            .with("outage_ms", toMilliseconds(outage));
-        m_listener.feedResumed(outage);
+            .with("outage_ms", toMilliseconds(outage.value_or(Duration::zero())));
+        m_listener.feedResumed(outage.value_or(Duration::zero()));
     }
     m_version = result.value->version;
+    const StoreEra earlier = std::exchange(m_era, m_version->era());
+    if (isWholeTable && outage && earlier != m_era)
+        m_listener.storeRestored(*m_version);
     if (isWholeTable)
         m_listener.tableRead(result.value->rows);
     else if (!result.value->rows.empty())
--- a/src/gateway/store_feed.h
+++ b/src/gateway/store_feed.h
@@ -14,6 +14,12 @@
 public:
     virtual ~StoreFeedListener() = default;
 
+    /// Called before tableRead() when the store has come back from a copy since the last response.
+    ///
+    /// @param copy upper bound of the versions that rows of the copy can have. Rows up to it may be older
+    /// than
+    ///     what is known from before, or may have been written since; rows above it have been written since.
+    virtual void storeRestored(RowVersion copy) { }
     /// Called with the whole table at the start and whenever changes may have been missed.
     virtual void tableRead(const std::vector<StoredRow>& rows) = 0;
     virtual void rowsChanged(const std::vector<StoredRow>& rows) = 0;
@@ -45,6 +51,8 @@
     void start();
     /// Polls the store now instead of at the end of the interval, unless a poll is in flight.
     void pollNow();
+    /// @return era of the store at the last response; 0 before the first.
+    StoreEra era() const { return m_era; }
     /// @return time since the last response of the store, or nothing before the first.
     std::optional<Duration> age() const;
     /// @return whether the last poll got no response.
@@ -60,6 +68,7 @@
     StoreFeedListener& m_listener;
     Options m_options;
     std::optional<RowVersion> m_version;
+    StoreEra m_era;
     std::optional<MonotonicTime> m_lastAnswer;
     MonotonicTime m_lastPoll;
     bool m_isLost = false;
--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -16,6 +16,8 @@
 constexpr Duration graceTime = std::chrono::milliseconds(2200);
 /// Rows do not expire in a shorter outage.
 constexpr Duration minimumOutage = std::chrono::milliseconds(1000);
+/// Time after which the store has removed the rows of a copy whose upstreams don't write them again.
+constexpr Duration copiedRowLifetime = std::chrono::seconds(6);
 
 } // namespace
 
@@ -38,7 +40,8 @@
 
 bool UpstreamDirectory::isPresent(const KnownUpstream& known) const
 {
-    return !known.graceUntil || m_scheduler.now() < *known.graceUntil;
+    const MonotonicTime now = m_scheduler.now();
+    return (!known.graceUntil || now < *known.graceUntil) && (!known.goneUntil || now >= *known.goneUntil);
 }
 
 std::vector<const UpstreamEntry*> UpstreamDirectory::usable(const ServiceId& service) const
@@ -99,52 +102,103 @@
     return true;
 }
 
-bool UpstreamDirectory::apply(const StoredRow& row)
+bool UpstreamDirectory::isOld(const StoredRow& row) const
 {
     const UpstreamId id(row.id.key);
-    const auto before = m_known.find(id);
+    const auto known = m_known.find(id);
     const auto removed = m_removed.find(id);
-    const bool isOld = (before != m_known.end() && row.version <= before->second.version)
-        || (removed != m_removed.end() && row.version <= removed->second);
-    if (isOld) {
-        const RowVersion known = before != m_known.end() ? before->second.version : removed->second;
-        if (row.version < known)
-            LogEvent(LogLevel::Warning, "upstream_row_ignored")
-                .with("upstream", id)
-                .with("version", row.version)
-                .with("known_version", known);
+    RowVersion newest;
+    if (known != m_known.end())
+        newest = known->second.version;
+    if (removed != m_removed.end())
+        newest = std::max(newest, removed->second.version);
+    if (row.version < newest)
+        LogEvent(LogLevel::Warning, "upstream_row_ignored")
+            .with("upstream", id)
+            .with("version", row.version)
+            .with("known_version", newest);
+    return newest.exists() && row.version <= newest;
+}
+
+bool UpstreamDirectory::mayBeCopied(const StoredRow& row) const
+{
+    // A peer has read the table in an era in which this host has not.
+    return row.version <= m_copy || row.version.era() > m_feed.era();
+}
+
+bool UpstreamDirectory::isKnownBetter(const UpstreamEntry& known, const UpstreamEntry& copied)
+{
+    if (known.startedAt != copied.startedAt)
+        return known.startedAt > copied.startedAt;
+    // A process that has begun to drain does not return to use.
+    return !copied.isDraining;
+}
+
+bool UpstreamDirectory::wasRemoved(const StoredRow& row, const UpstreamEntry& entry) const
+{
+    const auto removed = m_removed.find(entry.id);
+    return removed != m_removed.end() && removed->second.version.era() < row.version.era()
+        && removed->second.startedAt == entry.startedAt;
+}
+
+bool UpstreamDirectory::apply(const StoredRow& row)
+{
+    const UpstreamId id(row.id.key);
+    if (isOld(row))
         return false;
-    }
+    const auto before = m_known.find(id);
     if (row.isDeleted) {
-        m_removed[id] = row.version;
+        Removal& removal = m_removed[id];
+        removal.version = row.version;
+        if (before != m_known.end())
+            removal.startedAt = before->second.entry.startedAt;
         return handleRemoval(id);
     }
     const auto entry = m_decoder.readUpstream(row);
     if (!entry) {
         LogEvent(LogLevel::Warning, "upstream_row_skipped").with("key", row.id.key);
-        return handleRemoval(UpstreamId(row.id.key));
+        return handleRemoval(id);
+    }
+    const bool mayBeOlder = mayBeCopied(row);
+    if (mayBeOlder && before != m_known.end() && isKnownBetter(before->second.entry, *entry)) {
+        before->second.version = row.version;
+        before->second.graceUntil.reset();
+        return false;
+    }
+    if (mayBeOlder && before == m_known.end() && wasRemoved(row, *entry)) {
+        m_known[id] = { *entry, row.version, std::nullopt, m_scheduler.now() + copiedRowLifetime };
+        return false;
     }
     const auto [known, isNew] = m_known.try_emplace(entry->id);
     const bool hasChanged = isNew || known->second.entry.isDraining != entry->isDraining
-        || known->second.entry.startedAt != entry->startedAt;
+        || known->second.entry.startedAt != entry->startedAt || known->second.goneUntil;
     if (hasChanged)
         LogEvent(LogLevel::Info, "upstream_changed")
             .with("upstream", entry->id)
             .with("service", entry->service)
             .with("address", entry->address.text())
             .with("draining", entry->isDraining);
-    known->second = { *entry, row.version, std::nullopt };
+    known->second = { *entry, row.version, std::nullopt, std::nullopt };
     return hasChanged;
 }
 
+void UpstreamDirectory::storeRestored(RowVersion copy)
+{
+    m_copy = copy;
+    m_isRestored = true;
+    m_graceEnd = m_scheduler.now() + graceTime;
+}
+
 void UpstreamDirectory::tableRead(const std::vector<StoredRow>& rows)
 {
     std::set<UpstreamId> present;
-    bool hasChanged = false;
-    for (const StoredRow& row : rows) {
-        hasChanged = apply(row) || hasChanged;
+    const std::vector<StoredRow> changed = applyAll(rows);
+    bool hasChanged = !changed.empty();
+    // No changes follow for what was written again before this read, which the other hosts need, too.
+    if (std::exchange(m_isRestored, false))
+        relay(changed);
+    for (const StoredRow& row : rows)
         present.insert(UpstreamId(row.id.key));
-    }
     std::vector<UpstreamId> missing;
     for (const auto& [id, known] : m_known) {
         if (present.count(id) == 0)
@@ -156,21 +210,30 @@
         m_handlers.onChange();
 }
 
-void UpstreamDirectory::rowsChanged(const std::vector<StoredRow>& rows)
+std::vector<StoredRow> UpstreamDirectory::applyAll(const std::vector<StoredRow>& rows)
 {
-    bool hasChanged = false;
-    std::vector<StoredRow> rowsToRelay;
+    std::vector<StoredRow> changed;
     for (const StoredRow& row : rows) {
-        if (!apply(row))
-            continue;
-        hasChanged = true;
-        rowsToRelay.push_back(row);
+        if (apply(row))
+            changed.push_back(row);
     }
-    if (m_isReader && !rowsToRelay.empty())
-        m_handlers.onRowsToRelay(rowsToRelay);
+    return changed;
+}
+
+void UpstreamDirectory::relay(const std::vector<StoredRow>& rows)
+{
+    if (m_isReader && !rows.empty())
+        m_handlers.onRowsToRelay(rows);
+}
+
+void UpstreamDirectory::rowsChanged(const std::vector<StoredRow>& rows)
+{
+    const std::vector<StoredRow> changed = applyAll(rows);
+    relay(changed);
+    bool hasChanged = !changed.empty();
     std::vector<UpstreamId> expired;
     for (const auto& [id, known] : m_known) {
-        if (!isPresent(known))
+        if (known.graceUntil && m_scheduler.now() >= *known.graceUntil)
             expired.push_back(id);
     }
     for (const UpstreamId& id : expired) {
@@ -186,10 +249,7 @@
 
 void UpstreamDirectory::peerOffered(const std::vector<StoredRow>& rows)
 {
-    bool hasChanged = false;
-    for (const StoredRow& row : rows)
-        hasChanged = apply(row) || hasChanged;
-    if (hasChanged)
+    if (!applyAll(rows).empty())
         m_handlers.onChange();
 }
 
--- a/src/gateway/upstream_directory.h
+++ b/src/gateway/upstream_directory.h
@@ -15,6 +15,10 @@
 /// Load pattern: the store is unreachable for a time, and upstreams can't renew their rows. A row that is
 /// removed just after an outage may only have expired because of it, so the upstream is kept for a grace
 /// period. An upstream that was draining, or whose row was removed outside that period, is dropped at once.
+///
+/// The store may also come back from a copy. Until upstreams have written their rows again, it lacks rows of
+/// processes that have started since, shows earlier processes, and shows upstreams in use that have begun to
+/// drain or have gone. What is known of a process from before holds against the rows of the copy.
 class UpstreamDirectory : private StoreFeedListener {
 public:
     struct Handlers {
@@ -49,14 +53,34 @@
         RowVersion version;
         /// End of the grace period; set if the row was removed just after an outage of the store.
         std::optional<MonotonicTime> graceUntil;
+        /// Until then the upstream counts as gone: its row was removed, and a copy of the store shows it
+        /// again.
+        std::optional<MonotonicTime> goneUntil;
+    };
+
+    struct Removal {
+        RowVersion version;
+        /// Start of the process whose row was removed, if it was known.
+        std::optional<int64_t> startedAt;
     };
 
+    void storeRestored(RowVersion copy) override;
     void tableRead(const std::vector<StoredRow>& rows) override;
     void rowsChanged(const std::vector<StoredRow>& rows) override;
     void feedResumed(Duration outage) override;
 
     /// @return whether the set of upstreams has changed.
     bool apply(const StoredRow& row);
+    /// @return the rows that have changed the set of upstreams.
+    std::vector<StoredRow> applyAll(const std::vector<StoredRow>& rows);
+    void relay(const std::vector<StoredRow>& rows);
+    bool isOld(const StoredRow& row) const;
+    /// @return whether a row may be from a copy of the store, and so older than what is known from before.
+    bool mayBeCopied(const StoredRow& row) const;
+    /// @return whether the state that is known of the upstream's process is newer than an entry of the copy.
+    static bool isKnownBetter(const UpstreamEntry& known, const UpstreamEntry& copied);
+    /// @return whether the row of the entry's process was removed in an earlier era.
+    bool wasRemoved(const StoredRow& row, const UpstreamEntry& entry) const;
     bool handleRemoval(const UpstreamId& id);
     bool isPresent(const KnownUpstream& known) const;
 
@@ -64,11 +88,15 @@
     const RowDecoder& m_decoder;
     Handlers m_handlers;
     bool m_isReader = true;
-    /// Row versions at which entries were removed, so that an older row does not restore them.
-    std::map<UpstreamId, RowVersion> m_removed;
+    /// Rows that were removed, so that an older one does not restore them.
+    std::map<UpstreamId, Removal> m_removed;
     std::map<UpstreamId, KnownUpstream> m_known;
     /// Entries that are removed before this time are kept until then.
     MonotonicTime m_graceEnd;
+    /// Bound of the versions in the store's latest copy; 0 if there was none.
+    RowVersion m_copy;
+    /// The table has not been read yet since then.
+    bool m_isRestored = false;
     StoreFeed m_feed;
 };
 
--- a/src/gateway/upstream_directory_test.cc
+++ b/src/gateway/upstream_directory_test.cc
@@ -14,17 +14,19 @@
 
 const ServiceId service("engines");
 
-/// Decodes rows with the value "ready" or "draining"; all others are invalid.
+/// Decodes rows with the value "ready" or "draining", and "restarted" for another process; all others are
+/// invalid.
 class PlainRowDecoder : public FakeRowDecoder {
 public:
     std::optional<UpstreamEntry> readUpstream(const StoredRow& row) const override
     {
-        if (row.value != "ready" && row.value != "draining")
+        if (row.value != "ready" && row.value != "draining" && row.value != "restarted")
             return std::nullopt;
         UpstreamEntry entry;
         entry.id = UpstreamId(row.id.key);
         entry.service = service;
         entry.isDraining = row.value == "draining";
+        entry.startedAt = row.value == "restarted" ? 2 : 1;
         return entry;
     }
 };
@@ -144,4 +146,76 @@
     BOOST_TEST(fixture.store.calls - before <= 20);
 }
 
+// Guards against requests to an upstream that was leaving, or had gone, before the store came back from a
+// copy that shows it in use.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatWasLeavingBeforeALossStaysAway)
+{
+    Fixture fixture;
+    fixture.put("s3", "ready");
+    fixture.scheduler.advance(5s);
+    fixture.put("s1", "draining");
+    fixture.remove("s2");
+    fixture.scheduler.advance(2s);
+    BOOST_TEST(fixture.usable() == 1);
+    fixture.store.restore(4s);
+    for (int step = 0; step < 20; ++step) {
+        fixture.scheduler.advance(100ms);
+        BOOST_TEST(fixture.usable() == 1);
+    }
+    fixture.put("s1", "draining");
+    fixture.remove("s2");
+    fixture.scheduler.advance(10s);
+    BOOST_TEST(fixture.usable() == 1);
+    fixture.put("s1", "restarted");
+    fixture.scheduler.advance(2s);
+    BOOST_TEST(fixture.usable() == 2);
+}
+
+// Guards against an upstream that is never used again: its row was removed by mistake and written again
+// before the first read after the loss, so nothing tells it from a row of the copy.
+BOOST_AUTO_TEST_CASE(ARemovedRowThatTheCopyShowsCountsAgainAfterAWhile)
+{
+    Fixture fixture;
+    fixture.scheduler.advance(5s);
+    fixture.remove("s1");
+    fixture.scheduler.advance(2s);
+    fixture.store.restore(4s);
+    fixture.scheduler.advance(4s);
+    BOOST_TEST(fixture.usable() == 1);
+    fixture.scheduler.advance(6s);
+    BOOST_TEST(fixture.usable() == 2);
+}
+
+// Guards against requests that are refused because the copy lacks upstreams that are there, and against
+// upstreams that stay although they have gone with the loss.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatTheCopyLacksIsKeptUntilItWritesAgain)
+{
+    Fixture fixture;
+    fixture.scheduler.advance(5s);
+    fixture.put("s3", "ready");
+    fixture.put("s4", "ready");
+    fixture.scheduler.advance(2s);
+    BOOST_TEST(fixture.usable() == 4);
+    fixture.store.restore(4s);
+    fixture.scheduler.advance(1500ms);
+    BOOST_TEST(fixture.usable() == 4);
+    fixture.put("s3", "ready");
+    fixture.scheduler.advance(4s);
+    BOOST_TEST(fixture.usable() == 3);
+}
+
+// Guards against a host that takes an upstream for usable because a peer, which has read the store after a
+// loss first, passes on a row of the copy.
+BOOST_AUTO_TEST_CASE(ARowOfALaterEraFromAPeerDoesNotBringALeavingUpstreamBack)
+{
+    Fixture fixture;
+    fixture.scheduler.advance(1s);
+    fixture.put("s1", "draining");
+    fixture.scheduler.advance(2s);
+    fixture.directory.peerOffered({ { { "", "s1" }, "ready", RowVersion(StoreEra(1), 1), false } });
+    BOOST_TEST(fixture.usable() == 1);
+    fixture.directory.peerOffered({ { { "", "s1" }, "restarted", RowVersion(StoreEra(1), 2), false } });
+    BOOST_TEST(fixture.usable() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/protocol/http_call_set.cc
+++ b/src/protocol/http_call_set.cc
@@ -2,19 +2,23 @@
 
 namespace lacewing {
 
-void HttpCallSet::send(HttpClientRequest request, Callback callback)
+void HttpCallSet::send(HttpClientRequest request, Callback callback, HeaderObserver headerObserver)
 {
     const uint64_t id = m_nextCall++;
     Call& call = *m_calls.emplace(id, std::make_unique<Call>()).first->second;
     HttpClientHandlers handlers;
+    std::string callId;
     if (m_callIds) {
-        const std::string callId = m_callIds->next();
+        callId = m_callIds->next();
         request.headers.add(callIdField, callId);
-        handlers.onHeaders = [&call, callId](int, const HttpHeaders& headers) {
-            if (!isAnswerToCall(headers, callId, *call.call))
-                call.call->cancel();
-        };
     }
+    handlers.onHeaders
+        = [&call, callId, headerObserver = std::move(headerObserver)](int, const HttpHeaders& headers) {
+              if (headerObserver)
+                  headerObserver(headers);
+              if (!callId.empty() && !isAnswerToCall(headers, callId, *call.call))
+                  call.call->cancel();
+          };
     handlers.onBody = [&call](std::string_view bytes) { call.body += bytes; };
     handlers.onDone = [this, id, callback = std::move(callback)](const HttpClientResult& result) {
         const auto node = m_calls.extract(id);
--- a/src/protocol/http_table_service.cc
+++ b/src/protocol/http_table_service.cc
@@ -64,7 +64,7 @@
 {
     Json conditions = Json::array();
     for (const TableCondition& condition : transaction.conditions)
-        conditions.push_back({ { "key", condition.key }, { "version", condition.expectedVersion.value() } });
+        conditions.push_back({ { "key", condition.key }, { "version", condition.expectedVersion.number() } });
     Json writes = Json::array();
     for (const TableWrite& write : transaction.writes) {
         Json item { { "key", write.key } };
--- a/src/state/row_store.h
+++ b/src/state/row_store.h
@@ -56,7 +56,9 @@
     Conflict,
     /// The store rejected the call; nothing was written.
     Refused,
-    /// The requested changes are no longer retained; the table must be read again.
+    /// The requested changes are no longer retained, or the store has come back from a copy; the table must
+    /// be
+    /// read again.
     HistoryLost,
     /// No valid response: a write may have taken effect or may still do so later.
     Unknown,
@@ -99,7 +101,9 @@
     ///
     /// @param wait longest time that the store holds the call if nothing changes.
     virtual void awaitChanges(std::string table, RowVersion after, Duration wait, ReadCallback callback) = 0;
-    /// Commits a transaction.
+    /// Commits a transaction. A condition on a row that was read in an earlier era is a conflict, since its
+    /// version may have been given to another value; so is one whose rows the store has lost meanwhile.
+    ///
     virtual void commit(RowTransaction transaction, CommitCallback callback) = 0;
 };
 
