--- a/src/gateway/part_set.cc
+++ b/src/gateway/part_set.cc
@@ -1,5 +1,7 @@
 #include "gateway/part_set.h"
 
+#include "gateway/request_identity.h"
+
 #include <algorithm>
 #include <iterator>
 #include <sstream>
@@ -23,7 +25,7 @@
     std::vector<uint64_t> hashes;
     hashes.reserve(prompt.size());
     for (const PromptPart& part : prompt)
-        hashes.push_back(part.id);
+        hashes.push_back(part.id & ~requestHashBit);
     return PartSet(std::move(hashes));
 }
 
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -1,6 +1,7 @@
 #include "gateway/proxied_call.h"
 
 #include "gateway/call_record.h"
+#include "gateway/request_identity.h"
 
 #include <nlohmann/json.hpp>
 
@@ -300,12 +301,21 @@
         m_services.quarantine.answerBegan({ m_search->upstream(), m_upstreamStartedAt, m_promptParts });
 }
 
+PartSet ProxiedCall::requestParts() const
+{
+    const std::string authority = m_exchange->headers().find("Host").value_or("");
+    PartSet parts = PartSet::of(m_attributes.promptParts);
+    parts.add({ requestHash({ m_exchange->method(), authority, m_exchange->path(), m_exchange->query(),
+        m_attributes.key.value_or(""), m_exchange->body() }) });
+    return parts;
+}
+
 void ProxiedCall::runBroke(std::optional<HttpClientError> error)
 {
+    recordBrokenRun(
+        m_services.metrics, exchangeContext(), m_upstreamStartedAt, requestParts(), m_hasBegunHere);
     if (m_promptParts.empty())
         return;
-    recordBrokenRun(
-        m_services.metrics, exchangeContext(), m_upstreamStartedAt, m_promptParts, m_hasBegunHere);
     // The connections of a process that ends are closed; other errors have other causes.
     const bool isClosed = !error || error == HttpClientError::ConnectionLost;
     if (isClosed && !m_hasBegunHere && !m_response.isForeign())
--- a/src/gateway/proxied_call.h
+++ b/src/gateway/proxied_call.h
@@ -54,6 +54,8 @@
     /// Tells the quarantine that the upstream has begun its answer, or has broken off without one.
     void answerBegan();
     void runBroke(std::optional<HttpClientError> error);
+    /// @return the parts of the prompt and the hash of the request itself.
+    PartSet requestParts() const;
     ExchangeContext exchangeContext() const;
     void upstreamDone(const HttpClientResult& result);
     void exchangeEnded(ExchangeOutcome outcome, RunOutcome runOutcome);
--- a/src/gateway/response_diagnostics.cc
+++ b/src/gateway/response_diagnostics.cc
@@ -61,7 +61,7 @@
 }
 
 void recordBrokenRun(MetricsRegistry& metrics, const ExchangeContext& exchange, int64_t startedAt,
-    const PartSet& prompt, bool hasBegun)
+    const PartSet& parts, bool hasBegun)
 {
     ++metrics.counter("lacewing_broken_runs_total", { { "answer", hasBegun ? "begun" : "none" } });
     LogEvent(LogLevel::Warning, "run_broken")
@@ -69,7 +69,7 @@
         .with("upstream", exchange.upstream)
         .with("upstream_started", startedAt)
         .with("answer_begun", hasBegun)
-        .with("parts", prompt.text(','));
+        .with("parts", parts.text(','));
 }
 
 void recordForeignResponse(
--- a/src/gateway/response_diagnostics.h
+++ b/src/gateway/response_diagnostics.h
@@ -32,12 +32,13 @@
 void recordUnmarkedEnd(
     MetricsRegistry& metrics, const ExchangeContext& exchange, const UpstreamResponse& response);
 
-/// Counts and logs the end of a run that its engine broke off.
+/// Counts and logs the end of a run that its upstream broke off.
 ///
-/// @param startedAt start of the engine's process.
+/// @param startedAt start of the upstream's process.
+/// @param parts of the request and its prompt.
 /// @param hasBegun whether a part of the answer had arrived.
 void recordBrokenRun(MetricsRegistry& metrics, const ExchangeContext& exchange, int64_t startedAt,
-    const PartSet& prompt, bool hasBegun);
+    const PartSet& parts, bool hasBegun);
 
 /// Counts and logs a response that belongs to another request.
 void recordForeignResponse(
