--- a/src/gateway/crash_history.cc
+++ b/src/gateway/crash_history.cc
@@ -1,5 +1,7 @@
 #include "gateway/crash_history.h"
 
+#include "gateway/request_identity.h"
+
 #include <algorithm>
 
 namespace lacewing::gateway {
@@ -117,10 +119,56 @@
     return moments;
 }
 
+bool CrashHistory::wasSound(uint64_t part) const
+{
+    return m_soundParts.count(part) > 0 || m_formerSoundParts.count(part) > 0;
+}
+
+int CrashHistory::countEvidence(
+    uint64_t part, const std::vector<size_t>& crashes, const std::vector<size_t>& unexplained) const
+{
+    return isRequestHash(part) && !wasSound(part) ? static_cast<int>(crashes.size())
+                                                  : countMoments(crashes, unexplained);
+}
+
 int CrashHistory::requiredCrashes(uint64_t part, double share) const
 {
-    const bool wasSound = m_soundParts.count(part) > 0 || m_formerSoundParts.count(part) > 0;
-    return wasSound || share < fewestCrashesShare ? crashesOfUnlikelyPart : crashesOfLikelyPart;
+    const bool isRare = share < fewestCrashesShare && !isRequestHash(part);
+    return wasSound(part) || isRare ? crashesOfUnlikelyPart : crashesOfLikelyPart;
+}
+
+uint64_t CrashHistory::mostOftenAlone(
+    const std::vector<uint64_t>& requests, const std::vector<size_t>& crashes) const
+{
+    std::map<uint64_t, int> alone;
+    for (const size_t index : crashes) {
+        std::vector<uint64_t> ran;
+        for (const uint64_t hash : m_crashes[index].parts.hashes()) {
+            if (isRequestHash(hash))
+                ran.push_back(hash);
+        }
+        if (ran.size() == 1)
+            ++alone[ran.front()];
+    }
+    return *std::max_element(
+        requests.begin(), requests.end(), [&alone](uint64_t a, uint64_t b) { return alone[a] < alone[b]; });
+}
+
+PartSet CrashHistory::causeOf(const CrashesByPart& byPart, const std::vector<size_t>& crashes) const
+{
+    std::vector<uint64_t> requests;
+    std::vector<uint64_t> parts;
+    for (const auto& [part, others] : byPart) {
+        if (others == crashes)
+            (isRequestHash(part) ? requests : parts).push_back(part);
+    }
+    // No request is two at once, and nothing tells whose parts these are.
+    if (requests.size() > 1)
+        return { mostOftenAlone(requests, crashes) };
+    PartSet cause(std::move(parts));
+    cause.truncate(maximumPartsOfCause - requests.size());
+    cause.add(PartSet(std::move(requests)));
+    return cause;
 }
 
 std::optional<PartSet> CrashHistory::findCause(const std::vector<PartSet>& known, MonotonicTime now) const
@@ -141,19 +189,10 @@
         const auto first = std::lower_bound(unexplained.begin(), unexplained.end(), crashes.front());
         const auto since = static_cast<double>(unexplained.end() - first);
         const double share = static_cast<double>(crashes.size()) / since;
-        if (countMoments(crashes, unexplained) >= requiredCrashes(part, share))
+        if (countEvidence(part, crashes, unexplained) >= requiredCrashes(part, share))
             best = &crashes;
     }
-    if (!best)
-        return std::nullopt;
-    std::vector<uint64_t> cause;
-    for (const auto& [part, crashes] : byPart) {
-        if (crashes == *best)
-            cause.push_back(part);
-    }
-    PartSet result(std::move(cause));
-    result.truncate(maximumPartsOfCause);
-    return result;
+    return best ? std::make_optional(causeOf(byPart, *best)) : std::nullopt;
 }
 
 PartSet CrashHistory::commonWithUnexplained(
--- a/src/gateway/crash_history.h
+++ b/src/gateway/crash_history.h
@@ -12,24 +12,24 @@
 
 namespace lacewing::gateway {
 
-/// An engine's process broke off runs before their answers had begun, as one host saw it.
+/// An upstream's process broke off runs before their answers had begun, as one host saw it.
 struct CrashReport {
     UpstreamId engine;
-    /// Start of the engine's process, which can end only once.
+    /// Start of the upstream's process, which can end only once.
     int64_t startedAt = 0;
-    /// Parts of the prompts of these runs.
+    /// Hashes of these requests, and of the parts of their prompts.
     PartSet parts;
 };
 
-/// An engine's process has begun an answer to a prompt.
+/// An upstream's process has begun an answer to a request.
 struct AnswerBegin {
     UpstreamId engine;
-    /// Start of the engine's process.
+    /// Start of the upstream's process.
     int64_t startedAt = 0;
     PartSet parts;
 };
 
-/// The crashes of engines, and which parts of prompts they have in common.
+/// The crashes of upstreams, and which requests or parts of prompts they have in common.
 ///
 /// Load pattern: an engine ends when it begins an answer, and all that it runs breaks off together; each host
 /// sees only its own requests among them. A part of which an answer has begun since is not the cause, which
@@ -38,6 +38,11 @@
 /// that loses power, count as one crash of the parts that most of them ran. A process that begins another
 /// answer has not ended: its connections were broken for another reason.
 ///
+/// A request is one more part of what an upstream ran. It may come again after each crash, within
+/// milliseconds if it may run more than once, so each process that ended under it counts, unless it was sound
+/// shortly before. Of several requests that were in the same crashes, the one that was most often alone is
+/// the cause.
+///
 /// Has no clock and does no I/O. Its size is bounded.
 class CrashHistory {
 public:
@@ -81,8 +86,16 @@
     /// @param crashes indexes of the crashes that the part is in.
     /// @param unexplained indexes of all crashes that count.
     int countMoments(const std::vector<size_t>& crashes, const std::vector<size_t>& unexplained) const;
+    bool wasSound(uint64_t part) const;
+    /// @return the crashes of a part that count as evidence against it.
+    int countEvidence(
+        uint64_t part, const std::vector<size_t>& crashes, const std::vector<size_t>& unexplained) const;
     /// @param share of the unexplained crashes since the part's first one that it is in.
     int requiredCrashes(uint64_t part, double share) const;
+    /// @return the parts of a cause that are in these crashes and in no others.
+    PartSet causeOf(const CrashesByPart& byPart, const std::vector<size_t>& crashes) const;
+    /// @return the request that most of the crashes have as their only one.
+    uint64_t mostOftenAlone(const std::vector<uint64_t>& requests, const std::vector<size_t>& crashes) const;
     void rememberSound(const PartSet& parts, MonotonicTime now);
     void forgetOld(MonotonicTime now);
 
--- a/src/gateway/crash_history_test.cc
+++ b/src/gateway/crash_history_test.cc
@@ -1,6 +1,7 @@
 #include "gateway/crash_history.h"
 
 #include "base/random.h"
+#include "gateway/request_identity.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -12,6 +13,8 @@
 
 constexpr uint64_t shared = 1;
 constexpr uint64_t bad = 66;
+constexpr uint64_t deadly = requestHashBit | 5;
+constexpr uint64_t caught = requestHashBit | 3;
 
 struct Fixture {
     /// An engine ends with one run that has these parts.
@@ -177,4 +180,60 @@
     BOOST_TEST(!fixture.cause().has_value());
 }
 
+// Guards against a request that ends a server at each attempt, which all follow each other within the time in
+// which other crashes count as one.
+BOOST_AUTO_TEST_CASE(EachServerThatEndsUnderOneRequestCounts)
+{
+    Fixture fixture;
+    for (int server = 0; server < 3; ++server) {
+        BOOST_TEST(!fixture.cause().has_value());
+        fixture.now += 20ms;
+        fixture.history.add(
+            { UpstreamId("s-" + std::to_string(server)), 1, PartSet({ deadly }) }, fixture.now);
+    }
+    BOOST_TEST((fixture.cause() == PartSet({ deadly })));
+}
+
+// Guards against shutting out a sound request that many callers send alike, when servers that run it end
+// together.
+BOOST_AUTO_TEST_CASE(ARequestThatWasSoundIsNotBlamedForServersThatEndTogether)
+{
+    Fixture fixture;
+    fixture.answer({ caught });
+    for (int server = 0; server < 6; ++server)
+        fixture.history.add(
+            { UpstreamId("s-" + std::to_string(server)), 1, PartSet({ caught }) }, fixture.now);
+    BOOST_TEST(!fixture.cause().has_value());
+}
+
+// Guards against shutting out a sound request that is caught in each crash of another one, and against
+// holding both together, which no request is.
+BOOST_AUTO_TEST_CASE(TheRequestThatWasAloneIsTheCause)
+{
+    Fixture fixture;
+    fixture.crash({ deadly, caught });
+    fixture.crash({ deadly, caught });
+    fixture.crash({ deadly, caught });
+    BOOST_TEST(fixture.cause().value().size() == 1);
+    fixture.crash({ deadly });
+    BOOST_TEST((fixture.cause() == PartSet({ deadly })));
+    fixture.answer({ caught });
+    BOOST_TEST((fixture.cause() == PartSet({ deadly })));
+}
+
+// Guards against a part that crashes engines and stays unknown because one request with it came several
+// times, and against a request whose prompt differs at each attempt.
+BOOST_AUTO_TEST_CASE(ARequestAndThePartsOfItsPromptAreHeldTogether)
+{
+    Fixture fixture;
+    for (int count = 0; count < 3; ++count)
+        fixture.crash({ bad, deadly });
+    const PartSet both({ bad, deadly });
+    BOOST_TEST((fixture.cause() == both));
+    fixture.crash({ bad, caught });
+    BOOST_TEST(
+        (fixture.history.commonWithUnexplained(both, { both }, fixture.now + CrashHistory::settlingTime)
+            == PartSet({ bad })));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/prompt_quarantine_test.cc
+++ b/src/gateway/prompt_quarantine_test.cc
@@ -1,5 +1,7 @@
 #include "gateway/prompt_quarantine.h"
 
+#include "gateway/request_identity.h"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace lacewing;
@@ -193,4 +195,26 @@
     BOOST_TEST(fixture.quarantine.all(fixture.now).empty());
 }
 
+// Guards against more sends of a request that ends each server than the users allow: three crashes, what was
+// on its way, and three probes, whatever the time.
+BOOST_AUTO_TEST_CASE(ARequestThatEndsEachServerGetsThreeProbes)
+{
+    constexpr uint64_t deadly = requestHashBit | 5;
+    Fixture fixture;
+    fixture.crashThrice({ deadly });
+    BOOST_TEST(fixture.isHeld({ deadly }));
+    BOOST_TEST(!fixture.isHeld({ requestHashBit | 6 }));
+    int sends = 0;
+    const MonotonicTime end = fixture.now + 50min;
+    while (fixture.now < end) {
+        if (!fixture.isHeld({ deadly })) {
+            ++sends;
+            fixture.quarantine.beginProbe(PartSet({ deadly }), fixture.now);
+            fixture.crash({ deadly });
+        }
+        fixture.now += 500ms;
+    }
+    BOOST_TEST(sends == 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -94,7 +94,7 @@
         refuse(CallRefusal::Stopping, stoppingRetryAfter);
         return;
     }
-    m_promptParts = PartSet::of(m_attributes.promptParts);
+    m_parts = requestParts();
     if (refuseQuarantined())
         return;
     m_timeLimit = std::min(m_attributes.deadline.value_or(defaultTimeout), m_admission.route->timeout);
@@ -146,7 +146,7 @@
 
 bool ProxiedCall::refuseQuarantined()
 {
-    const auto holdTime = m_services.quarantine.holdTime(m_promptParts);
+    const auto holdTime = m_services.quarantine.holdTime(m_parts);
     if (holdTime)
         refuse(CallRefusal::QuarantinedPrompt, *holdTime);
     return holdTime.has_value();
@@ -211,12 +211,12 @@
         m_search->next();
         return;
     }
-    // The prompt may have come into quarantine while the call waited for its start.
+    // The request may have come into quarantine while the call waited for its start.
     if (refuseQuarantined()) {
         m_search->runEnded({ RunOutcome::Finished, Duration::zero() });
         return;
     }
-    m_services.quarantine.beginProbe(m_promptParts);
+    m_services.quarantine.beginProbe(m_parts);
     ++m_sends;
     m_hasBegunHere = false;
     m_response.begin();
@@ -298,7 +298,7 @@
 void ProxiedCall::answerBegan()
 {
     if (!std::exchange(m_hasBegunHere, true))
-        m_services.quarantine.answerBegan({ m_search->upstream(), m_upstreamStartedAt, m_promptParts });
+        m_services.quarantine.answerBegan({ m_search->upstream(), m_upstreamStartedAt, m_parts });
 }
 
 PartSet ProxiedCall::requestParts() const
@@ -312,14 +312,11 @@
 
 void ProxiedCall::runBroke(std::optional<HttpClientError> error)
 {
-    recordBrokenRun(
-        m_services.metrics, exchangeContext(), m_upstreamStartedAt, requestParts(), m_hasBegunHere);
-    if (m_promptParts.empty())
-        return;
+    recordBrokenRun(m_services.metrics, exchangeContext(), m_upstreamStartedAt, m_parts, m_hasBegunHere);
     // The connections of a process that ends are closed; other errors have other causes.
     const bool isClosed = !error || error == HttpClientError::ConnectionLost;
     if (isClosed && !m_hasBegunHere && !m_response.isForeign())
-        m_services.quarantine.runBroke(m_search->upstream(), m_upstreamStartedAt, m_promptParts);
+        m_services.quarantine.runBroke(m_search->upstream(), m_upstreamStartedAt, m_parts);
 }
 
 void ProxiedCall::forwardEvents(const std::string& events)
--- a/src/gateway/proxied_call.h
+++ b/src/gateway/proxied_call.h
@@ -37,7 +37,7 @@
     bool chargeWorkspace();
     void createSearch();
     void deny(CallRefusal refusal);
-    /// @return whether the prompt is in quarantine, in which case the call has been refused.
+    /// @return whether the request or its prompt is in quarantine, in which case the call has been refused.
     bool refuseQuarantined();
     /// @return whether the end of the process could cut the call off, so that nobody would know whether the
     /// request has run.
@@ -91,7 +91,8 @@
     std::function<void(ProxiedCall*)> m_finished;
     std::shared_ptr<const ServingConfiguration> m_configuration;
     CallAttributes m_attributes;
-    PartSet m_promptParts;
+    /// The parts of the prompt, and the request itself.
+    PartSet m_parts;
     MonotonicTime m_arrival;
     CallAdmission m_admission;
     /// Time from the arrival of the request within which the response must be complete.
--- a/src/gateway/proxied_call_test.cc
+++ b/src/gateway/proxied_call_test.cc
@@ -210,6 +210,25 @@
     BOOST_TEST(fixture.client.calls.size() == sent + 1);
 }
 
+// Guards against a request that ends one server after the other because each repeat is taken for a new one.
+BOOST_AUTO_TEST_CASE(ARequestOnWhichServersEndIsRefusedAtOnce)
+{
+    Fixture fixture;
+    for (int crash = 0; crash < 3; ++crash) {
+        fixture.send("/once/1");
+        fixture.client.calls.back()->end(HttpClientError::ConnectionLost);
+        BOOST_TEST(fixture.exchange->responseStatus == 502);
+        fixture.restartUpstreams();
+    }
+    const size_t sent = fixture.client.calls.size();
+    fixture.send("/once/1");
+    BOOST_TEST(fixture.client.calls.size() == sent);
+    BOOST_TEST(fixture.exchange->responseStatus == 503);
+    BOOST_TEST(fixture.exchange->responseHeaders.find("retry").has_value());
+    fixture.send("/once/2");
+    BOOST_TEST(fixture.client.calls.size() == sent + 1);
+}
+
 // Guards against taking answers that an engine breaks off after their begin, or that time out, for crashes on
 // the prompt.
 BOOST_AUTO_TEST_CASE(OnlyRunsThatBreakBeforeTheirAnswerAreReported)
