Remove quarantines that have ended by their age from the store

A quarantine ended by its age at the hosts that ran, but its row stayed: a host that started later took it over and told its peers, and the table had no bound. Nothing looked for such quarantines but a new crash.

Each host now looks for them every one to two minutes. The first one that finds one, or drops one because there are more than 64, ends it for all with a higher revision and removes its row, as when an answer lifts it.

AQuarantineThatEndsByItsAgeLeavesTheStore: one of five hosts removes the row within two hours; TheEndOfAQuarantineIsTold plays the bound.

--- a/src/gateway/prompt_quarantine.cc
+++ b/src/gateway/prompt_quarantine.cc
@@ -17,6 +17,8 @@
 /// Time for which a lifted quarantine is remembered, so that an older message does not impose it again.
 constexpr Duration liftedLifetime = minutes(10);
 constexpr size_t maximumEntries = 64;
+/// Bound of what peers and the store can add until some are dropped.
+constexpr size_t maximumMergedEntries = 2 * maximumEntries;
 
 constexpr Duration shortestHoldTime = seconds(1);
 constexpr Duration longestHoldTime = seconds(60);
@@ -96,11 +98,25 @@
     changes.push_back(toMessage(to, entry, now));
 }
 
-void PromptQuarantine::forgetOld(MonotonicTime now)
+Quarantine PromptQuarantine::endOf(const PartSet& parts, const Entry& entry) const
 {
+    return { parts, QuarantineRevision(entry.revision.value() + 1), true, entry.probes, std::nullopt };
+}
+
+PromptQuarantine::Changes PromptQuarantine::expire(MonotonicTime now)
+{
+    Changes changes;
     for (auto item = m_entries.begin(); item != m_entries.end();) {
-        const Duration lifetime = item->second.isLifted ? liftedLifetime : quarantineLifetime;
-        item = now - item->second.changed > lifetime ? m_entries.erase(item) : std::next(item);
+        auto& [parts, entry] = *item;
+        if (!entry.isLifted && now - entry.changed > quarantineLifetime) {
+            changes.push_back(endOf(parts, entry));
+            entry.revision = changes.back().revision;
+            entry.isLifted = true;
+            entry.nextProbe.reset();
+            entry.changed += quarantineLifetime;
+        }
+        const bool isForgotten = entry.isLifted && now - entry.changed > liftedLifetime;
+        item = isForgotten ? m_entries.erase(item) : std::next(item);
     }
     while (m_entries.size() > maximumEntries) {
         // Lifted ones go first, then those that changed longest ago.
@@ -109,8 +125,11 @@
                   return std::pair(!a.second.isLifted, a.second.changed)
                       < std::pair(!b.second.isLifted, b.second.changed);
               });
+        if (!oldest->second.isLifted)
+            changes.push_back(endOf(oldest->first, oldest->second));
         m_entries.erase(oldest);
     }
+    return changes;
 }
 
 PromptQuarantine::Changes PromptQuarantine::decide(MonotonicTime now)
@@ -127,7 +146,8 @@
     // Each cause explains at least one more crash, so this ends.
     while (const auto cause = m_history.findCause(activeCauses(), now))
         changes.push_back(toMessage(*cause, impose(*cause, now), now));
-    forgetOld(now);
+    const Changes expired = expire(now);
+    changes.insert(changes.end(), expired.begin(), expired.end());
     return changes;
 }
 
@@ -163,13 +183,14 @@
     const auto known = m_entries.find(quarantine.parts);
     if (known != m_entries.end() && quarantine.revision <= known->second.revision)
         return false;
+    if (known == m_entries.end() && m_entries.size() >= maximumMergedEntries)
+        return false;
     Entry& entry = m_entries[quarantine.parts];
     entry.revision = quarantine.revision;
     entry.isLifted = quarantine.isLifted;
     entry.probes = quarantine.probes;
     entry.nextProbe = quarantine.untilProbe ? std::make_optional(now + *quarantine.untilProbe) : std::nullopt;
     entry.changed = now;
-    forgetOld(now);
     return true;
 }
 
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -47,9 +47,12 @@
     bool isInformative(const AnswerBegin& answer) const;
     /// An answer has begun, at this host or another one.
     Changes answerBegan(const AnswerBegin& answer, MonotonicTime now);
+    /// Ends quarantines by their age, and those that changed longest ago if there are too many. To be called
+    /// from time to time, and after merge().
+    Changes expire(MonotonicTime now);
     /// Takes over what a peer or the store tells.
     ///
-    /// @return whether it is newer than what is known.
+    /// @return whether it is newer than what is known, and has been taken over.
     bool merge(const Quarantine& quarantine, MonotonicTime now);
 
     /// @return the time after which to come back, if the prompt must not be sent now. Nothing for a prompt
@@ -86,7 +89,8 @@
     void lift(const PartSet& parts, MonotonicTime now, Changes& changes);
     /// Replaces a quarantine by one of fewer parts.
     void narrow(const PartSet& from, const PartSet& to, MonotonicTime now, Changes& changes);
-    void forgetOld(MonotonicTime now);
+    /// @return the message that the quarantine has ended.
+    Quarantine endOf(const PartSet& parts, const Entry& entry) const;
 
     CrashHistory m_history;
     Entries m_entries;
--- a/src/gateway/prompt_quarantine_test.cc
+++ b/src/gateway/prompt_quarantine_test.cc
@@ -217,4 +217,31 @@
     BOOST_TEST(sends == 3);
 }
 
+// Guards against rows that stay in the store when quarantines end by their age or because there are too many,
+// and against a peer that still has such a quarantine and imposes it again.
+BOOST_AUTO_TEST_CASE(TheEndOfAQuarantineIsTold)
+{
+    Fixture fixture;
+    fixture.crashThrice({ bad });
+    const Quarantine imposed = fixture.quarantine.all(fixture.now).at(0);
+    BOOST_TEST(fixture.quarantine.expire(fixture.now + 59min).empty());
+    const auto ended = fixture.quarantine.expire(fixture.now + 61min);
+    BOOST_REQUIRE(ended.size() == 1);
+    BOOST_TEST(ended[0].isLifted);
+    BOOST_TEST((ended[0].parts == PartSet({ bad })));
+    BOOST_TEST(ended[0].revision > imposed.revision);
+    BOOST_TEST(!fixture.quarantine.merge(imposed, fixture.now + 62min));
+    int told = 0;
+    for (uint64_t part = 1000; part < 1200; ++part) {
+        for (const Quarantine& change : fixture.crash({ part, part + 5000 }))
+            told += change.isLifted ? 1 : 0;
+        for (int count = 0; count < 2; ++count) {
+            for (const Quarantine& change : fixture.crash({ part, part + 5000 }))
+                told += change.isLifted ? 1 : 0;
+        }
+    }
+    BOOST_TEST(static_cast<size_t>(told) + fixture.quarantine.activeCount() >= 200u);
+    BOOST_TEST(fixture.quarantine.activeCount() <= 64u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/quarantine_exchange.cc
+++ b/src/gateway/quarantine_exchange.cc
@@ -14,6 +14,9 @@
 constexpr Duration reportDelay = milliseconds(5);
 /// Hosts decide at different times, so that most of them hear what the first one has decided.
 constexpr Duration decisionSpread = milliseconds(100);
+/// Hosts look for quarantines to end at times between one and two of these, so that mostly one ends it for
+/// all.
+constexpr Duration expiryInterval = std::chrono::seconds(60);
 
 } // namespace
 
@@ -23,7 +26,12 @@
     , m_random(random)
     , m_metrics(metrics)
     , m_handlers(std::move(handlers))
+    , m_expiryTimer(
+          scheduler,
+          [this] { return std::chrono::duration_cast<Duration>(expiryInterval * (1 + m_random.uniform())); },
+          [this] { publish(m_quarantine.expire(m_scheduler.now()), "expired"); })
 {
+    m_expiryTimer.start();
 }
 
 void QuarantineExchange::runBroke(const UpstreamId& engine, int64_t startedAt, const PartSet& prompt)
@@ -125,6 +133,7 @@
         if (m_quarantine.merge(quarantine, m_scheduler.now()))
             record(quarantine, source, sourceId);
     }
+    publish(m_quarantine.expire(m_scheduler.now()), "expired");
 }
 
 void QuarantineExchange::onMessage(const HostId& peer, const PeerMessage& message)
--- a/src/gateway/quarantine_exchange.h
+++ b/src/gateway/quarantine_exchange.h
@@ -2,6 +2,7 @@
 
 #include "base/lifetime.h"
 #include "base/metrics.h"
+#include "base/periodic_timer.h"
 #include "base/random.h"
 #include "base/scheduler.h"
 #include "gateway/peer_message.h"
@@ -66,6 +67,7 @@
     /// Reports that the peers have not been sent yet.
     std::vector<CrashReport> m_unsent;
     bool m_isDeciding = false;
+    PeriodicTimer m_expiryTimer;
     Lifetime m_lifetime;
 };
 
--- a/src/gateway/quarantine_exchange_test.cc
+++ b/src/gateway/quarantine_exchange_test.cc
@@ -19,13 +19,17 @@
             : random(index + 1)
             , exchange(fleet.scheduler, random, metrics,
                   { [&fleet, index](const PeerMessage& message) { fleet.deliver(index, message); },
-                      [this](const Quarantine&) { ++saved; } })
+                      [this](const Quarantine& quarantine) {
+                          ++saved;
+                          lastSaved = quarantine;
+                      } })
         {
         }
 
         Random random;
         MetricsRegistry metrics;
         int saved = 0;
+        std::optional<Quarantine> lastSaved;
         QuarantineExchange exchange;
     };
 
@@ -132,4 +136,29 @@
     BOOST_TEST(saved == 1);
 }
 
+// Guards against rows of quarantines that have ended by their age and stay in the store, where a host that
+// starts later takes them over.
+BOOST_AUTO_TEST_CASE(AQuarantineThatEndsByItsAgeLeavesTheStore)
+{
+    Fixture fixture;
+    const PartSet bad({ 66 });
+    for (int count = 0; count < 3; ++count)
+        fixture.crash(0, bad, 1, PartSet({ static_cast<uint64_t>(100 + count) }));
+    BOOST_TEST(fixture.isHeld(3, bad));
+    std::vector<int> before;
+    for (const auto& host : fixture.hosts) {
+        before.push_back(host->saved);
+        host->lastSaved.reset();
+    }
+    fixture.scheduler.advance(2h);
+    int writers = 0;
+    for (size_t index = 0; index < fixture.hosts.size(); ++index) {
+        BOOST_TEST(fixture.hosts[index]->exchange.activeCount() == 0u);
+        writers += fixture.hosts[index]->saved - before[index];
+        if (fixture.hosts[index]->lastSaved)
+            BOOST_TEST(fixture.hosts[index]->lastSaved->isLifted);
+    }
+    BOOST_TEST(writers == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
