Move what a call tells the quarantine into a class of its own

CallEvidence keeps the parts of the call and the process that it was sent to; no change of behaviour.

--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -94,7 +94,7 @@
         refuse(CallRefusal::Stopping, stoppingRetryAfter);
         return;
     }
-    m_parts = requestParts();
+    m_evidence.emplace(m_services.quarantine, m_services.metrics, requestParts());
     if (refuseQuarantined())
         return;
     m_timeLimit = std::min(m_attributes.deadline.value_or(defaultTimeout), m_admission.route->timeout);
@@ -146,7 +146,7 @@
 
 bool ProxiedCall::refuseQuarantined()
 {
-    const auto holdTime = m_services.quarantine.holdTime(m_parts);
+    const auto holdTime = m_evidence->holdTime();
     if (holdTime)
         refuse(CallRefusal::QuarantinedPrompt, *holdTime);
     return holdTime.has_value();
@@ -216,13 +216,11 @@
         m_search->runEnded({ RunOutcome::Finished, Duration::zero() });
         return;
     }
-    m_services.quarantine.beginProbe(m_parts);
+    m_evidence->beginSend(upstream, entry->startedAt);
     ++m_sends;
-    m_hasBegunHere = false;
     m_response.begin();
     m_isExchanging = true;
     m_sentAt = m_services.loop.now();
-    m_upstreamStartedAt = entry->startedAt;
     if (m_services.limits.rate(upstream))
         ++m_services.metrics.counter("lacewing_limited_upstream_requests_total", { { "kind", "call" } });
     m_services.picker.started(upstream);
@@ -273,7 +271,7 @@
         return;
     LimitObservation observation;
     observation.upstream = m_search->upstream();
-    observation.startedAt = m_upstreamStartedAt;
+    observation.startedAt = m_evidence->upstreamStartedAt();
     observation.rate = attributes.requestLimit;
     observation.isConclusive = m_response.isSuccess() && !attributes.hasUnreadableLimit;
     observation.requestSent = m_sentAt;
@@ -284,7 +282,7 @@
 {
     const std::string events = m_response.bodyArrived(bytes, m_services.loop.now());
     if (!events.empty()) {
-        answerBegan();
+        m_evidence->answerBegan();
         forwardEvents(events);
     }
     const bool isOversized = m_response.exceedsSizeLimit();
@@ -295,12 +293,6 @@
     m_call->cancel();
 }
 
-void ProxiedCall::answerBegan()
-{
-    if (!std::exchange(m_hasBegunHere, true))
-        m_services.quarantine.answerBegan({ m_search->upstream(), m_upstreamStartedAt, m_parts });
-}
-
 PartSet ProxiedCall::requestParts() const
 {
     const std::string authority = m_exchange->headers().find("Host").value_or("");
@@ -310,15 +302,6 @@
     return parts;
 }
 
-void ProxiedCall::runBroke(std::optional<HttpClientError> error)
-{
-    recordBrokenRun(m_services.metrics, exchangeContext(), m_upstreamStartedAt, m_parts, m_hasBegunHere);
-    // The connections of a process that ends are closed; other errors have other causes.
-    const bool isClosed = !error || error == HttpClientError::ConnectionLost;
-    if (isClosed && !m_hasBegunHere && !m_response.isForeign())
-        m_services.quarantine.runBroke(m_search->upstream(), m_upstreamStartedAt, m_parts);
-}
-
 void ProxiedCall::forwardEvents(const std::string& events)
 {
     if (!m_hasStartedAnswer) {
@@ -382,7 +365,7 @@
     if (result.error == HttpClientError::ConnectionLost && !m_response.attributes())
         m_services.picker.reusedConnectionLost(m_search->upstream());
     if (!isComplete) {
-        runBroke(result.error);
+        m_evidence->runBroke(exchangeContext(), result.error, m_response.isForeign());
         exchangeEnded(ExchangeOutcome::Unreachable, RunOutcome::EngineFailed);
         if (m_hasStartedAnswer)
             handleBrokenStream();
@@ -391,7 +374,7 @@
         return;
     }
     if (m_response.isSuccess())
-        answerBegan();
+        m_evidence->answerBegan();
     const bool isFailure = m_response.attributes()->status >= firstServerError || m_hasStartedAnswer;
     exchangeEnded(isFailure ? ExchangeOutcome::Failed : ExchangeOutcome::Answered, RunOutcome::Finished);
     if (m_hasStartedAnswer) {
--- a/src/gateway/proxied_call.h
+++ b/src/gateway/proxied_call.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "gateway/call_evidence.h"
 #include "gateway/call_services.h"
-#include "gateway/response_diagnostics.h"
 #include "gateway/upstream_response.h"
 #include "gateway/upstream_search.h"
 #include "transport/http_server.h"
@@ -51,9 +51,6 @@
     /// Records what the head of a response says about the upstream's limit.
     void observeLimit(const ResponseAttributes& attributes);
     void bodyArrived(std::string_view bytes);
-    /// Tells the quarantine that the upstream has begun its answer, or has broken off without one.
-    void answerBegan();
-    void runBroke(std::optional<HttpClientError> error);
     /// @return the parts of the prompt and the hash of the request itself.
     PartSet requestParts() const;
     ExchangeContext exchangeContext() const;
@@ -91,8 +88,8 @@
     std::function<void(ProxiedCall*)> m_finished;
     std::shared_ptr<const ServingConfiguration> m_configuration;
     CallAttributes m_attributes;
-    /// The parts of the prompt, and the request itself.
-    PartSet m_parts;
+    /// Set once a route has been found.
+    std::optional<CallEvidence> m_evidence;
     MonotonicTime m_arrival;
     CallAdmission m_admission;
     /// Time from the arrival of the request within which the response must be complete.
@@ -105,10 +102,6 @@
     std::unique_ptr<UpstreamSearch> m_search;
 
     MonotonicTime m_sentAt;
-    /// Whether the upstream that the request was sent to last has begun an answer.
-    bool m_hasBegunHere = false;
-    /// Start of the process of the upstream that the request was sent to.
-    int64_t m_upstreamStartedAt = 0;
     std::unique_ptr<HttpClientCall> m_call;
     UpstreamResponse m_response;
     bool m_isExchanging = false;
