--- a/src/gateway/peer_mesh.cc
+++ b/src/gateway/peer_mesh.cc
@@ -53,8 +53,12 @@
 
 void PeerMesh::update(const FleetRegistry& registry)
 {
-    if (!m_links && registry.linkSecret())
-        listen(*registry.linkSecret());
+    const auto& secret = registry.linkSecret();
+    if (!m_links && secret)
+        listen(*secret);
+    // A host that started when the store had lost the secret may have made another one.
+    else if (m_links && secret && !secret->empty())
+        m_links->setSecret(*secret);
     std::map<HostId, HostRecord> hosts;
     for (const HostRecord& record : registry.liveHosts(m_loop.now())) {
         if (record.host != m_self.host)
--- a/src/transport/peer_links.cc
+++ b/src/transport/peer_links.cc
@@ -70,6 +70,7 @@
         m_options->silenceTimeout = silenceTimeout;
         m_options->pingInterval = pingInterval;
     }
+    void setSecret(const std::string& secret) override { m_options->secret = secret; }
     void connect(const HostId& host, const SocketAddress& address) override;
     void disconnect(const HostId& host) override;
     bool isConnected(const HostId& host) const override { return link(host) != nullptr; }
--- a/src/transport/peer_links.h
+++ b/src/transport/peer_links.h
@@ -84,6 +84,10 @@
     /// is pinged; the latter should be shorter. Links that are up take them over at their next ping at the
     /// latest.
     virtual void setSilence(Duration silenceTimeout, Duration pingInterval) = 0;
+    /// Changes the secret that is used for new links. Links that are up stay.
+    ///
+    /// @param secret must not be empty.
+    virtual void setSecret(const std::string& secret) = 0;
     /// Connects to a peer unless there is a link or an attempt already. Does not retry by itself.
     virtual void connect(const HostId& host, const SocketAddress& address) = 0;
     /// Closes a link after its output has been sent.
--- a/src/transport/peer_links_test.cc
+++ b/src/transport/peer_links_test.cc
@@ -171,6 +171,21 @@
     checkEvents(a, { "b:connected" });
 }
 
+// Guards against hosts that never connect again because the store has lost their secret and a host that
+// started then has made another one.
+BOOST_AUTO_TEST_CASE(ANewSecretHoldsForNewLinks)
+{
+    EventLoop loop;
+    Host a(loop, "a");
+    Host b(loop, "b", [](PeerLinkOptions& options) { options.secret = "other"; });
+    b.connect(a);
+    runUntil(loop, [&] { return b.sees("a:unauthenticated"); });
+    a.links->setSecret("other");
+    b.connect(a);
+    runUntil(loop, [&] { return b.links->isConnected(HostId("a")) && a.links->isConnected(HostId("b")); });
+    BOOST_TEST(a.links->isConnected(HostId("b")));
+}
+
 // Guards against a link to a host that does not know the secret, is another host or is this host itself.
 BOOST_AUTO_TEST_CASE(WrongSecretAndWrongHostAreRefused)
 {
