--- a/src/gateway/configuration_tracker.h
+++ b/src/gateway/configuration_tracker.h
@@ -34,9 +34,8 @@
     /// @return whether the configuration was recently confirmed to be the newest, so that requests for
     ///     what it lacks may be rejected.
     bool isFresh() const;
-    /// @return highest version of the configuration's row that has been received, also if it was not newer
-    /// than
-    ///     the current configuration; 0 if there is none.
+    /// @return highest version of the configuration's row that has been received, whether or not the row was
+    ///     newer than the current configuration; 0 if there is none.
     RowVersion rowVersion() const { return m_rowVersion; }
     /// @return highest version of all received rows, the configuration and the releases; 0 if there are none.
     RowVersion newestRowVersion() const { return m_newestRowVersion; }
--- a/src/gateway/fleet_agent.cc
+++ b/src/gateway/fleet_agent.cc
@@ -453,7 +453,7 @@
         claimUnownedEngines();
 }
 
-std::map<UpstreamId, FencingNumber> FleetAgent::currentEngines()
+std::map<UpstreamId, FencingNumber> FleetAgent::currentEngines() const
 {
     std::map<UpstreamId, FencingNumber> owned;
     for (const UpstreamId& engine : m_keptEngines) {
--- a/src/gateway/fleet_agent.h
+++ b/src/gateway/fleet_agent.h
@@ -111,10 +111,9 @@
     bool isOfCurrentLease(RowVersion version) const;
     /// @return whether a row may be from a copy of the store, and so older than what is known from before.
     bool mayBeCopied(RowVersion version) const { return version <= m_copy; }
-    /// @return the engines that this host owns, by the rows and by what it owned before the store came back
-    /// from
-    ///     a copy.
-    std::map<UpstreamId, FencingNumber> currentEngines();
+    /// @return the engines that this host owns: by their rows, or since before the store came back from a
+    ///     copy.
+    std::map<UpstreamId, FencingNumber> currentEngines() const;
     /// @return engines to claim again: their rows name this host but were written under an expired lease, or
     ///     this host owns them and the store has come back from a copy that does not say so.
     std::vector<UpstreamId> enginesToReclaim(
--- a/src/gateway/fleet_registry.h
+++ b/src/gateway/fleet_registry.h
@@ -45,8 +45,7 @@
     static RowKey secretKey() { return { table, "link-secret" }; }
 
     /// @return the fencing number of an owner by the version of its row. It rises with each claim, also when
-    /// the
-    ///     store has come back from a copy and gives out versions again, since engines remember numbers.
+    ///     the store gives out versions again, since engines remember numbers.
     static FencingNumber fencingNumber(RowVersion version);
 
     static std::string encode(const HostRecord& record);
--- a/src/gateway/operator_row_exchange.h
+++ b/src/gateway/operator_row_exchange.h
@@ -26,9 +26,8 @@
     OperatorRowExchange(Scheduler& scheduler, ConfigurationTracker& tracker, Random& random, Send send);
 
     /// @param newest highest row version that the peer has.
-    /// @param revision of the peer's configuration, which may be newer than this host's although the peer's
-    /// rows
-    ///     are not: the store may have come back from a copy that lacks it.
+    /// @param revision of the peer's configuration. It may be newer than this host's although the peer's rows
+    ///     are not, if the store has come back from a copy that lacks it.
     void onHeartbeat(const HostId& peer, RowVersion newest, Revision revision);
     void onRequest(const HostId& peer, const PeerOperatorRequest& request);
 
--- a/src/gateway/store_feed.h
+++ b/src/gateway/store_feed.h
@@ -16,9 +16,8 @@
 
     /// Called before tableRead() when the store has come back from a copy since the last response.
     ///
-    /// @param copy upper bound of the versions that rows of the copy can have. Rows up to it may be older
-    /// than
-    ///     what is known from before, or may have been written since; rows above it have been written since.
+    /// @param copy upper bound of the versions of the copy's rows. Rows up to it may be older than what was
+    ///     known before, or written since; rows above it were written since.
     virtual void storeRestored(RowVersion copy) { }
     /// Called with the whole table at the start and whenever changes may have been missed.
     virtual void tableRead(const std::vector<StoredRow>& rows) = 0;
--- a/src/state/row_store.h
+++ b/src/state/row_store.h
@@ -56,9 +56,8 @@
     Conflict,
     /// The store rejected the call; nothing was written.
     Refused,
-    /// The requested changes are no longer retained, or the store has come back from a copy; the table must
-    /// be
-    /// read again.
+    /// The table must be read again: the requested changes are no longer retained, or the store has come back
+    /// from a copy.
     HistoryLost,
     /// No valid response: a write may have taken effect or may still do so later.
     Unknown,
