--- a/src/gateway/request_identity_test.cc
+++ b/src/gateway/request_identity_test.cc
@@ -33,7 +33,9 @@
 {
     PromptPart part;
     part.id = ~uint64_t(0);
-    for (const uint64_t hash : PartSet::of({ part }).hashes())
+    const PartSet parts = PartSet::of({ part });
+    BOOST_TEST(parts.size() == 1);
+    for (const uint64_t hash : parts.hashes())
         BOOST_TEST(!isRequestHash(hash));
 }
 
