--- a/review/lib/traffic.py
+++ b/review/lib/traffic.py
@@ -153,3 +153,62 @@
                 pass
         self.store.remove("servers", self.id)
         self.record.add(f"server {self.id} has exited")
+
+
+class KeptCaller:
+    """A consumer that sends one request after the other on a connection that it keeps, as the pages let it."""
+
+    def __init__(self, consumers, gateway, path, deadline_ms, pause_s=0.01):
+        self.consumers, self.gateway, self.path = consumers, gateway, path
+        self.deadline_ms, self.pause_s = deadline_ms, pause_s
+        self.is_over = False
+        # Requests whose kept connection was closed without an answer; the first one of a connection is left out.
+        self.cut = []
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self):
+        connection, is_kept = None, False
+        while not self.is_over:
+            if connection is None:
+                connection = http.client.HTTPConnection("127.0.0.1", self.gateway.ports[0],
+                                                        timeout=self.deadline_ms / 1000 + 1)
+                is_kept = False
+            if not self.exchange(connection, is_kept):
+                connection.close()
+                connection = None
+                time.sleep(0.1)
+                continue
+            is_kept = True
+            time.sleep(self.pause_s)
+        if connection:
+            connection.close()
+
+    def exchange(self, connection, is_kept):
+        consumers, record = self.consumers, self.consumers.record
+        with consumers.lock:
+            consumers.count += 1
+            request = f"{random.getrandbits(32):08x}{consumers.count:08x}"
+            consumers.sent[request] = (record.now(), self.gateway.name, self.path)
+        try:
+            connection.request("POST", self.path, b"{}", {
+                "Host": consumers.host, "X-Lacewinglb-Request-Id": request, "Authorization": f"Bearer {KEY}",
+                "X-Lacewinglb-Deadline-Milliseconds": str(self.deadline_ms)})
+            answer = connection.getresponse()
+            answer.read()
+        except (OSError, http.client.HTTPException) as error:
+            if is_kept:
+                self.cut.append(request)
+                record.add(f"request {request} on a kept connection to {self.gateway.name}: the connection was closed "
+                           f"without an answer ({type(error).__name__})")
+            with consumers.lock:
+                consumers.answers[request] = (0, record.now(), b"")
+            return False
+        with consumers.lock:
+            consumers.answers[request] = (answer.status, record.now(), b"")
+        record.add(f"request {request} on a kept connection to {self.gateway.name} answered {answer.status}")
+        return answer.getheader("Connection", "").lower() != "close"
+
+    def end(self):
+        self.is_over = True
+        self.thread.join(10)
