--- a/review/4/case.py
+++ b/review/4/case.py
@@ -14,10 +14,11 @@
 
 DEADLY = "/seat-check/deadly"
 # From the begin of the run to the end of the server; the gateway gives a run up after 70 ms (0.7 x 100 ms).
-RUN_SECONDS = 0.085
+RUN_SECONDS = 0.1
 BACK_SECONDS = 2.5
-PERIOD_SECONDS = 4
-PLAY_SECONDS = 60
+# When the deadly request comes, and at how many machines at that moment.
+OCCURRENCES = ((0, 1), (4, 1), (8, 3))
+PLAY_SECONDS = 12
 STABILITY_SECONDS = 3
 ALLOWED_RETRIES = 3
 
@@ -77,8 +78,9 @@
         begin, number, deadly = time.monotonic(), 0, 0
         while time.monotonic() < begin + PLAY_SECONDS:
             gateway = deployment.gateways[number % 3]
-            if time.monotonic() - begin >= deadly * PERIOD_SECONDS:
-                consumers.begin(deployment.gateways[deadly % 3], "GET", DEADLY, deadline_ms=1000)
+            if deadly < len(OCCURRENCES) and time.monotonic() - begin >= OCCURRENCES[deadly][0]:
+                for machine in range(OCCURRENCES[deadly][1]):
+                    consumers.begin(deployment.gateways[(deadly + machine) % 3], "GET", DEADLY, deadline_ms=1000)
                 deadly += 1
             consumers.begin(gateway, "GET", f"/seat-check/{number}", deadline_ms=1000)
             number += 1
