--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,9 +1,7 @@
-"""A request on a safe route crashes each server that runs it, after the gateway has given that run up."""
+"""A server leaves while one gateway is cut off from the store and its peers; its answers say Server-Leaving."""
 
 import pathlib
-import socket
 import sys
-import threading
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -12,55 +10,11 @@
 from deployment import HAS_TROUBLE, Deployment, manifest, play, route  # noqa: E402
 from traffic import Consumers, Server  # noqa: E402
 
-DEADLY = "/seat-check/deadly"
-# From the begin of the run to the end of the server; the gateway gives a run up after 70 ms (0.7 x 100 ms).
-RUN_SECONDS = 0.1
-BACK_SECONDS = 2.5
-# When the deadly request comes, and at how many machines at that moment.
-OCCURRENCES = ((0, 1), (4, 1), (8, 3))
-PLAY_SECONDS = 12
-STABILITY_SECONDS = 3
-ALLOWED_RETRIES = 3
-
-
-class CrashingServer(Server):
-    """Ends without a word when it has run the deadly request for a while, and starts anew under another id."""
-
-    crashes = []
-    deadly_arrivals = []
-    current = []
-
-    def run(self, handler, request, body, identity):
-        if handler.path != DEADLY:
-            super().run(handler, request, body, identity)
-            return
-        CrashingServer.deadly_arrivals.append((self.record.now(), request, self.id))
-        if not HAS_TROUBLE:
-            super().run(handler, request, body, identity)
-            return
-        time.sleep(RUN_SECONDS)
-        self.crash(request)
-
-    def crash(self, request):
-        with self.lock:
-            if self.is_gone:
-                return
-            self.is_gone = True
-        CrashingServer.crashes.append(self.record.now())
-        self.record.add(f"server {self.id} crashes while it runs {request}")
-        threading.Thread(target=self.server.shutdown, daemon=True).start()
-        self.server.socket.close()
-        for connection in list(self.connections):
-            try:
-                connection.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
-        # Its entry lapses after three ping intervals of silence.
-        threading.Timer(3 * self.PING_SECONDS, self.store.remove, ("servers", self.id)).start()
-        threading.Timer(BACK_SECONDS, self.start_again).start()
-
-    def start_again(self):
-        CrashingServer.current.append(CrashingServer(self.store, self.record, self.service, self.zone, self.work_s))
+DRAIN_SECONDS = 2.0
+# "a little longer (at times many seconds)"
+LINGER_SECONDS = 1.5
+CUT_SECONDS = 5.5
+PERIOD_SECONDS = 0.05
 
 
 def case(record):
@@ -68,43 +22,54 @@
     consumers = Consumers(record)
     try:
         deployment.store.put("op", "config", manifest(
-            routes=[route("seat-check", "safe", "desk-app", timeout_ms=1000, target_latency_ms=100, attempts=2)],
+            routes=[route("book-seat", "unsafe", "desk-app", timeout_ms=1000, target_latency_ms=500, attempts=1)],
             services=[{"name": "desk-app", "connection_limit": 100}]))
-        CrashingServer.current = [CrashingServer(deployment.store, record, "desk-app", zone, work_s=0.015)
-                                  for zone in ("ikeja", "lekki", "yaba")]
+        servers = [Server(deployment.store, record, "desk-app", zone, work_s=0.4)
+                   for zone in ("ikeja", "lekki", "yaba")]
         deployment.start()
         deployment.wait_ready()
+        cut_off, leaving = deployment.gateways[0], servers[0]
         time.sleep(4)
-        begin, number, deadly = time.monotonic(), 0, 0
-        while time.monotonic() < begin + PLAY_SECONDS:
-            gateway = deployment.gateways[number % 3]
-            if deadly < len(OCCURRENCES) and time.monotonic() - begin >= OCCURRENCES[deadly][0]:
-                for machine in range(OCCURRENCES[deadly][1]):
-                    consumers.begin(deployment.gateways[(deadly + machine) % 3], "GET", DEADLY, deadline_ms=1000)
-                deadly += 1
-            consumers.begin(gateway, "GET", f"/seat-check/{number}", deadline_ms=1000)
-            number += 1
-            time.sleep(0.1)
+        begin = time.monotonic()
+        left = gone = healed = False
+        if HAS_TROUBLE:
+            deployment.cut(cut_off.name, True)
+            record.add(f"{cut_off.name} is cut off from the store and from the other machines")
+        while time.monotonic() < begin + CUT_SECONDS + 3:
+            now = time.monotonic() - begin
+            if not left and now > 0.3:
+                leaving.drain()
+                left = True
+            if not gone and now > 0.3 + DRAIN_SECONDS + LINGER_SECONDS:
+                leaving.exit()
+                gone = True
+            if HAS_TROUBLE and not healed and now > CUT_SECONDS:
+                deployment.cut(cut_off.name, False)
+                record.add("the cut has healed")
+                healed = True
+            consumers.begin(cut_off, "POST", "/book-seat/1", b"{}", deadline_ms=1000)
+            time.sleep(PERIOD_SECONDS)
         consumers.finish()
-        return judge(record)
+        return judge(consumers, leaving, record)
     finally:
         deployment.end()
 
 
-def judge(record):
-    """Returns a break if the request has reached servers in more than three retries later than stability_ms after it had
-    crashed the third server. All machines are in touch throughout."""
-    crashes = sorted(CrashingServer.crashes)
-    record.add(f"{len(crashes)} servers crashed, at " + ", ".join(f"{at:.3f}" for at in crashes))
-    if len(crashes) < 3:
-        return []
-    bound = crashes[2] + STABILITY_SECONDS
-    late = [(at, request) for at, request, _ in CrashingServer.deadly_arrivals if at > bound]
-    if len(late) <= ALLOWED_RETRIES:
+def judge(consumers, leaving, record):
+    """Returns the requests that were sent over drain_ms after an answer with Server-Leaving, and still reached the
+    server that leaves."""
+    answered = {request: at for request, (status, at, _) in consumers.answers.items() if status == 200}
+    told = [answered[request] for at, request in leaving.arrivals if request in answered
+            and any(f"has answered {request} with Server-Leaving" in text for _, text in record.lines)]
+    if not told:
         return []
-    return [f"the request reached servers {len(late)} times later than {bound:.3f} s, {STABILITY_SECONDS} s after it had "
-            f"crashed the third server: at " + ", ".join(f"{at:.3f}" for at, _ in late)
-            + f"; {len(crashes)} servers crashed in all"]
+    bound = min(told) + DRAIN_SECONDS
+    record.add(f"first answer with Server-Leaving passed on at {min(told):.3f} s; bound from {bound:.3f} s")
+    late = [request for _, request in leaving.arrivals if consumers.sent[request][0] > bound]
+    lost = [request for request in late if consumers.answers.get(request, (0,))[0] != 200]
+    return [f"request {request} sent at {consumers.sent[request][0]:.3f} s reached the server that leaves"
+            + (f"; it ran and was answered {consumers.answers.get(request, (0,))[0]}" if request in lost else "")
+            for request in late]
 
 
 if __name__ == "__main__":
