--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -5,11 +5,11 @@
 proxy of its own, so that a single machine can be cut off from the store, from its peers or from a server.
 """
 
+import base64
 import http.client
 import json
 import os
 import pathlib
-import select
 import signal
 import socket
 import subprocess
@@ -17,13 +17,13 @@
 import tempfile
 import threading
 import time
+import traceback
 
 HERE = pathlib.Path(__file__).resolve().parent
 ROOT = HERE.parents[1]
 sys.path.insert(0, str(ROOT / "platform" / "tests"))
 sys.dont_write_bytecode = True
 
-import standins  # noqa: E402
 from standins import Handler, Store, free_ports, serve  # noqa: E402
 
 PROGRAM = ROOT / "target" / "lacewinglb-gateway"
@@ -216,7 +216,6 @@
             return self.peer_links[key]
 
     def seen_by(self, viewer, row):
-        import base64
         key = row.get("key", "")
         if not key.startswith("host:") or "value" not in row or key == f"host:{viewer}":
             return row
@@ -290,13 +289,18 @@
     if not PROGRAM.exists():
         print(f"no program at target/{PROGRAM.name}: run the build line of deploy/system.toml first")
         return 2
+    # Ends what the case has started if the script is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(pathlib.Path(folder) / "record.txt")
     try:
         breaks = case(record)
-    except (CannotRun, OSError) as error:
-        record.add(f"could not run: {error}")
+    except Exception as error:
+        # Whatever goes wrong in the script is no break of a rule.
+        if not isinstance(error, CannotRun):
+            traceback.print_exc()
+        record.add(f"could not run: {error!r}")
         record.save()
-        print(f"could not run: {error}")
+        print(f"could not run: {error!r}")
         return 2
     for line in breaks:
         record.add(f"BREAK {line}")
