Log what upstreams say of their availability: leaving, and rest after 503

Three hypotheses for a host that goes on sending to an upstream that leaves: 1. the statement in the response is not read at all; 2. it is read, and a row that says ready overrides it; 3. new requests stay away, and what arrives late had been queued or was on a kept connection.

Nothing told them apart: no log line or metric named the header. The head of each response, to calls, orders and reports, is now read into an AvailabilityStatement, logged once per process of an upstream with its origin and with what the row says at that moment, counted, and told to peers. Nothing acts on it yet.

--- a/src/gateway/call_attributes.h
+++ b/src/gateway/call_attributes.h
@@ -5,6 +5,7 @@
 #include "gateway/event_format.h"
 #include "gateway/request_rate.h"
 #include "gateway/run_request.h"
+#include "gateway/upstream_availability.h"
 #include "transport/http_message.h"
 
 #include <optional>
@@ -66,6 +67,7 @@
     std::optional<RequestRate> requestLimit;
     /// The upstream states a limit that is no valid number.
     bool hasUnreadableLimit = false;
+    AvailabilityStatement availability;
     /// Time for which the upstream keeps an idle connection open.
     std::optional<Duration> keepAlive;
     /// Whether the body is an event stream.
--- a/src/gateway/call_services.h
+++ b/src/gateway/call_services.h
@@ -43,6 +43,9 @@
     std::function<void()> reportUsage;
     /// Handles what a response says about the limit of its upstream.
     std::function<void(const LimitObservation& observation, const std::string& requestId)> limitObserved;
+    /// Handles what a response says about the availability of its upstream.
+    std::function<void(const AvailabilityObservation& observation, const std::string& requestId)>
+        availabilityObserved;
     /// False once the host drains, since a new stream could be cut off by the end of the process.
     bool acceptsStreams = true;
     /// When the process ends; set once the host stops.
--- a/src/gateway/engine_control.h
+++ b/src/gateway/engine_control.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "gateway/upstream_availability.h"
 #include "gateway/upstream_entry.h"
 
 #include <functional>
@@ -12,6 +13,8 @@
 struct EngineTarget {
     UpstreamId id;
     SocketAddress address;
+    /// Start of the engine's process.
+    int64_t startedAt = 0;
 };
 
 /// Order to load or unload an adapter.
@@ -55,11 +58,31 @@
     using OrderCallback = std::function<void(OrderOutcome outcome)>;
     /// Called with nothing if the engine did not answer.
     using ReportCallback = std::function<void(const std::optional<EngineReport>& report)>;
+    /// Receives what an engine says of its availability, before the callback of the call that it answers.
+    using AvailabilityObserver
+        = std::function<void(const AvailabilityObservation& observation, const char* kind)>;
 
     virtual ~EngineControl() = default;
 
     virtual void order(const EngineTarget& target, const AdapterOrder& order, OrderCallback callback) = 0;
     virtual void report(const EngineTarget& target, ReportCallback callback) = 0;
+
+    /// @param observer called with the kind of the call that was answered, "order" or "report".
+    void setAvailabilityObserver(AvailabilityObserver observer)
+    {
+        m_availabilityObserver = std::move(observer);
+    }
+
+protected:
+    void observeAvailability(
+        const EngineTarget& target, const AvailabilityStatement& statement, const char* kind) const
+    {
+        if (m_availabilityObserver && !statement.isEmpty())
+            m_availabilityObserver({ target.id, target.startedAt, statement }, kind);
+    }
+
+private:
+    AvailabilityObserver m_availabilityObserver;
 };
 
 } // namespace lacewing::gateway
--- a/src/gateway/fake_call_services_test.h
+++ b/src/gateway/fake_call_services_test.h
@@ -4,6 +4,7 @@
 #include "gateway/call_services.h"
 #include "gateway/fake_row_decoder_test.h"
 #include "gateway/fake_row_store_test.h"
+#include "gateway/upstream_availability_exchange.h"
 
 #include <chrono>
 #include <memory>
@@ -106,6 +107,9 @@
         attributes.isEventStream = headers.count("stream") > 0;
         attributes.isNotExecuted = headers.count("not-executed") > 0;
         attributes.hasContentEncoding = headers.count("encoding") > 0;
+        attributes.availability.isLeaving = headers.count("leaving") > 0;
+        if (const auto rest = headers.find("rest"))
+            attributes.availability.rest = std::chrono::milliseconds(std::stoll(*rest));
         if (const auto limit = headers.find("limit"))
             attributes.requestLimit = RequestRate(std::stod(*limit));
         return attributes;
@@ -225,10 +229,17 @@
             [] { return 1.0; }, [](const UpstreamId&) { return false; } } };
     CallAdmitter admitter { configuration, usage, random };
     PlainUpstreamSelector selector { upstreams, picker, limits, permits, self.dataCentre };
+    std::vector<PeerMessage> availabilityMessages;
+    UpstreamAvailabilityExchange availability { scheduler, upstreams, metrics,
+        { [this](const PeerMessage& message) { availabilityMessages.push_back(message); },
+            [](const UpstreamId&) {} } };
     CallServices services { scheduler, client, translator, configuration, upstreams, view, broker, picker,
         limits, permits, selector, usage, admitter, retries, quarantine, metrics, random, [] {},
         [this](const LimitObservation& observation, const std::string&) {
             limits.observe(observation, scheduler.now());
+        },
+        [this](const AvailabilityObservation& observation, const std::string& requestId) {
+            availability.observed(observation, requestId);
         } };
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -119,6 +119,9 @@
                   m_permits.limitChanged(upstream);
                   m_owners.requestRateChanged(upstream);
               } })
+    , m_availability(loop, m_upstreams, m_metrics,
+          { [this](const PeerMessage& message) { m_mesh.sendToAll(message); },
+              [this](const UpstreamId&) { upstreamsChanged(); } })
     , m_quarantineRows(loop, platform.store)
     , m_quarantine(loop, m_random, m_metrics,
           { [this](const PeerMessage& message) { m_mesh.sendToAll(message); },
@@ -133,11 +136,18 @@
         m_metrics, m_random, [this] { reportUsage(); },
         [this](const LimitObservation& observation, const std::string& requestId) {
             m_limitExchange.observed(observation, requestId);
+        },
+        [this](const AvailabilityObservation& observation, const std::string& requestId) {
+            m_availability.observed(observation, requestId);
         } }
     , m_memberTimer(
           loop, [] { return memberInterval; }, [this] { updateMembers(); })
 {
     m_broker.connect(m_owners, m_mesh);
+    platform.engines.setAvailabilityObserver(
+        [this](const AvailabilityObservation& observation, const char* kind) {
+            m_availability.observed(observation, kind);
+        });
     m_usage.setTolerance(m_settings.usageTolerance);
 }
 
@@ -249,6 +259,10 @@
 {
     m_metrics.gauge("lacewing_open_calls") = static_cast<double>(m_calls.size());
     m_metrics.gauge("lacewing_owned_engines") = static_cast<double>(m_owners.summaries().size());
+    m_metrics.gauge("lacewing_leaving_upstreams")
+        = static_cast<double>(m_upstreams.availability().leavingCount());
+    m_metrics.gauge("lacewing_resting_upstreams")
+        = static_cast<double>(m_upstreams.availability().restingCount(m_loop.now()));
     m_metrics.gauge("lacewing_limited_upstreams") = static_cast<double>(m_limits.limitedCount());
     m_metrics.gauge("lacewing_quarantined_prompts") = static_cast<double>(m_quarantine.activeCount());
     m_metrics.gauge("lacewing_peers_in_touch") = static_cast<double>(m_mesh.peersInTouch().size());
@@ -281,6 +295,7 @@
     if (audience == HeartbeatAudience::NewPeer) {
         heartbeat.limits = m_limits.all();
         heartbeat.quarantines = m_quarantine.all();
+        heartbeat.leaving = m_upstreams.availability().leaving();
     }
     return heartbeat;
 }
@@ -288,6 +303,7 @@
 void Gateway::peerMessage(const HostId& peer, const PeerMessage& message)
 {
     m_limitExchange.onMessage(peer, message);
+    m_availability.onMessage(peer, message);
     m_quarantine.onMessage(peer, message);
     if (const auto* heartbeat = std::get_if<PeerHeartbeat>(&message)) {
         const MonotonicTime now = m_loop.now();
@@ -451,7 +467,9 @@
     const std::set<UpstreamId> present = m_upstreams.ids();
     m_picker.retain(present);
     m_permits.retain(present);
-    m_limits.retain(m_upstreams.startTimes(), m_loop.now());
+    const std::map<UpstreamId, int64_t> startTimes = m_upstreams.startTimes();
+    m_limits.retain(startTimes, m_loop.now());
+    m_upstreams.availability().retain(startTimes, m_loop.now());
     m_owners.fetchLimiter().setEngines(engineIds().size());
     m_owners.refresh();
     m_fleet.claimUnownedEngines();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "gateway/operator_row_exchange.h"
 #include "gateway/proxied_call.h"
 #include "gateway/quarantine_rows.h"
+#include "gateway/upstream_availability_exchange.h"
 #include "gateway/upstream_limit_exchange.h"
 #include "transport/http_server.h"
 
@@ -109,6 +110,7 @@
     EngineView m_engineView;
     CallAdmitter m_admitter;
     UpstreamLimitExchange m_limitExchange;
+    UpstreamAvailabilityExchange m_availability;
     QuarantineRows m_quarantineRows;
     QuarantineExchange m_quarantine;
     UpstreamPermits m_permits;
--- a/src/gateway/owned_engines.cc
+++ b/src/gateway/owned_engines.cc
@@ -262,7 +262,7 @@
     order.fencingNumber = owned.fencingNumber;
     ++m_outstandingOrders;
     m_handlers.onEngineRequest(engine, "order");
-    m_control.order({ engine, entry->address }, order,
+    m_control.order({ engine, entry->address, entry->startedAt }, order,
         m_lifetime.guard([this, engine, generation, order](OrderOutcome outcome) {
             --m_outstandingOrders;
             LogEvent(LogLevel::Info, "engine_order")
@@ -302,7 +302,7 @@
     };
     if (entry) {
         m_handlers.onEngineRequest(engine, "report");
-        m_control.report({ engine, entry->address }, m_lifetime.guard(callback));
+        m_control.report({ engine, entry->address, entry->startedAt }, m_lifetime.guard(callback));
     } else
         m_scheduler.runAfter(Duration::zero(), m_lifetime.guard([callback] { callback(std::nullopt); }));
 }
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -29,7 +29,8 @@
     PermitAnswer,
     CrashReports,
     AnswerBegan,
-    Quarantines
+    Quarantines,
+    UpstreamLeaving
 };
 
 Json frame(FrameType type)
@@ -177,6 +178,23 @@
     return quarantines;
 }
 
+Json encode(const LeavingStatement& statement)
+{
+    return Json::array({ statement.upstream.value(), statement.startedAt });
+}
+
+LeavingStatement decodeLeaving(const Json& json)
+{
+    return { UpstreamId(json.at(0).get<std::string>()), json.at(1).get<int64_t>() };
+}
+
+Json encode(const PeerUpstreamLeaving& message)
+{
+    Json json = frame(FrameType::UpstreamLeaving);
+    json.push_back(encode(message.statement));
+    return json;
+}
+
 Json encode(const PeerQuarantines& message)
 {
     Json json = frame(FrameType::Quarantines);
@@ -271,6 +289,10 @@
     json.push_back(encode(message.quarantines));
     json.push_back(Json::array({ message.storeEra.value(), message.configurationVersion.era().value(),
         message.operatorVersion.era().value(), message.configurationRevision.value() }));
+    Json leaving = Json::array();
+    for (const LeavingStatement& statement : message.leaving)
+        leaving.push_back(encode(statement));
+    json.push_back(std::move(leaving));
     return json;
 }
 
@@ -308,6 +330,10 @@
             = RowVersion(StoreEra(eras.at(2).get<int64_t>()), message.operatorVersion.number());
         message.configurationRevision = Revision(eras.at(3).get<int64_t>());
     }
+    if (json.size() > 16) {
+        for (const Json& statement : json.at(16))
+            message.leaving.push_back(decodeLeaving(statement));
+    }
     return message;
 }
 
@@ -495,6 +521,8 @@
             decodeParts(json.at(3)) } };
     case FrameType::Quarantines:
         return PeerQuarantines { decodeQuarantines(json.at(1)) };
+    case FrameType::UpstreamLeaving:
+        return PeerUpstreamLeaving { decodeLeaving(json.at(1)) };
     case FrameType::PermitAnswer:
         return PeerPermitAnswer { PermitId(json.at(1).get<int64_t>()), json.at(2).get<bool>(),
             duration(json.at(3)) };
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -3,6 +3,7 @@
 #include "gateway/engine_scheduler.h"
 #include "gateway/prompt_quarantine.h"
 #include "gateway/run_request.h"
+#include "gateway/upstream_availability.h"
 #include "gateway/upstream_limits.h"
 #include "gateway/workspace_rate_limiter.h"
 #include "state/row_store.h"
@@ -51,6 +52,9 @@
     /// All quarantines of prompts, in the first heartbeat on a link. Later changes are sent as
     /// PeerQuarantines.
     std::vector<Quarantine> quarantines;
+    /// All upstreams that are known to be leaving, in the first heartbeat on a link. Later ones are sent as
+    /// PeerUpstreamLeaving.
+    std::vector<LeavingStatement> leaving;
 };
 
 /// Usage on a host since its last report, sent between two heartbeats.
@@ -122,6 +126,11 @@
     UpstreamLimit limit;
 };
 
+/// An upstream has stated that it is leaving.
+struct PeerUpstreamLeaving {
+    LeavingStatement statement;
+};
+
 /// Asks the deciding host for permission to send a request to an upstream that has stated a limit.
 struct PeerPermitRequest {
     UpstreamId upstream;
@@ -156,7 +165,8 @@
 
 using PeerMessage = std::variant<PeerHeartbeat, PeerOperatorRequest, PeerOperatorRows, PeerUpstreamRows,
     PeerRunRequest, PeerRunGrant, PeerRunDenial, PeerRunProgress, PeerRunEnd, PeerUsage, PeerUpstreamLimit,
-    PeerPermitRequest, PeerPermitAnswer, PeerCrashReports, PeerAnswerBegan, PeerQuarantines>;
+    PeerPermitRequest, PeerPermitAnswer, PeerCrashReports, PeerAnswerBegan, PeerQuarantines,
+    PeerUpstreamLeaving>;
 
 /// @return the message as one CBOR frame.
 std::string encodePeerMessage(const PeerMessage& message);
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -251,6 +251,7 @@
     request.isHead = m_exchange->method() == "HEAD";
     m_response.headArrived(attributes, headers, request);
     observeLimit(attributes);
+    observeAvailability(attributes);
     if (!m_response.isForeign() || !m_call)
         return;
     recordForeignResponse(m_services.metrics, exchange, attributes);
@@ -278,6 +279,18 @@
     m_services.limitObserved(observation, m_attributes.requestId);
 }
 
+void ProxiedCall::observeAvailability(const ResponseAttributes& attributes)
+{
+    // What comes from another process, or may, says nothing of this upstream.
+    if (!m_response.matchesRequest() || m_response.isUnverified() || attributes.status == statusMisdirected)
+        return;
+    if (attributes.availability.isEmpty())
+        return;
+    m_services.availabilityObserved(
+        { m_search->upstream(), m_evidence->upstreamStartedAt(), attributes.availability },
+        m_attributes.requestId);
+}
+
 void ProxiedCall::bodyArrived(std::string_view bytes)
 {
     const std::string events = m_response.bodyArrived(bytes, m_services.loop.now());
--- /dev/null
+++ b/src/gateway/upstream_availability.cc
@@ -0,0 +1,127 @@
+#include "gateway/upstream_availability.h"
+
+#include <algorithm>
+#include <array>
+
+namespace lacewing::gateway {
+
+namespace {
+
+constexpr Duration absenceUntilForgotten = std::chrono::minutes(5);
+/// Times into a rest at which a probe may be sent. An upstream that rests takes two requests at most.
+constexpr std::array<Duration, 2> probeTimes { std::chrono::seconds(10), std::chrono::seconds(60) };
+
+} // namespace
+
+const char* toString(StatementOrigin origin)
+{
+    switch (origin) {
+    case StatementOrigin::Response:
+        return "response";
+    case StatementOrigin::Peer:
+        return "peer";
+    }
+    return "unknown";
+}
+
+bool UpstreamAvailability::learnLeaving(
+    const LeavingStatement& statement, StatementOrigin origin, MonotonicTime now)
+{
+    const auto found = m_leaving.find(statement.upstream);
+    if (found != m_leaving.end() && found->second.startedAt >= statement.startedAt)
+        return false;
+    m_leaving.insert_or_assign(
+        statement.upstream, Leaving { statement.startedAt, origin, now, std::nullopt });
+    return true;
+}
+
+std::optional<Duration> UpstreamAvailability::learnRest(
+    const UpstreamId& upstream, int64_t startedAt, Duration stated, MonotonicTime now)
+{
+    const MonotonicTime end = now + std::min(stated, maximumRest);
+    Rest& rest = m_rests.try_emplace(upstream, Rest { startedAt, now, now, 0, std::nullopt }).first->second;
+    if (startedAt < rest.startedAt)
+        return std::nullopt;
+    if (startedAt > rest.startedAt || now >= rest.end)
+        rest = Rest { startedAt, now, now, 0, std::nullopt };
+    if (end <= rest.end)
+        return std::nullopt;
+    rest.end = end;
+    return end - now;
+}
+
+bool UpstreamAvailability::isLeaving(const UpstreamId& upstream, int64_t startedAt) const
+{
+    const auto found = m_leaving.find(upstream);
+    return found != m_leaving.end() && startedAt <= found->second.startedAt;
+}
+
+std::optional<Duration> UpstreamAvailability::leavingFor(const UpstreamId& upstream, MonotonicTime now) const
+{
+    const auto found = m_leaving.find(upstream);
+    return found == m_leaving.end() ? std::nullopt : std::make_optional(now - found->second.learned);
+}
+
+Duration UpstreamAvailability::restLeft(
+    const UpstreamId& upstream, int64_t startedAt, MonotonicTime now) const
+{
+    const auto found = m_rests.find(upstream);
+    if (found == m_rests.end() || startedAt > found->second.startedAt || now >= found->second.end)
+        return Duration::zero();
+    const Rest& rest = found->second;
+    if (static_cast<size_t>(rest.probes) >= probeTimes.size())
+        return rest.end - now;
+    const MonotonicTime probe = rest.begin + probeTimes[rest.probes];
+    return std::max<Duration>(std::min(probe, rest.end) - now, Duration::zero());
+}
+
+void UpstreamAvailability::requestSent(const UpstreamId& upstream, MonotonicTime now)
+{
+    const auto found = m_rests.find(upstream);
+    if (found == m_rests.end() || now >= found->second.end)
+        return;
+    ++found->second.probes;
+    found->second.probed = now;
+}
+
+bool UpstreamAvailability::requestSucceeded(const UpstreamId& upstream, MonotonicTime sent)
+{
+    const auto found = m_rests.find(upstream);
+    const bool isProbe = found != m_rests.end() && found->second.probed && sent >= *found->second.probed;
+    if (isProbe)
+        m_rests.erase(found);
+    return isProbe;
+}
+
+std::vector<LeavingStatement> UpstreamAvailability::leaving() const
+{
+    std::vector<LeavingStatement> statements;
+    for (const auto& [upstream, known] : m_leaving)
+        statements.push_back({ upstream, known.startedAt });
+    return statements;
+}
+
+size_t UpstreamAvailability::restingCount(MonotonicTime now) const
+{
+    return static_cast<size_t>(std::count_if(
+        m_rests.begin(), m_rests.end(), [now](const auto& entry) { return now < entry.second.end; }));
+}
+
+void UpstreamAvailability::retain(const std::map<UpstreamId, int64_t>& startedAt, MonotonicTime now)
+{
+    for (auto known = m_leaving.begin(); known != m_leaving.end();) {
+        std::optional<MonotonicTime>& absentSince = known->second.absentSince;
+        const auto present = startedAt.find(known->first);
+        if (present != startedAt.end())
+            absentSince.reset();
+        else if (!absentSince)
+            absentSince = now;
+        const bool hasRestarted = present != startedAt.end() && present->second > known->second.startedAt;
+        const bool isGone = absentSince && now - *absentSince > absenceUntilForgotten;
+        known = hasRestarted || isGone ? m_leaving.erase(known) : std::next(known);
+    }
+    for (auto rest = m_rests.begin(); rest != m_rests.end();)
+        rest = now >= rest->second.end ? m_rests.erase(rest) : std::next(rest);
+}
+
+} // namespace lacewing::gateway
--- a/src/gateway/upstream_directory.h
+++ b/src/gateway/upstream_directory.h
@@ -2,6 +2,7 @@
 
 #include "gateway/row_decoder.h"
 #include "gateway/store_feed.h"
+#include "gateway/upstream_availability.h"
 
 #include <functional>
 #include <map>
@@ -46,6 +47,9 @@
     std::set<UpstreamId> ids() const;
     /// @return the upstreams and the starts of their processes.
     std::map<UpstreamId, int64_t> startTimes() const;
+    /// @return what upstreams have said of themselves beside their rows.
+    UpstreamAvailability& availability() { return m_availability; }
+    const UpstreamAvailability& availability() const { return m_availability; }
 
 private:
     struct KnownUpstream {
@@ -91,6 +95,7 @@
     /// Rows that were removed, so that an older one does not restore them.
     std::map<UpstreamId, Removal> m_removed;
     std::map<UpstreamId, KnownUpstream> m_known;
+    UpstreamAvailability m_availability;
     /// Entries that are removed before this time are kept until then.
     MonotonicTime m_graceEnd;
     /// Bound of the versions in the store's latest copy; 0 if there was none.
--- a/src/protocol/http_call_set.cc
+++ b/src/protocol/http_call_set.cc
@@ -12,13 +12,13 @@
         callId = m_callIds->next();
         request.headers.add(callIdField, callId);
     }
-    handlers.onHeaders
-        = [&call, callId, headerObserver = std::move(headerObserver)](int, const HttpHeaders& headers) {
-              if (headerObserver)
-                  headerObserver(headers);
-              if (!callId.empty() && !isAnswerToCall(headers, callId, *call.call))
-                  call.call->cancel();
-          };
+    handlers.onHeaders = [&call, callId, headerObserver = std::move(headerObserver)](
+                             int status, const HttpHeaders& headers) {
+        if (headerObserver)
+            headerObserver(status, headers);
+        if (!callId.empty() && !isAnswerToCall(headers, callId, *call.call))
+            call.call->cancel();
+    };
     handlers.onBody = [&call](std::string_view bytes) { call.body += bytes; };
     handlers.onDone = [this, id, callback = std::move(callback)](const HttpClientResult& result) {
         const auto node = m_calls.extract(id);
--- a/src/protocol/http_call_set.h
+++ b/src/protocol/http_call_set.h
@@ -17,8 +17,8 @@
 public:
     /// Receives the result and the body of the answer.
     using Callback = std::function<void(const HttpClientResult& result, std::string& body)>;
-    /// Receives the fields of the answer's head, before the callback.
-    using HeaderObserver = std::function<void(const HttpHeaders& headers)>;
+    /// Receives the answer's head, before the callback.
+    using HeaderObserver = std::function<void(int status, const HttpHeaders& headers)>;
 
     /// @param client must outlive the set.
     /// @param callIds names the calls, so that an earlier answer that comes once more is not taken for
