Keep requests away from upstreams that say that they leave (DRAIN)

What callers saw: a host that was cut off from the store and its peers sent bookings on to a server that had said Server-Leaving in its answers to that host, until the server exited; some ran then and were answered 502. With rows that say ready the same happens on hosts in touch.

Change: UpstreamDirectory decides in one place, from the row and from UpstreamAvailability, which keeps each statement with its origin and age for one process of the upstream. A statement ends with a later start only: not with a row that says ready, a copy of the store, or a response without the header. All that chooses an upstream asks there: entry, owner, retries, resumed streams, and the last check before a send, which logs request_withheld. The owner denies the runs that wait for the engine, so that they are placed elsewhere, and sends it no orders; idle connections are closed. Peers are told, and act as if they had seen it. A response to another request, from another process (421), or a success without the seal counts for nothing. If all upstreams of a service leave, callers are refused at once (upstreams_leaving) and come back at different times.

--- a/src/daemon/upstream_owner_test.cc
+++ b/src/daemon/upstream_owner_test.cc
@@ -27,6 +27,7 @@
 class UnusedHttpClient : public HttpClient {
 public:
     std::unique_ptr<HttpClientCall> send(HttpClientRequest, HttpClientHandlers) override { return nullptr; }
+    void closeIdle(const SocketAddress&) override { }
     size_t connectionCount() const override { return 0; }
 };
 
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -103,9 +103,18 @@
     m_waiting.push_back(std::move(request));
 }
 
+void EngineScheduler::setLeaving(bool isLeaving)
+{
+    m_isLeaving = isLeaving;
+    if (!m_isLeaving)
+        return;
+    denyAll(RunRefusal::EngineLeaving);
+    m_slots.abandonFetches();
+}
+
 bool EngineScheduler::isUsable() const
 {
-    return m_unansweredCalls < unreachableAfter && !m_models.empty();
+    return !m_isLeaving && m_unansweredCalls < unreachableAfter && !m_models.empty();
 }
 
 void EngineScheduler::callAnswered(bool isAnswered)
@@ -244,7 +253,7 @@
     denyHopeless(decisions, now);
     planOrder(decisions, now);
     m_fetchLimiter.setDemand(this, fetchDemand());
-    if (!m_sequence && !m_isReportPending && !m_order) {
+    if (!m_sequence && !m_isReportPending && !m_order && !m_isLeaving) {
         const Duration wait = std::max<Duration>(m_nextReport - now, m_pacer.waitFor(0, now));
         if (wait <= Duration::zero()) {
             decisions.needsReport = true;
@@ -361,7 +370,7 @@
 void EngineScheduler::planOrder(SchedulerDecisions& decisions, MonotonicTime now)
 {
     const bool isWithinLimit = m_pacer.waitFor(0, now) == Duration::zero();
-    if (m_order || !m_sequence || m_isReportPending || now < m_nextOrder || !isWithinLimit)
+    if (m_isLeaving || m_order || !m_sequence || m_isReportPending || now < m_nextOrder || !isWithinLimit)
         return;
     m_order = chooseOrder(now);
     if (!m_order)
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -53,6 +53,10 @@
     /// at least as new.
     void setRelease(const AdapterRef& adapter, int64_t version) { m_slots.setRelease(adapter, version); }
 
+    /// Sets whether the engine is shutting down. If so, its waiting requests are denied, so that they are
+    /// placed elsewhere, and it gets neither orders nor requests for reports.
+    void setLeaving(bool isLeaving);
+
     void request(RunRequest request, MonotonicTime now);
     /// Reports that the first event of a run has arrived from the engine.
     void runProgressed(const RunKey& key, MonotonicTime now);
@@ -151,6 +155,7 @@
     int m_failedOrders = 0;
     /// Consecutive calls that the engine did not answer.
     int m_unansweredCalls = 0;
+    bool m_isLeaving = false;
     /// The engine is loading or unloading a base model.
     bool m_isModelBusy = false;
     std::optional<PlannedOrder> m_order;
--- a/src/gateway/fake_call_services_test.h
+++ b/src/gateway/fake_call_services_test.h
@@ -55,6 +55,7 @@
         calls.push_back(call);
         return std::make_unique<Handle>(call);
     }
+    void closeIdle(const SocketAddress&) override { }
     size_t connectionCount() const override { return calls.size(); }
 
     std::vector<std::shared_ptr<UpstreamCall>> calls;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -121,7 +121,7 @@
               } })
     , m_availability(loop, m_upstreams, m_metrics,
           { [this](const PeerMessage& message) { m_mesh.sendToAll(message); },
-              [this](const UpstreamId&) { upstreamsChanged(); } })
+              [this](const UpstreamId& upstream) { availabilityChanged(upstream); } })
     , m_quarantineRows(loop, platform.store)
     , m_quarantine(loop, m_random, m_metrics,
           { [this](const PeerMessage& message) { m_mesh.sendToAll(message); },
@@ -475,6 +475,14 @@
     m_fleet.claimUnownedEngines();
 }
 
+void Gateway::availabilityChanged(const UpstreamId& upstream)
+{
+    const UpstreamEntry* entry = m_upstreams.find(upstream);
+    if (entry && !m_upstreams.findUsable(upstream))
+        m_services.client.closeIdle(entry->address);
+    upstreamsChanged();
+}
+
 bool Gateway::mayOrder() const
 {
     return !m_isStopping && (m_settings.enginesCheckFencing || m_fleet.isLeaseValid());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -78,6 +78,8 @@
     /// Tells the quarantine of engines with a version that none had before.
     void noteEngineVersions();
     void upstreamsChanged();
+    /// An upstream has said that it is leaving, or wants a rest.
+    void availabilityChanged(const UpstreamId& upstream);
     bool mayOrder() const;
     std::set<UpstreamId> engineIds() const;
     std::set<HostId> ineligibleHosts() const;
--- a/src/gateway/owned_engines.cc
+++ b/src/gateway/owned_engines.cc
@@ -61,6 +61,7 @@
     for (const auto& [adapter, version] : m_configuration.releases())
         owned.scheduler->setRelease(adapter, version);
     owned.scheduler->setRequestRate(m_handlers.requestRate(engine), m_scheduler.now());
+    owned.scheduler->setLeaving(m_upstreams.findUsable(engine) == nullptr);
     applyDecisions(engine);
 }
 
@@ -160,6 +161,7 @@
         }
         if (const auto limits = limitsOf(*entry))
             owned->scheduler->setLimits(*limits);
+        owned->scheduler->setLeaving(m_upstreams.findUsable(engine) == nullptr);
         applyDecisions(engine);
     }
 }
--- a/src/gateway/owned_engines_test.cc
+++ b/src/gateway/owned_engines_test.cc
@@ -123,6 +123,22 @@
     BOOST_TEST((denials[0].reason == RunRefusal::EngineUnusable));
 }
 
+// Guards against requests that wait for an engine that has said that it leaves, and against orders to it.
+BOOST_AUTO_TEST_CASE(DeniesWaitingRunsWhenTheEngineLeaves)
+{
+    request(7);
+    BOOST_TEST(control.orders == 1);
+    upstreams.availability().learnLeaving({ engine, 1 }, StatementOrigin::Response, scheduler.now());
+    owners.refresh();
+    BOOST_REQUIRE(denials.size() == 1);
+    BOOST_TEST((denials[0].reason == RunRefusal::EngineLeaving));
+    control.answerAll(OrderOutcome::Unknown);
+    scheduler.advance(1s);
+    BOOST_TEST(control.orders == 1);
+    request(8);
+    BOOST_TEST(denials.size() == 2);
+}
+
 // Guards against requests that wait for a host that no longer owns the engine.
 BOOST_AUTO_TEST_CASE(DeniesWaitingRunsWhenTheEngineIsLost)
 {
--- a/src/gateway/peer_message_test.cc
+++ b/src/gateway/peer_message_test.cc
@@ -50,9 +50,17 @@
     message.engines.push_back(engine);
     message.limits = { limit(), { UpstreamId("u-2"), 6, LimitRevision(1), HostId("host-2"), std::nullopt } };
     message.quarantines = { quarantine() };
+    message.leaving = { { UpstreamId("u-2"), 8 } };
     return message;
 }
 
+/// Leaves out the fields of a frame that hosts of an earlier version don't send.
+void truncate(nlohmann::json& frame, size_t size)
+{
+    while (frame.size() > size)
+        frame.erase(frame.size() - 1);
+}
+
 std::vector<PeerMessage> samples()
 {
     const AdapterRef adapter { ModelId("base"), AdapterId("a1") };
@@ -71,7 +79,8 @@
         PeerCrashReports { { { UpstreamId("engine-1"), 1700000000000, PartSet({ ~0ULL, 8 }) } } },
         PeerAnswerBegan { { UpstreamId("engine-1"), 5, PartSet({ 8, 9 }) } },
         PeerQuarantines {
-            { quarantine(), { PartSet({ 3 }), QuarantineRevision(1), false, 0, std::nullopt } } } };
+            { quarantine(), { PartSet({ 3 }), QuarantineRevision(1), false, 0, std::nullopt } } },
+        PeerUpstreamLeaving { { UpstreamId("u-1"), 1700000000000 } } };
 }
 
 } // namespace
@@ -102,6 +111,9 @@
     BOOST_TEST((message.quarantines[0].parts == quarantine().parts));
     BOOST_TEST((message.quarantines[0].untilProbe == quarantine().untilProbe));
     BOOST_TEST(message.quarantines[0].isLifted);
+    BOOST_REQUIRE(message.leaving.size() == 1);
+    BOOST_TEST(message.leaving[0].upstream == UpstreamId("u-2"));
+    BOOST_TEST(message.leaving[0].startedAt == 8);
     BOOST_REQUIRE(engine.adapters.size() == 3);
     BOOST_TEST(!engine.adapters[0].isLoading);
     BOOST_TEST(engine.adapters[1].isLoading);
@@ -124,12 +136,21 @@
     BOOST_TEST(!decodePeerMessage("\x81\x18\x63").has_value());
 }
 
+// Guards against dropping the heartbeats of hosts of an earlier version while a fleet is being replaced.
+BOOST_AUTO_TEST_CASE(ReadsHeartbeatsWithoutLeavingUpstreams)
+{
+    auto json = *fromCbor(encodePeerMessage(heartbeat()));
+    truncate(json, 16);
+    const auto decoded = decodePeerMessage(toCbor(json));
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(std::get<PeerHeartbeat>(*decoded).leaving.empty());
+}
+
 // Guards against dropping the heartbeats of hosts of an earlier version while a fleet is being replaced.
 BOOST_AUTO_TEST_CASE(ReadsHeartbeatsWithoutQuarantines)
 {
     auto json = *fromCbor(encodePeerMessage(heartbeat()));
-    json.erase(json.size() - 1);
-    json.erase(json.size() - 1);
+    truncate(json, 14);
     const auto decoded = decodePeerMessage(toCbor(json));
     BOOST_REQUIRE(decoded.has_value());
     const auto& message = std::get<PeerHeartbeat>(*decoded);
@@ -149,7 +170,7 @@
     BOOST_TEST(current.configurationVersion == sent.configurationVersion);
     BOOST_TEST(current.configurationRevision == sent.configurationRevision);
     BOOST_TEST(current.storeEra == sent.storeEra);
-    json.erase(json.size() - 1);
+    truncate(json, 15);
     const auto earlier = std::get<PeerHeartbeat>(*decodePeerMessage(toCbor(json)));
     BOOST_TEST(earlier.configurationVersion == RowVersion(17));
     BOOST_TEST(earlier.storeEra == StoreEra());
@@ -166,9 +187,7 @@
 BOOST_AUTO_TEST_CASE(ReadsHeartbeatsWithoutLimits)
 {
     auto json = *fromCbor(encodePeerMessage(heartbeat()));
-    json.erase(json.size() - 1);
-    json.erase(json.size() - 1);
-    json.erase(json.size() - 1);
+    truncate(json, 13);
     auto& engine = json[7][0];
     engine.erase(engine.size() - 1);
     engine.erase(engine.size() - 1);
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -2,6 +2,7 @@
 
 #include "gateway/call_record.h"
 #include "gateway/request_identity.h"
+#include "gateway/upstream_statements.h"
 
 #include <nlohmann/json.hpp>
 
@@ -207,6 +208,7 @@
     const UpstreamId& upstream = m_search->upstream();
     const UpstreamEntry* entry = m_services.upstreams.findUsable(upstream);
     if (!entry) {
+        recordWithheld(m_services, m_attributes.requestId, upstream);
         exchangeEnded(ExchangeOutcome::Answered, RunOutcome::EngineFailed);
         m_search->next();
         return;
@@ -250,8 +252,8 @@
     request.expectsEvents = m_admission.route->kind == RouteKind::Stream;
     request.isHead = m_exchange->method() == "HEAD";
     m_response.headArrived(attributes, headers, request);
-    observeLimit(attributes);
-    observeAvailability(attributes);
+    observeStatements(m_services, m_response,
+        { exchange.requestId, exchange.upstream, m_evidence->upstreamStartedAt(), m_sentAt });
     if (!m_response.isForeign() || !m_call)
         return;
     recordForeignResponse(m_services.metrics, exchange, attributes);
@@ -264,33 +266,6 @@
     return { m_attributes.requestId, m_search->upstream(), m_call && m_call->isOnReusedConnection() };
 }
 
-void ProxiedCall::observeLimit(const ResponseAttributes& attributes)
-{
-    // The late response to another request may state a limit that no longer holds, and a misdirected request
-    // was answered by another upstream.
-    if (!m_response.matchesRequest() || attributes.status == statusMisdirected)
-        return;
-    LimitObservation observation;
-    observation.upstream = m_search->upstream();
-    observation.startedAt = m_evidence->upstreamStartedAt();
-    observation.rate = attributes.requestLimit;
-    observation.isConclusive = m_response.isSuccess() && !attributes.hasUnreadableLimit;
-    observation.requestSent = m_sentAt;
-    m_services.limitObserved(observation, m_attributes.requestId);
-}
-
-void ProxiedCall::observeAvailability(const ResponseAttributes& attributes)
-{
-    // What comes from another process, or may, says nothing of this upstream.
-    if (!m_response.matchesRequest() || m_response.isUnverified() || attributes.status == statusMisdirected)
-        return;
-    if (attributes.availability.isEmpty())
-        return;
-    m_services.availabilityObserved(
-        { m_search->upstream(), m_evidence->upstreamStartedAt(), attributes.availability },
-        m_attributes.requestId);
-}
-
 void ProxiedCall::bodyArrived(std::string_view bytes)
 {
     const std::string events = m_response.bodyArrived(bytes, m_services.loop.now());
--- a/src/gateway/proxied_call.h
+++ b/src/gateway/proxied_call.h
@@ -48,10 +48,6 @@
     void send();
     HttpClientRequest upstreamRequest(const UpstreamEntry& entry);
     void headersArrived(int status, const HttpHeaders& headers);
-    /// Records what the head of a response says about the upstream's limit.
-    void observeLimit(const ResponseAttributes& attributes);
-    /// Records what the head of a response says about the upstream's availability.
-    void observeAvailability(const ResponseAttributes& attributes);
     void bodyArrived(std::string_view bytes);
     /// @return the parts of the prompt and the hash of the request itself.
     PartSet requestParts() const;
--- /dev/null
+++ b/src/gateway/upstream_availability_exchange_test.cc
@@ -0,0 +1,117 @@
+#include "gateway/upstream_availability_exchange.h"
+
+#include "base/virtual_scheduler.h"
+#include "gateway/fake_row_decoder_test.h"
+#include "gateway/fake_row_store_test.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lacewing;
+using namespace lacewing::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const UpstreamId upstream("u-1");
+const HostId peer("host-2");
+
+/// Decodes rows of upstreams whose value is the start of the upstream's process; all say ready.
+class ReadyRows : public FakeRowDecoder {
+public:
+    std::optional<UpstreamEntry> readUpstream(const StoredRow& row) const override
+    {
+        UpstreamEntry entry;
+        entry.id = UpstreamId(row.id.key);
+        entry.startedAt = std::stoll(row.value);
+        return entry;
+    }
+};
+
+struct Fixture {
+    Fixture()
+    {
+        put("5");
+        upstreams.start();
+        scheduler.advance(50ms);
+    }
+
+    void put(const char* startedAt)
+    {
+        store.put({ "servers", upstream.value() }, startedAt);
+        scheduler.advance(2s);
+    }
+    void observeLeaving(int64_t startedAt)
+    {
+        AvailabilityStatement statement;
+        statement.isLeaving = true;
+        exchange.observed({ upstream, startedAt, statement }, "r-1");
+    }
+    bool isUsable() const { return upstreams.findUsable(upstream) != nullptr; }
+
+    VirtualScheduler scheduler;
+    FakeRowStore store { scheduler };
+    ReadyRows rows;
+    UpstreamDirectory upstreams { scheduler, store, rows, { [] {}, [](const std::vector<StoredRow>&) {} } };
+    MetricsRegistry metrics;
+    std::vector<PeerMessage> sent;
+    int changes = 0;
+    UpstreamAvailabilityExchange exchange { scheduler, upstreams, metrics,
+        { [this](const PeerMessage& message) { sent.push_back(message); },
+            [this](const UpstreamId&) { ++changes; } } };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(UpstreamAvailabilityExchangeTest, Fixture)
+
+// Guards against requests to an upstream that has said itself that it leaves, while its row says ready
+// (DRAIN), and against an upstream that stays out after it has started anew.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatSaysItLeavesIsNotUsedUntilItStartsAnew)
+{
+    BOOST_TEST(isUsable());
+    observeLeaving(5);
+    BOOST_TEST(!isUsable());
+    BOOST_TEST(upstreams.find(upstream) != nullptr);
+    BOOST_TEST(changes == 1);
+    // The upstream writes its row as ready once more.
+    put("5");
+    BOOST_TEST(!isUsable());
+    put("6");
+    BOOST_TEST(isUsable());
+}
+
+// Guards against a change that is told to nobody, or told again by each host that hears of it.
+BOOST_AUTO_TEST_CASE(TellsPeersWhatItObservesAndOnlyThat)
+{
+    observeLeaving(5);
+    observeLeaving(5);
+    BOOST_REQUIRE(sent.size() == 1);
+    BOOST_TEST(std::get<PeerUpstreamLeaving>(sent[0]).statement.startedAt == 5);
+    exchange.onMessage(peer, PeerUpstreamLeaving { { UpstreamId("u-2"), 1 } });
+    BOOST_TEST(sent.size() == 1);
+    BOOST_TEST(changes == 2);
+}
+
+// Guards against a host that has heard of it from a peer alone, in either message, and goes on sending.
+BOOST_AUTO_TEST_CASE(TakesOverWhatPeersTell)
+{
+    PeerHeartbeat heartbeat;
+    heartbeat.leaving = { { upstream, 5 } };
+    exchange.onMessage(peer, heartbeat);
+    BOOST_TEST(!isUsable());
+    put("6");
+    exchange.onMessage(peer, PeerUpstreamLeaving { { upstream, 6 } });
+    BOOST_TEST(!isUsable());
+}
+
+// Guards against a peer that heard of a former process while it was cut off, and tells so afterwards.
+BOOST_AUTO_TEST_CASE(IgnoresTheStatementOfAFormerProcess)
+{
+    put("6");
+    exchange.onMessage(peer, PeerUpstreamLeaving { { upstream, 5 } });
+    observeLeaving(5);
+    BOOST_TEST(isUsable());
+    BOOST_TEST(changes == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -48,12 +48,30 @@
 {
     std::vector<const UpstreamEntry*> entries;
     for (const auto& [id, known] : m_known) {
-        if (known.entry.service == service && !known.entry.isDraining && isPresent(known))
+        if (known.entry.service == service && !isLeaving(known.entry) && isPresent(known))
             entries.push_back(&known.entry);
     }
     return entries;
 }
 
+bool UpstreamDirectory::areAllLeaving(const ServiceId& service) const
+{
+    bool isAnyPresent = false;
+    for (const auto& [id, known] : m_known) {
+        if (known.entry.service != service || !isPresent(known))
+            continue;
+        if (!isLeaving(known.entry))
+            return false;
+        isAnyPresent = true;
+    }
+    return isAnyPresent;
+}
+
+bool UpstreamDirectory::isLeaving(const UpstreamEntry& entry) const
+{
+    return entry.isDraining || m_availability.isLeaving(entry.id, entry.startedAt);
+}
+
 const UpstreamEntry* UpstreamDirectory::find(const UpstreamId& id) const
 {
     const auto found = m_known.find(id);
@@ -63,7 +81,7 @@
 const UpstreamEntry* UpstreamDirectory::findUsable(const UpstreamId& id) const
 {
     const UpstreamEntry* entry = find(id);
-    return entry && !entry->isDraining ? entry : nullptr;
+    return entry && !isLeaving(*entry) ? entry : nullptr;
 }
 
 std::set<UpstreamId> UpstreamDirectory::ids() const
@@ -91,7 +109,7 @@
     const auto found = m_known.find(id);
     if (found == m_known.end())
         return false;
-    const bool isInGracePeriod = m_scheduler.now() < m_graceEnd && !found->second.entry.isDraining;
+    const bool isInGracePeriod = m_scheduler.now() < m_graceEnd && !isLeaving(found->second.entry);
     if (isInGracePeriod) {
         if (!found->second.graceUntil)
             found->second.graceUntil = m_graceEnd;
--- a/src/gateway/upstream_directory.h
+++ b/src/gateway/upstream_directory.h
@@ -11,7 +11,8 @@
 
 namespace lacewing::gateway {
 
-/// Tracks the upstreams of all services by the rows that they publish in the store.
+/// Tracks the upstreams of all services by the rows that they publish in the store, and decides which of them
+/// may get requests, from the rows and from what they say of themselves beside them.
 ///
 /// Load pattern: the store is unreachable for a time, and upstreams can't renew their rows. A row that is
 /// removed just after an outage may only have expired because of it, so the upstream is kept for a grace
@@ -38,11 +39,13 @@
 
     void start() { m_feed.start(); }
 
-    /// @return the upstreams of a service that may get new requests.
+    /// @return the upstreams of a service that may get new requests, now or after a rest.
     std::vector<const UpstreamEntry*> usable(const ServiceId& service) const;
-    /// @return the upstream if it may get new requests, or null.
+    /// @return the upstream if it may get new requests, now or after a rest, or null.
     const UpstreamEntry* findUsable(const UpstreamId& id) const;
-    /// @return the upstream, even if it is draining, or null if it is unknown.
+    /// @return whether a service has upstreams, all of which are leaving.
+    bool areAllLeaving(const ServiceId& service) const;
+    /// @return the upstream, even if it is leaving, or null if it is unknown.
     const UpstreamEntry* find(const UpstreamId& id) const;
     std::set<UpstreamId> ids() const;
     /// @return the upstreams and the starts of their processes.
@@ -87,6 +90,8 @@
     bool wasRemoved(const StoredRow& row, const UpstreamEntry& entry) const;
     bool handleRemoval(const UpstreamId& id);
     bool isPresent(const KnownUpstream& known) const;
+    /// @return whether the upstream's row or the upstream itself says that it is leaving.
+    bool isLeaving(const UpstreamEntry& entry) const;
 
     Scheduler& m_scheduler;
     const RowDecoder& m_decoder;
--- a/src/gateway/upstream_directory_test.cc
+++ b/src/gateway/upstream_directory_test.cc
@@ -218,4 +218,27 @@
     BOOST_TEST(fixture.usable() == 2);
 }
 
+// Guards against an upstream that has said itself that it leaves, is kept because its row expired in an
+// outage, and comes back with a row of the store's copy that says ready.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatSaysItLeavesStaysAwayThroughAnOutage)
+{
+    Fixture fixture;
+    const UpstreamId id("s1");
+    fixture.directory.availability().learnLeaving(
+        { id, 1 }, StatementOrigin::Response, fixture.scheduler.now());
+    BOOST_TEST(fixture.usable() == 1u);
+    BOOST_TEST(!fixture.directory.areAllLeaving(service));
+    fixture.put("s1", "ready");
+    fixture.scheduler.advance(2s);
+    BOOST_TEST(!fixture.directory.findUsable(id));
+    BOOST_TEST(fixture.directory.find(id));
+    fixture.put("s2", "draining");
+    fixture.scheduler.advance(2s);
+    BOOST_TEST(fixture.directory.areAllLeaving(service));
+    fixture.put("s1", "restarted");
+    fixture.scheduler.advance(2s);
+    BOOST_TEST(fixture.directory.findUsable(id));
+    BOOST_TEST(!fixture.directory.areAllLeaving(service));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/upstream_search.cc
+++ b/src/gateway/upstream_search.cc
@@ -12,6 +12,8 @@
 
 /// Engines without an owner get a new one within a short time.
 constexpr Duration noOwnerRetryAfter = milliseconds(100);
+/// Time in which successors of upstreams that are leaving may have come.
+constexpr Duration leavingRetryAfter = milliseconds(1000);
 /// Fraction of the target latency for which a call may wait for a start within an upstream's limit.
 constexpr double limitWaitFraction = 0.5;
 /// Lower bound of the retry delay while upstreams are at their limits.
@@ -81,6 +83,14 @@
         m_handlers.onExhausted(overloadRefusal(), *retryAfter);
     else if (shortestWait)
         m_handlers.onExhausted(CallRefusal::UpstreamLimit, *shortestWait);
+    else
+        reportNoUpstream();
+}
+
+void UpstreamSearch::reportNoUpstream()
+{
+    if (m_services.upstreams.areAllLeaving(m_subject.admission.serviceId))
+        m_handlers.onExhausted(CallRefusal::UpstreamsLeaving, leavingRetryAfter);
     else
         m_handlers.onExhausted(CallRefusal::NoUpstream, noUpstreamRetryAfter);
 }
@@ -143,9 +153,10 @@
     else if (selection.limitedFor)
         m_handlers.onExhausted(
             CallRefusal::UpstreamLimit, std::max(*selection.limitedFor, shortestLimitRetryAfter));
+    else if (selection.hasUpstreams)
+        m_handlers.onExhausted(CallRefusal::NotExecuted, noUpstreamRetryAfter);
     else
-        m_handlers.onExhausted(selection.hasUpstreams ? CallRefusal::NotExecuted : CallRefusal::NoUpstream,
-            noUpstreamRetryAfter);
+        reportNoUpstream();
 }
 
 Duration UpstreamSearch::timeUntilLate() const
--- a/src/gateway/upstream_search.h
+++ b/src/gateway/upstream_search.h
@@ -74,6 +74,9 @@
     /// @return the reason for a refusal after owners have denied the call.
     CallRefusal overloadRefusal() const;
 
+    /// Ends the search because no upstream of the service may get the call.
+    void reportNoUpstream();
+
     void choosePlain();
     /// Starts the call once the limit that the upstream states permits it, or chooses another upstream.
     ///
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -77,6 +77,17 @@
         return std::make_unique<Call>(m_loop, std::move(exchange));
     }
 
+    void closeIdle(const SocketAddress& server) override
+    {
+        const auto found = m_idle.find(server);
+        if (found == m_idle.end())
+            return;
+        // Closing a connection changes the list.
+        const std::vector<HttpClientConnection*> idle = found->second;
+        for (HttpClientConnection* connection : idle)
+            connection->close();
+    }
+
     size_t connectionCount() const override { return m_connections.size(); }
 
 private:
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -92,6 +92,9 @@
     /// Sends a request. A request is never sent twice by the client itself.
     virtual std::unique_ptr<HttpClientCall> send(HttpClientRequest request, HttpClientHandlers handlers) = 0;
 
+    /// Closes the idle connections to a server.
+    virtual void closeIdle(const SocketAddress& server) = 0;
+
     /// @return connections that are open, idle or in use.
     virtual size_t connectionCount() const = 0;
 };
