--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -29,6 +29,8 @@
         return "stopping";
     case CallRefusal::UpstreamLimit:
         return "upstream_limit";
+    case CallRefusal::UpstreamsResting:
+        return "upstreams_resting";
     case CallRefusal::UpstreamsLeaving:
         return "upstreams_leaving";
     case CallRefusal::QuarantinedPrompt:
--- a/src/gateway/call_admission.h
+++ b/src/gateway/call_admission.h
@@ -24,6 +24,8 @@
     Stopping,
     /// The upstreams that could serve the request have stated limits, which are exhausted.
     UpstreamLimit,
+    /// The upstreams that could serve the request want no requests for a time.
+    UpstreamsResting,
     /// The upstreams that could serve the request are leaving, and no others have come yet.
     UpstreamsLeaving,
     /// Engines have ended on prompts like this one.
--- a/src/gateway/call_services.h
+++ b/src/gateway/call_services.h
@@ -31,6 +31,7 @@
     RunBroker& broker;
     UpstreamPicker& picker;
     const UpstreamLimits& limits;
+    UpstreamAvailability& availability;
     UpstreamPermits& permits;
     PlainUpstreamSelector& plainSelector;
     WorkspaceRateLimiter& usage;
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -112,6 +112,11 @@
     m_slots.abandonFetches();
 }
 
+Duration EngineScheduler::restLeft(MonotonicTime now) const
+{
+    return m_restEnd ? std::max<Duration>(*m_restEnd - now, Duration::zero()) : Duration::zero();
+}
+
 bool EngineScheduler::isUsable() const
 {
     return !m_isLeaving && m_unansweredCalls < unreachableAfter && !m_models.empty();
@@ -254,7 +259,8 @@
     planOrder(decisions, now);
     m_fetchLimiter.setDemand(this, fetchDemand());
     if (!m_sequence && !m_isReportPending && !m_order && !m_isLeaving) {
-        const Duration wait = std::max<Duration>(m_nextReport - now, m_pacer.waitFor(0, now));
+        const Duration wait
+            = std::max<Duration>({ m_nextReport - now, m_pacer.waitFor(0, now), restLeft(now) });
         if (wait <= Duration::zero()) {
             decisions.needsReport = true;
             m_isReportPending = true;
@@ -329,9 +335,11 @@
         ordered.insert(m_deferredLoad->adapter);
     }
     for (RunRequest& request : m_waiting) {
-        const size_t orders = ordered.count(request.adapter) > 0 ? 0 : ordersUntilServable(request.adapter);
+        const size_t ordersNeeded = ordersUntilServable(request.adapter);
+        const size_t orders = ordered.count(request.adapter) > 0 ? 0 : ordersNeeded;
         const Duration limitWait = m_pacer.waitFor(ahead + orders, now);
-        if (now + limitWait <= request.latestStart) {
+        const Duration wait = std::max(limitWait, ordersNeeded > 0 ? restLeft(now) : Duration::zero());
+        if (now + wait <= request.latestStart) {
             ahead += orders + 1;
             ordered.insert(request.adapter);
             remaining.push_back(std::move(request));
@@ -343,7 +351,7 @@
         const Duration slack = std::max<Duration>(request.onTimeStart - now, Duration::zero());
         decisions.denials.push_back(
             { request.key, isLimited ? RunRefusal::UpstreamLimit : RunRefusal::Overloaded,
-                std::max<Duration>(limitWait - slack, shortestRetryAfter), limitWait });
+                std::max<Duration>(wait - slack, shortestRetryAfter), wait });
     }
     m_waiting = std::move(remaining);
 }
@@ -369,7 +377,8 @@
 
 void EngineScheduler::planOrder(SchedulerDecisions& decisions, MonotonicTime now)
 {
-    const bool isWithinLimit = m_pacer.waitFor(0, now) == Duration::zero();
+    const bool isWithinLimit
+        = m_pacer.waitFor(0, now) == Duration::zero() && restLeft(now) == Duration::zero();
     if (m_isLeaving || m_order || !m_sequence || m_isReportPending || now < m_nextOrder || !isWithinLimit)
         return;
     m_order = chooseOrder(now);
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -56,6 +56,8 @@
     /// Sets whether the engine is shutting down. If so, its waiting requests are denied, so that they are
     /// placed elsewhere, and it gets neither orders nor requests for reports.
     void setLeaving(bool isLeaving);
+    /// Sets until when the engine wants no orders and no requests for reports; nothing if it takes them.
+    void setRestEnd(std::optional<MonotonicTime> end) { m_restEnd = end; }
 
     void request(RunRequest request, MonotonicTime now);
     /// Reports that the first event of a run has arrived from the engine.
@@ -96,6 +98,8 @@
     Tokens cacheDemand(const RunRequest& request) const;
     /// @return uncached prompt tokens that wait here or are being prefilled by the engine.
     Tokens queuedPrompts() const;
+    /// @return time until the engine may get orders; zero if it isn't resting.
+    Duration restLeft(MonotonicTime now) const;
     Duration estimateStart(const RunRequest& request, MonotonicTime now) const;
     std::optional<AdapterRef> nextLoad(MonotonicTime now) const;
     std::set<AdapterRef> awaitedAdapters() const;
@@ -156,6 +160,7 @@
     /// Consecutive calls that the engine did not answer.
     int m_unansweredCalls = 0;
     bool m_isLeaving = false;
+    std::optional<MonotonicTime> m_restEnd;
     /// The engine is loading or unloading a base model.
     bool m_isModelBusy = false;
     std::optional<PlannedOrder> m_order;
--- a/src/gateway/engine_view.cc
+++ b/src/gateway/engine_view.cc
@@ -64,7 +64,7 @@
     const Duration updateInterval = std::min(m_mesh.heartbeatInterval(), maximumBacklogError);
     std::vector<EngineCandidate> candidates;
     for (const UpstreamEntry* entry : m_upstreams.usable(service)) {
-        if (excluded.count(entry->id) > 0)
+        if (excluded.count(entry->id) > 0 || m_upstreams.restLeft(*entry) > Duration::zero())
             continue;
         EngineCandidate candidate;
         candidate.engine = entry->id;
--- a/src/gateway/fake_call_services_test.h
+++ b/src/gateway/fake_call_services_test.h
@@ -231,16 +231,17 @@
     CallAdmitter admitter { configuration, usage, random };
     PlainUpstreamSelector selector { upstreams, picker, limits, permits, self.dataCentre };
     std::vector<PeerMessage> availabilityMessages;
-    UpstreamAvailabilityExchange availability { scheduler, upstreams, metrics,
+    UpstreamAvailabilityExchange availabilityExchange { scheduler, upstreams, metrics,
         { [this](const PeerMessage& message) { availabilityMessages.push_back(message); },
             [](const UpstreamId&) {} } };
     CallServices services { scheduler, client, translator, configuration, upstreams, view, broker, picker,
-        limits, permits, selector, usage, admitter, retries, quarantine, metrics, random, [] {},
+        limits, upstreams.availability(), permits, selector, usage, admitter, retries, quarantine, metrics,
+        random, [] {},
         [this](const LimitObservation& observation, const std::string&) {
             limits.observe(observation, scheduler.now());
         },
         [this](const AvailabilityObservation& observation, const std::string& requestId) {
-            availability.observed(observation, requestId);
+            availabilityExchange.observed(observation, requestId);
         } };
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -132,8 +132,8 @@
               [this](const UpstreamId& upstream) { return m_engineView.ownerOf(upstream).has_value(); } })
     , m_plainSelector(m_upstreams, m_picker, m_limits, m_permits, m_settings.dataCentre)
     , m_services { loop, client, platform.calls, m_configuration, m_upstreams, m_engineView, m_broker,
-        m_picker, m_limits, m_permits, m_plainSelector, m_usage, m_admitter, m_retries, m_quarantine,
-        m_metrics, m_random, [this] { reportUsage(); },
+        m_picker, m_limits, m_upstreams.availability(), m_permits, m_plainSelector, m_usage, m_admitter,
+        m_retries, m_quarantine, m_metrics, m_random, [this] { reportUsage(); },
         [this](const LimitObservation& observation, const std::string& requestId) {
             m_limitExchange.observed(observation, requestId);
         },
--- a/src/gateway/owned_engines.cc
+++ b/src/gateway/owned_engines.cc
@@ -61,10 +61,16 @@
     for (const auto& [adapter, version] : m_configuration.releases())
         owned.scheduler->setRelease(adapter, version);
     owned.scheduler->setRequestRate(m_handlers.requestRate(engine), m_scheduler.now());
-    owned.scheduler->setLeaving(m_upstreams.findUsable(engine) == nullptr);
+    applyAvailability(*entry, *owned.scheduler);
     applyDecisions(engine);
 }
 
+void OwnedEngines::applyAvailability(const UpstreamEntry& entry, EngineScheduler& scheduler) const
+{
+    scheduler.setLeaving(m_upstreams.findUsable(entry.id) == nullptr);
+    scheduler.setRestEnd(m_upstreams.availability().restEnd(entry.id, entry.startedAt, m_scheduler.now()));
+}
+
 void OwnedEngines::lost(const UpstreamId& engine)
 {
     const auto found = m_engines.find(engine);
@@ -161,7 +167,7 @@
         }
         if (const auto limits = limitsOf(*entry))
             owned->scheduler->setLimits(*limits);
-        owned->scheduler->setLeaving(m_upstreams.findUsable(engine) == nullptr);
+        applyAvailability(*entry, *owned->scheduler);
         applyDecisions(engine);
     }
 }
--- a/src/gateway/owned_engines.h
+++ b/src/gateway/owned_engines.h
@@ -75,6 +75,8 @@
     /// @return the owned engines as a copy, since handlers may change the set.
     std::vector<UpstreamId> ownedIds() const;
     void startScheduler(const UpstreamId& engine, OwnedEngine& owned);
+    /// Tells a scheduler whether its engine is leaving or resting.
+    void applyAvailability(const UpstreamEntry& entry, EngineScheduler& scheduler) const;
     void denyWaiting(const EngineScheduler& scheduler, RunRefusal reason);
     void applyDecisions(const UpstreamId& engine);
     void sendOrder(const UpstreamId& engine, const PlannedOrder& planned);
--- a/src/gateway/owned_engines_test.cc
+++ b/src/gateway/owned_engines_test.cc
@@ -139,6 +139,26 @@
     BOOST_TEST(denials.size() == 2);
 }
 
+// Guards against orders to an engine that wants a rest (BUDGET), and against requests that wait for one in
+// vain.
+BOOST_AUTO_TEST_CASE(ARestingEngineGetsNoOrders)
+{
+    const auto rest = upstreams.availability().learnRest(engine, 1, 2s, scheduler.now());
+    BOOST_REQUIRE(rest.has_value());
+    owners.refresh();
+    request(7);
+    scheduler.advance(1500ms);
+    BOOST_TEST(control.orders == 0);
+    BOOST_TEST(denials.empty());
+    scheduler.advance(600ms);
+    BOOST_TEST(control.orders == 1);
+    upstreams.availability().learnRest(engine, 1, 9s, scheduler.now());
+    owners.refresh();
+    control.answerAll(OrderOutcome::Unknown);
+    request(8);
+    BOOST_TEST(denials.size() >= 1u);
+}
+
 // Guards against requests that wait for a host that no longer owns the engine.
 BOOST_AUTO_TEST_CASE(DeniesWaitingRunsWhenTheEngineIsLost)
 {
--- a/src/gateway/plain_upstream_selector.cc
+++ b/src/gateway/plain_upstream_selector.cc
@@ -21,13 +21,19 @@
     const auto usable = m_upstreams.usable(service);
     const bool hasUnlimited
         = std::any_of(usable.begin(), usable.end(), [this, &tried](const UpstreamEntry* entry) {
-              return tried.count(entry->id) == 0 && !m_limits.rate(entry->id);
+              return tried.count(entry->id) == 0 && !m_limits.rate(entry->id)
+                  && m_upstreams.restLeft(*entry) == Duration::zero();
           });
     Selection selection;
     selection.hasUpstreams = !usable.empty();
     selection.patience = hasUnlimited ? Duration::zero() : longestWait;
     std::vector<PickCandidate> candidates;
     for (const UpstreamEntry* entry : usable) {
+        const Duration rest = m_upstreams.restLeft(*entry);
+        if (rest > Duration::zero()) {
+            selection.restingFor = std::min(selection.restingFor.value_or(rest), rest);
+            continue;
+        }
         if (tried.count(entry->id) > 0)
             continue;
         const Duration wait = m_permits.expectedWait(entry->id);
--- a/src/gateway/plain_upstream_selector.h
+++ b/src/gateway/plain_upstream_selector.h
@@ -13,9 +13,9 @@
 /// Selects an upstream of a service without engines for one request, with respect to the limits that
 /// upstreams state.
 ///
-/// Load pattern: some upstreams of a service take few requests per second, or all of them do. A request goes
-/// past an upstream that has no start to offer, and waits for one only if no upstream without a limit is
-/// left.
+/// Load pattern: some upstreams of a service take few requests per second or none for a time, or all of them
+/// do. A request goes past an upstream that rests or has no start to offer, and waits for a start only if no
+/// upstream without a limit is left.
 class PlainUpstreamSelector {
 public:
     /// All must outlive the selector.
@@ -29,6 +29,8 @@
         Duration patience {};
         /// Set if upstreams can't take the request in time because of their limits: after this time one can.
         std::optional<Duration> limitedFor;
+        /// Set if upstreams can't take the request because they want a rest: after this time one can.
+        std::optional<Duration> restingFor;
         bool hasUpstreams = false;
     };
 
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -207,7 +207,7 @@
 {
     const UpstreamId& upstream = m_search->upstream();
     const UpstreamEntry* entry = m_services.upstreams.findUsable(upstream);
-    if (!entry) {
+    if (!entry || m_services.upstreams.restLeft(*entry) > Duration::zero()) {
         recordWithheld(m_services, m_attributes.requestId, upstream);
         exchangeEnded(ExchangeOutcome::Answered, RunOutcome::EngineFailed);
         m_search->next();
@@ -226,6 +226,7 @@
     if (m_services.limits.rate(upstream))
         ++m_services.metrics.counter("lacewing_limited_upstream_requests_total", { { "kind", "call" } });
     m_services.picker.started(upstream);
+    m_services.availability.requestSent(upstream, m_sentAt);
     HttpClientHandlers handlers;
     handlers.onHeaders = [this](int status, const HttpHeaders& headers) { headersArrived(status, headers); };
     handlers.onBody = [this](std::string_view bytes) { bodyArrived(bytes); };
@@ -370,7 +371,7 @@
         handleBrokenStream();
         return;
     }
-    if (isFailure && mayRepeat() && tryRetry()) {
+    if (isFailure && mayRepeat() && m_search->hasAlternative() && tryRetry()) {
         m_search->next();
         return;
     }
@@ -482,9 +483,7 @@
         = std::chrono::duration_cast<Duration>(attemptTimeoutFraction * m_admission.route->targetLatency);
     m_attemptTimer = m_services.loop.runAfter(wait, [this] {
         m_attemptTimer = 0;
-        const bool hasOther
-            = m_services.upstreams.usable(m_admission.serviceId).size() > m_search->triedCount();
-        if (!hasOther || !tryRetry())
+        if (!m_search->hasAlternative() || !tryRetry())
             return;
         ++m_possibleRuns;
         m_mayHaveRun = true;
@@ -532,8 +531,8 @@
             m_admission.workspace->id, std::exchange(m_admission.charge, 0), m_services.loop.now());
     ++m_services.metrics.counter("lacewing_refusals_total", { { "reason", toString(refusal) } });
     // Before these have passed the request would be rejected again.
-    const bool isLowerBound
-        = refusal == CallRefusal::UpstreamLimit || refusal == CallRefusal::QuarantinedPrompt;
+    const bool isLowerBound = refusal == CallRefusal::UpstreamLimit
+        || refusal == CallRefusal::UpstreamsResting || refusal == CallRefusal::QuarantinedPrompt;
     if (retryAfter)
         retryAfter = spread(*retryAfter, isLowerBound ? 1 : 0.8);
     reply(statusUnavailable, m_services.translator.localReplyHeaders(m_attributes.requestId, retryAfter), "",
--- a/src/gateway/upstream_availability.cc
+++ b/src/gateway/upstream_availability.cc
@@ -75,6 +75,13 @@
     return std::max<Duration>(std::min(probe, rest.end) - now, Duration::zero());
 }
 
+std::optional<MonotonicTime> UpstreamAvailability::restEnd(
+    const UpstreamId& upstream, int64_t startedAt, MonotonicTime now) const
+{
+    const bool isResting = restLeft(upstream, startedAt, now) > Duration::zero();
+    return isResting ? std::make_optional(m_rests.at(upstream).end) : std::nullopt;
+}
+
 void UpstreamAvailability::requestSent(const UpstreamId& upstream, MonotonicTime now)
 {
     const auto found = m_rests.find(upstream);
--- a/src/gateway/upstream_availability.h
+++ b/src/gateway/upstream_availability.h
@@ -75,6 +75,10 @@
     /// @return time until the upstream may get a request from this host; zero if it may get one now.
     Duration restLeft(const UpstreamId& upstream, int64_t startedAt, MonotonicTime now) const;
 
+    /// @return when the upstream's rest ends; nothing if it isn't resting.
+    std::optional<MonotonicTime> restEnd(
+        const UpstreamId& upstream, int64_t startedAt, MonotonicTime now) const;
+
     /// Records that a request is sent to an upstream, which is a probe if the upstream is resting.
     void requestSent(const UpstreamId& upstream, MonotonicTime now);
     /// Records that an upstream has answered with success a request that was sent at the given time.
--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -67,6 +67,22 @@
     return isAnyPresent;
 }
 
+Duration UpstreamDirectory::restLeft(const UpstreamEntry& entry) const
+{
+    return m_availability.restLeft(entry.id, entry.startedAt, m_scheduler.now());
+}
+
+std::optional<Duration> UpstreamDirectory::shortestRest(const ServiceId& service) const
+{
+    std::optional<Duration> shortest;
+    for (const UpstreamEntry* entry : usable(service)) {
+        const Duration rest = restLeft(*entry);
+        if (rest > Duration::zero())
+            shortest = std::min(shortest.value_or(rest), rest);
+    }
+    return shortest;
+}
+
 bool UpstreamDirectory::isLeaving(const UpstreamEntry& entry) const
 {
     return entry.isDraining || m_availability.isLeaving(entry.id, entry.startedAt);
--- a/src/gateway/upstream_directory.h
+++ b/src/gateway/upstream_directory.h
@@ -43,6 +43,11 @@
     std::vector<const UpstreamEntry*> usable(const ServiceId& service) const;
     /// @return the upstream if it may get new requests, now or after a rest, or null.
     const UpstreamEntry* findUsable(const UpstreamId& id) const;
+    /// @return time until an upstream that is usable may get a request from this host; zero without a rest.
+    Duration restLeft(const UpstreamEntry& entry) const;
+    /// @return the shortest time until a resting upstream of a service may get a request; nothing if none
+    /// rests.
+    std::optional<Duration> shortestRest(const ServiceId& service) const;
     /// @return whether a service has upstreams, all of which are leaving.
     bool areAllLeaving(const ServiceId& service) const;
     /// @return the upstream, even if it is leaving, or null if it is unknown.
--- a/src/gateway/upstream_search.cc
+++ b/src/gateway/upstream_search.cc
@@ -79,14 +79,25 @@
         startWithinLimit(engine, Duration::zero());
         return;
     }
+    const auto rest = m_services.upstreams.shortestRest(m_subject.admission.serviceId);
     if (const auto retryAfter = m_owners.retryAfter())
         m_handlers.onExhausted(overloadRefusal(), *retryAfter);
     else if (shortestWait)
         m_handlers.onExhausted(CallRefusal::UpstreamLimit, *shortestWait);
+    else if (rest)
+        m_handlers.onExhausted(CallRefusal::UpstreamsResting, *rest);
     else
         reportNoUpstream();
 }
 
+bool UpstreamSearch::hasAlternative() const
+{
+    const auto usable = m_services.upstreams.usable(m_subject.admission.serviceId);
+    return std::any_of(usable.begin(), usable.end(), [this](const UpstreamEntry* entry) {
+        return m_tried.count(entry->id) == 0 && m_services.upstreams.restLeft(*entry) == Duration::zero();
+    });
+}
+
 void UpstreamSearch::reportNoUpstream()
 {
     if (m_services.upstreams.areAllLeaving(m_subject.admission.serviceId))
@@ -150,6 +161,8 @@
         m_subject.admission.serviceId, m_tried, timeUntilLate(), m_services.loop.now());
     if (selection.upstream)
         startWithinLimit(*selection.upstream, selection.patience);
+    else if (selection.restingFor && (!selection.limitedFor || *selection.restingFor < *selection.limitedFor))
+        m_handlers.onExhausted(CallRefusal::UpstreamsResting, *selection.restingFor);
     else if (selection.limitedFor)
         m_handlers.onExhausted(
             CallRefusal::UpstreamLimit, std::max(*selection.limitedFor, shortestLimitRetryAfter));
--- a/src/gateway/upstream_search.h
+++ b/src/gateway/upstream_search.h
@@ -58,6 +58,8 @@
 
     /// @return the upstream that was chosen or asked last; empty before the first one.
     const UpstreamId& upstream() const { return m_upstream; }
+    /// @return whether an upstream that has not been tried may get a request now.
+    bool hasAlternative() const;
     /// @return the number of upstreams that have denied the call or that it has started at.
     size_t triedCount() const { return m_tried.size(); }
     /// @return how many owners were asked.
--- a/src/gateway/upstream_statements.cc
+++ b/src/gateway/upstream_statements.cc
@@ -25,7 +25,13 @@
 {
     const AvailabilityStatement& statement = response.attributes()->availability;
     // A success without the seal may come from anyone.
-    if (!response.isUnverified() && !statement.isEmpty())
+    if (response.isUnverified())
+        return;
+    if (response.isSuccess() && services.availability.requestSucceeded(request.upstream, request.sent))
+        LogEvent(LogLevel::Info, "upstream_rest_ended")
+            .with("upstream", request.upstream)
+            .with("request", request.id);
+    if (!statement.isEmpty())
         services.availabilityObserved({ request.upstream, request.startedAt, statement }, request.id);
 }
 
@@ -44,8 +50,9 @@
 
 void recordWithheld(CallServices& services, const std::string& requestId, const UpstreamId& upstream)
 {
-    const auto leavingFor = services.upstreams.availability().leavingFor(upstream, services.loop.now());
-    const char* reason = leavingFor ? "leaving" : "gone";
+    const auto leavingFor = services.availability.leavingFor(upstream, services.loop.now());
+    const bool isUsable = services.upstreams.findUsable(upstream) != nullptr;
+    const char* reason = isUsable ? "resting" : leavingFor ? "leaving" : "gone";
     ++services.metrics.counter("lacewing_withheld_requests_total", { { "reason", reason } });
     LogEvent(LogLevel::Info, "request_withheld")
         .with("request", requestId)
--- a/src/gateway/upstream_statements_test.cc
+++ b/src/gateway/upstream_statements_test.cc
@@ -115,4 +115,62 @@
     BOOST_TEST(client.calls.size() == 3u);
 }
 
+// Guards against sends that are known to be in vain (BUDGET): requests go to the other upstream, and with
+// both at rest they are refused at once with a time that is true.
+BOOST_AUTO_TEST_CASE(RestingUpstreamsGetNoRequests)
+{
+    const auto turnAway = [this](const char* rest) {
+        last().handlers.onHeaders(503, { { "id", "r-1" }, { "not-executed", "1" }, { "rest", rest } });
+        last().end();
+    };
+    send("/once/1");
+    const UpstreamId first = lastUpstream();
+    turnAway("3000");
+    BOOST_TEST((lastUpstream() != first));
+    last().head(200, "r-1", false);
+    last().end();
+    for (int request = 0; request < 10; ++request) {
+        send("/safe/1");
+        BOOST_TEST((lastUpstream() != first));
+        if (request == 9)
+            break;
+        last().head(200, "r-1", false);
+        last().end();
+    }
+    turnAway("5000");
+    const size_t sent = client.calls.size();
+    std::set<int> delays;
+    for (int request = 0; request < 10; ++request) {
+        send(request % 2 == 0 ? "/safe/1" : "/once/1");
+        BOOST_TEST(exchange->responseStatus == 503);
+        delays.insert(std::stoi(*exchange->responseHeaders.find("retry")));
+    }
+    BOOST_TEST(client.calls.size() == sent);
+    BOOST_TEST(*delays.begin() >= 3000);
+    BOOST_TEST(*delays.rbegin() <= 4500);
+    BOOST_TEST(delays.size() > 1u);
+    BOOST_TEST(metrics.counter("lacewing_refusals_total", { { "reason", "upstreams_resting" } }) >= 10);
+    scheduler.advance(3001ms);
+    send("/safe/1");
+    BOOST_TEST((lastUpstream() == first));
+}
+
+// Guards against a 502 in place of an upstream's failure that is ready, because there is nowhere to repeat
+// the call.
+BOOST_AUTO_TEST_CASE(AFailureIsForwardedIfAllOtherUpstreamsRest)
+{
+    for (const char* upstream : { "s-1", "s-2" })
+        upstreams.availability().learnRest(UpstreamId(upstream), 1, 1s, scheduler.now());
+    scheduler.advance(1001ms);
+    send("/safe/1");
+    const UpstreamId other(lastUpstream() == UpstreamId("s-1") ? "s-2" : "s-1");
+    upstreams.availability().learnRest(other, 1, 1s, scheduler.now());
+    last().handlers.onHeaders(500, { { "id", "r-1" } });
+    last().handlers.onBody("broken");
+    last().end();
+    BOOST_TEST(client.calls.size() == 1u);
+    BOOST_TEST(exchange->responseStatus == 500);
+    BOOST_TEST(exchange->responseBody == "broken");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
