--- a/src/gateway/call_services.h
+++ b/src/gateway/call_services.h
@@ -9,6 +9,7 @@
 #include "gateway/engine_view.h"
 #include "gateway/plain_upstream_selector.h"
 #include "gateway/quarantine_exchange.h"
+#include "gateway/response_memory.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/run_broker.h"
 #include "gateway/upstream_directory.h"
@@ -38,6 +39,7 @@
     const CallAdmitter& admitter;
     RetryAllowance& retries;
     QuarantineExchange& quarantine;
+    ResponseMemory& responseMemory;
     MetricsRegistry& metrics;
     Random& random;
     /// Sends the workspaces' usage to all peers before the next heartbeat.
--- a/src/gateway/fake_call_services_test.h
+++ b/src/gateway/fake_call_services_test.h
@@ -23,6 +23,7 @@
     HttpClientRequest request;
     HttpClientHandlers handlers;
     bool isCancelled = false;
+    bool isPaused = false;
     bool isOnReusedConnection = false;
 
     void head(int status, const std::string& id, bool isStream, bool isSealed = true)
@@ -68,8 +69,8 @@
         }
         ~Handle() override { call->isCancelled = true; }
         void cancel() override { call->isCancelled = true; }
-        void pauseReading() override { }
-        void resumeReading() override { }
+        void pauseReading() override { call->isPaused = true; }
+        void resumeReading() override { call->isPaused = false; }
         bool isOnReusedConnection() const override { return call->isOnReusedConnection; }
 
         std::shared_ptr<UpstreamCall> call;
@@ -234,9 +235,11 @@
     UpstreamAvailabilityExchange availabilityExchange { scheduler, upstreams, metrics,
         { [this](const PeerMessage& message) { availabilityMessages.push_back(message); },
             [](const UpstreamId&) {} } };
+    MemoryAccount memory;
+    ResponseMemory responseMemory { scheduler, memory, { [] {} } };
     CallServices services { scheduler, client, translator, configuration, upstreams, view, broker, picker,
-        limits, upstreams.availability(), permits, selector, usage, admitter, retries, quarantine, metrics,
-        random, [] {},
+        limits, upstreams.availability(), permits, selector, usage, admitter, retries, quarantine,
+        responseMemory, metrics, random, [] {},
         [this](const LimitObservation& observation, const std::string&) {
             limits.observe(observation, scheduler.now());
         },
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -27,6 +27,11 @@
 /// longer than that.
 constexpr Duration idleSlack = std::chrono::milliseconds(1000);
 
+/// Part of the memory for messages that bodies of requests may take, so that responses to them find room.
+constexpr double requestBodyShare = 0.6;
+/// A caller that takes nothing of its answers for this time is disconnected if memory is short.
+constexpr Duration longestReadStall = std::chrono::seconds(1);
+
 Incarnation randomIncarnation()
 {
     std::random_device device;
@@ -69,8 +74,8 @@
 
 } // namespace
 
-Gateway::Gateway(
-    EventLoop& loop, HttpClient& client, const PlatformInterfaces& platform, GatewaySettings settings)
+Gateway::Gateway(EventLoop& loop, HttpClient& client, MemoryAccount& memory,
+    const PlatformInterfaces& platform, GatewaySettings settings)
     : m_loop(loop)
     , m_platform(platform)
     , m_settings(std::move(settings))
@@ -126,6 +131,8 @@
     , m_quarantine(loop, m_random, m_metrics,
           { [this](const PeerMessage& message) { m_mesh.sendToAll(message); },
               [this](const Quarantine& quarantine) { m_quarantineRows.save(quarantine); } })
+    , m_memory(memory)
+    , m_responseMemory(loop, memory, { [this] { relieveMemory(); } })
     , m_permits(loop, m_limits, m_settings.host,
           { [this](const HostId& peer, const PeerMessage& message) { return m_mesh.send(peer, message); },
               [this] { return permitDeciders(); }, [this] { return shareInTouch(); },
@@ -133,7 +140,7 @@
     , m_plainSelector(m_upstreams, m_picker, m_limits, m_permits, m_settings.dataCentre)
     , m_services { loop, client, platform.calls, m_configuration, m_upstreams, m_engineView, m_broker,
         m_picker, m_limits, m_upstreams.availability(), m_permits, m_plainSelector, m_usage, m_admitter,
-        m_retries, m_quarantine, m_metrics, m_random, [this] { reportUsage(); },
+        m_retries, m_quarantine, m_responseMemory, m_metrics, m_random, [this] { reportUsage(); },
         [this](const LimitObservation& observation, const std::string& requestId) {
             m_limitExchange.observed(observation, requestId);
         },
@@ -158,6 +165,8 @@
 {
     HttpServerOptions options;
     options.address = address;
+    options.memory = &m_memory;
+    options.bodyShare = requestBodyShare;
     const auto observer = [this](const std::string& reason) {
         ++m_metrics.counter("lacewing_rejected_requests_total", { { "reason", reason } });
     };
@@ -202,12 +211,24 @@
     m_settings.retries = settings.retries;
     m_settings.directoryLifetime = settings.directoryLifetime;
     m_fleet.setLeaseTime(ownerLease(settings));
+    m_memory.setLimit(settings.messageMemory());
     m_usage.setWindow(settings.usageWindow);
     m_usage.setTolerance(settings.usageTolerance);
     m_retries.setLimits(settings.retries);
     LogEvent(LogLevel::Info, "settings_reloaded").with("host", m_settings.host);
 }
 
+void Gateway::relieveMemory()
+{
+    const size_t closed = m_callerServer->closeStalled(longestReadStall);
+    m_metrics.counter("lacewing_stalled_callers_closed_total") += static_cast<int64_t>(closed);
+    LogEvent(LogLevel::Warning, "memory_short")
+        .with("held_bytes", m_memory.held())
+        .with("limit_bytes", m_memory.limit())
+        .with("waiting_answers", m_responseMemory.waitingCount())
+        .with("closed_callers", closed);
+}
+
 void Gateway::acceptCall(std::shared_ptr<HttpExchange> exchange)
 {
     const auto call = std::make_shared<ProxiedCall>(
@@ -259,6 +280,9 @@
 {
     m_metrics.gauge("lacewing_open_calls") = static_cast<double>(m_calls.size());
     m_metrics.gauge("lacewing_owned_engines") = static_cast<double>(m_owners.summaries().size());
+    m_metrics.gauge("lacewing_message_bytes") = static_cast<double>(m_memory.held());
+    m_metrics.gauge("lacewing_message_bytes_limit") = static_cast<double>(m_memory.limit());
+    m_metrics.gauge("lacewing_waiting_answers") = static_cast<double>(m_responseMemory.waitingCount());
     m_metrics.gauge("lacewing_leaving_upstreams")
         = static_cast<double>(m_upstreams.availability().leavingCount());
     m_metrics.gauge("lacewing_resting_upstreams")
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -30,8 +30,9 @@
 class Gateway {
 public:
     /// @param client used for requests to upstreams; must outlive the gateway.
-    Gateway(
-        EventLoop& loop, HttpClient& client, const PlatformInterfaces& platform, GatewaySettings settings);
+    /// @param memory counts the messages that the process holds; must outlive the gateway.
+    Gateway(EventLoop& loop, HttpClient& client, MemoryAccount& memory, const PlatformInterfaces& platform,
+        GatewaySettings settings);
     ~Gateway();
 
     /// Binds all addresses and joins the fleet.
@@ -50,6 +51,8 @@
 private:
     bool listen(std::unique_ptr<HttpServer>& server, const SocketAddress& address,
         HttpServer::Handler handler, std::string& error);
+    /// Closes connections of callers that don't read what waits for them, so that others can be served.
+    void relieveMemory();
     void acceptCall(std::shared_ptr<HttpExchange> exchange);
     void callFinished(ProxiedCall* call);
     void answerDirectory(HttpExchange& exchange);
@@ -115,6 +118,8 @@
     UpstreamAvailabilityExchange m_availability;
     QuarantineRows m_quarantineRows;
     QuarantineExchange m_quarantine;
+    MemoryAccount& m_memory;
+    ResponseMemory m_responseMemory;
     UpstreamPermits m_permits;
     PlainUpstreamSelector m_plainSelector;
     CallServices m_services;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -56,6 +56,19 @@
 
 constexpr double longestSeconds = 24 * 60 * 60;
 
+FieldReader memoryField(size_t& bytes)
+{
+    return [&bytes](const std::string& text) -> std::optional<FieldError> {
+        constexpr double fewestMegabytes = 16;
+        constexpr double mostMegabytes = 1024 * 1024;
+        const auto value = number(text);
+        if (!value || *value < fewestMegabytes || *value > mostMegabytes)
+            return FieldError { "\"" + text + "\" is not an amount of memory", "megabytes, 16 or more" };
+        bytes = static_cast<size_t>(*value * GatewaySettings::bytesPerMegabyte);
+        return std::nullopt;
+    };
+}
+
 FieldReader durationField(Duration& target, double secondsPerUnit, double shortestSeconds = 0)
 {
     return [&target, secondsPerUnit, shortestSeconds](const std::string& text) -> std::optional<FieldError> {
@@ -118,6 +131,7 @@
         { "retrySlack", { numberField(settings.retries.fixedAllowance), false } },
         { "retryWindowSeconds", { durationField(settings.retries.window, second), false } },
         { "directoryLifetimeSeconds", { durationField(settings.directoryLifetime, second), false } },
+        { "memoryMegabytes", { memoryField(settings.memoryBytes), false } },
         { "firstStart", { flagField(settings.isFirstStart), false } },
     };
 }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -13,6 +13,8 @@
 
 /// Settings of one gateway process.
 struct GatewaySettings {
+    static constexpr size_t bytesPerMegabyte = 1000 * 1000;
+
     HostId host;
     DataCentreId dataCentre;
     /// Listens for callers' requests.
@@ -40,8 +42,14 @@
     RetryLimits retries;
     /// Time for which callers may cache a discovery response.
     Duration directoryLifetime = std::chrono::seconds(1);
+    /// Memory that the process may take, in bytes.
+    size_t memoryBytes = 256 * bytesPerMegabyte;
     /// Whether the fleet starts for the first time, so that there is no earlier usage.
     bool isFirstStart = false;
+
+    /// @return the part of the memory that messages may take, in bytes. The rest is for the program, its
+    /// state, and copies while messages are passed on.
+    size_t messageMemory() const { return memoryBytes / 5 * 2; }
 };
 
 /// Reads a gateway's settings file (YAML).
--- a/src/gateway/gateway_settings_test.cc
+++ b/src/gateway/gateway_settings_test.cc
@@ -51,7 +51,8 @@
 
 BOOST_AUTO_TEST_CASE(ReadsAllFields)
 {
-    const SettingsFile file(valid + "leaseMilliseconds: 2500\nretryRatio: 0.3\nfirstStart: true\n");
+    const SettingsFile file(
+        valid + "leaseMilliseconds: 2500\nretryRatio: 0.3\nfirstStart: true\nmemoryMegabytes: 160\n");
     GatewaySettingsReader reader;
     const auto settings = reader.read(file.path());
     BOOST_REQUIRE(settings.has_value());
@@ -60,6 +61,8 @@
     BOOST_TEST((settings->leaseTime == 2500ms));
     BOOST_TEST(settings->retries.ratio == 0.3);
     BOOST_TEST(settings->isFirstStart);
+    BOOST_TEST(settings->memoryBytes == 160'000'000u);
+    BOOST_TEST(settings->messageMemory() < settings->memoryBytes / 2);
 }
 
 // Guards against error messages that do not show the operator which line and field to correct.
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -54,6 +54,7 @@
     , m_exchange(std::move(exchange))
     , m_finished(std::move(finished))
     , m_arrival(services.loop.now())
+    , m_flow(services.responseMemory, [this] { giveUpResponse(); })
     , m_response(services.translator.eventFormat())
 {
 }
@@ -193,7 +194,7 @@
     request.target
         = m_exchange->query().empty() ? m_exchange->path() : m_exchange->path() + '?' + m_exchange->query();
     request.headers = m_services.translator.upstreamHeaders(m_exchange->headers(), fields);
-    request.body = m_exchange->body();
+    request.sharedBody = m_exchange->sharedBody();
     const auto connectTime
         = std::chrono::duration_cast<Duration>(connectTimeoutFraction * m_admission.route->targetLatency);
     request.connectTimeout = std::clamp(connectTime, shortestConnectTimeout, longestConnectTimeout);
@@ -235,6 +236,7 @@
         upstreamDone(result);
     };
     m_call = m_services.client.send(upstreamRequest(*entry), std::move(handlers));
+    m_flow.begin(*m_call);
     startAttemptTimer();
 }
 
@@ -255,6 +257,7 @@
     m_response.headArrived(attributes, headers, request);
     observeStatements(m_services, m_response,
         { exchange.requestId, exchange.upstream, m_evidence->upstreamStartedAt(), m_sentAt });
+    m_flow.needs(m_response.expectedBytes());
     if (!m_response.isForeign() || !m_call)
         return;
     recordForeignResponse(m_services.metrics, exchange, attributes);
@@ -274,6 +277,7 @@
         m_evidence->answerBegan();
         forwardEvents(events);
     }
+    m_flow.needs(m_response.expectedBytes());
     const bool isOversized = m_response.exceedsSizeLimit();
     if (!m_call || (!isOversized && !m_response.events().fault()))
         return;
@@ -282,6 +286,13 @@
     m_call->cancel();
 }
 
+void ProxiedCall::giveUpResponse()
+{
+    recordGivenUpResponse(m_services.metrics, exchangeContext(), m_response);
+    if (m_call)
+        m_call->cancel();
+}
+
 PartSet ProxiedCall::requestParts() const
 {
     const std::string authority = m_exchange->headers().find("Host").value_or("");
@@ -301,14 +312,11 @@
         m_streamEnd = streamEnd();
         m_exchange->startStream(m_response.attributes()->status,
             m_services.translator.callerHeaders(m_response.headers()), m_streamEnd);
-        m_exchange->onDrained([this] {
-            if (m_call)
-                m_call->resumeReading();
-        });
+        m_exchange->onDrained([this] { m_flow.setCallerBehind(false); });
     }
     m_exchange->sendChunk(events);
-    if (m_call && m_exchange->bufferedBytes() > maximumBufferedBytes)
-        m_call->pauseReading();
+    if (m_exchange->bufferedBytes() > maximumBufferedBytes)
+        m_flow.setCallerBehind(true);
 }
 
 void ProxiedCall::exchangeEnded(ExchangeOutcome outcome, RunOutcome runOutcome)
@@ -316,6 +324,7 @@
     m_services.loop.cancel(std::exchange(m_attemptTimer, 0));
     if (std::exchange(m_isExchanging, false))
         m_services.picker.ended(m_search->upstream(), outcome, m_services.loop.now());
+    m_flow.end();
     m_call.reset();
     m_search->runEnded({ runOutcome, m_response.longestPause() });
 }
@@ -562,6 +571,7 @@
         return;
     m_services.loop.cancel(std::exchange(m_deadlineTimer, 0));
     m_services.loop.cancel(std::exchange(m_attemptTimer, 0));
+    m_flow.release();
     if (m_search)
         m_search->stop();
     CallRecord record(m_attributes, m_admission, m_response);
--- a/src/gateway/proxied_call.h
+++ b/src/gateway/proxied_call.h
@@ -2,6 +2,7 @@
 
 #include "gateway/call_evidence.h"
 #include "gateway/call_services.h"
+#include "gateway/response_flow.h"
 #include "gateway/upstream_response.h"
 #include "gateway/upstream_search.h"
 #include "transport/http_server.h"
@@ -49,6 +50,8 @@
     HttpClientRequest upstreamRequest(const UpstreamEntry& entry);
     void headersArrived(int status, const HttpHeaders& headers);
     void bodyArrived(std::string_view bytes);
+    /// Gives up a response for which there is no memory.
+    void giveUpResponse();
     /// @return the parts of the prompt and the hash of the request itself.
     PartSet requestParts() const;
     ExchangeContext exchangeContext() const;
@@ -101,6 +104,7 @@
 
     MonotonicTime m_sentAt;
     std::unique_ptr<HttpClientCall> m_call;
+    ResponseFlow m_flow;
     UpstreamResponse m_response;
     bool m_isExchanging = false;
     bool m_hasStartedAnswer = false;
--- a/src/gateway/response_diagnostics.cc
+++ b/src/gateway/response_diagnostics.cc
@@ -84,6 +84,17 @@
     ++metrics.counter("lacewing_foreign_answers_total");
 }
 
+void recordGivenUpResponse(
+    MetricsRegistry& metrics, const ExchangeContext& exchange, const UpstreamResponse& response)
+{
+    LogEvent(LogLevel::Warning, "answer_given_up")
+        .with("request", exchange.requestId)
+        .with("upstream", exchange.upstream)
+        .with("held_bytes", response.unforwardedBytes())
+        .with("expected_bytes", response.expectedBytes());
+    ++metrics.counter("lacewing_answers_given_up_total");
+}
+
 void recordOversizedResponse(
     MetricsRegistry& metrics, const ExchangeContext& exchange, const UpstreamResponse& response)
 {
--- a/src/gateway/response_diagnostics.h
+++ b/src/gateway/response_diagnostics.h
@@ -44,6 +44,10 @@
 void recordForeignResponse(
     MetricsRegistry& metrics, const ExchangeContext& exchange, const ResponseAttributes& attributes);
 
+/// Records that a response was given up, since it made no progress while others waited for memory.
+void recordGivenUpResponse(
+    MetricsRegistry& metrics, const ExchangeContext& exchange, const UpstreamResponse& response);
+
 /// Counts and logs a response that exceeds the size limit.
 void recordOversizedResponse(
     MetricsRegistry& metrics, const ExchangeContext& exchange, const UpstreamResponse& response);
--- a/src/gateway/upstream_response.cc
+++ b/src/gateway/upstream_response.cc
@@ -1,5 +1,7 @@
 #include "gateway/upstream_response.h"
 
+#include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace lacewing::gateway {
@@ -11,6 +13,15 @@
 constexpr int firstRedirection = 300;
 constexpr int statusNotModified = 304;
 
+/// @return the length that the head states; 0 if it states none.
+size_t statedLength(const HttpHeaders& headers)
+{
+    const std::string text = headers.find("Content-Length").value_or("");
+    size_t length = 0;
+    std::from_chars(text.data(), text.data() + text.size(), length);
+    return length;
+}
+
 } // namespace
 
 const char* toString(BodyFraming framing)
@@ -48,6 +59,7 @@
     m_headers = std::move(headers);
     m_expectsEvents = request.expectsEvents && !request.isHead;
     m_framing = readFraming(request.isHead);
+    m_statedLength = statedLength(m_headers);
     const std::string& id = m_attributes->requestId;
     const bool needsId = isSuccess() || request.isOnReusedConnection;
     m_isMismatched = id != request.id && (needsId || !id.empty());
@@ -74,6 +86,14 @@
     return isStream() && (m_attributes->isSealed || m_events.hasEvents());
 }
 
+size_t UpstreamResponse::expectedBytes() const
+{
+    if (isForeign())
+        return 0;
+    const bool isKnown = m_framing == BodyFraming::Length && !carriesEvents();
+    return std::max(unforwardedBytes(), isKnown ? std::min(m_statedLength, maximumBodyBytes) : 0);
+}
+
 BodyFraming UpstreamResponse::readFraming(bool isHeadRequest) const
 {
     const int status = m_attributes->status;
--- a/src/gateway/upstream_response.h
+++ b/src/gateway/upstream_response.h
@@ -92,6 +92,9 @@
     {
         return m_unforwardedBytes > maximumBodyBytes || m_events.exceedsSizeLimit();
     }
+    /// @return number of bytes that the response takes until it can be forwarded, as far as is known: the
+    /// length that it states, or what has arrived and not been returned as events.
+    size_t expectedBytes() const;
     /// @return number of bytes that have not been returned as events.
     size_t unforwardedBytes() const { return m_unforwardedBytes + m_events.remainder().size(); }
     /// @return the part of the body that has not been returned as events.
@@ -112,6 +115,7 @@
     std::optional<ResponseAttributes> m_attributes;
     HttpHeaders m_headers;
     std::string m_body;
+    size_t m_statedLength = 0;
     /// Bytes of the body that are not events, including those of a response to another request.
     size_t m_unforwardedBytes = 0;
     EventRelay m_events;
--- a/src/protocol/http_call_set.cc
+++ b/src/protocol/http_call_set.cc
@@ -5,7 +5,7 @@
 void HttpCallSet::send(HttpClientRequest request, Callback callback, HeaderObserver headerObserver)
 {
     const uint64_t id = m_nextCall++;
-    Call& call = *m_calls.emplace(id, std::make_unique<Call>()).first->second;
+    Call& call = *m_calls.emplace(id, std::make_unique<Call>(m_memory)).first->second;
     HttpClientHandlers handlers;
     std::string callId;
     if (m_callIds) {
@@ -19,7 +19,7 @@
         if (!callId.empty() && !isAnswerToCall(headers, callId, *call.call))
             call.call->cancel();
     };
-    handlers.onBody = [&call](std::string_view bytes) { call.body += bytes; };
+    handlers.onBody = [&call](std::string_view bytes) { bodyArrived(call, bytes); };
     handlers.onDone = [this, id, callback = std::move(callback)](const HttpClientResult& result) {
         const auto node = m_calls.extract(id);
         callback(result, node.mapped()->body);
@@ -27,4 +27,14 @@
     call.call = m_client.send(std::move(request), std::move(handlers));
 }
 
+void HttpCallSet::bodyArrived(Call& call, std::string_view bytes)
+{
+    if (!call.charge.fits(bytes.size())) {
+        call.call->cancel();
+        return;
+    }
+    call.charge.add(bytes.size());
+    call.body += bytes;
+}
+
 } // namespace lacewing
--- a/src/protocol/http_call_set.h
+++ b/src/protocol/http_call_set.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/memory_account.h"
 #include "protocol/call_ids.h"
 #include "transport/http_client.h"
 
@@ -24,9 +25,12 @@
     /// @param callIds names the calls, so that an earlier answer that comes once more is not taken for
     /// theirs; such a call fails as cancelled. Must outlive the set. Null if the server doesn't name calls in
     /// its answers.
-    explicit HttpCallSet(HttpClient& client, CallIds* callIds = nullptr)
+    /// @param memory counts the answers; one that doesn't fit is given up, and its call fails as cancelled.
+    /// Must outlive the set. Null if nobody counts.
+    explicit HttpCallSet(HttpClient& client, CallIds* callIds = nullptr, MemoryAccount* memory = nullptr)
         : m_client(client)
         , m_callIds(callIds)
+        , m_memory(memory)
     {
     }
 
@@ -34,12 +38,21 @@
 
 private:
     struct Call {
+        explicit Call(MemoryAccount* memory)
+            : charge(memory)
+        {
+        }
+
         std::unique_ptr<HttpClientCall> call;
         std::string body;
+        MemoryCharge charge;
     };
 
+    static void bodyArrived(Call& call, std::string_view bytes);
+
     HttpClient& m_client;
     CallIds* m_callIds;
+    MemoryAccount* m_memory;
     uint64_t m_nextCall = 1;
     std::map<uint64_t, std::unique_ptr<Call>> m_calls;
 };
--- a/src/transport/evhttp_message.cc
+++ b/src/transport/evhttp_message.cc
@@ -6,6 +6,7 @@
 #include <event2/keyvalq_struct.h>
 
 #include <algorithm>
+#include <memory>
 
 namespace lacewing {
 
@@ -16,6 +17,18 @@
     return method == "POST" || method == "PUT" || method == "PATCH";
 }
 
+/// Adds bytes to a buffer without copying them. The buffer keeps them alive until they have been taken.
+void addShared(evbuffer& buffer, const std::shared_ptr<const std::string>& bytes)
+{
+    if (bytes->empty())
+        return;
+    using Kept = std::shared_ptr<const std::string>;
+    auto kept = std::make_unique<Kept>(bytes);
+    const auto release = [](const void*, size_t, void* kept) { delete static_cast<Kept*>(kept); };
+    if (evbuffer_add_reference(&buffer, bytes->data(), bytes->size(), release, kept.get()) == 0)
+        kept.release();
+}
+
 } // namespace
 
 std::optional<evhttp_cmd_type> evhttpCommand(const std::string& method)
@@ -61,9 +74,14 @@
             evhttp_add_header(fields, cleanField(name).c_str(), cleanField(value).c_str());
     }
     // evhttp adds it for POST and PUT only.
-    if (!request.body.empty() || impliesBody(request.method))
-        evhttp_add_header(fields, "Content-Length", std::to_string(request.body.size()).c_str());
-    evbuffer_add(evhttp_request_get_output_buffer(&message), request.body.data(), request.body.size());
+    const std::string& body = request.sharedBody ? *request.sharedBody : request.body;
+    if (!body.empty() || impliesBody(request.method))
+        evhttp_add_header(fields, "Content-Length", std::to_string(body.size()).c_str());
+    evbuffer* output = evhttp_request_get_output_buffer(&message);
+    if (request.sharedBody)
+        addShared(*output, request.sharedBody);
+    else
+        evbuffer_add(output, body.data(), body.size());
 }
 
 } // namespace lacewing
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -39,6 +39,8 @@
     std::string target = "/";
     HttpHeaders headers;
     std::string body;
+    /// A body that others hold, too, in place of `body`.
+    std::shared_ptr<const std::string> sharedBody;
     Duration connectTimeout = std::chrono::seconds(1);
     /// Longest time without any progress; 0 for none.
     Duration progressTimeout = std::chrono::seconds(5);
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -80,6 +80,18 @@
         static_cast<HttpServerLimits&>(m_context.options) = limits;
     }
 
+    size_t closeStalled(Duration stall) override
+    {
+        std::vector<HttpServerConnection*> stalled;
+        for (const auto& entry : m_connections) {
+            if (entry.first->isStalled(stall))
+                stalled.push_back(entry.first);
+        }
+        for (HttpServerConnection* connection : stalled)
+            connection->closeStalled();
+        return stalled.size();
+    }
+
     void beginDrain() override
     {
         m_context.draining = true;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/memory_account.h"
 #include "transport/http_message.h"
 
 #include <cstdint>
@@ -34,6 +35,11 @@
     virtual const std::string& query() const = 0;
     virtual const HttpHeaders& headers() const = 0;
     virtual const std::string& body() const = 0;
+    /// @return the body for those who need it longer than the exchange.
+    virtual std::shared_ptr<const std::string> sharedBody() const
+    {
+        return std::make_shared<const std::string>(body());
+    }
     virtual const std::string& remoteIp() const = 0;
 
     /// Sends a whole answer.
@@ -76,6 +82,11 @@
     SocketAddress address { "127.0.0.1", 0 };
     /// Time without progress after which a client that does not read is disconnected.
     Duration writeTimeout = std::chrono::seconds(30);
+    /// Counts what requests and answers take; must outlive the server. A request whose body would take more
+    /// than bodyShare of its limit with all that is held is refused with 503 before the body is read. Null if
+    /// nobody counts.
+    MemoryAccount* memory = nullptr;
+    double bodyShare = 1;
 };
 
 /// HTTP/1.1 server on an event loop. Malformed, oversized or ambiguous requests (for example conflicting
@@ -100,6 +111,10 @@
     virtual SocketAddress address() const = 0;
     /// Takes over other limits. Those on the head hold for new connections, the others for each next request.
     virtual void setLimits(const HttpServerLimits& limits) = 0;
+    /// Closes the connections of clients that have taken nothing of what waits for them for some time.
+    ///
+    /// @return the number of connections that were closed.
+    virtual size_t closeStalled(Duration stall) = 0;
     /// Answers each further request with "Connection: close", and closes connections that are idle.
     virtual void beginDrain() = 0;
     /// Stops to accept connections.
--- a/src/transport/http_server_connection.cc
+++ b/src/transport/http_server_connection.cc
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cstdio>
 
 namespace lacewing {
 
@@ -15,6 +16,7 @@
 
 constexpr int statusBadRequest = 400;
 constexpr int statusRequestTimeout = 408;
+constexpr int statusUnavailable = 503;
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
 
@@ -39,6 +41,29 @@
     return status != statusNoContent && status != statusNotModified;
 }
 
+/// @return seconds after which a client may come back; clients that are refused together get different ones.
+std::string retryAfter(MonotonicTime now)
+{
+    constexpr int64_t shortestMilliseconds = 1000;
+    constexpr int64_t spreadMilliseconds = 500;
+    const auto microseconds
+        = std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count();
+    const int64_t delay = shortestMilliseconds + microseconds % spreadMilliseconds;
+    char text[16];
+    std::snprintf(text, sizeof(text), "%.3f", static_cast<double>(delay) / 1000);
+    return text;
+}
+
+/// Adds bytes to a buffer in parts, whose memory is returned as the socket takes them one after the other.
+void addInParts(evbuffer* buffer, std::string_view bytes)
+{
+    constexpr size_t partBytes = 64 * 1024;
+    for (size_t offset = 0; offset < bytes.size(); offset += partBytes) {
+        const std::string_view part = bytes.substr(offset, partBytes);
+        evbuffer_add(buffer, part.data(), part.size());
+    }
+}
+
 void addField(evhtp_request* request, const std::string& name, const std::string& value)
 {
     evhtp_headers_add_header(request->headers_out, evhtp_header_new(name.c_str(), value.c_str(), 1, 1));
@@ -54,12 +79,14 @@
     , m_remoteIp(fromSystemAddress(connection->saddr).ip)
     , m_closed(std::move(closed))
     , m_check(context.options.maximumHeaderBytes)
+    , m_buffered(context.options.memory)
 {
     void* argument = nullptr;
     bufferevent_getcb(m_stream, &m_parse, &m_finishRequest, nullptr, &argument);
     disableDelay(bufferevent_getfd(m_stream));
     evutil_make_socket_closeonexec(bufferevent_getfd(m_stream));
     setHooks();
+    countBuffers();
     takeOver();
     bufferevent_setwatermark(m_stream, EV_READ, 0, context.options.maximumHeaderBytes + readAheadBytes);
     setReadTimeout(context.options.readTimeout);
@@ -76,6 +103,7 @@
 {
     m_phase = Phase::Closed;
     m_context.loop.cancel(std::exchange(m_deliveryTimer, 0));
+    m_buffered.set(0);
     if (m_connection)
         evhtp_connection_free(m_connection);
     else if (m_stream)
@@ -84,6 +112,41 @@
     m_stream = nullptr;
 }
 
+void HttpServerConnection::countBuffers()
+{
+    evbuffer_add_cb(bufferevent_get_input(m_stream), onInputChange, this);
+    evbuffer_add_cb(bufferevent_get_output(m_stream), onOutputChange, this);
+}
+
+void HttpServerConnection::onInputChange(evbuffer*, const evbuffer_cb_info* info, void* self)
+{
+    MemoryCharge& buffered = static_cast<HttpServerConnection*>(self)->m_buffered;
+    buffered.set(buffered.bytes() + info->n_added - info->n_deleted);
+}
+
+void HttpServerConnection::onOutputChange(evbuffer* buffer, const evbuffer_cb_info* info, void* self)
+{
+    onInputChange(buffer, info, self);
+    auto& connection = *static_cast<HttpServerConnection*>(self);
+    if (info->n_deleted > 0 || info->orig_size == 0)
+        connection.m_lastTaken = connection.m_context.loop.now();
+}
+
+bool HttpServerConnection::isStalled(Duration stall) const
+{
+    return m_phase != Phase::Closed && bufferedBytes() > 0 && m_context.loop.now() - m_lastTaken >= stall;
+}
+
+bool HttpServerConnection::hasMemoryFor(size_t bytes) const
+{
+    const MemoryAccount* memory = m_context.options.memory;
+    if (!memory)
+        return true;
+    const auto limit
+        = static_cast<size_t>(m_context.options.bodyShare * static_cast<double>(memory->limit()));
+    return memory->held() + bytes <= limit;
+}
+
 void HttpServerConnection::takeOver()
 {
     bufferevent_setcb(m_stream, onReadable, onWritten, onEvent, this);
@@ -215,7 +278,7 @@
     m_phase = Phase::Answering;
     setReadTimeout(Duration::zero());
     auto exchange = std::make_shared<HttpServerExchange>(
-        m_context, *this, std::exchange(m_head, HttpRequestHead()), std::exchange(m_body, std::string()));
+        m_context, *this, std::exchange(m_head, HttpRequestHead()), std::exchange(m_body, nullptr));
     m_exchange = exchange;
     m_context.handler(std::move(exchange));
 }
@@ -240,8 +303,10 @@
     m_connection->request->proto = EVHTP_PROTO_11;
     htparser_set_major(m_connection->parser, 1);
     htparser_set_minor(m_connection->parser, 1);
-    evhtp_request* request = prepareAnswer(
-        { { "Content-Type", "application/json" }, { "Lacewing-Outcome", "refused_not_run" } });
+    HttpHeaders headers { { "Content-Type", "application/json" }, { "Lacewing-Outcome", "refused_not_run" } };
+    if (fault.status == statusUnavailable)
+        headers.add("Retry-After", retryAfter(m_context.loop.now()));
+    evhtp_request* request = prepareAnswer(headers);
     const std::string body = std::string(R"({"error":{"code":")") + fault.reason
         + R"(","message":"the server refused the request before it was read whole","outcome":"refused_not_run"}})";
     evbuffer_add(request->buffer_out, body.data(), body.size());
@@ -279,7 +344,7 @@
     } else if (m_isHeadRequest)
         addField(request, "Content-Length", std::to_string(body.size()));
     else
-        evbuffer_add(request->buffer_out, body.data(), body.size());
+        addInParts(request->buffer_out, body);
     evhtp_send_reply(request, static_cast<evhtp_res>(status));
     finishAnswer();
 }
@@ -316,7 +381,7 @@
     if (m_isHeadRequest)
         return;
     evhtp_request* request = m_connection->request;
-    evbuffer_add(request->buffer_out, bytes.data(), bytes.size());
+    addInParts(request->buffer_out, bytes);
     if (m_chunked)
         evhtp_send_reply_chunk(request, request->buffer_out);
     else
--- a/src/transport/http_server_connection.h
+++ b/src/transport/http_server_connection.h
@@ -13,6 +13,8 @@
 #include <optional>
 #include <string>
 
+struct evbuffer;
+struct evbuffer_cb_info;
 struct evhtp_connection;
 struct evhtp_request;
 
@@ -51,6 +53,10 @@
 
     /// Closes the connection if it is idle.
     void closeIfIdle();
+    /// @return whether the client has taken nothing of what waits for it for some time.
+    bool isStalled(Duration stall) const;
+    /// Closes the connection of a client that doesn't read.
+    void closeStalled() { close(); }
 
     // For the exchange that is being answered.
 
@@ -79,6 +85,12 @@
     enum class Part { Head, Body, Trailer, Complete };
     struct Hooks;
 
+    /// Has the contents of the buffers charged to the server's account.
+    void countBuffers();
+    static void onInputChange(evbuffer*, const evbuffer_cb_info* info, void* self);
+    static void onOutputChange(evbuffer*, const evbuffer_cb_info* info, void* self);
+    /// @return whether the server has memory for that many further bytes of a request's body.
+    bool hasMemoryFor(size_t bytes) const;
     void takeOver();
     void setHooks();
 
@@ -137,7 +149,11 @@
     Part m_part = Part::Head;
     HttpFault m_fault;
     HttpRequestHead m_head;
-    std::string m_body;
+    std::shared_ptr<HttpBody> m_body;
+    /// What waits in the connection's buffers.
+    MemoryCharge m_buffered;
+    /// When the client has last taken something of what waits for it.
+    MonotonicTime m_lastTaken {};
     /// Set while a chunked body is read and until the next request.
     std::optional<HttpChunkCheck> m_chunkCheck;
     std::weak_ptr<HttpServerExchange> m_exchange;
--- a/src/transport/http_server_exchange.cc
+++ b/src/transport/http_server_exchange.cc
@@ -4,8 +4,8 @@
 
 namespace lacewing {
 
-HttpServerExchange::HttpServerExchange(
-    HttpServerContext& context, HttpServerConnection& connection, HttpRequestHead head, std::string body)
+HttpServerExchange::HttpServerExchange(HttpServerContext& context, HttpServerConnection& connection,
+    HttpRequestHead head, std::shared_ptr<HttpBody> body)
     : m_context(&context)
     , m_connection(&connection)
     , m_head(std::move(head))
--- a/src/transport/http_server_exchange.h
+++ b/src/transport/http_server_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "transport/http_body.h"
 #include "transport/http_server.h"
 
 namespace lacewing {
@@ -20,15 +21,16 @@
 /// 500, or a cut-off answer if that had started.
 class HttpServerExchange : public HttpExchange, public std::enable_shared_from_this<HttpServerExchange> {
 public:
-    HttpServerExchange(
-        HttpServerContext& context, HttpServerConnection& connection, HttpRequestHead head, std::string body);
+    HttpServerExchange(HttpServerContext& context, HttpServerConnection& connection, HttpRequestHead head,
+        std::shared_ptr<HttpBody> body);
     ~HttpServerExchange() override;
 
     const std::string& method() const override { return m_head.method; }
     const std::string& path() const override { return m_head.path; }
     const std::string& query() const override { return m_head.query; }
     const HttpHeaders& headers() const override { return m_head.headers; }
-    const std::string& body() const override { return m_body; }
+    const std::string& body() const override { return m_body->bytes(); }
+    std::shared_ptr<const std::string> sharedBody() const override { return HttpBody::share(m_body); }
     const std::string& remoteIp() const override { return m_remoteIp; }
 
     void reply(int status, const HttpHeaders& headers, std::string_view body) override;
@@ -55,7 +57,7 @@
     HttpServerContext* m_context;
     HttpServerConnection* m_connection;
     HttpRequestHead m_head;
-    std::string m_body;
+    std::shared_ptr<HttpBody> m_body;
     std::string m_remoteIp;
     bool m_isStreaming = false;
     std::function<void()> m_onClientLeft;
--- a/src/transport/http_server_hooks.cc
+++ b/src/transport/http_server_hooks.cc
@@ -11,6 +11,10 @@
 
 constexpr int statusBadRequest = 400;
 constexpr int statusTooLarge = 413;
+constexpr int statusUnavailable = 503;
+
+/// A body up to this size is taken also if memory is short.
+constexpr size_t smallBodyBytes = 16 * 1024;
 
 HttpFault parserFault(htpparse_error error)
 {
@@ -117,7 +121,7 @@
     if (request.uri->query_raw)
         m_head.query = reinterpret_cast<const char*>(request.uri->query_raw);
     evhtp_headers_for_each(request.headers_in, copyField, &m_head.headers);
-    m_body.clear();
+    m_body = std::make_shared<HttpBody>(m_context.options.memory);
     m_fault = {};
     return acceptFraming(request, htparser_get_minor(m_connection->parser));
 }
@@ -133,6 +137,9 @@
     const uint64_t length = framing->contentLength.value_or(0);
     if (length > m_context.options.maximumBodyBytes)
         return refuse(statusTooLarge, "body_too_large");
+    if (length > smallBodyBytes && !hasMemoryFor(length))
+        return refuse(statusUnavailable, "no_memory");
+    m_body->expect(length);
     if (length != htparser_get_content_length(m_connection->parser))
         return refuse(statusBadRequest, "malformed_content_length");
     m_isHeadRequest = m_head.method == "HEAD";
@@ -153,9 +160,13 @@
 
 bool HttpServerConnection::acceptBody(evhtp_request&, std::string_view bytes)
 {
-    if (m_body.size() + bytes.size() > m_context.options.maximumBodyBytes)
+    if (m_body->bytes().size() + bytes.size() > m_context.options.maximumBodyBytes)
         return refuse(statusTooLarge, "body_too_large");
-    m_body += bytes;
+    // The memory for a body of a stated length has been reserved.
+    const bool isSmall = m_body->bytes().size() + bytes.size() <= smallBodyBytes;
+    if (m_chunkCheck && !isSmall && !hasMemoryFor(bytes.size()))
+        return refuse(statusUnavailable, "no_memory");
+    m_body->append(bytes);
     return true;
 }
 
