Report a rest when it begins, grows notably or ends early; one rule of absence

Found in reading the change. A rest that the success of a probe ended was not told to the owner's scheduler, which would have sent no orders until the time that the upstream had named (10 minutes at most). And each response to one of many requests that are turned away together extended the rest by some milliseconds, with a log line and a new look at all engines each.

ARestIsReportedWhenItBeginsAndEnds covers both; it was written with the change and not run on the code before, which lacks the call that it makes. UpstreamLimits and UpstreamAvailability share ProcessAbsence, which stood in both.

--- a/src/gateway/engine_control.h
+++ b/src/gateway/engine_control.h
@@ -78,7 +78,7 @@
         const EngineTarget& target, const AvailabilityStatement& statement, const char* kind) const
     {
         if (m_availabilityObserver && !statement.isEmpty())
-            m_availabilityObserver({ target.id, target.startedAt, statement }, kind);
+            m_availabilityObserver({ target.id, target.startedAt, statement, std::nullopt }, kind);
     }
 
 private:
--- a/src/gateway/upstream_availability.cc
+++ b/src/gateway/upstream_availability.cc
@@ -7,10 +7,12 @@
 
 namespace {
 
-constexpr Duration absenceUntilForgotten = std::chrono::minutes(5);
 /// Times into a rest at which a probe may be sent. An upstream that rests takes two requests at most.
 constexpr std::array<Duration, 2> probeTimes { std::chrono::seconds(10), std::chrono::seconds(60) };
 
+/// Each response to one of many requests that are turned away together extends a rest by a little.
+constexpr Duration smallestReportedExtension = std::chrono::milliseconds(250);
+
 } // namespace
 
 const char* toString(StatementOrigin origin)
@@ -31,7 +33,7 @@
     if (found != m_leaving.end() && found->second.startedAt >= statement.startedAt)
         return false;
     m_leaving.insert_or_assign(
-        statement.upstream, Leaving { statement.startedAt, origin, now, std::nullopt });
+        statement.upstream, Leaving { statement.startedAt, origin, now, ProcessAbsence() });
     return true;
 }
 
@@ -39,15 +41,17 @@
     const UpstreamId& upstream, int64_t startedAt, Duration stated, MonotonicTime now)
 {
     const MonotonicTime end = now + std::min(stated, maximumRest);
-    Rest& rest = m_rests.try_emplace(upstream, Rest { startedAt, now, now, 0, std::nullopt }).first->second;
+    Rest& rest
+        = m_rests.try_emplace(upstream, Rest { startedAt, now, now, now, 0, std::nullopt }).first->second;
     if (startedAt < rest.startedAt)
         return std::nullopt;
     if (startedAt > rest.startedAt || now >= rest.end)
-        rest = Rest { startedAt, now, now, 0, std::nullopt };
-    if (end <= rest.end)
+        rest = Rest { startedAt, now, now, now, 0, std::nullopt };
+    rest.end = std::max(rest.end, end);
+    if (rest.end < rest.reportedEnd + smallestReportedExtension)
         return std::nullopt;
-    rest.end = end;
-    return end - now;
+    rest.reportedEnd = rest.end;
+    return rest.end - now;
 }
 
 bool UpstreamAvailability::isLeaving(const UpstreamId& upstream, int64_t startedAt) const
@@ -117,15 +121,11 @@
 void UpstreamAvailability::retain(const std::map<UpstreamId, int64_t>& startedAt, MonotonicTime now)
 {
     for (auto known = m_leaving.begin(); known != m_leaving.end();) {
-        std::optional<MonotonicTime>& absentSince = known->second.absentSince;
         const auto present = startedAt.find(known->first);
-        if (present != startedAt.end())
-            absentSince.reset();
-        else if (!absentSince)
-            absentSince = now;
-        const bool hasRestarted = present != startedAt.end() && present->second > known->second.startedAt;
-        const bool isGone = absentSince && now - *absentSince > absenceUntilForgotten;
-        known = hasRestarted || isGone ? m_leaving.erase(known) : std::next(known);
+        const auto presentStart
+            = present == startedAt.end() ? std::nullopt : std::make_optional(present->second);
+        const bool isGone = known->second.absence.isGone(known->second.startedAt, presentStart, now);
+        known = isGone ? m_leaving.erase(known) : std::next(known);
     }
     for (auto rest = m_rests.begin(); rest != m_rests.end();)
         rest = now >= rest->second.end ? m_rests.erase(rest) : std::next(rest);
--- a/src/gateway/upstream_availability.h
+++ b/src/gateway/upstream_availability.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "gateway/process_absence.h"
 
 #include <map>
 #include <optional>
@@ -34,6 +35,8 @@
     /// Start of the process that the request was sent to.
     int64_t startedAt = 0;
     AvailabilityStatement statement;
+    /// When the request was sent, if it was answered with success.
+    std::optional<MonotonicTime> succeeded;
 };
 
 /// Where a host has learned that an upstream is leaving.
@@ -63,8 +66,8 @@
     /// @return whether this host did not know it.
     bool learnLeaving(const LeavingStatement& statement, StatementOrigin origin, MonotonicTime now);
     /// @param stated time from now for which the upstream wants no requests.
-    /// @return the rest that is left if the upstream was not resting before or its rest has become longer;
-    /// otherwise nothing.
+    /// @return the rest that is left if the upstream was not resting before or its rest has become notably
+    /// longer since this was last returned; otherwise nothing.
     std::optional<Duration> learnRest(
         const UpstreamId& upstream, int64_t startedAt, Duration stated, MonotonicTime now);
 
@@ -102,14 +105,15 @@
         int64_t startedAt = 0;
         StatementOrigin origin = StatementOrigin::Response;
         MonotonicTime learned;
-        /// Since when the upstream has no row.
-        std::optional<MonotonicTime> absentSince;
+        ProcessAbsence absence;
     };
 
     struct Rest {
         int64_t startedAt = 0;
         MonotonicTime begin;
         MonotonicTime end;
+        /// End that was last reported.
+        MonotonicTime reportedEnd;
         int probes = 0;
         /// When the latest probe was sent.
         std::optional<MonotonicTime> probed;
--- a/src/gateway/upstream_availability_exchange.cc
+++ b/src/gateway/upstream_availability_exchange.cc
@@ -16,6 +16,8 @@
 void UpstreamAvailabilityExchange::observed(
     const AvailabilityObservation& observation, const std::string& source)
 {
+    if (observation.succeeded)
+        endRest(observation, source);
     if (observation.statement.hasUnreadableRest)
         ++m_metrics.counter("lacewing_unreadable_rests_total");
     if (observation.statement.isLeaving)
@@ -65,6 +67,17 @@
     m_handlers.onChange(observation.upstream);
 }
 
+void UpstreamAvailabilityExchange::endRest(
+    const AvailabilityObservation& observation, const std::string& source)
+{
+    if (!m_upstreams.availability().requestSucceeded(observation.upstream, *observation.succeeded))
+        return;
+    LogEvent(LogLevel::Info, "upstream_rest_ended")
+        .with("upstream", observation.upstream)
+        .with("source", source);
+    m_handlers.onChange(observation.upstream);
+}
+
 void UpstreamAvailabilityExchange::onMessage(const HostId& peer, const PeerMessage& message)
 {
     if (const auto* heartbeat = std::get_if<PeerHeartbeat>(&message)) {
--- a/src/gateway/upstream_availability_exchange.h
+++ b/src/gateway/upstream_availability_exchange.h
@@ -18,7 +18,7 @@
 public:
     struct Handlers {
         std::function<void(const PeerMessage& message)> sendToAll;
-        /// An upstream has turned out to be leaving, or to want a rest.
+        /// An upstream has turned out to be leaving, or to want a rest, or its rest has ended early.
         std::function<void(const UpstreamId& upstream)> onChange;
     };
 
@@ -35,6 +35,7 @@
     /// @param source the request or the peer; for the log.
     void learnLeaving(const LeavingStatement& statement, StatementOrigin origin, const std::string& source);
     void learnRest(const AvailabilityObservation& observation, const std::string& source);
+    void endRest(const AvailabilityObservation& observation, const std::string& source);
 
     const Clock& m_clock;
     UpstreamDirectory& m_upstreams;
--- a/src/gateway/upstream_availability_exchange_test.cc
+++ b/src/gateway/upstream_availability_exchange_test.cc
@@ -44,7 +44,7 @@
     {
         AvailabilityStatement statement;
         statement.isLeaving = true;
-        exchange.observed({ upstream, startedAt, statement }, "r-1");
+        exchange.observed({ upstream, startedAt, statement, std::nullopt }, "r-1");
     }
     bool isUsable() const { return upstreams.findUsable(upstream) != nullptr; }
 
@@ -114,4 +114,25 @@
     BOOST_TEST(changes == 0);
 }
 
+// Guards against a log line and a new look at all engines for each of many requests that are turned away
+// together, and against an owner that goes on sparing an engine whose rest has ended early.
+BOOST_AUTO_TEST_CASE(ARestIsReportedWhenItBeginsAndEnds)
+{
+    AvailabilityStatement statement;
+    statement.rest = 20s;
+    for (int response = 0; response < 20; ++response) {
+        exchange.observed({ upstream, 5, statement, std::nullopt }, "r-1");
+        scheduler.advance(10ms);
+    }
+    BOOST_TEST(changes == 1);
+    BOOST_TEST((upstreams.availability().restLeft(upstream, 5, scheduler.now()) > 0s));
+    scheduler.advance(10s);
+    const MonotonicTime probe = scheduler.now();
+    upstreams.availability().requestSent(upstream, probe);
+    exchange.observed({ upstream, 5, {}, probe }, "r-2");
+    BOOST_TEST(changes == 2);
+    BOOST_TEST((upstreams.availability().restLeft(upstream, 5, scheduler.now()) == 0s));
+    BOOST_TEST(sent.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/upstream_limits.cc
+++ b/src/gateway/upstream_limits.cc
@@ -7,8 +7,6 @@
 
 namespace {
 
-constexpr Duration absenceUntilForgotten = std::chrono::minutes(5);
-
 bool isNewer(const UpstreamLimit& a, const UpstreamLimit& b)
 {
     return std::tie(a.startedAt, a.revision, a.observer) > std::tie(b.startedAt, b.revision, b.observer);
@@ -46,7 +44,7 @@
     limit.revision = LimitRevision(isKnown ? found->second.limit.revision.value() + 1 : 1);
     limit.observer = m_self;
     limit.rate = observation.rate;
-    m_known.insert_or_assign(observation.upstream, KnownLimit { limit, now, std::nullopt });
+    m_known.insert_or_assign(observation.upstream, KnownLimit { limit, now, ProcessAbsence() });
     return limit;
 }
 
@@ -55,7 +53,7 @@
     const auto found = m_known.find(limit.upstream);
     if (found != m_known.end() && !isNewer(limit, found->second.limit))
         return false;
-    m_known.insert_or_assign(limit.upstream, KnownLimit { limit, now, std::nullopt });
+    m_known.insert_or_assign(limit.upstream, KnownLimit { limit, now, ProcessAbsence() });
     return true;
 }
 
@@ -88,16 +86,11 @@
 void UpstreamLimits::retain(const std::map<UpstreamId, int64_t>& startedAt, MonotonicTime now)
 {
     for (auto known = m_known.begin(); known != m_known.end();) {
-        std::optional<MonotonicTime>& absentSince = known->second.absentSince;
         const auto present = startedAt.find(known->first);
-        if (present != startedAt.end())
-            absentSince.reset();
-        else if (!absentSince)
-            absentSince = now;
-        const bool hasRestarted
-            = present != startedAt.end() && present->second > known->second.limit.startedAt;
-        const bool isGone = absentSince && now - *absentSince > absenceUntilForgotten;
-        known = hasRestarted || isGone ? m_known.erase(known) : std::next(known);
+        const auto presentStart
+            = present == startedAt.end() ? std::nullopt : std::make_optional(present->second);
+        const bool isGone = known->second.absence.isGone(known->second.limit.startedAt, presentStart, now);
+        known = isGone ? m_known.erase(known) : std::next(known);
     }
 }
 
--- a/src/gateway/upstream_limits.h
+++ b/src/gateway/upstream_limits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "gateway/process_absence.h"
 #include "gateway/request_rate.h"
 
 #include <map>
@@ -74,8 +75,7 @@
     struct KnownLimit {
         UpstreamLimit limit;
         MonotonicTime learned;
-        /// Since when the upstream has no entry.
-        std::optional<MonotonicTime> absentSince;
+        ProcessAbsence absence;
     };
 
     HostId m_self;
--- a/src/gateway/upstream_statements.cc
+++ b/src/gateway/upstream_statements.cc
@@ -27,12 +27,11 @@
     // A success without the seal may come from anyone.
     if (response.isUnverified())
         return;
-    if (response.isSuccess() && services.availability.requestSucceeded(request.upstream, request.sent))
-        LogEvent(LogLevel::Info, "upstream_rest_ended")
-            .with("upstream", request.upstream)
-            .with("request", request.id);
-    if (!statement.isEmpty())
-        services.availabilityObserved({ request.upstream, request.startedAt, statement }, request.id);
+    AvailabilityObservation observation { request.upstream, request.startedAt, statement, std::nullopt };
+    if (response.isSuccess())
+        observation.succeeded = request.sent;
+    if (observation.succeeded || !statement.isEmpty())
+        services.availabilityObserved(observation, request.id);
 }
 
 } // namespace
