Log what a response says of a run that it states has not happened, and what was not sent

Change: not_executed (status, seal, id, kind of body, connection) and not_sent (error, connection), with counters. No decision changes.

--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -339,6 +339,7 @@
         recordUnmarkedEnd(m_services.metrics, exchangeContext(), m_response);
     const bool isComplete = !result.error && m_response.matchesRequest() && !m_response.isCutOff();
     if (isComplete && m_response.attributes()->isNotExecuted) {
+        recordNotExecuted(m_services.metrics, exchangeContext(), m_response);
         exchangeEnded(ExchangeOutcome::Rejected, RunOutcome::AdapterMissing);
         handleNotExecuted();
         return;
@@ -349,6 +350,7 @@
         return;
     }
     if (!result.requestSent && !m_response.attributes()) {
+        recordNotSent(m_services.metrics, exchangeContext(), result.error);
         exchangeEnded(ExchangeOutcome::Unreachable, RunOutcome::EngineFailed);
         if (m_hasStartedAnswer)
             handleBrokenStream();
--- a/src/gateway/response_diagnostics.cc
+++ b/src/gateway/response_diagnostics.cc
@@ -72,6 +72,34 @@
         .with("parts", parts.text(','));
 }
 
+void recordNotExecuted(
+    MetricsRegistry& metrics, const ExchangeContext& exchange, const UpstreamResponse& response)
+{
+    const ResponseAttributes& attributes = *response.attributes();
+    ++metrics.counter("lacewing_not_executed_total", { { "status", std::to_string(attributes.status) } });
+    LogEvent(LogLevel::Info, "not_executed")
+        .with("request", exchange.requestId)
+        .with("upstream", exchange.upstream)
+        .with("status", attributes.status)
+        .with("answer_request", attributes.requestId)
+        .with("sealed", attributes.isSealed)
+        .with("event_stream", attributes.isEventStream)
+        .with("framing", toString(response.framing()))
+        .with("reused_connection", exchange.isOnReusedConnection);
+}
+
+void recordNotSent(
+    MetricsRegistry& metrics, const ExchangeContext& exchange, std::optional<HttpClientError> error)
+{
+    const char* reason = error ? lacewing::toString(*error) : "none";
+    ++metrics.counter("lacewing_not_sent_total", { { "error", reason } });
+    LogEvent(LogLevel::Info, "not_sent")
+        .with("request", exchange.requestId)
+        .with("upstream", exchange.upstream)
+        .with("error", reason)
+        .with("reused_connection", exchange.isOnReusedConnection);
+}
+
 void recordForeignResponse(
     MetricsRegistry& metrics, const ExchangeContext& exchange, const ResponseAttributes& attributes)
 {
--- a/src/gateway/response_diagnostics.h
+++ b/src/gateway/response_diagnostics.h
@@ -40,6 +40,17 @@
 void recordBrokenRun(MetricsRegistry& metrics, const ExchangeContext& exchange, int64_t startedAt,
     const PartSet& parts, bool hasBegun);
 
+/// Counts and logs a response that states that its upstream has not run the request, with what else its head
+/// says of the run.
+void recordNotExecuted(
+    MetricsRegistry& metrics, const ExchangeContext& exchange, const UpstreamResponse& response);
+
+/// Counts and logs an exchange that ended before anything was sent.
+///
+/// @param error of the transport, if there was one.
+void recordNotSent(
+    MetricsRegistry& metrics, const ExchangeContext& exchange, std::optional<HttpClientError> error);
+
 /// Counts and logs a response that belongs to another request.
 void recordForeignResponse(
     MetricsRegistry& metrics, const ExchangeContext& exchange, const ResponseAttributes& attributes);
