Repeat a request only if the newest configuration lets it, too (TWICE)

Callers would see a request run twice whose route became one that may run once, or went away, while it ran. Cause: the kind of the route was that of the configuration that had admitted the request, however old. Change: what may run again is asked of both configurations; a route that is gone allows no repeat. Found by reading; no run of ours has shown it to callers.

--- a/src/gateway/fake_call_services_test.h
+++ b/src/gateway/fake_call_services_test.h
@@ -139,9 +139,10 @@
     std::shared_ptr<const ServingConfiguration> readConfiguration(
         const std::string&, std::string&) const override
     {
-        ServingConfiguration::Builder builder(Revision(1));
+        ServingConfiguration::Builder builder(revision);
         builder.add(route("/once/", RouteKind::AtMostOnce, 1, false));
-        builder.add(route("/safe/", RouteKind::Idempotent, 2, false));
+        if (hasSafeRoute)
+            builder.add(route("/safe/", safeRouteKind, 2, false));
         builder.add(route("/stream/", RouteKind::Stream, 1, false));
         builder.add(route("/resume/", RouteKind::Stream, 2, true));
         ServiceConfiguration plain;
@@ -164,6 +165,10 @@
 
     /// Start of the processes of upstreams whose rows are read from now on.
     int64_t startedAt = 1;
+    // The configuration that is read from now on.
+    Revision revision { 1 };
+    bool hasSafeRoute = true;
+    RouteKind safeRouteKind = RouteKind::Idempotent;
 
 private:
     static Route route(const char* prefix, RouteKind kind, int attempts, bool isResumable)
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -435,7 +435,14 @@
 
 bool ProxiedCall::mayRepeat() const
 {
-    return m_admission.route->mayRepeat();
+    if (!m_admission.route->mayRepeat())
+        return false;
+    const auto newest = m_services.configuration.current();
+    if (!newest || newest == m_configuration)
+        return true;
+    const std::string host = m_exchange->headers().find("Host").value_or("");
+    const Route* route = newest->findRoute(host, m_exchange->path());
+    return route && route->mayRepeat();
 }
 
 bool ProxiedCall::tryRetry()
--- a/src/gateway/proxied_call.h
+++ b/src/gateway/proxied_call.h
@@ -69,6 +69,8 @@
     void take(CallStep step, const char* reason);
     void forwardResponse();
     void forwardEvents(const std::string& events);
+    /// @return whether the request may run more than once, by the configuration that has admitted it and by
+    /// the newest one.
     bool mayRepeat() const;
     bool tryRetry();
     void startAttemptTimer();
--- a/src/gateway/proxied_call_test.cc
+++ b/src/gateway/proxied_call_test.cc
@@ -128,6 +128,25 @@
     }
 }
 
+// Guards against a second run of a request whose route has been changed meanwhile, so that it may run once.
+BOOST_AUTO_TEST_CASE(ARequestMayRunAgainOnlyIfTheNewestConfigurationLetsItAlso)
+{
+    const auto sends = [](bool hasRoute, RouteKind kind) {
+        Fixture fixture;
+        fixture.send("/safe/1");
+        fixture.rows.revision = Revision(2);
+        fixture.rows.hasSafeRoute = hasRoute;
+        fixture.rows.safeRouteKind = kind;
+        fixture.store.put({ "op", "config" }, "{}");
+        fixture.scheduler.advance(50ms);
+        fixture.upstream(0).end(HttpClientError::ConnectionLost);
+        return fixture.client.calls.size();
+    };
+    BOOST_TEST(sends(true, RouteKind::Idempotent) == 2);
+    BOOST_TEST(sends(true, RouteKind::AtMostOnce) == 1);
+    BOOST_TEST(sends(false, RouteKind::Idempotent) == 1);
+}
+
 // Guards against a second run and against a refusal of a request that runs, if the upstream writes an earlier
 // refusal once more on a kept connection.
 BOOST_AUTO_TEST_CASE(ARepeatedRefusalOnAKeptConnectionIsNoStatementAboutTheRequest)
