--- a/src/daemon/service_run.cc
+++ b/src/daemon/service_run.cc
@@ -66,7 +66,7 @@
         m_hasMarkedEnd
             = hasNoBody || headers.count("Content-Length") > 0 || headers.count("Transfer-Encoding") > 0;
         m_contentType = headers.find("Content-Type").value_or("application/octet-stream");
-        m_isNotRun = headers.find("Lacewing-Not-Run") == "1"
+        m_isNotRun = headers.hasOnly("Lacewing-Not-Run", "1")
             && (status == statusTooManyRequests || status == statusUnavailable);
     }
 
@@ -86,7 +86,7 @@
         RunEnd end;
         if (!result.requestSent) {
             end = refusedRun(m_request.stream, refusal::upstreamUnreachable, statusUnavailable, retryDelay);
-        } else if (m_isNotRun) {
+        } else if (m_isNotRun && !result.error) {
             end = refusedRun(m_request.stream, refusal::upstreamRefused, m_status, retryDelay);
         } else {
             end.stream = m_request.stream;
--- a/src/daemon/service_run_test.cc
+++ b/src/daemon/service_run_test.cc
@@ -56,6 +56,28 @@
     BOOST_TEST((end->outcome == Outcome::Unknown));
 }
 
+// Guards against a second run of a call whose answer states that it hasn't run, and contradicts that or is
+// cut off.
+BOOST_AUTO_TEST_CASE(ContradictoryOrCutStatementIsNoRefusal)
+{
+    const std::string contradictory = "HTTP/1.1 503 Unavailable\r\nLacewing-Not-Run: 1\r\nLacewing-Not-Run: "
+                                      "0\r\nContent-Length: 0\r\n\r\n";
+    for (const std::string& answer : { contradictory, refused.substr(0, refused.size() - 1) }) {
+        const size_t connection = server.peers.size();
+        start(makeServiceRun);
+        RawPeer& peer = accept(connection);
+        peer.send(answer);
+        peer.close();
+        finish();
+        BOOST_TEST((end->outcome != Outcome::RefusedNotRun));
+    }
+    start(makeServiceRun);
+    RawPeer& peer = accept(server.peers.size());
+    peer.send(named(named(refused, "call-other"), callId));
+    finish();
+    BOOST_TEST((end->outcome == Outcome::Unknown));
+}
+
 // Guards against passing on, and storing, a part of an answer as the whole one. A service process that ends
 // closes its connections in an orderly way.
 BOOST_AUTO_TEST_CASE(EndOfTheConnectionIsNoEndOfAnAnswer)
--- a/src/protocol/call_ids.h
+++ b/src/protocol/call_ids.h
@@ -30,11 +30,13 @@
 /// connection.
 ///
 /// @param headers of the answer.
-/// @return false unless the answer names the call, or names none on a connection without earlier calls.
+/// @return false unless the answer names the call and no other, or names none on a connection without earlier
+/// calls.
 inline bool isAnswerToCall(const HttpHeaders& headers, const std::string& callId, const HttpClientCall& call)
 {
-    const auto named = headers.find(callIdField);
-    return named ? *named == callId : !call.isOnReusedConnection();
+    if (headers.count(callIdField) == 0)
+        return !call.isOnReusedConnection();
+    return headers.hasOnly(callIdField, callId);
 }
 
 } // namespace lacewing
