lacewinglbd: don't repeat a call whose owner has begun its answer and then refuses it (TWICE)

A call that may run once would be sent to another owner. Cause: EntryRequest looked at the bytes of the answer so far, not at whether the run had begun, before it tried again after a refusal. Change: such a refusal of a call that may run only once counts as a lost answer.

--- a/src/daemon/entry_request.cc
+++ b/src/daemon/entry_request.cc
@@ -308,6 +308,9 @@
 
 void EntryRequest::notRun(const RunEnd& end)
 {
+    // The owner contradicts itself: it has begun the answer of a call that may run only once.
+    if (mayHaveRun() && !m_request.route.repeatable)
+        return lost(end.code);
     const bool isUpstreamAtFault
         = end.code == refusal::upstreamUnreachable || end.code == refusal::loadFailed;
     attemptEnded(isUpstreamAtFault ? RunResult::Failed : RunResult::Neutral);
--- a/src/daemon/entry_request_test.cc
+++ b/src/daemon/entry_request_test.cc
@@ -236,6 +236,18 @@
     BOOST_TEST(*exchange->responseHeaders.find("Lacewing-Outcome") == "refused_not_run");
 }
 
+// Guards against a second run of a call whose owner says that it hasn't run, after it has begun the answer.
+BOOST_AUTO_TEST_CASE(NonRepeatableCallIsNotSentAgainAfterAContradictoryRefusal)
+{
+    start(false, false);
+    entry->received(owner(), chunk(0, ""));
+    entry->received(owner(), end(Outcome::RefusedNotRun, refusal::upstreamRefused));
+    scheduler.advance(10s);
+    BOOST_TEST(messenger.runs.size() == 1u);
+    BOOST_REQUIRE(exchange->responseStatus == 502);
+    BOOST_TEST(*exchange->responseHeaders.find("Lacewing-Outcome") == "unknown");
+}
+
 // Guards against reporting "not run" after a refused retry although the lost first attempt may have run.
 BOOST_AUTO_TEST_CASE(RefusalAfterALostAttemptIsUnknown)
 {
