--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -190,7 +190,9 @@
     request.connectTimeout = std::clamp(connectTime, shortestConnectTimeout, longestConnectTimeout);
     // The deadline and attempt timers of the call take the place of a progress timeout.
     request.progressTimeout = Duration::zero();
-    request.maximumIdleAge = m_services.picker.idleAge(entry.id);
+    // On a connection of its own the response to a request without an id can't be taken for another one's.
+    const bool hasId = !m_attributes.requestId.empty();
+    request.maximumIdleAge = hasId ? m_services.picker.idleAge(entry.id) : Duration::zero();
     return request;
 }
 
--- a/src/gateway/upstream_permits_test.cc
+++ b/src/gateway/upstream_permits_test.cc
@@ -113,6 +113,19 @@
     permits.peerMessage(peer, PeerPermitAnswer { std::get<PeerPermitRequest>(sent[0]).permit, true, 0s });
 }
 
+// Guards against two sends of one request.
+BOOST_AUTO_TEST_CASE(AGrantThatComesTwiceStartsTheRequestOnce)
+{
+    deciders = { peer };
+    int starts = 0;
+    const PermitId permit = permits.request(upstream, 0s, [&starts](const PermitAnswer&) { ++starts; });
+    for (int i = 0; i < 2; ++i)
+        permits.peerMessage(peer, PeerPermitAnswer { permit, true, 0s });
+    scheduler.advance(1s);
+    permits.peerMessage(peer, PeerPermitAnswer { permit, true, 0s });
+    BOOST_TEST(starts == 1);
+}
+
 // Guards against refusing requests because of a wait that a former, lower limit had caused.
 BOOST_AUTO_TEST_CASE(AChangedLimitEndsTheWait)
 {
--- a/src/gateway/upstream_response.cc
+++ b/src/gateway/upstream_response.cc
@@ -63,7 +63,10 @@
     m_statedLength = statedLength(m_headers);
     const std::string& id = m_attributes->requestId;
     const bool needsId = isSuccess() || request.isOnReusedConnection;
-    m_isMismatched = m_attributes->hasConflictingIds || (id != request.id && (needsId || !id.empty()));
+    const bool isOther = id != request.id && (needsId || !id.empty());
+    // Without ids an earlier response on the connection can't be told from this one.
+    const bool isUnnamed = id.empty() && request.isOnReusedConnection;
+    m_isMismatched = m_attributes->hasConflictingIds || isOther || isUnnamed;
     m_reading = readStatement(*m_attributes, request.upstream);
 }
 
--- a/src/gateway/upstream_response_test.cc
+++ b/src/gateway/upstream_response_test.cc
@@ -55,6 +55,21 @@
     }
 }
 
+// Guards against a second run of a request without an id, after an earlier refusal that the upstream has
+// written once more, and against taking a head with two ids for the response to either.
+BOOST_AUTO_TEST_CASE(AResponseThatNamesNoRequestOrTwoIsForeign)
+{
+    UpstreamResponse response(format);
+    response.headArrived(head(503, ""), {}, { "", true });
+    BOOST_TEST(response.isForeign());
+    response.headArrived(head(503, ""), {}, { "", false });
+    BOOST_TEST(response.matchesRequest());
+    ResponseAttributes twoIds = head(503, "r-1");
+    twoIds.hasConflictingIds = true;
+    response.headArrived(twoIds, {}, newConnection);
+    BOOST_TEST(response.isForeign());
+}
+
 // Guards against forwarding events of a stream without the upstream's seal, and against losing a body.
 BOOST_AUTO_TEST_CASE(OnlyASealedStreamIsForwardedAsEvents)
 {
