Don't pass on a status that promises that a request hasn't run unless that is proved (REFUSED)

Callers of streams that may be resumed, and of safe routes, were told 503, 429, 408 or 421 although the request had run. On routes that may run once that was 502 already. Cause: a whole response with such a status and no sound statement was forwarded where the route allows repeats. Change: such a call is sent again where it may be, and else fails with 502.

--- a/src/gateway/call_decision.cc
+++ b/src/gateway/call_decision.cc
@@ -63,7 +63,7 @@
     case ExchangeEnd::NotExecuted:
         return resendOr(mayResend, rejection);
     case ExchangeEnd::AmbiguousRejection:
-        return resendOr(mayResendFailure, progress.mayRepeat ? CallStep::Forward : CallStep::Fail);
+        return resendOr(mayResendFailure, CallStep::Fail);
     case ExchangeEnd::Broken:
         return resendOr(mayResend, CallStep::Fail);
     case ExchangeEnd::Failed:
--- a/src/gateway/call_decision_test.cc
+++ b/src/gateway/call_decision_test.cc
@@ -69,7 +69,7 @@
 constexpr Row table[] = {
     { ExchangeEnd::NotSent, "resend", "resend", "resume/abort", "abort" },
     { ExchangeEnd::NotExecuted, "resend/refuse", "resend/refuse", "resume/abort", "abort" },
-    { ExchangeEnd::AmbiguousRejection, "fail", "resend/forward", "resume/abort", "abort" },
+    { ExchangeEnd::AmbiguousRejection, "fail", "resend/fail", "resume/abort", "abort" },
     { ExchangeEnd::Broken, "fail", "resend/fail", "resume/abort", "abort" },
     { ExchangeEnd::Failed, "forward", "resend/forward", "resume/abort", "abort" },
     { ExchangeEnd::Unverified, "fail", "fail", "resume/abort", "abort" },
@@ -162,10 +162,10 @@
     });
 }
 
-BOOST_AUTO_TEST_CASE(OnlyAWholeResponseIsForwarded)
+BOOST_AUTO_TEST_CASE(OnlyAWholeResponseThatPromisesNothingIsForwarded)
 {
-    const std::set<ExchangeEnd> wholeEnds { ExchangeEnd::AmbiguousRejection, ExchangeEnd::Failed,
-        ExchangeEnd::Answered, ExchangeEnd::Streamed };
+    const std::set<ExchangeEnd> wholeEnds { ExchangeEnd::Failed, ExchangeEnd::Answered,
+        ExchangeEnd::Streamed };
     forAllProgress([&wholeEnds](const CallProgress& progress) {
         for (const ExchangeEnd end : allEnds) {
             for (const CallStep step : stepsOf(decide(end, progress)))
