--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -244,6 +244,7 @@
     SentRequest request;
     request.id = exchange.requestId;
     request.upstream = exchange.upstream;
+    request.namesModel = !m_attributes.model.empty();
     request.isOnReusedConnection = exchange.isOnReusedConnection;
     request.expectsEvents = m_admission.route->kind == RouteKind::Stream;
     request.isHead = m_exchange->method() == "HEAD";
@@ -324,6 +325,7 @@
 {
     if (m_isFinished)
         return;
+    m_response.ended(result.hasFieldsOutsideHead);
     const ExchangeEnd end = endOfExchange(m_response, result, m_startedEnd);
     const CallDecision decision = decide(end, progress(end));
     // What is said of the response is over once the next exchange begins.
--- a/src/gateway/run_statement.cc
+++ b/src/gateway/run_statement.cc
@@ -15,7 +15,8 @@
     return status == statusMisdirected || status == statusTooManyRequests || status == statusUnavailable;
 }
 
-StatementConflict conflictOf(const ResponseAttributes& attributes, const UpstreamId& upstream)
+StatementConflict conflictOf(
+    const ResponseAttributes& attributes, const UpstreamId& upstream, bool namesModel)
 {
     if (attributes.notExecuted == NotExecutedField::Unclear)
         return StatementConflict::Value;
@@ -25,11 +26,13 @@
         return StatementConflict::Seal;
     if (attributes.isEventStream)
         return StatementConflict::EventStream;
+    if (!attributes.respondingUpstream)
+        return StatementConflict::None;
     // A misdirected request is answered by whichever upstream has the address now.
-    const bool isOther = attributes.respondingUpstream && *attributes.respondingUpstream != upstream;
-    if (isOther && attributes.status != statusMisdirected)
-        return StatementConflict::OtherUpstream;
-    return StatementConflict::None;
+    const bool isOther = *attributes.respondingUpstream != upstream;
+    if (attributes.status != statusMisdirected)
+        return isOther ? StatementConflict::OtherUpstream : StatementConflict::None;
+    return isOther || namesModel ? StatementConflict::None : StatementConflict::SameUpstream;
 }
 
 } // namespace
@@ -49,18 +52,23 @@
         return "event_stream";
     case StatementConflict::OtherUpstream:
         return "other_upstream";
+    case StatementConflict::SameUpstream:
+        return "same_upstream";
+    case StatementConflict::FieldsOutsideHead:
+        return "fields_outside_head";
     }
     return "unknown";
 }
 
-StatementReading readStatement(const ResponseAttributes& attributes, const UpstreamId& upstream)
+StatementReading readStatement(
+    const ResponseAttributes& attributes, const UpstreamId& upstream, bool namesModel)
 {
     // An upstream that now uses the address of another one may say so by the status 421 alone.
     const bool isStated
         = attributes.notExecuted != NotExecutedField::Absent || attributes.status == statusMisdirected;
     if (!isStated)
         return {};
-    const StatementConflict conflict = conflictOf(attributes, upstream);
+    const StatementConflict conflict = conflictOf(attributes, upstream, namesModel);
     if (conflict != StatementConflict::None)
         return { RunStatement::Contradictory, conflict };
     return { RunStatement::NotExecuted, StatementConflict::None };
--- a/src/gateway/run_statement.h
+++ b/src/gateway/run_statement.h
@@ -28,6 +28,10 @@
     EventStream,
     /// The response names another upstream than the one that the request was sent to.
     OtherUpstream,
+    /// The upstream that a request without a model was sent to says that it was meant for another one.
+    SameUpstream,
+    /// Fields came outside of the head, in an interim response or a trailer.
+    FieldsOutsideHead,
 };
 
 /// @return the conflict's name in snake_case, for logs and metrics.
@@ -46,7 +50,9 @@
 ///
 /// @param attributes of a response that belongs to the request.
 /// @param upstream that the request was sent to.
-StatementReading readStatement(const ResponseAttributes& attributes, const UpstreamId& upstream);
+/// @param namesModel whether the request names a model, which the upstream may not have.
+StatementReading readStatement(
+    const ResponseAttributes& attributes, const UpstreamId& upstream, bool namesModel);
 
 /// @return whether callers may take the status as a promise that the request has not run and never will.
 bool impliesNotExecuted(int status);
--- a/src/gateway/run_statement_test.cc
+++ b/src/gateway/run_statement_test.cc
@@ -21,12 +21,12 @@
 
 RunStatement statementOf(const ResponseAttributes& attributes)
 {
-    return readStatement(attributes, upstream).statement;
+    return readStatement(attributes, upstream, true).statement;
 }
 
 StatementConflict conflictOf(const ResponseAttributes& attributes)
 {
-    return readStatement(attributes, upstream).conflict;
+    return readStatement(attributes, upstream, true).conflict;
 }
 
 } // namespace
@@ -85,6 +85,16 @@
     BOOST_TEST((statementOf(attributes) == RunStatement::NotExecuted));
 }
 
+// Guards against a second run of a request that an upstream rejects as meant for another one, although it
+// names itself. Only a request with a model may be rejected so, since the upstream may lack the model.
+BOOST_AUTO_TEST_CASE(ARequestWithoutAModelIsNotMisdirectedToItsUpstream)
+{
+    ResponseAttributes attributes = attributesOf(421, NotExecutedField::Absent);
+    attributes.respondingUpstream = upstream;
+    BOOST_TEST((readStatement(attributes, upstream, true).statement == RunStatement::NotExecuted));
+    BOOST_TEST((readStatement(attributes, upstream, false).conflict == StatementConflict::SameUpstream));
+}
+
 BOOST_AUTO_TEST_CASE(CallersTakeFourStatusesForThePromise)
 {
     std::set<int> statuses;
--- a/src/gateway/upstream_response.cc
+++ b/src/gateway/upstream_response.cc
@@ -67,7 +67,14 @@
     // Without ids an earlier response on the connection can't be told from this one.
     const bool isUnnamed = id.empty() && request.isOnReusedConnection;
     m_isMismatched = m_attributes->hasConflictingIds || isOther || isUnnamed;
-    m_reading = readStatement(*m_attributes, request.upstream);
+    m_reading = readStatement(*m_attributes, request.upstream, request.namesModel);
+}
+
+void UpstreamResponse::ended(bool hasFieldsOutsideHead)
+{
+    // They may say anything of the run, and no rejection has them.
+    if (hasFieldsOutsideHead && m_reading.statement == RunStatement::NotExecuted)
+        m_reading = { RunStatement::Contradictory, StatementConflict::FieldsOutsideHead };
 }
 
 std::string UpstreamResponse::bodyArrived(std::string_view bytes, MonotonicTime now)
--- a/src/gateway/upstream_response.h
+++ b/src/gateway/upstream_response.h
@@ -34,6 +34,7 @@
     /// Whether the method is HEAD, so that the response has no body whatever its head states.
     bool isHead = false;
     UpstreamId upstream;
+    bool namesModel = false;
 };
 
 /// Receives the responses of upstreams to one request.
@@ -59,6 +60,10 @@
     /// and only on a connection that no other request has used, since on a reused one it may be an earlier
     /// response that the upstream has written once more. A response with several ids is that of no request.
     void headArrived(ResponseAttributes attributes, HttpHeaders headers, const SentRequest& request);
+    /// The response has ended as far as it goes.
+    ///
+    /// @param hasFieldsOutsideHead whether fields came in an interim response or a trailer.
+    void ended(bool hasFieldsOutsideHead);
     /// @return complete events to forward to the caller.
     std::string bodyArrived(std::string_view bytes, MonotonicTime now);
 
--- a/src/gateway/upstream_response_test.cc
+++ b/src/gateway/upstream_response_test.cc
@@ -55,6 +55,20 @@
     }
 }
 
+// Guards against a second run of a request whose rejection says something else of the run outside of its
+// head.
+BOOST_AUTO_TEST_CASE(FieldsOutsideTheHeadContradictARejection)
+{
+    for (const bool hasFieldsOutsideHead : { false, true }) {
+        UpstreamResponse response(format);
+        response.headArrived(head(421, "r-1", false, false), {}, newConnection);
+        response.ended(hasFieldsOutsideHead);
+        const RunStatement expected
+            = hasFieldsOutsideHead ? RunStatement::Contradictory : RunStatement::NotExecuted;
+        BOOST_TEST((response.reading().statement == expected));
+    }
+}
+
 // Guards against a second run of a request without an id, after an earlier refusal that the upstream has
 // written once more, and against taking a head with two ids for the response to either.
 BOOST_AUTO_TEST_CASE(AResponseThatNamesNoRequestOrTwoIsForeign)
--- a/src/transport/evhttp_message.cc
+++ b/src/transport/evhttp_message.cc
@@ -43,6 +43,11 @@
     return std::nullopt;
 }
 
+bool hasFields(evhttp_request& answer)
+{
+    return evhttp_request_get_input_headers(&answer)->tqh_first != nullptr;
+}
+
 std::optional<HttpHeaders> fieldsOfAnswer(evhttp_request& request)
 {
     HttpHeaders headers;
--- a/src/transport/http_chunk_check.cc
+++ b/src/transport/http_chunk_check.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace lacewing {
 
@@ -50,7 +51,18 @@
         if (m_size == 0)
             m_state = State::DataReturn;
     }
-    return m_state == State::Done ? Result::Done : Result::NeedMore;
+    if (m_state != State::Done)
+        return Result::NeedMore;
+    readTrailerStart(bytes.substr(m_acceptedBytes));
+    return Result::Done;
+}
+
+void HttpChunkCheck::readTrailerStart(std::string_view bytes)
+{
+    if (bytes.empty() || std::exchange(m_hasSeenTrailerStart, true))
+        return;
+    // An empty line ends a body without a trailer.
+    m_hasTrailer = bytes.front() != '\r' && bytes.front() != '\n';
 }
 
 bool HttpChunkCheck::acceptByte(char byte)
--- a/src/transport/http_chunk_check.h
+++ b/src/transport/http_chunk_check.h
@@ -28,6 +28,8 @@
 
     /// @return whether the last chunk has been seen.
     bool isDone() const { return m_state == State::Done; }
+    /// @return whether fields follow the last chunk.
+    bool hasTrailer() const { return m_hasTrailer; }
     /// @return how many bytes of the last call came before the fault, or before the end of the last chunk.
     size_t acceptedBytes() const { return m_acceptedBytes; }
     /// @return the reason, after Failed.
@@ -37,6 +39,8 @@
     /// What the next byte belongs to.
     enum class State { Size, SizeLineFeed, Data, DataReturn, DataLineFeed, Done };
 
+    /// @param bytes after the last chunk.
+    void readTrailerStart(std::string_view bytes);
     bool acceptByte(char byte);
     bool acceptSizeByte(char byte);
     bool acceptSizeEnd();
@@ -49,6 +53,9 @@
     uint64_t m_size = 0;
     uint64_t m_bodyBytesLeft = 0;
     size_t m_acceptedBytes = 0;
+    /// Whether a byte after the last chunk has been seen.
+    bool m_hasSeenTrailerStart = false;
+    bool m_hasTrailer = false;
     HttpFault m_fault;
 };
 
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -59,6 +59,9 @@
     bool requestSent = false;
     /// 0 without an answer.
     int status = 0;
+    /// Whether the server sent fields outside of the answer's head, which are not delivered: in a trailer, or
+    /// in an interim answer. Any interim answer but 100 counts, too.
+    bool hasFieldsOutsideHead = false;
 };
 
 /// Receives the answer. A body arrives in pieces; the callbacks must not destroy the client.
--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -432,6 +432,8 @@
         return false;
     if (++m_interimAnswers > maximumInterimAnswers)
         return false;
+    if (status != statusContinue || hasFields(*request))
+        m_exchange->hasFieldsOutsideHead = true;
     evhttp_clear_headers(evhttp_request_get_input_headers(request));
     request->response_code = statusContinue;
     return true;
@@ -457,6 +459,8 @@
         error = connectError();
     if (m_hasMalformedInput)
         error = HttpClientError::InvalidAnswer;
+    if (m_chunkCheck && m_chunkCheck->hasTrailer())
+        m_exchange->hasFieldsOutsideHead = true;
     // The failed write took the socket's error, so a broken connection reads like one that was closed.
     if (!error && m_wasCutShort && m_endsWithConnection)
         error = HttpClientError::ConnectionLost;
--- a/src/transport/http_client_connection_test.cc
+++ b/src/transport/http_client_connection_test.cc
@@ -154,6 +154,25 @@
     }
 }
 
+// Guards against a statement of the server that nobody sees, since it comes outside of the answer's head.
+BOOST_AUTO_TEST_CASE(FieldsOutsideTheHeadAreReported)
+{
+    const std::string chunks = "5\r\nhello\r\n0\r\n";
+    const std::pair<std::string, bool> answers[] = { { chunkedHead + chunks + "\r\n", false },
+        { "HTTP/1.1 100 Continue\r\n\r\n" + chunkedHead + chunks + "\r\n", false },
+        { "HTTP/1.1 100 Continue\r\nA: b\r\n\r\n" + chunkedHead + chunks + "\r\n", true },
+        { "HTTP/1.1 102 Processing\r\n\r\n" + chunkedHead + chunks + "\r\n", true },
+        { chunkedHead + chunks + "Trailer: t\r\n\r\n", true } };
+    for (const auto& [answer, isExpected] : answers) {
+        for (size_t pieceLength = 1; pieceLength <= answer.size(); ++pieceLength) {
+            std::string body;
+            const HttpClientResult result = fetch(answer, pieceLength, body);
+            BOOST_TEST(body == "hello");
+            BOOST_TEST(result.hasFieldsOutsideHead == isExpected);
+        }
+    }
+}
+
 // Guards against evhttp and the check of chunks disagreeing whether a body is chunked.
 BOOST_AUTO_TEST_CASE(SpacesAroundTheCodingAreSkipped)
 {
--- a/src/transport/http_client_exchange.h
+++ b/src/transport/http_client_exchange.h
@@ -23,6 +23,7 @@
     bool isPaused = false;
     /// Whether the connection has carried a request before this one.
     bool isOnReusedConnection = false;
+    bool hasFieldsOutsideHead = false;
 
     bool isEnded() const { return m_isEnded; }
     void deliverHeaders(int status, const HttpHeaders& headers)
@@ -40,7 +41,7 @@
     void finish(std::optional<HttpClientError> error)
     {
         if (!m_isEnded && !std::exchange(m_isEnded, true) && m_handlers.onDone)
-            m_handlers.onDone({ error, requestSent, m_status });
+            m_handlers.onDone({ error, requestSent, m_status, hasFieldsOutsideHead });
     }
     /// Suppresses all further callbacks.
     void abandon() { m_isEnded = true; }
