Log whether a refused request's id has gone over an open connection before (TWICE)

Nothing told the copy of an earlier refusal from the refusal of this send: both bear the request's id. A connection now knows the ids that it has carried; not_executed and contradictory_answer lines say whether the id is repeated, and lacewing_rejections_of_repeated_ids_total counts such rejections. No decision changes.

--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -261,7 +261,8 @@
 
 ExchangeContext ProxiedCall::exchangeContext() const
 {
-    return { m_attributes.requestId, m_search->upstream(), m_call && m_call->isOnReusedConnection() };
+    return { m_attributes.requestId, m_search->upstream(), m_call && m_call->isOnReusedConnection(),
+        m_call && m_call->isIdRepeated() };
 }
 
 void ProxiedCall::bodyArrived(std::string_view bytes)
--- a/src/gateway/response_diagnostics.cc
+++ b/src/gateway/response_diagnostics.cc
@@ -103,7 +103,10 @@
         .with("sealed", attributes.isSealed)
         .with("event_stream", attributes.isEventStream)
         .with("framing", toString(response.framing()))
-        .with("reused_connection", exchange.isOnReusedConnection);
+        .with("reused_connection", exchange.isOnReusedConnection)
+        .with("id_repeated", exchange.isIdRepeated);
+    if (exchange.isIdRepeated)
+        ++metrics.counter("lacewing_rejections_of_repeated_ids_total");
 }
 
 void recordNotSent(
--- a/src/gateway/response_diagnostics.h
+++ b/src/gateway/response_diagnostics.h
@@ -17,6 +17,8 @@
     UpstreamId upstream;
     /// Whether the connection has carried a request before this one.
     bool isOnReusedConnection = false;
+    /// Whether an open connection to the upstream had carried the request's id before.
+    bool isIdRepeated = false;
 };
 
 /// @param end of the exchange.
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -51,6 +51,7 @@
     }
 
     bool isOnReusedConnection() const override { return m_exchange->isOnReusedConnection; }
+    bool isIdRepeated() const override { return m_exchange->isIdRepeated; }
 
 private:
     EventLoop& m_loop;
@@ -59,8 +60,9 @@
 
 class PoolingHttpClient : public HttpClient, private HttpClientConnection::Observer {
 public:
-    explicit PoolingHttpClient(EventLoop& loop)
+    PoolingHttpClient(EventLoop& loop, std::string idField)
         : m_loop(loop)
+        , m_idField(std::move(idField))
     {
     }
 
@@ -69,6 +71,9 @@
     std::unique_ptr<HttpClientCall> send(HttpClientRequest request, HttpClientHandlers handlers) override
     {
         auto exchange = std::make_shared<HttpClientExchange>(std::move(request), std::move(handlers));
+        if (!m_idField.empty())
+            exchange->ids = exchange->request.headers.values(m_idField);
+        exchange->isIdRepeated = isCarried(exchange->request.server, exchange->ids);
         HttpClientConnection* connection
             = takeIdle(exchange->request.server, exchange->request.maximumIdleAge);
         if (!connection)
@@ -100,6 +105,15 @@
         return key;
     }
 
+    /// @return whether an idle connection to a server has carried one of the ids.
+    bool isCarried(const SocketAddress& server, const std::vector<std::string>& ids) const
+    {
+        const auto idle = m_idle.find(server);
+        return idle != m_idle.end()
+            && std::any_of(idle->second.begin(), idle->second.end(),
+                [&ids](const HttpClientConnection* connection) { return connection->hasCarried(ids); });
+    }
+
     // The connection that was used last is the most likely to be still open.
     HttpClientConnection* takeIdle(const SocketAddress& server, Duration maximumAge)
     {
@@ -144,6 +158,7 @@
     }
 
     EventLoop& m_loop;
+    std::string m_idField;
     std::unordered_map<HttpClientConnection*, std::unique_ptr<HttpClientConnection>> m_connections;
     std::map<SocketAddress, std::vector<HttpClientConnection*>> m_idle;
     std::vector<std::unique_ptr<HttpClientConnection>> m_closedConnections;
@@ -171,9 +186,9 @@
     return "unknown";
 }
 
-std::unique_ptr<HttpClient> HttpClient::create(EventLoop& loop)
+std::unique_ptr<HttpClient> HttpClient::create(EventLoop& loop, std::string idField)
 {
-    return std::make_unique<PoolingHttpClient>(loop);
+    return std::make_unique<PoolingHttpClient>(loop, std::move(idField));
 }
 
 } // namespace lacewing
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -84,6 +84,8 @@
     virtual void resumeReading() = 0;
     /// @return whether the request was sent on a connection that has carried a request before.
     virtual bool isOnReusedConnection() const = 0;
+    /// @return whether an idle connection to the server had carried a request of the same id.
+    virtual bool isIdRepeated() const { return false; }
 };
 
 /// HTTP/1.1 client with a connection pool per server, on an event loop.
@@ -92,7 +94,9 @@
     virtual ~HttpClient() = default;
 
     /// @param loop must outlive the client and all calls.
-    static std::unique_ptr<HttpClient> create(EventLoop& loop);
+    /// @param idField header field that names a request, and that servers repeat in their answers; empty if
+    /// requests have no ids.
+    static std::unique_ptr<HttpClient> create(EventLoop& loop, std::string idField = "");
 
     /// Sends a request. A request is never sent twice by the client itself.
     virtual std::unique_ptr<HttpClientCall> send(HttpClientRequest request, HttpClientHandlers handlers) = 0;
--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -183,6 +183,7 @@
     const bool isNew = m_phase == Phase::New;
     m_phase = isNew ? Phase::Connecting : Phase::Busy;
     m_exchange->isOnReusedConnection = !isNew;
+    m_carriedIds.add(m_exchange->ids);
     if (!isNew)
         bufferevent_set_timeouts(m_stream, nullptr, nullptr);
     evhttp_connection_set_max_body_size(m_connection, maximumBodyBytes());
--- a/src/transport/http_client_connection.h
+++ b/src/transport/http_client_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "transport/carried_ids.h"
 #include "transport/event_loop.h"
 #include "transport/http_answer_head_check.h"
 #include "transport/http_chunk_check.h"
@@ -43,6 +44,8 @@
     MonotonicTime idleSince() const { return m_idleSince; }
     /// @return false if the server has closed the idle connection, even if the loop has not seen it yet.
     bool isUsable() const;
+    /// @return whether the connection has carried a request of one of the ids.
+    bool hasCarried(const std::vector<std::string>& ids) const { return m_carriedIds.containsAny(ids); }
 
     /// Sends a request, after making the connection if it is new. A failure is reported in a later round of
     /// the loop.
@@ -148,6 +151,7 @@
     TimerId m_totalTimer = 0;
     /// Interim answers before the final one.
     int m_interimAnswers = 0;
+    CarriedIds m_carriedIds;
 };
 
 } // namespace lacewing
--- a/src/transport/http_client_exchange.h
+++ b/src/transport/http_client_exchange.h
@@ -2,6 +2,9 @@
 
 #include "transport/http_client.h"
 
+#include <string>
+#include <vector>
+
 namespace lacewing {
 
 class HttpClientConnection;
@@ -24,6 +27,10 @@
     /// Whether the connection has carried a request before this one.
     bool isOnReusedConnection = false;
     bool hasFieldsOutsideHead = false;
+    /// The ids that the request bears; empty if it has none.
+    std::vector<std::string> ids;
+    /// Whether an idle connection to the server had carried one of them.
+    bool isIdRepeated = false;
 
     bool isEnded() const { return m_isEnded; }
     void deliverHeaders(int status, const HttpHeaders& headers)
