Never send an id twice over one connection (TWICE, REFUSED)

What callers saw: a request that may run once was refused, sent again under its own id, and ran; the server then wrote the refusal once more on the same connection. The copy bears the id of the request under way, so it counted as its answer: the request ran again at the next server, or was refused though run.

Cause: nothing kept a request off a connection that had carried its id. Within one call it didn't happen, because a search doesn't return to an upstream that it has tried, which no component promised.

The connection promises it now: it knows the ids that it has carried, the pool passes it over for them, and start() refuses them. It keeps 1,024 hashes at most and is not kept beyond that. A request without an id (an order, a report) can't be told from the next one, so its refusal ends the connection.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -74,8 +74,7 @@
         if (!m_idField.empty())
             exchange->ids = exchange->request.headers.values(m_idField);
         exchange->isIdRepeated = isCarried(exchange->request.server, exchange->ids);
-        HttpClientConnection* connection
-            = takeIdle(exchange->request.server, exchange->request.maximumIdleAge);
+        HttpClientConnection* connection = takeIdle(*exchange);
         if (!connection)
             connection = connect(exchange->request.server);
         connection->start(exchange);
@@ -98,8 +97,8 @@
 private:
     HttpClientConnection* connect(const SocketAddress& server)
     {
-        auto connection
-            = std::make_unique<HttpClientConnection>(m_loop, static_cast<Observer&>(*this), server);
+        auto connection = std::make_unique<HttpClientConnection>(
+            m_loop, static_cast<Observer&>(*this), server, m_idField);
         HttpClientConnection* key = connection.get();
         m_connections.emplace(key, std::move(connection));
         return key;
@@ -111,25 +110,30 @@
         const auto idle = m_idle.find(server);
         return idle != m_idle.end()
             && std::any_of(idle->second.begin(), idle->second.end(),
-                [&ids](const HttpClientConnection* connection) { return connection->hasCarried(ids); });
+                [&ids](const HttpClientConnection* connection) { return !connection->mayCarry(ids); });
     }
 
     // The connection that was used last is the most likely to be still open.
-    HttpClientConnection* takeIdle(const SocketAddress& server, Duration maximumAge)
+    HttpClientConnection* takeIdle(const HttpClientExchange& exchange)
     {
-        const auto found = m_idle.find(server);
-        if (found == m_idle.end() || maximumAge <= Duration::zero())
+        const HttpClientRequest& request = exchange.request;
+        const auto found = m_idle.find(request.server);
+        if (found == m_idle.end() || request.maximumIdleAge <= Duration::zero())
             return nullptr;
-        const MonotonicTime oldest = m_loop.now() - maximumAge;
+        const MonotonicTime oldest = m_loop.now() - request.maximumIdleAge;
         std::vector<HttpClientConnection*>& idle = found->second;
-        while (!idle.empty() && idle.back()->idleSince() >= oldest) {
-            HttpClientConnection* connection = idle.back();
+        for (size_t index = idle.size(); index-- > 0;) {
+            HttpClientConnection* connection = idle[index];
+            if (connection->idleSince() < oldest)
+                return nullptr;
+            if (!connection->mayCarry(exchange.ids))
+                continue;
             if (connection->isUsable()) {
-                idle.pop_back();
+                idle.erase(idle.begin() + static_cast<ptrdiff_t>(index));
                 return connection;
             }
             connection->close();
-            if (m_idle.count(server) == 0)
+            if (m_idle.count(request.server) == 0)
                 return nullptr;
         }
         return nullptr;
--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -26,6 +26,7 @@
 constexpr int statusFinal = 200;
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
+constexpr int firstRefusal = 400;
 constexpr int statusAboveAll = 1000;
 /// A server that sends more of them will send no final answer.
 constexpr int maximumInterimAnswers = 16;
@@ -121,10 +122,12 @@
     }
 };
 
-HttpClientConnection::HttpClientConnection(EventLoop& loop, Observer& observer, SocketAddress server)
+HttpClientConnection::HttpClientConnection(
+    EventLoop& loop, Observer& observer, SocketAddress server, std::string idField)
     : m_loop(loop)
     , m_observer(observer)
     , m_server(std::move(server))
+    , m_idField(std::move(idField))
 {
     // evhttp's own bufferevent would not close the socket if it is freed while connecting.
     m_stream = bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
@@ -183,13 +186,14 @@
     const bool isNew = m_phase == Phase::New;
     m_phase = isNew ? Phase::Connecting : Phase::Busy;
     m_exchange->isOnReusedConnection = !isNew;
+    const bool isAllowed = mayCarry(m_exchange->ids);
     m_carriedIds.add(m_exchange->ids);
     if (!isNew)
         bufferevent_set_timeouts(m_stream, nullptr, nullptr);
     evhttp_connection_set_max_body_size(m_connection, maximumBodyBytes());
     errno = 0;
     m_isStarting = true;
-    const bool isMade = makeRequest();
+    const bool isMade = isAllowed && makeRequest();
     // libevent reports an immediate refusal later and without the reason, which is lost by then.
     const int errorNumber = errno;
     m_isStarting = false;
@@ -412,7 +416,8 @@
     const bool hasNoBody
         = m_exchange->request.method == "HEAD" || status == statusNoContent || status == statusNotModified;
     m_endsWithConnection = !hasNoBody && !framing->chunked && !framing->contentLength;
-    m_isReusable = !framing->closes && !m_wasCutShort && !m_endsWithConnection;
+    m_isReusable = !framing->closes && !m_wasCutShort && !m_endsWithConnection && !m_carriedIds.isFull()
+        && !isUnnamedRefusal(status);
     if (framing->chunked && !hasNoBody)
         startChunkedBody();
     if (m_exchange->isPaused) {
@@ -425,6 +430,11 @@
     return isCurrent(exchange.get());
 }
 
+bool HttpClientConnection::isUnnamedRefusal(int status) const
+{
+    return !m_idField.empty() && m_exchange->ids.empty() && status >= firstRefusal;
+}
+
 // Goes on to the final answer as evhttp does after status 100. It takes other interim answers for final ones.
 bool HttpClientConnection::skipInterimAnswer(evhttp_request* request)
 {
--- a/src/transport/http_client_connection.h
+++ b/src/transport/http_client_connection.h
@@ -19,7 +19,8 @@
 
 namespace lacewing {
 
-/// One connection to a server, on libevent's evhttp. It carries one request at a time.
+/// One connection to a server, on libevent's evhttp. It carries one request at a time, and never two of the
+/// same id: an answer to the first that comes once more could not be told from the answer to the second.
 ///
 /// The bufferevent's callbacks are this class's own, around those of evhttp, because evhttp holds a chunk
 /// back until it is complete, does not tell why connecting failed, and enables reading again during a pause.
@@ -34,7 +35,9 @@
         virtual void connectionClosed(HttpClientConnection& connection) = 0;
     };
 
-    HttpClientConnection(EventLoop& loop, Observer& observer, SocketAddress server);
+    /// @param idField header field that names a request, and that the server repeats in its answers; empty if
+    /// requests have no ids.
+    HttpClientConnection(EventLoop& loop, Observer& observer, SocketAddress server, std::string idField);
     /// Must not run inside a callback of evhttp.
     ~HttpClientConnection();
     HttpClientConnection(const HttpClientConnection&) = delete;
@@ -44,11 +47,11 @@
     MonotonicTime idleSince() const { return m_idleSince; }
     /// @return false if the server has closed the idle connection, even if the loop has not seen it yet.
     bool isUsable() const;
-    /// @return whether the connection has carried a request of one of the ids.
-    bool hasCarried(const std::vector<std::string>& ids) const { return m_carriedIds.containsAny(ids); }
+    /// @return whether the connection has carried no request of one of the ids.
+    bool mayCarry(const std::vector<std::string>& ids) const { return !m_carriedIds.containsAny(ids); }
 
     /// Sends a request, after making the connection if it is new. A failure is reported in a later round of
-    /// the loop.
+    /// the loop; so is a request that the connection may not carry.
     void start(std::shared_ptr<HttpClientExchange> exchange);
     /// Closes the connection without any call to the exchange's handlers.
     void close();
@@ -93,6 +96,9 @@
     void cutInput(size_t length);
     bool acceptHeaders(evhttp_request* request);
     bool skipInterimAnswer(evhttp_request* request);
+    /// @return whether an answer with these headers could be taken for the answer to the next request that
+    /// has no id, if the server sends it once more.
+    bool isUnnamedRefusal(int status) const;
     void acceptBody(std::string_view bytes);
     void requestEnded(std::optional<HttpClientError> error);
     HttpClientError connectError() const;
@@ -116,6 +122,7 @@
     EventLoop& m_loop;
     Observer& m_observer;
     SocketAddress m_server;
+    std::string m_idField;
     bufferevent* m_stream = nullptr;
     evhttp_connection* m_connection = nullptr;
     /// Null unless evhttp works on a request.
--- a/src/transport/http_client_connection_test.cc
+++ b/src/transport/http_client_connection_test.cc
@@ -1,4 +1,5 @@
 #include "transport/http_client.h"
+#include "transport/http_client_connection.h"
 #include "transport/http_test_support.h"
 
 using namespace lacewing;
@@ -351,6 +352,111 @@
     BOOST_TEST(client->connectionCount() == 0);
 }
 
+namespace {
+
+const std::string refusal = "HTTP/1.1 503 Full\r\nId: r-1\r\nContent-Length: 0\r\n\r\n";
+
+/// A client whose requests have ids.
+struct NamedFixture : Fixture {
+    NamedFixture() { client = HttpClient::create(loop, "Id"); }
+
+    /// Sends a request with an id, or without one if it is empty, and answers it.
+    ///
+    /// @param connection that the request must come on.
+    HttpClientResult exchange(const std::string& id, const std::string& answer, size_t connection)
+    {
+        HttpClientRequest request;
+        request.server = server.address();
+        if (!id.empty())
+            request.headers.add("id", id);
+        result.reset();
+        HttpClientHandlers handlers;
+        handlers.onDone = [this](const HttpClientResult& done) { result = done; };
+        const size_t earlier = server.peers.size() > connection ? server.peers[connection]->all().size() : 0;
+        call = client->send(std::move(request), std::move(handlers));
+        runUntil(loop, [&] {
+            return server.peers.size() > connection
+                && server.peers[connection]->all().find("\r\n\r\n", earlier) != std::string::npos;
+        });
+        server.peers[connection]->send(answer);
+        runUntil(loop, [this] { return result.has_value(); });
+        return *result;
+    }
+
+    std::unique_ptr<HttpClientCall> call;
+    std::optional<HttpClientResult> result;
+};
+
+struct NoObserver : HttpClientConnection::Observer {
+    void connectionIdle(HttpClientConnection&) override { }
+    void connectionClosed(HttpClientConnection&) override { }
+};
+
+} // namespace
+
+// Guards against the copy of a refusal that is taken for the answer to the same request, sent again.
+BOOST_FIXTURE_TEST_CASE(ARequestNeverGoesOverAConnectionThatHasCarriedItsId, NamedFixture)
+{
+    exchange("r-1", refusal, 0);
+    BOOST_TEST(!call->isIdRepeated());
+    exchange("r-2", wholeAnswer, 0);
+    exchange("r-1", wholeAnswer, 1);
+    BOOST_TEST(call->isIdRepeated());
+    // The connection that was used last has carried the id, the other one hasn't.
+    exchange("r-3", wholeAnswer, 1);
+    exchange("r-3", wholeAnswer, 0);
+    BOOST_TEST(server.peers.size() == 2);
+}
+
+// Guards against a connection that takes more memory with each request.
+BOOST_FIXTURE_TEST_CASE(AConnectionThatHasCarriedManyIdsIsNotKept, NamedFixture)
+{
+    for (int number = 0; number < 1024; ++number)
+        exchange("r-" + std::to_string(number), wholeAnswer, 0);
+    exchange("r-1024", wholeAnswer, 1);
+    BOOST_TEST(server.peers.size() == 2);
+}
+
+// Guards against a pool that overlooks what a connection has carried.
+BOOST_FIXTURE_TEST_CASE(AConnectionRefusesAnIdThatItHasCarried, NamedFixture)
+{
+    NoObserver observer;
+    HttpClientConnection connection(loop, observer, server.address(), "Id");
+    const auto start = [&] {
+        result.reset();
+        HttpClientHandlers handlers;
+        handlers.onDone = [this](const HttpClientResult& done) { result = done; };
+        HttpClientRequest request;
+        request.server = server.address();
+        auto exchange = std::make_shared<HttpClientExchange>(std::move(request), std::move(handlers));
+        exchange->ids = { "r-1" };
+        connection.start(exchange);
+        return exchange;
+    };
+    const auto first = start();
+    runUntil(loop, [&] { return !server.peers.empty() && server.peers[0]->received("\r\n\r\n"); });
+    server.peers[0]->send(refusal);
+    runUntil(loop, [this] { return result.has_value(); });
+    BOOST_TEST(!result->error);
+    const auto second = start();
+    runUntil(loop, [this] { return result.has_value(); });
+    BOOST_TEST((result->error == HttpClientError::ConnectFailed));
+    BOOST_TEST(!result->requestSent);
+}
+
+// Guards against the copy of a refused order that is taken for the answer to the next one.
+BOOST_FIXTURE_TEST_CASE(TheRefusalOfARequestWithoutAnIdEndsItsConnection, NamedFixture)
+{
+    const std::string unnamed = "HTTP/1.1 409 Busy\r\nContent-Length: 0\r\n\r\n";
+    exchange("", wholeAnswer, 0);
+    exchange("", unnamed, 0);
+    exchange("", wholeAnswer, 1);
+    // A refusal that names its request can be told from the answer to another one.
+    exchange("r-1", refusal, 1);
+    exchange("", wholeAnswer, 1);
+    BOOST_TEST(server.peers.size() == 2);
+}
+
 // Guards against an idle connection that takes in bytes without end after a whole answer.
 BOOST_AUTO_TEST_CASE(BytesAfterAnAnswerCloseTheConnection)
 {
