Take no refusal that names no request for a proof that a named one hasn't run (TWICE, REFUSED)

What callers saw: a server ran a request and wrote a refusal without an id on a new connection; the request ran again at the next server and was refused as not run.

Cause: a failure without an id counted on a connection that no other request had used. Servers repeat the id, so a sound refusal of a request that has one bears it; the statement of any other may be about anything. It counts as contradictory now (no_request_id), and so does a refusal without the call's id for lacewinglbd's services.

--- a/src/daemon/service_run.cc
+++ b/src/daemon/service_run.cc
@@ -66,7 +66,7 @@
         m_hasMarkedEnd
             = hasNoBody || headers.count("Content-Length") > 0 || headers.count("Transfer-Encoding") > 0;
         m_contentType = headers.find("Content-Type").value_or("application/octet-stream");
-        m_isNotRun = headers.hasOnly("Lacewing-Not-Run", "1")
+        m_isNotRun = headers.hasOnly("Lacewing-Not-Run", "1") && headers.count(callIdField) > 0
             && (status == statusTooManyRequests || status == statusUnavailable);
     }
 
--- a/src/gateway/fake_call_services_test.h
+++ b/src/gateway/fake_call_services_test.h
@@ -37,7 +37,7 @@
     }
     void notExecuted(int status)
     {
-        handlers.onHeaders(status, { { "not-executed", "1" } });
+        handlers.onHeaders(status, { { "id", "r-1" }, { "not-executed", "1" } });
         handlers.onDone({ std::nullopt, true, status });
     }
     void end(std::optional<HttpClientError> error = std::nullopt, bool wasSent = true)
--- a/src/gateway/run_statement.cc
+++ b/src/gateway/run_statement.cc
@@ -15,8 +15,7 @@
     return status == statusMisdirected || status == statusTooManyRequests || status == statusUnavailable;
 }
 
-StatementConflict conflictOf(
-    const ResponseAttributes& attributes, const UpstreamId& upstream, bool namesModel)
+StatementConflict conflictOf(const ResponseAttributes& attributes, const SentRequest& request)
 {
     if (attributes.notExecuted == NotExecutedField::Unclear)
         return StatementConflict::Value;
@@ -26,13 +25,16 @@
         return StatementConflict::Seal;
     if (attributes.isEventStream)
         return StatementConflict::EventStream;
+    // Upstreams repeat the id. Without it, the statement may be about anything that they have been sent.
+    if (attributes.requestId.empty() && !request.id.empty())
+        return StatementConflict::NoRequestId;
     if (!attributes.respondingUpstream)
         return StatementConflict::None;
     // A misdirected request is answered by whichever upstream has the address now.
-    const bool isOther = *attributes.respondingUpstream != upstream;
+    const bool isOther = *attributes.respondingUpstream != request.upstream;
     if (attributes.status != statusMisdirected)
         return isOther ? StatementConflict::OtherUpstream : StatementConflict::None;
-    return isOther || namesModel ? StatementConflict::None : StatementConflict::SameUpstream;
+    return isOther || request.namesModel ? StatementConflict::None : StatementConflict::SameUpstream;
 }
 
 } // namespace
@@ -56,19 +58,20 @@
         return "same_upstream";
     case StatementConflict::FieldsOutsideHead:
         return "fields_outside_head";
+    case StatementConflict::NoRequestId:
+        return "no_request_id";
     }
     return "unknown";
 }
 
-StatementReading readStatement(
-    const ResponseAttributes& attributes, const UpstreamId& upstream, bool namesModel)
+StatementReading readStatement(const ResponseAttributes& attributes, const SentRequest& request)
 {
     // An upstream that now uses the address of another one may say so by the status 421 alone.
     const bool isStated
         = attributes.notExecuted != NotExecutedField::Absent || attributes.status == statusMisdirected;
     if (!isStated)
         return {};
-    const StatementConflict conflict = conflictOf(attributes, upstream, namesModel);
+    const StatementConflict conflict = conflictOf(attributes, request);
     if (conflict != StatementConflict::None)
         return { RunStatement::Contradictory, conflict };
     return { RunStatement::NotExecuted, StatementConflict::None };
--- a/src/gateway/run_statement.h
+++ b/src/gateway/run_statement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/call_attributes.h"
+#include "gateway/sent_request.h"
 
 namespace lacewing::gateway {
 
@@ -32,6 +33,8 @@
     SameUpstream,
     /// Fields came outside of the head, in an interim response or a trailer.
     FieldsOutsideHead,
+    /// The response names no request although the request has an id.
+    NoRequestId,
 };
 
 /// @return the conflict's name in snake_case, for logs and metrics.
@@ -48,11 +51,8 @@
 /// Load pattern: an upstream in trouble writes the head of a rejection around the result of a run, or the
 /// fields of two responses into one head.
 ///
-/// @param attributes of a response that belongs to the request.
-/// @param upstream that the request was sent to.
-/// @param namesModel whether the request names a model, which the upstream may not have.
-StatementReading readStatement(
-    const ResponseAttributes& attributes, const UpstreamId& upstream, bool namesModel);
+/// @param attributes of a response that belongs to the request, or names none.
+StatementReading readStatement(const ResponseAttributes& attributes, const SentRequest& request);
 
 /// @return whether callers may take the status as a promise that the request has not run and never will.
 bool impliesNotExecuted(int status);
--- a/src/gateway/run_statement_test.cc
+++ b/src/gateway/run_statement_test.cc
@@ -11,22 +11,32 @@
 
 const UpstreamId upstream("s-1");
 
+SentRequest sentRequest(bool namesModel = true)
+{
+    SentRequest request;
+    request.id = "r-1";
+    request.upstream = upstream;
+    request.namesModel = namesModel;
+    return request;
+}
+
 ResponseAttributes attributesOf(int status, NotExecutedField field)
 {
     ResponseAttributes attributes;
     attributes.status = status;
+    attributes.requestId = "r-1";
     attributes.notExecuted = field;
     return attributes;
 }
 
 RunStatement statementOf(const ResponseAttributes& attributes)
 {
-    return readStatement(attributes, upstream, true).statement;
+    return readStatement(attributes, sentRequest()).statement;
 }
 
 StatementConflict conflictOf(const ResponseAttributes& attributes)
 {
-    return readStatement(attributes, upstream, true).conflict;
+    return readStatement(attributes, sentRequest()).conflict;
 }
 
 } // namespace
@@ -91,8 +101,21 @@
 {
     ResponseAttributes attributes = attributesOf(421, NotExecutedField::Absent);
     attributes.respondingUpstream = upstream;
-    BOOST_TEST((readStatement(attributes, upstream, true).statement == RunStatement::NotExecuted));
-    BOOST_TEST((readStatement(attributes, upstream, false).conflict == StatementConflict::SameUpstream));
+    BOOST_TEST((readStatement(attributes, sentRequest()).statement == RunStatement::NotExecuted));
+    BOOST_TEST((readStatement(attributes, sentRequest(false)).conflict == StatementConflict::SameUpstream));
+}
+
+// Guards against a second run of a request because of a refusal that was meant for another exchange.
+BOOST_AUTO_TEST_CASE(ARejectionNamesItsRequest)
+{
+    for (const int status : { 421, 429, 503 }) {
+        ResponseAttributes attributes = attributesOf(status, NotExecutedField::Stated);
+        attributes.requestId.clear();
+        BOOST_TEST((conflictOf(attributes) == StatementConflict::NoRequestId));
+        SentRequest unnamed = sentRequest();
+        unnamed.id.clear();
+        BOOST_TEST((readStatement(attributes, unnamed).statement == RunStatement::NotExecuted));
+    }
 }
 
 BOOST_AUTO_TEST_CASE(CallersTakeFourStatusesForThePromise)
--- a/src/gateway/upstream_response.cc
+++ b/src/gateway/upstream_response.cc
@@ -67,7 +67,7 @@
     // Without ids an earlier response on the connection can't be told from this one.
     const bool isUnnamed = id.empty() && request.isOnReusedConnection;
     m_isMismatched = m_attributes->hasConflictingIds || isOther || isUnnamed;
-    m_reading = readStatement(*m_attributes, request.upstream, request.namesModel);
+    m_reading = readStatement(*m_attributes, request);
 }
 
 void UpstreamResponse::ended(bool hasFieldsOutsideHead)
--- a/src/gateway/upstream_response.h
+++ b/src/gateway/upstream_response.h
@@ -24,19 +24,6 @@
 /// @return the framing's name in snake_case, for logs.
 const char* toString(BodyFraming framing);
 
-/// What is known of a request when its response arrives.
-struct SentRequest {
-    std::string id;
-    /// Whether the connection has carried a request before this one.
-    bool isOnReusedConnection = false;
-    /// Whether the body of an event stream is read as events, which is so on routes with streams only.
-    bool expectsEvents = true;
-    /// Whether the method is HEAD, so that the response has no body whatever its head states.
-    bool isHead = false;
-    UpstreamId upstream;
-    bool namesModel = false;
-};
-
 /// Receives the responses of upstreams to one request.
 ///
 /// Keeps the head of the latest response and either buffers its body or splits it into events to forward. The
