Drop an earlier answer that comes once more before the awaited one

What callers saw: a late copy of a refusal met another request on the connection; the connection was given up, and a request that may run once was answered 502 though its own answer followed.

The connection knows the ids that it has carried, so it drops an answer that names an earlier one, if its end is known beforehand, goes on to the next answer, and isn't kept afterwards. answers_dropped lines and lacewing_dropped_answers_total tell so.

--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -344,6 +344,8 @@
 void ProxiedCall::recordEnd(ExchangeEnd end, const HttpClientResult& result)
 {
     const ExchangeContext exchange = exchangeContext();
+    if (result.droppedAnswers > 0)
+        recordDroppedAnswers(m_services.metrics, exchange, result.droppedAnswers);
     if (m_response.isStream())
         recordStreamEnd(m_services.metrics, exchange, m_response, result.error);
     if (!result.error && m_response.hasUnmarkedEnd())
--- a/src/gateway/response_diagnostics.cc
+++ b/src/gateway/response_diagnostics.cc
@@ -133,6 +133,15 @@
     ++metrics.counter("lacewing_foreign_answers_total");
 }
 
+void recordDroppedAnswers(MetricsRegistry& metrics, const ExchangeContext& exchange, int count)
+{
+    LogEvent(LogLevel::Warning, "answers_dropped")
+        .with("request", exchange.requestId)
+        .with("upstream", exchange.upstream)
+        .with("count", count);
+    metrics.counter("lacewing_dropped_answers_total") += static_cast<uint64_t>(count);
+}
+
 void recordGivenUpResponse(
     MetricsRegistry& metrics, const ExchangeContext& exchange, const UpstreamResponse& response)
 {
--- a/src/gateway/response_diagnostics.h
+++ b/src/gateway/response_diagnostics.h
@@ -60,6 +60,9 @@
 void recordForeignResponse(
     MetricsRegistry& metrics, const ExchangeContext& exchange, const ResponseAttributes& attributes);
 
+/// Counts and logs answers to earlier requests that came once more before the answer to this one.
+void recordDroppedAnswers(MetricsRegistry& metrics, const ExchangeContext& exchange, int count);
+
 /// Records that a response was given up, since it made no progress while others waited for memory.
 void recordGivenUpResponse(
     MetricsRegistry& metrics, const ExchangeContext& exchange, const UpstreamResponse& response);
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -62,6 +62,8 @@
     /// Whether the server sent fields outside of the answer's head, which are not delivered: in a trailer, or
     /// in an interim answer. Any interim answer but 100 counts, too.
     bool hasFieldsOutsideHead = false;
+    /// Answers to earlier requests on the connection that came once more before this one, and were dropped.
+    int droppedAnswers = 0;
 };
 
 /// Receives the answer. A body arrives in pieces; the callbacks must not destroy the client.
--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -31,6 +31,10 @@
 /// A server that sends more of them will send no final answer.
 constexpr int maximumInterimAnswers = 16;
 
+/// A server that sends earlier answers without end, or large ones, is given up.
+constexpr int maximumDroppedAnswers = 4;
+constexpr size_t maximumDroppedBytes = 64 * 1024;
+
 /// An idle connection is closed after this time, so that connections to servers no longer in use go away.
 constexpr timeval maximumIdleTime { 60, 0 };
 
@@ -86,6 +90,7 @@
     {
         void* self = nullptr;
         bufferevent_getcb(stream, nullptr, nullptr, nullptr, &self);
+        from(self).dropInput();
         from(self).checkInput();
         const EvhttpCallbacks& evhttp = from(self).m_evhttp;
         if (evhttp.onRead)
@@ -180,6 +185,7 @@
     m_endsWithConnection = false;
     m_isReusable = false;
     m_interimAnswers = 0;
+    m_bytesToDrop = 0;
     if (m_exchange->request.totalTimeout > Duration::zero())
         m_totalTimer
             = m_loop.runAfter(m_exchange->request.totalTimeout, [this] { fail(HttpClientError::TimedOut); });
@@ -401,8 +407,7 @@
     m_uncheckedBytes = evbuffer_get_length(bufferevent_get_input(m_stream));
     m_headCheck.reset();
     if (skipInterimAnswer(request)) {
-        m_headCheck.emplace();
-        checkInput();
+        readNextHead(request);
         return true;
     }
     m_hasHeaders = true;
@@ -413,11 +418,13 @@
         m_error = HttpClientError::InvalidAnswer;
         return false;
     }
+    if (dropEarlierAnswer(request, *headers, *framing))
+        return true;
     const bool hasNoBody
         = m_exchange->request.method == "HEAD" || status == statusNoContent || status == statusNotModified;
     m_endsWithConnection = !hasNoBody && !framing->chunked && !framing->contentLength;
     m_isReusable = !framing->closes && !m_wasCutShort && !m_endsWithConnection && !m_carriedIds.isFull()
-        && !isUnnamedRefusal(status);
+        && !isUnnamedRefusal(status) && m_exchange->droppedAnswers == 0;
     if (framing->chunked && !hasNoBody)
         startChunkedBody();
     if (m_exchange->isPaused) {
@@ -445,11 +452,51 @@
         return false;
     if (status != statusContinue || hasFields(*request))
         m_exchange->hasFieldsOutsideHead = true;
+    return true;
+}
+
+void HttpClientConnection::readNextHead(evhttp_request* request)
+{
     evhttp_clear_headers(evhttp_request_get_input_headers(request));
     request->response_code = statusContinue;
+    m_headCheck.emplace();
+    checkInput();
+}
+
+bool HttpClientConnection::dropEarlierAnswer(
+    evhttp_request* request, const HttpHeaders& headers, const HttpFraming& framing)
+{
+    const std::vector<std::string> ids
+        = m_idField.empty() ? std::vector<std::string>() : headers.values(m_idField);
+    const std::vector<std::string>& own = m_exchange->ids;
+    const bool isEarlier = ids.size() == 1 && std::find(own.begin(), own.end(), ids[0]) == own.end()
+        && m_carriedIds.containsAny(ids);
+    // The answer to HEAD states the length of a body that doesn't follow.
+    const bool isBounded = framing.contentLength && *framing.contentLength <= maximumDroppedBytes
+        && m_exchange->request.method != "HEAD";
+    if (!isEarlier || !isBounded || framing.closes || m_exchange->droppedAnswers >= maximumDroppedAnswers)
+        return false;
+    ++m_exchange->droppedAnswers;
+    m_hasHeaders = false;
+    m_bytesToDrop = *framing.contentLength;
+    dropInput();
+    m_uncheckedBytes = evbuffer_get_length(bufferevent_get_input(m_stream));
+    readNextHead(request);
     return true;
 }
 
+// evhttp must not see the body of an answer whose head was dropped.
+void HttpClientConnection::dropInput()
+{
+    if (m_bytesToDrop == 0)
+        return;
+    evbuffer* input = bufferevent_get_input(m_stream);
+    const size_t length = std::min(m_bytesToDrop, evbuffer_get_length(input));
+    evbuffer_drain(input, length);
+    m_bytesToDrop -= length;
+    m_uncheckedBytes -= std::min(m_uncheckedBytes, length);
+}
+
 void HttpClientConnection::acceptBody(std::string_view bytes)
 {
     if (!m_exchange || bytes.empty())
--- a/src/transport/http_client_connection.h
+++ b/src/transport/http_client_connection.h
@@ -5,6 +5,7 @@
 #include "transport/http_answer_head_check.h"
 #include "transport/http_chunk_check.h"
 #include "transport/http_client_exchange.h"
+#include "transport/http_field_rules.h"
 
 #include <event2/bufferevent.h>
 
@@ -96,7 +97,14 @@
     void cutInput(size_t length);
     bool acceptHeaders(evhttp_request* request);
     bool skipInterimAnswer(evhttp_request* request);
-    /// @return whether an answer with these headers could be taken for the answer to the next request that
+    /// Drops an answer to an earlier request, which the server has sent once more, and goes on to the next
+    /// one.
+    ///
+    /// @return false for any other answer, or one whose end is not known beforehand.
+    bool dropEarlierAnswer(evhttp_request* request, const HttpHeaders& headers, const HttpFraming& framing);
+    void dropInput();
+    void readNextHead(evhttp_request* request);
+    /// @return whether an answer with this status could be taken for the answer to the next request that
     /// has no id, if the server sends it once more.
     bool isUnnamedRefusal(int status) const;
     void acceptBody(std::string_view bytes);
@@ -158,6 +166,8 @@
     TimerId m_totalTimer = 0;
     /// Interim answers before the final one.
     int m_interimAnswers = 0;
+    /// Bytes of a dropped answer that are still to come.
+    size_t m_bytesToDrop = 0;
     CarriedIds m_carriedIds;
 };
 
--- a/src/transport/http_client_connection_test.cc
+++ b/src/transport/http_client_connection_test.cc
@@ -444,6 +444,63 @@
     BOOST_TEST(!result->requestSent);
 }
 
+// Guards against a request that fails because an earlier answer comes once more before its own, however the
+// bytes are cut.
+BOOST_FIXTURE_TEST_CASE(AnEarlierAnswerBeforeTheOwnOneIsDropped, NamedFixture)
+{
+    const std::string own = "HTTP/1.1 200 OK\r\nId: r-2\r\nContent-Length: 2\r\n\r\nok";
+    for (const std::string body : { "", "full", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" }) {
+        const std::string earlier = "HTTP/1.1 503 Full\r\nId: r-1\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body;
+        const std::string answer = earlier + earlier + own;
+        for (size_t pieceLength = 1; pieceLength <= answer.size(); ++pieceLength) {
+            client = HttpClient::create(loop, "Id");
+            server.peers.clear();
+            exchange("r-1", earlier, 0);
+            HttpClientRequest request;
+            request.server = server.address();
+            request.headers.add("Id", "r-2");
+            std::string received;
+            std::vector<int> statuses;
+            result.reset();
+            HttpClientHandlers handlers;
+            handlers.onHeaders = [&](int status, const HttpHeaders&) { statuses.push_back(status); };
+            handlers.onBody = [&](std::string_view bytes) { received += bytes; };
+            handlers.onDone = [this](const HttpClientResult& done) { result = done; };
+            call = client->send(std::move(request), std::move(handlers));
+            runUntil(loop, [&] { return server.peers[0]->received("r-2\r\n"); });
+            for (size_t begin = 0; begin < answer.size() && !result; begin += pieceLength) {
+                server.peers[0]->send(answer.substr(begin, pieceLength));
+                loop.runAfter(std::chrono::milliseconds(1), [this] { loop.stop(); });
+                loop.run();
+            }
+            runUntil(loop, [this] { return result.has_value(); });
+            BOOST_TEST(!result->error);
+            BOOST_TEST(result->droppedAnswers == 2);
+            BOOST_TEST((statuses == std::vector<int> { 200 }));
+            BOOST_TEST(received == "ok");
+            // A server that has sent answers too many may send more.
+            BOOST_TEST(client->connectionCount() == 0);
+        }
+    }
+}
+
+// Guards against dropping what may be the answer to the request, or has no known end.
+BOOST_FIXTURE_TEST_CASE(OnlyBoundedAnswersToEarlierRequestsAreDropped, NamedFixture)
+{
+    for (const std::string answer : { "HTTP/1.1 503 Full\r\nId: r-9\r\nContent-Length: 0\r\n\r\n",
+             "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n",
+             "HTTP/1.1 503 Full\r\nId: r-1\r\nId: r-2\r\nContent-Length: 0\r\n\r\n",
+             "HTTP/1.1 503 Full\r\nId: r-1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+             "HTTP/1.1 503 Full\r\nId: r-1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n" }) {
+        client = HttpClient::create(loop, "Id");
+        server.peers.clear();
+        exchange("r-1", refusal, 0);
+        BOOST_TEST(exchange("r-2", answer, 0).status == 503);
+        BOOST_TEST(result->droppedAnswers == 0);
+    }
+}
+
 // Guards against the copy of a refused order that is taken for the answer to the next one.
 BOOST_FIXTURE_TEST_CASE(TheRefusalOfARequestWithoutAnIdEndsItsConnection, NamedFixture)
 {
--- a/src/transport/http_client_exchange.h
+++ b/src/transport/http_client_exchange.h
@@ -27,6 +27,7 @@
     /// Whether the connection has carried a request before this one.
     bool isOnReusedConnection = false;
     bool hasFieldsOutsideHead = false;
+    int droppedAnswers = 0;
     /// The ids that the request bears; empty if it has none.
     std::vector<std::string> ids;
     /// Whether an idle connection to the server had carried one of them.
@@ -48,7 +49,7 @@
     void finish(std::optional<HttpClientError> error)
     {
         if (!m_isEnded && !std::exchange(m_isEnded, true) && m_handlers.onDone)
-            m_handlers.onDone({ error, requestSent, m_status, hasFieldsOutsideHead });
+            m_handlers.onDone({ error, requestSent, m_status, hasFieldsOutsideHead, droppedAnswers });
     }
     /// Suppresses all further callbacks.
     void abandon() { m_isEnded = true; }
