--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -73,7 +73,6 @@
         auto exchange = std::make_shared<HttpClientExchange>(std::move(request), std::move(handlers));
         if (!m_idField.empty())
             exchange->ids = exchange->request.headers.values(m_idField);
-        exchange->isIdRepeated = isCarried(exchange->request.server, exchange->ids);
         HttpClientConnection* connection = takeIdle(*exchange);
         if (!connection)
             connection = connect(exchange->request.server);
@@ -104,17 +103,8 @@
         return key;
     }
 
-    /// @return whether an idle connection to a server has carried one of the ids.
-    bool isCarried(const SocketAddress& server, const std::vector<std::string>& ids) const
-    {
-        const auto idle = m_idle.find(server);
-        return idle != m_idle.end()
-            && std::any_of(idle->second.begin(), idle->second.end(),
-                [&ids](const HttpClientConnection* connection) { return !connection->mayCarry(ids); });
-    }
-
     // The connection that was used last is the most likely to be still open.
-    HttpClientConnection* takeIdle(const HttpClientExchange& exchange)
+    HttpClientConnection* takeIdle(HttpClientExchange& exchange)
     {
         const HttpClientRequest& request = exchange.request;
         const auto found = m_idle.find(request.server);
@@ -126,8 +116,10 @@
             HttpClientConnection* connection = idle[index];
             if (connection->idleSince() < oldest)
                 return nullptr;
-            if (!connection->mayCarry(exchange.ids))
+            if (!connection->mayCarry(exchange.ids)) {
+                exchange.isIdRepeated = true;
                 continue;
+            }
             if (connection->isUsable()) {
                 idle.erase(idle.begin() + static_cast<ptrdiff_t>(index));
                 return connection;
--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -194,6 +194,7 @@
     m_exchange->isOnReusedConnection = !isNew;
     const bool isAllowed = mayCarry(m_exchange->ids);
     m_carriedIds.add(m_exchange->ids);
+    m_hasCarriedHead = m_hasCarriedHead || m_exchange->request.method == "HEAD";
     if (!isNew)
         bufferevent_set_timeouts(m_stream, nullptr, nullptr);
     evhttp_connection_set_max_body_size(m_connection, maximumBodyBytes());
@@ -471,9 +472,11 @@
     const std::vector<std::string>& own = m_exchange->ids;
     const bool isEarlier = ids.size() == 1 && std::find(own.begin(), own.end(), ids[0]) == own.end()
         && m_carriedIds.containsAny(ids);
-    // The answer to HEAD states the length of a body that doesn't follow.
-    const bool isBounded = framing.contentLength && *framing.contentLength <= maximumDroppedBytes
-        && m_exchange->request.method != "HEAD";
+    // Some answers state the length of a body that doesn't follow.
+    const int status = evhttp_request_get_response_code(request);
+    const bool mayLackBody = m_hasCarriedHead || status == statusNoContent || status == statusNotModified;
+    const bool isBounded
+        = framing.contentLength && *framing.contentLength <= maximumDroppedBytes && !mayLackBody;
     if (!isEarlier || !isBounded || framing.closes || m_exchange->droppedAnswers >= maximumDroppedAnswers)
         return false;
     ++m_exchange->droppedAnswers;
--- a/src/transport/http_client_connection.h
+++ b/src/transport/http_client_connection.h
@@ -166,6 +166,8 @@
     TimerId m_totalTimer = 0;
     /// Interim answers before the final one.
     int m_interimAnswers = 0;
+    /// Whether the connection has carried a request whose answer states the length of a body that it hasn't.
+    bool m_hasCarriedHead = false;
     /// Bytes of a dropped answer that are still to come.
     size_t m_bytesToDrop = 0;
     CarriedIds m_carriedIds;
--- a/src/transport/http_client_connection_test.cc
+++ b/src/transport/http_client_connection_test.cc
@@ -492,15 +492,37 @@
              "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n",
              "HTTP/1.1 503 Full\r\nId: r-1\r\nId: r-2\r\nContent-Length: 0\r\n\r\n",
              "HTTP/1.1 503 Full\r\nId: r-1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-             "HTTP/1.1 503 Full\r\nId: r-1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n" }) {
+             "HTTP/1.1 503 Full\r\nId: r-1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+             "HTTP/1.1 304 Same\r\nId: r-1\r\nContent-Length: 9\r\n\r\n" }) {
         client = HttpClient::create(loop, "Id");
         server.peers.clear();
         exchange("r-1", refusal, 0);
-        BOOST_TEST(exchange("r-2", answer, 0).status == 503);
+        const int status = exchange("r-2", answer, 0).status;
+        BOOST_TEST(answer.find(' ' + std::to_string(status) + ' ') == 8);
         BOOST_TEST(result->droppedAnswers == 0);
     }
 }
 
+// Guards against the beginning of an answer that is taken for the body of an earlier answer to HEAD, which
+// has none.
+BOOST_FIXTURE_TEST_CASE(NothingIsDroppedOnAConnectionThatHasCarriedHead, NamedFixture)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: r-1\r\nContent-Length: 50\r\n\r\n";
+    HttpClientRequest request;
+    request.server = server.address();
+    request.method = "HEAD";
+    request.headers.add("Id", "r-1");
+    HttpClientHandlers handlers;
+    handlers.onDone = [this](const HttpClientResult& done) { result = done; };
+    call = client->send(std::move(request), std::move(handlers));
+    runUntil(loop, [&] { return !server.peers.empty() && server.peers[0]->received("\r\n\r\n"); });
+    server.peers[0]->send(head);
+    runUntil(loop, [this] { return result.has_value(); });
+    BOOST_TEST(!result->error);
+    exchange("r-2", head + "HTTP/1.1 200 OK\r\nId: r-2\r\nContent-Length: 2\r\n\r\nok", 0);
+    BOOST_TEST(result->droppedAnswers == 0);
+}
+
 // Guards against the copy of a refused order that is taken for the answer to the next one.
 BOOST_FIXTURE_TEST_CASE(TheRefusalOfARequestWithoutAnIdEndsItsConnection, NamedFixture)
 {
