lacewinglbctl story: later tries to take a stream up, and versions of services (ORDER)

The story of a request left out what other requests did with its stream. It tells lines that name the request as their stream, and what the host knew of the versions of services. ctl_test passes, with a new case.

--- a/src/ctl/log_story.cc
+++ b/src/ctl/log_story.cc
@@ -104,7 +104,8 @@
         bool isFirst = true;
         for (size_t index = 0; index < log.events.size(); ++index) {
             const Event& event = log.events[index];
-            if (event.field("request") != request)
+            // Callers' later tries name the stream that this request has begun.
+            if (event.field("request") != request && event.field("stream") != request)
                 continue;
             if (std::exchange(isFirst, false))
                 addContext(log, index, lines);
@@ -122,8 +123,8 @@
 // The latest line of each kind tells what held when the request came.
 void LogStory::addContext(const Log& log, size_t first, std::vector<Line>& lines)
 {
-    const std::set<std::string> kinds { "started", "configuration_applied", "settings_reloaded", "stopping",
-        "store_lost", "store_regained", "log_lines_dropped" };
+    const std::set<std::string> kinds { "started", "configuration_applied", "service_versions",
+        "settings_reloaded", "stopping", "store_lost", "store_regained", "log_lines_dropped" };
     std::set<std::string> seen;
     for (size_t index = first; index-- > 0;) {
         const Event& event = log.events[index];
--- a/src/ctl/log_story_test.cc
+++ b/src/ctl/log_story_test.cc
@@ -16,6 +16,8 @@
 time=14.000 event=start_denied request=r-1 upstream=e-1 owner=host-2 run=7 reason=overloaded
 time=14.001 event=call request=r-2 upstream=e-1 adapter=a1 outcome=answered reason=""
 time=14.002 event=call request=r-1 upstream=e-1 adapter=a1 outcome=refused reason=overloaded
+time=14.100 event=service_versions service=engines base=v1 others=1 revision=2
+time=14.200 event=stream_taken_up request=r-4 stream=r-3 service=engines software_version=v2 source=record
 )";
 
 const char* ownerLog = R"(collector 17: time=10.000 event=started host=host-2
@@ -67,6 +69,16 @@
         BOOST_TEST(!contains(story, foreign), foreign);
 }
 
+// Guards against a story of a stream that doesn't tell who took it up, and at which version.
+BOOST_AUTO_TEST_CASE(TellsOfLaterTriesToTakeAStreamUp)
+{
+    for (const char* request : { "r-3", "r-4" }) {
+        const std::string story = storyOf(request);
+        BOOST_TEST(contains(story, "event=stream_taken_up request=r-4 stream=r-3"));
+        BOOST_TEST(contains(story, "event=service_versions service=engines base=v1"));
+    }
+}
+
 // Guards against a story that does not tell what the host knew.
 BOOST_AUTO_TEST_CASE(TellsWhatTheHostBelieved)
 {
