--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -14,6 +14,8 @@
 using AdapterId = StrongId<struct AdapterIdTag>;
 using AdapterVersion = StrongId<struct AdapterVersionTag>;
 using ModelId = StrongId<struct ModelIdTag>;
+/// Version of an upstream's software. Streams of two versions don't fit together.
+using SoftwareVersion = StrongId<struct SoftwareVersionTag>;
 using RouteId = StrongId<struct RouteIdTag>;
 /// Idempotency key chosen by the caller, unique within a workspace.
 using RequestId = StrongId<struct RequestIdTag>;
--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -1,9 +1,21 @@
 #include "gateway/call_admission.h"
 
 #include "base/log.h"
+#include "base/stable_hash.h"
 
 namespace lacewing::gateway {
 
+namespace {
+
+/// @return a number from 0 to below 1 that is the same for the same text on each host.
+double fractionOf(const std::string& text)
+{
+    constexpr uint64_t parts = uint64_t { 1 } << 53;
+    return static_cast<double>(stableHash(text) % parts) / static_cast<double>(parts);
+}
+
+} // namespace
+
 const char* toString(CallRefusal refusal)
 {
     switch (refusal) {
@@ -35,6 +47,10 @@
         return "upstreams_leaving";
     case CallRefusal::QuarantinedPrompt:
         return "quarantined_prompt";
+    case CallRefusal::UnknownStreamVersion:
+        return "unknown_stream_version";
+    case CallRefusal::NoUpstreamOfVersion:
+        return "no_upstream_of_version";
     }
     return "unknown";
 }
@@ -45,12 +61,15 @@
     return m_keeper.isFresh() ? reason : CallRefusal::StaleConfiguration;
 }
 
-ServiceId CallAdmitter::selectService(const Route& route) const
+ServiceId CallAdmitter::selectService(const Route& route, const CallAttributes& attributes) const
 {
     double total = 0;
     for (const ServiceShare& share : route.services)
         total += share.weight;
-    double drawn = m_random.uniform() * total;
+    // A stream is taken up at the service that has begun it, which its first try's id tells.
+    const std::string& stream = attributes.lastEventId ? attributes.resumedRequestId : attributes.requestId;
+    const bool isDrawnByName = route.kind == RouteKind::Stream && route.isResumable && !stream.empty();
+    double drawn = (isDrawnByName ? fractionOf(stream) : m_random.uniform()) * total;
     ServiceId service;
     for (const ServiceShare& share : route.services) {
         service = share.service;
@@ -70,7 +89,7 @@
         admission.route = configuration.findRoute(host.substr(0, host.find(':')), path);
     if (!admission.route)
         return denialUnlessStale(CallRefusal::UnknownRoute);
-    admission.serviceId = selectService(*admission.route);
+    admission.serviceId = selectService(*admission.route, attributes);
     admission.service = configuration.findService(admission.serviceId);
     if (admission.route->isAnonymous || !configuration.hasWorkspaces())
         return std::nullopt;
--- a/src/gateway/call_admission.h
+++ b/src/gateway/call_admission.h
@@ -30,6 +30,10 @@
     UpstreamsLeaving,
     /// Engines have ended on prompts like this one.
     QuarantinedPrompt,
+    /// Nothing tells which software version has begun the stream that the caller takes up.
+    UnknownStreamVersion,
+    /// No upstream has the software version that has begun the stream.
+    NoUpstreamOfVersion,
 };
 
 /// @return the reason in snake_case, as logs and metrics name it.
@@ -78,7 +82,7 @@
 
 private:
     std::optional<CallRefusal> denialUnlessStale(CallRefusal reason) const;
-    ServiceId selectService(const Route& route) const;
+    ServiceId selectService(const Route& route, const CallAttributes& attributes) const;
 
     const ConfigurationTracker& m_keeper;
     WorkspaceRateLimiter& m_usage;
--- a/src/gateway/call_attributes.h
+++ b/src/gateway/call_attributes.h
@@ -30,6 +30,10 @@
     /// Parts of the prompt in order; the last one is specific to the request or its session.
     std::vector<PromptPart> promptParts;
     std::optional<Tokens> maximumOutputTokens;
+    /// Id of the last event that the caller has, if it takes a stream up.
+    std::optional<std::string> lastEventId;
+    /// The caller's try that brought the first event of that stream; empty if the caller doesn't name it.
+    std::string resumedRequestId;
 };
 
 /// Header fields that the gateway sets on a request to an upstream.
--- a/src/gateway/call_record.h
+++ b/src/gateway/call_record.h
@@ -26,6 +26,8 @@
     Revision revision;
     /// The upstream that was chosen last; empty if none was.
     UpstreamId upstream;
+    /// Version of the upstream that the request was sent to last; empty if it was sent to none.
+    SoftwareVersion softwareVersion;
     int askedOwners = 0;
     int sends = 0;
     /// Time until the first byte of the answer; nothing if it has none.
--- a/src/gateway/call_services.h
+++ b/src/gateway/call_services.h
@@ -12,6 +12,7 @@
 #include "gateway/response_memory.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/run_broker.h"
+#include "gateway/stream_versions.h"
 #include "gateway/upstream_directory.h"
 #include "gateway/upstream_limits.h"
 #include "gateway/upstream_permits.h"
@@ -40,6 +41,7 @@
     RetryAllowance& retries;
     QuarantineExchange& quarantine;
     ResponseMemory& responseMemory;
+    StreamVersions& streamVersions;
     MetricsRegistry& metrics;
     Random& random;
     /// Sends the workspaces' usage to all peers before the next heartbeat.
--- a/src/gateway/engine_view.cc
+++ b/src/gateway/engine_view.cc
@@ -57,13 +57,13 @@
     return false;
 }
 
-std::vector<EngineCandidate> EngineView::candidates(
-    const ServiceId& service, const AdapterRef& adapter, const std::set<UpstreamId>& excluded)
+std::vector<EngineCandidate> EngineView::candidates(const ServiceId& service, const AdapterRef& adapter,
+    const std::set<UpstreamId>& excluded, const VersionFilter& versions)
 {
     const MonotonicTime now = m_clock.now();
     const Duration updateInterval = std::min(m_mesh.heartbeatInterval(), maximumBacklogError);
     std::vector<EngineCandidate> candidates;
-    for (const UpstreamEntry* entry : m_upstreams.usable(service)) {
+    for (const UpstreamEntry* entry : m_upstreams.usable(service, versions)) {
         if (excluded.count(entry->id) > 0 || m_upstreams.restLeft(*entry) > Duration::zero())
             continue;
         EngineCandidate candidate;
--- a/src/gateway/fake_call_services_test.h
+++ b/src/gateway/fake_call_services_test.h
@@ -86,6 +86,8 @@
         attributes.requestId = headers.find("id").value_or("");
         attributes.key = headers.find("key");
         attributes.deadline = std::chrono::seconds(4);
+        attributes.lastEventId = headers.find("last-event");
+        attributes.resumedRequestId = headers.find("resumes").value_or("");
         std::istringstream parts(headers.find("parts").value_or(""));
         for (std::string part; std::getline(parts, part, ',');)
             attributes.promptParts.push_back({ std::stoull(part), Tokens(10) });
@@ -160,11 +162,15 @@
         entry.service = service;
         entry.address = { "127.0.0.1", 1 };
         entry.startedAt = startedAt;
+        const auto version = softwareVersions.find(entry.id);
+        entry.softwareVersion = version == softwareVersions.end() ? SoftwareVersion("v1") : version->second;
         return entry;
     }
 
     /// Start of the processes of upstreams whose rows are read from now on.
     int64_t startedAt = 1;
+    /// Software versions of upstreams whose rows are read from now on, if they aren't "v1".
+    std::map<UpstreamId, SoftwareVersion> softwareVersions;
     // The configuration that is read from now on.
     Revision revision { 1 };
     bool hasSafeRoute = true;
@@ -194,6 +200,7 @@
         store.put({ "op", "config" }, "{}");
         store.put({ "servers", "s-1" }, "ready");
         store.put({ "servers", "s-2" }, "ready");
+        serviceVersions.tableRead({ versionsRow("v1", "", 1) });
         configuration.start();
         upstreams.start();
         scheduler.advance(std::chrono::milliseconds(50));
@@ -201,6 +208,15 @@
             retries.countRequest(service, scheduler.now());
     }
 
+    /// @param others further versions, as JSON strings.
+    static StoredRow versionsRow(const std::string& base, const std::string& others, int64_t revision)
+    {
+        return { ServiceVersionTracker::rowKey(service),
+            R"({"base":")" + base + R"(","others":[)" + others + R"(],"revision":)" + std::to_string(revision)
+                + "}",
+            RowVersion(StoreEra(), 1), false };
+    }
+
     VirtualScheduler scheduler;
     EventLoop loop;
     FakeRowStore store { scheduler };
@@ -245,9 +261,18 @@
             [](const UpstreamId&) {} } };
     MemoryAccount memory;
     ResponseMemory responseMemory { scheduler, memory, { [] {} } };
+    bool reachesStore = true;
+    ServiceVersionTracker serviceVersions { scheduler, store,
+        { [] { return ServiceVersionTracker::UpstreamCounts(); }, [] { return std::chrono::seconds(30); },
+            [] { return size_t { 0 }; }, [](const StoredRow&) {} } };
+    StreamRecords streamRecords { scheduler, store, metrics, [] { return std::chrono::seconds(30); },
+        [](size_t) {} };
+    StreamVersions streamVersions { serviceVersions, streamRecords,
+        { [this] { return reachesStore; },
+            [this](const ServiceId& name) { return upstreams.softwareVersions(name); } } };
     CallServices services { scheduler, client, translator, configuration, upstreams, view, broker, picker,
         limits, upstreams.availability(), permits, selector, usage, admitter, retries, quarantine,
-        responseMemory, metrics, random, [] {},
+        responseMemory, streamVersions, metrics, random, [] {},
         [this](const LimitObservation& observation, const std::string&) {
             limits.observe(observation, scheduler.now());
         },
--- a/src/gateway/fake_row_store_test.h
+++ b/src/gateway/fake_row_store_test.h
@@ -64,6 +64,7 @@
     /// Number of transactions that failed because of a condition.
     int conflicts = 0;
 
+    StoreEra newestEra() const override { return m_era; }
     void readTable(std::string table, ReadCallback callback) override
     {
         answer(std::move(callback), [this, table] { return rowsOf(table, RowVersion(0), false); });
--- a/src/gateway/fleet_agent.cc
+++ b/src/gateway/fleet_agent.cc
@@ -184,6 +184,7 @@
     if (isRestored)
         claimUnownedEngines();
     m_handlers.onFleetChanged();
+    m_handlers.onRows(rows, true);
 }
 
 void FleetAgent::rowsChanged(const std::vector<StoredRow>& rows)
@@ -192,6 +193,7 @@
         m_registry.apply(row, m_scheduler.now());
     updateOwnership();
     m_handlers.onFleetChanged();
+    m_handlers.onRows(rows, false);
 }
 
 void FleetAgent::feedResumed(Duration outage)
--- a/src/gateway/fleet_agent.h
+++ b/src/gateway/fleet_agent.h
@@ -55,6 +55,11 @@
         ///
         /// @param kind of the rows: "host", "owner" or "secret".
         std::function<void(const char* kind, size_t count)> onRowsWrittenAgain = [](const char*, size_t) {};
+        /// Called with the rows of the table that have been read, of which the agent uses its own kinds.
+        ///
+        /// @param isWholeTable whether they are all rows of the table, and not changes only.
+        std::function<void(const std::vector<StoredRow>& rows, bool isWholeTable)> onRows
+            = [](const std::vector<StoredRow>&, bool) {};
     };
 
     FleetAgent(Scheduler& scheduler, RowStore& store, HostRecord self, Duration leaseTime, OwnershipRule rule,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -22,6 +22,11 @@
 constexpr Duration openOrderInterval = std::chrono::milliseconds(10);
 /// Software versions of engines that are remembered.
 constexpr size_t maximumEngineVersions = 64;
+/// Interval at which one host looks for records of streams that hosts have left behind.
+constexpr Duration recordSweepInterval = std::chrono::seconds(60);
+/// Callers try to take a stream up until their deadline, which counts from their first try.
+constexpr int triesPerStream = 2;
+constexpr Duration shortestStreamLifetime = std::chrono::seconds(30);
 constexpr Duration memberInterval = std::chrono::milliseconds(500);
 /// Callers reuse idle connections for almost the whole timeout as measured on their side, so the server waits
 /// longer than that.
@@ -101,7 +106,13 @@
               [this] { return ineligibleHosts(); }, [this] { return reportedOwners(); },
               [this](const UpstreamId& engine, FencingNumber number) { m_owners.renumbered(engine, number); },
               [this] { storeRestored(); },
-              [this](const char* kind, size_t count) { rowsWrittenAgain(kind, count); } })
+              [this](const char* kind, size_t count) { rowsWrittenAgain(kind, count); },
+              [this](const std::vector<StoredRow>& rows, bool isWholeTable) {
+                  if (isWholeTable)
+                      m_serviceVersions.tableRead(rows);
+                  else
+                      m_serviceVersions.rowsChanged(rows);
+              } })
     , m_mesh(loop, recordOf(m_settings, m_incarnation),
           { [this](const HostId& peer, const PeerMessage& message) { peerMessage(peer, message); },
               [this](const HostId& peer) { m_broker.peerLost(peer); },
@@ -131,6 +142,22 @@
     , m_quarantine(loop, m_random, m_metrics,
           { [this](const PeerMessage& message) { m_mesh.sendToAll(message); },
               [this](const Quarantine& quarantine) { m_quarantineRows.save(quarantine); } })
+    , m_serviceVersions(loop, platform.store,
+          { [this] { return m_upstreams.softwareVersions(); }, [this] { return longestStream(); },
+              [this] { return hostsAhead(); },
+              [this](const StoredRow& row) { m_mesh.sendToAll(PeerServiceVersions { { row } }); } })
+    , m_streamRecords(
+          loop, platform.store, m_metrics, [this] { return longestStream(); },
+          [this](size_t count) { rowsWrittenAgain("stream", count); })
+    , m_streamVersions(m_serviceVersions, m_streamRecords,
+          { [this] { return m_fleet.reachesStore(); },
+              [this](const ServiceId& service) { return m_upstreams.softwareVersions(service); } })
+    , m_sweepTimer(
+          loop, [] { return recordSweepInterval; },
+          [this] {
+              if (m_fleet.reachesStore() && hostsAhead() == 0)
+                  m_streamRecords.sweep();
+          })
     , m_memory(memory)
     , m_responseMemory(loop, memory, { [this] { relieveMemory(); } })
     , m_permits(loop, m_limits, m_settings.host,
@@ -140,7 +167,8 @@
     , m_plainSelector(m_upstreams, m_picker, m_limits, m_permits, m_settings.dataCentre)
     , m_services { loop, client, platform.calls, m_configuration, m_upstreams, m_engineView, m_broker,
         m_picker, m_limits, m_upstreams.availability(), m_permits, m_plainSelector, m_usage, m_admitter,
-        m_retries, m_quarantine, m_responseMemory, m_metrics, m_random, [this] { reportUsage(); },
+        m_retries, m_quarantine, m_responseMemory, m_streamVersions, m_metrics, m_random,
+        [this] { reportUsage(); },
         [this](const LimitObservation& observation, const std::string& requestId) {
             m_limitExchange.observed(observation, requestId);
         },
@@ -196,6 +224,9 @@
     m_fleet.start();
     m_quarantineRows.read([this](const Quarantine& quarantine) { m_quarantine.restore(quarantine); });
     m_memberTimer.start();
+    m_serviceVersions.start();
+    m_streamRecords.start();
+    m_sweepTimer.start();
     LogEvent(LogLevel::Info, "started")
         .with("host", m_settings.host)
         .with("incarnation", m_incarnation)
@@ -320,6 +351,7 @@
         heartbeat.limits = m_limits.all();
         heartbeat.quarantines = m_quarantine.all();
         heartbeat.leaving = m_upstreams.availability().leaving();
+        heartbeat.serviceVersions = m_serviceVersions.rows();
     }
     return heartbeat;
 }
@@ -339,6 +371,8 @@
             m_configuration.recordPeerVersion(heartbeat->configurationVersion,
                 heartbeat->configurationRevision, *heartbeat->configurationAge);
         m_fleet.peerKnowsEra(heartbeat->storeEra);
+        if (!heartbeat->serviceVersions.empty())
+            m_serviceVersions.rowsChanged(heartbeat->serviceVersions);
         m_owners.fetchLimiter().setPeersInFlight(m_mesh.fetchesInFlight(), m_peersInTouch);
         return;
     }
@@ -354,6 +388,10 @@
         m_upstreams.peerOffered(news->rows);
         return;
     }
+    if (const auto* news = std::get_if<PeerServiceVersions>(&message)) {
+        m_serviceVersions.rowsChanged(news->rows);
+        return;
+    }
     if (const auto* usage = std::get_if<PeerUsage>(&message)) {
         m_usage.peerReported(peer, usage->incarnation, usage->usage, m_loop.now());
         return;
@@ -473,6 +511,22 @@
     m_fleet.claimUnownedEngines();
 }
 
+Duration Gateway::longestStream()
+{
+    // Streams that began under an earlier configuration go on.
+    if (const auto configuration = m_configuration.current())
+        m_longestStream = std::max(m_longestStream, configuration->longestStream());
+    return std::max(triesPerStream * m_longestStream, shortestStreamLifetime);
+}
+
+size_t Gateway::hostsAhead() const
+{
+    const auto peers = m_mesh.peersInTouch();
+    return static_cast<size_t>(std::count_if(peers.begin(), peers.end(), [this](const auto& peer) {
+        return peer.second->heartbeat.reachesStore && peer.first < m_settings.host;
+    }));
+}
+
 void Gateway::noteEngineVersions()
 {
     const bool isFirst = m_engineVersions.empty();
@@ -488,6 +542,7 @@
 void Gateway::upstreamsChanged()
 {
     noteEngineVersions();
+    m_serviceVersions.refresh();
     const std::set<UpstreamId> present = m_upstreams.ids();
     m_picker.retain(present);
     m_permits.retain(present);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,8 @@
 #include "gateway/operator_row_exchange.h"
 #include "gateway/proxied_call.h"
 #include "gateway/quarantine_rows.h"
+#include "gateway/service_version_tracker.h"
+#include "gateway/stream_versions.h"
 #include "gateway/upstream_availability_exchange.h"
 #include "gateway/upstream_limit_exchange.h"
 #include "transport/http_server.h"
@@ -78,6 +80,10 @@
     void storeRestored();
     /// Rows that the copy lacked have been written again.
     void rowsWrittenAgain(const char* kind, size_t count);
+    /// @return longest time from the begin of a stream to the last try of its caller to take it up.
+    Duration longestStream();
+    /// @return number of hosts in touch that make changes of shared rows before this one.
+    size_t hostsAhead() const;
     /// Tells the quarantine of engines with a version that none had before.
     void noteEngineVersions();
     void upstreamsChanged();
@@ -118,6 +124,10 @@
     UpstreamAvailabilityExchange m_availability;
     QuarantineRows m_quarantineRows;
     QuarantineExchange m_quarantine;
+    ServiceVersionTracker m_serviceVersions;
+    StreamRecords m_streamRecords;
+    StreamVersions m_streamVersions;
+    PeriodicTimer m_sweepTimer;
     MemoryAccount& m_memory;
     ResponseMemory m_responseMemory;
     UpstreamPermits m_permits;
@@ -132,8 +142,10 @@
     /// Number of reachable peers as of the last updateMembers().
     size_t m_peersInTouch = 0;
     MonotonicTime m_storeRestoredAt;
+    /// Longest timeout of a route of streams in all configurations so far.
+    Duration m_longestStream {};
     /// Software versions that engines have had.
-    std::set<std::string> m_engineVersions;
+    std::set<SoftwareVersion> m_engineVersions;
     bool m_isStopping = false;
     MonotonicTime m_stopDeadline;
     std::function<void()> m_stopped;
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -30,7 +30,8 @@
     CrashReports,
     AnswerBegan,
     Quarantines,
-    UpstreamLeaving
+    UpstreamLeaving,
+    ServiceVersions
 };
 
 Json frame(FrameType type)
@@ -264,6 +265,38 @@
     return json;
 }
 
+Json encode(const std::vector<StoredRow>& stored)
+{
+    Json rows = Json::array();
+    for (const StoredRow& row : stored) {
+        const std::vector<uint8_t> value(row.value.begin(), row.value.end());
+        rows.push_back(Json::array({ row.id.key, Json::binary(value), row.version.number(), row.isDeleted,
+            row.version.era().value() }));
+    }
+    return rows;
+}
+
+/// @return the era at an index of a frame, which hosts of an earlier version don't send.
+StoreEra eraAt(const Json& json, size_t index)
+{
+    return json.size() > index ? StoreEra(json.at(index).get<int64_t>()) : StoreEra();
+}
+
+std::vector<StoredRow> decodeRows(const Json& json)
+{
+    std::vector<StoredRow> rows;
+    for (const Json& item : json) {
+        StoredRow row;
+        row.id.key = item.at(0).get<std::string>();
+        const auto& value = item.at(1).get_binary();
+        row.value.assign(value.begin(), value.end());
+        row.version = RowVersion(eraAt(item, 4), item.at(2).get<int64_t>());
+        row.isDeleted = item.at(3).get<bool>();
+        rows.push_back(std::move(row));
+    }
+    return rows;
+}
+
 Json encode(const PeerHeartbeat& message)
 {
     Json engines = Json::array();
@@ -293,6 +326,7 @@
     for (const LeavingStatement& statement : message.leaving)
         leaving.push_back(encode(statement));
     json.push_back(std::move(leaving));
+    json.push_back(encode(message.serviceVersions));
     return json;
 }
 
@@ -334,6 +368,8 @@
         for (const Json& statement : json.at(16))
             message.leaving.push_back(decodeLeaving(statement));
     }
+    if (json.size() > 17)
+        message.serviceVersions = decodeRows(json.at(17));
     return message;
 }
 
@@ -345,16 +381,10 @@
     return json;
 }
 
-Json encode(FrameType type, const std::vector<StoredRow>& stored)
+Json encode(FrameType type, const std::vector<StoredRow>& rows)
 {
-    Json rows = Json::array();
-    for (const StoredRow& row : stored) {
-        const std::vector<uint8_t> value(row.value.begin(), row.value.end());
-        rows.push_back(Json::array({ row.id.key, Json::binary(value), row.version.number(), row.isDeleted,
-            row.version.era().value() }));
-    }
     Json json = frame(type);
-    json.push_back(std::move(rows));
+    json.push_back(encode(rows));
     return json;
 }
 
@@ -368,25 +398,9 @@
     return encode(FrameType::UpstreamRows, message.rows);
 }
 
-/// @return the era at an index of a frame, which hosts of an earlier version don't send.
-StoreEra eraAt(const Json& json, size_t index)
+Json encode(const PeerServiceVersions& message)
 {
-    return json.size() > index ? StoreEra(json.at(index).get<int64_t>()) : StoreEra();
-}
-
-std::vector<StoredRow> decodeRows(const Json& json)
-{
-    std::vector<StoredRow> rows;
-    for (const Json& item : json) {
-        StoredRow row;
-        row.id.key = item.at(0).get<std::string>();
-        const auto& value = item.at(1).get_binary();
-        row.value.assign(value.begin(), value.end());
-        row.version = RowVersion(eraAt(item, 4), item.at(2).get<int64_t>());
-        row.isDeleted = item.at(3).get<bool>();
-        rows.push_back(std::move(row));
-    }
-    return rows;
+    return encode(FrameType::ServiceVersions, message.rows);
 }
 
 Json encode(const PeerRunRequest& message)
@@ -494,6 +508,8 @@
         return PeerOperatorRows { decodeRows(json.at(1)) };
     case FrameType::UpstreamRows:
         return PeerUpstreamRows { decodeRows(json.at(1)) };
+    case FrameType::ServiceVersions:
+        return PeerServiceVersions { decodeRows(json.at(1)) };
     case FrameType::RunRequest:
         return decodeRunRequest(json);
     case FrameType::RunGrant:
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -55,6 +55,9 @@
     /// All upstreams that are known to be leaving, in the first heartbeat on a link. Later ones are sent as
     /// PeerUpstreamLeaving.
     std::vector<LeavingStatement> leaving;
+    /// The software versions of all services, in the first heartbeat on a link. Later changes are sent as
+    /// PeerServiceVersions.
+    std::vector<StoredRow> serviceVersions;
 };
 
 /// Usage on a host since its last report, sent between two heartbeats.
@@ -131,6 +134,11 @@
     LeavingStatement statement;
 };
 
+/// The software versions of services have changed.
+struct PeerServiceVersions {
+    std::vector<StoredRow> rows;
+};
+
 /// Asks the deciding host for permission to send a request to an upstream that has stated a limit.
 struct PeerPermitRequest {
     UpstreamId upstream;
@@ -166,7 +174,7 @@
 using PeerMessage = std::variant<PeerHeartbeat, PeerOperatorRequest, PeerOperatorRows, PeerUpstreamRows,
     PeerRunRequest, PeerRunGrant, PeerRunDenial, PeerRunProgress, PeerRunEnd, PeerUsage, PeerUpstreamLimit,
     PeerPermitRequest, PeerPermitAnswer, PeerCrashReports, PeerAnswerBegan, PeerQuarantines,
-    PeerUpstreamLeaving>;
+    PeerUpstreamLeaving, PeerServiceVersions>;
 
 /// @return the message as one CBOR frame.
 std::string encodePeerMessage(const PeerMessage& message);
--- a/src/gateway/peer_message_test.cc
+++ b/src/gateway/peer_message_test.cc
@@ -80,7 +80,8 @@
         PeerAnswerBegan { { UpstreamId("engine-1"), 5, PartSet({ 8, 9 }) } },
         PeerQuarantines {
             { quarantine(), { PartSet({ 3 }), QuarantineRevision(1), false, 0, std::nullopt } } },
-        PeerUpstreamLeaving { { UpstreamId("u-1"), 1700000000000 } } };
+        PeerUpstreamLeaving { { UpstreamId("u-1"), 1700000000000 } },
+        PeerServiceVersions { { { { "", "versions:chat" }, "{}", RowVersion(StoreEra(2), 7), false } } } };
 }
 
 } // namespace
--- a/src/gateway/plain_upstream_selector.cc
+++ b/src/gateway/plain_upstream_selector.cc
@@ -15,10 +15,10 @@
 {
 }
 
-PlainUpstreamSelector::Selection PlainUpstreamSelector::select(
-    const ServiceId& service, const std::set<UpstreamId>& tried, Duration longestWait, MonotonicTime now)
+PlainUpstreamSelector::Selection PlainUpstreamSelector::select(const ServiceId& service,
+    const std::set<UpstreamId>& tried, const VersionFilter& versions, Duration longestWait, MonotonicTime now)
 {
-    const auto usable = m_upstreams.usable(service);
+    const auto usable = m_upstreams.usable(service, versions);
     const bool hasUnlimited
         = std::any_of(usable.begin(), usable.end(), [this, &tried](const UpstreamEntry* entry) {
               return tried.count(entry->id) == 0 && !m_limits.rate(entry->id)
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -103,7 +103,23 @@
         deadlinePassed();
     });
     m_services.retries.countRequest(m_admission.serviceId, m_services.loop.now());
-    m_search->next();
+    m_binding->resolve([this](VersionSource source) {
+        const auto self = shared_from_this();
+        startSearch(source);
+    });
+}
+
+void ProxiedCall::startSearch(VersionSource source)
+{
+    if (m_isFinished)
+        return;
+    const Duration timeLeft = std::max<Duration>(m_timeLimit - elapsed(), Duration::zero());
+    if (source == VersionSource::Unknown)
+        refuse(CallRefusal::UnknownStreamVersion, timeLeft);
+    else if (source == VersionSource::Unreadable)
+        refuse(CallRefusal::UnknownStreamVersion, std::min(timeLeft, staleRetryAfter));
+    else
+        m_search->next();
 }
 
 void ProxiedCall::createSearch()
@@ -111,7 +127,9 @@
     const int priority = m_admission.workspace && m_admission.workspace->priority
         ? *m_admission.workspace->priority
         : m_admission.route->priority;
-    const UpstreamSearch::Subject subject { m_attributes, m_admission, m_arrival, m_timeLimit, priority };
+    m_binding.emplace(m_services.streamVersions, m_services.metrics, m_attributes, m_admission);
+    const UpstreamSearch::Subject subject { m_attributes, m_admission, *m_binding, m_arrival, m_timeLimit,
+        priority };
     UpstreamSearch::Handlers handlers;
     handlers.onStart = [this] {
         const auto self = shared_from_this();
@@ -199,7 +217,7 @@
 void ProxiedCall::send()
 {
     const UpstreamId& upstream = m_search->upstream();
-    const UpstreamEntry* entry = m_services.upstreams.findUsable(upstream);
+    const UpstreamEntry* entry = m_services.upstreams.findUsable(upstream, m_binding->filter());
     if (!entry || m_services.upstreams.restLeft(*entry) > Duration::zero()) {
         recordWithheld(m_services, m_attributes.requestId, upstream);
         exchangeEnded(ExchangeOutcome::Answered, RunOutcome::EngineFailed);
@@ -220,6 +238,9 @@
         ++m_services.metrics.counter("lacewing_limited_upstream_requests_total", { { "kind", "call" } });
     m_services.picker.started(upstream);
     m_services.availability.requestSent(upstream, m_sentAt);
+    if (m_startedEnd)
+        m_binding->recordResumption(upstream);
+    m_binding->runBegins(entry->softwareVersion);
     HttpClientHandlers handlers;
     handlers.onHeaders = [this](int status, const HttpHeaders& headers) { headersArrived(status, headers); };
     handlers.onBody = [this](std::string_view bytes) { bodyArrived(bytes); };
@@ -270,7 +291,9 @@
     const std::string events = m_response.bodyArrived(bytes, m_services.loop.now());
     if (!events.empty()) {
         m_evidence->answerBegan();
-        forwardEvents(events);
+        m_binding->eventsArrived([this] { streamRecorded(); });
+        m_heldEvents += events;
+        releaseEvents();
     }
     m_flow.needs(m_response.expectedBytes());
     const bool isOversized = m_response.exceedsSizeLimit();
@@ -297,6 +320,25 @@
     return parts;
 }
 
+void ProxiedCall::releaseEvents()
+{
+    if (m_heldEvents.empty())
+        return;
+    m_flow.setHeld(!m_binding->mayForward());
+    if (m_binding->mayForward())
+        forwardEvents(std::exchange(m_heldEvents, {}));
+}
+
+void ProxiedCall::streamRecorded()
+{
+    const auto self = shared_from_this();
+    if (m_isFinished)
+        return;
+    releaseEvents();
+    if (const auto end = std::exchange(m_heldEnd, std::nullopt))
+        upstreamDone(*end);
+}
+
 void ProxiedCall::forwardEvents(const std::string& events)
 {
     if (!m_startedEnd) {
@@ -326,6 +368,10 @@
 {
     if (m_isFinished)
         return;
+    if (!m_heldEvents.empty()) {
+        m_heldEnd = result;
+        return;
+    }
     m_response.ended(result.hasFieldsOutsideHead);
     const ExchangeEnd end = endOfExchange(m_response, result, m_startedEnd);
     const CallDecision decision = decide(end, progress(end));
@@ -527,7 +573,8 @@
     ++m_services.metrics.counter("lacewing_refusals_total", { { "reason", toString(refusal) } });
     // Before these have passed the request would be rejected again.
     const bool isLowerBound = refusal == CallRefusal::UpstreamLimit
-        || refusal == CallRefusal::UpstreamsResting || refusal == CallRefusal::QuarantinedPrompt;
+        || refusal == CallRefusal::UpstreamsResting || refusal == CallRefusal::QuarantinedPrompt
+        || refusal == CallRefusal::UnknownStreamVersion || refusal == CallRefusal::NoUpstreamOfVersion;
     if (retryAfter)
         retryAfter = spread(*retryAfter, isLowerBound ? 1 : 0.8);
     reply(statusUnavailable, m_services.translator.localReplyHeaders(m_attributes.requestId, retryAfter), "",
@@ -563,6 +610,7 @@
     CallRecord record(m_attributes, m_admission, m_response);
     record.revision = m_configuration ? m_configuration->revision() : Revision();
     record.upstream = m_search ? m_search->upstream() : UpstreamId();
+    record.softwareVersion = m_binding ? m_binding->runVersion() : SoftwareVersion();
     record.askedOwners = m_search ? m_search->askedOwners() : 0;
     record.sends = m_sends;
     record.firstByte = m_firstByte;
--- a/src/gateway/proxied_call.h
+++ b/src/gateway/proxied_call.h
@@ -4,6 +4,7 @@
 #include "gateway/call_evidence.h"
 #include "gateway/call_services.h"
 #include "gateway/response_flow.h"
+#include "gateway/stream_binding.h"
 #include "gateway/upstream_response.h"
 #include "gateway/upstream_search.h"
 #include "transport/http_server.h"
@@ -37,6 +38,8 @@
     // Admission.
     bool chargeWorkspace();
     void createSearch();
+    /// Looks for an upstream once it is known which versions may serve the call.
+    void startSearch(VersionSource source);
     void deny(CallRefusal refusal);
     /// @return whether the request or its prompt is in quarantine, in which case the call has been refused.
     bool refuseQuarantined();
@@ -68,6 +71,10 @@
     /// @param reason if the step ends the call without a whole response.
     void take(CallStep step, const char* reason);
     void forwardResponse();
+    /// Forwards the events that have arrived, unless their stream's record must be stored first.
+    void releaseEvents();
+    /// The record of the stream is stored.
+    void streamRecorded();
     void forwardEvents(const std::string& events);
     /// @return whether the request may run more than once, by the configuration that has admitted it and by
     /// the newest one.
@@ -106,6 +113,8 @@
     /// Number of sends that may have run the request.
     int m_possibleRuns = 0;
     int m_sends = 0;
+    /// Set once the request is admitted.
+    std::optional<StreamBinding> m_binding;
     /// Null until the request is admitted.
     std::unique_ptr<UpstreamSearch> m_search;
 
@@ -113,6 +122,10 @@
     std::unique_ptr<HttpClientCall> m_call;
     ResponseFlow m_flow;
     UpstreamResponse m_response;
+    /// Events that wait for their stream's record.
+    std::string m_heldEvents;
+    /// End of the exchange, which is handled after them.
+    std::optional<HttpClientResult> m_heldEnd;
     bool m_isExchanging = false;
     /// How the end of the response is marked that the caller has got a part of.
     std::optional<StreamEnd> m_startedEnd;
--- a/src/gateway/response_flow.cc
+++ b/src/gateway/response_flow.cc
@@ -27,6 +27,7 @@
     release();
     m_call = &call;
     m_isCallerBehind = false;
+    m_isHeld = false;
     m_isPaused = false;
 }
 
@@ -60,6 +61,12 @@
     update();
 }
 
+void ResponseFlow::setHeld(bool isHeld)
+{
+    m_isHeld = isHeld;
+    update();
+}
+
 void ResponseFlow::memoryGranted()
 {
     m_isWaiting = false;
@@ -73,7 +80,7 @@
 
 void ResponseFlow::update()
 {
-    const bool mustPause = m_isWaiting || m_isCallerBehind;
+    const bool mustPause = m_isWaiting || m_isCallerBehind || m_isHeld;
     if (!m_call || mustPause == std::exchange(m_isPaused, mustPause))
         return;
     if (mustPause)
--- a/src/gateway/response_flow.h
+++ b/src/gateway/response_flow.h
@@ -33,6 +33,8 @@
     void needs(size_t bytes);
     /// @param isBehind whether the caller has much left to read.
     void setCallerBehind(bool isBehind);
+    /// @param isHeld whether events that have arrived must not be passed on yet.
+    void setHeld(bool isHeld);
 
 private:
     void memoryGranted() override;
@@ -45,6 +47,7 @@
     size_t m_reserved = 0;
     bool m_isWaiting = false;
     bool m_isCallerBehind = false;
+    bool m_isHeld = false;
     bool m_isPaused = false;
 };
 
--- a/src/gateway/serving_configuration.cc
+++ b/src/gateway/serving_configuration.cc
@@ -2,6 +2,8 @@
 
 #include "base/digest.h"
 
+#include <algorithm>
+
 namespace lacewing::gateway {
 
 const char* toString(RouteKind kind)
@@ -25,6 +27,8 @@
 
 ServingConfiguration::Builder& ServingConfiguration::Builder::add(Route route)
 {
+    if (route.kind == RouteKind::Stream)
+        m_result->m_longestStream = std::max(m_result->m_longestStream, route.timeout);
     auto& prefixes = m_result->m_routes[route.host];
     std::string prefix = route.pathPrefix;
     prefixes.insert_or_assign(std::move(prefix), std::move(route));
--- a/src/gateway/serving_configuration.h
+++ b/src/gateway/serving_configuration.h
@@ -143,10 +143,13 @@
     const ServiceConfiguration* findService(const ServiceId& id) const;
     const std::vector<ServingWorkspace>& workspaces() const { return m_workspaces; }
     const std::map<ServiceId, ServiceConfiguration>& services() const { return m_services; }
+    /// @return the longest time that a caller waits for a whole stream; zero without streams.
+    Duration longestStream() const { return m_longestStream; }
 
 private:
     Revision m_revision;
     CallerLimits m_callerLimits;
+    Duration m_longestStream {};
     /// Keyed by host, then by path prefix.
     std::unordered_map<std::string, std::unordered_map<std::string, Route>> m_routes;
     std::map<ServiceId, ServiceConfiguration> m_services;
--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -44,11 +44,14 @@
     return (!known.graceUntil || now < *known.graceUntil) && (!known.goneUntil || now >= *known.goneUntil);
 }
 
-std::vector<const UpstreamEntry*> UpstreamDirectory::usable(const ServiceId& service) const
+std::vector<const UpstreamEntry*> UpstreamDirectory::usable(
+    const ServiceId& service, const VersionFilter& versions) const
 {
     std::vector<const UpstreamEntry*> entries;
     for (const auto& [id, known] : m_known) {
-        if (known.entry.service == service && !isLeaving(known.entry) && isPresent(known))
+        if (known.entry.service != service || !versions.accepts(known.entry.softwareVersion))
+            continue;
+        if (!isLeaving(known.entry) && isPresent(known))
             entries.push_back(&known.entry);
     }
     return entries;
@@ -72,10 +75,11 @@
     return m_availability.restLeft(entry.id, entry.startedAt, m_scheduler.now());
 }
 
-std::optional<Duration> UpstreamDirectory::shortestRest(const ServiceId& service) const
+std::optional<Duration> UpstreamDirectory::shortestRest(
+    const ServiceId& service, const VersionFilter& versions) const
 {
     std::optional<Duration> shortest;
-    for (const UpstreamEntry* entry : usable(service)) {
+    for (const UpstreamEntry* entry : usable(service, versions)) {
         const Duration rest = restLeft(*entry);
         if (rest > Duration::zero())
             shortest = std::min(shortest.value_or(rest), rest);
@@ -94,10 +98,31 @@
     return found != m_known.end() && isPresent(found->second) ? &found->second.entry : nullptr;
 }
 
-const UpstreamEntry* UpstreamDirectory::findUsable(const UpstreamId& id) const
+const UpstreamEntry* UpstreamDirectory::findUsable(const UpstreamId& id, const VersionFilter& versions) const
 {
     const UpstreamEntry* entry = find(id);
-    return entry && !isLeaving(*entry) ? entry : nullptr;
+    const bool isUsable = entry && !isLeaving(*entry) && versions.accepts(entry->softwareVersion);
+    return isUsable ? entry : nullptr;
+}
+
+std::map<ServiceId, std::map<SoftwareVersion, size_t>> UpstreamDirectory::softwareVersions() const
+{
+    std::map<ServiceId, std::map<SoftwareVersion, size_t>> counts;
+    for (const auto& [id, known] : m_known) {
+        if (isPresent(known))
+            ++counts[known.entry.service][known.entry.softwareVersion];
+    }
+    return counts;
+}
+
+std::set<SoftwareVersion> UpstreamDirectory::softwareVersions(const ServiceId& service) const
+{
+    std::set<SoftwareVersion> versions;
+    for (const auto& [id, known] : m_known) {
+        if (known.entry.service == service && isPresent(known))
+            versions.insert(known.entry.softwareVersion);
+    }
+    return versions;
 }
 
 std::set<UpstreamId> UpstreamDirectory::ids() const
@@ -205,13 +230,15 @@
     }
     const auto [known, isNew] = m_known.try_emplace(entry->id);
     const bool hasChanged = isNew || known->second.entry.isDraining != entry->isDraining
-        || known->second.entry.startedAt != entry->startedAt || known->second.goneUntil;
+        || known->second.entry.startedAt != entry->startedAt
+        || known->second.entry.softwareVersion != entry->softwareVersion || known->second.goneUntil;
     if (hasChanged)
         LogEvent(LogLevel::Info, "upstream_changed")
             .with("upstream", entry->id)
             .with("service", entry->service)
             .with("address", entry->address.text())
-            .with("draining", entry->isDraining);
+            .with("draining", entry->isDraining)
+            .with("software_version", entry->softwareVersion);
     known->second = { *entry, row.version, std::nullopt, std::nullopt };
     return hasChanged;
 }
--- a/src/gateway/upstream_directory.h
+++ b/src/gateway/upstream_directory.h
@@ -3,6 +3,7 @@
 #include "gateway/row_decoder.h"
 #include "gateway/store_feed.h"
 #include "gateway/upstream_availability.h"
+#include "gateway/version_filter.h"
 
 #include <functional>
 #include <map>
@@ -39,20 +40,28 @@
 
     void start() { m_feed.start(); }
 
+    /// @param versions that the request may be sent to.
     /// @return the upstreams of a service that may get new requests, now or after a rest.
-    std::vector<const UpstreamEntry*> usable(const ServiceId& service) const;
+    std::vector<const UpstreamEntry*> usable(
+        const ServiceId& service, const VersionFilter& versions = VersionFilter()) const;
     /// @return the upstream if it may get new requests, now or after a rest, or null.
-    const UpstreamEntry* findUsable(const UpstreamId& id) const;
+    const UpstreamEntry* findUsable(
+        const UpstreamId& id, const VersionFilter& versions = VersionFilter()) const;
     /// @return time until an upstream that is usable may get a request from this host; zero without a rest.
     Duration restLeft(const UpstreamEntry& entry) const;
     /// @return the shortest time until a resting upstream of a service may get a request; nothing if none
     /// rests.
-    std::optional<Duration> shortestRest(const ServiceId& service) const;
+    std::optional<Duration> shortestRest(
+        const ServiceId& service, const VersionFilter& versions = VersionFilter()) const;
     /// @return whether a service has upstreams, all of which are leaving.
     bool areAllLeaving(const ServiceId& service) const;
     /// @return the upstream, even if it is leaving, or null if it is unknown.
     const UpstreamEntry* find(const UpstreamId& id) const;
     std::set<UpstreamId> ids() const;
+    /// @return the number of upstreams of each service and software version, those that are leaving included.
+    std::map<ServiceId, std::map<SoftwareVersion, size_t>> softwareVersions() const;
+    /// @return the software versions of a service's upstreams, those that are leaving included.
+    std::set<SoftwareVersion> softwareVersions(const ServiceId& service) const;
     /// @return the upstreams and the starts of their processes.
     std::map<UpstreamId, int64_t> startTimes() const;
     /// @return what upstreams have said of themselves beside their rows.
--- a/src/gateway/upstream_entry.h
+++ b/src/gateway/upstream_entry.h
@@ -37,8 +37,7 @@
     bool isDraining = false;
     /// Distinguishes restarts of an upstream that keeps its id.
     int64_t startedAt = 0;
-    /// Version of the upstream's software; empty if it states none.
-    std::string softwareVersion;
+    SoftwareVersion softwareVersion;
     /// Number of load and unload orders that the engine has accepted since its start.
     int64_t orderSequence = 0;
     std::vector<HeldModel> models;
--- a/src/gateway/upstream_search.cc
+++ b/src/gateway/upstream_search.cc
@@ -58,7 +58,8 @@
 void UpstreamSearch::chooseEngine()
 {
     const AdapterRef adapter { m_subject.attributes.model, m_subject.attributes.adapter };
-    const auto candidates = m_services.engines.candidates(m_subject.admission.serviceId, adapter, m_tried);
+    const auto candidates = m_services.engines.candidates(
+        m_subject.admission.serviceId, adapter, m_tried, m_subject.binding.filter());
     const std::vector<UpstreamId> ranked = EngineChooser::rank(adapter, candidates, m_services.random);
     std::optional<Duration> shortestWait;
     for (const UpstreamId& engine : ranked) {
@@ -79,7 +80,8 @@
         startWithinLimit(engine, Duration::zero());
         return;
     }
-    const auto rest = m_services.upstreams.shortestRest(m_subject.admission.serviceId);
+    const auto rest
+        = m_services.upstreams.shortestRest(m_subject.admission.serviceId, m_subject.binding.filter());
     if (const auto retryAfter = m_owners.retryAfter())
         m_handlers.onExhausted(overloadRefusal(), *retryAfter);
     else if (shortestWait)
@@ -92,7 +94,8 @@
 
 bool UpstreamSearch::hasAlternative() const
 {
-    const auto usable = m_services.upstreams.usable(m_subject.admission.serviceId);
+    const auto usable
+        = m_services.upstreams.usable(m_subject.admission.serviceId, m_subject.binding.filter());
     return std::any_of(usable.begin(), usable.end(), [this](const UpstreamEntry* entry) {
         return m_tried.count(entry->id) == 0 && m_services.upstreams.restLeft(*entry) == Duration::zero();
     });
@@ -100,7 +103,15 @@
 
 void UpstreamSearch::reportNoUpstream()
 {
-    if (m_services.upstreams.areAllLeaving(m_subject.admission.serviceId))
+    const Duration timeLeft
+        = std::max<Duration>(m_subject.timeLimit - (m_services.loop.now() - m_subject.arrival), {});
+    const bool isBound = m_subject.binding.isBound();
+    const bool isVersionGone
+        = m_services.upstreams.usable(m_subject.admission.serviceId, m_subject.binding.filter()).empty();
+    // Another version can't go on with the stream, so its caller would come back in vain.
+    if (isBound && isVersionGone)
+        m_handlers.onExhausted(CallRefusal::NoUpstreamOfVersion, timeLeft);
+    else if (m_services.upstreams.areAllLeaving(m_subject.admission.serviceId))
         m_handlers.onExhausted(CallRefusal::UpstreamsLeaving, leavingRetryAfter);
     else
         m_handlers.onExhausted(CallRefusal::NoUpstream, noUpstreamRetryAfter);
@@ -157,8 +168,8 @@
 
 void UpstreamSearch::choosePlain()
 {
-    const auto selection = m_services.plainSelector.select(
-        m_subject.admission.serviceId, m_tried, timeUntilLate(), m_services.loop.now());
+    const auto selection = m_services.plainSelector.select(m_subject.admission.serviceId, m_tried,
+        m_subject.binding.filter(), timeUntilLate(), m_services.loop.now());
     if (selection.upstream)
         startWithinLimit(*selection.upstream, selection.patience);
     else if (selection.restingFor && (!selection.limitedFor || *selection.restingFor < *selection.limitedFor))
--- a/src/gateway/upstream_search.h
+++ b/src/gateway/upstream_search.h
@@ -3,6 +3,7 @@
 #include "base/lifetime.h"
 #include "gateway/admission_search.h"
 #include "gateway/call_services.h"
+#include "gateway/stream_binding.h"
 
 #include <functional>
 #include <optional>
@@ -21,6 +22,8 @@
     struct Subject {
         const CallAttributes& attributes;
         const CallAdmission& admission;
+        /// Keeps the call at the software version of its stream.
+        const StreamBinding& binding;
         MonotonicTime arrival;
         /// Time from the arrival within which the response must be complete.
         Duration timeLimit {};
--- a/src/gateway/upstream_search_test.cc
+++ b/src/gateway/upstream_search_test.cc
@@ -24,7 +24,7 @@
     {
         started.clear();
         refusal.reset();
-        const UpstreamSearch::Subject subject { attributes, admission, scheduler.now(), 3s, 0 };
+        const UpstreamSearch::Subject subject { attributes, admission, binding, scheduler.now(), 3s, 0 };
         search = std::make_unique<UpstreamSearch>(services, subject,
             UpstreamSearch::Handlers { [this] { started.push_back(search->upstream()); },
                 [this](CallRefusal reason, Duration delay) {
@@ -45,6 +45,7 @@
 
     CallAttributes attributes;
     CallAdmission admission;
+    StreamBinding binding { streamVersions, metrics, attributes, admission };
     std::unique_ptr<UpstreamSearch> search;
     std::vector<UpstreamId> started;
     std::optional<CallRefusal> refusal;
--- a/src/state/row_store.h
+++ b/src/state/row_store.h
@@ -104,6 +104,8 @@
     /// version may have been given to another value; so is one whose rows the store has lost meanwhile.
     ///
     virtual void commit(RowTransaction transaction, CommitCallback callback) = 0;
+    /// @return newest era of the store that an answer has named; 0 before the first.
+    virtual StoreEra newestEra() const { return StoreEra(); }
 };
 
 } // namespace lacewing
