Part the tests of proxied calls by topic, over a shared fixture

proxied_call_test.cc was the largest test file (719 lines), and proxied_call_versions_test.cc repeated a part of its fixture.

The fixture is ProxiedCallFixture in proxied_call_fixture_test.h (54 lines); send() and sendPrompt() share start(), which the fixture of the versions uses too. The cases are moved as they were, but for the fixture's name: proxied_call_test.cc (199 lines, 11 cases) keeps runs, retries and answers; proxied_call_streams_test.cc (286 lines, 15 cases, ProxiedCallStreamsTest) has streams; proxied_call_refusals_test.cc (205 lines, 10 cases, ProxiedCallRefusalsTest) has crashes, stops, keys and limits.

Counts before and after, by grep, with the versions' file: 46 and 46 test cases, 141 and 141 lines of BOOST_TEST, BOOST_CHECK or BOOST_REQUIRE, 45 and 45 lines with "Guards against"; without it 36 cases and 114 lines of checks. The sorted lines of cases and checks are the same.

--- a/src/gateway/proxied_call_versions_test.cc
+++ b/src/gateway/proxied_call_versions_test.cc
@@ -1,6 +1,4 @@
-#include "daemon/fake_exchange_test.h"
-#include "gateway/fake_call_services_test.h"
-#include "gateway/proxied_call.h"
+#include "gateway/proxied_call_fixture_test.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -11,7 +9,7 @@
 namespace {
 
 /// Four upstreams, two of each software version; "v1" is the base.
-struct Fixture : FakeCallServices {
+struct Fixture : ProxiedCallFixture {
     Fixture()
     {
         for (const char* id : { "t-1", "t-2" }) {
@@ -27,9 +25,7 @@
         HttpHeaders headers { { "Host", "a.example" }, { "id", id }, { "key", "key-1" } };
         for (const auto& [name, value] : more)
             headers.add(name, value);
-        exchange = std::make_shared<FakeExchange>("POST", path, headers, "");
-        call = std::make_shared<ProxiedCall>(services, exchange, [](ProxiedCall*) {});
-        call->start();
+        start(path, headers);
         scheduler.advance(20ms);
     }
     /// Sends a stream that begins at a version, by refusing the other upstreams.
@@ -51,9 +47,6 @@
         last().head(200, "r-1", true);
         last().handlers.onBody(text);
     }
-
-    std::shared_ptr<FakeExchange> exchange;
-    std::shared_ptr<ProxiedCall> call;
 };
 
 const std::string firstEvent = "id: 1\ndata: a\n\n";
