Share the fixture of the tests of exchanges about upstreams

upstream_availability_exchange_test.cc and upstream_limit_exchange_test.cc each had the same decoder of rows, ids, directory and list of sent messages.

They are in UpstreamExchangeFixture (upstream_exchange_fixture_test.h), from which both fixtures derive. Each still writes its row and advances its clock as before.

--- a/src/gateway/upstream_availability_exchange_test.cc
+++ b/src/gateway/upstream_availability_exchange_test.cc
@@ -1,8 +1,6 @@
 #include "gateway/upstream_availability_exchange.h"
 
-#include "base/virtual_scheduler.h"
-#include "gateway/fake_row_decoder_test.h"
-#include "gateway/fake_row_store_test.h"
+#include "gateway/upstream_exchange_fixture_test.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -12,32 +10,16 @@
 
 namespace {
 
-const UpstreamId upstream("u-1");
-const HostId peer("host-2");
-
-/// Decodes rows of upstreams whose value is the start of the upstream's process; all say ready.
-class ReadyRows : public FakeRowDecoder {
-public:
-    std::optional<UpstreamEntry> readUpstream(const StoredRow& row) const override
-    {
-        UpstreamEntry entry;
-        entry.id = UpstreamId(row.id.key);
-        entry.startedAt = std::stoll(row.value);
-        return entry;
-    }
-};
-
-struct Fixture {
+struct Fixture : UpstreamExchangeFixture {
     Fixture()
     {
         put("5");
-        upstreams.start();
-        scheduler.advance(50ms);
+        readRows();
     }
 
     void put(const char* startedAt)
     {
-        store.put({ "servers", upstream.value() }, startedAt);
+        writeRow(startedAt);
         scheduler.advance(2s);
     }
     void observeLeaving(int64_t startedAt)
@@ -48,13 +30,6 @@
     }
     bool isUsable() const { return upstreams.findUsable(upstream) != nullptr; }
 
-    VirtualScheduler scheduler;
-    FakeRowStore store { scheduler };
-    ReadyRows rows;
-    UpstreamDirectory upstreams { scheduler, store, rows, { [] {}, [](const std::vector<StoredRow>&) {} } };
-    MetricsRegistry metrics;
-    std::vector<PeerMessage> sent;
-    int changes = 0;
     UpstreamAvailabilityExchange exchange { scheduler, upstreams, metrics,
         { [this](const PeerMessage& message) { sent.push_back(message); },
             [this](const UpstreamId&) { ++changes; } } };
--- a/src/gateway/upstream_limit_exchange_test.cc
+++ b/src/gateway/upstream_limit_exchange_test.cc
@@ -1,8 +1,6 @@
 #include "gateway/upstream_limit_exchange.h"
 
-#include "base/virtual_scheduler.h"
-#include "gateway/fake_row_decoder_test.h"
-#include "gateway/fake_row_store_test.h"
+#include "gateway/upstream_exchange_fixture_test.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -12,27 +10,11 @@
 
 namespace {
 
-const UpstreamId upstream("u-1");
-const HostId peer("host-2");
-
-/// Decodes rows of upstreams whose value is the start of the upstream's process.
-class UpstreamRows : public FakeRowDecoder {
-public:
-    std::optional<UpstreamEntry> readUpstream(const StoredRow& row) const override
-    {
-        UpstreamEntry entry;
-        entry.id = UpstreamId(row.id.key);
-        entry.startedAt = std::stoll(row.value);
-        return entry;
-    }
-};
-
-struct Fixture {
+struct Fixture : UpstreamExchangeFixture {
     Fixture()
     {
-        store.put({ "servers", upstream.value() }, "5");
-        upstreams.start();
-        scheduler.advance(50ms);
+        writeRow("5");
+        readRows();
     }
 
     static UpstreamLimit limit(int64_t startedAt, int64_t revision, double perSecond)
@@ -41,14 +23,7 @@
     }
     std::optional<RequestRate> rate() const { return limits.rate(upstream); }
 
-    VirtualScheduler scheduler;
-    FakeRowStore store { scheduler };
-    UpstreamRows rows;
-    UpstreamDirectory upstreams { scheduler, store, rows, { [] {}, [](const std::vector<StoredRow>&) {} } };
     UpstreamLimits limits { HostId("host-1") };
-    MetricsRegistry metrics;
-    std::vector<PeerMessage> sent;
-    int changes = 0;
     UpstreamLimitExchange exchange { scheduler, limits, upstreams, metrics,
         { [this](const PeerMessage& message) { sent.push_back(message); },
             [this](const UpstreamId&) { ++changes; } } };
