Play whole and broken streams of the tests of proxied calls in one place

15 places of proxied_call_streams_test.cc wrote the head of a stream, its body and its end in three lines each.

ProxiedCallFixture has endStream() (8 places) and breakStream() (7 places), which make the same three calls with the same status and request id. The bodies stay where they were.

The file has 256 lines instead of 286.

--- a/src/gateway/proxied_call_fixture_test.h
+++ b/src/gateway/proxied_call_fixture_test.h
@@ -37,6 +37,18 @@
         scheduler.advance(std::chrono::milliseconds(500));
     }
     UpstreamCall& upstream(size_t index) { return *client.calls.at(index); }
+    /// Answers a request with a stream that ends in an orderly way.
+    void endStream(size_t index, const std::string& body)
+    {
+        beginStream(index, body);
+        upstream(index).end();
+    }
+    /// Answers a request with a stream whose connection is lost after the body's bytes.
+    void breakStream(size_t index, const std::string& body)
+    {
+        beginStream(index, body);
+        upstream(index).end(HttpClientError::ConnectionLost);
+    }
     /// Serves a request by an upstream that states a limit.
     UpstreamId serveWithLimit(const std::string& limit)
     {
@@ -49,6 +61,13 @@
 
     std::shared_ptr<FakeExchange> exchange;
     std::shared_ptr<ProxiedCall> call;
+
+private:
+    void beginStream(size_t index, const std::string& body)
+    {
+        upstream(index).head(200, "r-1", true);
+        upstream(index).handlers.onBody(body);
+    }
 };
 
 } // namespace lacewing::gateway
--- a/src/gateway/proxied_call_streams_test.cc
+++ b/src/gateway/proxied_call_streams_test.cc
@@ -12,9 +12,7 @@
 {
     ProxiedCallFixture fixture;
     fixture.send("/stream/1");
-    fixture.upstream(0).head(200, "r-1", true);
-    fixture.upstream(0).handlers.onBody("id: 1\ndata: a\n\nid: 2\nda");
-    fixture.upstream(0).end(HttpClientError::ConnectionLost);
+    fixture.breakStream(0, "id: 1\ndata: a\n\nid: 2\nda");
     BOOST_TEST(fixture.exchange->responseBody == "id: 1\ndata: a\n\n");
     BOOST_TEST(fixture.exchange->isAborted);
     BOOST_TEST(fixture.client.calls.size() == 1);
@@ -68,15 +66,11 @@
     for (size_t length = 1; length < event.size(); ++length) {
         ProxiedCallFixture fixture;
         fixture.send("/stream/1");
-        fixture.upstream(0).head(200, "r-1", true);
-        fixture.upstream(0).handlers.onBody("id: 1\ndata: a\n\n" + event.substr(0, length));
-        fixture.upstream(0).end();
+        fixture.endStream(0, "id: 1\ndata: a\n\n" + event.substr(0, length));
         BOOST_TEST(fixture.exchange->responseBody == "id: 1\ndata: a\n\n");
         BOOST_TEST(fixture.exchange->isAborted);
         fixture.send("/stream/1");
-        fixture.upstream(1).head(200, "r-1", true);
-        fixture.upstream(1).handlers.onBody(event.substr(0, length));
-        fixture.upstream(1).end();
+        fixture.endStream(1, event.substr(0, length));
         BOOST_TEST(fixture.exchange->responseStatus == 502);
         BOOST_TEST(fixture.client.calls.size() == 2);
     }
@@ -103,9 +97,7 @@
                 continue;
             }
             BOOST_TEST(fixture.upstream(1).request.headers.find("last-event").value() == "1");
-            fixture.upstream(1).head(200, "r-1", true);
-            fixture.upstream(1).handlers.onBody("id: 2\ndata: c\n\n");
-            fixture.upstream(1).end();
+            fixture.endStream(1, "id: 2\ndata: c\n\n");
             BOOST_TEST(fixture.exchange->responseBody == event + "id: 2\ndata: c\n\n");
             BOOST_TEST(!fixture.exchange->isAborted);
         }
@@ -124,9 +116,7 @@
     fixture.upstream(0).end();
     BOOST_TEST(fixture.exchange->responseStatus == 502);
     fixture.send("/resume/1");
-    fixture.upstream(1).head(200, "r-1", true);
-    fixture.upstream(1).handlers.onBody("id: 1\ndata: a\n\n");
-    fixture.upstream(1).end(HttpClientError::ConnectionLost);
+    fixture.breakStream(1, "id: 1\ndata: a\n\n");
     BOOST_REQUIRE(fixture.client.calls.size() == 3);
     fixture.upstream(2).handlers.onHeaders(200, encoded);
     fixture.upstream(2).handlers.onBody("id: 2\ndata: b\n\n");
@@ -149,9 +139,7 @@
         fixture.upstream(0).end();
         BOOST_TEST(fixture.exchange->responseStatus == 502);
         fixture.send("/resume/1");
-        fixture.upstream(1).head(200, "r-1", true);
-        fixture.upstream(1).handlers.onBody("id: 1\ndata: a\n\n");
-        fixture.upstream(1).end(HttpClientError::ConnectionLost);
+        fixture.breakStream(1, "id: 1\ndata: a\n\n");
         BOOST_REQUIRE(fixture.client.calls.size() == 3);
         fixture.upstream(2).handlers.onHeaders(200, headers);
         fixture.upstream(2).end();
@@ -179,9 +167,7 @@
 {
     ProxiedCallFixture fixture;
     fixture.send("/once/1");
-    fixture.upstream(0).head(200, "r-1", true);
-    fixture.upstream(0).handlers.onBody("data: seat 7\n\n");
-    fixture.upstream(0).end();
+    fixture.endStream(0, "data: seat 7\n\n");
     BOOST_TEST(fixture.exchange->responseStatus == 200);
     BOOST_TEST(fixture.exchange->responseBody == "data: seat 7\n\n");
 }
@@ -193,9 +179,7 @@
     for (const char* text : { ": keep-alive\n\n", "\n\n" }) {
         ProxiedCallFixture fixture;
         fixture.send("/stream/1");
-        fixture.upstream(0).head(200, "r-1", true);
-        fixture.upstream(0).handlers.onBody(text);
-        fixture.upstream(0).end();
+        fixture.endStream(0, text);
         const bool looksComplete = fixture.exchange->responseStatus == 200 && !fixture.exchange->isAborted;
         BOOST_TEST(!looksComplete);
     }
@@ -207,9 +191,7 @@
 {
     ProxiedCallFixture fixture;
     fixture.send("/resume/1");
-    fixture.upstream(0).head(200, "r-1", true);
-    fixture.upstream(0).handlers.onBody(": keep-alive\n\nid: 1\nda");
-    fixture.upstream(0).end(HttpClientError::ConnectionLost);
+    fixture.breakStream(0, ": keep-alive\n\nid: 1\nda");
     BOOST_TEST(!fixture.exchange->isAborted);
     BOOST_TEST(fixture.client.calls.size() == 2);
 }
@@ -219,9 +201,7 @@
 {
     ProxiedCallFixture fixture;
     fixture.send("/stream/1");
-    fixture.upstream(0).head(200, "r-1", true);
-    fixture.upstream(0).handlers.onBody("id: 1\ndata: a\n\n\r\n");
-    fixture.upstream(0).end();
+    fixture.endStream(0, "id: 1\ndata: a\n\n\r\n");
     BOOST_TEST(fixture.exchange->responseBody == "id: 1\ndata: a\n\n\r\n");
     BOOST_TEST(fixture.exchange->isEnded);
 }
@@ -231,14 +211,10 @@
 {
     ProxiedCallFixture fixture;
     fixture.send("/resume/1");
-    fixture.upstream(0).head(200, "r-1", true);
-    fixture.upstream(0).handlers.onBody("id: 1\ndata: a\n\nid: 2\nda");
-    fixture.upstream(0).end(HttpClientError::ConnectionLost);
+    fixture.breakStream(0, "id: 1\ndata: a\n\nid: 2\nda");
     BOOST_REQUIRE(fixture.client.calls.size() == 2);
     BOOST_TEST(fixture.upstream(1).request.headers.find("last-event").value() == "1");
-    fixture.upstream(1).head(200, "r-1", true);
-    fixture.upstream(1).handlers.onBody("id: 2\ndata: b\n\n");
-    fixture.upstream(1).end();
+    fixture.endStream(1, "id: 2\ndata: b\n\n");
     BOOST_TEST(fixture.exchange->responseBody == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     BOOST_TEST(fixture.exchange->isEnded);
     BOOST_TEST(!fixture.exchange->isAborted);
@@ -252,13 +228,9 @@
     for (size_t length = 1; length < first.size(); ++length) {
         ProxiedCallFixture fixture;
         fixture.send("/resume/1");
-        fixture.upstream(0).head(200, "r-1", true);
-        fixture.upstream(0).handlers.onBody(first.substr(0, length));
-        fixture.upstream(0).end(HttpClientError::ConnectionLost);
+        fixture.breakStream(0, first.substr(0, length));
         BOOST_REQUIRE(fixture.client.calls.size() == 2);
-        fixture.upstream(1).head(200, "r-1", true);
-        fixture.upstream(1).handlers.onBody("id: 1\ndata: b\n\n");
-        fixture.upstream(1).end();
+        fixture.endStream(1, "id: 1\ndata: b\n\n");
         BOOST_TEST(fixture.exchange->responseBody == "id: 1\ndata: b\n\n");
         BOOST_TEST(fixture.exchange->isEnded);
     }
@@ -271,9 +243,7 @@
     for (const int status : { 500, 404, 200 }) {
         ProxiedCallFixture fixture;
         fixture.send("/resume/1");
-        fixture.upstream(0).head(200, "r-1", true);
-        fixture.upstream(0).handlers.onBody("id: 1\ndata: a\n\n");
-        fixture.upstream(0).end(HttpClientError::ConnectionLost);
+        fixture.breakStream(0, "id: 1\ndata: a\n\n");
         BOOST_REQUIRE(fixture.client.calls.size() == 2);
         fixture.upstream(1).head(status, "r-1", false);
         fixture.upstream(1).handlers.onBody("an error page");
