Call a QuotaClient a quota client instead of a wallet

The word wallet was left in src/daemon and src/coordination from the name that QuotaClient had (docs/glossary.md): 34 lines of 10 files.

Variables, members and comments say quotaClient or quota client; QuotaService::wallet() is client(). Only names change.

Counts before and after: 39 and 39 lines of checks in entry_request_test.cc, the only test that is touched.

--- a/src/coordination/load_permits.cc
+++ b/src/coordination/load_permits.cc
@@ -42,15 +42,15 @@
 void LoadPermits::acquire(MonotonicTime deadline, AcquireCallback callback)
 {
     // Reserves the start first, so that no slot is occupied while its load waits for the rate limit.
-    m_wallet.reserve(startWorkspace(), Tokens(amountPerLoad), deadline,
+    m_quotaClient.reserve(startWorkspace(), Tokens(amountPerLoad), deadline,
         [this, deadline, callback = std::move(callback)](const ReserveResult& start) {
             if (!start.reservation)
                 return callback(std::nullopt, start.retryAfter);
-            m_wallet.reserve(slotWorkspace(), Tokens(amountPerLoad), deadline,
+            m_quotaClient.reserve(slotWorkspace(), Tokens(amountPerLoad), deadline,
                 [this, callback, start = *start.reservation](const ReserveResult& slot) {
                     if (slot.reservation)
                         return callback(Permit { *slot.reservation, start }, Duration::zero());
-                    m_wallet.settle(start, Tokens());
+                    m_quotaClient.settle(start, Tokens());
                     callback(std::nullopt, slot.retryAfter);
                 });
         });
@@ -58,8 +58,8 @@
 
 void LoadPermits::finish(const Permit& permit, bool wasStarted)
 {
-    m_wallet.settle(permit.slot, Tokens());
-    m_wallet.settle(permit.start, wasStarted ? permit.start.tokens : Tokens());
+    m_quotaClient.settle(permit.slot, Tokens());
+    m_quotaClient.settle(permit.start, wasStarted ? permit.start.tokens : Tokens());
 }
 
 } // namespace lacewing
--- a/src/coordination/load_permits.h
+++ b/src/coordination/load_permits.h
@@ -20,12 +20,12 @@
     /// @param retryAfter delay after which a permit may be available.
     using AcquireCallback = std::function<void(std::optional<Permit> permit, Duration retryAfter)>;
 
-    /// @return the limits for holders and wallets, by reserved workspace.
+    /// @return the limits for holders and quota clients, by reserved workspace.
     static QuotaLimits limits(const LoadLimits& loadLimits);
 
-    /// @param wallet must be configured with limits() and outlive this object.
-    explicit LoadPermits(QuotaClient& wallet)
-        : m_wallet(wallet)
+    /// @param quotaClient must be configured with limits() and outlive this object.
+    explicit LoadPermits(QuotaClient& quotaClient)
+        : m_quotaClient(quotaClient)
     {
     }
 
@@ -40,7 +40,7 @@
     void finish(const Permit& permit, bool wasStarted);
 
 private:
-    QuotaClient& m_wallet;
+    QuotaClient& m_quotaClient;
 };
 
 } // namespace lacewing
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -106,7 +106,7 @@
           [this](const HostId& host, Incarnation incarnation) { return mayBeRunning(host, incarnation); })
     , m_quota(
           loop, m_network, m_settings.host, m_incarnation, [this] { return m_member.session().isValid(); })
-    , m_loadLimiter(loop, m_quota.wallet())
+    , m_loadLimiter(loop, m_quota.client())
     , m_router(
           loop, m_settings.dataCentre,
           [this](const UpstreamId& upstream) { return m_member.leases().holderOf(leaseNameOf(upstream)); },
@@ -116,7 +116,7 @@
                return m_member.leases().mayAct(leaseNameOf(upstream), margin);
            },
               [this](const UpstreamId& upstream) { m_member.leases().release(leaseNameOf(upstream)); } })
-    , m_entries({ loop, m_network, m_metrics, m_quota.wallet(), m_router, m_retryBudget, m_claims, {}, {} },
+    , m_entries({ loop, m_network, m_metrics, m_quota.client(), m_router, m_retryBudget, m_claims, {}, {} },
           m_settings.host, m_keys,
           { [this]() -> const Configuration& { return m_configurations.configuration(); },
               [this] { return m_configurations.keyedRoutesOpen(); } })
@@ -383,7 +383,7 @@
         m_stopTimer = m_loop.runAfter(drainCheckInterval, [this] { handOverAll(); });
         return;
     }
-    m_quota.wallet().stop();
+    m_quota.client().stop();
     m_stopTimer = m_loop.runAfter(handOverTimeout, [this] {
         LogEvent(LogLevel::Warning, "stop_without_table").with("host", m_settings.host);
         finishStop();
--- a/src/daemon/entry_request.cc
+++ b/src/daemon/entry_request.cc
@@ -75,7 +75,7 @@
     m_exchange->onDrained(m_lifetime.guard([this] { sendCredit(); }));
     if (m_request.cost == Tokens(0))
         return claim();
-    m_context.wallet.reserve(m_request.workspace, m_request.cost, now() + reserveTimeout,
+    m_context.quotaClient.reserve(m_request.workspace, m_request.cost, now() + reserveTimeout,
         m_lifetime.guard([this](const ReserveResult& result) { reserved(result); }));
 }
 
@@ -84,7 +84,7 @@
     if (m_isFinished) {
         // The caller disconnected while the request waited for tokens.
         if (result.reservation)
-            m_context.wallet.settle(*result.reservation, Tokens(0));
+            m_context.quotaClient.settle(*result.reservation, Tokens(0));
         return;
     }
     if (result.reservation) {
@@ -439,7 +439,7 @@
     m_context.scheduler.cancel(m_retryTimer);
     m_context.scheduler.cancel(m_progressTimer);
     if (m_reservation)
-        m_context.wallet.settle(*m_reservation, used);
+        m_context.quotaClient.settle(*m_reservation, used);
     ++m_context.metrics.counter("lacewing_requests_total", { { "outcome", toString(outcome) } });
     if (outcome != Outcome::Answered)
         ++m_context.metrics.counter("lacewing_refusals_total", { { "reason", std::string(code) } });
--- a/src/daemon/entry_request.h
+++ b/src/daemon/entry_request.h
@@ -19,7 +19,7 @@
     Scheduler& scheduler;
     PeerMessenger& peers;
     MetricsRegistry& metrics;
-    QuotaClient& wallet;
+    QuotaClient& quotaClient;
     UpstreamRouter& router;
     RetryBudget& retryBudget;
     ClaimRegistry& claims;
--- a/src/daemon/entry_request_test.cc
+++ b/src/daemon/entry_request_test.cc
@@ -53,7 +53,7 @@
     {
         const Configuration configuration = makeConfiguration();
         holder.setLimits(quotaLimits(configuration));
-        wallet.setLimits(quotaLimits(configuration));
+        quotaClient.setLimits(quotaLimits(configuration));
         std::set<int> partitions;
         for (int partition = 0; partition < quotaPartitions; ++partition)
             partitions.insert(partition);
@@ -92,7 +92,7 @@
             request.service = ServiceCall { "desk", "POST", "/book", "text/plain", "x" };
             request.requestId = std::move(id);
         }
-        EntryContext context { scheduler, messenger, metrics, wallet, router, budget, claims,
+        EntryContext context { scheduler, messenger, metrics, quotaClient, router, budget, claims,
             [this] { return StreamId(++lastStream); }, [](StreamId) {} };
         entry = std::make_unique<EntryRequest>(
             std::move(context), exchange, std::move(request), "id", [this] { ++finished; });
@@ -120,7 +120,7 @@
     MetricsRegistry metrics;
     RecordingMessenger messenger;
     PartitionHolder holder { scheduler, [] { return true; } };
-    QuotaClient wallet { scheduler, messenger, holder, HostId("self"), Incarnation(1) };
+    QuotaClient quotaClient { scheduler, messenger, holder, HostId("self"), Incarnation(1) };
     UpstreamRouter router { scheduler, DataCentreId("dc"), [](const UpstreamId&) { return std::nullopt; },
         1 };
     RetryBudget budget { scheduler };
@@ -278,7 +278,7 @@
 BOOST_AUTO_TEST_CASE(CallerWhoLeavesCancelsAndGetsTheRestBack)
 {
     const Tokens before
-        = holder.bucket(WorkspaceId("w"))->level(scheduler.now()) + wallet.available(WorkspaceId("w"));
+        = holder.bucket(WorkspaceId("w"))->level(scheduler.now()) + quotaClient.available(WorkspaceId("w"));
     start(true, true);
     entry->received(owner(), chunk(0, "a"));
     exchange->clientLeft();
@@ -286,7 +286,7 @@
     BOOST_TEST(finished == 1);
     scheduler.advance(5s);
     const Tokens after
-        = holder.bucket(WorkspaceId("w"))->level(scheduler.now()) + wallet.available(WorkspaceId("w"));
+        = holder.bucket(WorkspaceId("w"))->level(scheduler.now()) + quotaClient.available(WorkspaceId("w"));
     BOOST_TEST(after.value() >= before.value() - 11);
 }
 
--- a/src/daemon/fleet_load_limiter.cc
+++ b/src/daemon/fleet_load_limiter.cc
@@ -15,9 +15,9 @@
 
 } // namespace
 
-FleetLoadLimiter::FleetLoadLimiter(Scheduler& scheduler, QuotaClient& wallet)
+FleetLoadLimiter::FleetLoadLimiter(Scheduler& scheduler, QuotaClient& quotaClient)
     : m_scheduler(scheduler)
-    , m_permits(wallet)
+    , m_permits(quotaClient)
 {
 }
 
--- a/src/daemon/fleet_load_limiter.h
+++ b/src/daemon/fleet_load_limiter.h
@@ -13,8 +13,8 @@
 /// wanted, and returns it if no upstream owner of this daemon uses it at once.
 class FleetLoadLimiter : public AdapterLoadLimiter {
 public:
-    /// @param scheduler, wallet must outlive the limiter.
-    FleetLoadLimiter(Scheduler& scheduler, QuotaClient& wallet);
+    /// @param scheduler, quotaClient must outlive the limiter.
+    FleetLoadLimiter(Scheduler& scheduler, QuotaClient& quotaClient);
     ~FleetLoadLimiter() override;
 
     bool isPermitAvailable() override;
--- a/src/daemon/quota_service.cc
+++ b/src/daemon/quota_service.cc
@@ -16,7 +16,7 @@
     : m_scheduler(scheduler)
     , m_peers(peers)
     , m_holder(scheduler, std::move(isSessionValid))
-    , m_wallet(scheduler, peers, m_holder, std::move(self), incarnation)
+    , m_client(scheduler, peers, m_holder, std::move(self), incarnation)
 {
 }
 
@@ -32,7 +32,7 @@
 {
     const QuotaLimits limits = quotaLimits(configuration);
     m_holder.setLimits(limits);
-    m_wallet.setLimits(limits);
+    m_client.setLimits(limits);
 }
 
 void QuotaService::refreshHolders(const LeaseManager& leases)
@@ -46,7 +46,7 @@
         ++holders[holder->host];
         ++m_knownPartitions;
     }
-    m_wallet.setHolders(holders);
+    m_client.setHolders(holders);
 }
 
 void QuotaService::partitionAcquired(int partition)
@@ -69,7 +69,7 @@
         return true;
     }
     if (const auto* grant = std::get_if<QuotaGrant>(&message)) {
-        m_wallet.handleGrant(peer, *grant);
+        m_client.handleGrant(peer, *grant);
         return true;
     }
     if (const auto* report = std::get_if<QuotaReturn>(&message)) {
--- a/src/daemon/quota_service.h
+++ b/src/daemon/quota_service.h
@@ -9,7 +9,7 @@
 namespace lacewing {
 
 /// Connects the token quota of workspaces with the leases of its partitions and with the peers. Partition
-/// holders grant tokens to the hosts; the wallet of each host charges requests against its grants.
+/// holders grant tokens to the hosts; the quota client of each host charges requests against its grants.
 class QuotaService {
 public:
     /// @param isSessionValid whether this daemon's session is valid, so that it may grant tokens.
@@ -21,7 +21,7 @@
     static std::vector<LeaseName> leaseNames();
 
     void setConfiguration(const Configuration& configuration);
-    /// Updates the wallet with the hosts that hold the partitions' leases.
+    /// Updates the quota client with the hosts that hold the partitions' leases.
     void refreshHolders(const LeaseManager& leases);
     void partitionAcquired(int partition);
     void partitionLost(int partition);
@@ -31,7 +31,7 @@
     /// @return false if the message does not concern the quota.
     bool received(const HostId& peer, const PeerMessage& message);
 
-    QuotaClient& wallet() { return m_wallet; }
+    QuotaClient& client() { return m_client; }
     size_t partitionCount() const { return m_partitions.size(); }
     /// @return whether the holders of all partitions are known, so that requests can be charged.
     bool isReady() const { return m_knownPartitions == quotaPartitions; }
@@ -40,7 +40,7 @@
     Scheduler& m_scheduler;
     PeerMessenger& m_peers;
     PartitionHolder m_holder;
-    QuotaClient m_wallet;
+    QuotaClient m_client;
     std::set<int> m_partitions;
     int m_knownPartitions = 0;
 };
