--- a/src/gateway/version_filter.h
+++ b/src/gateway/version_filter.h
@@ -22,8 +22,6 @@
     {
         return !m_accepted || m_accepted->count(version) > 0;
     }
-    /// @return whether not every version is accepted.
-    bool isRestricted() const { return m_accepted.has_value(); }
 
 private:
     std::optional<std::set<SoftwareVersion>> m_accepted;
