--- a/src/speed/slowdown_estimate.cc
+++ b/src/speed/slowdown_estimate.cc
@@ -21,6 +21,8 @@
 constexpr Duration constantTime = std::chrono::seconds(5);
 constexpr int constantReports = 8;
 constexpr double weightOfConstant = 0.2;
+/// Time within which the weight decreases to that; an owner learns the engine's rate anew meanwhile.
+constexpr double distrustSeconds = 15;
 /// Weight of the newest run in the comparison of figures with measured times.
 constexpr double runWeight = 0.03;
 /// Variance of the figures' logarithm that counts as agreement before any run is known; that of figures of
@@ -98,11 +100,15 @@
 
 double SlowdownEstimate::weight(MonotonicTime now) const
 {
-    if (m_unchangedReports >= constantReports && now - m_unchangedSince >= constantTime)
-        return weightOfConstant;
+    double weight = 1;
+    if (m_unchangedReports >= constantReports && now - m_unchangedSince >= constantTime) {
+        const double distrust = toSeconds(now - m_unchangedSince - constantTime) / distrustSeconds;
+        weight = 1 - (1 - weightOfConstant) * std::min(1.0, distrust);
+    }
     if (m_runs < minimumRuns)
-        return 1;
-    return std::clamp((priorVariance + m_covariance) / (priorVariance + m_figureVariance), 0.0, 1.0);
+        return weight;
+    const double agreement = (priorVariance + m_covariance) / (priorVariance + m_figureVariance);
+    return weight * std::clamp(agreement, 0.0, 1.0);
 }
 
 double SlowdownEstimate::mean(MonotonicTime now) const
--- a/src/speed/slowdown_estimate.h
+++ b/src/speed/slowdown_estimate.h
@@ -12,7 +12,8 @@
 constexpr double minimumSlowdown = 0.5;
 constexpr double maximumSlowdown = 5;
 
-/// @return the time that work takes which takes `usual` at the mean slowdown, while the present slowdown fades
+/// @return the time that work takes which takes `usual` at the mean slowdown, while the present slowdown
+/// fades
 ///     towards the mean. Short work is governed by the present slowdown, long work by the mean.
 /// @param relative present slowdown in multiples of the mean.
 Duration slowedTime(Duration usual, double relative);
@@ -20,14 +21,15 @@
 /// @return a slowdown in multiples of the mean after it has aged, closer to 1.
 double faded(double relative, Duration age);
 
-/// Estimates how much slower than usual one upstream is, now and on average, from the figures that it reports.
+/// Estimates how much slower than usual one upstream is, now and on average, from the figures that it
+/// reports.
 ///
 /// Load pattern: upstreams share their machines with other workloads, and are slowed by a factor of about 2.5
 /// for some hundred milliseconds at a time. A figure is therefore outdated soon, and an older one counts
 /// as the mean.
 ///
-/// Figures may be untrue. They are bounded, and their weight decreases if the measured durations of runs do not
-/// follow them, or if the figure never changes although real ones change many times a second.
+/// Figures may be untrue. They are bounded, and their weight decreases if the measured durations of runs do
+/// not follow them, or if the figure never changes although real ones change many times a second.
 ///
 /// Has no clock and does no I/O.
 class SlowdownEstimate {
@@ -36,7 +38,8 @@
     void reported(double slowdown, MonotonicTime now);
     /// Compares the last figure with a measured run.
     ///
-    /// @param timePerWork measured time in any unit that is comparable over the runs of the upstream; above 0.
+    /// @param timePerWork measured time in any unit that is comparable over the runs of the upstream; above
+    /// 0.
     void runMeasured(double timePerWork, MonotonicTime now);
     /// Starts from what another host has learned. Does nothing once a figure has been reported here.
     void seed(double mean, MonotonicTime now);
--- a/src/speed/upstream_speeds.h
+++ b/src/speed/upstream_speeds.h
@@ -16,11 +16,11 @@
     double meanSlowdown = 1;
 };
 
-/// What this host knows of the speeds of upstreams: how they are slowed now, how fast they usually are, and what
-/// owners have published of their engines.
+/// What this host knows of the speeds of upstreams: how they are slowed now, how fast they usually are, and
+/// what owners have published of their engines.
 ///
-/// Load pattern: upstreams of one service differ for good by more than a factor of two, and are slowed for some
-/// hundred milliseconds at a time beside that.
+/// Load pattern: upstreams of one service differ for good by more than a factor of two, and are slowed for
+/// some hundred milliseconds at a time beside that.
 ///
 /// Has no clock and does no I/O.
 class UpstreamSpeeds {
@@ -39,7 +39,8 @@
     bool isStated(const UpstreamId& upstream, MonotonicTime now) const;
     /// @return the present slowdown of an upstream; 1 if it states none.
     double slowdown(const UpstreamId& upstream, MonotonicTime now) const;
-    /// @return the logarithm of the usual time that an upstream takes for a request, with slowdowns divided out;
+    /// @return the logarithm of the usual time that an upstream takes for a request, with slowdowns divided
+    /// out;
     ///     nothing before enough requests have been measured.
     std::optional<double> usualTime(const UpstreamId& upstream) const;
 
