--- a/src/gateway/call_attributes.h
+++ b/src/gateway/call_attributes.h
@@ -55,6 +55,9 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
+    /// How much longer than usual work takes on the upstream at present; 1 for as usual. Nothing if not
+    /// stated.
+    std::optional<double> slowdown = std::nullopt;
 };
 
 /// Whether the head of a response has the field which states that the request has not run and never will.
--- a/src/gateway/engine_chooser.cc
+++ b/src/gateway/engine_chooser.cc
@@ -1,6 +1,8 @@
 #include "gateway/engine_chooser.h"
 
 #include "base/stable_hash.h"
+#include "gateway/prefill_rate.h"
+#include "speed/slowdown_estimate.h"
 
 #include <algorithm>
 #include <utility>
@@ -22,6 +24,8 @@
 /// Expected wait if every adapter slot is in use.
 constexpr Duration slotWaitCost = milliseconds(300);
 constexpr Duration suspectCost = std::chrono::seconds(3);
+/// Prompt tokens per millisecond; lower bound for owners that report no prefill rate.
+constexpr double minimumPrefillRate = 1;
 /// Traffic between data centres costs more than a short wait.
 constexpr Duration dataCentreCost = milliseconds(8);
 
@@ -35,6 +39,7 @@
     waiting = summary.waiting;
     limitWait = summary.limitWait;
     startInterval = summary.startInterval;
+    statesSlowdown = summary.statesSlowdown;
     for (const AdapterSummary& held : summary.adapters) {
         if (held.adapter != adapter)
             continue;
@@ -43,6 +48,19 @@
     }
 }
 
+void EngineCandidate::setPromptTime(Tokens prompt, const EngineSummary& summary, Duration age)
+{
+    const double rate = std::max(minimumPrefillRate, summary.promptTokensPerMillisecond);
+    promptTimeAtMean = PrefillRate::prefillTime(prompt, rate);
+    promptTime = speed::slowedTime(promptTimeAtMean, speed::faded(summary.slowdown, age));
+}
+
+Duration EngineChooser::promptCost(const EngineCandidate& candidate, bool needsAdapter)
+{
+    const bool isReady = !needsAdapter || candidate.holdsAdapter || candidate.isLoadingAdapter;
+    return isReady ? candidate.promptTime : candidate.promptTimeAtMean;
+}
+
 Duration EngineChooser::cost(
     const EngineCandidate& candidate, bool needsAdapter, size_t homeRank, Random& random)
 {
@@ -75,12 +93,16 @@
     for (const EngineCandidate& candidate : candidates)
         home.emplace_back(stableHash(name + '@' + candidate.engine.value()), &candidate);
     std::sort(home.begin(), home.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+    const bool countsPrompt = std::any_of(candidates.begin(), candidates.end(),
+        [](const EngineCandidate& candidate) { return candidate.statesSlowdown; });
     std::vector<std::pair<Duration, UpstreamId>> ranked;
     for (size_t homeRank = 0; homeRank < home.size(); ++homeRank) {
         const EngineCandidate& candidate = *home[homeRank].second;
         const bool canServe = candidate.hasOwner || !needsAdapter || candidate.holdsAdapter;
-        if (canServe)
-            ranked.emplace_back(cost(candidate, needsAdapter, homeRank, random), candidate.engine);
+        if (!canServe)
+            continue;
+        const Duration prompt = countsPrompt ? promptCost(candidate, needsAdapter) : Duration::zero();
+        ranked.emplace_back(cost(candidate, needsAdapter, homeRank, random) + prompt, candidate.engine);
     }
     std::stable_sort(
         ranked.begin(), ranked.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
--- a/src/gateway/engine_chooser.h
+++ b/src/gateway/engine_chooser.h
@@ -32,7 +32,17 @@
     Duration startInterval {};
     int openSlots = 0;
     int waiting = 0;
+    /// The engine states how much it is slowed.
+    bool statesSlowdown = false;
+    /// Expected time to prefill the request's own prompt from now on, and at the mean slowdown.
+    Duration promptTime {};
+    Duration promptTimeAtMean {};
 
+    /// Sets the time that the request's own prompt takes.
+    ///
+    /// @param summary last state of the engine that its owner published.
+    /// @param age of the summary.
+    void setPromptTime(Tokens prompt, const EngineSummary& summary, Duration age);
     /// Copies the owner's summary of the engine and the state of the adapter.
     void applySummary(const EngineSummary& summary, const AdapterRef& adapter);
 };
@@ -49,6 +59,11 @@
 /// An engine in need may state how many requests a second it takes. It then costs the wait for the next
 /// start, and the starts that the orders for a load take, so that other engines get what it can't take.
 ///
+/// Engines that state how much they are slowed may differ in speed. In a service with such engines the time
+/// that the request's own prompt takes at each engine is added, so that fast engines get more work and a slow
+/// one gets no long prompts. An engine that has to load the adapter first counts at its mean slowdown, since
+/// the present one is over by then.
+///
 /// In a large fleet all hosts see the same engine as the least loaded one until its owner publishes its
 /// backlog again, and would all send to it meanwhile (herding). Each request therefore adds a random error to
 /// the cost of the engines that hold its adapter, as large as the prompts that an engine can prefill between
@@ -63,6 +78,7 @@
 private:
     static Duration cost(
         const EngineCandidate& candidate, bool needsAdapter, size_t homeRank, Random& random);
+    static Duration promptCost(const EngineCandidate& candidate, bool needsAdapter);
 };
 
 } // namespace lacewing::gateway
--- a/src/gateway/engine_chooser_test.cc
+++ b/src/gateway/engine_chooser_test.cc
@@ -148,4 +148,62 @@
     BOOST_TEST(rank(adapter, candidates).back() == candidates[1].engine);
 }
 
+// Load: engines of one service that differ for good. Guards against a long prompt at a slow engine beside a
+// fast one with a little more backlog, and against a change of choices where no engine states a slowdown.
+BOOST_AUTO_TEST_CASE(CountsTheOwnPromptWhereSlowdownsAreStated)
+{
+    auto candidates = engines(2);
+    const double rates[] = { 18, 44 };
+    for (size_t index = 0; index < 2; ++index) {
+        EngineSummary summary;
+        summary.promptTokensPerMillisecond = rates[index];
+        candidates[index].holdsAdapter = true;
+        candidates[index].setPromptTime(Tokens(6000), summary, 0ms);
+    }
+    candidates[1].prefillBacklog = 100ms;
+    BOOST_TEST(rank(adapter, candidates).front() == candidates[0].engine);
+    candidates[1].statesSlowdown = true;
+    BOOST_TEST(rank(adapter, candidates).front() == candidates[1].engine);
+}
+
+// Load: an engine with the adapter is slowed for 600 ms. Guards against a fetch of the adapter elsewhere for
+// a usual prompt, and against an old figure that counts like a new one.
+BOOST_AUTO_TEST_CASE(AStretchIsNoReasonToFetch)
+{
+    auto candidates = engines(12);
+    EngineSummary slowed;
+    slowed.promptTokensPerMillisecond = 25;
+    slowed.statesSlowdown = true;
+    slowed.slowdown = 2.5;
+    EngineSummary usual = slowed;
+    usual.slowdown = 1;
+    for (EngineCandidate& candidate : candidates) {
+        candidate.setPromptTime(Tokens(2400), usual, 0ms);
+        candidate.statesSlowdown = true;
+    }
+    candidates[7].holdsAdapter = true;
+    candidates[7].setPromptTime(Tokens(2400), slowed, 0ms);
+    BOOST_TEST(rank(adapter, candidates).front() == candidates[7].engine);
+    candidates[3].holdsAdapter = true;
+    BOOST_TEST(rank(adapter, candidates).front() == candidates[3].engine);
+    candidates[3].prefillBacklog = 50ms;
+    candidates[7].setPromptTime(Tokens(2400), slowed, 2s);
+    BOOST_TEST(rank(adapter, candidates).front() == candidates[7].engine);
+}
+
+// Load: all engines are slowed at once. Guards against a request that no engine is left for.
+BOOST_AUTO_TEST_CASE(RanksAllEnginesWhileAllAreSlow)
+{
+    auto candidates = engines(12);
+    const auto before = rank(adapter, candidates);
+    EngineSummary slowed;
+    slowed.promptTokensPerMillisecond = 5;
+    slowed.slowdown = 5;
+    for (EngineCandidate& candidate : candidates) {
+        candidate.statesSlowdown = true;
+        candidate.setPromptTime(Tokens(2400), slowed, 0ms);
+    }
+    BOOST_TEST((rank(adapter, candidates) == before));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -137,8 +137,10 @@
         m_denials.push_back({ request.key, reason, shortestRetryAfter, Duration::zero() });
 }
 
-void EngineScheduler::runProgressed(const RunKey& key, MonotonicTime now)
+void EngineScheduler::runProgressed(const RunKey& key, MonotonicTime now, std::optional<double> slowdown)
 {
+    if (slowdown)
+        m_slowdown.reported(*slowdown, now);
     const auto found = m_runs.find(key);
     if (found == m_runs.end() || found->second.hasProgressed)
         return;
@@ -146,11 +148,14 @@
     run.hasProgressed = true;
     m_backlog -= run.uncachedTokens;
     m_prefixCache.promptProcessed(run.request.adapter, run.request.parts);
-    m_prefillRate.promptProcessed(run.uncachedTokens, now);
+    if (const auto time = m_prefillRate.promptProcessed(run.uncachedTokens, now, m_slowdown.current(now)))
+        m_slowdown.runMeasured(*time, now);
 }
 
 void EngineScheduler::runEnded(const RunKey& key, RunEnding ending, MonotonicTime now)
 {
+    if (ending.slowdown)
+        m_slowdown.reported(*ending.slowdown, now);
     m_waiting.erase(std::remove_if(m_waiting.begin(), m_waiting.end(),
                         [&key](const RunRequest& waiting) { return waiting.key == key; }),
         m_waiting.end());
@@ -285,13 +290,13 @@
     std::vector<RunRequest> remaining;
     // Once a prompt is held back by pacing, shorter prompts behind it must not overtake it.
     bool isPaced = false;
+    const PrefillRate rate = rateNow(now);
     for (RunRequest& request : m_waiting) {
         const bool isIdle = m_backlog == Tokens(0);
         const bool canRun = isServable(request.adapter) && hasCapacityFor(request);
         isPaced = isPaced
             || (canRun
-                && !m_prefillPacer.admits(
-                    uncachedTokens(request), isIdle, shortestTargetPause(), m_prefillRate, now));
+                && !m_prefillPacer.admits(uncachedTokens(request), isIdle, shortestTargetPause(), rate, now));
         const bool isWithinLimit = m_pacer.waitFor(0, now) == Duration::zero();
         if (!canRun || isPaced || !isWithinLimit) {
             remaining.push_back(std::move(request));
@@ -307,7 +312,7 @@
         const Tokens prompt = uncachedTokens(request);
         if (isIdle)
             m_prefillRate.busyPeriodStarted(now);
-        m_prefillPacer.admitted(prompt, isIdle, m_prefillRate, now);
+        m_prefillPacer.admitted(prompt, isIdle, rate, now);
         m_pacer.started(now);
         m_lastGrant = now;
         if (m_deferredLoad && m_deferredLoad->adapter == request.adapter)
@@ -501,9 +506,32 @@
     return queued;
 }
 
+Duration EngineScheduler::prefillTime(Tokens tokens, MonotonicTime now) const
+{
+    return m_slowdown.timeFor(m_prefillRate.timeFor(tokens), now);
+}
+
+PrefillRate EngineScheduler::rateNow(MonotonicTime now) const
+{
+    return m_prefillRate.slowedBy(m_slowdown.current(now));
+}
+
+void EngineScheduler::seedSpeed(const speed::LearnedSpeed& learned, MonotonicTime now)
+{
+    m_prefillRate.seed(learned.usualRate);
+    m_slowdown.seed(learned.meanSlowdown, now);
+}
+
+std::optional<speed::LearnedSpeed> EngineScheduler::learnedSpeed(MonotonicTime now) const
+{
+    if (!m_slowdown.isStated(now))
+        return std::nullopt;
+    return speed::LearnedSpeed { m_prefillRate.tokensPerMillisecond(), m_slowdown.mean(now) };
+}
+
 Duration EngineScheduler::estimateStart(const RunRequest& request, MonotonicTime now) const
 {
-    const Duration reading = m_prefillRate.timeFor(queuedPrompts() + uncachedTokens(request));
+    const Duration reading = prefillTime(queuedPrompts() + uncachedTokens(request), now);
     // More urgent requests that arrive later are prefilled first.
     if (!needsSlot(request.adapter) || isServable(request.adapter))
         return std::chrono::duration_cast<Duration>(overtakingFactor * reading);
@@ -552,8 +580,11 @@
     summary.engine = m_engine;
     summary.isUsable = isUsable();
     summary.models.assign(m_models.begin(), m_models.end());
-    summary.prefillBacklog = m_prefillRate.timeFor(queuedPrompts());
-    summary.promptTokensPerMillisecond = m_prefillRate.tokensPerMillisecond();
+    summary.prefillBacklog = prefillTime(queuedPrompts(), now);
+    summary.statesSlowdown = m_slowdown.isStated(now);
+    summary.meanSlowdown = m_slowdown.mean(now);
+    summary.slowdown = m_slowdown.relative(now);
+    summary.promptTokensPerMillisecond = m_prefillRate.tokensPerMillisecond() / summary.meanSlowdown;
     summary.running = static_cast<int>(m_runs.size());
     summary.waiting = static_cast<int>(m_waiting.size());
     summary.openSlots = m_slots.openCount(awaitedAdapters());
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -7,6 +7,8 @@
 #include "gateway/run_request.h"
 #include "gateway/serving_configuration.h"
 #include "gateway/upstream_entry.h"
+#include "speed/slowdown_estimate.h"
+#include "speed/upstream_speeds.h"
 
 #include <map>
 #include <optional>
@@ -61,7 +63,9 @@
 
     void request(RunRequest request, MonotonicTime now);
     /// Reports that the first event of a run has arrived from the engine.
-    void runProgressed(const RunKey& key, MonotonicTime now);
+    ///
+    /// @param slowdown that the engine has stated in the response.
+    void runProgressed(const RunKey& key, MonotonicTime now, std::optional<double> slowdown = std::nullopt);
     void runEnded(const RunKey& key, RunEnding ending, MonotonicTime now);
     /// Ends all runs of a host that has failed.
     void hostLost(const HostId& host, MonotonicTime now);
@@ -73,6 +77,10 @@
 
     SchedulerDecisions decide(MonotonicTime now);
     EngineSummary summary(MonotonicTime now) const;
+    /// Starts from what a former owner of the engine has learned.
+    void seedSpeed(const speed::LearnedSpeed& learned, MonotonicTime now);
+    /// @return what a further owner starts from; nothing if the engine doesn't state how much it is slowed.
+    std::optional<speed::LearnedSpeed> learnedSpeed(MonotonicTime now) const;
     /// @return whether the engine keeps a cached copy of an adapter that it unloaded.
     bool hasCopy(const AdapterRef& adapter) const { return m_slots.hasCachedCopy(adapter); }
     bool hasWaitingRuns() const { return !m_waiting.empty(); }
@@ -101,6 +109,10 @@
     /// @return time until the engine may get orders; zero if it isn't resting.
     Duration restLeft(MonotonicTime now) const;
     Duration estimateStart(const RunRequest& request, MonotonicTime now) const;
+    /// @return the time that the engine takes from now on to prefill so many tokens.
+    Duration prefillTime(Tokens tokens, MonotonicTime now) const;
+    /// @return the prefill rate at the present slowdown.
+    PrefillRate rateNow(MonotonicTime now) const;
     std::optional<AdapterRef> nextLoad(MonotonicTime now) const;
     std::set<AdapterRef> awaitedAdapters() const;
     int fetchDemand() const;
@@ -132,7 +144,9 @@
     std::vector<RunRequest> m_waiting;
     std::vector<RunDenial> m_denials;
     AdapterPopularity m_popularity;
+    /// The rate without a slowdown.
     PrefillRate m_prefillRate;
+    speed::SlowdownEstimate m_slowdown;
     PrefillPacer m_prefillPacer;
     RequestPacer m_pacer;
     /// Adapter that is loaded for callers that were told to come back; one at a time, so that loads which
--- a/src/gateway/engine_scheduler_test.cc
+++ b/src/gateway/engine_scheduler_test.cc
@@ -421,4 +421,79 @@
     BOOST_TEST((fixture.scheduler.summary(fixture.now).startInterval == 0s));
 }
 
+namespace {
+
+/// Plays runs one after the other on an engine that prefills 40 tokens a millisecond, less while it is
+/// slowed.
+///
+/// @param stated what the engine states of a slowdown.
+template <typename Stated> void playSlowedRuns(Fixture& fixture, Stated stated)
+{
+    for (int run = 0; run < 400; ++run) {
+        const double slowdown = run % 20 < 3 ? 2.5 : 1;
+        const RunKey key = fixture.stream(Tokens(4000));
+        BOOST_REQUIRE(fixture.decide().grants.size() == 1);
+        fixture.now += 20ms + std::chrono::duration_cast<Duration>(slowdown * 100ms);
+        fixture.scheduler.runProgressed(key, fixture.now, stated(slowdown));
+        fixture.scheduler.runEnded(key, {}, fixture.now);
+        fixture.now += 100ms;
+    }
+    // The last stretch is over.
+    fixture.now += 5s;
+}
+
+} // namespace
+
+// Load: an engine that is slowed by turns. Guards against a usual rate that contains the slowdown, and
+// against a backlog that doesn't.
+BOOST_AUTO_TEST_CASE(LearnsTheUsualRateOfASlowedEngine)
+{
+    Fixture fixture;
+    fixture.report({ { AdapterId("a1"), 1 } });
+    playSlowedRuns(fixture, [](double slowdown) { return std::make_optional(slowdown); });
+    const auto learned = fixture.scheduler.learnedSpeed(fixture.now);
+    BOOST_REQUIRE(learned.has_value());
+    BOOST_TEST(learned->usualRate == 40, boost::test_tools::tolerance(0.1));
+    BOOST_TEST(learned->meanSlowdown > 1.05);
+    BOOST_TEST(learned->meanSlowdown < 1.5);
+    fixture.stream(Tokens(4000));
+    const Duration usual = fixture.scheduler.summary(fixture.now).prefillBacklog;
+    fixture.scheduler.runProgressed({ HostId("host-2"), RunId(1) }, fixture.now, 2.5);
+    const EngineSummary slowed = fixture.scheduler.summary(fixture.now);
+    BOOST_TEST(slowed.statesSlowdown);
+    BOOST_TEST((slowed.prefillBacklog > 1.5 * usual));
+}
+
+// Load: engines that always state 100 or 10,000. Guards against a backlog that is wrong for good.
+BOOST_AUTO_TEST_CASE(AnUntrueConstantCancelsOut)
+{
+    Fixture without;
+    without.report({ { AdapterId("a1"), 1 } });
+    playSlowedRuns(without, [](double) { return std::optional<double>(); });
+    for (const double always : { 1.0, 100.0 }) {
+        Fixture fixture;
+        fixture.report({ { AdapterId("a1"), 1 } });
+        playSlowedRuns(fixture, [always](double) { return std::make_optional(always); });
+        fixture.stream(Tokens(4000));
+        if (always == 1)
+            without.stream(Tokens(4000));
+        const double ratio = toSeconds(fixture.scheduler.summary(fixture.now).prefillBacklog)
+            / toSeconds(without.scheduler.summary(without.now).prefillBacklog);
+        BOOST_TEST(ratio == 1, boost::test_tools::tolerance(0.2));
+    }
+}
+
+// Guards against an owner that starts from the default although the former one has published what it learned,
+// and against a speed that is published for an engine that states no slowdown.
+BOOST_AUTO_TEST_CASE(ANewOwnerStartsFromTheFormerSpeed)
+{
+    Fixture fixture;
+    BOOST_TEST(!fixture.scheduler.learnedSpeed(fixture.now).has_value());
+    BOOST_TEST(!fixture.scheduler.summary(fixture.now).statesSlowdown);
+    fixture.scheduler.seedSpeed({ 44, 1.25 }, fixture.now);
+    const EngineSummary summary = fixture.scheduler.summary(fixture.now);
+    BOOST_TEST(summary.statesSlowdown);
+    BOOST_TEST(summary.promptTokensPerMillisecond == 44 / 1.25, boost::test_tools::tolerance(1e-9));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/engine_summary.h
+++ b/src/gateway/engine_summary.h
@@ -24,8 +24,13 @@
     std::vector<ModelId> models;
     /// Expected time to prefill the prompts that are queued or in progress.
     Duration prefillBacklog {};
-    /// Estimated prefill rate.
+    /// Estimated prefill rate, at the mean slowdown.
     double promptTokensPerMillisecond = 0;
+    /// The engine states how much it is slowed.
+    bool statesSlowdown = false;
+    /// Present slowdown in multiples of the mean slowdown.
+    double slowdown = 1;
+    double meanSlowdown = 1;
     int running = 0;
     int waiting = 0;
     /// Adapter slots that are free or hold an idle adapter.
--- a/src/gateway/engine_view.cc
+++ b/src/gateway/engine_view.cc
@@ -58,7 +58,7 @@
 }
 
 std::vector<EngineCandidate> EngineView::candidates(const ServiceId& service, const AdapterRef& adapter,
-    const std::set<UpstreamId>& excluded, const VersionFilter& versions)
+    const std::set<UpstreamId>& excluded, const VersionFilter& versions, Tokens prompt)
 {
     const MonotonicTime now = m_clock.now();
     const Duration updateInterval = std::min(m_mesh.heartbeatInterval(), maximumBacklogError);
@@ -76,6 +76,9 @@
             candidate.hasOwner = ownerOf(entry->id).has_value();
             candidate.holdsAdapter = entryHolds(*entry, adapter);
             candidate.openSlots = 1;
+            EngineSummary unknown;
+            unknown.promptTokensPerMillisecond = PrefillRate().tokensPerMillisecond();
+            candidate.setPromptTime(prompt, unknown, Duration::zero());
             candidates.push_back(std::move(candidate));
             continue;
         }
@@ -86,6 +89,7 @@
             continue;
         candidate.hasOwner = true;
         candidate.applySummary(summary, adapter);
+        candidate.setPromptTime(prompt, summary, published ? now - published->heard : Duration::zero());
         candidate.hasCopy = own ? m_owners.hasCopy(entry->id, adapter) : m_mesh.hasCopy(entry->id, adapter);
         if (published) {
             candidate.updateInterval = updateInterval;
--- a/src/gateway/engine_view.h
+++ b/src/gateway/engine_view.h
@@ -25,8 +25,9 @@
 
     /// @param excluded engines that have denied the request.
     /// @param versions that the request may be sent to.
+    /// @param prompt length of the request's prompt.
     std::vector<EngineCandidate> candidates(const ServiceId& service, const AdapterRef& adapter,
-        const std::set<UpstreamId>& excluded, const VersionFilter& versions);
+        const std::set<UpstreamId>& excluded, const VersionFilter& versions, Tokens prompt);
     /// @return the host that grants runs on an engine, or nothing if no owner is reachable.
     std::optional<HostId> ownerOf(const UpstreamId& engine) const;
     /// Adds a request to the engine's backlog until the owner's next heartbeat includes it.
--- a/src/gateway/fake_call_services_test.h
+++ b/src/gateway/fake_call_services_test.h
@@ -117,6 +117,8 @@
         attributes.availability.isLeaving = headers.count("leaving") > 0;
         if (const auto rest = headers.find("rest"))
             attributes.availability.rest = std::chrono::milliseconds(std::stoll(*rest));
+        if (const auto slowdown = headers.find("slowdown"))
+            attributes.load = ReportedLoad { 1, 0, 8, std::stod(*slowdown) };
         if (const auto limit = headers.find("limit"))
             attributes.requestLimit = RequestRate(std::stod(*limit));
         return attributes;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -124,7 +124,8 @@
               [this](const RunDenial& denial) { m_broker.answered(denial.key, denial); },
               [this](const UpstreamId& engine) { m_fleet.stepDown(engine); }, [this] { return mayOrder(); },
               [this](const UpstreamId& engine, const char* kind) { engineRequestSent(engine, kind); },
-              [this](const UpstreamId& engine) { return requestRate(engine); } })
+              [this](const UpstreamId& engine) { return requestRate(engine); },
+              [this](const UpstreamId& engine) { return m_picker.speeds().lastPublished(engine); } })
     , m_broker(loop, m_limits, m_settings.host)
     , m_engineView(
           loop, m_upstreams, m_fleet, m_mesh, m_owners, m_picker, m_settings.host, m_settings.dataCentre)
@@ -318,6 +319,9 @@
         = static_cast<double>(m_upstreams.availability().leavingCount());
     m_metrics.gauge("lacewing_resting_upstreams")
         = static_cast<double>(m_upstreams.availability().restingCount(m_loop.now()));
+    const speed::UpstreamSpeeds::Overview slowdown = m_picker.speeds().overview(m_loop.now());
+    m_metrics.gauge("lacewing_upstream_slowdown", { { "statistic", "mean" } }) = slowdown.mean;
+    m_metrics.gauge("lacewing_upstream_slowdown", { { "statistic", "maximum" } }) = slowdown.maximum;
     m_metrics.gauge("lacewing_limited_upstreams") = static_cast<double>(m_limits.limitedCount());
     m_metrics.gauge("lacewing_quarantined_prompts") = static_cast<double>(m_quarantine.activeCount());
     m_metrics.gauge("lacewing_peers_in_touch") = static_cast<double>(m_mesh.peersInTouch().size());
@@ -374,6 +378,7 @@
         if (!heartbeat->serviceVersions.empty())
             m_serviceVersions.rowsChanged(heartbeat->serviceVersions);
         m_owners.fetchLimiter().setPeersInFlight(m_mesh.fetchesInFlight(), m_peersInTouch);
+        recordSpeeds(*heartbeat);
         return;
     }
     if (const auto* request = std::get_if<PeerOperatorRequest>(&message)) {
@@ -527,6 +532,16 @@
     }));
 }
 
+void Gateway::recordSpeeds(const PeerHeartbeat& heartbeat)
+{
+    for (const EngineSummary& engine : heartbeat.engines) {
+        if (!engine.statesSlowdown || !m_upstreams.find(engine.engine))
+            continue;
+        const double usualRate = engine.promptTokensPerMillisecond * engine.meanSlowdown;
+        m_picker.speeds().published(engine.engine, { usualRate, engine.meanSlowdown });
+    }
+}
+
 void Gateway::noteEngineVersions()
 {
     const bool isFirst = m_engineVersions.empty();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -68,6 +68,8 @@
     std::set<HostId> permitDeciders() const;
     /// @return the rate at which this host may grant requests to an upstream; nothing without a limit.
     std::optional<RequestRate> requestRate(const UpstreamId& upstream) const;
+    /// Keeps the speeds of engines that a peer publishes, in case this host takes over one of them.
+    void recordSpeeds(const PeerHeartbeat& heartbeat);
     /// @return the part of the live hosts that is in touch, this one included.
     double shareInTouch() const;
     void engineRequestSent(const UpstreamId& engine, const char* kind);
--- a/src/gateway/owned_engines.cc
+++ b/src/gateway/owned_engines.cc
@@ -50,7 +50,8 @@
 void OwnedEngines::startScheduler(const UpstreamId& engine, OwnedEngine& owned)
 {
     owned.generation = m_nextGeneration++;
-    if (const auto former = std::move(owned.scheduler))
+    const auto former = std::move(owned.scheduler);
+    if (former)
         denyWaiting(*former, RunRefusal::EngineUnusable);
     const UpstreamEntry* entry = m_upstreams.find(engine);
     const auto limits = entry ? limitsOf(*entry) : std::nullopt;
@@ -61,6 +62,11 @@
     for (const auto& [adapter, version] : m_configuration.releases())
         owned.scheduler->setRelease(adapter, version);
     owned.scheduler->setRequestRate(m_handlers.requestRate(engine), m_scheduler.now());
+    auto speed = former ? former->learnedSpeed(m_scheduler.now()) : std::nullopt;
+    if (!speed && m_handlers.formerSpeed)
+        speed = m_handlers.formerSpeed(engine);
+    if (speed)
+        owned.scheduler->seedSpeed(*speed, m_scheduler.now());
     applyAvailability(*entry, *owned.scheduler);
     applyDecisions(engine);
 }
@@ -105,12 +111,12 @@
     applyDecisions(engine);
 }
 
-void OwnedEngines::runProgressed(const UpstreamId& engine, const RunKey& key)
+void OwnedEngines::runProgressed(const UpstreamId& engine, const RunKey& key, std::optional<double> slowdown)
 {
     OwnedEngine* owned = find(engine);
     if (!owned || !owned->scheduler)
         return;
-    owned->scheduler->runProgressed(key, m_scheduler.now());
+    owned->scheduler->runProgressed(key, m_scheduler.now(), slowdown);
     // The engine may have become idle, which admits further prompts.
     if (owned->scheduler->hasWaitingRuns())
         applyDecisions(engine);
--- a/src/gateway/owned_engines.h
+++ b/src/gateway/owned_engines.h
@@ -28,6 +28,8 @@
         std::function<void(const UpstreamId& engine, const char* kind)> onEngineRequest;
         /// @return the rate at which this host may grant runs on an engine; nothing without a limit.
         std::function<std::optional<RequestRate>(const UpstreamId& engine)> requestRate;
+        /// @return the speed that the former owner of an engine published last; nothing if it published none.
+        std::function<std::optional<speed::LearnedSpeed>(const UpstreamId& engine)> formerSpeed = nullptr;
     };
 
     OwnedEngines(Scheduler& scheduler, EngineControl& control, const UpstreamDirectory& upstreams,
@@ -41,7 +43,7 @@
     bool owns(const UpstreamId& engine) const { return m_engines.count(engine) > 0; }
 
     void request(const UpstreamId& engine, RunRequest request);
-    void runProgressed(const UpstreamId& engine, const RunKey& key);
+    void runProgressed(const UpstreamId& engine, const RunKey& key, std::optional<double> slowdown);
     void runEnded(const UpstreamId& engine, const RunKey& key, RunEnding ending);
     void hostLost(const HostId& host);
 
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -1,9 +1,11 @@
 #include "gateway/peer_message.h"
 
 #include "base/cbor.h"
+#include "speed/slowdown_estimate.h"
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <map>
 
 namespace lacewing::gateway {
@@ -65,7 +67,34 @@
     return Json::array({ summary.engine.value(), microseconds(summary.prefillBacklog), summary.running,
         summary.waiting, summary.openSlots, summary.isUsable, microseconds(summary.fetchWait),
         std::move(held), summary.promptTokensPerMillisecond, microseconds(summary.limitWait),
-        microseconds(summary.startInterval) });
+        microseconds(summary.startInterval),
+        summary.statesSlowdown ? Json::array({ summary.slowdown, summary.meanSlowdown }) : Json() });
+}
+
+/// @return the number at an index, or nothing if it is missing or not a finite number above 0.
+std::optional<double> decodeSlowdown(const Json& json, size_t index)
+{
+    if (json.size() <= index || !json.at(index).is_number())
+        return std::nullopt;
+    const double slowdown = json.at(index).get<double>();
+    return std::isfinite(slowdown) && slowdown > 0 ? std::make_optional(slowdown) : std::nullopt;
+}
+
+Json encode(const std::optional<double>& slowdown)
+{
+    return slowdown ? Json(*slowdown) : Json();
+}
+
+void decodeSpeed(const Json& json, EngineSummary& summary)
+{
+    const auto slowdown = decodeSlowdown(json, 0);
+    const auto mean = decodeSlowdown(json, 1);
+    if (!slowdown || !mean)
+        return;
+    summary.statesSlowdown = true;
+    summary.meanSlowdown = std::clamp(*mean, speed::minimumSlowdown, speed::maximumSlowdown);
+    summary.slowdown = std::clamp(*slowdown, speed::minimumSlowdown / summary.meanSlowdown,
+        speed::maximumSlowdown / summary.meanSlowdown);
 }
 
 EngineSummary decodeSummary(const Json& json)
@@ -84,6 +113,8 @@
         summary.limitWait = duration(json.at(9));
         summary.startInterval = duration(json.at(10));
     }
+    if (json.size() > 11)
+        decodeSpeed(json.at(11), summary);
     for (const Json& held : json.at(7)) {
         const ModelId model(held.at(0).get<std::string>());
         if (held.at(1).get<bool>())
@@ -477,6 +508,7 @@
     Json json = frame(FrameType::RunProgress);
     json.push_back(message.engine.value());
     json.push_back(message.run.value());
+    json.push_back(encode(message.slowdown));
     return json;
 }
 
@@ -487,6 +519,7 @@
     json.push_back(message.run.value());
     json.push_back(static_cast<int>(message.ending.outcome));
     json.push_back(microseconds(message.ending.longestPause));
+    json.push_back(encode(message.ending.slowdown));
     return json;
 }
 
@@ -518,11 +551,12 @@
         return PeerRunDenial { RunId(json.at(1).get<int64_t>()),
             enumerator(json.at(2), RunRefusal::UpstreamLimit), duration(json.at(3)) };
     case FrameType::RunProgress:
-        return PeerRunProgress { UpstreamId(json.at(1).get<std::string>()),
-            RunId(json.at(2).get<int64_t>()) };
+        return PeerRunProgress { UpstreamId(json.at(1).get<std::string>()), RunId(json.at(2).get<int64_t>()),
+            decodeSlowdown(json, 3) };
     case FrameType::RunEnd:
         return PeerRunEnd { UpstreamId(json.at(1).get<std::string>()), RunId(json.at(2).get<int64_t>()),
-            { enumerator(json.at(3), RunOutcome::EngineFailed), duration(json.at(4)) } };
+            { enumerator(json.at(3), RunOutcome::EngineFailed), duration(json.at(4)),
+                decodeSlowdown(json, 5) } };
     case FrameType::Usage:
         return PeerUsage { Incarnation(json.at(1).get<int64_t>()), decodeUsage(json.at(2)) };
     case FrameType::UpstreamLimit:
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -115,6 +115,8 @@
 struct PeerRunProgress {
     UpstreamId engine;
     RunId run;
+    /// Slowdown that the engine has stated in the response; nothing if it stated none.
+    std::optional<double> slowdown = std::nullopt;
 };
 
 /// A run has ended or was cancelled.
--- a/src/gateway/peer_message_test.cc
+++ b/src/gateway/peer_message_test.cc
@@ -44,6 +44,9 @@
     engine.promptTokensPerMillisecond = 44.25;
     engine.limitWait = 800ms;
     engine.startInterval = 2s;
+    engine.statesSlowdown = true;
+    engine.slowdown = 1.75;
+    engine.meanSlowdown = 1.25;
     engine.adapters.push_back({ { ModelId("base"), AdapterId("a0") }, false });
     engine.adapters.push_back({ { ModelId("base"), AdapterId("a1") }, true });
     engine.adapters.push_back({ { ModelId("next"), AdapterId("a2") }, true });
@@ -71,8 +74,8 @@
         PeerRunRequest { UpstreamId("engine-1"), RunId(5), adapter, Tokens(10),
             { { ~0ULL, Tokens(7) }, { 8, Tokens(3) } }, Tokens(20), 1, 700ms, 1500ms, 400ms, limit() },
         PeerRunGrant { RunId(5), 3, 8 }, PeerRunDenial { RunId(5), RunRefusal::EngineUnusable, 200ms },
-        PeerRunProgress { UpstreamId("engine-1"), RunId(5) },
-        PeerRunEnd { UpstreamId("engine-1"), RunId(5), { RunOutcome::AdapterMissing, 30ms } },
+        PeerRunProgress { UpstreamId("engine-1"), RunId(5), 2.5 },
+        PeerRunEnd { UpstreamId("engine-1"), RunId(5), { RunOutcome::AdapterMissing, 30ms, 1.5 } },
         PeerUsage { Incarnation(77), { { WorkspaceId("busy"), 900, 300 } } }, PeerUpstreamLimit { limit() },
         PeerPermitRequest { UpstreamId("u-1"), PermitId(4), 300ms, limit() },
         PeerPermitAnswer { PermitId(4), true, 120ms },
@@ -105,6 +108,9 @@
     const EngineSummary& engine = message.engines.at(0);
     BOOST_TEST((engine.models == std::vector { ModelId("base") }));
     BOOST_TEST((engine.startInterval == 2s));
+    BOOST_TEST(engine.statesSlowdown);
+    BOOST_TEST(engine.slowdown == 1.75);
+    BOOST_TEST(engine.meanSlowdown == 1.25);
     BOOST_REQUIRE(message.limits.size() == 2);
     BOOST_TEST((message.limits[0].rate == std::optional<RequestRate>(0.25)));
     BOOST_TEST(!message.limits[1].rate);
@@ -147,6 +153,28 @@
     BOOST_TEST(std::get<PeerHeartbeat>(*decoded).leaving.empty());
 }
 
+// The same for messages without slowdowns. Guards against untrue ones of a peer that are not bounded, too.
+BOOST_AUTO_TEST_CASE(ReadsMessagesWithoutSlowdowns)
+{
+    auto progress = *fromCbor(encodePeerMessage(PeerRunProgress { UpstreamId("engine-1"), RunId(5), 2.5 }));
+    truncate(progress, 3);
+    BOOST_TEST(!std::get<PeerRunProgress>(*decodePeerMessage(toCbor(progress))).slowdown);
+    auto end = *fromCbor(encodePeerMessage(
+        PeerRunEnd { UpstreamId("engine-1"), RunId(5), { RunOutcome::AdapterMissing, 30ms, 1.5 } }));
+    truncate(end, 5);
+    BOOST_TEST(!std::get<PeerRunEnd>(*decodePeerMessage(toCbor(end))).ending.slowdown);
+    PeerHeartbeat sent = heartbeat();
+    sent.engines.at(0).slowdown = 1e9;
+    sent.engines.at(0).meanSlowdown = 0.001;
+    const auto bounded = std::get<PeerHeartbeat>(*decodePeerMessage(encodePeerMessage(sent))).engines.at(0);
+    BOOST_TEST(bounded.meanSlowdown == 0.5);
+    BOOST_TEST(bounded.slowdown == 10);
+    sent.engines.at(0).slowdown = -1;
+    const auto ignored = std::get<PeerHeartbeat>(*decodePeerMessage(encodePeerMessage(sent))).engines.at(0);
+    BOOST_TEST(!ignored.statesSlowdown);
+    BOOST_TEST(ignored.slowdown == 1);
+}
+
 // Guards against dropping the heartbeats of hosts of an earlier version while a fleet is being replaced.
 BOOST_AUTO_TEST_CASE(ReadsHeartbeatsWithoutQuarantines)
 {
--- a/src/gateway/prefill_rate.h
+++ b/src/gateway/prefill_rate.h
@@ -4,6 +4,7 @@
 #include "base/ids.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace lacewing::gateway {
 
@@ -14,26 +15,39 @@
 class PrefillRate {
 public:
     /// Starts a busy period: the engine was idle and has been sent a prompt.
-    void busyPeriodStarted(MonotonicTime now)
-    {
-        m_sampleStart = now + fixedLatency;
-        m_sampleTokens = Tokens(0);
-    }
+    void busyPeriodStarted(MonotonicTime now) { startSample(now + fixedLatency); }
     /// Records that the engine has prefilled a prompt, as shown by its first event.
     ///
     /// @param tokens uncached tokens of the prompt.
-    void promptProcessed(Tokens tokens, MonotonicTime now)
+    /// @param slowdown of the engine meanwhile, which is divided out of the rate; 1 for as usual.
+    /// @return the measured time per token in milliseconds, without the slowdown divided out, if the prompt
+    ///     completed a sample.
+    std::optional<double> promptProcessed(Tokens tokens, MonotonicTime now, double slowdown = 1)
     {
         m_sampleTokens += tokens;
+        m_sampleWork += slowdown * static_cast<double>(tokens.value());
         const Duration elapsed = now - m_sampleStart;
         if (m_sampleTokens < minimumSampleTokens || elapsed < minimumSampleTime)
-            return;
-        const double sample
-            = static_cast<double>(m_sampleTokens.value()) / (toSeconds(elapsed) * millisecondsPerSecond);
+            return std::nullopt;
+        const double milliseconds = toSeconds(elapsed) * millisecondsPerSecond;
+        const double sample = m_sampleWork / milliseconds;
         m_tokensPerMillisecond += sampleWeight * (sample - m_tokensPerMillisecond);
         m_tokensPerMillisecond = std::clamp(m_tokensPerMillisecond, minimumRate, maximumRate);
-        m_sampleStart = now;
-        m_sampleTokens = Tokens(0);
+        const double timePerToken = milliseconds / static_cast<double>(m_sampleTokens.value());
+        startSample(now);
+        return timePerToken;
+    }
+    /// Starts from the rate that another host has learned.
+    void seed(double tokensPerMillisecond)
+    {
+        m_tokensPerMillisecond = std::clamp(tokensPerMillisecond, minimumRate, maximumRate);
+    }
+    /// @return the rate while the engine is slowed.
+    PrefillRate slowedBy(double slowdown) const
+    {
+        PrefillRate slowed = *this;
+        slowed.m_tokensPerMillisecond /= slowdown;
+        return slowed;
     }
 
     double tokensPerMillisecond() const { return m_tokensPerMillisecond; }
@@ -47,6 +61,13 @@
     }
 
 private:
+    void startSample(MonotonicTime start)
+    {
+        m_sampleStart = start;
+        m_sampleTokens = Tokens(0);
+        m_sampleWork = 0;
+    }
+
     static constexpr double millisecondsPerSecond = 1000;
     static constexpr double initialRate = 20;
     static constexpr double minimumRate = 1;
@@ -64,6 +85,8 @@
     MonotonicTime m_sampleStart;
     /// Tokens prefilled since then.
     Tokens m_sampleTokens;
+    /// The same, each multiplied by the slowdown at which it was prefilled.
+    double m_sampleWork = 0;
 };
 
 } // namespace lacewing::gateway
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -1,8 +1,10 @@
 #include "gateway/proxied_call.h"
 
+#include "base/log.h"
 #include "gateway/call_record.h"
 #include "gateway/request_identity.h"
 #include "gateway/upstream_statements.h"
+#include "speed/attempt_time.h"
 
 #include <nlohmann/json.hpp>
 
@@ -257,8 +259,12 @@
 {
     m_services.loop.cancel(std::exchange(m_attemptTimer, 0));
     const ResponseAttributes attributes = m_services.translator.readResponse(status, headers);
-    if (attributes.load)
-        m_services.picker.loadReported(m_search->upstream(), *attributes.load, m_services.loop.now());
+    const bool isSpeedNew = attributes.load
+        && m_services.picker.loadReported(m_search->upstream(), *attributes.load, m_services.loop.now());
+    if (isSpeedNew)
+        LogEvent(LogLevel::Info, "upstream_states_slowdown")
+            .with("upstream", m_search->upstream())
+            .with("slowdown", *attributes.load->slowdown);
     if (attributes.keepAlive)
         m_services.picker.keepAliveReported(m_search->upstream(), *attributes.keepAlive);
     const ExchangeContext exchange = exchangeContext();
@@ -270,6 +276,8 @@
     request.expectsEvents = m_admission.route->kind == RouteKind::Stream;
     request.isHead = m_exchange->method() == "HEAD";
     m_response.headArrived(attributes, headers, request);
+    const bool isOwnLoad = attributes.load && !m_response.isForeign();
+    m_slowdown = isOwnLoad ? attributes.load->slowdown : std::nullopt;
     observeStatements(m_services, m_response,
         { exchange.requestId, exchange.upstream, m_evidence->upstreamStartedAt(), m_sentAt });
     m_flow.needs(m_response.expectedBytes());
@@ -344,7 +352,7 @@
     if (!m_startedEnd) {
         m_startedEnd = streamEnd(m_response);
         m_firstByte = elapsed();
-        m_search->runProgressed();
+        m_search->runProgressed(std::exchange(m_slowdown, std::nullopt));
         m_exchange->startStream(m_response.attributes()->status,
             m_services.translator.callerHeaders(m_response.headers()), *m_startedEnd);
         m_exchange->onDrained([this] { m_flow.setCallerBehind(false); });
@@ -361,7 +369,7 @@
         m_services.picker.ended(m_search->upstream(), outcome, m_services.loop.now());
     m_flow.end();
     m_call.reset();
-    m_search->runEnded({ runOutcome, m_response.longestPause() });
+    m_search->runEnded({ runOutcome, m_response.longestPause(), std::exchange(m_slowdown, std::nullopt) });
 }
 
 void ProxiedCall::upstreamDone(const HttpClientResult& result)
@@ -411,8 +419,11 @@
         m_evidence->runBroke(exchange, result.error, m_response.isForeign());
         exchangeEnded(ExchangeOutcome::Unreachable, RunOutcome::EngineFailed);
     } else {
-        if (m_response.isSuccess())
+        if (m_response.isSuccess()) {
             m_evidence->answerBegan();
+            const MonotonicTime now = m_services.loop.now();
+            m_services.picker.speeds().runEnded(m_search->upstream(), now - m_sentAt, now);
+        }
         // An upstream that was to resume a stream and sent none has failed.
         const bool isFailure = end == ExchangeEnd::AmbiguousRejection || end == ExchangeEnd::Failed
             || (m_startedEnd && !m_response.isStream());
@@ -514,8 +525,10 @@
     if (m_admission.route->kind != RouteKind::Idempotent
         || m_possibleRuns + 1 >= m_admission.route->maximumAttempts)
         return;
-    const auto wait
+    const auto usual
         = std::chrono::duration_cast<Duration>(attemptTimeoutFraction * m_admission.route->targetLatency);
+    const double slowdown = m_services.picker.speeds().slowdown(m_search->upstream(), m_services.loop.now());
+    const Duration wait = speed::attemptTime(usual, slowdown, m_timeLimit - elapsed());
     m_attemptTimer = m_services.loop.runAfter(wait, [this] {
         m_attemptTimer = 0;
         attemptTimedOut();
--- a/src/gateway/proxied_call.h
+++ b/src/gateway/proxied_call.h
@@ -131,6 +131,8 @@
     std::optional<StreamEnd> m_startedEnd;
     bool m_isFinished = false;
     std::optional<Duration> m_firstByte;
+    /// Slowdown that the upstream has stated in its response, until the engine's owner is told.
+    std::optional<double> m_slowdown;
 
     TimerId m_deadlineTimer = 0;
     TimerId m_attemptTimer = 0;
--- a/src/gateway/proxied_call_test.cc
+++ b/src/gateway/proxied_call_test.cc
@@ -196,4 +196,18 @@
     BOOST_TEST(fixture.exchange->isAborted);
 }
 
+// Load: an upstream that is slowed by a factor of 2.5. Guards against requests that are repeated while it
+// answers late.
+BOOST_AUTO_TEST_CASE(ASlowedUpstreamHasMoreTimeToAnswer)
+{
+    ProxiedCallFixture fixture;
+    for (const char* id : { "s-1", "s-2" })
+        fixture.picker.loadReported(UpstreamId(id), { 1, 0, 8, 2.5 }, fixture.scheduler.now());
+    fixture.send("/safe/1");
+    fixture.scheduler.advance(260ms);
+    BOOST_TEST(fixture.client.calls.size() == 1);
+    fixture.scheduler.advance(100ms);
+    BOOST_TEST(fixture.client.calls.size() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/run_broker.cc
+++ b/src/gateway/run_broker.cc
@@ -58,15 +58,15 @@
     callback(answer);
 }
 
-void RunBroker::progressed(RunId run)
+void RunBroker::progressed(RunId run, std::optional<double> slowdown)
 {
     const auto found = m_pendingRuns.find(run);
     if (found == m_pendingRuns.end())
         return;
     if (found->second.owner == m_self)
-        m_owners->runProgressed(found->second.engine, { m_self, run });
+        m_owners->runProgressed(found->second.engine, { m_self, run }, slowdown);
     else
-        m_mesh->send(found->second.owner, PeerRunProgress { found->second.engine, run });
+        m_mesh->send(found->second.owner, PeerRunProgress { found->second.engine, run, slowdown });
 }
 
 void RunBroker::ended(RunId run, RunEnding ending)
@@ -107,7 +107,7 @@
         deliver(denial->run,
             RunDenial { { m_self, denial->run }, denial->reason, denial->retryAfter, Duration::zero() });
     else if (const auto* progress = std::get_if<PeerRunProgress>(&message))
-        m_owners->runProgressed(progress->engine, { peer, progress->run });
+        m_owners->runProgressed(progress->engine, { peer, progress->run }, progress->slowdown);
     else if (const auto* end = std::get_if<PeerRunEnd>(&message))
         m_owners->runEnded(end->engine, { peer, end->run }, end->ending);
 }
--- a/src/gateway/run_broker.h
+++ b/src/gateway/run_broker.h
@@ -30,7 +30,8 @@
     /// @param request its key is filled in.
     /// @return the ID for progressed() and ended().
     RunId ask(const HostId& owner, const UpstreamId& engine, RunRequest request, Callback callback);
-    void progressed(RunId run);
+    /// @param slowdown that the engine has stated in the response.
+    void progressed(RunId run, std::optional<double> slowdown);
     /// Ends a granted run, or withdraws a request that has not been answered.
     void ended(RunId run, RunEnding ending);
 
--- a/src/gateway/run_request.h
+++ b/src/gateway/run_request.h
@@ -115,6 +115,8 @@
     RunOutcome outcome = RunOutcome::Finished;
     /// Longest pause between two events of the answer.
     Duration longestPause {};
+    /// Slowdown that the engine stated in its response, unless it was reported with the first event.
+    std::optional<double> slowdown = std::nullopt;
 };
 
 } // namespace lacewing::gateway
--- a/src/gateway/upstream_picker.cc
+++ b/src/gateway/upstream_picker.cc
@@ -29,18 +29,43 @@
 
 } // namespace
 
-double UpstreamPicker::cost(const PickCandidate& candidate, MonotonicTime now) const
+UpstreamPicker::SpeedBasis UpstreamPicker::speedBasis(
+    const std::vector<const PickCandidate*>& candidates, MonotonicTime now) const
+{
+    SpeedBasis basis;
+    int known = 0;
+    for (const PickCandidate* candidate : candidates) {
+        basis.isStated = basis.isStated || m_speeds.isStated(candidate->upstream, now);
+        if (const auto usual = m_speeds.usualTime(candidate->upstream)) {
+            basis.usualTime += *usual;
+            ++known;
+        }
+    }
+    basis.usualTime /= std::max(1, known);
+    return basis;
+}
+
+double UpstreamPicker::timeFactor(
+    const UpstreamId& upstream, const SpeedBasis& basis, MonotonicTime now) const
+{
+    const double usual = m_speeds.usualTime(upstream).value_or(basis.usualTime);
+    const double factor = m_speeds.slowdown(upstream, now) * std::exp(usual - basis.usualTime);
+    return std::clamp(factor, speed::minimumSlowdown, speed::maximumSlowdown);
+}
+
+double UpstreamPicker::cost(const PickCandidate& candidate, const SpeedBasis& basis, MonotonicTime now) const
 {
     const double slots = std::max(1, candidate.slots);
     const auto found = m_records.find(candidate.upstream);
     double cost = candidate.isInCallersDataCentre ? 0 : remoteDataCentrePenalty / slots;
     if (found == m_records.end())
-        return cost;
+        return basis.isStated ? cost + 1 / slots : cost;
     const Record& record = found->second;
     double busy = record.inFlight;
     if (record.load && now - record.loadTime < loadValidity)
         busy = std::max<double>(busy, record.load->running + record.load->waiting);
-    cost += busy / slots;
+    // The new request counts as well, so that an idle upstream costs more while it is slowed.
+    cost += basis.isStated ? (busy + 1) / slots * timeFactor(candidate.upstream, basis, now) : busy / slots;
     cost += failurePenalty * withDecay(record.failureRate, now - record.lastOutcome);
     return cost;
 }
@@ -59,9 +84,9 @@
     size_t second = m_random.below(eligible.size());
     if (eligible.size() > 1 && second == first)
         second = (first + 1) % eligible.size();
-    const PickCandidate* best
-        = cost(*eligible[first], now) <= cost(*eligible[second], now) ? eligible[first] : eligible[second];
-    return best->upstream;
+    const SpeedBasis basis = speedBasis(eligible, now);
+    const bool isFirstBest = cost(*eligible[first], basis, now) <= cost(*eligible[second], basis, now);
+    return eligible[isFirstBest ? first : second]->upstream;
 }
 
 void UpstreamPicker::started(const UpstreamId& upstream)
@@ -82,11 +107,12 @@
     record.lastOutcome = now;
 }
 
-void UpstreamPicker::loadReported(const UpstreamId& upstream, const ReportedLoad& load, MonotonicTime now)
+bool UpstreamPicker::loadReported(const UpstreamId& upstream, const ReportedLoad& load, MonotonicTime now)
 {
     Record& record = m_records[upstream];
     record.load = load;
     record.loadTime = now;
+    return load.slowdown && m_speeds.reported(upstream, *load.slowdown, now);
 }
 
 void UpstreamPicker::keepAliveReported(const UpstreamId& upstream, Duration keepAlive)
@@ -108,6 +134,7 @@
 
 void UpstreamPicker::retain(const std::set<UpstreamId>& upstreams)
 {
+    m_speeds.retain(upstreams);
     for (auto record = m_records.begin(); record != m_records.end();) {
         const bool isUsed = upstreams.count(record->first) > 0 || record->second.inFlight > 0;
         record = isUsed ? std::next(record) : m_records.erase(record);
--- a/src/gateway/upstream_picker.h
+++ b/src/gateway/upstream_picker.h
@@ -4,6 +4,7 @@
 #include "base/ids.h"
 #include "base/random.h"
 #include "gateway/call_attributes.h"
+#include "speed/upstream_speeds.h"
 
 #include <map>
 #include <optional>
@@ -36,7 +37,8 @@
 /// out of slots. Of two upstreams chosen at random, the less loaded one is picked (power of two choices), by
 /// the requests that this host has in flight and the load that the upstream reports. An upstream that fails
 /// more often gets fewer requests but is never excluded, so that its recovery is noticed and a failure of all
-/// upstreams does not exclude all of them.
+/// upstreams does not exclude all of them. If upstreams state how much they are slowed, the load per slot,
+/// including the new request, is multiplied by the time that a request takes there, within bounds.
 class UpstreamPicker {
 public:
     explicit UpstreamPicker(uint64_t seed)
@@ -51,7 +53,10 @@
 
     void started(const UpstreamId& upstream);
     void ended(const UpstreamId& upstream, ExchangeOutcome outcome, MonotonicTime now);
-    void loadReported(const UpstreamId& upstream, const ReportedLoad& load, MonotonicTime now);
+    /// @return whether the upstream states for the first time how much it is slowed.
+    bool loadReported(const UpstreamId& upstream, const ReportedLoad& load, MonotonicTime now);
+    speed::UpstreamSpeeds& speeds() { return m_speeds; }
+    const speed::UpstreamSpeeds& speeds() const { return m_speeds; }
     /// @param keepAlive time for which the upstream keeps idle connections open.
     void keepAliveReported(const UpstreamId& upstream, Duration keepAlive);
     /// Records that a request was lost with its connection before a response arrived, and shortens idleAge().
@@ -76,9 +81,21 @@
         Duration idleAge = std::chrono::milliseconds(1500);
     };
 
-    double cost(const PickCandidate& candidate, MonotonicTime now) const;
+    /// What the cost of an upstream takes into account beside its load, if upstreams of the service state how
+    /// much they are slowed.
+    struct SpeedBasis {
+        bool isStated = false;
+        /// Mean of the logarithms of the upstreams' usual times.
+        double usualTime = 0;
+    };
+
+    SpeedBasis speedBasis(const std::vector<const PickCandidate*>& candidates, MonotonicTime now) const;
+    /// @return the time that a request takes at an upstream, in multiples of the mean of the service.
+    double timeFactor(const UpstreamId& upstream, const SpeedBasis& basis, MonotonicTime now) const;
+    double cost(const PickCandidate& candidate, const SpeedBasis& basis, MonotonicTime now) const;
 
     Random m_random;
+    speed::UpstreamSpeeds m_speeds;
     std::map<UpstreamId, Record> m_records;
 };
 
--- a/src/gateway/upstream_search.cc
+++ b/src/gateway/upstream_search.cc
@@ -58,8 +58,8 @@
 void UpstreamSearch::chooseEngine()
 {
     const AdapterRef adapter { m_subject.attributes.model, m_subject.attributes.adapter };
-    const auto candidates = m_services.engines.candidates(
-        m_subject.admission.serviceId, adapter, m_tried, m_subject.binding.filter());
+    const auto candidates = m_services.engines.candidates(m_subject.admission.serviceId, adapter, m_tried,
+        m_subject.binding.filter(), m_subject.attributes.promptTokens.value_or(Tokens(1)));
     const std::vector<UpstreamId> ranked = EngineChooser::rank(adapter, candidates, m_services.random);
     std::optional<Duration> shortestWait;
     for (const UpstreamId& engine : ranked) {
@@ -228,10 +228,10 @@
     m_handlers.onStart();
 }
 
-void UpstreamSearch::runProgressed()
+void UpstreamSearch::runProgressed(std::optional<double> slowdown)
 {
     if (m_run)
-        m_services.broker.progressed(*m_run);
+        m_services.broker.progressed(*m_run, slowdown);
 }
 
 void UpstreamSearch::runEnded(const RunEnding& ending)
--- a/src/gateway/upstream_search.h
+++ b/src/gateway/upstream_search.h
@@ -54,7 +54,9 @@
     void allowOneMoreOwner() { m_owners.allowOneMore(); }
 
     /// Tells the owner that the response has begun.
-    void runProgressed();
+    ///
+    /// @param slowdown that the engine has stated in the response.
+    void runProgressed(std::optional<double> slowdown);
     /// Tells the owner that the run has ended, or withdraws the request for one. Does nothing if there is
     /// none.
     void runEnded(const RunEnding& ending);
