--- a/src/experiment/engine_selector.cc
+++ b/src/experiment/engine_selector.cc
@@ -76,6 +76,8 @@
 std::vector<Arm> allArms()
 {
     return { { "current", std::make_shared<Current>() },
+        { "without-slowdown", std::make_shared<Current>(),
+            [](size_t, double, MonotonicTime) { return std::optional<double>(); } },
         { "without-error", std::make_shared<WithoutError>() },
         { "least-loaded", std::make_shared<LeastLoaded>() },
         { "static-homes", std::make_shared<StaticHome>() } };
--- a/src/experiment/engine_selector.h
+++ b/src/experiment/engine_selector.h
@@ -2,7 +2,9 @@
 
 #include "gateway/engine_chooser.h"
 
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +24,9 @@
 struct Arm {
     std::string name;
     std::shared_ptr<const EngineSelector> selector;
+    /// What an engine states of its slowdown, from its index, its slowdown and the time; null: the truth.
+    std::function<std::optional<double>(size_t engine, double slowdown, MonotonicTime now)> statement
+        = nullptr;
 };
 
 /// @return the gateway's own policy first, then what it is compared with: the same without errors of
--- a/src/experiment/fleet_result.h
+++ b/src/experiment/fleet_result.h
@@ -31,6 +31,8 @@
     std::vector<Duration> waits;
     std::map<std::string, int> refusals;
     int fetches = 0;
+    /// Reading time of each engine of a single run.
+    std::vector<double> busySeconds;
     /// Reading time of the busiest engine by the mean of all.
     double busiestByMean = 0;
     /// Largest number of requests that an engine with a limit got by the number that it allowed; 0 if no
--- a/src/experiment/fleet_simulation.cc
+++ b/src/experiment/fleet_simulation.cc
@@ -1,6 +1,8 @@
 #include "experiment/fleet_simulation.h"
 
 #include <algorithm>
+#include <cmath>
+#include <iterator>
 #include <numeric>
 #include <utility>
 
@@ -49,6 +51,7 @@
     , m_pattern(pattern)
     , m_arm(arm)
     , m_random(seed)
+    , m_stretches(seed + 1)
     , m_store(m_shape)
     , m_hosts(static_cast<size_t>(shape.hosts))
     , m_engines(static_cast<size_t>(shape.engines))
@@ -83,6 +86,7 @@
     double total = 0;
     for (const Engine& engine : m_engines) {
         busiest = std::max(busiest, toSeconds(engine.model->busyTime()));
+        m_result.busySeconds.push_back(toSeconds(engine.model->busyTime()));
         total += toSeconds(engine.model->busyTime());
         m_result.worstLimitRatio = std::max(m_result.worstLimitRatio, engine.limit.worstRatio());
     }
@@ -197,6 +201,8 @@
     const bool isOwn = engine.owner == call.arrival.host;
     const gateway::EngineSummary summary = isOwn ? engine.scheduler->summary(m_scheduler.now()) : engine.told;
     candidate.applySummary(summary, adapterOf(call));
+    const Duration age = isOwn ? Duration::zero() : m_scheduler.now() - engine.toldAt;
+    candidate.setPromptTime(call.arrival.prompt, summary, age);
     candidate.hasCopy
         = isOwn ? engine.scheduler->hasCopy(adapterOf(call)) : engine.copies.has(adapterOf(call));
     candidate.updateInterval = isOwn ? Duration::zero() : m_shape.heartbeatInterval;
@@ -270,9 +276,9 @@
     case ModelEngine::RunEvent::FirstEvent:
         call->firstEvent = m_scheduler.now() + m_shape.linkDelay;
         limitTold(call->engine);
-        atOwner(call->engine, [this, key = call->key](EngineScheduler& scheduler) {
-            scheduler.runProgressed(key, m_scheduler.now());
-        });
+        atOwner(call->engine,
+            [this, key = call->key, slowdown = statedSlowdown(call->engine)](
+                EngineScheduler& scheduler) { scheduler.runProgressed(key, m_scheduler.now(), slowdown); });
         return;
     case ModelEngine::RunEvent::Finished: {
         report(*call, RunOutcome::Finished);
@@ -449,13 +455,38 @@
         gateway::EngineSummary summary = engine.scheduler->summary(m_scheduler.now());
         engine.copies.observe(engine.told.adapters, summary.adapters);
         engine.told = std::move(summary);
+        engine.toldAt = m_scheduler.now();
         ++engine.heartbeat;
     }
     m_scheduler.runAfter(m_shape.heartbeatInterval, [this, index] { heartbeat(index); });
 }
 
+void FleetSimulation::toggleSlowdown(size_t index)
+{
+    ModelEngine& model = *m_engines[index].model;
+    const bool isSlowed = model.slowdown() > 1;
+    model.setSlowdown(isSlowed ? 1 : stretchSlowdown);
+    const double mean = isSlowed ? (1 - stretchShare) / stretchShare : 1;
+    const auto length
+        = std::chrono::duration_cast<Duration>(-std::log(1 - m_stretches.uniform()) * mean * stretchLength);
+    m_scheduler.runAfter(length, [this, index] { toggleSlowdown(index); });
+}
+
+std::optional<double> FleetSimulation::statedSlowdown(size_t engine) const
+{
+    if (m_pattern != LoadPattern::UnevenEngines)
+        return std::nullopt;
+    const double slowdown = m_engines[engine].model->slowdown();
+    return m_arm.statement ? m_arm.statement(engine, slowdown, m_scheduler.now()) : slowdown;
+}
+
 void FleetSimulation::scheduleFaults()
 {
+    for (size_t index = 0; m_pattern == LoadPattern::UnevenEngines && index < m_engines.size(); ++index) {
+        m_engines[index].model->setSpeed(unevenSpeeds[index % std::size(unevenSpeeds)]);
+        m_engines[index].model->setSlowdown(stretchSlowdown);
+        toggleSlowdown(index);
+    }
     if (m_pattern == LoadPattern::LimitedEngines) {
         m_scheduler.runAfter(patternStart, [this] { stateLimits(gateway::RequestRate(firstLimit)); });
         m_scheduler.runAfter(
--- a/src/experiment/fleet_simulation.h
+++ b/src/experiment/fleet_simulation.h
@@ -39,6 +39,7 @@
         TimerId timer = 0;
         /// What the owner told in its last heartbeat, and the number of that heartbeat.
         gateway::EngineSummary told;
+        MonotonicTime toldAt;
         gateway::CachedAdapters copies;
         int heartbeat = 0;
         StatedLimit limit;
@@ -107,6 +108,10 @@
 
     // Faults.
     void scheduleFaults();
+    /// Slows an uneven engine or ends that, and schedules the next change.
+    void toggleSlowdown(size_t engine);
+    /// @return the slowdown that an engine states in a response; nothing if it states none.
+    std::optional<double> statedSlowdown(size_t engine) const;
     void killHost(size_t host);
     /// Counts a request, an order or a report request against the engine's limit.
     void requestArrived(size_t engine);
@@ -123,6 +128,8 @@
     LoadPattern m_pattern;
     Arm m_arm;
     Random m_random;
+    /// Of their own, so that the stretches are the same under each policy.
+    Random m_stretches;
     VirtualScheduler m_scheduler;
     WeightStore m_store;
     std::vector<Host> m_hosts;
--- a/src/experiment/fleet_simulation_test.cc
+++ b/src/experiment/fleet_simulation_test.cc
@@ -1,3 +1,4 @@
+#include "experiment/experiment_report.h"
 #include "experiment/fleet_simulation.h"
 #include "experiment/worth_bound.h"
 
@@ -25,6 +26,19 @@
     return FleetSimulation(shape, pattern, arm(name), seed).run(generateArrivals(shape, pattern, seed));
 }
 
+/// @return the results of several seeds together.
+FleetResult playSeeds(int engines, LoadPattern pattern, const std::string& name)
+{
+    constexpr uint64_t seeds = 6;
+    const FleetShape shape = FleetShape::ofEngines(engines);
+    FleetResult sum;
+    for (uint64_t each = 1; each <= seeds; ++each) {
+        const auto arrivals = generateArrivals(shape, pattern, each);
+        addResult(sum, FleetSimulation(shape, pattern, arm(name), each).run(arrivals));
+    }
+    return sum;
+}
+
 double shareOfBound(int engines, LoadPattern pattern)
 {
     const FleetShape shape = FleetShape::ofEngines(engines);
@@ -85,6 +99,49 @@
     BOOST_TEST(spread > herd);
 }
 
+// Load: engines that differ for good and are slowed by turns. Guards against a first event that waits at a
+// slow engine beside fast ones. A small fleet gains worth only, since fetches of adapters decide there.
+BOOST_AUTO_TEST_CASE(FirstEventsComeSoonerFromUnevenEngines)
+{
+    const FleetResult small = playSeeds(12, LoadPattern::UnevenEngines, "current");
+    const FleetResult smallBefore = playSeeds(12, LoadPattern::UnevenEngines, "without-slowdown");
+    BOOST_TEST(small.all.worth() >= smallBefore.all.worth());
+    const FleetResult large = playSeeds(40, LoadPattern::UnevenEngines, "current");
+    const FleetResult largeBefore = playSeeds(40, LoadPattern::UnevenEngines, "without-slowdown");
+    BOOST_TEST(large.all.worth() >= largeBefore.all.worth());
+    for (const double quantile : { 0.5, 0.99 })
+        BOOST_TEST(large.waitMilliseconds(quantile) < 0.97 * largeBefore.waitMilliseconds(quantile));
+}
+
+// Load: the same with untrue figures: a slow engine that always says 100, one that says 10,000, figures that
+// stop, and one at random. Guards against a fleet that is worse off than without any figures, and against an
+// engine that gets no work any more.
+BOOST_AUTO_TEST_CASE(UntrueFiguresDoLittleHarm)
+{
+    using Statement = std::function<std::optional<double>(size_t, double, MonotonicTime)>;
+    const Statement statements[] = {
+        [](size_t engine, double slowdown, MonotonicTime) { return engine == 1 ? 1 : slowdown; },
+        [](size_t engine, double slowdown, MonotonicTime) { return engine == 0 ? 100 : slowdown; },
+        [](size_t, double slowdown, MonotonicTime now) {
+            return now.time_since_epoch() > 6s ? std::nullopt : std::make_optional(slowdown);
+        },
+        [](size_t engine, double slowdown, MonotonicTime now) {
+            return engine == 2 ? (now.time_since_epoch().count() % 2 == 0 ? 0.01 : 100) : slowdown;
+        },
+    };
+    const FleetShape shape = FleetShape::ofEngines(12);
+    const auto arrivals = generateArrivals(shape, LoadPattern::UnevenEngines, seed);
+    const double without = play(12, LoadPattern::UnevenEngines, "without-slowdown").all.worth();
+    for (const Statement& statement : statements) {
+        const Arm untrue { "untrue", arm("current").selector, statement };
+        const FleetResult result
+            = FleetSimulation(shape, LoadPattern::UnevenEngines, untrue, seed).run(arrivals);
+        BOOST_TEST(result.all.worth() >= without - 0.02);
+        for (const double busy : result.busySeconds)
+            BOOST_TEST(busy > 0);
+    }
+}
+
 // Guards against placement that is no better than the simple policies.
 BOOST_AUTO_TEST_CASE(BeatsSimplePolicies)
 {
--- a/src/experiment/load_pattern.cc
+++ b/src/experiment/load_pattern.cc
@@ -40,6 +40,7 @@
     { LoadPattern::SlowWeightStore, "slow-weight-store" },
     { LoadPattern::OwnersKilled, "owners-killed" },
     { LoadPattern::LimitedEngines, "limited-engines" },
+    { LoadPattern::UnevenEngines, "uneven-engines" },
 };
 
 bool isInPattern(Duration at)
--- a/src/experiment/load_pattern.h
+++ b/src/experiment/load_pattern.h
@@ -33,6 +33,8 @@
     OwnersKilled,
     /// A quarter of the engines states a limit of requests a second, changes it and drops it.
     LimitedEngines,
+    /// Engines differ for good, and are slowed by other workloads for some hundred milliseconds at a time.
+    UnevenEngines,
 };
 
 /// All patterns, in the order of the report.
@@ -59,6 +61,12 @@
 constexpr Duration loadLength = std::chrono::seconds(20);
 /// One in so many engines or hosts fails, the first one included.
 constexpr int failingPart = 4;
+/// Speeds of uneven engines in multiples of the mean, given out in turn.
+constexpr double unevenSpeeds[] = { 1.7, 0.7, 0.7, 0.9 };
+/// Factor by which an uneven engine is slowed, the share of its time, and the mean length of a stretch.
+constexpr double stretchSlowdown = 2.5;
+constexpr double stretchShare = 0.15;
+constexpr Duration stretchLength = std::chrono::milliseconds(600);
 /// How long an engine that has crashed is away.
 /// Limits in requests a second that engines state, one after the other.
 constexpr double firstLimit = 1;
--- a/src/experiment/model_engine.cc
+++ b/src/experiment/model_engine.cc
@@ -42,15 +42,18 @@
         [](const auto& a, const auto& b) { return a->urgency < b->urgency; });
     m_reading = *next;
     m_unread.erase(next);
-    const auto reading = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
-        static_cast<double>(m_reading->prompt.value()) / m_shape.promptTokensPerMillisecond));
+    const auto reading
+        = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(m_slowdown / m_speed
+            * static_cast<double>(m_reading->prompt.value()) / m_shape.promptTokensPerMillisecond));
     m_busyTime += reading;
     m_scheduler.runAfter(reading, m_life->guard([this] { promptRead(); }));
 }
 
 Duration ModelEngine::stepTime() const
 {
-    return m_shape.stepTime + m_shape.stepTimePerRequest * static_cast<int64_t>(m_running.size());
+    const Duration usual
+        = m_shape.stepTime + m_shape.stepTimePerRequest * static_cast<int64_t>(m_running.size());
+    return std::chrono::duration_cast<Duration>(m_slowdown / m_speed * usual);
 }
 
 void ModelEngine::promptRead()
--- a/src/experiment/model_engine.h
+++ b/src/experiment/model_engine.h
@@ -43,6 +43,11 @@
     void crash();
     void restart();
     Duration busyTime() const { return m_busyTime; }
+    /// @param speed usual speed in multiples of the shape's.
+    void setSpeed(double speed) { m_speed = speed; }
+    /// @param slowdown by which everything takes longer that begins from now on.
+    void setSlowdown(double slowdown) { m_slowdown = slowdown; }
+    double slowdown() const { return m_slowdown; }
 
 private:
     struct Adapter {
@@ -78,6 +83,8 @@
     /// The run whose prompt is being read.
     std::shared_ptr<Run> m_reading;
     Duration m_busyTime {};
+    double m_speed = 1;
+    double m_slowdown = 1;
     /// Timers of the time before a crash do nothing.
     std::unique_ptr<Lifetime> m_life = std::make_unique<Lifetime>();
 };
--- a/src/experiment/worth_bound.cc
+++ b/src/experiment/worth_bound.cc
@@ -72,6 +72,13 @@
 std::vector<double> enginesUp(const FleetShape& shape, LoadPattern pattern)
 {
     std::vector<double> up(static_cast<size_t>(toSeconds(loadLength)), shape.engines);
+    if (pattern == LoadPattern::UnevenEngines) {
+        double speed = 0;
+        for (int engine = 0; engine < shape.engines; ++engine)
+            speed += unevenSpeeds[static_cast<size_t>(engine) % std::size(unevenSpeeds)];
+        const double inStretches = stretchShare / stretchSlowdown;
+        std::fill(up.begin(), up.end(), speed * (1 - stretchShare + inStretches));
+    }
     if (pattern != LoadPattern::EngineCrashes)
         return up;
     const int crashed = (shape.engines + failingPart - 1) / failingPart;
