Choose replicas by what they keep of a prompt, with the setting promptAffinity

Cause: owners know what their engines keep of prompts, entries don't, so replicas of a popular adapter read the same prefixes again. Change: PrefixCacheModel counts uses of a part; owners state a digest of the shared prefixes that fit beside the running requests in the summary of an engine (twelfth element, only with the setting); peers keep it until its owner changes it; EngineChooser subtracts the net saving. Counters of prompt tokens, of saved ones and of choices. Default false: nothing is stated and nothing is weighed.

--- a/src/gateway/engine_chooser.cc
+++ b/src/gateway/engine_chooser.cc
@@ -30,6 +30,7 @@
 void EngineCandidate::applySummary(const EngineSummary& summary, const AdapterRef& adapter)
 {
     prefillBacklog = summary.prefillBacklog;
+    promptTokensPerMillisecond = summary.promptTokensPerMillisecond;
     openSlots = summary.openSlots;
     fetchWait = summary.fetchWait;
     waiting = summary.waiting;
@@ -47,6 +48,7 @@
     const EngineCandidate& candidate, bool needsAdapter, size_t homeRank, Random& random)
 {
     Duration cost = std::max(candidate.prefillBacklog, candidate.limitWait);
+    cost -= candidate.prefixSaving;
     if (!candidate.isInCallersDataCentre)
         cost += dataCentreCost;
     if (candidate.isSuspect)
--- a/src/gateway/engine_chooser.h
+++ b/src/gateway/engine_chooser.h
@@ -32,6 +32,11 @@
     Duration startInterval {};
     int openSlots = 0;
     int waiting = 0;
+    /// Time that the engine saves because it keeps the beginning of the prompt, net of what a further copy
+    /// evicts; see affinity::PrefixAffinity.
+    Duration prefixSaving {};
+    /// Prefill rate as the owner estimates it; 0 if it is not known.
+    double promptTokensPerMillisecond = 0;
 
     /// Copies the owner's summary of the engine and the state of the adapter.
     void applySummary(const EngineSummary& summary, const AdapterRef& adapter);
--- a/src/gateway/engine_chooser_test.cc
+++ b/src/gateway/engine_chooser_test.cc
@@ -148,4 +148,23 @@
     BOOST_TEST(rank(adapter, candidates).back() == candidates[1].engine);
 }
 
+// Load: two replicas of a popular adapter. Guards against a saving that outweighs a longer wait, and against
+// one that makes an engine eligible.
+BOOST_AUTO_TEST_CASE(AKeptPromptIsWeighedAgainstTheWait)
+{
+    auto candidates = engines(2);
+    candidates[0].holdsAdapter = true;
+    candidates[1].holdsAdapter = true;
+    candidates[0].prefillBacklog = 20ms;
+    BOOST_TEST(rank(adapter, candidates).front() == candidates[1].engine);
+    candidates[0].prefixSaving = 28ms;
+    BOOST_TEST(rank(adapter, candidates).front() == candidates[0].engine);
+    candidates[0].prefillBacklog = 40ms;
+    BOOST_TEST(rank(adapter, candidates).front() == candidates[1].engine);
+    candidates[0].hasOwner = false;
+    candidates[0].holdsAdapter = false;
+    candidates[0].prefixSaving = 10s;
+    BOOST_TEST(rank(adapter, candidates).size() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -305,6 +305,8 @@
         if (needsSlot(request.adapter))
             m_slots.addUser(request.adapter);
         const Tokens prompt = uncachedTokens(request);
+        grant.promptTokens = request.prompt;
+        grant.savedTokens = request.prompt - prompt;
         if (isIdle)
             m_prefillRate.busyPeriodStarted(now);
         m_prefillPacer.admitted(prompt, isIdle, m_prefillRate, now);
@@ -546,6 +548,16 @@
     return wanted;
 }
 
+affinity::SharedPrefixes EngineScheduler::sharedPrefixes() const
+{
+    const Tokens room = std::max(Tokens(0), m_limits.cacheTokens - m_cacheInUse);
+    const double fill = m_limits.cacheTokens > Tokens(0)
+        ? static_cast<double>(m_cacheInUse.value()) / static_cast<double>(m_limits.cacheTokens.value())
+        : 0;
+    return { m_prefixCache.sharedPrefixes(room, affinity::PrefixPublisher::consideredSize),
+        std::clamp(fill, 0.0, 1.0) };
+}
+
 EngineSummary EngineScheduler::summary(MonotonicTime now) const
 {
     EngineSummary summary;
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "affinity/prefix_publisher.h"
 #include "gateway/engine_adapter_slots.h"
 #include "gateway/prefill_pacer.h"
 #include "gateway/prefix_cache_model.h"
@@ -73,6 +74,8 @@
 
     SchedulerDecisions decide(MonotonicTime now);
     EngineSummary summary(MonotonicTime now) const;
+    /// @return what the engine keeps of prompts that more than one request has used.
+    affinity::SharedPrefixes sharedPrefixes() const;
     /// @return whether the engine keeps a cached copy of an adapter that it unloaded.
     bool hasCopy(const AdapterRef& adapter) const { return m_slots.hasCachedCopy(adapter); }
     bool hasWaitingRuns() const { return !m_waiting.empty(); }
--- a/src/gateway/engine_scheduler_test.cc
+++ b/src/gateway/engine_scheduler_test.cc
@@ -421,4 +421,38 @@
     BOOST_TEST((fixture.scheduler.summary(fixture.now).startInterval == 0s));
 }
 
+// Load: prompts that share their beginning, then requests that take the engine's whole memory. Guards against
+// a digest that names prefixes for which the running requests leave no room, and against grants that state no
+// saving.
+BOOST_AUTO_TEST_CASE(StatesSharedPrefixesAsLongAsThereIsRoom)
+{
+    Fixture fixture;
+    fixture.report({ { AdapterId("a1"), 1 } });
+    const auto run = [&fixture](int64_t number, Tokens prompt) {
+        RunRequest request;
+        request.key = { HostId("host-1"), RunId(number) };
+        request.adapter = { model, AdapterId("a1") };
+        request.prompt = prompt;
+        request.parts = { { 1, Tokens(341) }, { 2, Tokens(227) },
+            { 100 + static_cast<uint64_t>(number), prompt - Tokens(568) } };
+        request.onTimeStart = request.latestStart = fixture.now + 60s;
+        fixture.scheduler.request(request, fixture.now);
+        return fixture.decide().grants.at(0);
+    };
+    BOOST_TEST((run(1001, Tokens(2368)).savedTokens == Tokens(0)));
+    fixture.scheduler.runProgressed({ HostId("host-1"), RunId(1001) }, fixture.now);
+    fixture.scheduler.runEnded({ HostId("host-1"), RunId(1001) }, RunEnding(), fixture.now);
+    BOOST_TEST(fixture.scheduler.sharedPrefixes().recent.empty());
+    const RunGrant second = run(1002, Tokens(2368));
+    BOOST_TEST((second.savedTokens == Tokens(568)));
+    BOOST_TEST((second.promptTokens == Tokens(2368)));
+    fixture.scheduler.runProgressed({ HostId("host-1"), RunId(1002) }, fixture.now);
+    fixture.scheduler.runEnded({ HostId("host-1"), RunId(1002) }, RunEnding(), fixture.now);
+    BOOST_TEST(fixture.scheduler.sharedPrefixes().recent.size() == 2);
+    BOOST_TEST(fixture.scheduler.sharedPrefixes().memoryFill == 0);
+    run(1003, Tokens(150'000));
+    BOOST_TEST(fixture.scheduler.sharedPrefixes().recent.empty());
+    BOOST_TEST(fixture.scheduler.sharedPrefixes().memoryFill == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/engine_summary.h
+++ b/src/gateway/engine_summary.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "affinity/prefix_digest.h"
 #include "gateway/run_request.h"
 
 #include <vector>
@@ -37,6 +38,8 @@
     /// Time between two starts within that limit; zero without a limit.
     Duration startInterval {};
     std::vector<AdapterSummary> adapters;
+    /// What the engine keeps of prompts; nothing if the owner doesn't state it.
+    std::optional<affinity::PrefixStatement> prefixes;
 };
 
 } // namespace lacewing::gateway
--- a/src/gateway/engine_view.cc
+++ b/src/gateway/engine_view.cc
@@ -1,5 +1,7 @@
 #include "gateway/engine_view.h"
 
+#include "gateway/prefix_savings.h"
+
 #include <algorithm>
 
 namespace lacewing::gateway {
@@ -101,6 +103,26 @@
     return candidates;
 }
 
+bool EngineView::addPrefixSavings(std::vector<EngineCandidate>& candidates, const AdapterRef& adapter,
+    const std::vector<PromptPart>& parts, Tokens prompt, Duration timeUntilLate) const
+{
+    if (!m_usesPromptAffinity || parts.empty())
+        return false;
+    PrefixSavings savings(adapter, parts, prompt, timeUntilLate);
+    for (const EngineCandidate& candidate : candidates) {
+        if (auto own = m_owners.sharedPrefixes(candidate.engine)) {
+            const affinity::PrefixDigest digest(std::move(own->recent));
+            savings.add(candidate, { own->memoryFill, digest }, Duration::zero());
+            continue;
+        }
+        const PeerStates::Engine* published = m_mesh.engine(candidate.engine);
+        const bool isStated = published && published->summary.prefixes;
+        savings.add(candidate, isStated ? *published->summary.prefixes : affinity::PrefixStatement(),
+            isStated ? m_clock.now() - published->heard : Duration::zero());
+    }
+    return savings.apply(candidates);
+}
+
 void EngineView::recordRequest(const UpstreamId& engine, Tokens prompt)
 {
     if (m_owners.owns(engine))
--- a/src/gateway/engine_view.h
+++ b/src/gateway/engine_view.h
@@ -27,6 +27,13 @@
     /// @param versions that the request may be sent to.
     std::vector<EngineCandidate> candidates(const ServiceId& service, const AdapterRef& adapter,
         const std::set<UpstreamId>& excluded, const VersionFilter& versions);
+    /// Sets whether candidates are weighed by what their engines keep of the request's prompt.
+    void setPromptAffinity(bool isEnabled) { m_usesPromptAffinity = isEnabled; }
+    /// Sets the candidates' savings by what their engines keep of the prompt, unless the setting is off.
+    ///
+    /// @return whether an engine keeps a beginning of the prompt that other requests have used.
+    bool addPrefixSavings(std::vector<EngineCandidate>& candidates, const AdapterRef& adapter,
+        const std::vector<PromptPart>& parts, Tokens prompt, Duration timeUntilLate) const;
     /// @return the host that grants runs on an engine, or nothing if no owner is reachable.
     std::optional<HostId> ownerOf(const UpstreamId& engine) const;
     /// Adds a request to the engine's backlog until the owner's next heartbeat includes it.
@@ -50,6 +57,7 @@
     HostId m_self;
     DataCentreId m_dataCentre;
     std::map<UpstreamId, RecordedRequests> m_recordedRequests;
+    bool m_usesPromptAffinity = false;
 };
 
 } // namespace lacewing::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -120,7 +120,7 @@
     , m_operatorRows(loop, m_configuration, m_random,
           [this](const HostId& peer, const PeerMessage& message) { m_mesh.send(peer, message); })
     , m_owners(loop, platform.engines, m_upstreams, m_configuration, m_settings.host,
-          { [this](const RunGrant& grant) { m_broker.answered(grant.key, grant); },
+          { [this](const RunGrant& grant) { runGranted(grant); },
               [this](const RunDenial& denial) { m_broker.answered(denial.key, denial); },
               [this](const UpstreamId& engine) { m_fleet.stepDown(engine); }, [this] { return mayOrder(); },
               [this](const UpstreamId& engine, const char* kind) { engineRequestSent(engine, kind); },
@@ -184,6 +184,7 @@
             m_availability.observed(observation, kind);
         });
     m_usage.setTolerance(m_settings.usageTolerance);
+    m_engineView.setPromptAffinity(m_settings.promptAffinity);
 }
 
 Gateway::~Gateway() = default;
@@ -241,6 +242,8 @@
     m_settings.usageWindow = settings.usageWindow;
     m_settings.retries = settings.retries;
     m_settings.directoryLifetime = settings.directoryLifetime;
+    m_settings.promptAffinity = settings.promptAffinity;
+    m_engineView.setPromptAffinity(settings.promptAffinity);
     m_fleet.setLeaseTime(ownerLease(settings));
     m_memory.setLimit(settings.messageMemory());
     m_usage.setWindow(settings.usageWindow);
@@ -347,6 +350,8 @@
     if (audience == HeartbeatAudience::AllPeers)
         m_owners.fetchLimiter().told();
     heartbeat.engines = m_owners.summaries();
+    if (m_settings.promptAffinity)
+        m_owners.addPrefixes(heartbeat.engines, audience == HeartbeatAudience::AllPeers);
     if (audience == HeartbeatAudience::NewPeer) {
         heartbeat.limits = m_limits.all();
         heartbeat.quarantines = m_quarantine.all();
@@ -400,6 +405,13 @@
     m_broker.peerMessage(peer, message);
 }
 
+void Gateway::runGranted(const RunGrant& grant)
+{
+    m_metrics.counter("lacewing_prompt_tokens_total") += grant.promptTokens.value();
+    m_metrics.counter("lacewing_prefix_saved_tokens_total") += grant.savedTokens.value();
+    m_broker.answered(grant.key, grant);
+}
+
 void Gateway::storeRestored()
 {
     m_storeRestoredAt = m_loop.now();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -76,6 +76,8 @@
     void updateMembers();
     void applyCallerLimits();
     void configurationChanged();
+    /// An engine that this host owns may start a run.
+    void runGranted(const RunGrant& grant);
     /// The store has come back from a copy.
     void storeRestored();
     /// Rows that the copy lacked have been written again.
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -132,6 +132,7 @@
         { "retryWindowSeconds", { durationField(settings.retries.window, second), false } },
         { "directoryLifetimeSeconds", { durationField(settings.directoryLifetime, second), false } },
         { "memoryMegabytes", { memoryField(settings.memoryBytes), false } },
+        { "promptAffinity", { flagField(settings.promptAffinity), false } },
         { "firstStart", { flagField(settings.isFirstStart), false } },
     };
 }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -44,6 +44,8 @@
     Duration directoryLifetime = std::chrono::seconds(1);
     /// Memory that the process may take, in bytes.
     size_t memoryBytes = 256 * bytesPerMegabyte;
+    /// Whether engines are chosen by what they keep of the request's prompt, too.
+    bool promptAffinity = false;
     /// Whether the fleet starts for the first time, so that there is no earlier usage.
     bool isFirstStart = false;
 
--- a/src/gateway/gateway_settings_test.cc
+++ b/src/gateway/gateway_settings_test.cc
@@ -51,8 +51,9 @@
 
 BOOST_AUTO_TEST_CASE(ReadsAllFields)
 {
-    const SettingsFile file(
-        valid + "leaseMilliseconds: 2500\nretryRatio: 0.3\nfirstStart: true\nmemoryMegabytes: 160\n");
+    const SettingsFile file(valid
+        + "leaseMilliseconds: 2500\nretryRatio: 0.3\nfirstStart: true\nmemoryMegabytes: 160\n"
+          "promptAffinity: true\n");
     GatewaySettingsReader reader;
     const auto settings = reader.read(file.path());
     BOOST_REQUIRE(settings.has_value());
@@ -61,6 +62,7 @@
     BOOST_TEST((settings->leaseTime == 2500ms));
     BOOST_TEST(settings->retries.ratio == 0.3);
     BOOST_TEST(settings->isFirstStart);
+    BOOST_TEST(settings->promptAffinity);
     BOOST_TEST(settings->memoryBytes == 160'000'000u);
     BOOST_TEST(settings->messageMemory() < settings->memoryBytes / 2);
 }
@@ -91,7 +93,9 @@
 {
     const SettingsFile file(valid + "retrySlack:\n");
     GatewaySettingsReader reader;
-    BOOST_TEST(reader.read(file.path()).has_value());
+    const auto settings = reader.read(file.path());
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(!settings->promptAffinity);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/owned_engines.cc
+++ b/src/gateway/owned_engines.cc
@@ -206,6 +206,32 @@
     return found->second.scheduler->summary(m_scheduler.now());
 }
 
+std::optional<affinity::SharedPrefixes> OwnedEngines::sharedPrefixes(const UpstreamId& engine) const
+{
+    const auto found = m_engines.find(engine);
+    if (found == m_engines.end() || !found->second.scheduler)
+        return std::nullopt;
+    return found->second.scheduler->sharedPrefixes();
+}
+
+void OwnedEngines::addPrefixes(std::vector<EngineSummary>& summaries, bool isForAll)
+{
+    for (EngineSummary& summary : summaries) {
+        OwnedEngine* owned = find(summary.engine);
+        if (!owned || !owned->scheduler)
+            continue;
+        const affinity::SharedPrefixes shared = owned->scheduler->sharedPrefixes();
+        summary.prefixes = isForAll ? owned->prefixes.stateToAll(shared, m_scheduler.now())
+                                    : owned->prefixes.stateToNewPeer(shared);
+        if (!isForAll || !summary.prefixes->digest)
+            continue;
+        LogEvent(LogLevel::Info, "prefix_digest_sent")
+            .with("engine", summary.engine)
+            .with("prefixes", summary.prefixes->digest->size())
+            .with("memory_fill", summary.prefixes->memoryFill);
+    }
+}
+
 bool OwnedEngines::hasCopy(const UpstreamId& engine, const AdapterRef& adapter) const
 {
     const auto found = m_engines.find(engine);
--- a/src/gateway/owned_engines.h
+++ b/src/gateway/owned_engines.h
@@ -55,6 +55,12 @@
     std::vector<EngineSummary> summaries() const;
     /// @return nothing if this host does not run the engine's scheduler.
     std::optional<EngineSummary> summary(const UpstreamId& engine) const;
+    /// @return what an engine keeps of shared prompts; nothing if this host does not run its scheduler.
+    std::optional<affinity::SharedPrefixes> sharedPrefixes(const UpstreamId& engine) const;
+    /// Adds to summaries what the engines keep of shared prompts.
+    ///
+    /// @param isForAll the summaries go to all peers, so that changes suffice.
+    void addPrefixes(std::vector<EngineSummary>& summaries, bool isForAll);
     /// @return whether an engine that this host owns keeps a cached copy of an adapter that it unloaded.
     bool hasCopy(const UpstreamId& engine, const AdapterRef& adapter) const;
     /// @return whether an order was sent that has neither been answered nor timed out.
@@ -69,6 +75,7 @@
         TimerId timer = 0;
         /// Identifies the scheduler, so that answers to calls of a previous one are ignored.
         uint64_t generation = 0;
+        affinity::PrefixPublisher prefixes;
     };
 
     OwnedEngine* find(const UpstreamId& engine);
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -49,6 +49,32 @@
     return std::chrono::microseconds(json.get<int64_t>());
 }
 
+constexpr double percent = 100;
+
+/// The fill in percent, followed by the fingerprints if they have changed.
+Json encode(const affinity::PrefixStatement& statement)
+{
+    Json json = Json::array({ static_cast<int>(statement.memoryFill * percent) });
+    if (statement.digest)
+        json.push_back(Json::binary(statement.digest->toBytes()));
+    return json;
+}
+
+/// @return nothing if the statement is malformed, since a heartbeat must not be lost with it.
+std::optional<affinity::PrefixStatement> decodePrefixes(const Json& json)
+{
+    const bool isReadable = json.is_array() && !json.empty() && json.size() <= 2 && json.at(0).is_number();
+    if (!isReadable)
+        return std::nullopt;
+    affinity::PrefixStatement statement;
+    statement.memoryFill = std::clamp(json.at(0).get<double>() / percent, 0.0, 1.0);
+    if (json.size() == 1)
+        return statement;
+    if (json.at(1).is_binary())
+        statement.digest = affinity::PrefixDigest::fromBytes(json.at(1).get_binary());
+    return statement.digest ? std::make_optional(statement) : std::nullopt;
+}
+
 Json encode(const EngineSummary& summary)
 {
     // For each model: the adapters that are present, and those that are being loaded.
@@ -62,10 +88,13 @@
         const bool isLoaded = std::count(summary.models.begin(), summary.models.end(), model) > 0;
         held.push_back({ model.value(), isLoaded, std::move(adapters[0]), std::move(adapters[1]) });
     }
-    return Json::array({ summary.engine.value(), microseconds(summary.prefillBacklog), summary.running,
+    Json json = Json::array({ summary.engine.value(), microseconds(summary.prefillBacklog), summary.running,
         summary.waiting, summary.openSlots, summary.isUsable, microseconds(summary.fetchWait),
         std::move(held), summary.promptTokensPerMillisecond, microseconds(summary.limitWait),
         microseconds(summary.startInterval) });
+    if (summary.prefixes)
+        json.push_back(encode(*summary.prefixes));
+    return json;
 }
 
 EngineSummary decodeSummary(const Json& json)
@@ -84,6 +113,8 @@
         summary.limitWait = duration(json.at(9));
         summary.startInterval = duration(json.at(10));
     }
+    if (json.size() > 11)
+        summary.prefixes = decodePrefixes(json.at(11));
     for (const Json& held : json.at(7)) {
         const ModelId model(held.at(0).get<std::string>());
         if (held.at(1).get<bool>())
--- a/src/gateway/peer_message_test.cc
+++ b/src/gateway/peer_message_test.cc
@@ -200,4 +200,43 @@
     BOOST_TEST((message.engines.at(0).startInterval == 0s));
 }
 
+// Guards against digests that are lost or mixed up with unchanged ones, and against a further field while the
+// setting is off.
+BOOST_AUTO_TEST_CASE(HeartbeatsCarryDigestsOnlyIfStated)
+{
+    const auto sent = [](std::optional<affinity::PrefixStatement> statement) {
+        PeerHeartbeat message = heartbeat();
+        message.engines[0].prefixes = std::move(statement);
+        const auto decoded = decodePeerMessage(encodePeerMessage(message));
+        return std::get<PeerHeartbeat>(*decoded).engines.at(0).prefixes;
+    };
+    constexpr size_t fieldsWithoutPrefixes = 11;
+    BOOST_TEST((*fromCbor(encodePeerMessage(heartbeat())))[7][0].size() == fieldsWithoutPrefixes);
+    BOOST_TEST(!sent(std::nullopt));
+    const affinity::PrefixDigest digest({ affinity::PrefixFingerprint { 0xfffffff0 } });
+    const auto stated = sent(affinity::PrefixStatement { 0.25, digest });
+    BOOST_TEST(stated->memoryFill == 0.25);
+    BOOST_TEST(stated->digest->hasSamePrefixes(digest));
+    BOOST_TEST(!sent(affinity::PrefixStatement { 0.25, std::nullopt })->digest);
+    BOOST_TEST(sent(affinity::PrefixStatement { 0.25, affinity::PrefixDigest() })->digest->empty());
+}
+
+// Guards against losing a heartbeat, and with it a host, because of a digest that can't be read.
+BOOST_AUTO_TEST_CASE(AMalformedDigestLosesOnlyTheDigest)
+{
+    using nlohmann::json;
+    const std::vector<json> malformed { json(), json("x"), json::array(), json::array({ "x" }),
+        json::array({ 1, "x" }), json::array({ 1, json::binary({ 1, 2, 3 }) }),
+        json::array({ 1, json::binary(std::vector<uint8_t>(1024)) }), json::array({ 1, 2, 3 }) };
+    for (const json& prefixes : malformed) {
+        json frame = *fromCbor(encodePeerMessage(heartbeat()));
+        frame[7][0].push_back(prefixes);
+        const auto decoded = decodePeerMessage(toCbor(frame));
+        BOOST_REQUIRE(decoded.has_value());
+        const EngineSummary& engine = std::get<PeerHeartbeat>(*decoded).engines.at(0);
+        BOOST_TEST(!engine.prefixes);
+        BOOST_TEST((engine.startInterval == 2s));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/peer_states.cc
+++ b/src/gateway/peer_states.cc
@@ -23,14 +23,35 @@
 {
     observeCopies(heartbeat);
     Peer& state = m_peers[peer];
+    const auto digests = digestsOf(peer, heartbeat);
     forgetEngines(peer, state.heartbeat);
     state = { heartbeat, now };
-    for (const EngineSummary& summary : heartbeat.engines)
-        m_engines[summary.engine] = { peer, summary, now };
+    for (const EngineSummary& summary : heartbeat.engines) {
+        Engine& engine = m_engines[summary.engine] = { peer, summary, now };
+        const auto known = digests.find(summary.engine);
+        if (known != digests.end())
+            engine.summary.prefixes->digest = known->second;
+    }
     if (m_copies.size() > 2 * m_engines.size() + retainedUnknownCopies)
         forgetUnknownCopies();
 }
 
+std::map<UpstreamId, affinity::PrefixDigest> PeerStates::digestsOf(
+    const HostId& peer, const PeerHeartbeat& heartbeat) const
+{
+    std::map<UpstreamId, affinity::PrefixDigest> digests;
+    for (const EngineSummary& summary : heartbeat.engines) {
+        if (!summary.prefixes || summary.prefixes->digest)
+            continue;
+        const auto known = m_engines.find(summary.engine);
+        const bool isFromPeer = known != m_engines.end() && known->second.owner == peer;
+        const auto& prefixes = isFromPeer ? known->second.summary.prefixes : summary.prefixes;
+        if (prefixes && prefixes->digest)
+            digests.emplace(summary.engine, *prefixes->digest);
+    }
+    return digests;
+}
+
 void PeerStates::observeCopies(const PeerHeartbeat& heartbeat)
 {
     for (const EngineSummary& summary : heartbeat.engines) {
--- a/src/gateway/peer_states.h
+++ b/src/gateway/peer_states.h
@@ -45,6 +45,9 @@
 
 private:
     void forgetEngines(const HostId& peer, const PeerHeartbeat& heartbeat);
+    /// @return the known digests of the engines whose digest has not changed with a peer's heartbeat.
+    std::map<UpstreamId, affinity::PrefixDigest> digestsOf(
+        const HostId& peer, const PeerHeartbeat& heartbeat) const;
     void observeCopies(const PeerHeartbeat& heartbeat);
     void forgetUnknownCopies();
 
--- a/src/gateway/peer_states_test.cc
+++ b/src/gateway/peer_states_test.cc
@@ -86,4 +86,40 @@
     BOOST_TEST(!states.hasCopy(engine, adapter));
 }
 
+// Guards against digests that are forgotten with the next heartbeat, that outlive their owner, or that are
+// taken for the statement of another owner.
+BOOST_AUTO_TEST_CASE(ADigestHoldsUntilItsOwnerChangesIt)
+{
+    const auto heartbeatWith = [](std::optional<affinity::PrefixStatement> statement) {
+        PeerHeartbeat heartbeat = heartbeatOwning({ engine });
+        heartbeat.engines.back().prefixes = std::move(statement);
+        return heartbeat;
+    };
+    const affinity::PrefixStatement changed { 0.2,
+        affinity::PrefixDigest({ affinity::PrefixFingerprint { 7 } }) };
+    const affinity::PrefixStatement unchanged { 0.4, std::nullopt };
+    const auto digest = [](const PeerStates& states) {
+        const auto* known = states.engine(engine, oldest);
+        return known && known->summary.prefixes ? known->summary.prefixes->digest : std::nullopt;
+    };
+    PeerStates states;
+    states.recordHeartbeat(first, heartbeatWith(unchanged), now);
+    BOOST_TEST(!digest(states));
+    states.recordHeartbeat(first, heartbeatWith(changed), now);
+    states.recordHeartbeat(first, heartbeatWith(unchanged), now);
+    states.recordHeartbeat(first, heartbeatWith(unchanged), now);
+    BOOST_TEST(digest(states)->size() == 1);
+    BOOST_TEST(states.engine(engine, oldest)->summary.prefixes->memoryFill == 0.4);
+    states.recordHeartbeat(second, heartbeatWith(unchanged), now);
+    BOOST_TEST(!digest(states));
+    states.recordHeartbeat(first, heartbeatWith(changed), now);
+    states.recordHeartbeat(first, heartbeatWith(std::nullopt), now);
+    BOOST_TEST(!digest(states));
+    states.recordHeartbeat(first, heartbeatWith(changed), now);
+    BOOST_TEST(!states.engine(engine, now));
+    states.forget(first);
+    states.recordHeartbeat(first, heartbeatWith(unchanged), now);
+    BOOST_TEST(!digest(states));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/prefix_cache_model.cc
+++ b/src/gateway/prefix_cache_model.cc
@@ -1,6 +1,8 @@
 #include "gateway/prefix_cache_model.h"
 
-#include "base/stable_hash.h"
+#include "affinity/prompt_prefixes.h"
+
+#include <algorithm>
 
 namespace lacewing::gateway {
 
@@ -8,18 +10,14 @@
 
 /// Limit on the parts tracked per engine, independent of their length.
 constexpr size_t maximumParts = 4096;
+/// A prefix is shared once so many requests have used it.
+constexpr int sharedUses = 2;
 
-uint64_t hashOf(const AdapterRef& adapter)
-{
-    return stableHash(adapter.model.value() + '/' + adapter.adapter.value());
-}
+using affinity::PrefixHasher;
 
-/// Hashes a part together with all parts before it, since it can be reused only after the same prefix.
-uint64_t chainedHash(uint64_t before, uint64_t part)
+PrefixHasher hasherOf(const AdapterRef& adapter)
 {
-    constexpr uint64_t multiplier = 0x9e3779b97f4a7c15ULL;
-    const uint64_t mixed = (before ^ (before >> 29)) * multiplier + part;
-    return mixed ^ (mixed >> 32);
+    return { adapter.model, adapter.adapter };
 }
 
 } // namespace
@@ -33,10 +31,10 @@
 Tokens PrefixCacheModel::cachedTokens(const AdapterRef& adapter, const std::vector<PromptPart>& parts) const
 {
     Tokens cachedTokens;
-    uint64_t key = hashOf(adapter);
+    PrefixHasher key = hasherOf(adapter);
     for (const PromptPart& part : parts) {
-        key = chainedHash(key, part.id);
-        if (m_byKey.count(key) == 0)
+        key.append(part.id);
+        if (m_byKey.count(key.hash()) == 0)
             break;
         cachedTokens += part.tokens;
     }
@@ -45,30 +43,45 @@
 
 void PrefixCacheModel::promptProcessed(const AdapterRef& adapter, const std::vector<PromptPart>& parts)
 {
-    const uint64_t owner = hashOf(adapter);
+    PrefixHasher key = hasherOf(adapter);
+    const uint64_t owner = key.hash();
     std::vector<uint64_t> keys;
-    uint64_t key = owner;
     for (const PromptPart& part : parts) {
-        key = chainedHash(key, part.id);
-        keys.push_back(key);
+        key.append(part.id);
+        keys.push_back(key.hash());
     }
     // Inserted from last to first: later parts depend on the first one, so it must be evicted last.
     for (size_t index = parts.size(); index-- > 0;) {
         const auto known = m_byKey.find(keys[index]);
         if (known != m_byKey.end()) {
             m_entries.splice(m_entries.begin(), m_entries, known->second);
+            known->second->uses = std::min(known->second->uses + 1, sharedUses);
             continue;
         }
-        m_entries.push_front({ keys[index], owner, parts[index].tokens });
+        m_entries.push_front({ keys[index], owner, parts[index].tokens, 1 });
         m_byKey[keys[index]] = m_entries.begin();
         m_used += parts[index].tokens;
     }
     evict();
 }
 
+std::vector<affinity::PrefixFingerprint> PrefixCacheModel::sharedPrefixes(Tokens room, size_t limit) const
+{
+    std::vector<affinity::PrefixFingerprint> shared;
+    Tokens listed;
+    for (const Entry& entry : m_entries) {
+        listed += entry.tokens;
+        if (listed > room || shared.size() == limit)
+            break;
+        if (entry.uses >= sharedUses)
+            shared.push_back(PrefixHasher::fingerprintOf(entry.key));
+    }
+    return shared;
+}
+
 void PrefixCacheModel::forget(const AdapterRef& adapter)
 {
-    const uint64_t owner = hashOf(adapter);
+    const uint64_t owner = hasherOf(adapter).hash();
     for (auto entry = m_entries.begin(); entry != m_entries.end();) {
         const auto current = entry++;
         if (current->adapter == owner)
--- a/src/gateway/prefix_cache_model.h
+++ b/src/gateway/prefix_cache_model.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "affinity/prompt_prefixes.h"
 #include "base/ids.h"
 #include "gateway/run_request.h"
 
@@ -26,12 +27,18 @@
     /// Removes the entries of an adapter that the engine has unloaded.
     void forget(const AdapterRef& adapter);
     Tokens used() const { return m_used; }
+    /// @param room tokens that running requests leave for kept parts.
+    /// @return at most `limit` prefixes that more than one request has used and that fit into the room, the
+    ///     most recently used first.
+    std::vector<affinity::PrefixFingerprint> sharedPrefixes(Tokens room, size_t limit) const;
 
 private:
     struct Entry {
         uint64_t key = 0;
         uint64_t adapter = 0;
         Tokens tokens;
+        /// Requests that have used the part, counted up to the number that makes it a shared one.
+        int uses = 0;
     };
     /// Ordered from the most to the least recently used.
     using Entries = std::list<Entry>;
--- a/src/gateway/prefix_cache_model_test.cc
+++ b/src/gateway/prefix_cache_model_test.cc
@@ -56,4 +56,27 @@
     BOOST_TEST((memory.used() == Tokens(0)));
 }
 
+// Load: most parts are a single request's own. Guards against a digest full of parts that no other request
+// will use, or that the memory of running requests has displaced.
+BOOST_AUTO_TEST_CASE(ListsPrefixesThatMoreThanOneRequestHasUsed)
+{
+    PrefixCacheModel memory;
+    memory.setCapacity(Tokens(1000));
+    memory.promptProcessed(adapter, prompt);
+    BOOST_TEST(memory.sharedPrefixes(Tokens(1000), 64).empty());
+    memory.promptProcessed(adapter, { { 1, Tokens(100) }, { 2, Tokens(50) }, { 4, Tokens(10) } });
+    affinity::PromptPrefixes expected(adapter.model, adapter.adapter);
+    expected.append(1, Tokens(100));
+    expected.append(2, Tokens(50));
+    const auto shared = memory.sharedPrefixes(Tokens(1000), 64);
+    BOOST_REQUIRE(shared.size() == 2);
+    BOOST_TEST((shared[0] == expected.all()[0].fingerprint));
+    BOOST_TEST((shared[1] == expected.all()[1].fingerprint));
+    BOOST_TEST(memory.sharedPrefixes(Tokens(1000), 1).size() == 1);
+    BOOST_TEST(memory.sharedPrefixes(Tokens(120), 64).size() == 1);
+    BOOST_TEST(memory.sharedPrefixes(Tokens(0), 64).empty());
+    memory.forget(adapter);
+    BOOST_TEST(memory.sharedPrefixes(Tokens(1000), 64).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/run_request.h
+++ b/src/gateway/run_request.h
@@ -90,6 +90,9 @@
     int urgency = 5;
     /// Required version of the adapter, if operators have released one.
     std::optional<int64_t> version;
+    /// Length of the prompt, and how much of it the engine keeps. Only the owner knows them.
+    Tokens promptTokens {};
+    Tokens savedTokens {};
 };
 
 struct RunDenial {
--- a/src/gateway/upstream_search.cc
+++ b/src/gateway/upstream_search.cc
@@ -58,9 +58,14 @@
 void UpstreamSearch::chooseEngine()
 {
     const AdapterRef adapter { m_subject.attributes.model, m_subject.attributes.adapter };
-    const auto candidates = m_services.engines.candidates(
+    auto candidates = m_services.engines.candidates(
         m_subject.admission.serviceId, adapter, m_tried, m_subject.binding.filter());
+    const bool hasSharedPrefix
+        = m_services.engines.addPrefixSavings(candidates, adapter, m_subject.attributes.promptParts,
+            m_subject.attributes.promptTokens.value_or(Tokens(1)), timeUntilLateAnswer());
     const std::vector<UpstreamId> ranked = EngineChooser::rank(adapter, candidates, m_services.random);
+    if (hasSharedPrefix && !ranked.empty())
+        countAffinity(candidates, ranked.front());
     std::optional<Duration> shortestWait;
     for (const UpstreamId& engine : ranked) {
         if (const auto owner = m_services.engines.ownerOf(engine)) {
@@ -92,6 +97,16 @@
         reportNoUpstream();
 }
 
+void UpstreamSearch::countAffinity(
+    const std::vector<EngineCandidate>& candidates, const UpstreamId& chosen) const
+{
+    const auto candidate = std::find_if(candidates.begin(), candidates.end(),
+        [&chosen](const EngineCandidate& each) { return each.engine == chosen; });
+    const bool saves = candidate->prefixSaving > Duration::zero();
+    ++m_services.metrics.counter(
+        "lacewing_prefix_choices_total", { { "engine", saves ? "keeps_prefix" : "other" } });
+}
+
 bool UpstreamSearch::hasAlternative() const
 {
     const auto usable
@@ -183,6 +198,12 @@
         reportNoUpstream();
 }
 
+Duration UpstreamSearch::timeUntilLateAnswer() const
+{
+    const Duration elapsed = m_services.loop.now() - m_subject.arrival;
+    return std::max<Duration>(m_subject.admission.route->targetLatency - elapsed, Duration::zero());
+}
+
 Duration UpstreamSearch::timeUntilLate() const
 {
     const auto latestStart
--- a/src/gateway/upstream_search.h
+++ b/src/gateway/upstream_search.h
@@ -90,6 +90,10 @@
     void permitAnswered(const PermitAnswer& answer);
     /// @return the time for which the call can wait and still be answered on time.
     Duration timeUntilLate() const;
+    /// @return the time until the first event is late.
+    Duration timeUntilLateAnswer() const;
+    /// Counts whether the engine that comes first keeps the beginning of the prompt, which others share.
+    void countAffinity(const std::vector<EngineCandidate>& candidates, const UpstreamId& chosen) const;
 
     void start(const UpstreamId& upstream);
 
