lacewinglb-experiment plays shared prompts, with and without promptAffinity

Cause: the effect of promptAffinity in a fleet was not measured. Without the flag loads are drawn as before.

--- a/src/experiment/engine_selector.cc
+++ b/src/experiment/engine_selector.cc
@@ -81,4 +81,10 @@
         { "static-homes", std::make_shared<StaticHome>() } };
 }
 
+std::vector<Arm> promptArms()
+{
+    const auto current = std::make_shared<Current>();
+    return { { "current", current, false }, { "affinity", current, true } };
+}
+
 } // namespace lacewing::experiment
--- a/src/experiment/engine_selector.h
+++ b/src/experiment/engine_selector.h
@@ -22,10 +22,14 @@
 struct Arm {
     std::string name;
     std::shared_ptr<const EngineSelector> selector;
+    /// The setting promptAffinity.
+    bool usesPromptAffinity = false;
 };
 
 /// @return the gateway's own policy first, then what it is compared with: the same without errors of
 /// judgement between updates, the engine with the shortest queue, and fixed homes.
 std::vector<Arm> allArms();
+/// @return the gateway's own policy without and with the setting promptAffinity.
+std::vector<Arm> promptArms();
 
 } // namespace lacewing::experiment
--- a/src/experiment/experiment_report.cc
+++ b/src/experiment/experiment_report.cc
@@ -87,6 +87,9 @@
     for (const auto& [reason, count] : other.refusals)
         sum.refusals[reason] += count;
     sum.fetches += other.fetches;
+    sum.promptTokens += other.promptTokens;
+    sum.tokensReadAgain += other.tokensReadAgain;
+    sum.digestBytes += other.digestBytes;
     sum.busiestByMean = std::max(sum.busiestByMean, other.busiestByMean);
     sum.worstLimitRatio = std::max(sum.worstLimitRatio, other.worstLimitRatio);
 }
@@ -107,6 +110,21 @@
     return text;
 }
 
+std::string promptReport(const LoadResults& load)
+{
+    std::string text = format("\n### %s, %d engines, shared prompts\n\n", load.load.c_str(), load.engines);
+    text
+        += "| arm | worth | p50 ms | p90 ms | tokens read again, share of all | digest bytes to each peer |\n"
+           "| --- | --- | --- | --- | --- | --- |\n";
+    for (const auto& [arm, result] : load.arms) {
+        const auto all = static_cast<double>(std::max(Tokens(1), result.promptTokens).value());
+        text += format("| %s | %.3f | %.1f | %.1f | %.4f | %zu |\n", arm.c_str(), result.all.worth(),
+            result.waitMilliseconds(0.5), result.waitMilliseconds(0.9),
+            static_cast<double>(result.tokensReadAgain.value()) / all, result.digestBytes);
+    }
+    return text;
+}
+
 std::string htmlReport(const std::vector<LoadResults>& loads)
 {
     std::string text
--- a/src/experiment/experiment_report.h
+++ b/src/experiment/experiment_report.h
@@ -22,6 +22,9 @@
 /// @return the results as Markdown tables, one per load.
 std::string markdownReport(const std::vector<LoadResults>& loads);
 
+/// @return what the arms make of shared prompts, as a Markdown table.
+std::string promptReport(const LoadResults& load);
+
 /// @return an HTML page with the worth by second of arrival of each arm, one plot per load.
 std::string htmlReport(const std::vector<LoadResults>& loads);
 
--- a/src/experiment/fleet_result.h
+++ b/src/experiment/fleet_result.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/ids.h"
 
 #include <map>
 #include <string>
@@ -31,6 +32,12 @@
     std::vector<Duration> waits;
     std::map<std::string, int> refusals;
     int fetches = 0;
+    /// Prompt tokens of all requests, and those that an engine read although one had read them before for the
+    /// same adapter.
+    Tokens promptTokens;
+    Tokens tokensReadAgain;
+    /// Digests of kept prefixes that owners sent to each peer, in bytes.
+    size_t digestBytes = 0;
     /// Reading time of the busiest engine by the mean of all.
     double busiestByMean = 0;
     /// Largest number of requests that an engine with a limit got by the number that it allowed; 0 if no
--- a/src/experiment/fleet_shape.cc
+++ b/src/experiment/fleet_shape.cc
@@ -24,9 +24,12 @@
     shape.adapters = std::clamp(engines * 250, 750, 10'000);
     shape.fullSpeedLoads = std::max(4, engines * 2 / 3);
     shape.classes = {
-        { "summary", 0.72, Tokens(2368), 8, milliseconds(800), seconds(4), 1.8, 0.53, 1 },
-        { "background", 0.1, Tokens(2368), 8, seconds(1), seconds(12), 1.8, 0.53, 1 },
-        { "interactive", 0.18, Tokens(1460), 57, milliseconds(800), seconds(15), 2.5, 0.74, 0 },
+        { "summary", 0.72, Tokens(2368), 8, milliseconds(800), seconds(4), 1.8, 0.53, 1, Tokens(341),
+            Tokens(227) },
+        { "background", 0.1, Tokens(2368), 8, seconds(1), seconds(12), 1.8, 0.53, 1, Tokens(341),
+            Tokens(227) },
+        { "interactive", 0.18, Tokens(1460), 57, milliseconds(800), seconds(15), 2.5, 0.74, 0, Tokens(210),
+            Tokens(140) },
     };
     return shape;
 }
--- a/src/experiment/fleet_shape.h
+++ b/src/experiment/fleet_shape.h
@@ -26,6 +26,9 @@
     double lateWorth = 0;
     /// Rank; 0 is the most urgent.
     int priority = 0;
+    /// The first two parts of the prompt, which requests share; the rest is the request's own.
+    Tokens firstPart {};
+    Tokens secondPart {};
 };
 
 /// What a simulated fleet consists of. Rates are for the whole fleet.
@@ -58,6 +61,10 @@
     /// Time between two heartbeats of a host.
     Duration heartbeatInterval = std::chrono::milliseconds(200);
     std::vector<RequestClass> classes;
+    /// Variants of the first part of a class's prompts.
+    int firstVariants = 3;
+    /// Variants of the second part after each first part; 0 if prompts share nothing.
+    int secondVariants = 0;
 
     /// Sets the number of hosts, and the interval of their heartbeats with it.
     void setHosts(int count);
--- a/src/experiment/fleet_simulation.cc
+++ b/src/experiment/fleet_simulation.cc
@@ -1,5 +1,7 @@
 #include "experiment/fleet_simulation.h"
 
+#include "gateway/prefix_savings.h"
+
 #include <algorithm>
 #include <numeric>
 #include <utility>
@@ -79,6 +81,9 @@
         m_scheduler.runAfter(arrival.at, [this, &arrival] { begin(arrival); });
     m_scheduler.advance(loadLength + drainTime);
     m_result.fetches = m_store.fetches();
+    for (const Arrival& arrival : arrivals)
+        m_result.promptTokens += arrival.prompt;
+    countReads();
     double busiest = 0;
     double total = 0;
     for (const Engine& engine : m_engines) {
@@ -90,6 +95,19 @@
     return m_result;
 }
 
+void FleetSimulation::countReads()
+{
+    std::map<uint64_t, int> reads;
+    for (const Engine& engine : m_engines) {
+        for (const auto& [prefix, part] : engine.model->partReads()) {
+            const bool isFirst = reads[prefix] == 0;
+            reads[prefix] += part.count;
+            const int again = part.count - (isFirst ? 1 : 0);
+            m_result.tokensReadAgain += Tokens(again * part.tokens.value());
+        }
+    }
+}
+
 AdapterRef FleetSimulation::adapterOf(const Call& call) const
 {
     return { modelId, AdapterId("a" + std::to_string(call.arrival.adapter)) };
@@ -178,9 +196,40 @@
         if (!isKnownDown && call.tried.count(engine.id) == 0)
             candidates.push_back(candidate(call, index));
     }
+    if (m_arm.usesPromptAffinity)
+        addPrefixSavings(candidates, call);
     return candidates;
 }
 
+void FleetSimulation::addPrefixSavings(std::vector<EngineCandidate>& candidates, const Call& call) const
+{
+    const MonotonicTime now = m_scheduler.now();
+    gateway::PrefixSavings savings(adapterOf(call), call.arrival.parts, call.arrival.prompt,
+        call.begun + classOf(call).targetLatency - now);
+    auto engine = m_engines.begin();
+    for (const EngineCandidate& candidate : candidates) {
+        engine = std::find_if(engine, m_engines.end(),
+            [&candidate](const Engine& each) { return each.id == candidate.engine; });
+        if (engine->scheduler && engine->owner == call.arrival.host) {
+            const affinity::SharedPrefixes own = engine->scheduler->sharedPrefixes();
+            savings.add(candidate, { own.memoryFill, affinity::PrefixDigest(own.recent) }, Duration::zero());
+            continue;
+        }
+        savings.add(
+            candidate, engine->told.prefixes.value_or(affinity::PrefixStatement()), now - engine->toldAt);
+    }
+    savings.apply(candidates);
+}
+
+void FleetSimulation::publishPrefixes(Engine& engine, gateway::EngineSummary& summary)
+{
+    summary.prefixes = engine.prefixes.stateToAll(engine.scheduler->sharedPrefixes(), m_scheduler.now());
+    if (summary.prefixes->digest)
+        m_result.digestBytes += summary.prefixes->digest->toBytes().size();
+    else if (engine.told.prefixes)
+        summary.prefixes->digest = engine.told.prefixes->digest;
+}
+
 EngineCandidate FleetSimulation::candidate(const Call& call, size_t index) const
 {
     const Engine& engine = m_engines[index];
@@ -222,6 +271,7 @@
     request.key = call->key;
     request.adapter = adapterOf(*call);
     request.prompt = call->arrival.prompt;
+    request.parts = call->arrival.parts;
     request.output = Tokens(static_cast<int64_t>(classOf(*call).events) * m_shape.tokensPerEvent);
     request.priority = classOf(*call).priority;
     call->search.prepare(request, choices);
@@ -257,8 +307,9 @@
     call->isRunning = true;
     m_scheduler.runAfter(m_shape.linkDelay, [this, call, urgency] {
         requestArrived(call->engine);
-        m_engines[call->engine].model->run(adapterOf(*call), call->arrival.prompt, classOf(*call).events,
-            urgency, [this, call](ModelEngine::RunEvent event) { runEvent(call, event); });
+        m_engines[call->engine].model->run(
+            adapterOf(*call), call->arrival.prompt, classOf(*call).events, urgency,
+            [this, call](ModelEngine::RunEvent event) { runEvent(call, event); }, call->arrival.parts);
     });
 }
 
@@ -326,6 +377,7 @@
     limits.weightsMegabytes = 1;
     limits.models = { { modelId, 1 } };
     engine.owner = host;
+    engine.prefixes = {};
     ++engine.generation;
     engine.scheduler
         = std::make_unique<EngineScheduler>(engine.id, limits, *m_hosts[static_cast<size_t>(host)].loads);
@@ -448,6 +500,9 @@
             continue;
         gateway::EngineSummary summary = engine.scheduler->summary(m_scheduler.now());
         engine.copies.observe(engine.told.adapters, summary.adapters);
+        if (m_arm.usesPromptAffinity)
+            publishPrefixes(engine, summary);
+        engine.toldAt = m_scheduler.now();
         engine.told = std::move(summary);
         ++engine.heartbeat;
     }
--- a/src/experiment/fleet_simulation.h
+++ b/src/experiment/fleet_simulation.h
@@ -40,6 +40,9 @@
         /// What the owner told in its last heartbeat, and the number of that heartbeat.
         gateway::EngineSummary told;
         gateway::CachedAdapters copies;
+        affinity::PrefixPublisher prefixes;
+        /// When the owner's last heartbeat was sent.
+        MonotonicTime toldAt;
         int heartbeat = 0;
         StatedLimit limit;
         /// When a host first got a response with a limit.
@@ -89,6 +92,9 @@
     // Entries.
     void choose(const CallPointer& call);
     std::vector<gateway::EngineCandidate> candidates(const Call& call) const;
+    void addPrefixSavings(std::vector<gateway::EngineCandidate>& candidates, const Call& call) const;
+    void publishPrefixes(Engine& engine, gateway::EngineSummary& summary);
+    void countReads();
     gateway::EngineCandidate candidate(const Call& call, size_t engine) const;
     void ask(const CallPointer& call, size_t choices);
     void denied(CallPointer call, const gateway::RunDenial& denial);
--- a/src/experiment/lacewinglb_experiment_main.cc
+++ b/src/experiment/lacewinglb_experiment_main.cc
@@ -24,6 +24,9 @@
     "instead, play upstreams that state limits before so many hosts, separated by commas");
 ABSL_FLAG(std::vector<std::string>, quarantine_hosts, {},
     "instead, play prompts that crash engines before so many hosts, separated by commas");
+ABSL_FLAG(int, adapters, 0, "number of adapters; 0: 250 for each engine, between 750 and 10,000");
+ABSL_FLAG(int, shared_prompts, 0,
+    "variants of the second part that prompts share; above 0, compare the setting promptAffinity instead");
 ABSL_FLAG(std::string, html, "", "file to write plots to; empty: none");
 
 namespace lacewing::experiment {
@@ -51,7 +54,7 @@
 std::vector<Arm> chosenArms()
 {
     std::vector<Arm> arms;
-    for (const Arm& arm : allArms()) {
+    for (const Arm& arm : absl::GetFlag(FLAGS_shared_prompts) > 0 ? promptArms() : allArms()) {
         if (absl::GetFlag(FLAGS_arm).empty() || absl::GetFlag(FLAGS_arm) == arm.name)
             arms.push_back(arm);
     }
@@ -150,9 +153,14 @@
         if (absl::GetFlag(FLAGS_hosts) > 0)
             shape.setHosts(absl::GetFlag(FLAGS_hosts));
         shape.requestsPerSecond *= absl::GetFlag(FLAGS_demand);
+        shape.secondVariants = absl::GetFlag(FLAGS_shared_prompts);
+        if (absl::GetFlag(FLAGS_adapters) > 0)
+            shape.adapters = absl::GetFlag(FLAGS_adapters);
         for (const LoadPattern each : pattern ? std::vector<LoadPattern> { *pattern } : allLoadPatterns()) {
             results.push_back(playLoad(shape, each, arms));
-            std::cout << markdownReport({ results.back() }) << std::flush;
+            std::cout << (shape.secondVariants > 0 ? promptReport(results.back())
+                                                   : markdownReport({ results.back() }))
+                      << std::flush;
         }
     }
     const std::string html = absl::GetFlag(FLAGS_html);
--- a/src/experiment/load_pattern.cc
+++ b/src/experiment/load_pattern.cc
@@ -1,8 +1,10 @@
 #include "experiment/load_pattern.h"
 
+#include "base/stable_hash.h"
 #include "base/zipf_distribution.h"
 
 #include <cmath>
+#include <string>
 #include <utility>
 
 namespace lacewing::experiment {
@@ -54,6 +56,7 @@
         : m_shape(shape)
         , m_pattern(pattern)
         , m_random(seed)
+        , m_partRandom(~seed)
         , m_popularity(shape.adapters, shape.zipfExponent)
     {
     }
@@ -104,9 +107,23 @@
         const double mean = static_cast<double>(m_shape.classes[arrival.requestClass].prompt.value());
         const double size = smallestPrompt + (largestPrompt - smallestPrompt) * m_random.uniform();
         arrival.prompt = Tokens(static_cast<int64_t>(mean * size));
+        if (m_shape.secondVariants > 0)
+            arrival.parts = drawParts(arrival);
         return arrival;
     }
 
+    std::vector<gateway::PromptPart> drawParts(const Arrival& arrival)
+    {
+        const RequestClass& requestClass = m_shape.classes[arrival.requestClass];
+        const auto first = m_partRandom.below(static_cast<uint64_t>(m_shape.firstVariants));
+        const auto second = m_partRandom.below(static_cast<uint64_t>(m_shape.secondVariants));
+        const Tokens own = arrival.prompt - requestClass.firstPart - requestClass.secondPart;
+        const std::string name = requestClass.name + '/' + std::to_string(first);
+        return { { stableHash(name), requestClass.firstPart },
+            { stableHash(name + '/' + std::to_string(second)), requestClass.secondPart },
+            { m_partRandom.next(), own } };
+    }
+
     size_t drawClass(Duration at)
     {
         const bool isBurst = m_pattern == LoadPattern::BurstOfOneClass && isInPattern(at);
@@ -153,6 +170,8 @@
     const FleetShape& m_shape;
     LoadPattern m_pattern;
     Random m_random;
+    /// Draws the parts of prompts, so that the load is otherwise the same with and without them.
+    Random m_partRandom;
     ZipfDistribution m_popularity;
     std::vector<Arrival> m_arrivals;
 };
--- a/src/experiment/load_pattern.h
+++ b/src/experiment/load_pattern.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "experiment/fleet_shape.h"
+#include "gateway/run_request.h"
 
 #include <optional>
 #include <string_view>
@@ -51,6 +52,8 @@
     int workspace = 0;
     int host = 0;
     Tokens prompt;
+    /// The parts of the prompt; empty unless FleetShape::secondVariants is set.
+    std::vector<gateway::PromptPart> parts;
 };
 
 /// When the pattern's load or fault begins and how long it lasts.
--- a/src/experiment/model_engine.cc
+++ b/src/experiment/model_engine.cc
@@ -23,17 +23,44 @@
     return found != m_adapters.end() && found->second.isLoaded;
 }
 
-void ModelEngine::run(const AdapterRef& adapter, Tokens prompt, int events, int urgency, RunCallback callback)
+void ModelEngine::run(const AdapterRef& adapter, Tokens prompt, int events, int urgency, RunCallback callback,
+    std::vector<gateway::PromptPart> parts)
 {
     if (!m_isUp)
         return callback(RunEvent::Lost);
     if (!holds(adapter))
         return callback(RunEvent::AdapterMissing);
     ++m_adapters[adapter].users;
-    m_unread.push_back(std::make_shared<Run>(Run { adapter, prompt, events, urgency, std::move(callback) }));
+    m_unread.push_back(std::make_shared<Run>(
+        Run { adapter, prompt, events, urgency, std::move(callback), std::move(parts) }));
     readNext();
 }
 
+Tokens ModelEngine::readPrompt(const Run& run)
+{
+    const Tokens kept = m_kept.cachedTokens(run.adapter, run.parts);
+    affinity::PrefixHasher prefix(run.adapter.model, run.adapter.adapter);
+    Tokens end;
+    for (const gateway::PromptPart& part : run.parts) {
+        prefix.append(part.id);
+        end += part.tokens;
+        if (end <= kept)
+            continue;
+        PartReads& reads = m_partReads[prefix.hash()];
+        ++reads.count;
+        reads.tokens = part.tokens;
+    }
+    return run.prompt - kept;
+}
+
+void ModelEngine::setRoomForKeptParts()
+{
+    Tokens room = m_shape.cacheTokens;
+    for (const auto& run : m_running)
+        room -= run->prompt + Tokens(static_cast<int64_t>(run->events) * m_shape.tokensPerEvent);
+    m_kept.setCapacity(std::max(Tokens(0), room));
+}
+
 void ModelEngine::readNext()
 {
     if (m_reading || m_unread.empty())
@@ -43,7 +70,7 @@
     m_reading = *next;
     m_unread.erase(next);
     const auto reading = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
-        static_cast<double>(m_reading->prompt.value()) / m_shape.promptTokensPerMillisecond));
+        static_cast<double>(readPrompt(*m_reading).value()) / m_shape.promptTokensPerMillisecond));
     m_busyTime += reading;
     m_scheduler.runAfter(reading, m_life->guard([this] { promptRead(); }));
 }
@@ -57,6 +84,8 @@
 {
     const auto run = std::exchange(m_reading, nullptr);
     m_running.push_back(run);
+    setRoomForKeptParts();
+    m_kept.promptProcessed(run->adapter, run->parts);
     m_scheduler.runAfter(
         stepTime() * m_shape.tokensPerEvent, m_life->guard([run] { run->callback(RunEvent::FirstEvent); }));
     m_scheduler.runAfter(
@@ -67,6 +96,7 @@
 void ModelEngine::finished(const std::shared_ptr<Run>& run)
 {
     m_running.erase(std::find(m_running.begin(), m_running.end(), run));
+    setRoomForKeptParts();
     const auto adapter = m_adapters.find(run->adapter);
     if (adapter != m_adapters.end())
         --adapter->second.users;
@@ -115,6 +145,7 @@
 void ModelEngine::unload(const AdapterRef& adapter)
 {
     m_adapters.erase(adapter);
+    m_kept.forget(adapter);
     m_warm.push_back(adapter);
     if (static_cast<int>(m_warm.size()) > m_shape.warmCopies)
         m_warm.pop_front();
@@ -138,6 +169,7 @@
     m_life = std::make_unique<Lifetime>();
     m_adapters.clear();
     m_warm.clear();
+    m_kept = gateway::PrefixCacheModel();
     auto lost = std::exchange(m_unread, {});
     if (m_reading)
         lost.push_back(std::exchange(m_reading, nullptr));
--- a/src/experiment/model_engine.h
+++ b/src/experiment/model_engine.h
@@ -33,8 +33,9 @@
     ModelEngine(Scheduler& scheduler, WeightStore& store, const FleetShape& shape, ModelId model);
 
     /// @param urgency from 0 for first to 9 for last.
-    void run(
-        const gateway::AdapterRef& adapter, Tokens prompt, int events, int urgency, RunCallback callback);
+    /// @param parts of the prompt, if it shares parts with others.
+    void run(const gateway::AdapterRef& adapter, Tokens prompt, int events, int urgency, RunCallback callback,
+        std::vector<gateway::PromptPart> parts = {});
     void order(const gateway::PlannedOrder& order, const OrderCallback& callback);
     gateway::EngineReport report() const;
     bool isUp() const { return m_isUp; }
@@ -44,6 +45,14 @@
     void restart();
     Duration busyTime() const { return m_busyTime; }
 
+    /// How often the engine has read a prefix's last part, and the part's length.
+    struct PartReads {
+        int count = 0;
+        Tokens tokens;
+    };
+    /// @return the parts that the engine has read, by the hash of the prefix that they end.
+    const std::map<uint64_t, PartReads>& partReads() const { return m_partReads; }
+
 private:
     struct Adapter {
         bool isLoaded = false;
@@ -56,6 +65,7 @@
         int events = 0;
         int urgency = 0;
         RunCallback callback;
+        std::vector<gateway::PromptPart> parts;
     };
 
     void readNext();
@@ -64,6 +74,9 @@
     void load(const gateway::AdapterRef& adapter);
     void unload(const gateway::AdapterRef& adapter);
     Duration stepTime() const;
+    /// @return the prompt's tokens that the engine does not keep, which it counts as read.
+    Tokens readPrompt(const Run& run);
+    void setRoomForKeptParts();
 
     Scheduler& m_scheduler;
     WeightStore& m_store;
@@ -78,6 +91,8 @@
     /// The run whose prompt is being read.
     std::shared_ptr<Run> m_reading;
     Duration m_busyTime {};
+    gateway::PrefixCacheModel m_kept;
+    std::map<uint64_t, PartReads> m_partReads;
     /// Timers of the time before a crash do nothing.
     std::unique_ptr<Lifetime> m_life = std::make_unique<Lifetime>();
 };
