State the memory fill exactly, and bound what a digest can save

Cause: a fill of 29 % was truncated to 28 % when encoded, so a frame changed when it was encoded again. Callers state the lengths of parts, and peers the wait, so a saving could exceed the prompt and a wait overflow. Change: the fill is rounded and must be an integer; kept tokens are bounded by the prompt, and the wait by an hour.

--- a/src/affinity/prefix_affinity.cc
+++ b/src/affinity/prefix_affinity.cc
@@ -30,6 +30,13 @@
     return static_cast<double>(tokens.value());
 }
 
+/// @return the wait, bounded so that a wrong figure can't overflow.
+Duration waitOf(const PrefixAffinity::Engine& engine)
+{
+    constexpr Duration longestWait = std::chrono::hours(1);
+    return std::clamp(engine.wait, Duration::zero(), longestWait);
+}
+
 double fillOf(const PrefixAffinity::Engine& engine)
 {
     return std::clamp(engine.memoryFill, 0.0, 1.0);
@@ -39,25 +46,30 @@
 
 void PrefixAffinity::observe(const Engine& engine)
 {
-    m_sharedTokens = std::max(m_sharedTokens, engine.digest.longestMatch(m_request.prefixes));
+    m_sharedTokens = std::max(m_sharedTokens, keptTokens(engine));
 }
 
 Duration PrefixAffinity::netSaving(const Engine& engine) const
 {
     if (m_sharedTokens == Tokens(0))
         return Duration::zero();
-    const Tokens kept = engine.digest.longestMatch(m_request.prefixes);
+    const Tokens kept = keptTokens(engine);
     return saving(engine, kept) - copyCost(engine, kept);
 }
 
+Tokens PrefixAffinity::keptTokens(const Engine& engine) const
+{
+    return std::min(engine.digest.longestMatch(m_request.prefixes), m_request.prompt);
+}
+
 Duration PrefixAffinity::saving(const Engine& engine, Tokens kept) const
 {
     const Duration rest
         = readingTime(asDouble(std::max(Tokens(1), m_request.prompt - kept)), engine.tokensPerMillisecond);
-    const auto start = std::chrono::duration_cast<Duration>(overtakingFactor * (engine.wait + rest));
+    const auto start = std::chrono::duration_cast<Duration>(overtakingFactor * (waitOf(engine) + rest));
     if (start > m_request.timeUntilLate)
         return Duration::zero();
-    const Duration untilRead = std::max<Duration>(engine.age + engine.wait, Duration::zero());
+    const Duration untilRead = std::max<Duration>(engine.age + waitOf(engine), Duration::zero());
     const double stillKept = (1 - fillOf(engine)) * std::exp2(-toSeconds(untilRead) / toSeconds(halfLife));
     return readingTime(asDouble(kept) * stillKept, engine.tokensPerMillisecond);
 }
--- a/src/affinity/prefix_affinity.h
+++ b/src/affinity/prefix_affinity.h
@@ -54,6 +54,9 @@
     Duration netSaving(const Engine& engine) const;
 
 private:
+    /// @return length of the prompt's beginning that the engine keeps. Callers state the lengths of parts, so
+    ///     it is bounded by that of the prompt.
+    Tokens keptTokens(const Engine& engine) const;
     Duration saving(const Engine& engine, Tokens kept) const;
     Duration copyCost(const Engine& engine, Tokens kept) const;
 
--- a/src/affinity/prefix_affinity_test.cc
+++ b/src/affinity/prefix_affinity_test.cc
@@ -116,6 +116,12 @@
     BOOST_TEST((netSaving(engine) == 568ms));
     engine.memoryFill = 7;
     BOOST_TEST((netSaving(engine) == 0ms));
+    engine = engineKeeping(2);
+    engine.wait = Duration::max();
+    BOOST_TEST((netSaving(engine) == 0ms));
+    // A caller states parts that are longer than its prompt.
+    affinity = PrefixAffinity({ promptOf(), Tokens(200), 800ms });
+    BOOST_TEST((netSaving(engineKeeping(2)) == 10ms));
 }
 
 // Guards against harm from two prefixes with the same fingerprint: the engine is credited with a prefix that
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <map>
 
 namespace lacewing::gateway {
@@ -49,12 +50,12 @@
     return std::chrono::microseconds(json.get<int64_t>());
 }
 
-constexpr double percent = 100;
+constexpr int64_t percent = 100;
 
 /// The fill in percent, followed by the fingerprints if they have changed.
 Json encode(const affinity::PrefixStatement& statement)
 {
-    Json json = Json::array({ static_cast<int>(statement.memoryFill * percent) });
+    Json json = Json::array({ std::llround(statement.memoryFill * percent) });
     if (statement.digest)
         json.push_back(Json::binary(statement.digest->toBytes()));
     return json;
@@ -63,11 +64,13 @@
 /// @return nothing if the statement is malformed, since a heartbeat must not be lost with it.
 std::optional<affinity::PrefixStatement> decodePrefixes(const Json& json)
 {
-    const bool isReadable = json.is_array() && !json.empty() && json.size() <= 2 && json.at(0).is_number();
+    const bool isReadable
+        = json.is_array() && !json.empty() && json.size() <= 2 && json.at(0).is_number_integer();
     if (!isReadable)
         return std::nullopt;
     affinity::PrefixStatement statement;
-    statement.memoryFill = std::clamp(json.at(0).get<double>() / percent, 0.0, 1.0);
+    const auto fill = std::clamp<int64_t>(json.at(0).get<int64_t>(), 0, percent);
+    statement.memoryFill = static_cast<double>(fill) / percent;
     if (json.size() == 1)
         return statement;
     if (json.at(1).is_binary())
--- a/src/gateway/peer_message_test.cc
+++ b/src/gateway/peer_message_test.cc
@@ -218,6 +218,10 @@
     BOOST_TEST(stated->memoryFill == 0.25);
     BOOST_TEST(stated->digest->hasSamePrefixes(digest));
     BOOST_TEST(!sent(affinity::PrefixStatement { 0.25, std::nullopt })->digest);
+    // Guards against a fill that decreases each time that it is passed on.
+    for (int percent = 0; percent <= 100; ++percent)
+        BOOST_TEST(
+            sent(affinity::PrefixStatement { percent / 100.0, std::nullopt })->memoryFill == percent / 100.0);
     BOOST_TEST(sent(affinity::PrefixStatement { 0.25, affinity::PrefixDigest() })->digest->empty());
 }
 
