--- a/src/experiment/engine_selector.h
+++ b/src/experiment/engine_selector.h
@@ -27,10 +27,14 @@
     /// What an engine states of its slowdown, from its index, its slowdown and the time; null: the truth.
     std::function<std::optional<double>(size_t engine, double slowdown, MonotonicTime now)> statement
         = nullptr;
+    /// The setting promptAffinity.
+    bool usesPromptAffinity = false;
 };
 
 /// @return the gateway's own policy first, then what it is compared with: the same without errors of
 /// judgement between updates, the engine with the shortest queue, and fixed homes.
 std::vector<Arm> allArms();
+/// @return the gateway's own policy without and with the setting promptAffinity.
+std::vector<Arm> promptArms();
 
 } // namespace lacewing::experiment
--- a/src/gateway/engine_chooser.h
+++ b/src/gateway/engine_chooser.h
@@ -37,6 +37,11 @@
     /// Expected time to prefill the request's own prompt from now on, and at the mean slowdown.
     Duration promptTime {};
     Duration promptTimeAtMean {};
+    /// Time that the engine saves because it keeps the beginning of the prompt, net of what a further copy
+    /// evicts; see affinity::PrefixAffinity.
+    Duration prefixSaving {};
+    /// Prefill rate as the owner estimates it; 0 if it is not known.
+    double promptTokensPerMillisecond = 0;
 
     /// Sets the time that the request's own prompt takes.
     ///
