--- a/src/experiment/experiment_report.cc
+++ b/src/experiment/experiment_report.cc
@@ -73,10 +73,47 @@
     return svg;
 }
 
+void add(ClassOutcome& sum, const ClassOutcome& other)
+{
+    sum.requests += other.requests;
+    sum.onTime += other.onTime;
+    sum.late += other.late;
+    sum.refused += other.refused;
+    sum.returned += other.returned;
+    sum.refusedAgain += other.refusedAgain;
+    sum.failed += other.failed;
+    sum.waitedInVain += other.waitedInVain;
+}
+
+std::string outcomeRow(const std::string& name, const ClassOutcome& outcome)
+{
+    const double all = std::max(outcome.requests, 1);
+    return format("| %s | %d | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.0f |\n", name.c_str(),
+        outcome.requests, outcome.onTime / all, outcome.late / all, outcome.refused / all,
+        outcome.refusedAgain / all, outcome.failed / all, outcome.returned / all,
+        static_cast<double>(toMilliseconds(outcome.waitedInVain)) / std::max(outcome.refused, 1));
+}
+
 } // namespace
 
+std::string outcomeReport(const FleetResult& result)
+{
+    std::string text = "| group | requests | on time | late | refused | refused again | failed | came back | "
+                       "wait before the "
+                       "refusal, ms |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+    for (const auto& [name, outcome] : result.classes)
+        text += outcomeRow(name, outcome);
+    for (const auto& [name, outcome] : result.workspaces)
+        text += outcomeRow("workspaces: " + name, outcome);
+    return text;
+}
+
 void addResult(FleetResult& sum, const FleetResult& other)
 {
+    for (const auto& [name, outcome] : other.classes)
+        add(sum.classes[name], outcome);
+    for (const auto& [name, outcome] : other.workspaces)
+        add(sum.workspaces[name], outcome);
     add(sum.all, other.all);
     for (const auto& [name, share] : other.groups)
         add(sum.groups[name], share);
--- a/src/experiment/experiment_report.h
+++ b/src/experiment/experiment_report.h
@@ -25,4 +25,7 @@
 /// @return an HTML page with the worth by second of arrival of each arm, one plot per load.
 std::string htmlReport(const std::vector<LoadResults>& loads);
 
+/// @return a table of what became of the requests by class and for the workspaces.
+std::string outcomeReport(const FleetResult& result);
+
 } // namespace lacewing::experiment
--- a/src/experiment/fleet_result.h
+++ b/src/experiment/fleet_result.h
@@ -19,12 +19,32 @@
     double worth() const { return owed > 0 ? earned / owed : 1; }
 };
 
+/// What became of the requests of a class.
+struct ClassOutcome {
+    int requests = 0;
+    int onTime = 0;
+    int late = 0;
+    /// Came back after a refusal.
+    int returned = 0;
+    /// Refused, and not served after a return either.
+    int refused = 0;
+    /// Of these: refused once more after the caller came back.
+    int refusedAgain = 0;
+    /// Admitted and then not served in time, or lost with an engine.
+    int failed = 0;
+    /// Total time that the refused requests had waited.
+    Duration waitedInVain {};
+};
+
 /// Outcome of one simulated run.
 struct FleetResult {
     Share all;
     /// By "class/...", "size/...", "data-centre/...", "workspace/..." and "rank/...", the popularity of the
     /// adapter.
     std::map<std::string, Share> groups;
+    std::map<std::string, ClassOutcome> classes;
+    /// "hot" for the workspace that sends more in some patterns, and "others".
+    std::map<std::string, ClassOutcome> workspaces;
     /// By second of arrival.
     std::vector<Share> seconds;
     /// Times from the first attempt to the first event, of the requests that were served.
--- a/src/experiment/fleet_shape.cc
+++ b/src/experiment/fleet_shape.cc
@@ -31,4 +31,15 @@
     return shape;
 }
 
+FleetShape FleetShape::contended(int engines)
+{
+    FleetShape shape = ofEngines(engines);
+    shape.classes = {
+        { "urgent", 0.6, Tokens(1900), 12, seconds(1), seconds(6), 2, 1, 0 },
+        { "usual", 0.15, Tokens(2300), 20, milliseconds(1500), seconds(8), 1.5, 0.75, 1 },
+        { "long", 0.25, Tokens(2300), 60, seconds(2), seconds(15), 1, 0.5, 2 },
+    };
+    return shape;
+}
+
 } // namespace lacewing::experiment
--- a/src/experiment/fleet_shape.h
+++ b/src/experiment/fleet_shape.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "gateway/overload_policy.h"
 
 #include <string>
 #include <vector>
@@ -58,11 +59,14 @@
     /// Time between two heartbeats of a host.
     Duration heartbeatInterval = std::chrono::milliseconds(200);
     std::vector<RequestClass> classes;
+    gateway::OverloadPolicy overloadPolicy = gateway::OverloadPolicy::Arrival;
 
     /// Sets the number of hosts, and the interval of their heartbeats with it.
     void setHosts(int count);
     /// @return a fleet with so many engines under a load that keeps about half of them reading prompts.
     static FleetShape ofEngines(int engines);
+    /// @return the same with three classes of different urgency, the least urgent one last.
+    static FleetShape contended(int engines);
 };
 
 } // namespace lacewing::experiment
--- a/src/experiment/fleet_simulation.cc
+++ b/src/experiment/fleet_simulation.cc
@@ -127,7 +127,7 @@
     const bool comesBack = call->attempts < (isRepeater ? attemptsOfRepeaters : usualAttempts)
         && retryAfter * largestPauseShare <= left;
     if (!comesBack) {
-        end(call, 0);
+        end(call, 0, true);
         return;
     }
     ++call->attempts;
@@ -143,10 +143,29 @@
     end(call, 0);
 }
 
-void FleetSimulation::end(const CallPointer& call, double worth)
+void FleetSimulation::countOutcome(
+    ClassOutcome& outcome, const Call& call, double worth, bool isRefusal) const
+{
+    ++outcome.requests;
+    outcome.returned += call.attempts > 1 ? 1 : 0;
+    if (worth > 0)
+        ++(worth < classOf(call).worth ? outcome.late : outcome.onTime);
+    else if (!isRefusal)
+        ++outcome.failed;
+    else {
+        ++outcome.refused;
+        outcome.refusedAgain += call.attempts > 1 ? 1 : 0;
+        outcome.waitedInVain += m_scheduler.now() - call.attemptBegun;
+    }
+}
+
+void FleetSimulation::end(const CallPointer& call, double worth, bool isRefusal)
 {
     if (std::exchange(call->isOver, true))
         return;
+    countOutcome(m_result.classes[classOf(*call).name], *call, worth, isRefusal);
+    const char* workspace = call->arrival.workspace == 0 ? "hot" : "others";
+    countOutcome(m_result.workspaces[workspace], *call, worth, isRefusal);
     m_calls.erase(call->key);
     count(*call, worth);
 }
@@ -224,6 +243,7 @@
     request.prompt = call->arrival.prompt;
     request.output = Tokens(static_cast<int64_t>(classOf(*call).events) * m_shape.tokensPerEvent);
     request.priority = classOf(*call).priority;
+    request.workspace = WorkspaceId("workspace-" + std::to_string(call->arrival.workspace));
     call->search.prepare(request, choices);
     m_calls[call->key] = call;
     const size_t index = call->engine;
@@ -270,8 +290,10 @@
     case ModelEngine::RunEvent::FirstEvent:
         call->firstEvent = m_scheduler.now() + m_shape.linkDelay;
         limitTold(call->engine);
-        atOwner(call->engine, [this, key = call->key](EngineScheduler& scheduler) {
+        atOwner(call->engine, [this, key = call->key, engine = call->engine](EngineScheduler& scheduler) {
             scheduler.runProgressed(key, m_scheduler.now());
+            if (m_shape.overloadPolicy == gateway::OverloadPolicy::Priority && scheduler.hasWaitingRuns())
+                carryOut(engine);
         });
         return;
     case ModelEngine::RunEvent::Finished: {
@@ -329,6 +351,7 @@
     ++engine.generation;
     engine.scheduler
         = std::make_unique<EngineScheduler>(engine.id, limits, *m_hosts[static_cast<size_t>(host)].loads);
+    engine.scheduler->setOverloadPolicy(m_shape.overloadPolicy);
     engine.scheduler->setRequestRate(
         engine.limitTold ? engine.limit.rate() : std::nullopt, m_scheduler.now());
     m_scheduler.runAfter(Duration::zero(), [this, index] { carryOut(index); });
@@ -469,7 +492,7 @@
             for (size_t host = 0; host < m_hosts.size(); host += failingPart)
                 killHost(host);
         }
-        if (m_pattern != LoadPattern::EngineCrashes)
+        if (m_pattern != LoadPattern::EngineCrashes && m_pattern != LoadPattern::Contention)
             return;
         for (size_t index = 0; index < m_engines.size(); index += failingPart) {
             ModelEngine& model = *m_engines[index].model;
--- a/src/experiment/fleet_simulation.h
+++ b/src/experiment/fleet_simulation.h
@@ -84,7 +84,8 @@
     void attempt(const CallPointer& call);
     void refuse(const CallPointer& call, Duration retryAfter, const std::string& reason);
     void timeOut(const CallPointer& call);
-    void end(const CallPointer& call, double worth);
+    void end(const CallPointer& call, double worth, bool isRefusal = false);
+    void countOutcome(ClassOutcome& outcome, const Call& call, double worth, bool isRefusal) const;
 
     // Entries.
     void choose(const CallPointer& call);
--- a/src/experiment/fleet_simulation_test.cc
+++ b/src/experiment/fleet_simulation_test.cc
@@ -32,6 +32,13 @@
     return play(engines, pattern).all.worth() / offlineWorthBound(shape, arrivals, enginesUp(shape, pattern));
 }
 
+FleetResult playContended(LoadPattern pattern, gateway::OverloadPolicy policy)
+{
+    FleetShape shape = FleetShape::contended(12);
+    shape.overloadPolicy = policy;
+    return FleetSimulation(shape, pattern, arm("current"), seed).run(generateArrivals(shape, pattern, seed));
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(FleetSimulationTest)
@@ -109,4 +116,41 @@
     }
 }
 
+// Load: a burst of the least urgent class, a workspace far above its share and the loss of a quarter of the
+// engines at once. Guards against refusing urgent requests because of less urgent ones, and against starving
+// the least urgent class, the workspace that sends most, large prompts or rare adapters instead.
+BOOST_AUTO_TEST_CASE(PrioritiesProtectUrgentRequestsAndStarveNobody)
+{
+    const FleetResult before = playContended(LoadPattern::Contention, gateway::OverloadPolicy::Arrival);
+    const FleetResult after = playContended(LoadPattern::Contention, gateway::OverloadPolicy::Priority);
+    const ClassOutcome& urgentBefore = before.classes.at("urgent");
+    const ClassOutcome& urgent = after.classes.at("urgent");
+    BOOST_TEST(urgent.refused * 3 < urgentBefore.refused);
+    BOOST_TEST(urgent.refusedAgain * 3 < urgentBefore.refusedAgain);
+    BOOST_TEST(urgent.onTime > urgentBefore.onTime);
+    BOOST_TEST(after.all.earned > before.all.earned);
+    const ClassOutcome& others = after.workspaces.at("others");
+    const ClassOutcome& hot = after.workspaces.at("hot");
+    BOOST_TEST(others.refused * 2 < before.workspaces.at("others").refused);
+    BOOST_TEST(others.refused * hot.requests < hot.refused * others.requests);
+    for (const ClassOutcome& outcome : { after.classes.at("long"), after.classes.at("usual"), hot })
+        BOOST_TEST(outcome.onTime + outcome.late >= 0.85 * outcome.requests);
+    for (const char* group : { "size/largest", "rank/rare" })
+        BOOST_TEST(after.groups.at(group).worth() >= before.groups.at(group).worth(), group);
+}
+
+// Guards against requests that are lost with an owner, an entry or an engine while queues are planned, and
+// against counting one twice.
+BOOST_AUTO_TEST_CASE(PlannedQueuesSurviveTheLossOfHostsAndEngines)
+{
+    for (const LoadPattern pattern :
+        { LoadPattern::OwnersKilled, LoadPattern::EngineCrashes, LoadPattern::SlowWeightStore }) {
+        const FleetResult result = playContended(pattern, gateway::OverloadPolicy::Priority);
+        const auto arrivals = generateArrivals(FleetShape::contended(12), pattern, seed);
+        BOOST_TEST(static_cast<size_t>(result.all.requests) == arrivals.size(), toString(pattern));
+        const ClassOutcome& urgent = result.classes.at("urgent");
+        BOOST_TEST(urgent.onTime + urgent.late >= 0.9 * urgent.requests, toString(pattern));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/experiment/lacewinglb_experiment_main.cc
+++ b/src/experiment/lacewinglb_experiment_main.cc
@@ -24,6 +24,7 @@
     "instead, play upstreams that state limits before so many hosts, separated by commas");
 ABSL_FLAG(std::vector<std::string>, quarantine_hosts, {},
     "instead, play prompts that crash engines before so many hosts, separated by commas");
+ABSL_FLAG(std::string, overload_policy, "arrival", "arrival or priority");
 ABSL_FLAG(std::string, html, "", "file to write plots to; empty: none");
 
 namespace lacewing::experiment {
@@ -139,6 +140,11 @@
         std::cerr << "unknown --load or --arm, or --seeds below 1\n";
         return BadArguments;
     }
+    const std::string policy = absl::GetFlag(FLAGS_overload_policy);
+    if (policy != "arrival" && policy != "priority") {
+        std::cerr << "--overload_policy: \"" << policy << "\" is neither arrival nor priority\n";
+        return BadArguments;
+    }
     std::vector<LoadResults> results;
     for (const std::string& text : absl::GetFlag(FLAGS_engines)) {
         const auto number = positiveNumber(text);
@@ -146,13 +152,19 @@
             std::cerr << "--engines: \"" << text << "\" is not a number above 0\n";
             return BadArguments;
         }
-        FleetShape shape = FleetShape::ofEngines(static_cast<int>(*number));
+        const bool isContention = pattern == LoadPattern::Contention;
+        FleetShape shape = isContention ? FleetShape::contended(static_cast<int>(*number))
+                                        : FleetShape::ofEngines(static_cast<int>(*number));
+        if (policy == "priority")
+            shape.overloadPolicy = gateway::OverloadPolicy::Priority;
         if (absl::GetFlag(FLAGS_hosts) > 0)
             shape.setHosts(absl::GetFlag(FLAGS_hosts));
         shape.requestsPerSecond *= absl::GetFlag(FLAGS_demand);
         for (const LoadPattern each : pattern ? std::vector<LoadPattern> { *pattern } : allLoadPatterns()) {
             results.push_back(playLoad(shape, each, arms));
             std::cout << markdownReport({ results.back() }) << std::flush;
+            if (isContention)
+                std::cout << outcomeReport(results.back().arms.front().second) << std::flush;
         }
     }
     const std::string html = absl::GetFlag(FLAGS_html);
--- a/src/experiment/load_pattern.cc
+++ b/src/experiment/load_pattern.cc
@@ -13,6 +13,8 @@
 constexpr double burstFactor = 1.8;
 constexpr double classBurstFactor = 3;
 constexpr double hotWorkspaceFactor = 6;
+constexpr double contentionBurstFactor = 2.4;
+constexpr double contentionWorkspaceFactor = 5;
 constexpr double waveSwing = 0.35;
 constexpr double wavesPerSecond = 0.15;
 constexpr int clumpSize = 3;
@@ -40,6 +42,7 @@
     { LoadPattern::SlowWeightStore, "slow-weight-store" },
     { LoadPattern::OwnersKilled, "owners-killed" },
     { LoadPattern::LimitedEngines, "limited-engines" },
+    { LoadPattern::Contention, "contention" },
 };
 
 bool isInPattern(Duration at)
@@ -88,6 +91,9 @@
             return usual * (1 + (classBurstFactor - 1) * m_shape.classes.back().share);
         case LoadPattern::HotWorkspace:
             return usual * (1 + (hotWorkspaceFactor - 1) / m_shape.workspaces);
+        case LoadPattern::Contention:
+            return usual * (1 + (contentionBurstFactor - 1) * m_shape.classes.back().share)
+                * (1 + (contentionWorkspaceFactor - 1) / m_shape.workspaces);
         default:
             return usual;
         }
@@ -109,11 +115,13 @@
 
     size_t drawClass(Duration at)
     {
-        const bool isBurst = m_pattern == LoadPattern::BurstOfOneClass && isInPattern(at);
+        const bool isContention = m_pattern == LoadPattern::Contention;
+        const bool isBurst = (m_pattern == LoadPattern::BurstOfOneClass || isContention) && isInPattern(at);
+        const double factor = isContention ? contentionBurstFactor : classBurstFactor;
         double total = 0;
         const auto weight = [&](size_t index) {
             const bool isLast = index + 1 == m_shape.classes.size();
-            return m_shape.classes[index].share * (isBurst && isLast ? classBurstFactor : 1);
+            return m_shape.classes[index].share * (isBurst && isLast ? factor : 1);
         };
         for (size_t index = 0; index < m_shape.classes.size(); ++index)
             total += weight(index);
@@ -128,8 +136,10 @@
 
     int drawWorkspace(Duration at)
     {
-        const bool isHot = m_pattern == LoadPattern::HotWorkspace && isInPattern(at);
-        const double hotShare = hotWorkspaceFactor / (m_shape.workspaces - 1 + hotWorkspaceFactor);
+        const bool isContention = m_pattern == LoadPattern::Contention;
+        const bool isHot = (m_pattern == LoadPattern::HotWorkspace || isContention) && isInPattern(at);
+        const double factor = isContention ? contentionWorkspaceFactor : hotWorkspaceFactor;
+        const double hotShare = factor / (m_shape.workspaces - 1 + factor);
         if (isHot)
             return m_random.chance(hotShare) ? 0 : 1 + below(m_shape.workspaces - 1);
         return below(m_shape.workspaces);
@@ -163,8 +173,10 @@
 {
     static const std::vector<LoadPattern> all = [] {
         std::vector<LoadPattern> patterns;
-        for (const NamedPattern& named : patternNames)
-            patterns.push_back(named.pattern);
+        for (const NamedPattern& named : patternNames) {
+            if (named.pattern != LoadPattern::Contention)
+                patterns.push_back(named.pattern);
+        }
         return patterns;
     }();
     return all;
--- a/src/experiment/load_pattern.h
+++ b/src/experiment/load_pattern.h
@@ -33,9 +33,13 @@
     OwnersKilled,
     /// A quarter of the engines states a limit of requests a second, changes it and drops it.
     LimitedEngines,
+    /// The last class sends 2.4 times its usual, one workspace five times, and a quarter of the engines is
+    /// lost.
+    Contention,
 };
 
-/// All patterns, in the order of the report.
+/// All patterns but Contention, which has a fleet of its own (FleetShape::contended()), in the order of the
+/// report.
 const std::vector<LoadPattern>& allLoadPatterns();
 /// @return the pattern's name in kebab-case.
 const char* toString(LoadPattern pattern);
--- a/src/experiment/worth_bound.cc
+++ b/src/experiment/worth_bound.cc
@@ -72,7 +72,7 @@
 std::vector<double> enginesUp(const FleetShape& shape, LoadPattern pattern)
 {
     std::vector<double> up(static_cast<size_t>(toSeconds(loadLength)), shape.engines);
-    if (pattern != LoadPattern::EngineCrashes)
+    if (pattern != LoadPattern::EngineCrashes && pattern != LoadPattern::Contention)
         return up;
     const int crashed = (shape.engines + failingPart - 1) / failingPart;
     const auto first = static_cast<size_t>(toSeconds(patternStart));
--- a/src/gateway/admission_search.h
+++ b/src/gateway/admission_search.h
@@ -44,11 +44,16 @@
         const Duration useful = std::min(patience, m_limit - startMargin);
         request.onTimeStart = m_arrival + m_targetLatency - startMargin;
         request.latestStart = isLast ? m_arrival + useful : request.onTimeStart;
+        request.returnsWithin = m_limit / largestPauseShare;
     }
 
     void denied(const RunDenial& denial)
     {
         m_isOverloaded = m_isOverloaded || denial.reason == RunRefusal::Overloaded;
+        if (denial.isPromised) {
+            m_retryAfter = denial.retryAfter;
+            return;
+        }
         if (denial.reason == RunRefusal::Overloaded || denial.reason == RunRefusal::UpstreamLimit)
             m_retryAfter = std::min(m_retryAfter.value_or(denial.retryAfter), denial.retryAfter);
     }
@@ -59,8 +64,8 @@
     /// Allows one more attempt, because an engine that admitted the request did not run it.
     void allowOneMore() { m_attempts = std::min(m_attempts, maximumAttempts - 1); }
 
-    /// @return the shortest retry delay that an overloaded owner suggested, but no less than
-    /// shortestRetryAfter; nothing if no owner was overloaded.
+    /// @return the retry delay that an owner has promised, else the shortest that an overloaded owner
+    /// suggested, but no less than shortestRetryAfter; nothing if no owner was overloaded.
     std::optional<Duration> retryAfter() const
     {
         return m_retryAfter ? std::make_optional(std::max(*m_retryAfter, shortestRetryAfter)) : std::nullopt;
@@ -73,6 +78,8 @@
     /// Multiple of the target latency after which a start is useless, since callers abandon a stream whose
     /// first event is that late.
     static constexpr double latestStartFactor = 2.2;
+    /// Callers come back only after at most one part in so many of the time that they have left.
+    static constexpr int largestPauseShare = 3;
     static constexpr Duration shortestRetryAfter = std::chrono::milliseconds(100);
 
     MonotonicTime m_arrival;
--- a/src/gateway/admission_search_test.cc
+++ b/src/gateway/admission_search_test.cc
@@ -36,6 +36,15 @@
     BOOST_TEST((request.latestStart == MonotonicTime() + 960ms));
 }
 
+// Guards against a caller that returns at another time than the one for which an owner expects it.
+BOOST_AUTO_TEST_CASE(PrefersThePromisedRetryDelay)
+{
+    AdmissionSearch search(MonotonicTime(), 1s, 6s);
+    search.denied({ {}, RunRefusal::Overloaded, 400ms, 0ms });
+    search.denied({ {}, RunRefusal::Overloaded, 900ms, 0ms, true });
+    BOOST_TEST((search.retryAfter() == 900ms));
+}
+
 // Guards against a retry delay that is longer than the shortest one suggested, or zero.
 BOOST_AUTO_TEST_CASE(SuggestsTheShortestRetryDelay)
 {
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -1,6 +1,7 @@
 #include "gateway/engine_scheduler.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace lacewing::gateway {
 
@@ -16,22 +17,19 @@
 constexpr Duration modelReportInterval = std::chrono::milliseconds(250);
 /// Consecutive unanswered calls after which the engine counts as unreachable.
 constexpr int unreachableAfter = 4;
-/// Share of the engine's KV cache that running requests may claim.
-constexpr double cacheShare = 0.92;
-/// Share of its output token limit that a request is expected to generate.
-constexpr double expectedOutputShare = 0.5;
 /// Ratio of the actual to the currently estimated prefill wait, since more urgent requests that arrive later
 /// overtake.
 constexpr double overtakingFactor = 1.6;
 /// Interval at which waiting requests are re-evaluated.
 constexpr Duration waitingPollInterval = std::chrono::milliseconds(25);
 constexpr double turnoverWeight = 0.1;
-/// Each priority level below the most urgent counts as an on-time start later by this much.
-constexpr Duration priorityStep = std::chrono::milliseconds(100);
-
-constexpr int firstUrgency = 2;
-constexpr int lastOnTimeUrgency = 6;
-constexpr int lateUrgency = 8;
+/// Reading time of granted prompts beyond which requests of the same or a later level wait here, where they
+/// can still be denied. Keeps the engine busy while a first event and the next grant are on their way.
+constexpr Duration grantAhead = std::chrono::milliseconds(250);
+/// A prompt counts as read after this multiple of its expected reading time and this margin, for the steps
+/// until its first event.
+constexpr int longestReadingFactor = 2;
+constexpr Duration readingMargin = std::chrono::milliseconds(100);
 
 /// Orders until an adapter that is being loaded can be used: to learn that it is loaded.
 constexpr size_t ordersWhileLoading = 1;
@@ -47,23 +45,6 @@
 
 } // namespace
 
-const char* toString(RunRefusal reason)
-{
-    switch (reason) {
-    case RunRefusal::Overloaded:
-        return "overloaded";
-    case RunRefusal::NotOwner:
-        return "not_owner";
-    case RunRefusal::EngineLeaving:
-        return "engine_leaving";
-    case RunRefusal::EngineUnusable:
-        return "engine_unusable";
-    case RunRefusal::UpstreamLimit:
-        return "upstream_limit";
-    }
-    return "unknown";
-}
-
 EngineScheduler::EngineScheduler(UpstreamId engine, EngineLimits limits, FetchLimiter& fetchLimiter)
     : m_engine(std::move(engine))
     , m_limits(limits)
@@ -90,14 +71,21 @@
 {
     m_popularity.count(request.adapter, now);
     if (!isUsable()) {
-        m_denials.push_back(
-            { request.key, RunRefusal::EngineUnusable, shortestRetryAfter, Duration::zero() });
+        m_denials.push_back({ request.key, RunRefusal::EngineUnusable, shortestRetryAfter, Duration::zero(),
+            false, request.priority });
+        return;
+    }
+    if (isPlanned()) {
+        m_planner.arrived(request, now);
+        m_waiting.push_back(std::move(request));
+        planQueue(true, now);
         return;
     }
     const Duration wait = estimateStart(request, now);
     if (now + wait > request.latestStart) {
         m_denials.push_back({ request.key, RunRefusal::Overloaded,
-            std::clamp(wait - (request.onTimeStart - now), shortestRetryAfter, longestRetryAfter), wait });
+            std::clamp(wait - (request.onTimeStart - now), shortestRetryAfter, longestRetryAfter), wait,
+            false, request.priority });
         return;
     }
     m_waiting.push_back(std::move(request));
@@ -134,19 +122,17 @@
 void EngineScheduler::denyAll(RunRefusal reason)
 {
     for (const RunRequest& request : std::exchange(m_waiting, {}))
-        m_denials.push_back({ request.key, reason, shortestRetryAfter, Duration::zero() });
+        m_denials.push_back(
+            { request.key, reason, shortestRetryAfter, Duration::zero(), false, request.priority });
 }
 
 void EngineScheduler::runProgressed(const RunKey& key, MonotonicTime now)
 {
-    const auto found = m_runs.find(key);
-    if (found == m_runs.end() || found->second.hasProgressed)
+    const GrantedRuns::Run* run = m_runs.progressed(key);
+    if (!run)
         return;
-    Run& run = found->second;
-    run.hasProgressed = true;
-    m_backlog -= run.uncachedTokens;
-    m_prefixCache.promptProcessed(run.request.adapter, run.request.parts);
-    m_prefillRate.promptProcessed(run.uncachedTokens, now);
+    m_prefixCache.promptProcessed(run->request.adapter, run->request.parts);
+    m_prefillRate.promptProcessed(run->uncachedTokens, now);
 }
 
 void EngineScheduler::runEnded(const RunKey& key, RunEnding ending, MonotonicTime now)
@@ -154,23 +140,19 @@
     m_waiting.erase(std::remove_if(m_waiting.begin(), m_waiting.end(),
                         [&key](const RunRequest& waiting) { return waiting.key == key; }),
         m_waiting.end());
-    const auto found = m_runs.find(key);
-    if (found == m_runs.end())
+    const auto run = m_runs.remove(key);
+    if (!run)
         return;
-    const Run run = std::move(found->second);
-    m_runs.erase(found);
-    if (!run.hasProgressed)
-        m_backlog -= run.uncachedTokens;
-    m_cacheInUse -= cacheDemand(run.request);
-    if (m_slots.removeUser(run.request.adapter)) {
+    m_planner.runEnded(now - run->grantedAt);
+    if (m_slots.removeUser(run->request.adapter)) {
         const Duration since = std::min<Duration>(now - m_lastIdle, std::chrono::seconds(1));
         m_slotTurnover += std::chrono::duration_cast<Duration>(turnoverWeight * (since - m_slotTurnover));
         m_lastIdle = now;
     }
-    if (run.hasProgressed)
-        m_prefillPacer.streamEnded(ending.longestPause, run.request.targetPause);
+    if (run->hasProgressed)
+        m_prefillPacer.streamEnded(ending.longestPause, run->request.targetPause);
     if (ending.outcome == RunOutcome::AdapterMissing)
-        m_slots.markMissing(run.request.adapter, now);
+        m_slots.markMissing(run->request.adapter, now);
 }
 
 void EngineScheduler::hostLost(const HostId& host, MonotonicTime now)
@@ -178,12 +160,7 @@
     m_waiting.erase(std::remove_if(m_waiting.begin(), m_waiting.end(),
                         [&host](const RunRequest& waiting) { return waiting.key.host == host; }),
         m_waiting.end());
-    std::vector<RunKey> lost;
-    for (const auto& [key, run] : m_runs) {
-        if (key.host == host)
-            lost.push_back(key);
-    }
-    for (const RunKey& key : lost)
+    for (const RunKey& key : m_runs.ofHost(host))
         runEnded(key, RunEnding(), now);
 }
 
@@ -252,12 +229,16 @@
 
 SchedulerDecisions EngineScheduler::decide(MonotonicTime now)
 {
+    if (isPlanned())
+        planQueue(false, now);
+    else
+        RunQueuePlanner::sortByStart(m_waiting, now);
     SchedulerDecisions decisions;
     decisions.denials = std::exchange(m_denials, {});
     grantRuns(decisions, now);
     denyHopeless(decisions, now);
     planOrder(decisions, now);
-    m_fetchLimiter.setDemand(this, fetchDemand());
+    m_fetchLimiter.setDemand(this, fetchDemand(now));
     if (!m_sequence && !m_isReportPending && !m_order && !m_isLeaving) {
         const Duration wait
             = std::max<Duration>({ m_nextReport - now, m_pacer.waitFor(0, now), restLeft(now) });
@@ -274,34 +255,54 @@
     return decisions;
 }
 
+void EngineScheduler::planQueue(bool newcomer, MonotonicTime now)
+{
+    const RunQueuePlanner::Engine engine { m_runs.state(m_limits, m_prefillRate.tokensPerMillisecond(),
+                                               m_planner.runTime(), now),
+        [this](const RunRequest& request) { return uncachedTokens(request); },
+        [this, now](const RunRequest& request) { return readyAt(request, now); } };
+    m_planner.plan(m_waiting, newcomer, engine, now, m_denials);
+}
+
+MonotonicTime EngineScheduler::readyAt(const RunRequest& request, MonotonicTime now) const
+{
+    if (!needsSlot(request.adapter) || isServable(request.adapter))
+        return now;
+    if (const auto loadEnd = m_slots.expectedLoadEnd(request.adapter))
+        return std::max(now, *loadEnd);
+    // The wait for a slot is estimated only on arrival: later it would count the request's own adapter.
+    if (request.arrival == now)
+        return now + expectedLoadWait(request, now);
+    return now + m_slots.loadTime(request.adapter);
+}
+
 void EngineScheduler::grantRuns(SchedulerDecisions& decisions, MonotonicTime now)
 {
-    const auto rank = [now](const RunRequest& request) {
-        const bool isLate = now > request.onTimeStart;
-        return std::make_pair(isLate, request.onTimeStart + request.priority * priorityStep);
-    };
-    std::stable_sort(m_waiting.begin(), m_waiting.end(),
-        [&rank](const RunRequest& a, const RunRequest& b) { return rank(a) < rank(b); });
     std::vector<RunRequest> remaining;
+    // A request that lacks only room isn't overtaken, so that short prompts do not starve a long one.
+    bool isBlocked = false;
     // Once a prompt is held back by pacing, shorter prompts behind it must not overtake it.
     bool isPaced = false;
     for (RunRequest& request : m_waiting) {
-        const bool isIdle = m_backlog == Tokens(0);
-        const bool canRun = isServable(request.adapter) && hasCapacityFor(request);
+        const bool isIdle = m_runs.backlog() == Tokens(0);
+        const bool isReady = isServable(request.adapter);
+        const bool hasRoom = m_runs.hasCapacityFor(request, m_limits);
+        const int level
+            = isPlanned() ? RunQueuePlanner::level(request, now) : RunQueuePlanner::plainLevel(request, now);
+        const bool isBusy = m_prefillRate.timeFor(m_runs.backlogBefore(level, now)) >= grantAhead;
+        isBlocked = isBlocked || (isPlanned() && isReady && (!hasRoom || isBusy));
+        const bool canRun = isReady && !isBlocked && hasRoom;
         isPaced = isPaced
             || (canRun
                 && !m_prefillPacer.admits(
-                    uncachedTokens(request), isIdle, shortestTargetPause(), m_prefillRate, now));
+                    uncachedTokens(request), isIdle, m_runs.shortestTargetPause(), m_prefillRate, now));
         const bool isWithinLimit = m_pacer.waitFor(0, now) == Duration::zero();
         if (!canRun || isPaced || !isWithinLimit) {
             remaining.push_back(std::move(request));
             continue;
         }
-        RunGrant grant { request.key, 0, std::nullopt };
-        grant.urgency = now > request.onTimeStart
-            ? lateUrgency
-            : std::clamp(firstUrgency + request.priority, firstUrgency, lastOnTimeUrgency);
-        grant.version = m_slots.release(request.adapter);
+        decisions.grants.push_back({ request.key, RunQueuePlanner::urgency(level),
+            m_slots.release(request.adapter), request.isReturn });
         if (needsSlot(request.adapter))
             m_slots.addUser(request.adapter);
         const Tokens prompt = uncachedTokens(request);
@@ -312,11 +313,10 @@
         m_lastGrant = now;
         if (m_deferredLoad && m_deferredLoad->adapter == request.adapter)
             m_deferredLoad.reset();
-        m_backlog += prompt;
-        m_cacheInUse += cacheDemand(request);
-        decisions.grants.push_back(grant);
-        const RunKey key = request.key;
-        m_runs.insert_or_assign(key, Run { std::move(request), prompt, false });
+        const Duration reading
+            = m_prefillRate.timeFor(m_runs.backlogBefore(overload::OverloadQueue::lateLevel, now) + prompt);
+        m_runs.add(
+            { std::move(request), prompt, now, level, now + longestReadingFactor * reading + readingMargin });
     }
     m_waiting = std::move(remaining);
 }
@@ -351,7 +351,7 @@
         const Duration slack = std::max<Duration>(request.onTimeStart - now, Duration::zero());
         decisions.denials.push_back(
             { request.key, isLimited ? RunRefusal::UpstreamLimit : RunRefusal::Overloaded,
-                std::max<Duration>(wait - slack, shortestRetryAfter), wait });
+                std::max<Duration>(wait - slack, shortestRetryAfter), wait, false, request.priority });
     }
     m_waiting = std::move(remaining);
 }
@@ -408,16 +408,17 @@
     for (const RunRequest& request : m_waiting)
         demand[request.adapter] += now <= request.onTimeStart ? 1 : 0;
     std::optional<AdapterRef> best;
-    int most = -1;
+    std::pair<int, int> most { std::numeric_limits<int>::min(), -1 };
     for (const RunRequest& request : m_waiting) {
         const bool isWanted = needsSlot(request.adapter) && !m_slots.has(request.adapter)
             && m_models.count(request.adapter.model) > 0;
-        if (!isWanted || demand[request.adapter] <= most)
+        const std::pair<int, int> preference { -loadLevel(request, now), demand[request.adapter] };
+        if (!isWanted || preference <= most)
             continue;
         if (!m_slots.hasCachedCopy(request.adapter) && !m_fetchLimiter.mayStart())
             continue;
         best = request.adapter;
-        most = demand[request.adapter];
+        most = preference;
     }
     const bool isDeferredWanted = !best && m_deferredLoad && !m_slots.has(m_deferredLoad->adapter)
         && m_models.count(m_deferredLoad->adapter.model) > 0;
@@ -426,6 +427,11 @@
     return best;
 }
 
+int EngineScheduler::loadLevel(const RunRequest& request, MonotonicTime now) const
+{
+    return isPlanned() ? RunQueuePlanner::loadLevel(request, now) : 0;
+}
+
 // A restarted engine holds no model. The model with the highest demand on this engine is loaded.
 std::optional<PlannedOrder> EngineScheduler::chooseModel() const
 {
@@ -452,7 +458,12 @@
         return std::nullopt;
     if (m_slots.hasFreeSlot())
         return m_slots.load(*adapter, now);
-    return m_slots.evictLeastPopular(awaitedAdapters(), m_popularity, now);
+    int level = std::numeric_limits<int>::max();
+    for (const RunRequest& request : m_waiting) {
+        if (request.adapter == *adapter)
+            level = std::min(level, loadLevel(request, now));
+    }
+    return m_slots.evictLeastPopular(awaitedAdapters(now, level), m_popularity, now);
 }
 
 bool EngineScheduler::isServable(const AdapterRef& adapter) const
@@ -466,36 +477,9 @@
     return std::max(Tokens(1), request.prompt - m_prefixCache.cachedTokens(request.adapter, request.parts));
 }
 
-Tokens EngineScheduler::cacheDemand(const RunRequest& request) const
-{
-    const double output = expectedOutputShare * static_cast<double>(request.output.value());
-    return request.prompt + Tokens(static_cast<int64_t>(output));
-}
-
-bool EngineScheduler::hasCapacityFor(const RunRequest& request) const
-{
-    if (m_runs.empty())
-        return true;
-    const double available = cacheShare * static_cast<double>(m_limits.cacheTokens.value());
-    const bool fitsCache = m_limits.cacheTokens == Tokens(0)
-        || static_cast<double>((m_cacheInUse + cacheDemand(request)).value()) <= available;
-    return fitsCache && static_cast<int>(m_runs.size()) < m_limits.batchSlots;
-}
-
-Duration EngineScheduler::shortestTargetPause() const
-{
-    Duration shortest {};
-    for (const auto& [key, run] : m_runs) {
-        const Duration target = run.request.targetPause;
-        if (target > Duration::zero() && (shortest == Duration::zero() || target < shortest))
-            shortest = target;
-    }
-    return shortest;
-}
-
 Tokens EngineScheduler::queuedPrompts() const
 {
-    Tokens queued = m_backlog;
+    Tokens queued = m_runs.backlog();
     for (const RunRequest& request : m_waiting)
         queued += uncachedTokens(request);
     return queued;
@@ -509,22 +493,29 @@
         return std::chrono::duration_cast<Duration>(overtakingFactor * reading);
     if (const auto expectedLoadEnd = m_slots.expectedLoadEnd(request.adapter))
         return std::max<Duration>(*expectedLoadEnd - now, Duration::zero()) + reading;
-    std::set<AdapterRef> ahead = awaitedAdapters();
+    return expectedLoadWait(request, now) + reading;
+}
+
+Duration EngineScheduler::expectedLoadWait(const RunRequest& request, MonotonicTime now) const
+{
+    const AdapterRef& wanted = request.adapter;
+    std::set<AdapterRef> ahead = awaitedAdapters(now, loadLevel(request, now));
     int needed = 1 - m_slots.openCount(ahead);
-    ahead.erase(request.adapter);
+    ahead.erase(wanted);
     for (const AdapterRef& adapter : ahead)
         needed += m_slots.has(adapter) ? 0 : 1;
     const Duration fetchWait
-        = m_slots.hasCachedCopy(request.adapter) ? Duration::zero() : m_fetchLimiter.expectedWait();
-    const Duration load = m_slots.loadTime(request.adapter) + fetchWait;
-    return load + reading + std::max(0, needed) * m_slotTurnover;
+        = m_slots.hasCachedCopy(wanted) ? Duration::zero() : m_fetchLimiter.expectedWait();
+    return m_slots.loadTime(wanted) + fetchWait + std::max(0, needed) * m_slotTurnover;
 }
 
-std::set<AdapterRef> EngineScheduler::awaitedAdapters() const
+std::set<AdapterRef> EngineScheduler::awaitedAdapters(MonotonicTime now, int level) const
 {
     std::set<AdapterRef> awaited;
-    for (const RunRequest& request : m_waiting)
-        awaited.insert(request.adapter);
+    for (const RunRequest& request : m_waiting) {
+        if (loadLevel(request, now) <= level)
+            awaited.insert(request.adapter);
+    }
     if (m_deferredLoad)
         awaited.insert(m_deferredLoad->adapter);
     return awaited;
@@ -538,10 +529,10 @@
     return keys;
 }
 
-int EngineScheduler::fetchDemand() const
+int EngineScheduler::fetchDemand(MonotonicTime now) const
 {
     int wanted = 0;
-    for (const AdapterRef& adapter : awaitedAdapters())
+    for (const AdapterRef& adapter : awaitedAdapters(now))
         wanted += needsSlot(adapter) && !m_slots.has(adapter) && !m_slots.hasCachedCopy(adapter) ? 1 : 0;
     return wanted;
 }
@@ -556,7 +547,7 @@
     summary.promptTokensPerMillisecond = m_prefillRate.tokensPerMillisecond();
     summary.running = static_cast<int>(m_runs.size());
     summary.waiting = static_cast<int>(m_waiting.size());
-    summary.openSlots = m_slots.openCount(awaitedAdapters());
+    summary.openSlots = m_slots.openCount(awaitedAdapters(now));
     summary.fetchWait = m_fetchLimiter.expectedWait();
     summary.limitWait = m_pacer.waitFor(m_waiting.size(), now);
     // Hosts send an unused engine requests as if it had no limit, since only a response shows that it has
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "gateway/engine_adapter_slots.h"
+#include "gateway/granted_runs.h"
+#include "gateway/overload_policy.h"
 #include "gateway/prefill_pacer.h"
 #include "gateway/prefix_cache_model.h"
 #include "gateway/request_pacer.h"
+#include "gateway/run_queue_planner.h"
 #include "gateway/run_request.h"
 #include "gateway/serving_configuration.h"
 #include "gateway/upstream_entry.h"
@@ -47,6 +50,7 @@
     const UpstreamId& engine() const { return m_engine; }
 
     void setLimits(const EngineLimits& limits);
+    void setOverloadPolicy(OverloadPolicy policy) { m_policy = policy; }
     /// Sets the rate at which runs may be granted; nothing if the engine states no limit.
     void setRequestRate(std::optional<RequestRate> rate, MonotonicTime now) { m_pacer.setRate(rate, now); }
     /// Sets the minimum version of an adapter that operators have released; requests start only on versions
@@ -80,30 +84,29 @@
     std::vector<RunKey> waitingRuns() const;
 
 private:
-    struct Run {
-        RunRequest request;
-        /// Prompt tokens that were not in the prefix cache when the run was granted.
-        Tokens uncachedTokens;
-        bool hasProgressed = false;
-    };
-
     bool isUsable() const;
     bool needsSlot(const AdapterRef& adapter) const { return !adapter.adapter.empty(); }
     bool isServable(const AdapterRef& adapter) const;
-    bool hasCapacityFor(const RunRequest& request) const;
-    /// @return the shortest target pause of the running streams, or zero if none has a target.
-    Duration shortestTargetPause() const;
     /// @return prompt tokens that the engine's prefix cache does not hold.
     Tokens uncachedTokens(const RunRequest& request) const;
-    Tokens cacheDemand(const RunRequest& request) const;
     /// @return uncached prompt tokens that wait here or are being prefilled by the engine.
     Tokens queuedPrompts() const;
     /// @return time until the engine may get orders; zero if it isn't resting.
     Duration restLeft(MonotonicTime now) const;
     Duration estimateStart(const RunRequest& request, MonotonicTime now) const;
+    /// @return time until the adapter of a request is loaded, if no load of it has begun.
+    Duration expectedLoadWait(const RunRequest& request, MonotonicTime now) const;
+    bool isPlanned() const { return m_policy == OverloadPolicy::Priority; }
+    MonotonicTime readyAt(const RunRequest& request, MonotonicTime now) const;
+    /// Orders the waiting requests and denies those that can't start in time.
+    void planQueue(bool newcomer, MonotonicTime now);
     std::optional<AdapterRef> nextLoad(MonotonicTime now) const;
-    std::set<AdapterRef> awaitedAdapters() const;
-    int fetchDemand() const;
+    /// @return the adapters that requests up to a level of loadLevel() wait for.
+    std::set<AdapterRef> awaitedAdapters(
+        MonotonicTime now, int level = std::numeric_limits<int>::max()) const;
+    /// @return the priority with which a request's adapter is loaded; 0 for all with OverloadPolicy::Arrival.
+    int loadLevel(const RunRequest& request, MonotonicTime now) const;
+    int fetchDemand(MonotonicTime now) const;
 
     /// Keeps an adapter for loading although the limit permits no start in time for the request that named
     /// it.
@@ -128,9 +131,11 @@
     FetchLimiter& m_fetchLimiter;
     std::set<ModelId> m_models;
     EngineAdapterSlots m_slots;
-    std::map<RunKey, Run> m_runs;
+    GrantedRuns m_runs;
     std::vector<RunRequest> m_waiting;
     std::vector<RunDenial> m_denials;
+    OverloadPolicy m_policy = OverloadPolicy::Arrival;
+    RunQueuePlanner m_planner;
     AdapterPopularity m_popularity;
     PrefillRate m_prefillRate;
     PrefillPacer m_prefillPacer;
@@ -147,9 +152,6 @@
     /// Moving average of the time between two slots becoming idle.
     Duration m_slotTurnover = std::chrono::milliseconds(150);
     MonotonicTime m_lastIdle;
-    /// Uncached prompt tokens of granted runs whose prefill has not finished.
-    Tokens m_backlog;
-    Tokens m_cacheInUse;
     std::optional<int64_t> m_sequence;
     /// Reports with a lower sequence are outdated and ignored until m_staleReportLimit.
     int64_t m_minimumSequence = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -120,8 +120,8 @@
     , m_operatorRows(loop, m_configuration, m_random,
           [this](const HostId& peer, const PeerMessage& message) { m_mesh.send(peer, message); })
     , m_owners(loop, platform.engines, m_upstreams, m_configuration, m_settings.host,
-          { [this](const RunGrant& grant) { m_broker.answered(grant.key, grant); },
-              [this](const RunDenial& denial) { m_broker.answered(denial.key, denial); },
+          { [this](const RunGrant& grant) { runGranted(grant); },
+              [this](const RunDenial& denial) { runDenied(denial); },
               [this](const UpstreamId& engine) { m_fleet.stepDown(engine); }, [this] { return mayOrder(); },
               [this](const UpstreamId& engine, const char* kind) { engineRequestSent(engine, kind); },
               [this](const UpstreamId& engine) { return requestRate(engine); } })
@@ -179,6 +179,7 @@
           loop, [] { return memberInterval; }, [this] { updateMembers(); })
 {
     m_broker.connect(m_owners, m_mesh);
+    m_owners.setOverloadPolicy(m_settings.overloadPolicy);
     platform.engines.setAvailabilityObserver(
         [this](const AvailabilityObservation& observation, const char* kind) {
             m_availability.observed(observation, kind);
@@ -456,6 +457,23 @@
     return (static_cast<double>(inTouch) + 1) / (static_cast<double>(others) + 1);
 }
 
+void Gateway::runGranted(const RunGrant& grant)
+{
+    if (grant.isReturn)
+        ++m_metrics.counter("lacewing_returns_total", { { "outcome", "started" } });
+    m_broker.answered(grant.key, grant);
+}
+
+void Gateway::runDenied(const RunDenial& denial)
+{
+    if (denial.isDisplaced)
+        ++m_metrics.counter(
+            "lacewing_displaced_requests_total", { { "priority", std::to_string(*denial.priority) } });
+    if (denial.isReturn)
+        ++m_metrics.counter("lacewing_returns_total", { { "outcome", "refused_again" } });
+    m_broker.answered(denial.key, denial);
+}
+
 std::optional<RequestRate> Gateway::requestRate(const UpstreamId& upstream) const
 {
     const auto limit = m_limits.rate(upstream);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -67,6 +67,8 @@
     /// @return the hosts that may decide on the use of upstreams with a limit.
     std::set<HostId> permitDeciders() const;
     /// @return the rate at which this host may grant requests to an upstream; nothing without a limit.
+    void runGranted(const RunGrant& grant);
+    void runDenied(const RunDenial& denial);
     std::optional<RequestRate> requestRate(const UpstreamId& upstream) const;
     /// @return the part of the live hosts that is in touch, this one included.
     double shareInTouch() const;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -103,6 +103,16 @@
     };
 }
 
+FieldReader overloadPolicyField(OverloadPolicy& target)
+{
+    return [&target](const std::string& text) -> std::optional<FieldError> {
+        if (text != "priority" && text != "arrival")
+            return FieldError { "\"" + text + "\" is not a policy", "priority or arrival" };
+        target = text == "priority" ? OverloadPolicy::Priority : OverloadPolicy::Arrival;
+        return std::nullopt;
+    };
+}
+
 struct Field {
     FieldReader read;
     bool isRequired = true;
@@ -132,6 +142,7 @@
         { "retryWindowSeconds", { durationField(settings.retries.window, second), false } },
         { "directoryLifetimeSeconds", { durationField(settings.directoryLifetime, second), false } },
         { "memoryMegabytes", { memoryField(settings.memoryBytes), false } },
+        { "overloadPolicy", { overloadPolicyField(settings.overloadPolicy), false } },
         { "firstStart", { flagField(settings.isFirstStart), false } },
     };
 }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "gateway/overload_policy.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/workspace_rate_limiter.h"
 #include "transport/http_message.h"
@@ -44,6 +45,7 @@
     Duration directoryLifetime = std::chrono::seconds(1);
     /// Memory that the process may take, in bytes.
     size_t memoryBytes = 256 * bytesPerMegabyte;
+    OverloadPolicy overloadPolicy = OverloadPolicy::Arrival;
     /// Whether the fleet starts for the first time, so that there is no earlier usage.
     bool isFirstStart = false;
 
--- a/src/gateway/gateway_settings_test.cc
+++ b/src/gateway/gateway_settings_test.cc
@@ -65,6 +65,17 @@
     BOOST_TEST(settings->messageMemory() < settings->memoryBytes / 2);
 }
 
+// Guards against a policy that changes for operators who have not set it.
+BOOST_AUTO_TEST_CASE(TheOverloadPolicyIsByArrivalUnlessSet)
+{
+    GatewaySettingsReader reader;
+    const SettingsFile unset(valid);
+    BOOST_TEST((reader.read(unset.path())->overloadPolicy == OverloadPolicy::Arrival));
+    const SettingsFile set(valid + "overloadPolicy: priority\n");
+    BOOST_TEST((reader.read(set.path())->overloadPolicy == OverloadPolicy::Priority));
+    BOOST_TEST(errorOf(valid + "overloadPolicy: fair\n").find("priority or arrival") != std::string::npos);
+}
+
 // Guards against error messages that do not show the operator which line and field to correct.
 BOOST_AUTO_TEST_CASE(ErrorsNameFileLineAndField)
 {
--- a/src/gateway/owned_engines.cc
+++ b/src/gateway/owned_engines.cc
@@ -58,6 +58,7 @@
         return;
     owned.startedAt = entry->startedAt;
     owned.scheduler = std::make_unique<EngineScheduler>(engine, *limits, m_fetchLimiter);
+    owned.scheduler->setOverloadPolicy(m_overloadPolicy);
     for (const auto& [adapter, version] : m_configuration.releases())
         owned.scheduler->setRelease(adapter, version);
     owned.scheduler->setRequestRate(m_handlers.requestRate(engine), m_scheduler.now());
@@ -235,6 +236,8 @@
     for (const RunDenial& denial : decisions.denials) {
         LogEvent(LogLevel::Info, "run_denied")
             .with("engine", engine)
+            .with("priority", denial.priority ? std::to_string(*denial.priority) : "")
+            .with("displaced", denial.isDisplaced)
             .with("asker", denial.key.host)
             .with("run", denial.key.run)
             .with("reason", toString(denial.reason))
--- a/src/gateway/owned_engines.h
+++ b/src/gateway/owned_engines.h
@@ -34,6 +34,9 @@
         const ConfigurationTracker& configuration, HostId self, Handlers handlers);
     ~OwnedEngines();
 
+    /// Sets the policy of the schedulers that start after this.
+    void setOverloadPolicy(OverloadPolicy policy) { m_overloadPolicy = policy; }
+
     void claimed(const UpstreamId& engine, FencingNumber fencingNumber);
     /// Orders get another fencing number from now on; what waits and runs stays.
     void renumbered(const UpstreamId& engine, FencingNumber fencingNumber);
@@ -90,6 +93,7 @@
     const ConfigurationTracker& m_configuration;
     HostId m_self;
     Handlers m_handlers;
+    OverloadPolicy m_overloadPolicy = OverloadPolicy::Arrival;
     FetchLimiter m_fetchLimiter;
     std::map<UpstreamId, OwnedEngine> m_engines;
     uint64_t m_nextGeneration = 1;
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -423,6 +423,8 @@
     }
     json.push_back(std::move(parts));
     json.push_back(encode(message.limit));
+    json.push_back(message.workspace.value());
+    json.push_back(microseconds(message.returnsWithin));
     return json;
 }
 
@@ -443,6 +445,10 @@
         message.parts.push_back(
             { parts.at(index).get<uint64_t>(), Tokens(parts.at(index + 1).get<int64_t>()) });
     message.limit = decodeOptionalLimit(json, 12);
+    if (json.size() > 14) {
+        message.workspace = WorkspaceId(json.at(13).get<std::string>());
+        message.returnsWithin = duration(json.at(14));
+    }
     return message;
 }
 
@@ -469,6 +475,7 @@
     json.push_back(message.run.value());
     json.push_back(static_cast<int>(message.reason));
     json.push_back(microseconds(message.retryAfter));
+    json.push_back(message.isPromised);
     return json;
 }
 
@@ -516,7 +523,8 @@
         return decodeRunGrant(json);
     case FrameType::RunDenial:
         return PeerRunDenial { RunId(json.at(1).get<int64_t>()),
-            enumerator(json.at(2), RunRefusal::UpstreamLimit), duration(json.at(3)) };
+            enumerator(json.at(2), RunRefusal::UpstreamLimit), duration(json.at(3)),
+            json.size() > 4 && json.at(4).get<bool>() };
     case FrameType::RunProgress:
         return PeerRunProgress { UpstreamId(json.at(1).get<std::string>()),
             RunId(json.at(2).get<int64_t>()) };
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -97,6 +97,8 @@
     Duration targetPause {};
     /// What the sender knows of the engine's limit, which the owner may have missed.
     std::optional<UpstreamLimit> limit;
+    WorkspaceId workspace = {};
+    Duration returnsWithin {};
 };
 
 struct PeerRunGrant {
@@ -109,6 +111,7 @@
     RunId run;
     RunRefusal reason = RunRefusal::Overloaded;
     Duration retryAfter {};
+    bool isPromised = false;
 };
 
 /// The first event of a run has arrived.
--- a/src/gateway/peer_message_test.cc
+++ b/src/gateway/peer_message_test.cc
@@ -69,8 +69,9 @@
         PeerUpstreamRows { { { { "", "s-1" }, "\xff{}", RowVersion(4), false },
             { { "", "s-2" }, "", RowVersion(5), true } } },
         PeerRunRequest { UpstreamId("engine-1"), RunId(5), adapter, Tokens(10),
-            { { ~0ULL, Tokens(7) }, { 8, Tokens(3) } }, Tokens(20), 1, 700ms, 1500ms, 400ms, limit() },
-        PeerRunGrant { RunId(5), 3, 8 }, PeerRunDenial { RunId(5), RunRefusal::EngineUnusable, 200ms },
+            { { ~0ULL, Tokens(7) }, { 8, Tokens(3) } }, Tokens(20), 1, 700ms, 1500ms, 400ms, limit(),
+            WorkspaceId("busy"), 2s },
+        PeerRunGrant { RunId(5), 3, 8 }, PeerRunDenial { RunId(5), RunRefusal::EngineUnusable, 200ms, true },
         PeerRunProgress { UpstreamId("engine-1"), RunId(5) },
         PeerRunEnd { UpstreamId("engine-1"), RunId(5), { RunOutcome::AdapterMissing, 30ms } },
         PeerUsage { Incarnation(77), { { WorkspaceId("busy"), 900, 300 } } }, PeerUpstreamLimit { limit() },
@@ -88,6 +89,26 @@
 
 BOOST_AUTO_TEST_SUITE(PeerMessageTest)
 
+// Guards against rejecting the messages of peers that run the release before workspaces and promised returns.
+BOOST_AUTO_TEST_CASE(RunMessagesOfThePreviousReleaseAreRead)
+{
+    auto request = *fromCbor(encodePeerMessage(PeerRunRequest { UpstreamId("engine-1"), RunId(5), {},
+        Tokens(10), {}, Tokens(20), 1, 700ms, 1500ms, 0ms, std::nullopt, WorkspaceId("busy"), 2s }));
+    request.erase(14);
+    request.erase(13);
+    const auto oldRequest = decodePeerMessage(toCbor(request));
+    BOOST_REQUIRE(oldRequest.has_value());
+    BOOST_TEST(std::get<PeerRunRequest>(*oldRequest).priority == 1);
+    BOOST_TEST(std::get<PeerRunRequest>(*oldRequest).workspace.empty());
+    auto denial
+        = *fromCbor(encodePeerMessage(PeerRunDenial { RunId(5), RunRefusal::Overloaded, 200ms, true }));
+    denial.erase(4);
+    const auto oldDenial = decodePeerMessage(toCbor(denial));
+    BOOST_REQUIRE(oldDenial.has_value());
+    BOOST_TEST(!std::get<PeerRunDenial>(*oldDenial).isPromised);
+    BOOST_TEST((std::get<PeerRunDenial>(*oldDenial).retryAfter == 200ms));
+}
+
 // Guards against fields that are lost or swapped by encoding and decoding.
 BOOST_AUTO_TEST_CASE(EachMessageRoundTrips)
 {
--- a/src/gateway/run_broker.cc
+++ b/src/gateway/run_broker.cc
@@ -27,7 +27,7 @@
     const MonotonicTime now = m_scheduler.now();
     const PeerRunRequest message { engine, run, request.adapter, request.prompt, request.parts,
         request.output, request.priority, request.onTimeStart - now, request.latestStart - now,
-        request.targetPause, m_limits.known(engine) };
+        request.targetPause, m_limits.known(engine), request.workspace, request.returnsWithin };
     if (!m_mesh->send(owner, message))
         answered(request.key, RunDenial { request.key, RunRefusal::NotOwner });
     return run;
@@ -44,7 +44,8 @@
     if (const auto* grant = std::get_if<RunGrant>(&answer))
         m_mesh->send(key.host, PeerRunGrant { key.run, grant->urgency, grant->version });
     else if (const auto* denial = std::get_if<RunDenial>(&answer))
-        m_mesh->send(key.host, PeerRunDenial { key.run, denial->reason, denial->retryAfter });
+        m_mesh->send(
+            key.host, PeerRunDenial { key.run, denial->reason, denial->retryAfter, denial->isPromised });
 }
 
 void RunBroker::deliver(RunId run, const RunAnswer& answer)
@@ -94,6 +95,8 @@
     request.onTimeStart = now + message.onTimeWithin;
     request.latestStart = now + message.latestWithin;
     request.targetPause = message.targetPause;
+    request.workspace = message.workspace;
+    request.returnsWithin = message.returnsWithin;
     m_owners->request(message.engine, std::move(request));
 }
 
@@ -105,7 +108,8 @@
         deliver(grant->run, RunGrant { { m_self, grant->run }, grant->urgency, grant->version });
     else if (const auto* denial = std::get_if<PeerRunDenial>(&message))
         deliver(denial->run,
-            RunDenial { { m_self, denial->run }, denial->reason, denial->retryAfter, Duration::zero() });
+            RunDenial { { m_self, denial->run }, denial->reason, denial->retryAfter, Duration::zero(),
+                denial->isPromised });
     else if (const auto* progress = std::get_if<PeerRunProgress>(&message))
         m_owners->runProgressed(progress->engine, { peer, progress->run });
     else if (const auto* end = std::get_if<PeerRunEnd>(&message))
--- a/src/gateway/run_request.h
+++ b/src/gateway/run_request.h
@@ -64,6 +64,14 @@
     MonotonicTime onTimeStart;
     /// Latest start that is useful to the caller.
     MonotonicTime latestStart;
+    /// Empty if the route has no workspaces, or if the requesting host does not state it.
+    WorkspaceId workspace;
+    /// Longest time after which the caller comes back if the request is denied.
+    Duration returnsWithin {};
+    /// Set by the owner: when it got the request.
+    MonotonicTime arrival;
+    /// Set by the owner: its caller was told to come back at this time.
+    bool isReturn = false;
 };
 
 /// Why an engine's owner denies a run.
@@ -89,7 +97,9 @@
     /// Scheduling urgency at the engine, from 0 (first) to 9 (last).
     int urgency = 5;
     /// Required version of the adapter, if operators have released one.
-    std::optional<int64_t> version;
+    std::optional<int64_t> version = {};
+    /// Only within the owner's host: see RunRequest::isReturn.
+    bool isReturn = false;
 };
 
 struct RunDenial {
@@ -99,6 +109,14 @@
     Duration retryAfter {};
     /// Wait that the owner estimated.
     Duration expectedWait {};
+    /// The owner expects the caller after retryAfter.
+    bool isPromised = false;
+    /// Only within the owner's host: priority of the request.
+    std::optional<int> priority = {};
+    /// Only within the owner's host: the request had been admitted before.
+    bool isDisplaced = false;
+    /// Only within the owner's host: see RunRequest::isReturn.
+    bool isReturn = false;
 };
 
 enum class RunOutcome {
--- a/src/gateway/upstream_search.cc
+++ b/src/gateway/upstream_search.cc
@@ -128,6 +128,8 @@
     request.output = attributes.maximumOutputTokens.value_or(Tokens(1));
     request.priority = m_subject.priority;
     request.targetPause = m_subject.admission.route->targetPause;
+    if (m_subject.admission.workspace)
+        request.workspace = m_subject.admission.workspace->id;
     m_owners.prepare(request, choices);
     m_services.engines.recordRequest(engine, request.prompt);
     m_run = m_services.broker.ask(
--- a/src/overload/overload_queue.cc
+++ b/src/overload/overload_queue.cc
@@ -12,8 +12,8 @@
 /// Shares of the time until the on-time start after which a request moves up a level.
 constexpr double firstRise = 0.75;
 constexpr double secondRise = 1.0;
-/// A waiting request is denied only if its predicted wait exceeds its time by this factor and this time, since
-/// the prediction varies by about that much from one plan to the next.
+/// A waiting request is denied only if its predicted wait exceeds its time by this factor and this time,
+/// since the prediction varies by about that much from one plan to the next.
 constexpr double waitingTolerance = 1.25;
 constexpr Duration waitingMargin = std::chrono::milliseconds(50);
 /// Time constant with which admitted tokens are forgotten.
@@ -81,7 +81,8 @@
     before.erase(WorkspaceId());
     if (before.size() < 2)
         return;
-    const double share = std::max(1.0, static_cast<double>(total.value()) / static_cast<double>(before.size()));
+    const double share
+        = std::max(1.0, static_cast<double>(total.value()) / static_cast<double>(before.size()));
     std::sort(ranks.begin(), ranks.end());
     for (Rank& rank : ranks) {
         const QueuedRequest& request = requests[rank.index];
@@ -110,9 +111,9 @@
         std::vector<Rank> ranks;
         for (size_t index = 0; index < requests.size(); ++index) {
             const QueuedRequest& request = requests[index];
-            ranks.push_back({ now > request.onTimeStart,
-                hasRises ? OverloadQueue::level(request, now) : request.priority, 0, request.onTimeStart,
-                index });
+            ranks.push_back(
+                { now > request.onTimeStart, hasRises ? OverloadQueue::level(request, now) : request.priority,
+                    0, request.onTimeStart, index });
         }
         rankByShare(ranks, requests, engine);
         MonotonicTime free = now;
@@ -173,7 +174,8 @@
         const int level = rank.isLate ? lateLevel : rank.level;
         wait = scaled(wait, queue.overtakingFactor(level, engine.tokensPerMillisecond, now));
         if (request.isNew)
-            wait += readingTime(returns.heldFrom(request.priority, now, now + wait), engine.tokensPerMillisecond);
+            wait += readingTime(
+                returns.heldFrom(request.priority, now, now + wait), engine.tokensPerMillisecond);
         return now + wait;
     }
 };
@@ -204,7 +206,8 @@
 {
     const double time = toSeconds(request.onTimeStart - request.arrival);
     const double waited = toSeconds(now - request.arrival);
-    const int rises = time <= 0 ? 0 : (waited >= firstRise * time ? 1 : 0) + (waited >= secondRise * time ? 1 : 0);
+    const int rises
+        = time <= 0 ? 0 : (waited >= firstRise * time ? 1 : 0) + (waited >= secondRise * time ? 1 : 0);
     return std::max(0, request.priority - rises);
 }
 
--- a/src/overload/return_schedule.cc
+++ b/src/overload/return_schedule.cc
@@ -31,8 +31,8 @@
     int priority, Tokens prompt, Tokens workAhead, double tokensPerMillisecond, MonotonicTime now) const
 {
     const Duration own = readingTime(prompt, tokensPerMillisecond);
-    MonotonicTime free
-        = now + std::max(shortestReturn, std::min(readingTime(workAhead, tokensPerMillisecond), longestReturn));
+    MonotonicTime free = now
+        + std::max(shortestReturn, std::min(readingTime(workAhead, tokensPerMillisecond), longestReturn));
     for (const Promise& promise : m_promises) {
         if (promise.priority > priority || hasLapsed(promise, now))
             continue;
