--- a/src/experiment/lacewinglb_experiment_main.cc
+++ b/src/experiment/lacewinglb_experiment_main.cc
@@ -27,6 +27,7 @@
 ABSL_FLAG(int, adapters, 0, "number of adapters; 0: 250 for each engine, between 750 and 10,000");
 ABSL_FLAG(int, shared_prompts, 0,
     "variants of the second part that prompts share; above 0, compare the setting promptAffinity instead");
+ABSL_FLAG(std::string, overload_policy, "arrival", "arrival or priority");
 ABSL_FLAG(std::string, html, "", "file to write plots to; empty: none");
 
 namespace lacewing::experiment {
@@ -142,6 +143,11 @@
         std::cerr << "unknown --load or --arm, or --seeds below 1\n";
         return BadArguments;
     }
+    const std::string policy = absl::GetFlag(FLAGS_overload_policy);
+    if (policy != "arrival" && policy != "priority") {
+        std::cerr << "--overload_policy: \"" << policy << "\" is neither arrival nor priority\n";
+        return BadArguments;
+    }
     std::vector<LoadResults> results;
     for (const std::string& text : absl::GetFlag(FLAGS_engines)) {
         const auto number = positiveNumber(text);
@@ -149,7 +155,11 @@
             std::cerr << "--engines: \"" << text << "\" is not a number above 0\n";
             return BadArguments;
         }
-        FleetShape shape = FleetShape::ofEngines(static_cast<int>(*number));
+        const bool isContention = pattern == LoadPattern::Contention;
+        FleetShape shape = isContention ? FleetShape::contended(static_cast<int>(*number))
+                                        : FleetShape::ofEngines(static_cast<int>(*number));
+        if (policy == "priority")
+            shape.overloadPolicy = gateway::OverloadPolicy::Priority;
         if (absl::GetFlag(FLAGS_hosts) > 0)
             shape.setHosts(absl::GetFlag(FLAGS_hosts));
         shape.requestsPerSecond *= absl::GetFlag(FLAGS_demand);
@@ -161,6 +171,8 @@
             std::cout << (shape.secondVariants > 0 ? promptReport(results.back())
                                                    : markdownReport({ results.back() }))
                       << std::flush;
+            if (isContention)
+                std::cout << outcomeReport(results.back().arms.front().second) << std::flush;
         }
     }
     const std::string html = absl::GetFlag(FLAGS_html);
--- a/src/experiment/load_pattern.h
+++ b/src/experiment/load_pattern.h
@@ -36,9 +36,13 @@
     LimitedEngines,
     /// Engines differ for good, and are slowed by other workloads for some hundred milliseconds at a time.
     UnevenEngines,
+    /// The last class sends 2.4 times its usual, one workspace five times, and a quarter of the engines is
+    /// lost.
+    Contention,
 };
 
-/// All patterns, in the order of the report.
+/// All patterns but Contention, which has a fleet of its own (FleetShape::contended()), in the order of the
+/// report.
 const std::vector<LoadPattern>& allLoadPatterns();
 /// @return the pattern's name in kebab-case.
 const char* toString(LoadPattern pattern);
--- a/src/experiment/worth_bound.cc
+++ b/src/experiment/worth_bound.cc
@@ -79,7 +79,7 @@
         const double inStretches = stretchShare / stretchSlowdown;
         std::fill(up.begin(), up.end(), speed * (1 - stretchShare + inStretches));
     }
-    if (pattern != LoadPattern::EngineCrashes)
+    if (pattern != LoadPattern::EngineCrashes && pattern != LoadPattern::Contention)
         return up;
     const int crashed = (shape.engines + failingPart - 1) / failingPart;
     const auto first = static_cast<size_t>(toSeconds(patternStart));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -66,6 +66,9 @@
     void reportUsage();
     /// @return the hosts that may decide on the use of upstreams with a limit.
     std::set<HostId> permitDeciders() const;
+    /// An engine that this host owns may start a run.
+    void runGranted(const RunGrant& grant);
+    void runDenied(const RunDenial& denial);
     /// @return the rate at which this host may grant requests to an upstream; nothing without a limit.
     std::optional<RequestRate> requestRate(const UpstreamId& upstream) const;
     /// Keeps the speeds of engines that a peer publishes, in case this host takes over one of them.
@@ -78,8 +81,6 @@
     void updateMembers();
     void applyCallerLimits();
     void configurationChanged();
-    /// An engine that this host owns may start a run.
-    void runGranted(const RunGrant& grant);
     /// The store has come back from a copy.
     void storeRestored();
     /// Rows that the copy lacked have been written again.
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "gateway/overload_policy.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/workspace_rate_limiter.h"
 #include "transport/http_message.h"
@@ -46,6 +47,7 @@
     size_t memoryBytes = 256 * bytesPerMegabyte;
     /// Whether engines are chosen by what they keep of the request's prompt, too.
     bool promptAffinity = false;
+    OverloadPolicy overloadPolicy = OverloadPolicy::Arrival;
     /// Whether the fleet starts for the first time, so that there is no earlier usage.
     bool isFirstStart = false;
 
