Keep all hosts' requests to a cold upstream within its limit

An upstream that has just started takes few requests and crashes on more; a whole data centre that returns got its former load at once. The limit of cold upstreams now holds beside the stated one in UpstreamLimits::rate(), so permits, owners and entries keep to it without a second mechanism. WarmUpControl passes on rows, configuration and statements. Peers are told in a further field of UpstreamLimit. A row with a falling cold time is no change; one that has grown is relayed. A host that decides refuses a permit for a cold upstream whose limit it does not know.

--- a/src/gateway/call_attributes.h
+++ b/src/gateway/call_attributes.h
@@ -82,6 +82,8 @@
     std::optional<RequestRate> requestLimit;
     /// The upstream states a limit that is no valid number.
     bool hasUnreadableLimit = false;
+    /// Time for which the upstream is still cold, if it states that.
+    std::optional<Duration> coldFor;
     AvailabilityStatement availability;
     /// Time for which the upstream keeps an idle connection open.
     std::optional<Duration> keepAlive;
--- a/src/gateway/engine_control.h
+++ b/src/gateway/engine_control.h
@@ -62,6 +62,9 @@
     using AvailabilityObserver
         = std::function<void(const AvailabilityObservation& observation, const char* kind)>;
 
+    /// Receives the time for which an engine is still cold, before the callback of the call that it answers.
+    using ColdObserver = std::function<void(const EngineTarget& target, Duration remaining)>;
+
     virtual ~EngineControl() = default;
 
     virtual void order(const EngineTarget& target, const AdapterOrder& order, OrderCallback callback) = 0;
@@ -72,6 +75,7 @@
     {
         m_availabilityObserver = std::move(observer);
     }
+    void setColdObserver(ColdObserver observer) { m_coldObserver = std::move(observer); }
 
 protected:
     void observeAvailability(
@@ -81,8 +85,15 @@
             m_availabilityObserver({ target.id, target.startedAt, statement, std::nullopt }, kind);
     }
 
+    void observeCold(const EngineTarget& target, std::optional<Duration> remaining) const
+    {
+        if (m_coldObserver && remaining)
+            m_coldObserver(target, *remaining);
+    }
+
 private:
     AvailabilityObserver m_availabilityObserver;
+    ColdObserver m_coldObserver;
 };
 
 } // namespace lacewing::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -94,7 +94,7 @@
           { [this] { upstreamsChanged(); },
               [this](const std::vector<StoredRow>& rows) { m_mesh.sendToAll(PeerUpstreamRows { rows }); } })
     , m_picker(m_random.next())
-    , m_limits(m_settings.host)
+    , m_limits(m_settings.host, &m_warmUpLimits)
     , m_usage(m_settings.usageWindow, m_settings.host,
           m_settings.isFirstStart ? m_started - m_settings.usageWindow : m_started)
     , m_retries(m_settings.retries)
@@ -131,10 +131,12 @@
     , m_admitter(m_configuration, m_usage, m_random)
     , m_limitExchange(loop, m_limits, m_upstreams, m_metrics,
           { [this](const PeerMessage& message) { m_mesh.sendToAll(message); },
-              [this](const UpstreamId& upstream) {
-                  m_permits.limitChanged(upstream);
-                  m_owners.requestRateChanged(upstream);
-              } })
+              [this](const UpstreamId& upstream) { requestRateChanged(upstream); },
+              [this](const ColdStatement& statement) { m_warmUp.observed(statement); },
+              [this](const ColdStatement& statement) { m_warmUp.told(statement); } })
+    , m_warmUp(loop, m_warmUpLimits, m_limits, m_upstreams, m_configuration,
+          { [this](const PeerMessage& message) { m_mesh.sendToAll(message); },
+              [this](const UpstreamId& upstream) { requestRateChanged(upstream); } })
     , m_availability(loop, m_upstreams, m_metrics,
           { [this](const PeerMessage& message) { m_mesh.sendToAll(message); },
               [this](const UpstreamId& upstream) { availabilityChanged(upstream); } })
@@ -163,7 +165,9 @@
     , m_permits(loop, m_limits, m_settings.host,
           { [this](const HostId& peer, const PeerMessage& message) { return m_mesh.send(peer, message); },
               [this] { return permitDeciders(); }, [this] { return shareInTouch(); },
-              [this](const UpstreamId& upstream) { return m_engineView.ownerOf(upstream).has_value(); } })
+              [this](const UpstreamId& upstream) {
+                  return m_engineView.ownerOf(upstream).has_value() || !m_warmUp.mayDecide(upstream);
+              } })
     , m_plainSelector(m_upstreams, m_picker, m_limits, m_permits, m_settings.dataCentre)
     , m_services { loop, client, platform.calls, m_configuration, m_upstreams, m_engineView, m_broker,
         m_picker, m_limits, m_upstreams.availability(), m_permits, m_plainSelector, m_usage, m_admitter,
@@ -183,6 +187,9 @@
         [this](const AvailabilityObservation& observation, const char* kind) {
             m_availability.observed(observation, kind);
         });
+    platform.engines.setColdObserver([this](const EngineTarget& target, Duration remaining) {
+        m_warmUp.observed({ target.id, target.startedAt, remaining });
+    });
     m_usage.setTolerance(m_settings.usageTolerance);
 }
 
@@ -319,6 +326,7 @@
     m_metrics.gauge("lacewing_resting_upstreams")
         = static_cast<double>(m_upstreams.availability().restingCount(m_loop.now()));
     m_metrics.gauge("lacewing_limited_upstreams") = static_cast<double>(m_limits.limitedCount());
+    m_metrics.gauge("lacewing_cold_upstreams") = static_cast<double>(m_warmUpLimits.coldCount());
     m_metrics.gauge("lacewing_quarantined_prompts") = static_cast<double>(m_quarantine.activeCount());
     m_metrics.gauge("lacewing_peers_in_touch") = static_cast<double>(m_mesh.peersInTouch().size());
     m_metrics.gauge("lacewing_store_era") = static_cast<double>(m_fleet.storeEra().value());
@@ -348,7 +356,7 @@
         m_owners.fetchLimiter().told();
     heartbeat.engines = m_owners.summaries();
     if (audience == HeartbeatAudience::NewPeer) {
-        heartbeat.limits = m_limits.all();
+        heartbeat.limits = m_limits.allToTell(m_loop.now());
         heartbeat.quarantines = m_quarantine.all();
         heartbeat.leaving = m_upstreams.availability().leaving();
         heartbeat.serviceVersions = m_serviceVersions.rows();
@@ -424,6 +432,12 @@
         .with("after_ms", toMilliseconds(m_loop.now() - m_storeRestoredAt));
 }
 
+void Gateway::requestRateChanged(const UpstreamId& upstream)
+{
+    m_permits.limitChanged(upstream);
+    m_owners.requestRateChanged(upstream);
+}
+
 void Gateway::engineRequestSent(const UpstreamId& engine, const char* kind)
 {
     if (m_limits.rate(engine))
@@ -487,7 +501,7 @@
     m_configuration.setReader(reads);
     m_upstreams.setReader(reads);
     m_usage.setMembers(members);
-    if (m_limits.limitedCount() > 0)
+    if (m_limits.limitedCount() > 0 || m_warmUpLimits.coldCount() > 0)
         m_owners.requestRatesChanged();
     m_retries.setHostCount(members.size());
 }
@@ -506,6 +520,7 @@
 void Gateway::configurationChanged()
 {
     applyCallerLimits();
+    m_warmUp.refresh();
     m_owners.fetchLimiter().setEngines(engineIds().size());
     m_owners.refresh();
     m_fleet.claimUnownedEngines();
@@ -549,6 +564,7 @@
     const std::map<UpstreamId, int64_t> startTimes = m_upstreams.startTimes();
     m_limits.retain(startTimes, m_loop.now());
     m_upstreams.availability().retain(startTimes, m_loop.now());
+    m_warmUp.refresh();
     m_owners.fetchLimiter().setEngines(engineIds().size());
     m_owners.refresh();
     m_fleet.claimUnownedEngines();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "gateway/stream_versions.h"
 #include "gateway/upstream_availability_exchange.h"
 #include "gateway/upstream_limit_exchange.h"
+#include "gateway/warm_up_control.h"
 #include "transport/http_server.h"
 
 #include <memory>
@@ -70,6 +71,7 @@
     std::optional<RequestRate> requestRate(const UpstreamId& upstream) const;
     /// @return the part of the live hosts that is in touch, this one included.
     double shareInTouch() const;
+    void requestRateChanged(const UpstreamId& upstream);
     void engineRequestSent(const UpstreamId& engine, const char* kind);
     void peerMessage(const HostId& peer, const PeerMessage& message);
     void fleetChanged();
@@ -110,6 +112,7 @@
     ConfigurationTracker m_configuration;
     UpstreamDirectory m_upstreams;
     UpstreamPicker m_picker;
+    WarmUpLimits m_warmUpLimits;
     UpstreamLimits m_limits;
     WorkspaceRateLimiter m_usage;
     RetryAllowance m_retries;
@@ -121,6 +124,7 @@
     EngineView m_engineView;
     CallAdmitter m_admitter;
     UpstreamLimitExchange m_limitExchange;
+    WarmUpControl m_warmUp;
     UpstreamAvailabilityExchange m_availability;
     QuarantineRows m_quarantineRows;
     QuarantineExchange m_quarantine;
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -39,6 +39,9 @@
     return Json::array({ static_cast<int>(type) });
 }
 
+/// A longer time would exceed the range of time points.
+constexpr Duration longestColdTime = std::chrono::hours(24);
+
 int64_t microseconds(Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
@@ -115,8 +118,11 @@
 
 Json encode(const UpstreamLimit& limit)
 {
-    return Json::array({ limit.upstream.value(), limit.startedAt, limit.revision.value(),
+    Json json = Json::array({ limit.upstream.value(), limit.startedAt, limit.revision.value(),
         limit.observer.value(), limit.rate ? Json(limit.rate->perSecond()) : Json() });
+    if (limit.coldFor)
+        json.push_back(microseconds(*limit.coldFor));
+    return json;
 }
 
 UpstreamLimit decodeLimit(const Json& json)
@@ -128,6 +134,10 @@
     limit.observer = HostId(json.at(3).get<std::string>());
     if (!json.at(4).is_null())
         limit.rate = RequestRate(std::max(0.0, json.at(4).get<double>()));
+    // Hosts of an earlier version don't tell the cold time.
+    if (json.size() > 5 && !json.at(5).is_null())
+        limit.coldFor = std::chrono::microseconds(
+            std::clamp<int64_t>(json.at(5).get<int64_t>(), 0, microseconds(longestColdTime)));
     return limit;
 }
 
--- a/src/gateway/peer_message_test.cc
+++ b/src/gateway/peer_message_test.cc
@@ -11,6 +11,12 @@
 
 namespace {
 
+/// What is told of an upstream that is cold and states no limit.
+UpstreamLimit coldLimit()
+{
+    return { UpstreamId("u-1"), 5, LimitRevision(0), HostId("host-1"), std::nullopt, 12s };
+}
+
 UpstreamLimit limit()
 {
     return { UpstreamId("u-1"), 5, LimitRevision(3), HostId("host-1"), RequestRate(0.25) };
@@ -75,7 +81,7 @@
         PeerRunEnd { UpstreamId("engine-1"), RunId(5), { RunOutcome::AdapterMissing, 30ms } },
         PeerUsage { Incarnation(77), { { WorkspaceId("busy"), 900, 300 } } }, PeerUpstreamLimit { limit() },
         PeerPermitRequest { UpstreamId("u-1"), PermitId(4), 300ms, limit() },
-        PeerPermitAnswer { PermitId(4), true, 120ms },
+        PeerPermitAnswer { PermitId(4), true, 120ms }, PeerUpstreamLimit { coldLimit() },
         PeerCrashReports { { { UpstreamId("engine-1"), 1700000000000, PartSet({ ~0ULL, 8 }) } } },
         PeerAnswerBegan { { UpstreamId("engine-1"), 5, PartSet({ 8, 9 }) } },
         PeerQuarantines {
@@ -184,6 +190,23 @@
         std::get<PeerOperatorRows>(*decodePeerMessage(toCbor(frame))).rows[0].version == RowVersion(8));
 }
 
+// Guards against a host of the previous release whose limits can't be read, and against a cold time that
+// overflows.
+BOOST_AUTO_TEST_CASE(ReadsLimitsWithoutAColdTime)
+{
+    const auto read = [](const PeerMessage& message, const std::optional<int64_t>& coldFor) {
+        auto json = *fromCbor(encodePeerMessage(message));
+        truncate(json[1], 5);
+        if (coldFor)
+            json[1].push_back(*coldFor);
+        return std::get<PeerUpstreamLimit>(*decodePeerMessage(toCbor(json))).limit.coldFor;
+    };
+    BOOST_TEST(!read(PeerUpstreamLimit { limit() }, std::nullopt));
+    BOOST_TEST((read(PeerUpstreamLimit { limit() }, 7'000'000) == 7s));
+    BOOST_TEST((read(PeerUpstreamLimit { limit() }, -5) == 0s));
+    BOOST_TEST((read(PeerUpstreamLimit { limit() }, INT64_MAX / 2000) == 24h));
+}
+
 // The same for hosts of the version before that.
 BOOST_AUTO_TEST_CASE(ReadsHeartbeatsWithoutLimits)
 {
--- a/src/gateway/run_broker.cc
+++ b/src/gateway/run_broker.cc
@@ -27,7 +27,7 @@
     const MonotonicTime now = m_scheduler.now();
     const PeerRunRequest message { engine, run, request.adapter, request.prompt, request.parts,
         request.output, request.priority, request.onTimeStart - now, request.latestStart - now,
-        request.targetPause, m_limits.known(engine) };
+        request.targetPause, m_limits.toTell(engine, now) };
     if (!m_mesh->send(owner, message))
         answered(request.key, RunDenial { request.key, RunRefusal::NotOwner });
     return run;
--- a/src/gateway/serving_configuration.h
+++ b/src/gateway/serving_configuration.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "warmup/cold_start.h"
 
 #include <map>
 #include <memory>
@@ -84,6 +85,8 @@
     int connectionLimit = 0;
     /// Set only for services of model engines.
     std::optional<EngineLimits> engine;
+    /// Limit of upstreams that have just started; nothing if they take any number of requests.
+    std::optional<ColdStart> coldStart;
 };
 
 /// A workspace's rate limit over all hosts, in tokens or requests. A rate of 0 means no limit.
--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -19,6 +19,12 @@
 /// Time after which the store has removed the rows of a copy whose upstreams don't write them again.
 constexpr Duration copiedRowLifetime = std::chrono::seconds(6);
 
+/// Rows are rewritten with a falling cold time, so a longer one tells that the upstream became cold again.
+bool hasBecomeCold(const UpstreamEntry& before, const UpstreamEntry& entry)
+{
+    return entry.coldRemaining.value_or(Duration::zero()) > before.coldRemaining.value_or(Duration::zero());
+}
+
 } // namespace
 
 UpstreamDirectory::UpstreamDirectory(
@@ -231,7 +237,8 @@
     const auto [known, isNew] = m_known.try_emplace(entry->id);
     const bool hasChanged = isNew || known->second.entry.isDraining != entry->isDraining
         || known->second.entry.startedAt != entry->startedAt
-        || known->second.entry.softwareVersion != entry->softwareVersion || known->second.goneUntil;
+        || known->second.entry.softwareVersion != entry->softwareVersion || known->second.goneUntil
+        || hasBecomeCold(known->second.entry, *entry);
     if (hasChanged)
         LogEvent(LogLevel::Info, "upstream_changed")
             .with("upstream", entry->id)
@@ -240,6 +247,7 @@
             .with("draining", entry->isDraining)
             .with("software_version", entry->softwareVersion);
     known->second = { *entry, row.version, std::nullopt, std::nullopt };
+    known->second.entry.read = m_scheduler.now();
     return hasChanged;
 }
 
--- a/src/gateway/upstream_directory.h
+++ b/src/gateway/upstream_directory.h
@@ -25,7 +25,7 @@
 class UpstreamDirectory : private StoreFeedListener {
 public:
     struct Handlers {
-        /// An upstream was added, removed or restarted, or began or stopped draining.
+        /// An upstream was added, removed or restarted, began or stopped draining, or became cold.
         std::function<void()> onChange;
         /// A reader has read changed rows, which other hosts should get.
         std::function<void(const std::vector<StoredRow>& rows)> onRowsToRelay;
@@ -62,6 +62,8 @@
     std::map<ServiceId, std::map<SoftwareVersion, size_t>> softwareVersions() const;
     /// @return the software versions of a service's upstreams, those that are leaving included.
     std::set<SoftwareVersion> softwareVersions(const ServiceId& service) const;
+    /// @return whether the store has answered this host.
+    bool hasReadTable() const { return m_feed.age().has_value(); }
     /// @return the upstreams and the starts of their processes.
     std::map<UpstreamId, int64_t> startTimes() const;
     /// @return what upstreams have said of themselves beside their rows.
--- a/src/gateway/upstream_directory_test.cc
+++ b/src/gateway/upstream_directory_test.cc
@@ -14,15 +14,18 @@
 
 const ServiceId service("engines");
 
-/// Decodes rows with the value "ready" or "draining", and "restarted" for another process; all others are
-/// invalid.
+/// Decodes rows with the value "ready" or "draining", "restarted" for another process, and "cold " with the
+/// remaining seconds; all others are invalid.
 class PlainRowDecoder : public FakeRowDecoder {
 public:
     std::optional<UpstreamEntry> readUpstream(const StoredRow& row) const override
     {
-        if (row.value != "ready" && row.value != "draining" && row.value != "restarted")
+        const bool isCold = row.value.rfind("cold ", 0) == 0;
+        if (!isCold && row.value != "ready" && row.value != "draining" && row.value != "restarted")
             return std::nullopt;
         UpstreamEntry entry;
+        if (isCold)
+            entry.coldRemaining = std::chrono::seconds(std::stoi(row.value.substr(5)));
         entry.id = UpstreamId(row.id.key);
         entry.service = service;
         entry.isDraining = row.value == "draining";
@@ -241,4 +244,28 @@
     BOOST_TEST(!fixture.directory.areAllLeaving(service));
 }
 
+// Guards against a relay to all peers for each row with a falling cold time, and against hosts that don't
+// hear of an upstream that has become cold.
+BOOST_AUTO_TEST_CASE(OnlyAColdTimeThatGrowsIsAChange)
+{
+    Fixture fixture;
+    const UpstreamId id("s1");
+    const auto rowsRelayed = [&fixture](const char* value) {
+        const size_t before = fixture.news.size();
+        fixture.put("s1", value);
+        fixture.scheduler.advance(2s);
+        return fixture.news.size() - before;
+    };
+    BOOST_TEST(rowsRelayed("cold 30") == 1u);
+    const int changes = fixture.changes;
+    BOOST_TEST(rowsRelayed("cold 28") == 0u);
+    BOOST_TEST(rowsRelayed("cold 25") == 0u);
+    BOOST_TEST(fixture.changes == changes);
+    BOOST_TEST((fixture.directory.find(id)->coldRemaining == 25s));
+    BOOST_TEST((fixture.scheduler.now() - fixture.directory.find(id)->read <= 2s));
+    BOOST_TEST(rowsRelayed("cold 0") == 0u);
+    BOOST_TEST(rowsRelayed("cold 60") == 1u);
+    BOOST_TEST(rowsRelayed("ready") == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/upstream_entry.h
+++ b/src/gateway/upstream_entry.h
@@ -41,6 +41,10 @@
     /// Number of load and unload orders that the engine has accepted since its start.
     int64_t orderSequence = 0;
     std::vector<HeldModel> models;
+    /// Time for which the upstream is cold from the writing of the row; nothing if the row does not say.
+    std::optional<Duration> coldRemaining;
+    /// When this host read the row.
+    MonotonicTime read;
 };
 
 /// State that an engine reports on request.
--- a/src/gateway/upstream_limit_exchange.cc
+++ b/src/gateway/upstream_limit_exchange.cc
@@ -25,7 +25,9 @@
 
 void UpstreamLimitExchange::observed(const LimitObservation& observation, const std::string& requestId)
 {
-    const auto before = m_limits.rate(observation.upstream);
+    if (observation.coldFor && m_handlers.onCold)
+        m_handlers.onCold({ observation.upstream, observation.startedAt, *observation.coldFor });
+    const auto before = m_limits.statedRate(observation.upstream);
     const auto changed = m_limits.observe(observation, m_clock.now());
     if (!changed)
         return;
@@ -63,7 +65,11 @@
 {
     const UpstreamEntry* entry = m_upstreams.find(limit.upstream);
     const bool hasRestarted = entry && entry->startedAt > limit.startedAt;
-    const auto before = m_limits.rate(limit.upstream);
+    if (!hasRestarted && limit.coldFor && m_handlers.onColdTold)
+        m_handlers.onColdTold({ limit.upstream, limit.startedAt, *limit.coldFor });
+    if (!limit.isStated())
+        return;
+    const auto before = m_limits.statedRate(limit.upstream);
     if (hasRestarted || !m_limits.merge(limit, m_clock.now()) || before == limit.rate)
         return;
     recordChange(limit, before, "peer", "peer", peer.value());
--- a/src/gateway/upstream_limit_exchange.h
+++ b/src/gateway/upstream_limit_exchange.h
@@ -21,6 +21,10 @@
         std::function<void(const PeerMessage& message)> sendToAll;
         /// The limit of an upstream has changed.
         std::function<void(const UpstreamId& upstream)> onChange;
+        /// A response has stated the cold time of an upstream.
+        std::function<void(const ColdStatement& statement)> onCold;
+        /// A peer has told the cold time of an upstream.
+        std::function<void(const ColdStatement& statement)> onColdTold;
     };
 
     /// All must outlive the exchange.
--- a/src/gateway/upstream_limits.cc
+++ b/src/gateway/upstream_limits.cc
@@ -1,6 +1,7 @@
 #include "gateway/upstream_limits.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 namespace lacewing::gateway {
@@ -20,8 +21,9 @@
 
 } // namespace
 
-UpstreamLimits::UpstreamLimits(HostId self)
+UpstreamLimits::UpstreamLimits(HostId self, const WarmUpLimits* warmUp)
     : m_self(std::move(self))
+    , m_warmUp(warmUp)
 {
 }
 
@@ -58,6 +60,13 @@
 }
 
 std::optional<RequestRate> UpstreamLimits::rate(const UpstreamId& upstream) const
+{
+    const auto stated = statedRate(upstream);
+    const auto cold = m_warmUp ? m_warmUp->rate(upstream) : std::nullopt;
+    return isTighter(cold, stated) ? cold : stated;
+}
+
+std::optional<RequestRate> UpstreamLimits::statedRate(const UpstreamId& upstream) const
 {
     const auto found = m_known.find(upstream);
     return found == m_known.end() ? std::nullopt : found->second.limit.rate;
@@ -69,6 +78,35 @@
     return found == m_known.end() ? std::nullopt : std::make_optional(found->second.limit);
 }
 
+std::optional<UpstreamLimit> UpstreamLimits::toTell(const UpstreamId& upstream, MonotonicTime now) const
+{
+    std::optional<UpstreamLimit> limit = known(upstream);
+    const auto cold = m_warmUp ? m_warmUp->known(upstream, now) : std::nullopt;
+    if (!cold || (limit && limit->startedAt > cold->startedAt))
+        return limit;
+    if (!limit || limit->startedAt < cold->startedAt)
+        limit = UpstreamLimit { upstream, cold->startedAt, LimitRevision(0), m_self, std::nullopt };
+    limit->coldFor = cold->remaining;
+    return limit;
+}
+
+std::vector<UpstreamLimit> UpstreamLimits::allToTell(MonotonicTime now) const
+{
+    std::set<UpstreamId> upstreams;
+    for (const auto& [upstream, known] : m_known)
+        upstreams.insert(upstream);
+    if (m_warmUp) {
+        for (const UpstreamId& upstream : m_warmUp->cold())
+            upstreams.insert(upstream);
+    }
+    std::vector<UpstreamLimit> limits;
+    for (const UpstreamId& upstream : upstreams) {
+        if (const auto limit = toTell(upstream, now))
+            limits.push_back(*limit);
+    }
+    return limits;
+}
+
 std::vector<UpstreamLimit> UpstreamLimits::all() const
 {
     std::vector<UpstreamLimit> limits;
--- a/src/gateway/upstream_permits.cc
+++ b/src/gateway/upstream_permits.cc
@@ -50,7 +50,8 @@
     m_pending.emplace(permit, PendingPermit { upstream, m_scheduler.now(), std::move(callback) });
     const HostId host = decider(upstream);
     const bool isSent = host != m_self
-        && m_handlers.send(host, PeerPermitRequest { upstream, permit, patience, m_limits.known(upstream) });
+        && m_handlers.send(host,
+            PeerPermitRequest { upstream, permit, patience, m_limits.toTell(upstream, m_scheduler.now()) });
     const PermitAnswer answer = host == m_self
         ? decide(upstream, patience)
         : PermitAnswer { false, isSent ? silentRetry : undecidedRetry };
@@ -103,7 +104,11 @@
 void UpstreamPermits::peerMessage(const HostId& peer, const PeerMessage& message)
 {
     if (const auto* request = std::get_if<PeerPermitRequest>(&message)) {
-        const PermitAnswer answer = decider(request->upstream) == m_self
+        // A host that has just started may lack the row and the configuration from which the limit of a cold
+        // upstream follows.
+        const bool isLimitUnknown
+            = request->limit && request->limit->coldFor && !m_limits.rate(request->upstream);
+        const PermitAnswer answer = decider(request->upstream) == m_self && !isLimitUnknown
             ? decide(request->upstream, request->patience)
             : PermitAnswer { false, undecidedRetry };
         m_handlers.send(peer, PeerPermitAnswer { request->permit, answer.isGranted, answer.wait });
--- a/src/gateway/upstream_permits.h
+++ b/src/gateway/upstream_permits.h
@@ -41,7 +41,8 @@
         std::function<std::set<HostId>()> deciders;
         /// @return the part of the fleet that is in touch, from 0 to 1.
         std::function<double()> shareInTouch;
-        /// @return whether an owner in touch schedules the requests to the upstream.
+        /// @return whether this host must not decide, since an owner in touch schedules the requests to the
+        /// upstream, or since this host does not know the fleet yet.
         std::function<bool(const UpstreamId& upstream)> hasOwner;
     };
 
--- a/src/gateway/upstream_permits_test.cc
+++ b/src/gateway/upstream_permits_test.cc
@@ -135,4 +135,19 @@
     BOOST_TEST((permits.expectedWait(upstream) == 0s));
 }
 
+// Guards against a host that grants everything because it has not yet read what the limit of a cold upstream
+// follows from, while the host that asks it has.
+BOOST_AUTO_TEST_CASE(DecidesOnNoColdUpstreamWhoseLimitItDoesNotKnow)
+{
+    const UpstreamId cold("u-2");
+    const auto askWith = [&](std::optional<Duration> coldFor) {
+        const UpstreamLimit limit { cold, 1, LimitRevision(0), peer, std::nullopt, coldFor };
+        permits.peerMessage(peer, PeerPermitRequest { cold, PermitId(7), 0s, limit });
+        return std::get<PeerPermitAnswer>(sent.back());
+    };
+    BOOST_TEST(askWith(std::nullopt).isGranted);
+    BOOST_TEST(!askWith(10s).isGranted);
+    BOOST_TEST((askWith(10s).wait < 1s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/upstream_statements.cc
+++ b/src/gateway/upstream_statements.cc
@@ -17,6 +17,7 @@
     observation.rate = attributes.requestLimit;
     observation.isConclusive = response.isSuccess() && !attributes.hasUnreadableLimit;
     observation.requestSent = request.sent;
+    observation.coldFor = attributes.coldFor;
     services.limitObserved(observation, request.id);
 }
 
