Play upstreams that return cold against a fleet

LimitSimulation now has upstreams that end, start cold and become cold again, a store whose rows hosts read at intervals, and responses that state the cold time.

--- a/src/experiment/limit_simulation.cc
+++ b/src/experiment/limit_simulation.cc
@@ -22,8 +22,8 @@
 constexpr Duration linkDelay = milliseconds(1);
 constexpr Duration shortestWork = milliseconds(5);
 constexpr Duration longestWork = milliseconds(65);
-/// Start of the process of each upstream.
-constexpr int64_t startedAt = 1;
+/// Interval at which upstreams write their rows and hosts read them.
+constexpr Duration rowInterval = milliseconds(1200);
 
 Duration fromSeconds(double value)
 {
@@ -34,7 +34,7 @@
 
 struct LimitSimulation::Host {
     Host(LimitSimulation& fleet, const HostId& id)
-        : limits(id)
+        : limits(id, &warmUp)
         , permits(fleet.m_scheduler, limits, id,
               { [&fleet, id](const HostId& peer, const PeerMessage& message) {
                    fleet.send(id, peer, message);
@@ -47,14 +47,24 @@
                   },
                   [&fleet, this] {
                       const auto inTouch = static_cast<double>(fleet.peersInTouch(*this).size());
-                      return (inTouch + 1) / static_cast<double>(fleet.m_hosts.size());
+                      // A host that has just started knows only those that it has heard of.
+                      const size_t others = fleet.m_coldStart ? heard.size() : fleet.m_hosts.size() - 1;
+                      return (inTouch + 1) / static_cast<double>(others + 1);
                   },
-                  [](const UpstreamId&) { return false; } })
+                  [&fleet, this](const UpstreamId& upstream) {
+                      return warmUp.rate(upstream) && fleet.now() - started < gateway::WarmUpLimits::joinTime;
+                  } })
+        , started(fleet.now())
     {
     }
 
+    gateway::WarmUpLimits warmUp;
     gateway::UpstreamLimits limits;
     gateway::UpstreamPermits permits;
+    MonotonicTime started;
+    /// Upstreams whose rows the host has read, with the starts of their processes.
+    std::map<size_t, int64_t> rows;
+    bool hasReadRows = false;
     /// Times of the peers' last heartbeats.
     std::map<HostId, MonotonicTime> heard;
     /// Expires with the process.
@@ -66,7 +76,9 @@
     , m_network(m_scheduler, seed)
     , m_heartbeatInterval(gateway::heartbeatIntervalFor(shape.hosts))
     , m_requestsPerSecond(shape.requestsPerSecond)
+    , m_coldStart(shape.coldStart)
     , m_upstreams(shape.upstreams)
+    , m_processes(shape.upstreams)
 {
     for (size_t index = 0; index < shape.hosts; ++index)
         start(HostId("host-" + std::to_string(index)));
@@ -95,6 +107,103 @@
 {
     m_hosts[host] = std::make_unique<Host>(*this, host);
     sendHeartbeats(host, m_hosts[host]->life);
+    if (m_coldStart)
+        scheduleRead(host, m_hosts[host]->life);
+}
+
+void LimitSimulation::startCold(size_t upstream, ColdNotice notice)
+{
+    Process& process = m_processes[upstream];
+    ++process.startedAt;
+    process.isRunning = true;
+    process.notice = notice;
+    process.coldUntil = now() + m_coldStart->duration;
+}
+
+void LimitSimulation::becomeCold(size_t upstream, Duration duration)
+{
+    m_processes[upstream].coldUntil = now() + duration;
+}
+
+size_t LimitSimulation::worstColdSecond(size_t upstream, MonotonicTime from) const
+{
+    const std::vector<MonotonicTime>& arrivals = m_processes[upstream].arrivals;
+    size_t worst = 0;
+    for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
+        if (*first < from)
+            continue;
+        const auto end = std::lower_bound(first, arrivals.end(), *first + seconds(1));
+        worst = std::max(worst, static_cast<size_t>(end - first));
+    }
+    return worst;
+}
+
+void LimitSimulation::scheduleRead(const HostId& id, const std::weak_ptr<char>& life)
+{
+    const auto phase
+        = Duration(static_cast<int64_t>(m_random.below(static_cast<uint64_t>(rowInterval.count()))));
+    const Duration wait = m_hosts.at(id)->hasReadRows ? rowInterval : phase;
+    m_scheduler.runAfter(wait, [this, id, life] {
+        if (life.expired())
+            return;
+        scheduleRead(id, life);
+        if (!m_isStoreAvailable)
+            return;
+        // A frozen host reads late.
+        m_network.send(id, id, [this, id, life] {
+            if (!life.expired())
+                readRows(*m_hosts.at(id));
+        });
+    });
+}
+
+void LimitSimulation::readRows(Host& host)
+{
+    std::map<UpstreamId, gateway::PresentProcess> present;
+    host.rows.clear();
+    for (size_t index = 0; index < m_processes.size(); ++index) {
+        const Process& process = m_processes[index];
+        if (!process.isRunning)
+            continue;
+        gateway::PresentProcess row;
+        row.startedAt = process.startedAt;
+        row.coldStart = m_coldStart;
+        row.read = now();
+        const MonotonicTime written
+            = now() - Duration(now().time_since_epoch().count() % rowInterval.count());
+        if (process.notice == ColdNotice::InRowAndResponses)
+            row.remaining = std::max<Duration>(
+                process.coldUntil - std::max(written, MonotonicTime()), Duration::zero());
+        present.emplace(upstreamId(index), row);
+        host.rows[index] = process.startedAt;
+    }
+    host.warmUp.setPresent(present, !host.hasReadRows, now());
+    host.hasReadRows = true;
+    updateCold(host);
+}
+
+void LimitSimulation::updateCold(Host& host)
+{
+    for (const gateway::ColdChange& change : host.warmUp.update(now()))
+        host.permits.limitChanged(change.upstream);
+}
+
+void LimitSimulation::told(Host& host, const UpstreamLimit& limit)
+{
+    if (limit.isStated())
+        host.limits.merge(limit, now());
+    if (!limit.coldFor)
+        return;
+    host.warmUp.learn({ limit.upstream, limit.startedAt, *limit.coldFor }, gateway::ColdSource::Peer, now());
+    updateCold(host);
+}
+
+std::optional<Duration> LimitSimulation::statedColdTime(size_t upstream) const
+{
+    const Process& process = m_processes[upstream];
+    if (!m_coldStart || process.notice == ColdNotice::Nowhere)
+        return std::nullopt;
+    return std::max<Duration>(process.coldUntil - now(), Duration::zero());
 }
 
 void LimitSimulation::restart(const HostId& host)
@@ -178,12 +287,12 @@
         Host& host = *m_hosts.at(to);
         const auto message = gateway::decodePeerMessage(frame);
         if (const auto* limit = std::get_if<PeerUpstreamLimit>(&*message)) {
-            host.limits.merge(limit->limit, now());
+            told(host, limit->limit);
             return;
         }
         const auto* request = std::get_if<gateway::PeerPermitRequest>(&*message);
         if (request && request->limit)
-            host.limits.merge(*request->limit, now());
+            told(host, *request->limit);
         host.permits.peerMessage(from, *message);
     });
 }
@@ -198,7 +307,7 @@
 
 void LimitSimulation::introduce(const HostId& from, const HostId& to)
 {
-    for (const UpstreamLimit& limit : m_hosts.at(from)->limits.all())
+    for (const UpstreamLimit& limit : m_hosts.at(from)->limits.allToTell(now()))
         send(from, to, PeerUpstreamLimit { limit });
 }
 
@@ -244,7 +353,11 @@
 void LimitSimulation::choose(const HostId& id, size_t upstream, std::set<size_t> tried)
 {
     Host& host = *m_hosts.at(id);
-    while (tried.count(upstream) > 0 || host.permits.expectedWait(upstreamId(upstream)) > Duration::zero()) {
+    updateCold(host);
+    const auto isAbsent
+        = [&](size_t index) { return m_coldStart.has_value() && host.rows.count(index) == 0; };
+    while (tried.count(upstream) > 0 || isAbsent(upstream)
+        || host.permits.expectedWait(upstreamId(upstream)) > Duration::zero()) {
         tried.insert(upstream);
         upstream = (upstream + 1) % m_upstreams.size();
         if (tried.size() < m_upstreams.size())
@@ -274,26 +387,41 @@
     const std::weak_ptr<char> life = m_hosts.at(id)->life;
     ++m_served;
     m_scheduler.runAfter(linkDelay, [this, id, upstream, sent, life] {
+        if (!m_processes[upstream].isRunning)
+            return;
         m_upstreams[upstream].requestArrived(now());
+        if (now() < m_processes[upstream].coldUntil)
+            m_processes[upstream].arrivals.push_back(now());
         const auto spread = static_cast<uint64_t>((longestWork - shortestWork).count());
         const Duration work = shortestWork + Duration(static_cast<int64_t>(m_random.below(spread)));
         m_scheduler.runAfter(work, [this, id, upstream, sent, life] {
             // The link from the upstream delays the response, and a frozen host reads it late.
-            m_network.send(id, id, [this, id, upstream, sent, life, rate = m_upstreams[upstream].rate()] {
+            const auto rate = m_upstreams[upstream].rate();
+            const auto coldFor = statedColdTime(upstream);
+            m_network.send(id, id, [this, id, upstream, sent, life, rate, coldFor] {
                 if (!life.expired())
-                    responded(id, upstream, sent, rate);
+                    responded(id, upstream, sent, rate, coldFor);
             });
         });
     });
 }
 
-void LimitSimulation::responded(
-    const HostId& id, size_t upstream, MonotonicTime sent, std::optional<RequestRate> rate)
+void LimitSimulation::responded(const HostId& id, size_t upstream, MonotonicTime sent,
+    std::optional<RequestRate> rate, std::optional<Duration> coldFor)
 {
     Host& host = *m_hosts.at(id);
+    const auto row = host.rows.find(upstream);
+    const int64_t startedAt = row == host.rows.end() ? 1 : row->second;
     const auto changed = host.limits.observe({ upstreamId(upstream), startedAt, rate, true, sent }, now());
     if (changed)
         sendToAll(id, PeerUpstreamLimit { *changed });
+    const bool isNews = coldFor
+        && host.warmUp.learn(
+            { upstreamId(upstream), startedAt, *coldFor }, gateway::ColdSource::Response, now());
+    updateCold(host);
+    const auto limit = isNews ? host.limits.toTell(upstreamId(upstream), now()) : std::nullopt;
+    if (limit)
+        sendToAll(id, PeerUpstreamLimit { *limit });
 }
 
 } // namespace lacewing::experiment
