--- a/tests/process/platform_names.py
+++ b/tests/process/platform_names.py
@@ -6,7 +6,8 @@
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-NAMES = re.compile(r"X-Lacewinglb-|rows-(tx|get|feed)|/-/(order|report|resolve|readiness)|fencing_token|precondition\"")
+NAMES = re.compile(r"X-Lacewinglb-|rows-(tx|get|feed)|/-/(order|report|resolve|readiness)|fencing_token|precondition\""
+    r"|cold_(start_s|per_s|remaining_ms)")
 
 
 def main():
