--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -51,10 +51,19 @@
         return "unknown_stream_version";
     case CallRefusal::NoUpstreamOfVersion:
         return "no_upstream_of_version";
+    case CallRefusal::DataCentreEvacuated:
+        return "data_centre_evacuated";
+    case CallRefusal::NoUpstreamInHomeRegion:
+        return "no_upstream_in_home_region";
     }
     return "unknown";
 }
 
+region::HomeRegions CallAdmission::homes() const
+{
+    return workspace ? route->homes.intersect(workspace->homes) : route->homes;
+}
+
 // A stale configuration may lack a route or key that was added since it was read, so its denial is not final.
 std::optional<CallRefusal> CallAdmitter::denialUnlessStale(CallRefusal reason) const
 {
--- a/src/gateway/call_admission.h
+++ b/src/gateway/call_admission.h
@@ -34,6 +34,10 @@
     UnknownStreamVersion,
     /// No upstream has the software version that has begun the stream.
     NoUpstreamOfVersion,
+    /// The upstreams that could serve the request are in evacuated data centres.
+    DataCentreEvacuated,
+    /// No upstream is in a home region of the request's route and workspace.
+    NoUpstreamInHomeRegion,
 };
 
 /// @return the reason in snake_case, as logs and metrics name it.
@@ -50,6 +54,9 @@
     const ServiceConfiguration* service = nullptr;
     /// Amount charged to the workspace, in the unit of its limit.
     int64_t charge = 0;
+
+    /// @return the home regions that route and workspace have in common.
+    region::HomeRegions homes() const;
 };
 
 /// Resolves the route, service and workspace of a request, and charges the workspace's rate limit.
--- a/src/gateway/configuration_tracker.cc
+++ b/src/gateway/configuration_tracker.cc
@@ -15,6 +15,8 @@
 constexpr Duration nonReaderFeedInterval = std::chrono::seconds(12);
 /// A configuration confirmed within this time counts as fresh.
 constexpr Duration freshnessTime = std::chrono::milliseconds(2300);
+/// Interval at which the readable time of the store is counted for evacuations that its copy lacks.
+constexpr Duration evacuationCheckInterval = std::chrono::seconds(1);
 
 } // namespace
 
@@ -23,12 +25,20 @@
     : m_scheduler(scheduler)
     , m_decoder(decoder)
     , m_handlers(std::move(handlers))
+    , m_evacuationTimer(
+          scheduler, [] { return evacuationCheckInterval; }, [this] { checkMissingEvacuations(); })
     , m_feed(scheduler, store, *this,
           { decoder.operatorTable(), [this] { return m_isReader ? feedWait : Duration::zero(); },
               [this] { return m_isReader ? Duration::zero() : nonReaderFeedInterval; } })
 {
 }
 
+void ConfigurationTracker::start()
+{
+    m_feed.start();
+    m_evacuationTimer.start();
+}
+
 void ConfigurationTracker::setReader(bool isReader)
 {
     if (!std::exchange(m_isReader, isReader) && isReader)
@@ -63,17 +73,83 @@
 
 void ConfigurationTracker::rowsChanged(const std::vector<StoredRow>& rows)
 {
-    apply(rows, "store");
+    apply(rows, RowSource::Store);
 }
 
 void ConfigurationTracker::peerOffered(const std::vector<StoredRow>& rows)
 {
-    apply(rows, "peer");
+    apply(rows, RowSource::Peer);
+}
+
+void ConfigurationTracker::tableRead(const std::vector<StoredRow>& rows)
+{
+    rowsChanged(rows);
+    std::set<DataCentreId> present;
+    for (const StoredRow& row : rows) {
+        if (const auto dataCentre = m_decoder.readEvacuation(row.id))
+            present.insert(*dataCentre);
+    }
+    reportEvacuations(m_evacuations.tableRead(present, *m_feed.version()), "store");
+}
+
+std::vector<StoredRow> ConfigurationTracker::tombstonesFor(const std::vector<StoredRow>& rows) const
+{
+    std::vector<StoredRow> tombstones;
+    for (const StoredRow& row : rows) {
+        const auto dataCentre = row.isDeleted ? std::nullopt : m_decoder.readEvacuation(row.id);
+        const auto tombstone
+            = dataCentre ? m_evacuations.tombstoneAfter(*dataCentre, row.version) : std::nullopt;
+        if (tombstone)
+            tombstones.push_back(*tombstone);
+    }
+    return tombstones;
+}
+
+std::vector<StoredRow> ConfigurationTracker::evacuationsToConfirm(const std::vector<StoredRow>& rows) const
+{
+    const auto feedAge = m_feed.age();
+    if (feedAge && *feedAge < freshnessTime)
+        return {};
+    std::vector<StoredRow> unconfirmed;
+    for (StoredRow& row : m_evacuations.rowsInForce()) {
+        const bool isConfirmed = std::any_of(
+            rows.begin(), rows.end(), [&row](const StoredRow& other) { return other.id.key == row.id.key; });
+        if (!isConfirmed)
+            unconfirmed.push_back(std::move(row));
+    }
+    return unconfirmed;
+}
+
+void ConfigurationTracker::checkMissingEvacuations()
+{
+    const auto feedAge = m_feed.age();
+    const auto version = m_feed.version();
+    if (m_feed.isLost() || !feedAge || !version)
+        m_evacuations.storeUnreadable();
+    else
+        reportEvacuations(m_evacuations.storeReadable(m_scheduler.now() - *feedAge, *version), "lifetime");
+}
+
+void ConfigurationTracker::applyEvacuation(
+    const DataCentreId& dataCentre, const StoredRow& row, RowSource source)
+{
+    if (source == RowSource::Store)
+        reportEvacuations(m_evacuations.apply(dataCentre, row), "store");
+    else
+        reportEvacuations(
+            m_evacuations.applyFromPeer(dataCentre, row, m_feed.version().value_or(RowVersion())), "peer");
+}
+
+void ConfigurationTracker::reportEvacuations(const region::Evacuations::Changes& changes, const char* source)
+{
+    m_newestRowVersion = std::max(m_newestRowVersion, m_evacuations.newestVersion());
+    for (const region::EvacuationChange& change : changes)
+        m_handlers.onEvacuation(change, source);
 }
 
 std::vector<StoredRow> ConfigurationTracker::rowsAfter(RowVersion version) const
 {
-    std::vector<StoredRow> rows;
+    std::vector<StoredRow> rows = m_evacuations.rowsAfter(version, m_newestRowVersion.era());
     for (const auto& [key, row] : m_rows) {
         const bool isUnconfirmed = row.version.era() < m_newestRowVersion.era();
         if (row.version > version || isUnconfirmed)
@@ -89,9 +165,14 @@
         m_rows[row.id.key] = row;
 }
 
-void ConfigurationTracker::apply(const std::vector<StoredRow>& rows, const char* source)
+void ConfigurationTracker::apply(const std::vector<StoredRow>& rows, RowSource rowSource)
 {
+    const char* source = rowSource == RowSource::Store ? "store" : "peer";
     for (const StoredRow& row : rows) {
+        if (const auto dataCentre = m_decoder.readEvacuation(row.id)) {
+            applyEvacuation(*dataCentre, row, rowSource);
+            continue;
+        }
         if (row.isDeleted)
             continue;
         if (row.id.key == m_decoder.configurationKey()) {
--- a/src/gateway/configuration_tracker.h
+++ b/src/gateway/configuration_tracker.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "base/periodic_timer.h"
 #include "gateway/row_decoder.h"
 #include "gateway/run_request.h"
 #include "gateway/store_feed.h"
+#include "region/evacuations.h"
 
 #include <functional>
 #include <map>
@@ -11,8 +13,8 @@
 
 namespace lacewing::gateway {
 
-/// Holds the newest configuration and the newest adapter releases that this process has received from the
-/// store or from a peer. Older ones are ignored.
+/// Holds the newest configuration, the newest adapter releases and the evacuated data centres that this
+/// process has received from the store or from a peer. Older ones are ignored.
 ///
 /// Load pattern: the store comes back from a copy that lacks changes which have been confirmed. Within an era
 /// of the store a row with a higher version is newer. Rows of different eras are ordered by what they say: by
@@ -22,12 +24,17 @@
     struct Handlers {
         std::function<void()> onConfiguration;
         std::function<void(const AdapterRelease& release)> onRelease;
+        /// A data centre has been evacuated or restored.
+        ///
+        /// @param source of the change, for logs: "store", "peer" or "lifetime".
+        std::function<void(const region::EvacuationChange& change, const char* source)> onEvacuation
+            = [](const region::EvacuationChange&, const char*) {};
     };
 
     /// @param scheduler, store, decoder must outlive the tracker.
     ConfigurationTracker(Scheduler& scheduler, RowStore& store, const RowDecoder& decoder, Handlers handlers);
 
-    void start() { m_feed.start(); }
+    void start();
 
     /// @return the current configuration, or null if none has been received.
     std::shared_ptr<const ServingConfiguration> current() const { return m_current; }
@@ -37,7 +44,7 @@
     /// @return highest version of the configuration's row that has been received, whether or not the row was
     ///     newer than the current configuration; 0 if there is none.
     RowVersion rowVersion() const { return m_rowVersion; }
-    /// @return highest version of all received rows, the configuration and the releases; 0 if there are none.
+    /// @return highest version of all received rows and of removed evacuations; 0 if there are none.
     RowVersion newestRowVersion() const { return m_newestRowVersion; }
     /// @return revision of the current configuration; 0 if there is none.
     Revision revision() const { return m_current ? m_current->revision() : Revision(); }
@@ -61,11 +68,24 @@
     bool isReader() const { return m_isReader; }
 
     const std::map<AdapterRef, int64_t>& releases() const { return m_releases; }
+    const region::Evacuations& evacuations() const { return m_evacuations; }
+    /// @return tombstones of the evacuations among a peer's rows that have been removed, to be sent to the
+    /// peer.
+    std::vector<StoredRow> tombstonesFor(const std::vector<StoredRow>& rows) const;
+    /// @return rows of evacuations that a peer may know to be removed, to be sent to it after it has sent
+    ///     `rows`. None if this host has just read the store itself.
+    std::vector<StoredRow> evacuationsToConfirm(const std::vector<StoredRow>& rows) const;
 
 private:
-    void tableRead(const std::vector<StoredRow>& rows) override { rowsChanged(rows); }
+    void tableRead(const std::vector<StoredRow>& rows) override;
     void rowsChanged(const std::vector<StoredRow>& rows) override;
-    void apply(const std::vector<StoredRow>& rows, const char* source);
+    enum class RowSource { Store, Peer };
+
+    void apply(const std::vector<StoredRow>& rows, RowSource source);
+    void applyEvacuation(const DataCentreId& dataCentre, const StoredRow& row, RowSource source);
+    void reportEvacuations(const region::Evacuations::Changes& changes, const char* source);
+    /// Ends evacuations that the store, which has come back from a copy, has lacked for long.
+    void checkMissingEvacuations();
     void applyConfiguration(const StoredRow& row, const char* source);
     void applyRelease(const StoredRow& row, const AdapterRelease& release, const char* source);
     /// @param isNewest whether the row has the newest content of its key, so that peers get it.
@@ -80,6 +100,8 @@
     /// The row of each key with the newest content, at the highest version with this content.
     std::map<std::string, StoredRow> m_rows;
     std::map<AdapterRef, int64_t> m_releases;
+    region::Evacuations m_evacuations;
+    PeriodicTimer m_evacuationTimer;
     bool m_isReader = true;
     /// Highest version and revision of the configuration that any peer has reported.
     RowVersion m_peerVersion;
--- a/src/gateway/configuration_tracker_test.cc
+++ b/src/gateway/configuration_tracker_test.cc
@@ -31,8 +31,11 @@
     return { { "", "config" }, value, RowVersion(version), false };
 }
 
+const RowKey evacuation { "op", "evacuated:z-1" };
+
 struct Fixture {
     int64_t revision() const { return tracker.current() ? tracker.current()->revision().value() : 0; }
+    bool isEvacuated() const { return tracker.evacuations().isEvacuated(DataCentreId("z-1")); }
     void put(const char* value) { store.put({ "op", "config" }, value); }
 
     VirtualScheduler scheduler;
@@ -220,4 +223,72 @@
     BOOST_TEST(started.isFresh());
 }
 
+// Guards against an evacuated data centre that gets requests, and against a restored one that gets none
+// because the change feed or a read of the whole table shows the removal.
+BOOST_AUTO_TEST_CASE(AnEvacuationHoldsUntilItsRowIsRemoved)
+{
+    for (const bool isCompacted : { false, true }) {
+        Fixture fixture;
+        fixture.put("3");
+        fixture.tracker.start();
+        fixture.scheduler.advance(1s);
+        fixture.store.put(evacuation, "not readable");
+        fixture.scheduler.advance(100ms);
+        BOOST_TEST(fixture.isEvacuated());
+        fixture.store.fault = RowStoreError::Unknown;
+        fixture.scheduler.advance(60s);
+        BOOST_TEST(fixture.isEvacuated());
+        const RowVersion before = fixture.tracker.newestRowVersion();
+        fixture.store.remove(evacuation);
+        if (isCompacted)
+            fixture.store.compact();
+        fixture.store.fault.reset();
+        fixture.scheduler.advance(2s);
+        BOOST_TEST(!fixture.isEvacuated());
+        BOOST_TEST(fixture.tracker.newestRowVersion() > before);
+    }
+}
+
+// Guards against an evacuation that ends early because the store comes back from a copy without it, and
+// against one that never ends.
+BOOST_AUTO_TEST_CASE(AnEvacuationThatACopyLacksHoldsForSomeReadableTime)
+{
+    Fixture fixture;
+    fixture.put("3");
+    fixture.tracker.start();
+    fixture.scheduler.advance(5s);
+    fixture.store.put(evacuation, "{}");
+    fixture.scheduler.advance(1s);
+    fixture.store.restore(3s);
+    fixture.scheduler.advance(20s);
+    fixture.store.fault = RowStoreError::Refused;
+    fixture.scheduler.advance(60s);
+    fixture.store.fault.reset();
+    fixture.scheduler.advance(5s);
+    BOOST_TEST(fixture.isEvacuated());
+    fixture.scheduler.advance(12s);
+    BOOST_TEST(!fixture.isEvacuated());
+}
+
+// Guards against an evacuation that a copy of the store brings back to some hosts only, and against an
+// operator who can't end one that the copy lacks.
+BOOST_AUTO_TEST_CASE(TheOperatorDecidesAfterALoss)
+{
+    Fixture fixture;
+    fixture.put("3");
+    fixture.tracker.start();
+    fixture.scheduler.advance(5s);
+    fixture.store.put(evacuation, "{}");
+    fixture.scheduler.advance(5s);
+    fixture.store.remove(evacuation);
+    fixture.scheduler.advance(1s);
+    BOOST_TEST(!fixture.isEvacuated());
+    fixture.store.restore(3s);
+    fixture.scheduler.advance(2s);
+    BOOST_TEST(fixture.isEvacuated());
+    fixture.store.remove(evacuation);
+    fixture.scheduler.advance(1s);
+    BOOST_TEST(!fixture.isEvacuated());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/endpoint_translator.h
+++ b/src/gateway/endpoint_translator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "region/host_directory.h"
 #include "transport/http_message.h"
 
 #include <string>
@@ -7,6 +8,13 @@
 
 namespace lacewing::gateway {
 
+/// What a caller states when it looks hosts up.
+struct DirectoryQuery {
+    /// Host name of the routes that it will use; empty if it does not state it.
+    std::string hostName;
+    region::CallerLocation caller;
+};
+
 /// Defines the paths and response bodies of the gateway's own endpoints: host discovery and readiness.
 /// Implemented for each platform.
 class EndpointTranslator {
@@ -15,6 +23,8 @@
 
     /// @return whether the path is the discovery endpoint, which lists the hosts that callers should use.
     virtual bool isDirectoryPath(const std::string& path) const = 0;
+    /// @param query raw query of a discovery request.
+    virtual DirectoryQuery readDirectoryQuery(const std::string& query) const = 0;
     /// @return whether the path is the readiness endpoint.
     virtual bool isReadinessPath(const std::string& path) const = 0;
     /// @param lifetimeSeconds time for which callers may cache the response, in seconds.
--- a/src/gateway/engine_view.cc
+++ b/src/gateway/engine_view.cc
@@ -58,12 +58,12 @@
 }
 
 std::vector<EngineCandidate> EngineView::candidates(const ServiceId& service, const AdapterRef& adapter,
-    const std::set<UpstreamId>& excluded, const VersionFilter& versions)
+    const std::set<UpstreamId>& excluded, const UpstreamFilter& filter)
 {
     const MonotonicTime now = m_clock.now();
     const Duration updateInterval = std::min(m_mesh.heartbeatInterval(), maximumBacklogError);
     std::vector<EngineCandidate> candidates;
-    for (const UpstreamEntry* entry : m_upstreams.usable(service, versions)) {
+    for (const UpstreamEntry* entry : m_upstreams.usable(service, filter)) {
         if (excluded.count(entry->id) > 0 || m_upstreams.restLeft(*entry) > Duration::zero())
             continue;
         EngineCandidate candidate;
--- a/src/gateway/engine_view.h
+++ b/src/gateway/engine_view.h
@@ -24,9 +24,9 @@
         DataCentreId dataCentre);
 
     /// @param excluded engines that have denied the request.
-    /// @param versions that the request may be sent to.
+    /// @param filter of the upstreams that the request may be sent to.
     std::vector<EngineCandidate> candidates(const ServiceId& service, const AdapterRef& adapter,
-        const std::set<UpstreamId>& excluded, const VersionFilter& versions);
+        const std::set<UpstreamId>& excluded, const UpstreamFilter& filter);
     /// @return the host that grants runs on an engine, or nothing if no owner is reachable.
     std::optional<HostId> ownerOf(const UpstreamId& engine) const;
     /// Adds a request to the engine's backlog until the owner's next heartbeat includes it.
--- a/src/gateway/fake_call_services_test.h
+++ b/src/gateway/fake_call_services_test.h
@@ -147,6 +147,9 @@
             builder.add(route("/safe/", safeRouteKind, 2, false));
         builder.add(route("/stream/", RouteKind::Stream, 1, false));
         builder.add(route("/resume/", RouteKind::Stream, 2, true));
+        Route home = route("/home/", RouteKind::Stream, 2, true);
+        home.homes = region::HomeRegions({ RegionId("north") });
+        builder.add(home);
         ServiceConfiguration plain;
         plain.id = service;
         builder.add(plain);
@@ -162,6 +165,8 @@
         entry.service = service;
         entry.address = { "127.0.0.1", 1 };
         entry.startedAt = startedAt;
+        // The id s-N stands in data centre z-N.
+        entry.dataCentre = DataCentreId("z-" + row.id.key.substr(row.id.key.rfind('-') + 1));
         const auto version = softwareVersions.find(entry.id);
         entry.softwareVersion = version == softwareVersions.end() ? SoftwareVersion("v1") : version->second;
         return entry;
@@ -224,7 +229,12 @@
     PlainTranslator translator;
     FakeHttpClient client;
     ConfigurationTracker configuration { scheduler, store, rows, { [] {}, [](const AdapterRelease&) {} } };
-    UpstreamDirectory upstreams { scheduler, store, rows, { [] {}, [](const std::vector<StoredRow>&) {} } };
+    std::set<DataCentreId> evacuated;
+    UpstreamDirectory upstreams { scheduler, store, rows,
+        { [] {}, [](const std::vector<StoredRow>&) {},
+            [this](const DataCentreId& dataCentre) { return evacuated.count(dataCentre) > 0; } },
+        region::RegionMap(
+            { { DataCentreId("z-1"), RegionId("north") }, { DataCentreId("z-2"), RegionId("south") } }) };
     HostRecord self { HostId("host-1"), Incarnation(1), { "127.0.0.1", 1 }, { "127.0.0.1", 2 },
         DataCentreId("dc-1"), 0 };
     FleetAgent fleet { scheduler, store, self, std::chrono::seconds(3), OwnershipRule::EnginesCheckFencing,
--- a/src/gateway/fake_row_decoder_test.h
+++ b/src/gateway/fake_row_decoder_test.h
@@ -16,6 +16,13 @@
         return nullptr;
     }
     std::optional<AdapterRelease> readRelease(const StoredRow&) const override { return std::nullopt; }
+    std::optional<DataCentreId> readEvacuation(const RowKey& id) const override
+    {
+        constexpr std::string_view prefix = "evacuated:";
+        if (id.key.rfind(prefix, 0) != 0)
+            return std::nullopt;
+        return DataCentreId(id.key.substr(prefix.size()));
+    }
     std::optional<UpstreamEntry> readUpstream(const StoredRow&) const override { return std::nullopt; }
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -89,10 +89,17 @@
     , m_random(static_cast<uint64_t>(m_incarnation.value()))
     , m_configuration(loop, platform.store, platform.rows,
           { [this] { configurationChanged(); },
-              [this](const AdapterRelease& release) { m_owners.released(release); } })
+              [this](const AdapterRelease& release) { m_owners.released(release); },
+              [this](const region::EvacuationChange& change, const char* source) {
+                  evacuationChanged(change, source);
+              } })
     , m_upstreams(loop, platform.store, platform.rows,
           { [this] { upstreamsChanged(); },
-              [this](const std::vector<StoredRow>& rows) { m_mesh.sendToAll(PeerUpstreamRows { rows }); } })
+              [this](const std::vector<StoredRow>& rows) { m_mesh.sendToAll(PeerUpstreamRows { rows }); },
+              [this](const DataCentreId& dataCentre) {
+                  return m_configuration.evacuations().isEvacuated(dataCentre);
+              } },
+          m_settings.regions)
     , m_picker(m_random.next())
     , m_limits(m_settings.host)
     , m_usage(m_settings.usageWindow, m_settings.host,
@@ -283,14 +290,7 @@
         exchange.reply(statusNotFound, {}, "");
         return;
     }
-    std::vector<SocketAddress> addresses;
-    if (isReady())
-        addresses.push_back(m_settings.callerAddress);
-    for (const auto& [host, state] : m_mesh.peersInTouch()) {
-        const bool isListed = state->heartbeat.isReady && !state->heartbeat.isStopping;
-        if (isListed && state->heartbeat.callerAddress.port != 0)
-            addresses.push_back(state->heartbeat.callerAddress);
-    }
+    const auto addresses = directoryAddresses(m_platform.surface.readDirectoryQuery(exchange.query()));
     if (addresses.empty()) {
         exchange.reply(statusUnavailable, {}, "");
         return;
@@ -299,6 +299,32 @@
         m_platform.surface.directoryAnswer(addresses, toSeconds(m_settings.directoryLifetime)));
 }
 
+std::vector<SocketAddress> Gateway::directoryAddresses(const DirectoryQuery& query) const
+{
+    std::vector<SocketAddress> addresses;
+    std::vector<DataCentreId> dataCentres;
+    if (isReady()) {
+        addresses.push_back(m_settings.callerAddress);
+        dataCentres.push_back(m_settings.dataCentre);
+    }
+    for (const auto& [host, state] : m_mesh.peersInTouch()) {
+        const bool isListed = state->heartbeat.isReady && !state->heartbeat.isStopping;
+        if (!isListed || state->heartbeat.callerAddress.port == 0)
+            continue;
+        addresses.push_back(state->heartbeat.callerAddress);
+        const auto record = m_mesh.hosts().find(host);
+        dataCentres.push_back(record == m_mesh.hosts().end() ? DataCentreId() : record->second.dataCentre);
+    }
+    const auto configuration = m_configuration.current();
+    const std::set<RegionId> homes
+        = configuration ? configuration->homeRegions(query.hostName) : std::set<RegionId>();
+    std::vector<SocketAddress> selected;
+    for (const size_t index :
+        region::HostDirectory(m_settings.regions).select(dataCentres, homes, query.caller))
+        selected.push_back(addresses[index]);
+    return selected;
+}
+
 void Gateway::answerReadiness(HttpExchange& exchange)
 {
     if (!m_platform.surface.isReadinessPath(exchange.path()))
@@ -318,6 +344,8 @@
         = static_cast<double>(m_upstreams.availability().leavingCount());
     m_metrics.gauge("lacewing_resting_upstreams")
         = static_cast<double>(m_upstreams.availability().restingCount(m_loop.now()));
+    m_metrics.gauge("lacewing_evacuated_data_centres")
+        = static_cast<double>(m_configuration.evacuations().count());
     m_metrics.gauge("lacewing_limited_upstreams") = static_cast<double>(m_limits.limitedCount());
     m_metrics.gauge("lacewing_quarantined_prompts") = static_cast<double>(m_quarantine.activeCount());
     m_metrics.gauge("lacewing_peers_in_touch") = static_cast<double>(m_mesh.peersInTouch().size());
@@ -381,7 +409,7 @@
         return;
     }
     if (const auto* news = std::get_if<PeerOperatorRows>(&message)) {
-        m_configuration.peerOffered(news->rows);
+        m_operatorRows.onRows(peer, news->rows);
         return;
     }
     if (const auto* news = std::get_if<PeerUpstreamRows>(&message)) {
@@ -562,6 +590,16 @@
     upstreamsChanged();
 }
 
+void Gateway::evacuationChanged(const region::EvacuationChange& change, const char* source)
+{
+    LogEvent(LogLevel::Info, change.isEvacuated ? "data_centre_evacuated" : "data_centre_restored")
+        .with("data_centre", change.dataCentre)
+        .with("version", change.version)
+        .with("source", source)
+        .with("known_upstreams", m_upstreams.countIn(change.dataCentre));
+    upstreamsChanged();
+}
+
 bool Gateway::mayOrder() const
 {
     return !m_isStopping && (m_settings.enginesCheckFencing || m_fleet.isLeaseValid());
@@ -576,7 +614,8 @@
     for (const auto& [id, service] : configuration->services()) {
         if (!service.engine)
             continue;
-        for (const UpstreamEntry* entry : m_upstreams.usable(id))
+        // Owners keep the engines of an evacuated data centre.
+        for (const UpstreamEntry* entry : m_upstreams.inService(id))
             engines.insert(entry->id);
     }
     return engines;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -58,6 +58,8 @@
     void acceptCall(std::shared_ptr<HttpExchange> exchange);
     void callFinished(ProxiedCall* call);
     void answerDirectory(HttpExchange& exchange);
+    /// @return the ready hosts that a caller is told.
+    std::vector<SocketAddress> directoryAddresses(const DirectoryQuery& query) const;
     void answerReadiness(HttpExchange& exchange);
     void answerMetrics(HttpExchange& exchange);
     bool isReady() const { return m_configuration.current() != nullptr && !m_isStopping; }
@@ -89,6 +91,7 @@
     void upstreamsChanged();
     /// An upstream has said that it is leaving, or wants a rest.
     void availabilityChanged(const UpstreamId& upstream);
+    void evacuationChanged(const region::EvacuationChange& change, const char* source);
     bool mayOrder() const;
     std::set<UpstreamId> engineIds() const;
     std::set<HostId> ineligibleHosts() const;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -103,9 +103,28 @@
     };
 }
 
+using MapReader = std::function<std::optional<FieldError>(const YamlValue& value)>;
+
+MapReader regionsField(region::RegionMap& target)
+{
+    return [&target](const YamlValue& value) -> std::optional<FieldError> {
+        std::map<DataCentreId, RegionId> regions;
+        for (const auto& [dataCentre, region] : value.members) {
+            if (dataCentre.empty() || region.kind != YamlValue::Kind::Scalar || region.scalar.empty())
+                return FieldError { "has no region for \"" + dataCentre + "\"",
+                    "a map from data centres to regions" };
+            regions.emplace(DataCentreId(dataCentre), RegionId(region.scalar));
+        }
+        target = region::RegionMap(std::move(regions));
+        return std::nullopt;
+    };
+}
+
 struct Field {
     FieldReader read;
     bool isRequired = true;
+    /// Set for a field whose value is a map.
+    MapReader readMap = nullptr;
 };
 
 std::map<std::string, Field> fieldsOf(GatewaySettings& settings)
@@ -115,6 +134,8 @@
     return {
         { "host", { idField(settings.host) } },
         { "dataCentre", { idField(settings.dataCentre) } },
+        { "region", { idField(settings.region), false } },
+        { "regions", { nullptr, false, regionsField(settings.regions) } },
         { "callerAddress", { addressField(settings.callerAddress) } },
         { "readinessAddress", { addressField(settings.readinessAddress) } },
         { "directoryAddress", { addressField(settings.directoryAddress) } },
@@ -153,10 +174,11 @@
         // A configuration template leaves a field empty if the platform has no value for it.
         if (value.kind == YamlValue::Kind::Null && !field->second.isRequired)
             continue;
-        if (value.kind != YamlValue::Kind::Scalar)
-            return describe(
-                value.location, name, { std::string("is ") + value.kindName(), "a single value" });
-        if (const auto error = field->second.read(value.scalar))
+        const MapReader& readMap = field->second.readMap;
+        if (value.kind != (readMap ? YamlValue::Kind::Map : YamlValue::Kind::Scalar))
+            return describe(value.location, name,
+                { std::string("is ") + value.kindName(), readMap ? "a map" : "a single value" });
+        if (const auto error = readMap ? readMap(value) : field->second.read(value.scalar))
             return describe(value.location, name, *error);
         field->second.isRequired = false;
     }
@@ -191,6 +213,7 @@
     m_lastError = readFields(*root, fields);
     if (!m_lastError.empty())
         return std::nullopt;
+    settings.regions.complete(settings.dataCentre, settings.region);
     return settings;
 }
 
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -4,6 +4,7 @@
 #include "base/ids.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/workspace_rate_limiter.h"
+#include "region/region_map.h"
 #include "transport/http_message.h"
 
 #include <optional>
@@ -17,6 +18,10 @@
 
     HostId host;
     DataCentreId dataCentre;
+    /// Region of this host; empty if the platform has no regions.
+    RegionId region;
+    /// Regions of all data centres; without entries home regions have no effect.
+    region::RegionMap regions;
     /// Listens for callers' requests.
     SocketAddress callerAddress;
     /// Listens for the platform's readiness checks.
--- a/src/gateway/gateway_settings_test.cc
+++ b/src/gateway/gateway_settings_test.cc
@@ -94,4 +94,20 @@
     BOOST_TEST(reader.read(file.path()).has_value());
 }
 
+// Guards against home regions that have no effect because the platform writes its map as JSON.
+BOOST_AUTO_TEST_CASE(ReadsRegions)
+{
+    const SettingsFile file(valid + "region: north\nregions: {\"z-1\":\"north\",\"z-2\":\"south\"}\n");
+    GatewaySettingsReader reader;
+    const auto settings = reader.read(file.path());
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(settings->region == RegionId("north"));
+    BOOST_TEST((settings->regions.find(DataCentreId("z-2")) == RegionId("south")));
+    BOOST_TEST((settings->regions.find(settings->dataCentre) == RegionId("north")));
+    BOOST_TEST(errorOf(valid + "regions: north\n").find("'regions'") != std::string::npos);
+    BOOST_TEST(errorOf(valid + "regions: {\"z-1\":[]}\n").find("z-1") != std::string::npos);
+    const SettingsFile without(valid + "region:\nregions:\n");
+    BOOST_TEST(!reader.read(without.path())->regions.isEnabled());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/operator_row_exchange.cc
+++ b/src/gateway/operator_row_exchange.cc
@@ -14,6 +14,9 @@
 constexpr Duration minimumRequestDelay = std::chrono::milliseconds(50);
 constexpr Duration maximumRequestDelay = std::chrono::milliseconds(1000);
 
+/// Interval at which a peer is sent the evacuations that are missing from a copy of the store.
+constexpr Duration missingEvacuationInterval = std::chrono::seconds(2);
+
 } // namespace
 
 OperatorRowExchange::OperatorRowExchange(
@@ -32,6 +35,7 @@
 
 void OperatorRowExchange::onHeartbeat(const HostId& peer, RowVersion newest, Revision revision)
 {
+    sendMissingEvacuations(peer);
     const Offer offer { std::max(revision, m_tracker.revision()), newest };
     if (offer <= own() || offer < m_bestOffer)
         return;
@@ -61,8 +65,37 @@
     if (sources.empty() || best <= own())
         return;
     const auto chosen = static_cast<size_t>(m_random.uniform() * static_cast<double>(sources.size()));
-    m_send(
-        sources[std::min(chosen, sources.size() - 1)], PeerOperatorRequest { m_tracker.newestRowVersion() });
+    m_asked = sources[std::min(chosen, sources.size() - 1)];
+    m_send(*m_asked, PeerOperatorRequest { m_tracker.newestRowVersion() });
+}
+
+void OperatorRowExchange::onRows(const HostId& peer, const std::vector<StoredRow>& rows)
+{
+    m_tracker.peerOffered(rows);
+    const auto tombstones = m_tracker.tombstonesFor(rows);
+    if (!tombstones.empty())
+        m_send(peer, PeerOperatorRows { tombstones });
+    if (m_asked != peer)
+        return;
+    m_asked.reset();
+    const auto unconfirmed = m_tracker.evacuationsToConfirm(rows);
+    if (!unconfirmed.empty())
+        m_send(peer, PeerOperatorRows { unconfirmed });
+}
+
+void OperatorRowExchange::sendMissingEvacuations(const HostId& peer)
+{
+    const auto rows = m_tracker.evacuations().missingRows();
+    if (rows.empty()) {
+        m_evacuationsSent.clear();
+        return;
+    }
+    const MonotonicTime now = m_scheduler.now();
+    const auto sent = m_evacuationsSent.find(peer);
+    if (sent != m_evacuationsSent.end() && now < sent->second + missingEvacuationInterval)
+        return;
+    m_evacuationsSent[peer] = now;
+    m_send(peer, PeerOperatorRows { rows });
 }
 
 void OperatorRowExchange::onRequest(const HostId& peer, const PeerOperatorRequest& request)
--- a/src/gateway/operator_row_exchange.h
+++ b/src/gateway/operator_row_exchange.h
@@ -7,6 +7,8 @@
 #include "gateway/peer_message.h"
 
 #include <functional>
+#include <map>
+#include <optional>
 #include <vector>
 
 namespace lacewing::gateway {
@@ -30,6 +32,10 @@
     ///     are not, if the store has come back from a copy that lacks it.
     void onHeartbeat(const HostId& peer, RowVersion newest, Revision revision);
     void onRequest(const HostId& peer, const PeerOperatorRequest& request);
+    /// Applies rows that a peer has sent, and tells it which of its evacuations have been removed. After rows
+    /// that this host has asked for, sends the peer the evacuations that were not among them, which the peer
+    /// may know to be removed.
+    void onRows(const HostId& peer, const std::vector<StoredRow>& rows);
 
 private:
     /// Revision of the configuration and highest version of the rows that a host has.
@@ -38,6 +44,9 @@
     Offer own() const;
     void requestIfBehind();
     Duration requestDelay();
+    /// Sends a peer the evacuations that a copy of the store lacks, since versions alone don't tell a host
+    /// that has started since of them.
+    void sendMissingEvacuations(const HostId& peer);
 
     Scheduler& m_scheduler;
     ConfigurationTracker& m_tracker;
@@ -47,6 +56,10 @@
     /// The best offer of peers since the last request, and the peers that have made it.
     Offer m_bestOffer;
     std::vector<HostId> m_sources;
+    /// The peer that was asked last and has not answered.
+    std::optional<HostId> m_asked;
+    /// When peers were last sent evacuations; empty unless some are missing from the store.
+    std::map<HostId, MonotonicTime> m_evacuationsSent;
     Lifetime m_lifetime;
 };
 
--- a/src/gateway/operator_row_exchange_test.cc
+++ b/src/gateway/operator_row_exchange_test.cc
@@ -30,6 +30,8 @@
     }
 };
 
+const RowKey evacuation { "op", "evacuated:z-1" };
+
 struct Host {
     Host(VirtualScheduler& scheduler, const RowDecoder& decoder)
         : store(scheduler)
@@ -54,9 +56,10 @@
             if (const auto* request = std::get_if<PeerOperatorRequest>(&message))
                 receiver.exchange.onRequest(HostId("peer"), *request);
             else if (const auto* rows = std::get_if<PeerOperatorRows>(&message))
-                receiver.tracker.peerOffered(rows->rows);
+                receiver.exchange.onRows(HostId("peer"), rows->rows);
         }
     }
+    bool isEvacuated() const { return tracker.evacuations().isEvacuated(DataCentreId("z-1")); }
     int64_t release(const char* adapter) const
     {
         const auto found = tracker.releases().find({ ModelId("m"), AdapterId(adapter) });
@@ -74,6 +77,16 @@
 struct Fixture {
     Fixture() { scheduler.advance(100ms); }
 
+    /// Lets the disconnected host hear a heartbeat of another one and ask it for rows.
+    void syncFrom(Host& other)
+    {
+        scheduler.advance(1s);
+        disconnected.exchange.onHeartbeat(
+            HostId("peer"), other.tracker.newestRowVersion(), other.tracker.revision());
+        scheduler.advance(2s);
+        disconnected.exchangeMessages(other);
+    }
+
     VirtualScheduler scheduler;
     AnyRowDecoder decoder;
     Host connected { scheduler, decoder };
@@ -158,4 +171,67 @@
         BOOST_TEST(count <= hostCount / 4);
 }
 
+// Guards against a host that is cut off from the store and goes on sending to an evacuated data centre, or
+// keeps away from a restored one.
+BOOST_AUTO_TEST_CASE(EvacuationsAndTheirRemovalsReachAHostWithoutTheStore)
+{
+    Fixture fixture;
+    fixture.disconnected.store.fault = RowStoreError::Unknown;
+    fixture.connected.store.put(evacuation, "{}");
+    fixture.syncFrom(fixture.connected);
+    BOOST_TEST(fixture.disconnected.isEvacuated());
+    fixture.connected.store.remove(evacuation);
+    fixture.syncFrom(fixture.connected);
+    BOOST_TEST(!fixture.disconnected.isEvacuated());
+}
+
+// Guards against a restarted host that takes a removed evacuation over from a host that was cut off, and
+// against a host that keeps the evacuation although it takes a newer configuration from the restarted one.
+BOOST_AUTO_TEST_CASE(ARestartedHostEndsAnEvacuationThatWasRemovedBefore)
+{
+    for (const bool hasNewerConfiguration : { false, true }) {
+        Fixture fixture;
+        fixture.connected.store.put(evacuation, "{}");
+        fixture.disconnected.store.fault = RowStoreError::Unknown;
+        fixture.syncFrom(fixture.connected);
+        BOOST_TEST(fixture.disconnected.isEvacuated());
+        fixture.scheduler.advance(10s);
+        Host restarted { fixture.scheduler, fixture.decoder };
+        for (int revision = 2; revision < 6; ++revision)
+            restarted.store.put({ "servers", "other" }, "1");
+        if (hasNewerConfiguration)
+            restarted.store.put({ "op", "config" }, "9");
+        fixture.scheduler.advance(3s);
+        restarted.exchange.onHeartbeat(
+            HostId("peer"), fixture.disconnected.tracker.newestRowVersion(), Revision());
+        fixture.syncFrom(restarted);
+        fixture.syncFrom(restarted);
+        BOOST_TEST(!restarted.isEvacuated());
+        BOOST_TEST(!fixture.disconnected.isEvacuated());
+    }
+}
+
+// Guards against a host that starts after the store has come back from a copy without the evacuation, and
+// sends requests to a data centre that its peers keep away from.
+BOOST_AUTO_TEST_CASE(AHostThatStartsAfterALossLearnsOfAMissingEvacuation)
+{
+    Fixture fixture;
+    fixture.scheduler.advance(5s);
+    fixture.connected.store.put(evacuation, "{}");
+    fixture.scheduler.advance(1s);
+    fixture.connected.store.restore(3s);
+    fixture.disconnected.store.restore(3s);
+    fixture.scheduler.advance(3s);
+    BOOST_TEST(fixture.connected.isEvacuated());
+    BOOST_TEST(!fixture.disconnected.isEvacuated());
+    for (int heartbeat = 0; heartbeat < 5; ++heartbeat)
+        fixture.connected.exchange.onHeartbeat(HostId("peer"), RowVersion(), Revision());
+    BOOST_TEST(fixture.connected.sent.size() == 1);
+    fixture.disconnected.exchangeMessages(fixture.connected);
+    BOOST_TEST(fixture.disconnected.isEvacuated());
+    fixture.scheduler.advance(45s);
+    BOOST_TEST(!fixture.connected.isEvacuated());
+    BOOST_TEST(!fixture.disconnected.isEvacuated());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/owned_engines_test.cc
+++ b/src/gateway/owned_engines_test.cc
@@ -57,12 +57,14 @@
     }
     void report(const EngineTarget&, ReportCallback callback) override
     {
+        ++reports;
         EngineReport report;
         report.models = { { model, 0, {}, {} } };
         callback(report);
     }
 
     int orders = 0;
+    int reports = 0;
 
 private:
     std::vector<OrderCallback> m_open;
@@ -96,7 +98,9 @@
     EngineRows rows;
     ConfigurationTracker configuration { scheduler, store, rows, { [] {}, [](const AdapterRelease&) {} } };
     UpstreamDirectory upstreams { scheduler, store, rows,
-        { [this] { owners.refresh(); }, [](const std::vector<StoredRow>&) {} } };
+        { [this] { owners.refresh(); }, [](const std::vector<StoredRow>&) {},
+            [this](const DataCentreId&) { return isEvacuated; } } };
+    bool isEvacuated = false;
     ManualEngineControl control;
     std::vector<RunDenial> denials;
     OwnedEngines owners { scheduler, control, upstreams, configuration, HostId("host-1"),
@@ -183,4 +187,28 @@
     BOOST_TEST(!owners.hasOutstandingOrders());
 }
 
+// Guards against requests that wait for an engine of an evacuated data centre, against orders to it, and
+// against an engine that gets no more of them once the evacuation has been taken back.
+BOOST_AUTO_TEST_CASE(DeniesWaitingRunsWhileTheDataCentreIsEvacuated)
+{
+    request(7);
+    BOOST_TEST(control.orders == 1);
+    isEvacuated = true;
+    owners.refresh();
+    BOOST_REQUIRE(denials.size() == 1);
+    BOOST_TEST((denials[0].reason == RunRefusal::EngineLeaving));
+    control.answerAll(OrderOutcome::Unknown);
+    const int reports = control.reports;
+    scheduler.advance(10s);
+    BOOST_TEST(control.orders == 1);
+    BOOST_TEST(control.reports == reports);
+    BOOST_TEST(owners.owns(engine));
+    isEvacuated = false;
+    owners.refresh();
+    scheduler.advance(2s);
+    request(8);
+    BOOST_TEST(control.orders == 2);
+    BOOST_TEST(denials.size() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/plain_upstream_selector.cc
+++ b/src/gateway/plain_upstream_selector.cc
@@ -16,9 +16,9 @@
 }
 
 PlainUpstreamSelector::Selection PlainUpstreamSelector::select(const ServiceId& service,
-    const std::set<UpstreamId>& tried, const VersionFilter& versions, Duration longestWait, MonotonicTime now)
+    const std::set<UpstreamId>& tried, const UpstreamFilter& filter, Duration longestWait, MonotonicTime now)
 {
-    const auto usable = m_upstreams.usable(service, versions);
+    const auto usable = m_upstreams.usable(service, filter);
     const bool hasUnlimited
         = std::any_of(usable.begin(), usable.end(), [this, &tried](const UpstreamEntry* entry) {
               return tried.count(entry->id) == 0 && !m_limits.rate(entry->id)
--- a/src/gateway/plain_upstream_selector.h
+++ b/src/gateway/plain_upstream_selector.h
@@ -35,10 +35,10 @@
     };
 
     /// @param tried upstreams that the request was sent to.
-    /// @param versions that the request may be sent to.
+    /// @param filter of the upstreams that the request may be sent to.
     /// @param longestWait time for which the request can wait and still be answered on time.
     Selection select(const ServiceId& service, const std::set<UpstreamId>& tried,
-        const VersionFilter& versions, Duration longestWait, MonotonicTime now);
+        const UpstreamFilter& filter, Duration longestWait, MonotonicTime now);
 
 private:
     const UpstreamDirectory& m_upstreams;
--- a/src/gateway/proxied_call_refusals_test.cc
+++ b/src/gateway/proxied_call_refusals_test.cc
@@ -202,4 +202,50 @@
     BOOST_TEST(allowed(fixture.retries, now) == allowed(counted, now));
 }
 
+// Guards against callers that wait, or are all told to come back at the same time, while all upstreams of a
+// service are in evacuated data centres; and against requests to the one of two that is evacuated.
+BOOST_AUTO_TEST_CASE(WithAllDataCentresEvacuatedACallIsRefusedAtOnce)
+{
+    ProxiedCallFixture fixture;
+    fixture.evacuated = { DataCentreId("z-2") };
+    for (int request = 0; request < 10; ++request) {
+        fixture.send("/once/1");
+        BOOST_TEST(*fixture.client.calls.back()->request.headers.find("expect") == "s-1");
+    }
+    const size_t sent = fixture.client.calls.size();
+    fixture.evacuated.insert(DataCentreId("z-1"));
+    std::set<std::string> delays;
+    for (int request = 0; request < 5; ++request) {
+        fixture.send("/once/1");
+        BOOST_TEST(fixture.exchange->responseStatus == 503);
+        delays.insert(*fixture.exchange->responseHeaders.find("retry"));
+    }
+    BOOST_TEST(fixture.client.calls.size() == sent);
+    BOOST_TEST(delays.size() > 1u);
+    BOOST_TEST(
+        fixture.metrics.counter("lacewing_refusals_total", { { "reason", "data_centre_evacuated" } }) == 5);
+}
+
+// Guards against a request of a route with home regions that reaches another region: as a first choice, as a
+// repeat or as the resumption of its stream.
+BOOST_AUTO_TEST_CASE(ARouteWithHomeRegionsReachesNoOtherRegion)
+{
+    ProxiedCallFixture fixture;
+    for (int request = 0; request < 10; ++request) {
+        fixture.send("/home/1");
+        BOOST_TEST(*fixture.client.calls.back()->request.headers.find("expect") == "s-1");
+    }
+    const size_t sent = fixture.client.calls.size();
+    fixture.breakStream(sent - 1, "id: 1\ndata: a\n\n");
+    BOOST_TEST(fixture.client.calls.size() == sent);
+    fixture.store.remove({ "servers", "s-1" });
+    fixture.scheduler.advance(10s);
+    fixture.send("/home/1");
+    BOOST_TEST(fixture.client.calls.size() == sent);
+    BOOST_TEST(fixture.exchange->responseStatus == 503);
+    BOOST_TEST(
+        fixture.metrics.counter("lacewing_refusals_total", { { "reason", "no_upstream_in_home_region" } })
+        == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/row_decoder.h
+++ b/src/gateway/row_decoder.h
@@ -31,6 +31,10 @@
         const std::string& value, std::string& reason) const = 0;
     /// @return nothing if the row is not a valid adapter release.
     virtual std::optional<AdapterRelease> readRelease(const StoredRow& row) const = 0;
+    /// @return the data centre whose evacuation the row requests or, if it is deleted, ends; nothing if the
+    /// row
+    ///     is not an evacuation. Only the key counts.
+    virtual std::optional<DataCentreId> readEvacuation(const RowKey& id) const = 0;
     /// @return nothing if the row does not describe a usable upstream.
     virtual std::optional<UpstreamEntry> readUpstream(const StoredRow& row) const = 0;
 };
--- a/src/gateway/serving_configuration.cc
+++ b/src/gateway/serving_configuration.cc
@@ -78,6 +78,21 @@
     return nullptr;
 }
 
+std::set<RegionId> ServingConfiguration::homeRegions(const std::string& host) const
+{
+    auto routes = m_routes.find(host);
+    if (routes == m_routes.end())
+        routes = m_routes.find(host.substr(0, host.find(':')));
+    std::set<RegionId> homes;
+    if (routes == m_routes.end())
+        return homes;
+    for (const auto& [prefix, route] : routes->second) {
+        const std::set<RegionId> regions = route.homes.regions();
+        homes.insert(regions.begin(), regions.end());
+    }
+    return homes;
+}
+
 const ServingWorkspace* ServingConfiguration::findWorkspace(std::string_view key) const
 {
     const auto found = m_workspaceOfKey.find(sha256Hex(key));
--- a/src/gateway/serving_configuration.h
+++ b/src/gateway/serving_configuration.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "region/home_regions.h"
 
 #include <map>
 #include <memory>
@@ -53,6 +54,7 @@
     bool isAnonymous = false;
     bool isResumable = false;
     std::vector<ServiceShare> services;
+    region::HomeRegions homes;
 
     bool mayRepeat() const
     {
@@ -102,6 +104,7 @@
     /// Replaces the route's priority.
     std::optional<int> priority;
     WorkspaceLimit limit;
+    region::HomeRegions homes;
 };
 
 /// Size limits and timeouts for callers' requests.
@@ -137,6 +140,10 @@
     /// @param path without the query.
     /// @return the route of the host with the longest prefix of the path, or null.
     const Route* findRoute(std::string_view host, std::string_view path) const;
+    /// @param host with or without a port.
+    /// @return the home regions of the host's routes, those of all routes together; empty if no route has
+    /// any.
+    std::set<RegionId> homeRegions(const std::string& host) const;
     /// @return the workspace that a key belongs to, or null.
     const ServingWorkspace* findWorkspace(std::string_view key) const;
     /// @return a service, or null.
--- a/src/gateway/store_feed.h
+++ b/src/gateway/store_feed.h
@@ -52,6 +52,9 @@
     void pollNow();
     /// @return era of the store at the last response; 0 before the first.
     StoreEra era() const { return m_era; }
+    /// @return version up to which the table has been read; nothing before the first response and while the
+    ///     whole table must be read again.
+    std::optional<RowVersion> version() const { return m_version; }
     /// @return time since the last response of the store, or nothing before the first.
     std::optional<Duration> age() const;
     /// @return whether the last poll got no response.
--- a/src/gateway/stream_binding.cc
+++ b/src/gateway/stream_binding.cc
@@ -64,7 +64,12 @@
         .with("last_event", *m_attributes.lastEventId);
 }
 
-VersionFilter StreamBinding::filter() const
+UpstreamFilter StreamBinding::filter() const
+{
+    return { versions(), m_admission.homes() };
+}
+
+VersionFilter StreamBinding::versions() const
 {
     if (m_bound)
         return VersionFilter({ *m_bound });
--- a/src/gateway/stream_binding.h
+++ b/src/gateway/stream_binding.h
@@ -5,6 +5,7 @@
 #include "gateway/call_admission.h"
 #include "gateway/call_attributes.h"
 #include "gateway/stream_versions.h"
+#include "gateway/upstream_filter.h"
 
 #include <functional>
 #include <optional>
@@ -29,8 +30,8 @@
     /// @param done called in this call or later. The call can't be served if the source is Unknown or
     /// Unreadable.
     void resolve(std::function<void(VersionSource source)> done);
-    /// @return the versions that the call may be sent to.
-    VersionFilter filter() const;
+    /// @return the upstreams that the call may be sent to.
+    UpstreamFilter filter() const;
     /// @return whether the call is bound to one version.
     bool isBound() const { return m_bound.has_value(); }
     /// The call is sent to an upstream.
@@ -48,6 +49,7 @@
     void recordResumption(const UpstreamId& upstream) const;
 
 private:
+    VersionFilter versions() const;
     bool isStream() const;
     bool takesUp() const { return m_attributes.lastEventId.has_value(); }
     /// @return whether the stream can be taken up by naming this call.
--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lacewing::gateway {
@@ -21,11 +22,12 @@
 
 } // namespace
 
-UpstreamDirectory::UpstreamDirectory(
-    Scheduler& scheduler, RowStore& store, const RowDecoder& decoder, Handlers handlers)
+UpstreamDirectory::UpstreamDirectory(Scheduler& scheduler, RowStore& store, const RowDecoder& decoder,
+    Handlers handlers, region::RegionMap regions)
     : m_scheduler(scheduler)
     , m_decoder(decoder)
     , m_handlers(std::move(handlers))
+    , m_regions(std::move(regions))
     , m_feed(scheduler, store, *this,
           { decoder.upstreamTable(), [] { return longPollTimeout; },
               [this] { return m_isReader ? feedInterval : relayedFeedInterval; } })
@@ -44,12 +46,28 @@
     return (!known.graceUntil || now < *known.graceUntil) && (!known.goneUntil || now >= *known.goneUntil);
 }
 
+bool UpstreamDirectory::accepts(const UpstreamFilter& filter, const UpstreamEntry& entry) const
+{
+    return filter.versions().accepts(entry.softwareVersion)
+        && m_regions.permits(filter.homes(), entry.dataCentre);
+}
+
 std::vector<const UpstreamEntry*> UpstreamDirectory::usable(
-    const ServiceId& service, const VersionFilter& versions) const
+    const ServiceId& service, const UpstreamFilter& filter) const
+{
+    std::vector<const UpstreamEntry*> entries = inService(service, filter);
+    entries.erase(std::remove_if(entries.begin(), entries.end(),
+                      [this](const UpstreamEntry* entry) { return isEvacuated(*entry); }),
+        entries.end());
+    return entries;
+}
+
+std::vector<const UpstreamEntry*> UpstreamDirectory::inService(
+    const ServiceId& service, const UpstreamFilter& filter) const
 {
     std::vector<const UpstreamEntry*> entries;
     for (const auto& [id, known] : m_known) {
-        if (known.entry.service != service || !versions.accepts(known.entry.softwareVersion))
+        if (known.entry.service != service || !accepts(filter, known.entry))
             continue;
         if (!isLeaving(known.entry) && isPresent(known))
             entries.push_back(&known.entry);
@@ -76,10 +94,10 @@
 }
 
 std::optional<Duration> UpstreamDirectory::shortestRest(
-    const ServiceId& service, const VersionFilter& versions) const
+    const ServiceId& service, const UpstreamFilter& filter) const
 {
     std::optional<Duration> shortest;
-    for (const UpstreamEntry* entry : usable(service, versions)) {
+    for (const UpstreamEntry* entry : usable(service, filter)) {
         const Duration rest = restLeft(*entry);
         if (rest > Duration::zero())
             shortest = std::min(shortest.value_or(rest), rest);
@@ -98,10 +116,10 @@
     return found != m_known.end() && isPresent(found->second) ? &found->second.entry : nullptr;
 }
 
-const UpstreamEntry* UpstreamDirectory::findUsable(const UpstreamId& id, const VersionFilter& versions) const
+const UpstreamEntry* UpstreamDirectory::findUsable(const UpstreamId& id, const UpstreamFilter& filter) const
 {
     const UpstreamEntry* entry = find(id);
-    const bool isUsable = entry && !isLeaving(*entry) && versions.accepts(entry->softwareVersion);
+    const bool isUsable = entry && !isLeaving(*entry) && !isEvacuated(*entry) && accepts(filter, *entry);
     return isUsable ? entry : nullptr;
 }
 
@@ -125,6 +143,12 @@
     return versions;
 }
 
+size_t UpstreamDirectory::countIn(const DataCentreId& dataCentre) const
+{
+    return static_cast<size_t>(std::count_if(m_known.begin(), m_known.end(),
+        [&](const auto& known) { return known.second.entry.dataCentre == dataCentre; }));
+}
+
 std::set<UpstreamId> UpstreamDirectory::ids() const
 {
     std::set<UpstreamId> ids;
--- a/src/gateway/upstream_directory.h
+++ b/src/gateway/upstream_directory.h
@@ -3,7 +3,8 @@
 #include "gateway/row_decoder.h"
 #include "gateway/store_feed.h"
 #include "gateway/upstream_availability.h"
-#include "gateway/version_filter.h"
+#include "gateway/upstream_filter.h"
+#include "region/region_map.h"
 
 #include <functional>
 #include <map>
@@ -29,9 +30,14 @@
         std::function<void()> onChange;
         /// A reader has read changed rows, which other hosts should get.
         std::function<void(const std::vector<StoredRow>& rows)> onRowsToRelay;
+        /// @return whether a data centre's upstreams must get no requests for the time being.
+        std::function<bool(const DataCentreId& dataCentre)> isEvacuated
+            = [](const DataCentreId&) { return false; };
     };
 
-    UpstreamDirectory(Scheduler& scheduler, RowStore& store, const RowDecoder& decoder, Handlers handlers);
+    /// @param regions of the data centres; home regions have no effect without any.
+    UpstreamDirectory(Scheduler& scheduler, RowStore& store, const RowDecoder& decoder, Handlers handlers,
+        region::RegionMap regions = region::RegionMap());
 
     /// @param isReader whether this host polls the store at short intervals and relays changes to the others.
     void setReader(bool isReader);
@@ -40,24 +46,30 @@
 
     void start() { m_feed.start(); }
 
-    /// @param versions that the request may be sent to.
+    /// @param filter of the upstreams that the request may be sent to.
     /// @return the upstreams of a service that may get new requests, now or after a rest.
     std::vector<const UpstreamEntry*> usable(
-        const ServiceId& service, const VersionFilter& versions = VersionFilter()) const;
+        const ServiceId& service, const UpstreamFilter& filter = UpstreamFilter()) const;
+    /// @return the upstreams of a service that are not leaving, those in evacuated data centres included.
+    std::vector<const UpstreamEntry*> inService(
+        const ServiceId& service, const UpstreamFilter& filter = UpstreamFilter()) const;
+    bool isEvacuated(const UpstreamEntry& entry) const { return m_handlers.isEvacuated(entry.dataCentre); }
     /// @return the upstream if it may get new requests, now or after a rest, or null.
     const UpstreamEntry* findUsable(
-        const UpstreamId& id, const VersionFilter& versions = VersionFilter()) const;
+        const UpstreamId& id, const UpstreamFilter& filter = UpstreamFilter()) const;
     /// @return time until an upstream that is usable may get a request from this host; zero without a rest.
     Duration restLeft(const UpstreamEntry& entry) const;
     /// @return the shortest time until a resting upstream of a service may get a request; nothing if none
     /// rests.
     std::optional<Duration> shortestRest(
-        const ServiceId& service, const VersionFilter& versions = VersionFilter()) const;
+        const ServiceId& service, const UpstreamFilter& filter = UpstreamFilter()) const;
     /// @return whether a service has upstreams, all of which are leaving.
     bool areAllLeaving(const ServiceId& service) const;
     /// @return the upstream, even if it is leaving, or null if it is unknown.
     const UpstreamEntry* find(const UpstreamId& id) const;
     std::set<UpstreamId> ids() const;
+    /// @return the number of upstreams in a data centre, those that are leaving included.
+    size_t countIn(const DataCentreId& dataCentre) const;
     /// @return the number of upstreams of each service and software version, those that are leaving included.
     std::map<ServiceId, std::map<SoftwareVersion, size_t>> softwareVersions() const;
     /// @return the software versions of a service's upstreams, those that are leaving included.
@@ -104,12 +116,14 @@
     bool wasRemoved(const StoredRow& row, const UpstreamEntry& entry) const;
     bool handleRemoval(const UpstreamId& id);
     bool isPresent(const KnownUpstream& known) const;
+    bool accepts(const UpstreamFilter& filter, const UpstreamEntry& entry) const;
     /// @return whether the upstream's row or the upstream itself says that it is leaving.
     bool isLeaving(const UpstreamEntry& entry) const;
 
     Scheduler& m_scheduler;
     const RowDecoder& m_decoder;
     Handlers m_handlers;
+    region::RegionMap m_regions;
     bool m_isReader = true;
     /// Rows that were removed, so that an older one does not restore them.
     std::map<UpstreamId, Removal> m_removed;
--- a/src/gateway/upstream_directory_test.cc
+++ b/src/gateway/upstream_directory_test.cc
@@ -56,6 +56,47 @@
             } } };
 };
 
+/// Decodes rows whose value is the data centre.
+class PlacedRowDecoder : public FakeRowDecoder {
+public:
+    std::optional<UpstreamEntry> readUpstream(const StoredRow& row) const override
+    {
+        UpstreamEntry entry;
+        entry.id = UpstreamId(row.id.key);
+        entry.service = service;
+        entry.dataCentre = DataCentreId(row.value);
+        return entry;
+    }
+};
+
+/// Upstreams in two data centres of two regions.
+struct PlacedFixture {
+    PlacedFixture()
+    {
+        store.put({ "servers", "s1" }, "z-1");
+        store.put({ "servers", "s2" }, "z-2");
+        directory.start();
+        scheduler.advance(100ms);
+    }
+    std::set<UpstreamId> usable(const UpstreamFilter& filter = UpstreamFilter()) const
+    {
+        std::set<UpstreamId> ids;
+        for (const UpstreamEntry* entry : directory.usable(service, filter))
+            ids.insert(entry->id);
+        return ids;
+    }
+
+    VirtualScheduler scheduler;
+    FakeRowStore store { scheduler };
+    PlacedRowDecoder decoder;
+    DataCentreId evacuated;
+    UpstreamDirectory directory { scheduler, store, decoder,
+        { [] {}, [](const std::vector<StoredRow>&) {},
+            [this](const DataCentreId& dataCentre) { return dataCentre == evacuated; } },
+        region::RegionMap(
+            { { DataCentreId("z-1"), RegionId("north") }, { DataCentreId("z-2"), RegionId("south") } }) };
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(UpstreamDirectoryTest)
@@ -241,4 +282,36 @@
     BOOST_TEST(!fixture.directory.areAllLeaving(service));
 }
 
+// Guards against requests to an evacuated data centre, against a restored one that gets none, and against
+// owners that give the engines of an evacuated one up.
+BOOST_AUTO_TEST_CASE(AnEvacuatedDataCentreIsInServiceButNotUsable)
+{
+    PlacedFixture fixture;
+    fixture.evacuated = DataCentreId("z-1");
+    BOOST_TEST(fixture.usable() == std::set<UpstreamId> { UpstreamId("s2") });
+    BOOST_TEST(fixture.directory.findUsable(UpstreamId("s1")) == nullptr);
+    BOOST_TEST(fixture.directory.inService(service).size() == 2);
+    BOOST_TEST(!fixture.directory.areAllLeaving(service));
+    fixture.evacuated = DataCentreId();
+    BOOST_TEST(fixture.usable().size() == 2);
+    BOOST_TEST(fixture.directory.findUsable(UpstreamId("s1")) != nullptr);
+}
+
+// Guards against a request with home regions that reaches another region, in the first choice or right before
+// it is sent.
+BOOST_AUTO_TEST_CASE(HomeRegionsExcludeUpstreamsOfOtherRegions)
+{
+    PlacedFixture fixture;
+    const UpstreamFilter north(VersionFilter(), region::HomeRegions({ RegionId("north") }));
+    BOOST_TEST(fixture.usable(north) == std::set<UpstreamId> { UpstreamId("s1") });
+    BOOST_TEST(fixture.directory.findUsable(UpstreamId("s2"), north) == nullptr);
+    BOOST_TEST(fixture.directory.findUsable(UpstreamId("s1"), north) != nullptr);
+    const UpstreamFilter both(VersionFilter(),
+        region::HomeRegions({ RegionId("north") }).intersect(region::HomeRegions({ RegionId("south") })));
+    BOOST_TEST(fixture.usable(both).empty());
+    fixture.evacuated = DataCentreId("z-1");
+    BOOST_TEST(fixture.usable(north).empty());
+    BOOST_TEST(fixture.directory.inService(service, north).size() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/upstream_search.cc
+++ b/src/gateway/upstream_search.cc
@@ -14,6 +14,8 @@
 constexpr Duration noOwnerRetryAfter = milliseconds(100);
 /// Time in which successors of upstreams that are leaving may have come.
 constexpr Duration leavingRetryAfter = milliseconds(1000);
+/// Time in which operators may have taken an evacuation back or started upstreams in a home region.
+constexpr Duration placeRetryAfter = milliseconds(1000);
 /// Fraction of the target latency for which a call may wait for a start within an upstream's limit.
 constexpr double limitWaitFraction = 0.5;
 /// Lower bound of the retry delay while upstreams are at their limits.
@@ -80,6 +82,10 @@
         startWithinLimit(engine, Duration::zero());
         return;
     }
+    if (ranked.empty() && unservedPlace()) {
+        reportNoUpstream();
+        return;
+    }
     const auto rest
         = m_services.upstreams.shortestRest(m_subject.admission.serviceId, m_subject.binding.filter());
     if (const auto retryAfter = m_owners.retryAfter())
@@ -101,8 +107,26 @@
     });
 }
 
+std::optional<CallRefusal> UpstreamSearch::unservedPlace() const
+{
+    const ServiceId& service = m_subject.admission.serviceId;
+    const UpstreamFilter filter = m_subject.binding.filter();
+    if (!m_services.upstreams.usable(service, filter).empty())
+        return std::nullopt;
+    if (!m_services.upstreams.inService(service, filter).empty())
+        return CallRefusal::DataCentreEvacuated;
+    const UpstreamFilter homesOnly(VersionFilter(), filter.homes());
+    const bool isElsewhere = !m_services.upstreams.inService(service).empty()
+        && m_services.upstreams.inService(service, homesOnly).empty();
+    return isElsewhere ? std::make_optional(CallRefusal::NoUpstreamInHomeRegion) : std::nullopt;
+}
+
 void UpstreamSearch::reportNoUpstream()
 {
+    if (const auto refusal = unservedPlace()) {
+        m_handlers.onExhausted(*refusal, placeRetryAfter);
+        return;
+    }
     const Duration timeLeft
         = std::max<Duration>(m_subject.timeLimit - (m_services.loop.now() - m_subject.arrival), {});
     const bool isBound = m_subject.binding.isBound();
--- a/src/gateway/upstream_search.h
+++ b/src/gateway/upstream_search.h
@@ -79,6 +79,10 @@
     /// @return the reason for a refusal after owners have denied the call.
     CallRefusal overloadRefusal() const;
 
+    /// @return the reason for a refusal if upstreams of the service are only in evacuated data centres or
+    /// outside
+    ///     of the home regions.
+    std::optional<CallRefusal> unservedPlace() const;
     /// Ends the search because no upstream of the service may get the call.
     void reportNoUpstream();
 
--- a/src/gateway/upstream_statements.cc
+++ b/src/gateway/upstream_statements.cc
@@ -51,7 +51,9 @@
 {
     const auto leavingFor = services.availability.leavingFor(upstream, services.loop.now());
     const bool isUsable = services.upstreams.findUsable(upstream) != nullptr;
-    const char* reason = isUsable ? "resting" : leavingFor ? "leaving" : "gone";
+    const UpstreamEntry* entry = services.upstreams.find(upstream);
+    const bool isEvacuated = entry && services.upstreams.isEvacuated(*entry);
+    const char* reason = isUsable ? "resting" : leavingFor ? "leaving" : isEvacuated ? "evacuated" : "gone";
     ++services.metrics.counter("lacewing_withheld_requests_total", { { "reason", reason } });
     LogEvent(LogLevel::Info, "request_withheld")
         .with("request", requestId)
