--- a/src/gateway/engine_view.cc
+++ b/src/gateway/engine_view.cc
@@ -60,12 +60,12 @@
 }
 
 std::vector<EngineCandidate> EngineView::candidates(const ServiceId& service, const AdapterRef& adapter,
-    const std::set<UpstreamId>& excluded, const VersionFilter& versions, Tokens prompt)
+    const std::set<UpstreamId>& excluded, const UpstreamFilter& filter, Tokens prompt)
 {
     const MonotonicTime now = m_clock.now();
     const Duration updateInterval = std::min(m_mesh.heartbeatInterval(), maximumBacklogError);
     std::vector<EngineCandidate> candidates;
-    for (const UpstreamEntry* entry : m_upstreams.usable(service, versions)) {
+    for (const UpstreamEntry* entry : m_upstreams.usable(service, filter)) {
         if (excluded.count(entry->id) > 0 || m_upstreams.restLeft(*entry) > Duration::zero())
             continue;
         EngineCandidate candidate;
--- a/src/gateway/engine_view.h
+++ b/src/gateway/engine_view.h
@@ -24,10 +24,10 @@
         DataCentreId dataCentre);
 
     /// @param excluded engines that have denied the request.
-    /// @param versions that the request may be sent to.
+    /// @param filter of the upstreams that the request may be sent to.
     /// @param prompt length of the request's prompt.
     std::vector<EngineCandidate> candidates(const ServiceId& service, const AdapterRef& adapter,
-        const std::set<UpstreamId>& excluded, const VersionFilter& versions, Tokens prompt);
+        const std::set<UpstreamId>& excluded, const UpstreamFilter& filter, Tokens prompt);
     /// Sets whether candidates are weighed by what their engines keep of the request's prompt.
     void setPromptAffinity(bool isEnabled) { m_usesPromptAffinity = isEnabled; }
     /// Sets the candidates' savings by what their engines keep of the prompt, unless the setting is off.
