Treat answers with a status from 600 up as broken

A server in trouble may send any three digits as its status. 000 to 199 were refused already, but 600 to 999 were delivered as final answers and passed on to callers. HTTP defines no status above 599.

HttpClientConnection, which all clients use (calls, the store, orders and reports, lacewinglbd's services), takes them for broken answers now.

--- a/src/daemon/service_run_test.cc
+++ b/src/daemon/service_run_test.cc
@@ -36,6 +36,22 @@
     }
 }
 
+// Guards against passing on a status that HTTP doesn't define as the answer of a service in trouble.
+BOOST_AUTO_TEST_CASE(AnUndefinedStatusIsNoAnswer)
+{
+    for (const std::string status : { "000", "099", "600", "999" }) {
+        BOOST_TEST_CONTEXT("status " << status)
+        {
+            const size_t connection = server.peers.size();
+            start(makeServiceRun);
+            accept(connection).send("HTTP/1.1 " + status + " Odd\r\nContent-Length: 4\r\n\r\ndone");
+            finish();
+            BOOST_TEST((end->outcome == Outcome::Unknown));
+            BOOST_TEST(bytes == "");
+        }
+    }
+}
+
 // Guards against rejecting the answers of a service that names the call in each, and against taking one that
 // names another call.
 BOOST_AUTO_TEST_CASE(AnswersOfTheSameConnectionMustNameTheCall)
--- a/src/protocol/engine_client_test.cc
+++ b/src/protocol/engine_client_test.cc
@@ -76,6 +76,16 @@
     BOOST_TEST((unload(1, 2, stale) == EngineOrderError::Unknown));
 }
 
+// Guards against an order that counts as carried out because of a status that HTTP doesn't define.
+BOOST_AUTO_TEST_CASE(AnUndefinedStatusLeavesAnOrderUnknown)
+{
+    size_t connection = 0;
+    for (const std::string status : { "000", "600", "999" }) {
+        const std::string answer = "HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\n{}";
+        BOOST_TEST((unload(connection++, 1, answer) == EngineOrderError::Unknown));
+    }
+}
+
 // Guards against taking an earlier status for the present one: adapters that were evicted would count as
 // resident.
 BOOST_AUTO_TEST_CASE(EarlierStatusOnceMoreIsNoStatus)
--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -27,7 +27,8 @@
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
 constexpr int firstRefusal = 400;
-constexpr int statusAboveAll = 1000;
+/// HTTP defines the statuses below this one only.
+constexpr int statusAboveAll = 600;
 /// A server that sends more of them will send no final answer.
 constexpr int maximumInterimAnswers = 16;
 
--- a/src/transport/http_client_connection_test.cc
+++ b/src/transport/http_client_connection_test.cc
@@ -128,6 +128,27 @@
     }
 }
 
+// Guards against a status that HTTP doesn't define being taken for the answer of a server in trouble.
+BOOST_AUTO_TEST_CASE(UndefinedStatusIsInvalid)
+{
+    for (const std::string status : { "000", "001", "099", "101", "199", "600", "799", "999" }) {
+        for (const std::string& framing : { std::string("\r\nContent-Length: 2\r\n\r\nok"),
+                 std::string("\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+                 std::string("\r\n\r\nok") }) {
+            const std::string answer = "HTTP/1.1 " + status + " Odd" + framing;
+            for (const size_t pieceLength : { answer.size(), size_t { 1 } }) {
+                BOOST_TEST_CONTEXT("answer [" << answer << "] in pieces of " << pieceLength)
+                {
+                    std::string body;
+                    const HttpClientResult result = fetch(answer, pieceLength, body);
+                    BOOST_TEST((result.error == HttpClientError::InvalidAnswer));
+                    BOOST_TEST(body == "");
+                }
+            }
+        }
+    }
+}
+
 // Guards against a head of which evhttp reads a part only, or a number that isn't one.
 BOOST_AUTO_TEST_CASE(MalformedHeadIsInvalid)
 {
