--- a/src/gateway/peer_message_test.cc
+++ b/src/gateway/peer_message_test.cc
@@ -282,7 +282,7 @@
         const auto decoded = decodePeerMessage(encodePeerMessage(message));
         return std::get<PeerHeartbeat>(*decoded).engines.at(0).prefixes;
     };
-    constexpr size_t fieldsWithoutPrefixes = 11;
+    constexpr size_t fieldsWithoutPrefixes = 12;
     BOOST_TEST((*fromCbor(encodePeerMessage(heartbeat())))[7][0].size() == fieldsWithoutPrefixes);
     BOOST_TEST(!sent(std::nullopt));
     const affinity::PrefixDigest digest({ affinity::PrefixFingerprint { 0xfffffff0 } });
--- a/src/gateway/response_flow_test.cc
+++ b/src/gateway/response_flow_test.cc
@@ -123,7 +123,7 @@
     call.exchange->buffered = megabyte;
     call.upstream->handlers.onBody("id: 2\ndata: b\n\n");
     BOOST_TEST(!call.upstream->isPaused);
-    scheduler.advance(10s);
+    scheduler.advance(3 * ResponseFlow::longestPause / 2);
     BOOST_TEST(!call.upstream->isCancelled);
     call.upstream->end();
     BOOST_TEST(call.exchange->isEnded);
