--- a/src/affinity/prefix_affinity.cc
+++ b/src/affinity/prefix_affinity.cc
@@ -9,8 +9,8 @@
 
 /// Lower bound of an engine's rate, so that a wrong rate makes no saving that outweighs every wait.
 constexpr double minimumTokensPerMillisecond = 1;
-/// Time after which half of the prefixes of a digest count as evicted. An engine that reads without a pause,
-/// 20 tokens in a millisecond, fills a memory of 120,000 tokens in 6 s.
+/// Time after which half of the prefixes of a digest count as evicted: about the time in which a busy engine
+/// reads as many tokens as its memory holds.
 constexpr Duration halfLife = std::chrono::seconds(5);
 /// Chance that an evicted part would have been used again if running requests took the whole memory. The
 /// least recently used parts are evicted first, and most of them were used by one request only.
--- a/src/experiment/engine_selector.cc
+++ b/src/experiment/engine_selector.cc
@@ -86,7 +86,7 @@
 std::vector<Arm> promptArms()
 {
     const auto current = std::make_shared<Current>();
-    return { { "current", current, false }, { "affinity", current, true } };
+    return { { "current", current, nullptr, false }, { "affinity", current, nullptr, true } };
 }
 
 } // namespace lacewing::experiment
--- a/src/experiment/limit_simulation.cc
+++ b/src/experiment/limit_simulation.cc
@@ -52,7 +52,8 @@
                       return (inTouch + 1) / static_cast<double>(others + 1);
                   },
                   [&fleet, this](const UpstreamId& upstream) {
-                      return warmUp.rate(upstream) && fleet.now() - started < gateway::WarmUpLimits::joinTime;
+                      return warmUp.rate(upstream)
+                          && fleet.now() - started < gateway::WarmUpLimits::peerDiscoveryTime;
                   } })
         , started(fleet.now())
     {
--- a/src/gateway/admission_search.h
+++ b/src/gateway/admission_search.h
@@ -44,7 +44,7 @@
         const Duration useful = std::min(patience, m_limit - startMargin);
         request.onTimeStart = m_arrival + m_targetLatency - startMargin;
         request.latestStart = isLast ? m_arrival + useful : request.onTimeStart;
-        request.returnsWithin = m_limit / largestPauseShare;
+        request.returnsWithin = m_limit / limitPerPause;
     }
 
     void denied(const RunDenial& denial)
@@ -78,8 +78,8 @@
     /// Multiple of the target latency after which a start is useless, since callers abandon a stream whose
     /// first event is that late.
     static constexpr double latestStartFactor = 2.2;
-    /// Callers come back only after at most one part in so many of the time that they have left.
-    static constexpr int largestPauseShare = 3;
+    /// Callers come back only if the pause is at most the time limit divided by this number.
+    static constexpr int limitPerPause = 3;
     static constexpr Duration shortestRetryAfter = std::chrono::milliseconds(100);
 
     MonotonicTime m_arrival;
--- a/src/gateway/configuration_tracker.cc
+++ b/src/gateway/configuration_tracker.cc
@@ -138,6 +138,11 @@
     else
         reportEvacuations(
             m_evacuations.applyFromPeer(dataCentre, row, m_feed.version().value_or(RowVersion())), "peer");
+    const bool hasNoRoom = m_evacuations.count() == region::Evacuations::maximumRecords;
+    if (hasNoRoom && !row.isDeleted && !m_evacuations.isEvacuated(dataCentre))
+        LogEvent(LogLevel::Warning, "evacuation_ignored")
+            .with("data_centre", dataCentre)
+            .with("reason", "too many data centres are evacuated");
 }
 
 void ConfigurationTracker::reportEvacuations(const region::Evacuations::Changes& changes, const char* source)
--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -71,21 +71,21 @@
 {
     m_popularity.count(request.adapter, now);
     if (!isUsable()) {
-        m_denials.push_back({ request.key, RunRefusal::EngineUnusable, shortestRetryAfter, Duration::zero(),
-            false, request.priority });
+        m_denials.push_back(
+            denialOf(request, RunRefusal::EngineUnusable, shortestRetryAfter, Duration::zero()));
         return;
     }
     if (isPlanned()) {
         m_planner.arrived(request, now);
         m_waiting.push_back(std::move(request));
         planQueue(true, now);
+        m_hasNewPlan = true;
         return;
     }
     const Duration wait = estimateStart(request, now);
     if (now + wait > request.latestStart) {
-        m_denials.push_back({ request.key, RunRefusal::Overloaded,
-            std::clamp(wait - (request.onTimeStart - now), shortestRetryAfter, longestRetryAfter), wait,
-            false, request.priority });
+        m_denials.push_back(denialOf(request, RunRefusal::Overloaded,
+            std::clamp(wait - (request.onTimeStart - now), shortestRetryAfter, longestRetryAfter), wait));
         return;
     }
     m_waiting.push_back(std::move(request));
@@ -122,8 +122,7 @@
 void EngineScheduler::denyAll(RunRefusal reason)
 {
     for (const RunRequest& request : std::exchange(m_waiting, {}))
-        m_denials.push_back(
-            { request.key, reason, shortestRetryAfter, Duration::zero(), false, request.priority });
+        m_denials.push_back(denialOf(request, reason, shortestRetryAfter, Duration::zero()));
 }
 
 void EngineScheduler::runProgressed(const RunKey& key, MonotonicTime now, std::optional<double> slowdown)
@@ -234,10 +233,10 @@
 
 SchedulerDecisions EngineScheduler::decide(MonotonicTime now)
 {
-    if (isPlanned())
-        planQueue(false, now);
-    else
+    if (!isPlanned())
         RunQueuePlanner::sortByStart(m_waiting, now);
+    else if (!std::exchange(m_hasNewPlan, false))
+        planQueue(false, now);
     SchedulerDecisions decisions;
     decisions.denials = std::exchange(m_denials, {});
     grantRuns(decisions, now);
@@ -262,7 +261,12 @@
 
 void EngineScheduler::planQueue(bool newcomer, MonotonicTime now)
 {
-    const PrefillRate rate = m_prefillRate.slowedBy(m_slowdown.mean(now));
+    if (m_waiting.empty())
+        return;
+    // One rate for the whole queue: a short one is read at the present slowdown, a long one at the mean.
+    const Tokens queued = queuedPrompts();
+    const double slowdown = toSeconds(prefillTime(queued, now)) / toSeconds(m_prefillRate.timeFor(queued));
+    const PrefillRate rate = m_prefillRate.slowedBy(slowdown);
     const RunQueuePlanner::Engine engine { m_runs.state(m_limits, rate.tokensPerMillisecond(),
                                                m_planner.runTime(), now),
         [this](const RunRequest& request) { return uncachedTokens(request); },
@@ -285,7 +289,8 @@
 void EngineScheduler::grantRuns(SchedulerDecisions& decisions, MonotonicTime now)
 {
     std::vector<RunRequest> remaining;
-    // A request that lacks only room isn't overtaken, so that short prompts do not starve a long one.
+    // A ready request that lacks only room, or must wait for granted prompts, blocks those behind it, so that
+    // short prompts do not starve a long one.
     bool isBlocked = false;
     // Once a prompt is held back by pacing, shorter prompts behind it must not overtake it.
     bool isPaced = false;
@@ -296,8 +301,9 @@
         const bool hasRoom = m_runs.hasCapacityFor(request, m_limits);
         const int level
             = isPlanned() ? RunQueuePlanner::level(request, now) : RunQueuePlanner::plainLevel(request, now);
-        const bool isBusy = rate.timeFor(m_runs.backlogBefore(level, now)) >= grantAhead;
-        isBlocked = isBlocked || (isPlanned() && isReady && (!hasRoom || isBusy));
+        const bool mayBlock = isPlanned() && isReady && !isBlocked;
+        const bool isBusy = mayBlock && rate.timeFor(m_runs.backlogBefore(level, now)) >= grantAhead;
+        isBlocked = isBlocked || (mayBlock && (!hasRoom || isBusy));
         const bool canRun = isReady && !isBlocked && hasRoom;
         isPaced = isPaced
             || (canRun
@@ -357,8 +363,8 @@
             deferLoad(request.adapter, now);
         const Duration slack = std::max<Duration>(request.onTimeStart - now, Duration::zero());
         decisions.denials.push_back(
-            { request.key, isLimited ? RunRefusal::UpstreamLimit : RunRefusal::Overloaded,
-                std::max<Duration>(wait - slack, shortestRetryAfter), wait, false, request.priority });
+            denialOf(request, isLimited ? RunRefusal::UpstreamLimit : RunRefusal::Overloaded,
+                std::max<Duration>(wait - slack, shortestRetryAfter), wait));
     }
     m_waiting = std::move(remaining);
 }
--- a/src/gateway/engine_scheduler.h
+++ b/src/gateway/engine_scheduler.h
@@ -112,6 +112,7 @@
     /// @return time until the adapter of a request is loaded, if no load of it has begun.
     Duration expectedLoadWait(const RunRequest& request, MonotonicTime now) const;
     bool isPlanned() const { return m_policy == OverloadPolicy::Priority; }
+    /// @return when a request's adapter can be used, as far as is known.
     MonotonicTime readyAt(const RunRequest& request, MonotonicTime now) const;
     /// Orders the waiting requests and denies those that can't start in time.
     void planQueue(bool newcomer, MonotonicTime now);
@@ -150,6 +151,8 @@
     std::vector<RunRequest> m_waiting;
     std::vector<RunDenial> m_denials;
     OverloadPolicy m_policy = OverloadPolicy::Arrival;
+    /// The queue has been planned since the last decide().
+    bool m_hasNewPlan = false;
     RunQueuePlanner m_planner;
     AdapterPopularity m_popularity;
     /// The rate without a slowdown.
--- a/src/gateway/granted_runs.h
+++ b/src/gateway/granted_runs.h
@@ -44,7 +44,8 @@
     Tokens backlog() const { return m_backlog; }
     /// @return tokens of the engine's KV cache that the runs claim.
     Tokens cacheInUse() const { return m_cacheInUse; }
-    /// @return the same for the runs that the engine reads before one of a level, until Run::readBy.
+    /// @return uncached prompt tokens of the runs that the engine reads before a request of a level. A run
+    ///     counts until its first event or Run::readBy.
     Tokens backlogBefore(int level, MonotonicTime now) const;
     /// @param runTime mean time from a grant to the end of a run.
     overload::EngineState state(
--- a/src/gateway/owned_engines.cc
+++ b/src/gateway/owned_engines.cc
@@ -50,9 +50,11 @@
 void OwnedEngines::startScheduler(const UpstreamId& engine, OwnedEngine& owned)
 {
     owned.generation = m_nextGeneration++;
-    const auto former = std::move(owned.scheduler);
-    if (former)
+    std::optional<speed::LearnedSpeed> speed;
+    if (const auto former = std::move(owned.scheduler)) {
         denyWaiting(*former, RunRefusal::EngineUnusable);
+        speed = former->learnedSpeed(m_scheduler.now());
+    }
     const UpstreamEntry* entry = m_upstreams.find(engine);
     const auto limits = entry ? limitsOf(*entry) : std::nullopt;
     if (!limits)
@@ -63,7 +65,6 @@
     for (const auto& [adapter, version] : m_configuration.releases())
         owned.scheduler->setRelease(adapter, version);
     owned.scheduler->setRequestRate(m_handlers.requestRate(engine), m_scheduler.now());
-    auto speed = former ? former->learnedSpeed(m_scheduler.now()) : std::nullopt;
     if (!speed && m_handlers.formerSpeed)
         speed = m_handlers.formerSpeed(engine);
     if (speed)
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -108,7 +108,7 @@
 /// @return the number at an index, or nothing if it is missing or not a finite number above 0.
 std::optional<double> decodeSlowdown(const Json& json, size_t index)
 {
-    if (json.size() <= index || !json.at(index).is_number())
+    if (!json.is_array() || json.size() <= index || !json.at(index).is_number())
         return std::nullopt;
     const double slowdown = json.at(index).get<double>();
     return std::isfinite(slowdown) && slowdown > 0 ? std::make_optional(slowdown) : std::nullopt;
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -35,7 +35,7 @@
 constexpr Duration staleRetryAfter = milliseconds(500);
 /// Another host can serve the request at once.
 constexpr Duration stoppingRetryAfter = milliseconds(20);
-/// A caller for whom more than this is buffered counts as slow.
+/// Reading of a stream is paused while more than this is buffered for the caller.
 constexpr size_t maximumBufferedBytes = 256 * 1024;
 
 } // namespace
@@ -46,7 +46,7 @@
     , m_exchange(std::move(exchange))
     , m_finished(std::move(finished))
     , m_arrival(services.loop.now())
-    , m_flow(services.responseMemory, { [this] { giveUpResponse(); }, [this] { disconnectSlowCaller(); } })
+    , m_flow(services.responseMemory, [this] { giveUpResponse(); })
     , m_response(services.translator.eventFormat())
 {
 }
@@ -319,15 +319,6 @@
         m_call->cancel();
 }
 
-void ProxiedCall::disconnectSlowCaller()
-{
-    const auto self = shared_from_this();
-    ++m_services.metrics.counter("lacewing_stalled_callers_closed_total");
-    exchangeEnded(ExchangeOutcome::Answered, RunOutcome::Finished);
-    m_exchange->abort();
-    finish("failed", "caller_too_slow");
-}
-
 PartSet ProxiedCall::requestParts() const
 {
     const std::string authority = m_exchange->headers().find("Host").value_or("");
--- a/src/gateway/proxied_call.h
+++ b/src/gateway/proxied_call.h
@@ -55,8 +55,6 @@
     void bodyArrived(std::string_view bytes);
     /// Gives up a response for which there is no memory.
     void giveUpResponse();
-    /// Ends the call, because memory is short and the caller takes its response too slowly.
-    void disconnectSlowCaller();
     /// @return the parts of the prompt and the hash of the request itself.
     PartSet requestParts() const;
     ExchangeContext exchangeContext() const;
--- a/src/gateway/response_flow.cc
+++ b/src/gateway/response_flow.cc
@@ -8,13 +8,12 @@
 
 /// Memory of a response whose length isn't known is reserved in parts of this size.
 constexpr size_t reservedPartBytes = 64 * 1024;
-constexpr Duration slowCallerCheckInterval = std::chrono::milliseconds(100);
 
 } // namespace
 
-ResponseFlow::ResponseFlow(ResponseMemory& memory, Handlers handlers)
+ResponseFlow::ResponseFlow(ResponseMemory& memory, std::function<void()> givenUp)
     : m_memory(memory)
-    , m_handlers(std::move(handlers))
+    , m_givenUp(std::move(givenUp))
 {
 }
 
@@ -35,14 +34,12 @@
 void ResponseFlow::end()
 {
     m_call = nullptr;
-    m_memory.scheduler().cancel(std::exchange(m_slowCallerTimer, 0));
 }
 
 void ResponseFlow::release()
 {
     m_isWaiting = false;
     m_reserved = 0;
-    m_memory.scheduler().cancel(std::exchange(m_slowCallerTimer, 0));
     m_memory.release(*this);
 }
 
@@ -78,45 +75,12 @@
 
 void ResponseFlow::memoryRevoked()
 {
-    m_handlers.onGivenUp();
-}
-
-bool ResponseFlow::mustWaitForCaller() const
-{
-    return m_isCallerBehind && !m_memory.hasRoomForSlowCallers();
-}
-
-void ResponseFlow::checkSlowCallerLater()
-{
-    m_slowCallerTimer = m_memory.scheduler().runAfter(slowCallerCheckInterval, [this] {
-        m_slowCallerTimer = 0;
-        checkSlowCaller();
-    });
-}
-
-void ResponseFlow::checkSlowCaller()
-{
-    if (!mustWaitForCaller()) {
-        update();
-        return;
-    }
-    m_memory.reportShortage();
-    if (m_memory.scheduler().now() - m_slowCallerSince < longestPause)
-        checkSlowCallerLater();
-    else
-        m_handlers.onCallerTooSlow();
+    m_givenUp();
 }
 
 void ResponseFlow::update()
 {
-    const bool isWaitingForCaller = mustWaitForCaller();
-    if (m_call && isWaitingForCaller && m_slowCallerTimer == 0) {
-        m_slowCallerSince = m_memory.scheduler().now();
-        checkSlowCallerLater();
-    }
-    if (!isWaitingForCaller)
-        m_memory.scheduler().cancel(std::exchange(m_slowCallerTimer, 0));
-    const bool mustPause = m_isWaiting || isWaitingForCaller || m_isHeld;
+    const bool mustPause = m_isWaiting || m_isCallerBehind || m_isHeld;
     if (!m_call || mustPause == std::exchange(m_isPaused, mustPause))
         return;
     if (mustPause)
--- a/src/gateway/response_flow.h
+++ b/src/gateway/response_flow.h
@@ -7,26 +7,15 @@
 
 namespace lacewing::gateway {
 
-/// Pauses and resumes the reading of one response: it is read on while its memory is there. What a slow
-/// caller has not taken is buffered as long as the process has memory for that.
+/// Pauses and resumes the reading of one response: it is read on while its memory is there and the caller
+/// takes what has been forwarded.
 ///
-/// Load pattern: callers that read slowly, and many large responses at once. An upstream cuts off a response
-/// that remains unread for some seconds, so reading is paused for a slow caller only if memory is short, and
-/// then not for long: callers that take nothing are disconnected first, and at last the caller itself.
+/// Load pattern: callers that read slowly, and many large responses at once.
 class ResponseFlow : private ResponseMemory::Holder {
 public:
-    struct Handlers {
-        /// The response must be given up for lack of memory.
-        std::function<void()> onGivenUp;
-        /// The caller reads too slowly for the memory that is left.
-        std::function<void()> onCallerTooSlow;
-    };
-
-    /// Longest time for which the reading is paused for a slow caller.
-    static constexpr Duration longestPause = std::chrono::seconds(2);
-
     /// @param memory must outlive the flow.
-    ResponseFlow(ResponseMemory& memory, Handlers handlers);
+    /// @param givenUp called when the response must be given up for lack of memory.
+    ResponseFlow(ResponseMemory& memory, std::function<void()> givenUp);
     ~ResponseFlow() override;
     ResponseFlow(const ResponseFlow&) = delete;
     ResponseFlow& operator=(const ResponseFlow&) = delete;
@@ -51,22 +40,15 @@
     void memoryGranted() override;
     void memoryRevoked() override;
     void update();
-    /// @return whether the reading must wait for the caller.
-    bool mustWaitForCaller() const;
-    void checkSlowCallerLater();
-    void checkSlowCaller();
 
     ResponseMemory& m_memory;
-    Handlers m_handlers;
+    std::function<void()> m_givenUp;
     HttpClientCall* m_call = nullptr;
     size_t m_reserved = 0;
     bool m_isWaiting = false;
     bool m_isCallerBehind = false;
     bool m_isHeld = false;
     bool m_isPaused = false;
-    /// Runs while the reading waits for the caller.
-    TimerId m_slowCallerTimer = 0;
-    MonotonicTime m_slowCallerSince;
 };
 
 } // namespace lacewing::gateway
--- a/src/gateway/response_memory.cc
+++ b/src/gateway/response_memory.cc
@@ -10,9 +10,6 @@
 constexpr Duration shortageInterval = std::chrono::milliseconds(500);
 /// A response that makes no progress for this time while others wait is given up.
 constexpr Duration longestStall = std::chrono::seconds(1);
-/// Share of the account up to which responses are buffered for callers that read slowly. The rest is for
-/// responses that arrive and for bodies of requests.
-constexpr double slowCallerShare = 0.5;
 
 } // namespace
 
@@ -46,20 +43,6 @@
         m_entries.begin(), m_entries.end(), [](const Entry& entry) { return entry.wanted > 0; }));
 }
 
-bool ResponseMemory::hasRoomForSlowCallers() const
-{
-    return static_cast<double>(m_account.held()) <= slowCallerShare * static_cast<double>(m_account.limit());
-}
-
-void ResponseMemory::reportShortage()
-{
-    const MonotonicTime now = m_scheduler.now();
-    if (now < m_nextShortage)
-        return;
-    m_nextShortage = now + shortageInterval;
-    m_handlers.onShortage();
-}
-
 bool ResponseMemory::reserve(Holder& holder, size_t bytes)
 {
     auto entry = find(holder);
@@ -140,8 +123,11 @@
     grantWaiting();
     if (firstWaiting() == m_entries.end())
         return;
-    reportShortage();
     const MonotonicTime now = m_scheduler.now();
+    if (now >= m_nextShortage) {
+        m_nextShortage = now + shortageInterval;
+        m_handlers.onShortage();
+    }
     const auto longest = stalled();
     if (longest != m_entries.end()) {
         // It is the next one to be given up only if it makes no progress again.
--- a/src/gateway/response_memory.h
+++ b/src/gateway/response_memory.h
@@ -48,11 +48,6 @@
     /// Returns a holder's memory. Does nothing if it has none and doesn't wait.
     void release(Holder& holder);
     size_t waitingCount() const;
-    /// @return whether responses may be read on although their callers have much left to read.
-    bool hasRoomForSlowCallers() const;
-    /// Reports a shortage, unless one was reported a moment ago.
-    void reportShortage();
-    Scheduler& scheduler() { return m_scheduler; }
 
 private:
     struct Entry {
--- a/src/gateway/run_queue_planner.cc
+++ b/src/gateway/run_queue_planner.cc
@@ -82,7 +82,7 @@
             workAhead += requests[index].priority <= denied.priority ? requests[index].prompt : Tokens(0);
         RunDenial answer = deny(waiting[denial.index], denial.expectedWait, denied.prompt, workAhead,
             engine.state.tokensPerMillisecond, now);
-        answer.isDisplaced = !denied.isNew;
+        answer.isDisplaced = newcomer && !denied.isNew && now <= denied.latestStart;
         denials.push_back(answer);
     }
     waiting = std::move(ordered);
@@ -92,9 +92,7 @@
 RunDenial RunQueuePlanner::deny(const RunRequest& request, Duration expectedWait, Tokens prompt,
     Tokens workAhead, double tokensPerMillisecond, MonotonicTime now)
 {
-    RunDenial denial { request.key, RunRefusal::Overloaded, {}, expectedWait };
-    denial.priority = request.priority;
-    denial.isReturn = request.isReturn;
+    RunDenial denial = denialOf(request, RunRefusal::Overloaded, {}, expectedWait);
     if (request.latestStart > request.onTimeStart) {
         const auto time
             = m_returns.promise({ fingerprint(request), request.priority, prompt, request.returnsWithin },
--- a/src/gateway/run_request.h
+++ b/src/gateway/run_request.h
@@ -116,12 +116,23 @@
     bool isPromised = false;
     /// Only within the owner's host: priority of the request.
     std::optional<int> priority = {};
-    /// Only within the owner's host: the request had been admitted before.
+    /// Only within the owner's host: a newcomer has taken the place of the request, which had been admitted.
     bool isDisplaced = false;
     /// Only within the owner's host: see RunRequest::isReturn.
     bool isReturn = false;
 };
 
+/// @return a denial with what the owner knows of the request.
+inline RunDenial denialOf(
+    const RunRequest& request, RunRefusal reason, Duration retryAfter, Duration expectedWait)
+{
+    RunDenial denial { request.key, reason, retryAfter, expectedWait };
+    denial.priority = request.priority;
+    // A request that may only start on time is placed again at another engine.
+    denial.isReturn = request.isReturn && request.latestStart > request.onTimeStart;
+    return denial;
+}
+
 enum class RunOutcome {
     /// The engine answered, or the caller disconnected.
     Finished,
--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -20,10 +20,15 @@
 /// Time after which the store has removed the rows of a copy whose upstreams don't write them again.
 constexpr Duration copiedRowLifetime = std::chrono::seconds(6);
 
-/// Rows are rewritten with a falling cold time, so a longer one tells that the upstream became cold again.
-bool hasBecomeCold(const UpstreamEntry& before, const UpstreamEntry& entry)
+/// Rows are rewritten with a falling cold time and arrive with varying delay, so an end that is later by more
+/// than this tells that the upstream became cold again.
+constexpr Duration rowDelayTolerance = std::chrono::seconds(1);
+
+bool hasBecomeCold(const UpstreamEntry& before, const UpstreamEntry& entry, MonotonicTime now)
 {
-    return entry.coldRemaining.value_or(Duration::zero()) > before.coldRemaining.value_or(Duration::zero());
+    const Duration remaining = entry.coldRemaining.value_or(Duration::zero());
+    const Duration known = before.read + before.coldRemaining.value_or(Duration::zero()) - now;
+    return known <= Duration::zero() ? remaining > Duration::zero() : remaining > known + rowDelayTolerance;
 }
 
 } // namespace
@@ -262,7 +267,7 @@
     const bool hasChanged = isNew || known->second.entry.isDraining != entry->isDraining
         || known->second.entry.startedAt != entry->startedAt
         || known->second.entry.softwareVersion != entry->softwareVersion || known->second.goneUntil
-        || hasBecomeCold(known->second.entry, *entry);
+        || hasBecomeCold(known->second.entry, *entry, m_scheduler.now());
     if (hasChanged)
         LogEvent(LogLevel::Info, "upstream_changed")
             .with("upstream", entry->id)
@@ -299,7 +304,9 @@
     }
     for (const UpstreamId& id : missing)
         hasChanged = handleRemoval(id) || hasChanged;
-    if (hasChanged)
+    // Upstreams that come after the first read have started since, also if that read found none.
+    const bool isFirstRead = !std::exchange(m_hasReadTable, true);
+    if (hasChanged || isFirstRead)
         m_handlers.onChange();
 }
 
--- a/src/gateway/upstream_directory.h
+++ b/src/gateway/upstream_directory.h
@@ -137,6 +137,8 @@
     RowVersion m_copy;
     /// The table has not been read yet since then.
     bool m_isRestored = false;
+    /// The table has been read at least once.
+    bool m_hasReadTable = false;
     StoreFeed m_feed;
 };
 
--- a/src/gateway/upstream_permits.cc
+++ b/src/gateway/upstream_permits.cc
@@ -65,7 +65,7 @@
     const auto rate = m_limits.rate(upstream);
     if (!rate)
         return { true, Duration::zero() };
-    if (m_handlers.hasOwner(upstream))
+    if (m_handlers.mustNotDecide(upstream))
         return { false, undecidedRetry };
     const MonotonicTime now = m_scheduler.now();
     RequestPacer& pacer = m_pacers[upstream];
--- a/src/gateway/upstream_permits.h
+++ b/src/gateway/upstream_permits.h
@@ -43,7 +43,7 @@
         std::function<double()> shareInTouch;
         /// @return whether this host must not decide, since an owner in touch schedules the requests to the
         /// upstream, or since this host does not know the fleet yet.
-        std::function<bool(const UpstreamId& upstream)> hasOwner;
+        std::function<bool(const UpstreamId& upstream)> mustNotDecide;
     };
 
     /// @param limits must outlive the permits.
--- a/src/gateway/upstream_search.cc
+++ b/src/gateway/upstream_search.cc
@@ -15,7 +15,7 @@
 /// Time in which successors of upstreams that are leaving may have come.
 constexpr Duration leavingRetryAfter = milliseconds(1000);
 /// Time in which operators may have taken an evacuation back or started upstreams in a home region.
-constexpr Duration placeRetryAfter = milliseconds(1000);
+constexpr Duration regionalRetryAfter = milliseconds(1000);
 /// Fraction of the target latency for which a call may wait for a start within an upstream's limit.
 constexpr double limitWaitFraction = 0.5;
 /// Lower bound of the retry delay while upstreams are at their limits.
@@ -87,7 +87,7 @@
         startWithinLimit(engine, Duration::zero());
         return;
     }
-    if (ranked.empty() && unservedPlace()) {
+    if (ranked.empty() && regionalRefusal()) {
         reportNoUpstream();
         return;
     }
@@ -122,7 +122,7 @@
     });
 }
 
-std::optional<CallRefusal> UpstreamSearch::unservedPlace() const
+std::optional<CallRefusal> UpstreamSearch::regionalRefusal() const
 {
     const ServiceId& service = m_subject.admission.serviceId;
     const UpstreamFilter filter = m_subject.binding.filter();
@@ -138,8 +138,8 @@
 
 void UpstreamSearch::reportNoUpstream()
 {
-    if (const auto refusal = unservedPlace()) {
-        m_handlers.onExhausted(*refusal, placeRetryAfter);
+    if (const auto refusal = regionalRefusal()) {
+        m_handlers.onExhausted(*refusal, regionalRetryAfter);
         return;
     }
     const Duration timeLeft
--- a/src/gateway/upstream_search.h
+++ b/src/gateway/upstream_search.h
@@ -81,10 +81,9 @@
     /// @return the reason for a refusal after owners have denied the call.
     CallRefusal overloadRefusal() const;
 
-    /// @return the reason for a refusal if upstreams of the service are only in evacuated data centres or
-    /// outside
-    ///     of the home regions.
-    std::optional<CallRefusal> unservedPlace() const;
+    /// @return the reason for a refusal if the service has upstreams, but only in evacuated data centres or
+    /// outside the home regions.
+    std::optional<CallRefusal> regionalRefusal() const;
     /// Ends the search because no upstream of the service may get the call.
     void reportNoUpstream();
 
--- a/src/gateway/warm_up_control.cc
+++ b/src/gateway/warm_up_control.cc
@@ -56,7 +56,7 @@
 
 bool WarmUpControl::mayDecide(const UpstreamId& upstream) const
 {
-    return !m_warmUp.rate(upstream) || m_scheduler.now() - m_started >= WarmUpLimits::joinTime;
+    return !m_warmUp.rate(upstream) || m_scheduler.now() - m_started >= WarmUpLimits::peerDiscoveryTime;
 }
 
 void WarmUpControl::update()
--- a/src/overload/overload_queue.cc
+++ b/src/overload/overload_queue.cc
@@ -72,13 +72,15 @@
 {
     std::map<WorkspaceId, Tokens> before = engine.running;
     Tokens total;
-    for (const auto& [workspace, tokens] : engine.running)
+    before.erase(WorkspaceId());
+    for (const auto& [workspace, tokens] : before)
         total += tokens;
     for (const QueuedRequest& request : requests) {
+        if (request.workspace.empty())
+            continue;
         total += request.prompt;
         before[request.workspace];
     }
-    before.erase(WorkspaceId());
     if (before.size() < 2)
         return;
     const double share
@@ -97,7 +99,7 @@
 
 } // namespace
 
-/// Plays the start of each request on the engine's rate.
+/// Predicts when each request starts, in the order of starts.
 struct OverloadQueue::Simulation {
     const OverloadQueue& queue;
     const std::vector<QueuedRequest>& requests;
@@ -117,6 +119,7 @@
         }
         rankByShare(ranks, requests, engine);
         MonotonicTime free = now;
+        Duration idle {};
         std::set<Rank> ready;
         std::set<std::pair<MonotonicTime, Rank>> loading;
         for (const Rank& rank : ranks) {
@@ -129,13 +132,16 @@
         QueuePlan plan;
         int started = 0;
         while (!ready.empty() || !loading.empty()) {
-            if (ready.empty())
-                free = std::max(free, loading.begin()->first);
+            if (ready.empty()) {
+                const MonotonicTime next = std::max(free, loading.begin()->first);
+                idle += next - free;
+                free = next;
+            }
             while (!loading.empty() && loading.begin()->first <= free)
                 ready.insert(loading.extract(loading.begin()).value().second);
             Rank rank = ready.extract(ready.begin()).value();
             const QueuedRequest& request = requests[rank.index];
-            const MonotonicTime start = predict(rank, free, started);
+            const MonotonicTime start = predict(rank, free, started, idle);
             const bool mayBeLate = request.latestStart > request.onTimeStart;
             if (!rank.isLate && mayBeLate && start > tolerated(request, request.onTimeStart)) {
                 // On-time requests go before it.
@@ -161,18 +167,22 @@
         return now + scaled(latest - now, waitingTolerance) + waitingMargin;
     }
 
-    MonotonicTime predict(const Rank& rank, MonotonicTime free, int started) const
+    /// @param free when the engine has read the prompts before this one.
+    /// @param started number of requests that start before.
+    /// @param idle time until then in which the engine waits for adapters.
+    MonotonicTime predict(const Rank& rank, MonotonicTime free, int started, Duration idle) const
     {
         const QueuedRequest& request = requests[rank.index];
         const Duration reading
             = readingTime(backlogBefore(rank, engine) + request.prompt, engine.tokensPerMillisecond);
-        Duration wait = (free - now) + reading;
+        Duration wait = (free - now) - idle + reading;
         if (started >= engine.freePlaces)
             wait = std::max<Duration>(wait,
                 (started - engine.freePlaces + 1) * engine.placeInterval
-                    + readingTime(request.prompt, engine.tokensPerMillisecond));
+                    + readingTime(request.prompt, engine.tokensPerMillisecond) - idle);
         const int level = rank.isLate ? lateLevel : rank.level;
-        wait = scaled(wait, queue.overtakingFactor(level, engine.tokensPerMillisecond, now));
+        // Requests that arrive later do not prolong the time in which the engine waits for adapters.
+        wait = scaled(wait, queue.overtakingFactor(level, engine.tokensPerMillisecond, now)) + idle;
         if (request.isNew)
             wait += readingTime(
                 returns.heldFrom(request.priority, now, now + wait), engine.tokensPerMillisecond);
--- a/src/region/evacuations.cc
+++ b/src/region/evacuations.cc
@@ -1,7 +1,5 @@
 #include "region/evacuations.h"
 
-#include "base/log.h"
-
 #include <algorithm>
 
 namespace lacewing::region {
@@ -43,15 +41,11 @@
 Evacuations::Changes Evacuations::store(const DataCentreId& dataCentre, const StoredRow& row)
 {
     const bool wasEvacuated = isEvacuated(dataCentre);
-    if (m_records.count(dataCentre) == 0 && !makeRoom()) {
-        LogEvent(LogLevel::Warning, "evacuation_ignored")
-            .with("data_centre", dataCentre)
-            .with("reason", "too many data centres are evacuated");
-        return {};
-    }
     m_newestVersion = std::max(m_newestVersion, row.version);
+    if (m_records.count(dataCentre) == 0 && !makeRoom())
+        return {};
     Record& record = m_records[dataCentre];
-    record = { row, std::nullopt };
+    record = { row, false, std::nullopt };
     return wasEvacuated == !row.isDeleted ? Changes() : change(dataCentre, record);
 }
 
@@ -72,15 +66,15 @@
         return store(dataCentre, { row.id, "", readVersion, true });
     const Changes changes = apply(dataCentre, row);
     const auto record = m_records.find(dataCentre);
-    const bool isMissing = row.version.era() < readVersion.era();
-    if (!changes.empty() && isMissing && isEvacuated(dataCentre))
-        record->second.missingFor = Duration::zero();
+    const bool isCurrent = record != m_records.end() && record->second.row.version == row.version;
+    if (isCurrent && !record->second.row.isDeleted && row.version.era() < readVersion.era())
+        record->second.isMissing = true;
     return changes;
 }
 
 Evacuations::Changes Evacuations::endAt(const DataCentreId& dataCentre, Record& record, RowVersion version)
 {
-    record = { { record.row.id, "", version, true }, std::nullopt };
+    record = { { record.row.id, "", version, true }, false, std::nullopt };
     m_newestVersion = std::max(m_newestVersion, version);
     return change(dataCentre, record);
 }
@@ -95,8 +89,8 @@
         if (record.row.version.era() == version.era()) {
             const Changes ended = endAt(dataCentre, record, version);
             changes.insert(changes.end(), ended.begin(), ended.end());
-        } else if (!record.missingFor)
-            record.missingFor = Duration::zero();
+        } else
+            record.isMissing = true;
     }
     return changes;
 }
@@ -107,8 +101,13 @@
     m_lastAnswer = answeredAt;
     Changes changes;
     for (auto& [dataCentre, record] : m_records) {
-        if (!record.missingFor)
+        if (!record.isMissing)
+            continue;
+        // The time before the first answer after the discovery does not count.
+        if (!record.missingFor) {
+            record.missingFor = Duration::zero();
             continue;
+        }
         *record.missingFor += readable;
         if (*record.missingFor < missingRowLifetime)
             continue;
@@ -150,7 +149,7 @@
 {
     std::vector<StoredRow> rows;
     for (const auto& [dataCentre, record] : m_records) {
-        if (record.missingFor)
+        if (record.isMissing)
             rows.push_back(record.row);
     }
     return rows;
--- a/src/region/evacuations.h
+++ b/src/region/evacuations.h
@@ -70,7 +70,9 @@
 private:
     struct Record {
         StoredRow row;
-        /// Readable time of the store since its copy was found to lack the row; nothing if it isn't missing.
+        /// The store's copy lacks the row.
+        bool isMissing = false;
+        /// Readable time of the store since then; nothing before its first answer.
         std::optional<Duration> missingFor;
     };
 
--- a/src/region/region_map.cc
+++ b/src/region/region_map.cc
@@ -16,7 +16,7 @@
 
 bool RegionMap::permits(const HomeRegions& homes, const DataCentreId& dataCentre) const
 {
-    return !isEnabled() || homes.permits(find(dataCentre));
+    return !isEnabled() || !homes.isRestricted() || homes.permits(find(dataCentre));
 }
 
 } // namespace lacewing::region
--- a/src/speed/slowdown_estimate.cc
+++ b/src/speed/slowdown_estimate.cc
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// Time after which half of a figure's deviation from the mean has faded; about that of stretches that last
-/// 600 ms on average.
+/// Time after which half of a figure's deviation from the mean has faded. Shorter than a typical slowdown, so
+/// that an old figure doesn't outlast it.
 constexpr double halfLifeSeconds = 0.4;
 const double fadeSeconds = halfLifeSeconds / std::log(2.0);
 /// Time constant of the mean; several stretches must pass until it is known.
--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -27,8 +27,8 @@
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
 constexpr int firstRefusal = 400;
-/// HTTP defines the statuses below this one only.
-constexpr int statusAboveAll = 600;
+/// HTTP defines no status from this one up.
+constexpr int firstUndefinedStatus = 600;
 /// A server that sends more of them will send no final answer.
 constexpr int maximumInterimAnswers = 16;
 
@@ -272,7 +272,7 @@
 
 bool HttpClientConnection::hasInvalidStatus() const
 {
-    return evhttp_request_get_response_code(m_request) >= statusAboveAll;
+    return evhttp_request_get_response_code(m_request) >= firstUndefinedStatus;
 }
 
 // evhttp waits for the whole chunk, which may hold back tokens that have arrived.
@@ -416,7 +416,7 @@
     auto headers = fieldsOfAnswer(*request);
     HttpFault fault;
     const auto framing = headers ? interpretFraming(*headers, request->minor, fault) : std::nullopt;
-    if (!framing || status < statusFinal || status >= statusAboveAll || request->major != 1) {
+    if (!framing || status < statusFinal || status >= firstUndefinedStatus || request->major != 1) {
         m_error = HttpClientError::InvalidAnswer;
         return false;
     }
--- a/src/warmup/warm_up_limits.cc
+++ b/src/warmup/warm_up_limits.cc
@@ -35,9 +35,9 @@
 
 MonotonicTime WarmUpLimits::KnownProcess::end() const
 {
-    if (!silentSince || !coldStart)
+    if (!assumedColdSince || !coldStart)
         return statedEnd;
-    return std::max(statedEnd, *silentSince + coldStart->duration);
+    return std::max(statedEnd, *assumedColdSince + coldStart->duration);
 }
 
 bool WarmUpLimits::replaceProcess(KnownProcess& known, int64_t startedAt)
@@ -46,7 +46,7 @@
         return false;
     known.startedAt = startedAt;
     known.statedEnd = MonotonicTime();
-    known.silentSince.reset();
+    known.assumedColdSince.reset();
     known.rowRead.reset();
     return true;
 }
@@ -67,14 +67,14 @@
     if (row.startedAt < known.startedAt)
         return;
     if (isNew && !row.remaining) {
-        known.silentSince = now;
+        known.assumedColdSince = now;
         known.source = ColdSource::Start;
     }
     if (!row.remaining || (known.rowRead && row.read <= *known.rowRead))
         return;
     known.rowRead = row.read;
     // What the process states replaces the assumption.
-    known.silentSince.reset();
+    known.assumedColdSince.reset();
     if (known.end() <= now)
         known.source = ColdSource::Row;
     extend(known, *row.remaining, row.read, now);
@@ -112,7 +112,7 @@
     if (statement.startedAt < known.startedAt)
         return false;
     if (!isFromPeer)
-        known.silentSince.reset();
+        known.assumedColdSince.reset();
     const bool wasCold = known.end() > now;
     const bool isLater = !wasCold || now + statement.remaining > known.end() + relayTolerance;
     if (isFromPeer && !isLater)
--- a/src/warmup/warm_up_limits.h
+++ b/src/warmup/warm_up_limits.h
@@ -63,7 +63,7 @@
 public:
     /// Time after its start in which a host does not decide on requests of other hosts to cold upstreams:
     /// until it has read the other hosts' rows it takes itself for the whole fleet.
-    static constexpr Duration joinTime = std::chrono::seconds(2);
+    static constexpr Duration peerDiscoveryTime = std::chrono::seconds(2);
 
     /// Takes over the rows of all upstreams.
     ///
@@ -98,7 +98,7 @@
         std::optional<ColdStart> coldStart;
         MonotonicTime statedEnd;
         /// When this host learned of a process that has stated nothing.
-        std::optional<MonotonicTime> silentSince;
+        std::optional<MonotonicTime> assumedColdSince;
         /// When the last row that stated a time was read.
         std::optional<MonotonicTime> rowRead;
         ColdSource source = ColdSource::Row;
