--- a/src/overload/overload_queue.cc
+++ b/src/overload/overload_queue.cc
@@ -119,7 +119,6 @@
         }
         rankByShare(ranks, requests, engine);
         MonotonicTime free = now;
-        Duration idle {};
         std::set<Rank> ready;
         std::set<std::pair<MonotonicTime, Rank>> loading;
         for (const Rank& rank : ranks) {
@@ -132,16 +131,13 @@
         QueuePlan plan;
         int started = 0;
         while (!ready.empty() || !loading.empty()) {
-            if (ready.empty()) {
-                const MonotonicTime next = std::max(free, loading.begin()->first);
-                idle += next - free;
-                free = next;
-            }
+            if (ready.empty())
+                free = std::max(free, loading.begin()->first);
             while (!loading.empty() && loading.begin()->first <= free)
                 ready.insert(loading.extract(loading.begin()).value().second);
             Rank rank = ready.extract(ready.begin()).value();
             const QueuedRequest& request = requests[rank.index];
-            const MonotonicTime start = predict(rank, free, started, idle);
+            const MonotonicTime start = predict(rank, free, started);
             const bool mayBeLate = request.latestStart > request.onTimeStart;
             if (!rank.isLate && mayBeLate && start > tolerated(request, request.onTimeStart)) {
                 // On-time requests go before it.
@@ -169,20 +165,18 @@
 
     /// @param free when the engine has read the prompts before this one.
     /// @param started number of requests that start before.
-    /// @param idle time until then in which the engine waits for adapters.
-    MonotonicTime predict(const Rank& rank, MonotonicTime free, int started, Duration idle) const
+    MonotonicTime predict(const Rank& rank, MonotonicTime free, int started) const
     {
         const QueuedRequest& request = requests[rank.index];
         const Duration reading
             = readingTime(backlogBefore(rank, engine) + request.prompt, engine.tokensPerMillisecond);
-        Duration wait = (free - now) - idle + reading;
+        Duration wait = (free - now) + reading;
         if (started >= engine.freePlaces)
             wait = std::max<Duration>(wait,
                 (started - engine.freePlaces + 1) * engine.placeInterval
-                    + readingTime(request.prompt, engine.tokensPerMillisecond) - idle);
+                    + readingTime(request.prompt, engine.tokensPerMillisecond));
         const int level = rank.isLate ? lateLevel : rank.level;
-        // Requests that arrive later do not prolong the time in which the engine waits for adapters.
-        wait = scaled(wait, queue.overtakingFactor(level, engine.tokensPerMillisecond, now)) + idle;
+        wait = scaled(wait, queue.overtakingFactor(level, engine.tokensPerMillisecond, now));
         if (request.isNew)
             wait += readingTime(
                 returns.heldFrom(request.priority, now, now + wait), engine.tokensPerMillisecond);
