--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "base/stable_hash.h"
+#include "overload/queue_priority.h"
 
 namespace lacewing::gateway {
 
@@ -64,6 +65,13 @@
     return workspace ? route->homes.intersect(workspace->homes) : route->homes;
 }
 
+int CallAdmission::priority(OverloadPolicy policy) const
+{
+    const std::optional<int> ofWorkspace = workspace ? workspace->priority : std::nullopt;
+    return policy == OverloadPolicy::Priority ? overload::queuePriority(ofWorkspace, route->priority)
+                                              : ofWorkspace.value_or(route->priority);
+}
+
 // A stale configuration may lack a route or key that was added since it was read, so its denial is not final.
 std::optional<CallRefusal> CallAdmitter::denialUnlessStale(CallRefusal reason) const
 {
--- a/src/gateway/call_admission.h
+++ b/src/gateway/call_admission.h
@@ -3,6 +3,7 @@
 #include "base/random.h"
 #include "gateway/call_attributes.h"
 #include "gateway/configuration_tracker.h"
+#include "gateway/overload_policy.h"
 #include "gateway/workspace_rate_limiter.h"
 
 #include <optional>
@@ -57,6 +58,9 @@
 
     /// @return the home regions that route and workspace have in common.
     region::HomeRegions homes() const;
+    /// @return the priority of the request at an engine's owner; 0 is the most urgent. With
+    ///     OverloadPolicy::Arrival a workspace's priority replaces the route's one.
+    int priority(OverloadPolicy policy) const;
 };
 
 /// Resolves the route, service and workspace of a request, and charges the workspace's rate limit.
@@ -73,6 +77,9 @@
     {
     }
 
+    void setOverloadPolicy(OverloadPolicy policy) { m_overloadPolicy = policy; }
+    OverloadPolicy overloadPolicy() const { return m_overloadPolicy; }
+
     /// Resolves the route by host and path, and the workspace by the key.
     ///
     /// @param host the Host header, with or without a port.
@@ -94,6 +101,7 @@
     const ConfigurationTracker& m_keeper;
     WorkspaceRateLimiter& m_usage;
     Random& m_random;
+    OverloadPolicy m_overloadPolicy = OverloadPolicy::Arrival;
 };
 
 } // namespace lacewing::gateway
--- a/src/gateway/call_admission_test.cc
+++ b/src/gateway/call_admission_test.cc
@@ -109,4 +109,26 @@
     BOOST_TEST(admission.charge == 0);
 }
 
+// Guards against an urgent route that waits behind a less urgent one since the workspace's priority hides the
+// routes' ones, and against a route that overtakes a more urgent workspace.
+BOOST_AUTO_TEST_CASE(TheRoutesPriorityDecidesWithinOneOfWorkspaces)
+{
+    ServingWorkspace workspace;
+    Route route;
+    CallAdmission admission;
+    admission.route = &route;
+    admission.workspace = &workspace;
+    const auto priority = [&](std::optional<int> ofWorkspace, int ofRoute, OverloadPolicy policy) {
+        workspace.priority = ofWorkspace;
+        route.priority = ofRoute;
+        return admission.priority(policy);
+    };
+    BOOST_TEST(priority(1, 0, OverloadPolicy::Arrival) == priority(1, 2, OverloadPolicy::Arrival));
+    BOOST_TEST(priority(1, 0, OverloadPolicy::Priority) < priority(1, 2, OverloadPolicy::Priority));
+    BOOST_TEST(priority(0, 7, OverloadPolicy::Priority) < priority(1, 0, OverloadPolicy::Priority));
+    BOOST_TEST(priority(std::nullopt, 2, OverloadPolicy::Priority) == 2);
+    admission.workspace = nullptr;
+    BOOST_TEST(priority(1, 2, OverloadPolicy::Priority) == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -192,6 +192,7 @@
 {
     m_broker.connect(m_owners, m_mesh);
     m_owners.setOverloadPolicy(m_settings.overloadPolicy);
+    m_admitter.setOverloadPolicy(m_settings.overloadPolicy);
     platform.engines.setAvailabilityObserver(
         [this](const AvailabilityObservation& observation, const char* kind) {
             m_availability.observed(observation, kind);
--- a/src/gateway/proxied_call.cc
+++ b/src/gateway/proxied_call.cc
@@ -126,9 +126,7 @@
 
 void ProxiedCall::createSearch()
 {
-    const int priority = m_admission.workspace && m_admission.workspace->priority
-        ? *m_admission.workspace->priority
-        : m_admission.route->priority;
+    const int priority = m_admission.priority(m_services.admitter.overloadPolicy());
     m_binding.emplace(m_services.streamVersions, m_services.metrics, m_attributes, m_admission);
     const UpstreamSearch::Subject subject { m_attributes, m_admission, *m_binding, m_arrival, m_timeLimit,
         priority };
