--- a/src/speed/slowdown_estimate.h
+++ b/src/speed/slowdown_estimate.h
@@ -12,9 +12,9 @@
 constexpr double minimumSlowdown = 0.5;
 constexpr double maximumSlowdown = 5;
 
-/// @return the time that work takes which takes `usual` at the mean slowdown, while the present slowdown
-/// fades
-///     towards the mean. Short work is governed by the present slowdown, long work by the mean.
+/// The present slowdown fades towards the mean, so it governs short work and the mean governs long work.
+///
+/// @return the time for work that takes `usual` at the mean slowdown.
 /// @param relative present slowdown in multiples of the mean.
 Duration slowedTime(Duration usual, double relative);
 
@@ -24,9 +24,8 @@
 /// Estimates how much slower than usual one upstream is, now and on average, from the figures that it
 /// reports.
 ///
-/// Load pattern: upstreams share their machines with other workloads, and are slowed by a factor of about 2.5
-/// for some hundred milliseconds at a time. A figure is therefore outdated soon, and an older one counts
-/// as the mean.
+/// Load pattern: upstreams share their machines with other workloads, and are slowed severalfold for a
+/// fraction of a second. A figure is therefore outdated soon, and an older one counts as the mean.
 ///
 /// Figures may be untrue. They are bounded, and their weight decreases if the measured durations of runs do
 /// not follow them, or if the figure never changes although real ones change many times a second.
@@ -38,8 +37,7 @@
     void reported(double slowdown, MonotonicTime now);
     /// Compares the last figure with a measured run.
     ///
-    /// @param timePerWork measured time in any unit that is comparable over the runs of the upstream; above
-    /// 0.
+    /// @param timePerWork measured time, above 0, in any unit that is comparable over the upstream's runs.
     void runMeasured(double timePerWork, MonotonicTime now);
     /// Starts from what another host has learned. Does nothing once a figure has been reported here.
     void seed(double mean, MonotonicTime now);
--- a/src/speed/upstream_speeds.h
+++ b/src/speed/upstream_speeds.h
@@ -39,9 +39,8 @@
     bool isStated(const UpstreamId& upstream, MonotonicTime now) const;
     /// @return the present slowdown of an upstream; 1 if it states none.
     double slowdown(const UpstreamId& upstream, MonotonicTime now) const;
-    /// @return the logarithm of the usual time that an upstream takes for a request, with slowdowns divided
-    /// out;
-    ///     nothing before enough requests have been measured.
+    /// @return the logarithm of the usual time for a request, with slowdowns divided out; nothing before
+    /// enough requests have been measured.
     std::optional<double> usualTime(const UpstreamId& upstream) const;
 
     /// Mean and maximum of the present slowdowns of upstreams that state one; 1 if none does.
