--- a/src/speed/slowdown_estimate.cc
+++ b/src/speed/slowdown_estimate.cc
@@ -25,8 +25,8 @@
 constexpr double distrustSeconds = 15;
 /// Weight of the newest run in the comparison of figures with measured times.
 constexpr double runWeight = 0.03;
-/// Variance of the figures' logarithm that counts as agreement before any run is known; that of figures of
-/// which 15 % are 2.5 and the others 1.
+/// Variance of the figures' logarithm that counts as agreement before any run is known, so that few runs
+/// can't refute the figures.
 constexpr double priorVariance = 0.1;
 /// Runs before the comparison counts.
 constexpr int64_t minimumRuns = 10;
