--- a/src/overload/overload_queue.cc
+++ b/src/overload/overload_queue.cc
@@ -1,5 +1,7 @@
 #include "overload/overload_queue.h"
 
+#include "overload/reading_time.h"
+
 #include <algorithm>
 #include <cmath>
 #include <set>
@@ -25,12 +27,6 @@
 /// Priorities above this count as this one.
 constexpr int lastPriority = 9;
 
-Duration readingTime(Tokens tokens, double tokensPerMillisecond)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
-        static_cast<double>(tokens.value()) / tokensPerMillisecond));
-}
-
 Duration scaled(Duration duration, double factor)
 {
     return std::chrono::duration_cast<Duration>(duration * factor);
--- a/src/overload/return_schedule.cc
+++ b/src/overload/return_schedule.cc
@@ -1,5 +1,7 @@
 #include "overload/return_schedule.h"
 
+#include "overload/reading_time.h"
+
 #include <algorithm>
 
 namespace lacewing::overload {
@@ -14,12 +16,6 @@
 /// Callers that are told a longer time mostly give up, and the load changes within that time.
 constexpr Duration longestReturn = std::chrono::seconds(5);
 
-Duration readingTime(Tokens tokens, double tokensPerMillisecond)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
-        static_cast<double>(tokens.value()) / tokensPerMillisecond));
-}
-
 } // namespace
 
 bool ReturnSchedule::hasLapsed(const Promise& promise, MonotonicTime now)
