--- /dev/null
+++ b/review/shared-2/fleet.py
@@ -0,0 +1,423 @@
+"""Stand-ins of the platform on loopback for the scripts of review/6 and later: the store, plain servers, the platform that
+starts the gateways with the commands of the deploy file, and consumers. They follow PROTOCOL.md and DEPLOY.md."""
+
+import base64
+import http.client
+import http.server
+import json
+import os
+import pathlib
+import random
+import re
+import signal
+import socket
+import socketserver
+import subprocess
+import threading
+import time
+import tomllib
+import urllib.parse
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+# Figures of a small deployment: the sheet of falaj-mf.
+BOUNDS = {"drain_ms": 2000, "stability_ms": 3000, "grace_period_s": 8, "lease_duration_ms": 3000, "require_fencing": True,
+          "quota_window_s": 8, "quota_overage": 0.1, "quota_slack": 17000, "budget_ratio": 0.2, "budget_slack": 54,
+          "budget_window_s": 10, "configuration_deadline_ms": 2000}
+KEY = "key-1"
+HOST = "a.example"
+
+
+def free_ports(count):
+    """Returns ports that are free at the moment, below the range of outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.SystemRandom().randrange(15000, 30000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
+    return ports
+
+
+class Record:
+    """Writes what was sent, answered and run, with the time since the start, to record.txt."""
+
+    def __init__(self, path):
+        self.lock = threading.Lock()
+        self.start = time.monotonic()
+        self.file = open(path, "w", encoding="utf-8")
+
+    def write(self, text):
+        with self.lock:
+            self.file.write(f"{time.monotonic() - self.start:8.3f} {text}\n")
+            self.file.flush()
+
+    def close(self):
+        with self.lock:
+            self.file.close()
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *_):
+        pass
+
+    def body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
+    def answer(self, status, body=b"", headers=()):
+        if not isinstance(body, bytes):
+            body = json.dumps(body).encode()
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class Server(socketserver.ThreadingMixIn, http.server.HTTPServer):
+    daemon_threads = True
+    request_queue_size = 256
+
+    def handle_error(self, request, client_address):
+        pass
+
+
+def serve(handler):
+    server = Server(("127.0.0.1", 0), handler)
+    threading.Thread(target=server.serve_forever, args=(0.05,), daemon=True).start()
+    return server, f"127.0.0.1:{server.server_address[1]}"
+
+
+class Store:
+    """The platform's store: rows with one version counter, transactions, reads and feeds."""
+
+    def __init__(self):
+        self.lock = threading.Condition()
+        self.version = 0
+        self.rows = {}
+        # Feeds from before this version get 410, since that part of the history is gone.
+        self.floor = 0
+        # Bounds a page of a read; the pages say 500 rows at most.
+        self.page = 500
+        store = self
+
+        class StoreHandler(Handler):
+            def do_GET(self):
+                store.read(self)
+
+            def do_POST(self):
+                store.commit(self)
+
+        self.server, self.address = serve(StoreHandler)
+
+    def put(self, table, key, value):
+        """Writes a row; None removes it. Returns the time of the ack."""
+        with self.lock:
+            self.version += 1
+            self.rows[table, key] = (self.version, None if value is None else json.dumps(value).encode())
+            self.lock.notify_all()
+            return time.monotonic()
+
+    def put_and_forget_history(self, table, key, value):
+        """Writes a row and, right after it, drops the history. Returns the time of the ack."""
+        with self.lock:
+            self.version += 1
+            self.rows[table, key] = (self.version, None if value is None else json.dumps(value).encode())
+            acknowledged = time.monotonic()
+            self.floor = self.version
+            self.lock.notify_all()
+            return acknowledged
+
+    @staticmethod
+    def encode(table, key, version, value):
+        row = {"table": table, "part": "", "key": key, "version_number": version}
+        if value is None:
+            row["deleted"] = True
+        else:
+            row["value"] = base64.b64encode(value).decode()
+        return row
+
+    def select(self, table, after, with_deleted):
+        found = [(version, key, value) for (name, key), (version, value) in self.rows.items()
+                 if name == table and version > after and (with_deleted or value is not None)]
+        return [self.encode(table, key, version, value) for version, key, value in sorted(found, key=lambda row: row[0])]
+
+    def answer(self, handler, status, rows=None, **more):
+        body = {"version_number": self.version, "current_time_ms": int(time.monotonic() * 1000), **more}
+        if rows is not None:
+            body["rows"] = rows
+        return status, body
+
+    def read(self, handler):
+        url = urllib.parse.urlparse(handler.path)
+        query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
+        with self.lock:
+            if url.path == "/-/rows-get":
+                rows = sorted(self.select(query["table"], 0, False), key=lambda row: row["key"].encode())
+                rows = [row for row in rows if row["key"] >= query.get("from", "")
+                        and ("to" not in query or row["key"] < query["to"])]
+                limit = min(self.page, int(query.get("limit", self.page)))
+                status, body = self.answer(handler, 200, rows[:limit], has_more=len(rows) > limit)
+            else:
+                after, end = int(query["after"]), time.monotonic() + int(query["wait_ms"]) / 1000
+                while after >= self.floor and time.monotonic() < end and not self.select(query["table"], after, True):
+                    self.lock.wait(max(0.001, end - time.monotonic()))
+                if after < self.floor:
+                    status, body = self.answer(handler, 410)
+                else:
+                    status, body = self.answer(handler, 200, self.select(query["table"], after, True))
+        handler.answer(status, body)
+
+    def commit(self, handler):
+        call = json.loads(handler.body())
+        with self.lock:
+            status, body = self.transaction(handler, call)
+        time.sleep(0.004)
+        handler.answer(status, body)
+
+    def transaction(self, handler, call):
+        if len(call["precondition"]) + len(call["writes"]) + len(call["deletes"]) > 100:
+            return self.answer(handler, 400)
+        if any(item["table"] in ("op", "servers") for item in call["writes"] + call["deletes"]):
+            return self.answer(handler, 403)
+        for item in call["precondition"]:
+            version, value = self.rows.get((item["table"], item["key"]), (0, None))
+            if (0 if value is None else version) != item["version_number"]:
+                keys = [(each["table"], each["key"]) for each in call["precondition"]]
+                rows = [self.encode(*key, *self.rows[key]) for key in keys if self.rows.get(key, (0, None))[1] is not None]
+                return self.answer(handler, 412, rows)
+        self.version += 1
+        for item in call["writes"]:
+            self.rows[item["table"], item["key"]] = (self.version, base64.b64decode(item["value"]))
+        for item in call["deletes"]:
+            self.rows[item["table"], item["key"]] = (self.version, None)
+        self.lock.notify_all()
+        return self.answer(handler, 200)
+
+
+class PlainServer:
+    """A server of a plain service."""
+
+    def __init__(self, store, record, service, zone, work_seconds=0.03):
+        self.store, self.record, self.service, self.zone = store, record, service, zone
+        self.work_seconds = work_seconds
+        self.id = f"i-{random.getrandbits(32):08x}"
+        self.born = int(time.time() * 1000)
+        self.is_leaving = False
+        self.is_ended = False
+        self.lock = threading.Lock()
+        self.connections = set()
+        # Times and ids of requests that it began to work on.
+        self.runs = []
+        server = self
+
+        class ServerHandler(Handler):
+            def setup(self):
+                super().setup()
+                with server.lock:
+                    server.connections.add(self.connection)
+
+            def finish(self):
+                with server.lock:
+                    server.connections.discard(self.connection)
+                super().finish()
+
+            def do_GET(self):
+                server.handle(self)
+
+            def do_POST(self):
+                server.handle(self)
+
+        self.server, self.address = serve(ServerHandler)
+
+    def entry(self, state):
+        return {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 6,
+                "state": state, "cold_remaining_ms": 0, "sequence": 0, "born": self.born}
+
+    def announce(self, state):
+        return self.store.put("servers", self.id, self.entry(state))
+
+    def handle(self, handler):
+        body = handler.body()
+        request = handler.headers.get("X-Lacewinglb-Request-Id", "")
+        identity = [("X-Lacewinglb-Request-Id", request)]
+        if self.is_leaving:
+            identity += [("Server-Leaving", "1"), ("Connection", "close")]
+        if handler.headers.get("X-Lacewinglb-Expect-Instance", self.id) != self.id:
+            handler.answer(421, b"", [*identity, ("X-Lacewinglb-Not-Executed", "1")])
+            return
+        self.runs.append((time.monotonic(), request))
+        self.record.write(f"run {request} at {self.id} leaving={self.is_leaving}")
+        self.work(handler, request)
+        if self.is_ended:
+            handler.close_connection = True
+            return
+        handler.answer(200, {"by": self.id, "length": len(body)}, [*identity, ("X-Lacewinglb-Response-Seal", f"seal-{request}")])
+
+    def work(self, handler, request):
+        time.sleep(self.work_seconds)
+
+    def end(self):
+        """Ends as a process does: it listens no longer and its connections break off."""
+        self.is_ended = True
+        self.server.shutdown()
+        self.server.server_close()
+        with self.lock:
+            connections = list(self.connections)
+        for connection in connections:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
+def manifest(version, routes, services, tokens_per_second=100000):
+    return {"version": version, "routes": routes, "services": services,
+            "limits": {"header_bytes": 16384, "body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+            "tenants": [{"name": "t-1", "api_keys": [KEY], "unit": "tokens", "plain_tokens": 1,
+                         "rate_per_s": tokens_per_second, "burst": tokens_per_second}]}
+
+
+def route(name, kind, service, attempts, timeout_ms=1200, target_ms=150, **more):
+    return {"name": name, "host": HOST, "prefix": f"/{name}/", "kind": kind, "timeout_ms": timeout_ms,
+            "target_latency_ms": target_ms, "priority": 2, "service": service, "attempts": attempts, "anonymous": False, **more}
+
+
+def render(template, values):
+    """Fills in the placeholders of the settings template that it uses: values and values as JSON."""
+
+    def value(match):
+        name, _, as_json = match.group(1).partition("|")
+        found = values
+        for part in name.split("."):
+            found = found[int(part)] if isinstance(found, list) else found.get(part)
+        if as_json:
+            return json.dumps(found)
+        if isinstance(found, bool):
+            return str(found).lower()
+        return "" if found is None else str(found)
+
+    return re.sub(r"\{\{([^}]+)\}\}", value, template)
+
+
+class Gateway:
+    """One machine with the role of the deploy file."""
+
+    def __init__(self, name, zone, zones, store_address, folder, first_start=True):
+        deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text(encoding="utf-8"))
+        self.role = deploy["roles"]["gateway"]
+        self.name, self.zone = name, zone
+        ports = free_ports(5)
+        self.ports = dict(zip(("front", "ready", "directory", "peer", "metrics"), ports))
+        self.folder = pathlib.Path(folder)
+        self.values = {
+            "node_name": name, "zone": zone, "region": "muscat", "zones": {each: "muscat" for each in zones},
+            "listen_addresses": {each: f"127.0.0.1:{self.ports[each]}" for each in ("front", "ready", "directory")},
+            "ip_address": "127.0.0.1", "internal_ports": [self.ports["peer"], self.ports["metrics"]],
+            "platform": {"address": store_address}, "bounds": BOUNDS, "limits": {"memory_mb": 260}, "first_start": first_start}
+        self.settings = self.folder / f"{name}.yaml"
+        self.write_settings()
+        self.log = open(self.folder / f"{name}.log", "ab")
+        self.process = None
+        self.start()
+
+    def write_settings(self):
+        text = render((ROOT / self.role["template"]).read_text(encoding="utf-8"), self.values)
+        temporary = self.settings.with_suffix(".tmp")
+        temporary.write_text(text, encoding="utf-8")
+        temporary.rename(self.settings)
+
+    def start(self):
+        environment = {"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", "/"), "LANG": "C",
+                       "LACEWINGLB_BOOT": str(self.settings)}
+        self.process = subprocess.Popen(self.role["run"].split(), cwd=ROOT, env=environment, stdout=self.log,
+                                        stderr=self.log, stdin=subprocess.DEVNULL)
+
+    def get(self, port, path):
+        connection = http.client.HTTPConnection("127.0.0.1", self.ports[port], timeout=3)
+        try:
+            connection.request("GET", path)
+            answer = connection.getresponse()
+            return answer.status, answer.read().decode()
+        finally:
+            connection.close()
+
+    def is_ready(self):
+        try:
+            return self.get("ready", "/-/readiness")[0] == 200
+        except OSError:
+            return False
+
+    def metric(self, name):
+        try:
+            for line in self.get("metrics", "/metrics")[1].splitlines():
+                if line.startswith(name + " "):
+                    return float(line.split()[1])
+        except OSError:
+            pass
+        return 0.0
+
+    def signal(self, number):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def end(self):
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+        self.process.wait()
+        self.log.close()
+
+
+class Consumer:
+    """Sends requests, each with an id of its own, on new connections."""
+
+    def __init__(self, record):
+        self.record = record
+        self.lock = threading.Lock()
+        self.count = 0
+        # Per id: when it was sent, and the status, or None for a connection that closed without an answer.
+        self.sent = {}
+        self.answers = {}
+
+    def next_id(self):
+        with self.lock:
+            self.count += 1
+            return f"{self.count:04x}{random.getrandbits(48):012x}"
+
+    def request(self, gateway, method, path, body=b"", deadline_ms=2500, headers=None):
+        request = self.next_id()
+        connection = http.client.HTTPConnection("127.0.0.1", gateway.ports["front"], timeout=deadline_ms / 1000 + 1)
+        status = None
+        self.sent[request] = time.monotonic()
+        self.record.write(f"send {request} {method} {path} to {gateway.name}")
+        try:
+            connection.request(method, path, body, {
+                "Host": HOST, "X-Lacewinglb-Request-Id": request, "X-Lacewinglb-Deadline-Milliseconds": str(deadline_ms),
+                "Authorization": f"Bearer {KEY}", **(headers or {})})
+            answer = connection.getresponse()
+            answer.read()
+            status = answer.status
+        except (OSError, http.client.HTTPException) as error:
+            self.record.write(f"end {request} {type(error).__name__}")
+        finally:
+            connection.close()
+        self.answers[request] = status
+        self.record.write(f"answer {request} {status}")
+        return request, status
+
+
+def wait_for(condition, seconds):
+    end = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > end:
+            return False
+        time.sleep(0.05)
+    return True
