--- a/review/shared-2/fleet.py
+++ b/review/shared-2/fleet.py
@@ -98,9 +98,9 @@
 class Store:
     """The platform's store: rows with one version counter, transactions, reads and feeds."""
 
-    def __init__(self):
+    def __init__(self, version=0):
         self.lock = threading.Condition()
-        self.version = 0
+        self.version = version
         self.rows = {}
         # Feeds from before this version get 410, since that part of the history is gone.
         self.floor = 0
@@ -278,6 +278,107 @@
                 pass
 
 
+class Engine(PlainServer):
+    """A server of a model service: loads adapters on order and checks fence numbers."""
+
+    ADAPTER_SLOTS = 6
+    LOAD_SECONDS = 0.25
+    EVENTS = 5
+
+    def __init__(self, store, record, service, zone, model):
+        self.model = model
+        self.sequence = 0
+        self.fence = 0
+        # Times at which adapters are loaded, by name.
+        self.adapters = {}
+        # Time, holder, fence number, operation, adapter and status of each order.
+        self.orders = []
+        super().__init__(store, record, service, zone)
+
+    def entry(self, state):
+        return {**super().entry(state), "slots": 64, "sequence": self.sequence, "models": self.models()}
+
+    def models(self):
+        now = time.monotonic()
+        return [{"name": self.model, "version": 1,
+                 "adapters": [f"{name}@1" for name, ready in self.adapters.items() if ready <= now]}]
+
+    def handle(self, handler):
+        if handler.headers.get("X-Lacewinglb-Expect-Instance", self.id) != self.id:
+            super().handle(handler)
+        elif handler.path == "/-/order":
+            with self.lock:
+                status = self.order(json.loads(handler.body()))
+            handler.answer(status)
+        elif handler.path == "/-/report":
+            with self.lock:
+                now = time.monotonic()
+                pending = [f"{self.model}/{name}@1" for name, ready in self.adapters.items() if ready > now]
+                report = {"stage": "both", "models": self.models(), "busy": False, "sequence": self.sequence, "waiting": 0,
+                          "running": 0, "kv_used": 0, "kv_total": 151286, "handles": 0, "pending": pending}
+            handler.answer(200, report)
+        else:
+            self.stream(handler)
+
+    def order(self, order):
+        status = self.carry_out(order)
+        self.orders.append((time.monotonic(), order["holder"], order["fencing_token"], order["operation"],
+                            order.get("adapter"), status))
+        self.record.write(f"order at {self.id}: {order['operation']} {order.get('adapter')} by {order['holder']} "
+                          f"fence {order['fencing_token']} (highest {self.fence}) -> {status}")
+        return status
+
+    def carry_out(self, order):
+        if order["fencing_token"] < self.fence:
+            return 412
+        self.fence = order["fencing_token"]
+        name, now = order.get("adapter"), time.monotonic()
+        if not name or order["model"] != self.model:
+            return 400
+        ready = self.adapters.get(name)
+        if order["operation"] == "load" and ready is not None:
+            return 200 if ready <= now else 202
+        if order["operation"] == "unload" and ready is None:
+            return 200
+        if order.get("precondition", self.sequence) != self.sequence:
+            return 409
+        self.sequence += 1
+        if order["operation"] == "unload":
+            del self.adapters[name]
+            return 200
+        self.adapters[name] = now + self.LOAD_SECONDS
+        return 202
+
+    def stream(self, handler):
+        handler.body()
+        request = handler.headers.get("X-Lacewinglb-Request-Id", "")
+        identity = [("X-Lacewinglb-Request-Id", request), ("X-Lacewinglb-Server-Load", "1,0,64")]
+        name = handler.headers.get("X-Lacewinglb-Model", "").partition("/")[2]
+        ready = self.adapters.get(name) if name else 0
+        if ready is None or ready > time.monotonic():
+            handler.answer(421 if ready is None else 503, b"", [*identity, ("X-Lacewinglb-Not-Executed", "1")])
+            return
+        self.runs.append((time.monotonic(), request))
+        self.record.write(f"run {request} of {name} at {self.id}")
+        handler.send_response(200)
+        for field in [*identity, ("X-Lacewinglb-Response-Seal", f"seal-{request}"), ("Content-Type", "text/event-stream"),
+                      ("Transfer-Encoding", "chunked")]:
+            handler.send_header(*field)
+        handler.end_headers()
+        for number in range(1, self.EVENTS + 1):
+            event = f"id: {number}\ndata: {name}\n\n".encode()
+            handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            time.sleep(0.02)
+        handler.wfile.write(b"0\r\n\r\n")
+
+
+def engine_service(name, model):
+    return {"name": name, "connection_limit": 360, "engine": {
+        "slots": 64, "kv_cache_tokens": 151286, "adapter_slots": Engine.ADAPTER_SLOTS, "weights_size_mb": 66500.0,
+        "loads_per_s": 3.4, "models": [{"name": model, "weights_size_mb": 65100.0, "load_time_s": 2.9, "adapters": 3000,
+                                        "adapter_size_mb": 12.0}]}}
+
+
 def manifest(version, routes, services, tokens_per_second=100000):
     return {"version": version, "routes": routes, "services": services,
             "limits": {"header_bytes": 16384, "body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
