--- a/review/shared-2/fleet.py
+++ b/review/shared-2/fleet.py
@@ -202,6 +202,55 @@
         return self.answer(handler, 200)
 
 
+class Proxy:
+    """A way to one server, which can be silent: open connections carry nothing then, and new ones hang."""
+
+    def __init__(self, target):
+        self.target = target
+        self.is_silent = False
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(128)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                caller, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.connect, args=(caller,), daemon=True).start()
+
+    def connect(self, caller):
+        host, port = self.target.split(":")
+        try:
+            server = socket.create_connection((host, int(port)), 2)
+        except OSError:
+            caller.close()
+            return
+        for each in (caller, server):
+            each.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        threading.Thread(target=self.pump, args=(caller, server), daemon=True).start()
+        threading.Thread(target=self.pump, args=(server, caller), daemon=True).start()
+
+    def pump(self, source, sink):
+        try:
+            while data := source.recv(65536):
+                while self.is_silent:
+                    time.sleep(0.01)
+                sink.sendall(data)
+        except OSError:
+            pass
+        while self.is_silent:
+            time.sleep(0.01)
+        for each in (source, sink):
+            try:
+                each.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
 class PlainServer:
     """A server of a plain service."""
 
@@ -236,9 +285,11 @@
                 server.handle(self)
 
         self.server, self.address = serve(ServerHandler)
+        # The address in the store, which is that of a proxy if there is one.
+        self.public_address = self.address
 
     def entry(self, state):
-        return {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 6,
+        return {"service": self.service, "address": self.public_address, "zone": self.zone, "version": "v1", "slots": 6,
                 "state": state, "cold_remaining_ms": 0, "sequence": 0, "born": self.born}
 
     def announce(self, state):
@@ -294,6 +345,20 @@
         # Time, holder, fence number, operation, adapter and status of each order.
         self.orders = []
         super().__init__(store, record, service, zone)
+        self.proxy = Proxy(self.address)
+        self.public_address = self.proxy.address
+        threading.Thread(target=self.ping, daemon=True).start()
+
+    def ping(self):
+        """Writes the entry again when the models in it have changed."""
+        written = None
+        while not self.is_ended:
+            time.sleep(1.2)
+            with self.lock:
+                models = self.models()
+            if models != written and ("servers", self.id) in self.store.rows:
+                self.announce("ready")
+                written = models
 
     def entry(self, state):
         return {**super().entry(state), "slots": 64, "sequence": self.sequence, "models": self.models()}
