--- a/review/shared-2/fleet.py
+++ b/review/shared-2/fleet.py
@@ -109,14 +109,20 @@
         self.floor = 0
         # Bounds a page of a read; the pages say 500 rows at most.
         self.page = 500
+        # Whether all calls are answered 503, those of servers too.
+        self.is_down = False
         store = self
 
         class StoreHandler(Handler):
             def do_GET(self):
-                store.read(self)
+                self.answer(503) if store.is_down else store.read(self)
 
             def do_POST(self):
-                store.commit(self)
+                if store.is_down:
+                    self.body()
+                    self.answer(503)
+                else:
+                    store.commit(self)
 
         self.server, self.address = serve(StoreHandler)
 
@@ -170,9 +176,11 @@
                 status, body = self.answer(handler, 200, rows[:limit], has_more=len(rows) > limit)
             else:
                 after, end = int(query["after"]), time.monotonic() + int(query["wait_ms"]) / 1000
-                while after >= self.floor and time.monotonic() < end and not self.select(query["table"], after, True):
+                while after >= self.floor and not self.is_down and time.monotonic() < end and not self.select(query["table"], after, True):
                     self.lock.wait(max(0.001, end - time.monotonic()))
-                if after < self.floor:
+                if self.is_down:
+                    status, body = 503, b""
+                elif after < self.floor:
                     status, body = self.answer(handler, 410)
                 else:
                     status, body = self.answer(handler, 200, self.select(query["table"], after, True))
