--- a/review/7/play.py
+++ b/review/7/play.py
@@ -80,8 +80,8 @@
     with tempfile.TemporaryDirectory() as folder:
         try:
             status, text = play(record, folder)
-        except OSError as error:
-            status, text = 2, f"could not run: {error}"
+        except Exception as error:  # Any fault of the case itself means that it could not run.
+            status, text = 2, f"could not run: {type(error).__name__}: {error}"
     verdict = ["the rule held", "DRAIN is broken", "the case could not run"][status]
     record.write(f"{verdict}: {text}")
     record.close()
