Log where a change of an upstream came from, and what readers relay

Cause: a log told that an upstream had changed, but not whether the host had read it or a peer had told it, nor whether a reader passed it on.

Change: source in upstream_changed and upstream_gone; upstream_rows_relayed.

--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -180,7 +180,12 @@
     return startTimes;
 }
 
-bool UpstreamDirectory::handleRemoval(const UpstreamId& id)
+const char* UpstreamDirectory::toString(RowSource source)
+{
+    return source == RowSource::Store ? "store" : "peer";
+}
+
+bool UpstreamDirectory::handleRemoval(const UpstreamId& id, RowSource source)
 {
     const auto found = m_known.find(id);
     if (found == m_known.end())
@@ -191,7 +196,7 @@
             found->second.graceUntil = m_graceEnd;
         return false;
     }
-    LogEvent(LogLevel::Info, "upstream_gone").with("upstream", id);
+    LogEvent(LogLevel::Info, "upstream_gone").with("upstream", id).with("source", toString(source));
     m_known.erase(found);
     return true;
 }
@@ -235,7 +240,7 @@
         && removed->second.startedAt == entry.startedAt;
 }
 
-bool UpstreamDirectory::apply(const StoredRow& row)
+bool UpstreamDirectory::apply(const StoredRow& row, RowSource source)
 {
     const UpstreamId id(row.id.key);
     if (isOld(row))
@@ -246,12 +251,12 @@
         removal.version = row.version;
         if (before != m_known.end())
             removal.startedAt = before->second.entry.startedAt;
-        return handleRemoval(id);
+        return handleRemoval(id, source);
     }
     const auto entry = m_decoder.readUpstream(row);
     if (!entry) {
         LogEvent(LogLevel::Warning, "upstream_row_skipped").with("key", row.id.key);
-        return handleRemoval(id);
+        return handleRemoval(id, source);
     }
     const bool mayBeOlder = mayBeCopied(row);
     if (mayBeOlder && before != m_known.end() && isKnownBetter(before->second.entry, *entry)) {
@@ -274,7 +279,8 @@
             .with("service", entry->service)
             .with("address", entry->address.text())
             .with("draining", entry->isDraining)
-            .with("software_version", entry->softwareVersion);
+            .with("software_version", entry->softwareVersion)
+            .with("source", toString(source));
     known->second = { *entry, row.version, std::nullopt, std::nullopt };
     known->second.entry.read = m_scheduler.now();
     return hasChanged;
@@ -290,7 +296,7 @@
 void UpstreamDirectory::tableRead(const std::vector<StoredRow>& rows)
 {
     std::set<UpstreamId> present;
-    const std::vector<StoredRow> changed = applyAll(rows);
+    const std::vector<StoredRow> changed = applyAll(rows, RowSource::Store);
     bool hasChanged = !changed.empty();
     // No changes follow for what was written again before this read, which the other hosts need, too.
     if (std::exchange(m_isRestored, false))
@@ -303,18 +309,18 @@
             missing.push_back(id);
     }
     for (const UpstreamId& id : missing)
-        hasChanged = handleRemoval(id) || hasChanged;
+        hasChanged = handleRemoval(id, RowSource::Store) || hasChanged;
     // Upstreams that come after the first read have started since, also if that read found none.
     const bool isFirstRead = !std::exchange(m_hasReadTable, true);
     if (hasChanged || isFirstRead)
         m_handlers.onChange();
 }
 
-std::vector<StoredRow> UpstreamDirectory::applyAll(const std::vector<StoredRow>& rows)
+std::vector<StoredRow> UpstreamDirectory::applyAll(const std::vector<StoredRow>& rows, RowSource source)
 {
     std::vector<StoredRow> changed;
     for (const StoredRow& row : rows) {
-        if (apply(row))
+        if (apply(row, source))
             changed.push_back(row);
     }
     return changed;
@@ -322,13 +328,15 @@
 
 void UpstreamDirectory::relay(const std::vector<StoredRow>& rows)
 {
-    if (m_isReader && !rows.empty())
-        m_handlers.onRowsToRelay(rows);
+    if (!m_isReader || rows.empty())
+        return;
+    LogEvent(LogLevel::Info, "upstream_rows_relayed").with("rows", rows.size());
+    m_handlers.onRowsToRelay(rows);
 }
 
 void UpstreamDirectory::rowsChanged(const std::vector<StoredRow>& rows)
 {
-    const std::vector<StoredRow> changed = applyAll(rows);
+    const std::vector<StoredRow> changed = applyAll(rows, RowSource::Store);
     relay(changed);
     bool hasChanged = !changed.empty();
     std::vector<UpstreamId> expired;
@@ -349,7 +357,7 @@
 
 void UpstreamDirectory::peerOffered(const std::vector<StoredRow>& rows)
 {
-    if (!applyAll(rows).empty())
+    if (!applyAll(rows, RowSource::Peer).empty())
         m_handlers.onChange();
 }
 
--- a/src/gateway/upstream_directory.h
+++ b/src/gateway/upstream_directory.h
@@ -104,10 +104,12 @@
     void rowsChanged(const std::vector<StoredRow>& rows) override;
     void feedResumed(Duration outage) override;
 
+    enum class RowSource { Store, Peer };
+
     /// @return whether the set of upstreams has changed.
-    bool apply(const StoredRow& row);
+    bool apply(const StoredRow& row, RowSource source);
     /// @return the rows that have changed the set of upstreams.
-    std::vector<StoredRow> applyAll(const std::vector<StoredRow>& rows);
+    std::vector<StoredRow> applyAll(const std::vector<StoredRow>& rows, RowSource source);
     void relay(const std::vector<StoredRow>& rows);
     bool isOld(const StoredRow& row) const;
     /// @return whether a row may be from a copy of the store, and so older than what is known from before.
@@ -116,7 +118,9 @@
     static bool isKnownBetter(const UpstreamEntry& known, const UpstreamEntry& copied);
     /// @return whether the row of the entry's process was removed in an earlier era.
     bool wasRemoved(const StoredRow& row, const UpstreamEntry& entry) const;
-    bool handleRemoval(const UpstreamId& id);
+    bool handleRemoval(const UpstreamId& id, RowSource source);
+    /// @return the source's name, for logs.
+    static const char* toString(RowSource source);
     bool isPresent(const KnownUpstream& known) const;
     bool accepts(const UpstreamFilter& filter, const UpstreamEntry& entry) const;
     /// @return whether the upstream's row or the upstream itself says that it is leaving.
