Part the choice of a peer to ask from the exchange of operators' rows

Cause: a second exchange needs the same decision: wait while a change arrives by itself, then ask one random peer of those that have the most.

Change: CatchUp (src/table_sync), used by OperatorRowExchange without a change of what it does.

--- a/src/gateway/operator_row_exchange.cc
+++ b/src/gateway/operator_row_exchange.cc
@@ -25,6 +25,9 @@
     , m_tracker(tracker)
     , m_random(random)
     , m_send(std::move(send))
+    , m_catchUp(scheduler, random,
+          { [this] { return own(); }, [this] { return requestDelay(); },
+              [this](const HostId& peer) { request(peer); } })
 {
 }
 
@@ -36,37 +39,20 @@
 void OperatorRowExchange::onHeartbeat(const HostId& peer, RowVersion newest, Revision revision)
 {
     sendMissingEvacuations(peer);
-    const Offer offer { std::max(revision, m_tracker.revision()), newest };
-    if (offer <= own() || offer < m_bestOffer)
-        return;
-    if (offer > m_bestOffer) {
-        m_bestOffer = offer;
-        m_sources.clear();
-    }
-    m_sources.push_back(peer);
-    if (!std::exchange(m_isWaiting, true))
-        m_scheduler.runAfter(requestDelay(), m_lifetime.guard([this] { requestIfBehind(); }));
+    m_catchUp.offered(peer, { std::max(revision, m_tracker.revision()), newest });
 }
 
 Duration OperatorRowExchange::requestDelay()
 {
     if (m_tracker.isReader())
         return readerRequestDelay;
-    const double fraction = m_random.uniform();
-    return minimumRequestDelay
-        + std::chrono::duration_cast<Duration>(fraction * (maximumRequestDelay - minimumRequestDelay));
+    return table_sync::randomDelay(m_random, minimumRequestDelay, maximumRequestDelay);
 }
 
-void OperatorRowExchange::requestIfBehind()
+void OperatorRowExchange::request(const HostId& peer)
 {
-    m_isWaiting = false;
-    const auto sources = std::exchange(m_sources, {});
-    const Offer best = std::exchange(m_bestOffer, {});
-    if (sources.empty() || best <= own())
-        return;
-    const auto chosen = static_cast<size_t>(m_random.uniform() * static_cast<double>(sources.size()));
-    m_asked = sources[std::min(chosen, sources.size() - 1)];
-    m_send(*m_asked, PeerOperatorRequest { m_tracker.newestRowVersion() });
+    m_asked = peer;
+    m_send(peer, PeerOperatorRequest { m_tracker.newestRowVersion() });
 }
 
 void OperatorRowExchange::onRows(const HostId& peer, const std::vector<StoredRow>& rows)
--- a/src/gateway/operator_row_exchange.h
+++ b/src/gateway/operator_row_exchange.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "base/lifetime.h"
 #include "base/random.h"
 #include "base/scheduler.h"
 #include "gateway/configuration_tracker.h"
 #include "gateway/peer_message.h"
+#include "table_sync/catch_up.h"
 
 #include <functional>
 #include <map>
@@ -42,7 +42,7 @@
     using Offer = std::pair<Revision, RowVersion>;
 
     Offer own() const;
-    void requestIfBehind();
+    void request(const HostId& peer);
     Duration requestDelay();
     /// Sends a peer the evacuations that a copy of the store lacks, since versions alone don't tell a host
     /// that has started since of them.
@@ -52,15 +52,11 @@
     ConfigurationTracker& m_tracker;
     Random& m_random;
     Send m_send;
-    bool m_isWaiting = false;
-    /// The best offer of peers since the last request, and the peers that have made it.
-    Offer m_bestOffer;
-    std::vector<HostId> m_sources;
+    table_sync::CatchUp<Offer> m_catchUp;
     /// The peer that was asked last and has not answered.
     std::optional<HostId> m_asked;
     /// When peers were last sent evacuations; empty unless some are missing from the store.
     std::map<HostId, MonotonicTime> m_evacuationsSent;
-    Lifetime m_lifetime;
 };
 
 } // namespace lacewing::gateway
--- /dev/null
+++ b/src/table_sync/catch_up.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/lifetime.h"
+#include "base/random.h"
+#include "base/scheduler.h"
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace lacewing::table_sync {
+
+/// Decides which peer a host asks for what it lacks, and when.
+///
+/// Load pattern: a change concerns all hosts at the same time, and no single peer may have to send it to all
+/// of them. A host that learns of it waits for a delay, within which the change usually arrives by itself and
+/// further peers receive it, and then asks one random peer of those that have the most.
+///
+/// @tparam Offer what a host has, as an ordered value.
+template <typename Offer> class CatchUp {
+public:
+    struct Handlers {
+        /// @return what this host has.
+        std::function<Offer()> own;
+        /// @return the delay until the next request.
+        std::function<Duration()> delay;
+        std::function<void(const HostId& peer)> request;
+    };
+
+    /// @param scheduler, random must outlive this object.
+    CatchUp(Scheduler& scheduler, Random& random, Handlers handlers)
+        : m_scheduler(scheduler)
+        , m_random(random)
+        , m_handlers(std::move(handlers))
+    {
+    }
+
+    /// A peer has told what it has.
+    void offered(const HostId& peer, const Offer& offer)
+    {
+        if (offer <= m_handlers.own() || offer < m_best)
+            return;
+        if (offer > m_best) {
+            m_best = offer;
+            m_sources.clear();
+        }
+        m_sources.push_back(peer);
+        if (!std::exchange(m_isWaiting, true))
+            m_scheduler.runAfter(m_handlers.delay(), m_lifetime.guard([this] { requestIfBehind(); }));
+    }
+
+private:
+    void requestIfBehind()
+    {
+        m_isWaiting = false;
+        const auto sources = std::exchange(m_sources, {});
+        const Offer best = std::exchange(m_best, {});
+        if (!sources.empty() && best > m_handlers.own())
+            m_handlers.request(sources[m_random.below(sources.size())]);
+    }
+
+    Scheduler& m_scheduler;
+    Random& m_random;
+    Handlers m_handlers;
+    bool m_isWaiting = false;
+    /// The best offer of peers since the last request, and the peers that have made it.
+    Offer m_best {};
+    std::vector<HostId> m_sources;
+    Lifetime m_lifetime;
+};
+
+/// @return a random delay, evenly distributed between two bounds.
+inline Duration randomDelay(Random& random, Duration shortest, Duration longest)
+{
+    return shortest + std::chrono::duration_cast<Duration>(random.uniform() * (longest - shortest));
+}
+
+} // namespace lacewing::table_sync
