--- a/src/gateway/fake_call_services_test.h
+++ b/src/gateway/fake_call_services_test.h
@@ -233,7 +233,7 @@
     ConfigurationTracker configuration { scheduler, store, rows, { [] {}, [](const AdapterRelease&) {} } };
     std::set<DataCentreId> evacuated;
     UpstreamDirectory upstreams { scheduler, store, rows,
-        { [] {}, [](const std::vector<StoredRow>&) {},
+        { [] {}, [](const table_sync::ChangeSet&) {},
             [this](const DataCentreId& dataCentre) { return evacuated.count(dataCentre) > 0; } },
         region::RegionMap(
             { { DataCentreId("z-1"), RegionId("north") }, { DataCentreId("z-2"), RegionId("south") } }) };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -95,7 +95,8 @@
               } })
     , m_upstreams(loop, platform.store, platform.rows,
           { [this] { upstreamsChanged(); },
-              [this](const std::vector<StoredRow>& rows) { m_mesh.sendToAll(PeerUpstreamRows { rows }); },
+              [this](
+                  const table_sync::ChangeSet& changes) { m_mesh.sendToAll(PeerUpstreamRows { changes }); },
               [this](const DataCentreId& dataCentre) {
                   return m_configuration.evacuations().isEvacuated(dataCentre);
               } },
@@ -126,6 +127,8 @@
               [this](HeartbeatAudience audience) { return heartbeat(audience); } })
     , m_operatorRows(loop, m_configuration, m_random,
           [this](const HostId& peer, const PeerMessage& message) { m_mesh.send(peer, message); })
+    , m_upstreamRows(loop, m_upstreams, m_random, m_metrics,
+          [this](const HostId& peer, const PeerMessage& message) { m_mesh.send(peer, message); })
     , m_owners(loop, platform.engines, m_upstreams, m_configuration, m_settings.host,
           { [this](const RunGrant& grant) { runGranted(grant); },
               [this](const RunDenial& denial) { runDenied(denial); },
@@ -391,6 +394,7 @@
     heartbeat.fetchesInFlight = m_owners.fetchLimiter().inFlight();
     if (audience == HeartbeatAudience::AllPeers)
         m_owners.fetchLimiter().told();
+    heartbeat.quietUpstreams = m_upstreams.quietSpan();
     heartbeat.engines = m_owners.summaries();
     if (m_settings.promptAffinity)
         m_owners.addPrefixes(heartbeat.engines, audience == HeartbeatAudience::AllPeers);
@@ -407,6 +411,7 @@
 {
     m_limitExchange.onMessage(peer, message);
     m_availability.onMessage(peer, message);
+    m_upstreamRows.onMessage(peer, message);
     m_quarantine.onMessage(peer, message);
     if (const auto* heartbeat = std::get_if<PeerHeartbeat>(&message)) {
         const MonotonicTime now = m_loop.now();
@@ -432,10 +437,6 @@
         m_operatorRows.onRows(peer, news->rows);
         return;
     }
-    if (const auto* news = std::get_if<PeerUpstreamRows>(&message)) {
-        m_upstreams.peerOffered(news->rows);
-        return;
-    }
     if (const auto* news = std::get_if<PeerServiceVersions>(&message)) {
         m_serviceVersions.rowsChanged(news->rows);
         return;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "gateway/stream_versions.h"
 #include "gateway/upstream_availability_exchange.h"
 #include "gateway/upstream_limit_exchange.h"
+#include "gateway/upstream_row_exchange.h"
 #include "gateway/warm_up_control.h"
 #include "transport/http_server.h"
 
@@ -127,6 +128,7 @@
     FleetAgent m_fleet;
     PeerMesh m_mesh;
     OperatorRowExchange m_operatorRows;
+    UpstreamRowExchange m_upstreamRows;
     OwnedEngines m_owners;
     RunBroker m_broker;
     EngineView m_engineView;
--- a/src/gateway/owned_engines_test.cc
+++ b/src/gateway/owned_engines_test.cc
@@ -98,7 +98,7 @@
     EngineRows rows;
     ConfigurationTracker configuration { scheduler, store, rows, { [] {}, [](const AdapterRelease&) {} } };
     UpstreamDirectory upstreams { scheduler, store, rows,
-        { [this] { owners.refresh(); }, [](const std::vector<StoredRow>&) {},
+        { [this] { owners.refresh(); }, [](const table_sync::ChangeSet&) {},
             [this](const DataCentreId&) { return isEvacuated; } } };
     bool isEvacuated = false;
     ManualEngineControl control;
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -33,7 +33,8 @@
     AnswerBegan,
     Quarantines,
     UpstreamLeaving,
-    ServiceVersions
+    ServiceVersions,
+    UpstreamRequest
 };
 
 Json frame(FrameType type)
@@ -371,6 +372,18 @@
     return rows;
 }
 
+Json encode(const table_sync::ChangeSpan& span)
+{
+    return Json::array(
+        { span.after.era().value(), span.after.number(), span.upTo.era().value(), span.upTo.number() });
+}
+
+table_sync::ChangeSpan decodeSpan(const Json& json)
+{
+    return { RowVersion(StoreEra(json.at(0).get<int64_t>()), json.at(1).get<int64_t>()),
+        RowVersion(StoreEra(json.at(2).get<int64_t>()), json.at(3).get<int64_t>()) };
+}
+
 Json encode(const PeerHeartbeat& message)
 {
     Json engines = Json::array();
@@ -401,6 +414,7 @@
         leaving.push_back(encode(statement));
     json.push_back(std::move(leaving));
     json.push_back(encode(message.serviceVersions));
+    json.push_back(message.quietUpstreams ? encode(*message.quietUpstreams) : Json());
     return json;
 }
 
@@ -444,17 +458,30 @@
     }
     if (json.size() > 17)
         message.serviceVersions = decodeRows(json.at(17));
+    if (json.size() > 18 && !json.at(18).is_null())
+        message.quietUpstreams = decodeSpan(json.at(18));
     return message;
 }
 
-Json encode(const PeerOperatorRequest& message)
+/// A request for rows with a higher version.
+Json encodeRequest(FrameType type, RowVersion after)
 {
-    Json json = frame(FrameType::OperatorRequest);
-    json.push_back(message.after.number());
-    json.push_back(message.after.era().value());
+    Json json = frame(type);
+    json.push_back(after.number());
+    json.push_back(after.era().value());
     return json;
 }
 
+RowVersion decodeRequest(const Json& json)
+{
+    return RowVersion(eraAt(json, 2), json.at(1).get<int64_t>());
+}
+
+Json encode(const PeerOperatorRequest& message)
+{
+    return encodeRequest(FrameType::OperatorRequest, message.after);
+}
+
 Json encode(FrameType type, const std::vector<StoredRow>& rows)
 {
     Json json = frame(type);
@@ -469,7 +496,26 @@
 
 Json encode(const PeerUpstreamRows& message)
 {
-    return encode(FrameType::UpstreamRows, message.rows);
+    Json json = encode(FrameType::UpstreamRows, message.changes.rows);
+    json.push_back(encode(message.changes.span));
+    json.push_back(message.changes.isWholeTable);
+    return json;
+}
+
+PeerUpstreamRows decodeUpstreamRows(const Json& json)
+{
+    PeerUpstreamRows message { { decodeRows(json.at(1)), {}, false } };
+    // Hosts of an earlier version send the rows only.
+    if (json.size() > 3) {
+        message.changes.span = decodeSpan(json.at(2));
+        message.changes.isWholeTable = json.at(3).get<bool>();
+    }
+    return message;
+}
+
+Json encode(const PeerUpstreamRequest& message)
+{
+    return encodeRequest(FrameType::UpstreamRequest, message.after);
 }
 
 Json encode(const PeerServiceVersions& message)
@@ -586,11 +632,13 @@
     case FrameType::Heartbeat:
         return decodeHeartbeat(json);
     case FrameType::OperatorRequest:
-        return PeerOperatorRequest { RowVersion(eraAt(json, 2), json.at(1).get<int64_t>()) };
+        return PeerOperatorRequest { decodeRequest(json) };
     case FrameType::OperatorRows:
         return PeerOperatorRows { decodeRows(json.at(1)) };
     case FrameType::UpstreamRows:
-        return PeerUpstreamRows { decodeRows(json.at(1)) };
+        return decodeUpstreamRows(json);
+    case FrameType::UpstreamRequest:
+        return PeerUpstreamRequest { decodeRequest(json) };
     case FrameType::ServiceVersions:
         return PeerServiceVersions { decodeRows(json.at(1)) };
     case FrameType::RunRequest:
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -7,6 +7,7 @@
 #include "gateway/upstream_limits.h"
 #include "gateway/workspace_rate_limiter.h"
 #include "state/row_store.h"
+#include "table_sync/change_log.h"
 
 #include <optional>
 #include <string>
@@ -58,6 +59,8 @@
     /// The software versions of all services, in the first heartbeat on a link. Later changes are sent as
     /// PeerServiceVersions.
     std::vector<StoredRow> serviceVersions;
+    /// Versions between which the table of upstreams has no changes; stated by the hosts that read the table.
+    std::optional<table_sync::ChangeSpan> quietUpstreams = std::nullopt;
 };
 
 /// Usage on a host since its last report, sent between two heartbeats.
@@ -77,9 +80,15 @@
     std::vector<StoredRow> rows;
 };
 
-/// Changed upstream rows, from a host that long-polls the store.
+/// Changes of the table of upstreams: from a host that reads it, or in response to PeerUpstreamRequest.
 struct PeerUpstreamRows {
-    std::vector<StoredRow> rows;
+    table_sync::ChangeSet changes;
+};
+
+/// Requests the changes of the table of upstreams that the sender lacks.
+struct PeerUpstreamRequest {
+    /// Only changes with a higher version are requested.
+    RowVersion after;
 };
 
 /// Asks the owner of an engine to admit a request.
@@ -179,7 +188,7 @@
 using PeerMessage = std::variant<PeerHeartbeat, PeerOperatorRequest, PeerOperatorRows, PeerUpstreamRows,
     PeerRunRequest, PeerRunGrant, PeerRunDenial, PeerRunProgress, PeerRunEnd, PeerUsage, PeerUpstreamLimit,
     PeerPermitRequest, PeerPermitAnswer, PeerCrashReports, PeerAnswerBegan, PeerQuarantines,
-    PeerUpstreamLeaving, PeerServiceVersions>;
+    PeerUpstreamLeaving, PeerServiceVersions, PeerUpstreamRequest>;
 
 /// @return the message as one CBOR frame.
 std::string encodePeerMessage(const PeerMessage& message);
--- a/src/gateway/peer_message_test.cc
+++ b/src/gateway/peer_message_test.cc
@@ -60,6 +60,8 @@
     message.limits = { limit(), { UpstreamId("u-2"), 6, LimitRevision(1), HostId("host-2"), std::nullopt } };
     message.quarantines = { quarantine() };
     message.leaving = { { UpstreamId("u-2"), 8 } };
+    message.quietUpstreams
+        = table_sync::ChangeSpan { RowVersion(StoreEra(1), 9), RowVersion(StoreEra(2), 5) };
     return message;
 }
 
@@ -75,8 +77,10 @@
     const AdapterRef adapter { ModelId("base"), AdapterId("a1") };
     return { heartbeat(), PeerOperatorRequest { RowVersion(3) },
         PeerOperatorRows { { { { "", "config" }, "\xff{}", RowVersion(4), false } } },
-        PeerUpstreamRows { { { { "", "s-1" }, "\xff{}", RowVersion(4), false },
-            { { "", "s-2" }, "", RowVersion(5), true } } },
+        PeerUpstreamRows { { { { { "", "s-1" }, "\xff{}", RowVersion(4), false },
+                                 { { "", "s-2" }, "", RowVersion(5), true } },
+            { RowVersion(StoreEra(1), 9), RowVersion(StoreEra(2), 5) }, true } },
+        PeerUpstreamRequest { RowVersion(StoreEra(2), 7) },
         PeerRunRequest { UpstreamId("engine-1"), RunId(5), adapter, Tokens(10),
             { { ~0ULL, Tokens(7) }, { 8, Tokens(3) } }, Tokens(20), 1, 700ms, 1500ms, 400ms, limit(),
             WorkspaceId("busy"), 2s },
@@ -118,6 +122,21 @@
     BOOST_TEST((std::get<PeerRunDenial>(*oldDenial).retryAfter == 200ms));
 }
 
+// Guards against rejecting relayed rows of peers that run the release before change spans.
+BOOST_AUTO_TEST_CASE(UpstreamRowsOfThePreviousReleaseAreRead)
+{
+    const PeerUpstreamRows rows { { { { { "", "s-1" }, "{}", RowVersion(4), false } },
+        { RowVersion(3), RowVersion(4) }, true } };
+    auto frame = *fromCbor(encodePeerMessage(rows));
+    truncate(frame, 2);
+    const auto decoded = decodePeerMessage(toCbor(frame));
+    BOOST_REQUIRE(decoded.has_value());
+    const table_sync::ChangeSet& changes = std::get<PeerUpstreamRows>(*decoded).changes;
+    BOOST_TEST(changes.rows.size() == 1u);
+    BOOST_TEST(!changes.span.upTo.exists());
+    BOOST_TEST(!changes.isWholeTable);
+}
+
 // Guards against fields that are lost or swapped by encoding and decoding.
 BOOST_AUTO_TEST_CASE(EachMessageRoundTrips)
 {
--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -20,6 +20,9 @@
 /// Time after which the store has removed the rows of a copy whose upstreams don't write them again.
 constexpr Duration copiedRowLifetime = std::chrono::seconds(6);
 
+/// Time in which all hosts hear of a version of the table that one of them has read: a poll and a heartbeat.
+constexpr Duration firstReadDelay = std::chrono::seconds(3);
+
 /// Rows are rewritten with a falling cold time and arrive with varying delay, so an end that is later by more
 /// than this tells that the upstream became cold again.
 constexpr Duration rowDelayTolerance = std::chrono::seconds(1);
@@ -283,82 +286,148 @@
             .with("source", toString(source));
     known->second = { *entry, row.version, std::nullopt, std::nullopt };
     known->second.entry.read = m_scheduler.now();
+    if (!hasChanged)
+        m_changes.renew(row);
     return hasChanged;
 }
 
-void UpstreamDirectory::storeRestored(RowVersion copy)
+std::vector<StoredRow> UpstreamDirectory::applyAll(
+    const std::vector<StoredRow>& rows, RowVersion readVersion, RowSource source)
 {
-    m_copy = copy;
-    m_isRestored = true;
-    m_graceEnd = m_scheduler.now() + graceTime;
+    std::vector<StoredRow> changed;
+    for (const StoredRow& row : rows) {
+        if (!apply(row, source))
+            continue;
+        m_changes.record(row, readVersion);
+        changed.push_back(row);
+    }
+    return changed;
 }
 
-void UpstreamDirectory::tableRead(const std::vector<StoredRow>& rows)
+StoredRow UpstreamDirectory::tombstone(const UpstreamId& id, RowVersion version) const
+{
+    return { { m_decoder.upstreamTable(), id.value() }, "", version, true };
+}
+
+std::vector<StoredRow> UpstreamDirectory::applyTable(
+    const std::vector<StoredRow>& rows, RowVersion readVersion, RowSource source)
 {
     std::set<UpstreamId> present;
-    const std::vector<StoredRow> changed = applyAll(rows, RowSource::Store);
-    bool hasChanged = !changed.empty();
-    // No changes follow for what was written again before this read, which the other hosts need, too.
-    if (std::exchange(m_isRestored, false))
-        relay(changed);
     for (const StoredRow& row : rows)
         present.insert(UpstreamId(row.id.key));
-    std::vector<UpstreamId> missing;
+    std::vector<StoredRow> all = rows;
     for (const auto& [id, known] : m_known) {
-        if (present.count(id) == 0)
-            missing.push_back(id);
+        // A peer may have sent a row that is newer than the table.
+        if (present.count(id) == 0 && known.version <= readVersion)
+            all.push_back(tombstone(id, readVersion));
     }
-    for (const UpstreamId& id : missing)
-        hasChanged = handleRemoval(id, RowSource::Store) || hasChanged;
-    // Upstreams that come after the first read have started since, also if that read found none.
-    const bool isFirstRead = !std::exchange(m_hasReadTable, true);
-    if (hasChanged || isFirstRead)
-        m_handlers.onChange();
+    return applyAll(all, readVersion, source);
 }
 
-std::vector<StoredRow> UpstreamDirectory::applyAll(const std::vector<StoredRow>& rows, RowSource source)
+std::vector<StoredRow> UpstreamDirectory::removeExpired(RowVersion readVersion)
 {
-    std::vector<StoredRow> changed;
-    for (const StoredRow& row : rows) {
-        if (apply(row, source))
-            changed.push_back(row);
+    std::vector<StoredRow> removed;
+    for (auto known = m_known.begin(); known != m_known.end();) {
+        const auto graceUntil = known->second.graceUntil;
+        if (!graceUntil || m_scheduler.now() < *graceUntil) {
+            ++known;
+            continue;
+        }
+        LogEvent(LogLevel::Info, "upstream_gone")
+            .with("upstream", known->first)
+            .with("reason", "row not renewed after store outage");
+        removed.push_back(tombstone(known->first, readVersion));
+        m_changes.record(removed.back(), readVersion);
+        known = m_known.erase(known);
     }
-    return changed;
+    return removed;
 }
 
-void UpstreamDirectory::relay(const std::vector<StoredRow>& rows)
+void UpstreamDirectory::noteFeedVersion()
 {
-    if (!m_isReader || rows.empty())
+    if (const auto version = m_feed.version())
+        m_changes.advance(*version);
+}
+
+void UpstreamDirectory::completeRead(const std::vector<StoredRow>& changed, RowVersion lastChange)
+{
+    noteFeedVersion();
+    // Upstreams that come after the first read have started since, also if that read found none.
+    const bool isFirstRead = !m_firstRead;
+    if (isFirstRead)
+        m_firstRead = m_scheduler.now();
+    if (!changed.empty() || isFirstRead)
+        m_handlers.onChange();
+    // The other hosts have read the table before.
+    if (!m_isReader || changed.empty() || isFirstRead)
         return;
-    LogEvent(LogLevel::Info, "upstream_rows_relayed").with("rows", rows.size());
-    m_handlers.onRowsToRelay(rows);
+    LogEvent(LogLevel::Info, "upstream_rows_relayed")
+        .with("rows", changed.size())
+        .with("after", lastChange)
+        .with("up_to", m_changes.upTo());
+    m_handlers.onChangesToRelay({ changed, { lastChange, m_changes.upTo() }, false });
+}
+
+void UpstreamDirectory::storeRestored(RowVersion copy)
+{
+    m_copy = copy;
+    m_graceEnd = m_scheduler.now() + graceTime;
+}
+
+void UpstreamDirectory::tableRead(const std::vector<StoredRow>& rows)
+{
+    const RowVersion lastChange = m_changes.lastChange();
+    completeRead(applyTable(rows, *m_feed.version(), RowSource::Store), lastChange);
 }
 
 void UpstreamDirectory::rowsChanged(const std::vector<StoredRow>& rows)
 {
-    const std::vector<StoredRow> changed = applyAll(rows, RowSource::Store);
-    relay(changed);
-    bool hasChanged = !changed.empty();
-    std::vector<UpstreamId> expired;
-    for (const auto& [id, known] : m_known) {
-        if (known.graceUntil && m_scheduler.now() >= *known.graceUntil)
-            expired.push_back(id);
-    }
-    for (const UpstreamId& id : expired) {
-        LogEvent(LogLevel::Info, "upstream_gone")
-            .with("upstream", id)
-            .with("reason", "row not renewed after store outage");
-        m_known.erase(id);
-        hasChanged = true;
-    }
-    if (hasChanged)
-        m_handlers.onChange();
+    const RowVersion lastChange = m_changes.lastChange();
+    const RowVersion readVersion = *m_feed.version();
+    std::vector<StoredRow> changed = applyAll(rows, readVersion, RowSource::Store);
+    const std::vector<StoredRow> removed = removeExpired(readVersion);
+    changed.insert(changed.end(), removed.begin(), removed.end());
+    completeRead(changed, lastChange);
 }
 
-void UpstreamDirectory::peerOffered(const std::vector<StoredRow>& rows)
+bool UpstreamDirectory::peerOffered(const table_sync::ChangeSet& changes)
 {
-    if (!applyAll(rows, RowSource::Peer).empty())
+    noteFeedVersion();
+    const RowVersion readVersion = changes.span.upTo;
+    const auto changed = changes.isWholeTable ? applyTable(changes.rows, readVersion, RowSource::Peer)
+                                              : applyAll(changes.rows, readVersion, RowSource::Peer);
+    const bool isComplete = m_changes.covers(changes.span);
+    if (isComplete)
+        m_changes.advance(readVersion);
+    if (!changed.empty())
         m_handlers.onChange();
+    return isComplete;
+}
+
+bool UpstreamDirectory::confirmUnchanged(const table_sync::ChangeSpan& span)
+{
+    noteFeedVersion();
+    return m_changes.confirm(span);
+}
+
+RowVersion UpstreamDirectory::knownUpTo()
+{
+    noteFeedVersion();
+    return m_changes.upTo();
+}
+
+std::optional<table_sync::ChangeSpan> UpstreamDirectory::quietSpan()
+{
+    if (!m_isReader || !m_firstRead || m_scheduler.now() < *m_firstRead + firstReadDelay)
+        return std::nullopt;
+    noteFeedVersion();
+    return m_changes.quietSpan();
+}
+
+table_sync::ChangeSet UpstreamDirectory::changesAfter(RowVersion version)
+{
+    noteFeedVersion();
+    return m_changes.changesAfter(version);
 }
 
 void UpstreamDirectory::feedResumed(Duration outage)
--- a/src/gateway/upstream_directory.h
+++ b/src/gateway/upstream_directory.h
@@ -5,6 +5,7 @@
 #include "gateway/upstream_availability.h"
 #include "gateway/upstream_filter.h"
 #include "region/region_map.h"
+#include "table_sync/change_log.h"
 
 #include <functional>
 #include <map>
@@ -28,8 +29,8 @@
     struct Handlers {
         /// An upstream was added, removed or restarted, began or stopped draining, or became cold.
         std::function<void()> onChange;
-        /// A reader has read changed rows, which other hosts should get.
-        std::function<void(const std::vector<StoredRow>& rows)> onRowsToRelay;
+        /// A reader has read changes, which other hosts should get.
+        std::function<void(const table_sync::ChangeSet& changes)> onChangesToRelay;
         /// @return whether a data centre's upstreams must get no requests for the time being.
         std::function<bool(const DataCentreId& dataCentre)> isEvacuated
             = [](const DataCentreId&) { return false; };
@@ -41,8 +42,22 @@
 
     /// @param isReader whether this host polls the store at short intervals and relays changes to the others.
     void setReader(bool isReader);
-    /// Applies rows that a reader has relayed.
-    void peerOffered(const std::vector<StoredRow>& rows);
+    bool isReader() const { return m_isReader; }
+    /// Applies changes that a peer has sent.
+    ///
+    /// @return false if changes before them may be missing.
+    bool peerOffered(const table_sync::ChangeSet& changes);
+    /// Uses a peer's statement that the table has no changes within a span.
+    ///
+    /// @return false if changes before the span may be missing.
+    bool confirmUnchanged(const table_sync::ChangeSpan& span);
+    /// @return version up to which this host knows all changes; 0 if it knows nothing of the table.
+    RowVersion knownUpTo();
+    /// @return the versions between which the table has no changes, to be told to peers; nothing unless this
+    ///     host is a reader, and has read the table for long enough that its peers know what it read first.
+    std::optional<table_sync::ChangeSpan> quietSpan();
+    /// @return what a peer lacks that knows all changes up to a version.
+    table_sync::ChangeSet changesAfter(RowVersion version);
 
     void start() { m_feed.start(); }
 
@@ -108,9 +123,26 @@
 
     /// @return whether the set of upstreams has changed.
     bool apply(const StoredRow& row, RowSource source);
+    /// @param readVersion version of the table that the rows came with.
     /// @return the rows that have changed the set of upstreams.
-    std::vector<StoredRow> applyAll(const std::vector<StoredRow>& rows, RowSource source);
-    void relay(const std::vector<StoredRow>& rows);
+    std::vector<StoredRow> applyAll(
+        const std::vector<StoredRow>& rows, RowVersion readVersion, RowSource source);
+    /// Applies a read of the whole table, from which the rows of upstreams that have gone are missing.
+    ///
+    /// @return the rows and tombstones that have changed the set of upstreams.
+    std::vector<StoredRow> applyTable(
+        const std::vector<StoredRow>& rows, RowVersion readVersion, RowSource source);
+    /// Drops the upstreams that have not renewed their rows within the grace period after an outage.
+    ///
+    /// @return their tombstones.
+    std::vector<StoredRow> removeExpired(RowVersion readVersion);
+    StoredRow tombstone(const UpstreamId& id, RowVersion version) const;
+    /// Ends the handling of a response of the store.
+    ///
+    /// @param lastChange version of the newest change before the response.
+    void completeRead(const std::vector<StoredRow>& changed, RowVersion lastChange);
+    /// Adds to the change log that the store has shown no changes since its last response with rows.
+    void noteFeedVersion();
     bool isOld(const StoredRow& row) const;
     /// @return whether a row may be from a copy of the store, and so older than what is known from before.
     bool mayBeCopied(const StoredRow& row) const;
@@ -139,10 +171,9 @@
     MonotonicTime m_graceEnd;
     /// Bound of the versions in the store's latest copy; 0 if there was none.
     RowVersion m_copy;
-    /// The table has not been read yet since then.
-    bool m_isRestored = false;
-    /// The table has been read at least once.
-    bool m_hasReadTable = false;
+    /// Time of the first read of the table.
+    std::optional<MonotonicTime> m_firstRead;
+    table_sync::ChangeLog m_changes;
     StoreFeed m_feed;
 };
 
--- a/src/gateway/upstream_directory_test.cc
+++ b/src/gateway/upstream_directory_test.cc
@@ -52,10 +52,12 @@
     PlainRowDecoder decoder;
     int changes = 0;
     std::vector<StoredRow> news;
+    std::vector<table_sync::ChangeSet> relays;
     UpstreamDirectory directory { scheduler, store, decoder,
         { [this] { ++changes; },
-            [this](const std::vector<StoredRow>& rows) {
-                news.insert(news.end(), rows.begin(), rows.end());
+            [this](const table_sync::ChangeSet& changes) {
+                news.insert(news.end(), changes.rows.begin(), changes.rows.end());
+                relays.push_back(changes);
             } } };
 };
 
@@ -94,7 +96,7 @@
     PlacedRowDecoder decoder;
     DataCentreId evacuated;
     UpstreamDirectory directory { scheduler, store, decoder,
-        { [] {}, [](const std::vector<StoredRow>&) {},
+        { [] {}, [](const table_sync::ChangeSet&) {},
             [this](const DataCentreId& dataCentre) { return dataCentre == evacuated; } },
         region::RegionMap(
             { { DataCentreId("z-1"), RegionId("north") }, { DataCentreId("z-2"), RegionId("south") } }) };
@@ -172,12 +174,64 @@
     reader.put("s1", "draining");
     reader.scheduler.advance(2s);
     BOOST_TEST(reader.news.size() == before.size() + 1);
-    other.directory.peerOffered(reader.news);
+    other.directory.peerOffered(reader.relays.back());
     BOOST_TEST(other.usable() == 1);
-    other.directory.peerOffered({ { { "servers", "s1" }, "ready", RowVersion(1), false } });
+    other.directory.peerOffered({ { { { "servers", "s1" }, "ready", RowVersion(1), false } }, {}, false });
     BOOST_TEST(other.usable() == 1);
 }
 
+// Load: a large fleet whose store discards its history right after a change. Guards against a change that
+// only readers learn of, since they find it in a read of the whole table (review/7).
+BOOST_AUTO_TEST_CASE(ReadersRelayWhatARereadOfTheTableShows)
+{
+    Fixture reader;
+    Fixture other;
+    other.directory.setReader(false);
+    other.store.fault = RowStoreError::Refused;
+    reader.put("s1", "draining");
+    reader.remove("s2");
+    reader.store.compact();
+    reader.scheduler.advance(2s);
+    BOOST_TEST(reader.usable() == 0);
+    BOOST_REQUIRE(reader.relays.size() == 1u);
+    BOOST_TEST(other.directory.peerOffered(reader.relays.back()));
+    BOOST_TEST(other.usable() == 0);
+    BOOST_TEST(other.directory.ids().size() == 1u);
+}
+
+// Guards against hosts that keep an upstream whose row expired in an outage that they haven't noticed.
+BOOST_AUTO_TEST_CASE(ReadersRelayRemovalsThatTakeEffectAfterTheGracePeriod)
+{
+    Fixture reader;
+    Fixture other;
+    other.directory.setReader(false);
+    reader.store.fault = RowStoreError::Unknown;
+    reader.scheduler.advance(5s);
+    reader.remove("s1");
+    reader.store.fault.reset();
+    reader.scheduler.advance(1s);
+    BOOST_TEST(reader.relays.empty());
+    reader.scheduler.advance(3s);
+    reader.put("s2", "ready");
+    reader.scheduler.advance(2s);
+    BOOST_REQUIRE(reader.relays.size() == 1u);
+    BOOST_TEST(other.directory.peerOffered(reader.relays.back()));
+    BOOST_TEST(other.usable() == 1);
+}
+
+// Guards against a host that drops an upstream which a peer has told it of, because the table that it reads
+// meanwhile is older.
+BOOST_AUTO_TEST_CASE(AnOlderTableDoesNotRemoveWhatAPeerHasTold)
+{
+    Fixture fixture;
+    fixture.directory.peerOffered({ { { { "servers", "s9" }, "ready", RowVersion(50), false } }, {}, false });
+    fixture.store.compact();
+    fixture.put("s1", "ready");
+    fixture.store.compact();
+    fixture.scheduler.advance(2s);
+    BOOST_TEST(fixture.usable() == 3);
+}
+
 // Guards against one store call per heartbeat of an upstream.
 BOOST_AUTO_TEST_CASE(BoundsStoreCalls)
 {
@@ -256,9 +310,11 @@
     fixture.scheduler.advance(1s);
     fixture.put("s1", "draining");
     fixture.scheduler.advance(2s);
-    fixture.directory.peerOffered({ { { "", "s1" }, "ready", RowVersion(StoreEra(1), 1), false } });
+    fixture.directory.peerOffered(
+        { { { { "", "s1" }, "ready", RowVersion(StoreEra(1), 1), false } }, {}, false });
     BOOST_TEST(fixture.usable() == 1);
-    fixture.directory.peerOffered({ { { "", "s1" }, "restarted", RowVersion(StoreEra(1), 2), false } });
+    fixture.directory.peerOffered(
+        { { { { "", "s1" }, "restarted", RowVersion(StoreEra(1), 2), false } }, {}, false });
     BOOST_TEST(fixture.usable() == 2);
 }
 
--- a/src/gateway/upstream_exchange_fixture_test.h
+++ b/src/gateway/upstream_exchange_fixture_test.h
@@ -41,7 +41,7 @@
     VirtualScheduler scheduler;
     FakeRowStore store { scheduler };
     Rows rows;
-    UpstreamDirectory upstreams { scheduler, store, rows, { [] {}, [](const std::vector<StoredRow>&) {} } };
+    UpstreamDirectory upstreams { scheduler, store, rows, { [] {}, [](const table_sync::ChangeSet&) {} } };
     MetricsRegistry metrics;
     std::vector<PeerMessage> sent;
     int changes = 0;
--- a/src/gateway/warm_up_control_test.cc
+++ b/src/gateway/warm_up_control_test.cc
@@ -72,7 +72,7 @@
     ConfigurationTracker configuration { scheduler, store, rows,
         { [this] { control.refresh(); }, [](const AdapterRelease&) {} } };
     UpstreamDirectory upstreams { scheduler, store, rows,
-        { [this] { control.refresh(); }, [](const std::vector<StoredRow>&) {} } };
+        { [this] { control.refresh(); }, [](const table_sync::ChangeSet&) {} } };
     WarmUpControl control { scheduler, warmUp, limits, upstreams, configuration,
         { [this](const PeerMessage& message) { sent.push_back(message); },
             [this](const UpstreamId&) { ++changes; } } };
