--- a/src/gateway/fake_call_services_test.h
+++ b/src/gateway/fake_call_services_test.h
@@ -4,6 +4,7 @@
 #include "gateway/call_services.h"
 #include "gateway/fake_row_decoder_test.h"
 #include "gateway/fake_row_store_test.h"
+#include "gateway/stream_inquiry_exchange.h"
 #include "gateway/upstream_availability_exchange.h"
 
 #include <chrono>
@@ -274,6 +275,8 @@
     MemoryAccount memory;
     ResponseMemory responseMemory { scheduler, memory, { [] {} } };
     bool reachesStore = true;
+    /// The other hosts of the fleet.
+    stream_inquiry::FleetReach reach;
     ServiceVersionTracker serviceVersions { scheduler, store,
         { [] { return ServiceVersionTracker::UpstreamCounts(); }, [] { return std::chrono::seconds(30); },
             [] { return size_t { 0 }; }, [](const StoredRow&) {} } };
@@ -281,7 +284,12 @@
         [](size_t) {} };
     StreamVersions streamVersions { serviceVersions, streamRecords,
         { [this] { return reachesStore; },
-            [this](const ServiceId& name) { return upstreams.softwareVersions(name); } } };
+            [this](const ServiceId& name) { return upstreams.softwareVersions(name); },
+            [this](const ServiceId& service, const std::optional<StreamName>& name,
+                const StreamInquiryExchange::Callback& callback) {
+                callback(
+                    stream_inquiry::StreamInquiry(streamVersions.knowledge(service, name), reach).result());
+            } } };
     CallServices services { scheduler, client, translator, configuration, upstreams, view, broker, picker,
         limits, upstreams.availability(), permits, selector, usage, admitter, retries, quarantine,
         responseMemory, streamVersions, metrics, random, [] {},
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -164,7 +164,17 @@
           [this](size_t count) { rowsWrittenAgain("stream", count); })
     , m_streamVersions(m_serviceVersions, m_streamRecords,
           { [this] { return m_fleet.reachesStore(); },
-              [this](const ServiceId& service) { return m_upstreams.softwareVersions(service); } })
+              [this](const ServiceId& service) { return m_upstreams.softwareVersions(service); },
+              [this](const ServiceId& service, const std::optional<StreamName>& name,
+                  StreamInquiryExchange::Callback callback) {
+                  m_streamInquiries.inquire(service, name, std::move(callback));
+              } })
+    , m_streamInquiries(loop,
+          { [this] { return m_mesh.reach(); },
+              [this](const ServiceId& service, const std::optional<StreamName>& name) {
+                  return m_streamVersions.knowledge(service, name);
+              },
+              [this](const HostId& peer, const PeerMessage& message) { m_mesh.send(peer, message); } })
     , m_sweepTimer(
           loop, [] { return recordSweepInterval; },
           [this] {
@@ -412,6 +422,7 @@
     m_limitExchange.onMessage(peer, message);
     m_availability.onMessage(peer, message);
     m_upstreamRows.onMessage(peer, message);
+    m_streamInquiries.onMessage(peer, message);
     m_quarantine.onMessage(peer, message);
     if (const auto* heartbeat = std::get_if<PeerHeartbeat>(&message)) {
         const MonotonicTime now = m_loop.now();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/proxied_call.h"
 #include "gateway/quarantine_rows.h"
 #include "gateway/service_version_tracker.h"
+#include "gateway/stream_inquiry_exchange.h"
 #include "gateway/stream_versions.h"
 #include "gateway/upstream_availability_exchange.h"
 #include "gateway/upstream_limit_exchange.h"
@@ -141,6 +142,7 @@
     ServiceVersionTracker m_serviceVersions;
     StreamRecords m_streamRecords;
     StreamVersions m_streamVersions;
+    StreamInquiryExchange m_streamInquiries;
     PeriodicTimer m_sweepTimer;
     MemoryAccount& m_memory;
     ResponseMemory m_responseMemory;
--- a/src/gateway/peer_mesh.cc
+++ b/src/gateway/peer_mesh.cc
@@ -89,6 +89,7 @@
     handlers.onConnected = [this](const PeerIdentity& peer) {
         LogEvent(LogLevel::Info, "peer_connected").with("peer", peer.host);
         m_connected.insert(peer.host);
+        m_ended.erase(peer.host);
         send(peer.host, m_handlers.heartbeat(HeartbeatAudience::NewPeer));
     };
     handlers.onDisconnected = [this](const HostId& peer, LinkError error) { disconnected(peer, error); };
@@ -127,6 +128,10 @@
 
 void PeerMesh::disconnected(const HostId& peer, LinkError error)
 {
+    if (error == LinkError::Refused)
+        m_ended.insert(peer);
+    else
+        m_ended.erase(peer);
     if (m_connected.erase(peer) == 0)
         return;
     LogEvent(LogLevel::Info, "peer_disconnected").with("peer", peer).with("reason", toString(error));
@@ -168,6 +173,18 @@
         m_links->send(peer, frame);
 }
 
+stream_inquiry::FleetReach PeerMesh::reach() const
+{
+    stream_inquiry::FleetReach reach;
+    reach.connected = m_connected;
+    for (const auto& [host, record] : m_hosts) {
+        if (m_connected.count(host) > 0)
+            continue;
+        ++(m_ended.count(host) > 0 ? reach.ended : reach.unreachable);
+    }
+    return reach;
+}
+
 bool PeerMesh::isInTouch(const HostId& peer) const
 {
     return m_states.isInTouch(peer, oldestHeartbeat());
--- a/src/gateway/peer_mesh.h
+++ b/src/gateway/peer_mesh.h
@@ -3,6 +3,7 @@
 #include "base/periodic_timer.h"
 #include "gateway/fleet_registry.h"
 #include "gateway/peer_states.h"
+#include "stream_inquiry/stream_inquiry.h"
 #include "transport/event_loop.h"
 #include "transport/peer_links.h"
 
@@ -52,6 +53,8 @@
         return m_states.hasCopy(engine, adapter);
     }
     bool isInTouch(const HostId& peer) const;
+    /// @return the live hosts except this one, by whether they can be asked.
+    stream_inquiry::FleetReach reach() const;
     /// @return whether this incarnation of a peer is in touch.
     bool isInTouch(const HostId& peer, Incarnation incarnation) const;
     /// @return number of adapters that engines of peers in touch are fetching from the weight store.
@@ -85,6 +88,8 @@
     PeerStates m_states;
     std::map<HostId, MonotonicTime> m_lastAttempt;
     std::set<HostId> m_connected;
+    /// Peers whose last connection attempt was refused, since no process listens there.
+    std::set<HostId> m_ended;
     PeriodicTimer m_heartbeatTimer;
     PeriodicTimer m_connectTimer;
 };
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -34,7 +34,9 @@
     Quarantines,
     UpstreamLeaving,
     ServiceVersions,
-    UpstreamRequest
+    UpstreamRequest,
+    StreamQuery,
+    StreamAnswer
 };
 
 Json frame(FrameType type)
@@ -523,6 +525,53 @@
     return encode(FrameType::ServiceVersions, message.rows);
 }
 
+Json encode(const PeerStreamQuery& message)
+{
+    Json json = frame(FrameType::StreamQuery);
+    json.push_back(message.query.value());
+    json.push_back(message.service.value());
+    if (message.name) {
+        json.push_back(message.name->workspace.value());
+        json.push_back(message.name->requestId);
+    }
+    return json;
+}
+
+PeerStreamQuery decodeStreamQuery(const Json& json)
+{
+    PeerStreamQuery message { StreamQueryId(json.at(1).get<int64_t>()),
+        ServiceId(json.at(2).get<std::string>()), std::nullopt };
+    if (json.size() > 3)
+        message.name
+            = StreamName { WorkspaceId(json.at(3).get<std::string>()), json.at(4).get<std::string>() };
+    return message;
+}
+
+Json encode(const std::optional<SoftwareVersion>& version)
+{
+    return version ? Json(version->value()) : Json();
+}
+
+std::optional<SoftwareVersion> decodeSoftwareVersion(const Json& json)
+{
+    return json.is_null() ? std::nullopt : std::make_optional(SoftwareVersion(json.get<std::string>()));
+}
+
+Json encode(const PeerStreamAnswer& message)
+{
+    Json json = frame(FrameType::StreamAnswer);
+    json.push_back(message.query.value());
+    json.push_back(encode(message.knowledge.begunBy));
+    json.push_back(encode(message.knowledge.onlyVersion));
+    return json;
+}
+
+PeerStreamAnswer decodeStreamAnswer(const Json& json)
+{
+    return { StreamQueryId(json.at(1).get<int64_t>()),
+        { decodeSoftwareVersion(json.at(2)), decodeSoftwareVersion(json.at(3)) } };
+}
+
 Json encode(const PeerRunRequest& message)
 {
     Json json = frame(FrameType::RunRequest);
@@ -641,6 +690,10 @@
         return PeerUpstreamRequest { decodeRequest(json) };
     case FrameType::ServiceVersions:
         return PeerServiceVersions { decodeRows(json.at(1)) };
+    case FrameType::StreamQuery:
+        return decodeStreamQuery(json);
+    case FrameType::StreamAnswer:
+        return decodeStreamAnswer(json);
     case FrameType::RunRequest:
         return decodeRunRequest(json);
     case FrameType::RunGrant:
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -3,10 +3,12 @@
 #include "gateway/engine_scheduler.h"
 #include "gateway/prompt_quarantine.h"
 #include "gateway/run_request.h"
+#include "gateway/stream_name.h"
 #include "gateway/upstream_availability.h"
 #include "gateway/upstream_limits.h"
 #include "gateway/workspace_rate_limiter.h"
 #include "state/row_store.h"
+#include "stream_inquiry/stream_inquiry.h"
 #include "table_sync/change_log.h"
 
 #include <optional>
@@ -20,6 +22,9 @@
 /// Identifies a request for permission to use an upstream; unique within the requesting host.
 using PermitId = StrongNumber<struct PermitIdTag>;
 
+/// Identifies a question about a stream; unique within the asking host.
+using StreamQueryId = StrongNumber<struct StreamQueryIdTag>;
+
 /// Sent to every peer at short intervals. Shows that the host is alive and carries its state.
 struct PeerHeartbeat {
     Incarnation incarnation;
@@ -185,10 +190,23 @@
     std::vector<Quarantine> quarantines;
 };
 
+/// Asks which version has begun a stream.
+struct PeerStreamQuery {
+    StreamQueryId query;
+    ServiceId service;
+    /// Nothing if the caller names no stream.
+    std::optional<StreamName> name;
+};
+
+struct PeerStreamAnswer {
+    StreamQueryId query;
+    stream_inquiry::StreamKnowledge knowledge;
+};
+
 using PeerMessage = std::variant<PeerHeartbeat, PeerOperatorRequest, PeerOperatorRows, PeerUpstreamRows,
     PeerRunRequest, PeerRunGrant, PeerRunDenial, PeerRunProgress, PeerRunEnd, PeerUsage, PeerUpstreamLimit,
     PeerPermitRequest, PeerPermitAnswer, PeerCrashReports, PeerAnswerBegan, PeerQuarantines,
-    PeerUpstreamLeaving, PeerServiceVersions, PeerUpstreamRequest>;
+    PeerUpstreamLeaving, PeerServiceVersions, PeerUpstreamRequest, PeerStreamQuery, PeerStreamAnswer>;
 
 /// @return the message as one CBOR frame.
 std::string encodePeerMessage(const PeerMessage& message);
--- a/src/gateway/service_version_tracker.cc
+++ b/src/gateway/service_version_tracker.cc
@@ -107,6 +107,16 @@
     refresh();
 }
 
+void ServiceVersionTracker::reread(const ServiceId& service, std::function<void(bool isRead)> callback)
+{
+    m_store.readRow(rowKey(service),
+        m_lifetime.guard([this, callback = std::move(callback)](const RowResult<RowSet>& result) {
+            if (result.value)
+                rowsChanged(result.value->rows);
+            callback(result.value.has_value());
+        }));
+}
+
 void ServiceVersionTracker::apply(const StoredRow& row)
 {
     const auto versions = decode(row);
--- a/src/gateway/service_version_tracker.h
+++ b/src/gateway/service_version_tracker.h
@@ -46,6 +46,10 @@
     void tableRead(const std::vector<StoredRow>& rows);
     /// Takes over rows that have changed, or that a peer has.
     void rowsChanged(const std::vector<StoredRow>& rows);
+    /// Reads the versions of a service from the store.
+    ///
+    /// @param callback receives whether the store has answered.
+    void reread(const ServiceId& service, std::function<void(bool isRead)> callback);
     /// Looks whether versions have to be changed, because upstreams have.
     void refresh();
 
--- a/src/gateway/stream_records.cc
+++ b/src/gateway/stream_records.cc
@@ -78,12 +78,17 @@
     write(rowKey(name), encode(origin), std::move(saved));
 }
 
+const StreamOrigin* StreamRecords::findRemembered(const StreamName& name) const
+{
+    const auto known = m_streams.find(name);
+    return known == m_streams.end() ? nullptr : &known->second.origin;
+}
+
 void StreamRecords::find(const StreamName& name, std::function<void(const StreamLookup& lookup)> callback)
 {
     noteEra(m_store.newestEra());
-    const auto known = m_streams.find(name);
-    if (known != m_streams.end()) {
-        callback({ StreamLookup::Source::Host, known->second.origin });
+    if (const StreamOrigin* origin = findRemembered(name)) {
+        callback({ StreamLookup::Source::Host, *origin });
         return;
     }
     readRecord(rowKey(name), m_scheduler.now() + longestLookUp, std::move(callback));
--- a/src/gateway/stream_records.h
+++ b/src/gateway/stream_records.h
@@ -4,6 +4,7 @@
 #include "base/metrics.h"
 #include "base/periodic_timer.h"
 #include "gateway/serving_configuration.h"
+#include "gateway/stream_name.h"
 #include "state/row_store.h"
 
 #include <functional>
@@ -14,18 +15,6 @@
 
 namespace lacewing::gateway {
 
-/// Names a stream: the caller's try that brought its first event.
-struct StreamName {
-    /// Empty for an anonymous caller.
-    WorkspaceId workspace;
-    std::string requestId;
-
-    friend bool operator<(const StreamName& a, const StreamName& b)
-    {
-        return a.requestId != b.requestId ? a.requestId < b.requestId : a.workspace < b.workspace;
-    }
-};
-
 /// What has begun a stream.
 struct StreamOrigin {
     ServiceId service;
@@ -77,6 +66,8 @@
     /// @param saved called once the store has the record; never if that can't be achieved while the stream
     /// can be taken up.
     void save(const StreamName& name, const StreamOrigin& origin, std::function<void()> saved);
+    /// @return what has begun a stream whose first event this host has passed on, or null.
+    const StreamOrigin* findRemembered(const StreamName& name) const;
     /// Looks a stream up, in memory first. A look-up that the store doesn't answer is repeated for a short
     /// time.
     void find(const StreamName& name, std::function<void(const StreamLookup& lookup)> callback);
--- a/src/gateway/stream_versions.cc
+++ b/src/gateway/stream_versions.cc
@@ -9,6 +9,8 @@
         return "host";
     case VersionSource::Record:
         return "record";
+    case VersionSource::Peer:
+        return "peer";
     case VersionSource::Base:
         return "base";
     case VersionSource::Unknown:
@@ -19,8 +21,7 @@
     return "unknown";
 }
 
-StreamVersions::StreamVersions(
-    const ServiceVersionTracker& tracker, StreamRecords& records, Handlers handlers)
+StreamVersions::StreamVersions(ServiceVersionTracker& tracker, StreamRecords& records, Handlers handlers)
     : m_tracker(tracker)
     , m_records(records)
     , m_handlers(std::move(handlers))
@@ -63,19 +64,76 @@
     m_records.remember(name, origin);
 }
 
-void StreamVersions::find(const ServiceId& service, const std::optional<StreamName>& name,
-    std::function<void(const StreamVersion& version)> callback) const
+void StreamVersions::find(
+    const ServiceId& service, const std::optional<StreamName>& name, FindCallback callback)
 {
-    const auto version = onlyVersion(service);
-    if (!name || (version && !m_handlers.reachesStore())) {
-        callback({ version ? VersionSource::Base : VersionSource::Unknown, version });
+    const StreamOrigin* remembered = name ? m_records.findRemembered(*name) : nullptr;
+    if (remembered) {
+        callback(read(service, *remembered, VersionSource::Host));
         return;
     }
-    m_records.find(*name, [this, service, callback = std::move(callback)](const StreamLookup& lookup) {
-        callback(read(service, lookup));
+    if (!name && !onlyVersion(service)) {
+        callback({});
+        return;
+    }
+    if (!m_handlers.reachesStore()) {
+        findWithoutStore(service, name, callback);
+        return;
+    }
+    if (!name) {
+        findWithoutRecord(service, name, std::move(callback));
+        return;
+    }
+    m_records.find(*name, [this, service, name, callback = std::move(callback)](const StreamLookup& lookup) {
+        if (lookup.origin)
+            callback(read(service, *lookup.origin, VersionSource::Record));
+        else if (lookup.source == StreamLookup::Source::NoRecord)
+            findWithoutRecord(service, name, callback);
+        else
+            findWithoutStore(service, name, callback);
+    });
+}
+
+void StreamVersions::findWithoutRecord(
+    const ServiceId& service, const std::optional<StreamName>& name, FindCallback callback)
+{
+    // This host may have been out of step for long, in which another version may have become the base.
+    m_tracker.reread(service, [this, service, name, callback = std::move(callback)](bool isRead) {
+        const ServiceVersions* versions = m_tracker.find(service);
+        if (!isRead)
+            findWithoutStore(service, name, callback);
+        else if (const auto version = onlyVersion(service); !name)
+            callback({ version ? VersionSource::Base : VersionSource::Unknown, version });
+        else if (versions)
+            callback({ VersionSource::Base, versions->base });
+        else
+            // The host has just started.
+            callback({ VersionSource::Unreadable });
+    });
+}
+
+void StreamVersions::findWithoutStore(
+    const ServiceId& service, const std::optional<StreamName>& name, const FindCallback& callback) const
+{
+    m_handlers.inquire(service, name, [callback](const std::optional<stream_inquiry::StreamBegin>& begin) {
+        if (!begin)
+            callback({ VersionSource::Unreadable });
+        else
+            callback({ begin->isRemembered ? VersionSource::Peer : VersionSource::Base, begin->version });
     });
 }
 
+stream_inquiry::StreamKnowledge StreamVersions::knowledge(
+    const ServiceId& service, const std::optional<StreamName>& name) const
+{
+    stream_inquiry::StreamKnowledge knowledge;
+    knowledge.onlyVersion = onlyVersion(service);
+    const StreamOrigin* origin = name ? m_records.findRemembered(*name) : nullptr;
+    if (origin && origin->service == service)
+        knowledge.begunBy = origin->version;
+    return knowledge;
+}
+
 std::optional<SoftwareVersion> StreamVersions::onlyVersion(const ServiceId& service) const
 {
     const ServiceVersions* versions = m_tracker.find(service);
@@ -89,27 +147,12 @@
     return versions->base;
 }
 
-StreamVersion StreamVersions::read(const ServiceId& service, const StreamLookup& lookup) const
+StreamVersion StreamVersions::read(const ServiceId& service, const StreamOrigin& origin, VersionSource source)
 {
-    switch (lookup.source) {
-    case StreamLookup::Source::Host:
-    case StreamLookup::Source::Record:
-        break;
-    case StreamLookup::Source::NoRecord:
-        if (const ServiceVersions* versions = m_tracker.find(service))
-            return { VersionSource::Base, versions->base };
-        // The host has just started.
-        return { VersionSource::Unreadable };
-    case StreamLookup::Source::Unreadable:
-        if (const auto version = onlyVersion(service))
-            return { VersionSource::Base, version };
-        return { VersionSource::Unreadable };
-    }
     // Another service's versions say nothing of this one's.
-    if (!lookup.origin || lookup.origin->service != service)
+    if (origin.service != service)
         return {};
-    const bool isOwn = lookup.source == StreamLookup::Source::Host;
-    return { isOwn ? VersionSource::Host : VersionSource::Record, lookup.origin->version };
+    return { source, origin.version };
 }
 
 } // namespace lacewing::gateway
--- a/src/gateway/stream_versions.h
+++ b/src/gateway/stream_versions.h
@@ -3,6 +3,7 @@
 #include "gateway/service_version_tracker.h"
 #include "gateway/stream_records.h"
 #include "gateway/version_filter.h"
+#include "stream_inquiry/stream_inquiry.h"
 
 #include <functional>
 #include <optional>
@@ -16,11 +17,13 @@
     Host,
     /// The stream's record in the store.
     Record,
+    /// A peer has passed on the stream's first event.
+    Peer,
     /// The stream has no record, so the base version has begun it.
     Base,
     /// Nothing tells which version has begun the stream.
     Unknown,
-    /// The store, which could tell, doesn't answer.
+    /// Neither the store, which could tell, nor the peers answer as needed.
     Unreadable,
 };
 
@@ -49,10 +52,14 @@
         std::function<bool()> reachesStore;
         /// @return the versions of a service's upstreams, those that are leaving included.
         std::function<std::set<SoftwareVersion>(const ServiceId& service)> versionsInUse;
+        /// Asks the other hosts which version has begun a stream.
+        std::function<void(const ServiceId& service, const std::optional<StreamName>& name,
+            std::function<void(const std::optional<stream_inquiry::StreamBegin>& begin)> callback)>
+            inquire;
     };
 
     /// @param tracker, records must outlive this object.
-    StreamVersions(const ServiceVersionTracker& tracker, StreamRecords& records, Handlers handlers);
+    StreamVersions(ServiceVersionTracker& tracker, StreamRecords& records, Handlers handlers);
 
     /// @return the versions that may begin a stream that can be taken up again.
     VersionFilter forNewStreams(const ServiceId& service) const;
@@ -67,18 +74,31 @@
     /// @param name nothing if the caller names none.
     /// @param callback called in this call or later.
     void find(const ServiceId& service, const std::optional<StreamName>& name,
-        std::function<void(const StreamVersion& version)> callback) const;
+        std::function<void(const StreamVersion& version)> callback);
+    /// @param name nothing if the caller names no stream.
+    /// @return what this host knows of a stream without asking the store.
+    stream_inquiry::StreamKnowledge knowledge(
+        const ServiceId& service, const std::optional<StreamName>& name) const;
 
 private:
+    using FindCallback = std::function<void(const StreamVersion& version)>;
+
     /// @return the version that has begun all streams of the service that may still be taken up, if there is
     /// one.
     std::optional<SoftwareVersion> onlyVersion(const ServiceId& service) const;
     /// @return whether the store is away after all upstreams of the base version have gone. Streams of other
     /// versions begin without a record then: who takes one for a stream of the base finds no upstream for it.
     bool hasLostBaseAndStore(const ServiceId& service) const;
-    StreamVersion read(const ServiceId& service, const StreamLookup& lookup) const;
+    /// Asks the store for the versions of the service, and decides without a record of the stream.
+    void findWithoutRecord(
+        const ServiceId& service, const std::optional<StreamName>& name, FindCallback callback);
+    /// Asks the peers, since the store can't tell.
+    void findWithoutStore(
+        const ServiceId& service, const std::optional<StreamName>& name, const FindCallback& callback) const;
+    /// @param origin what has begun the stream.
+    static StreamVersion read(const ServiceId& service, const StreamOrigin& origin, VersionSource source);
 
-    const ServiceVersionTracker& m_tracker;
+    ServiceVersionTracker& m_tracker;
     StreamRecords& m_records;
     Handlers m_handlers;
 };
--- a/src/gateway/stream_versions_test.cc
+++ b/src/gateway/stream_versions_test.cc
@@ -100,6 +100,39 @@
     BOOST_TEST((find().source == VersionSource::Unreadable));
 }
 
+// Guards against a host that is cut off from the store and its peers and goes on with a stream at the only
+// version it knows, though another one has joined and begun it meanwhile.
+BOOST_AUTO_TEST_CASE(AHostOutOfStepDoesNotGuessTheOnlyVersionItKnows)
+{
+    reach.unreachable = 2;
+    reachesStore = false;
+    BOOST_TEST((find().source == VersionSource::Unreadable));
+    BOOST_TEST((find(std::nullopt).source == VersionSource::Unreadable));
+    // The cut has just begun, and no call has failed yet.
+    reachesStore = true;
+    store.fault = RowStoreError::Unknown;
+    BOOST_TEST((find().source == VersionSource::Unreadable));
+    streamVersions.began(name, { service, v1 });
+    BOOST_TEST((find().source == VersionSource::Host));
+}
+
+// Guards against a host that was out of step for long and takes a stream without a record for one of the base
+// that it knows, which another version has replaced.
+BOOST_AUTO_TEST_CASE(TheBaseIsReadAgainForAStreamWithoutARecord)
+{
+    store.put(ServiceVersionTracker::rowKey(service), versionsRow("v2", "", 5).value);
+    const StreamVersion version = find();
+    BOOST_TEST((version.source == VersionSource::Base));
+    BOOST_TEST(*version.version == v2);
+}
+
+// Guards against the same for a caller that names no stream.
+BOOST_AUTO_TEST_CASE(TheVersionsAreReadAgainForACallerThatNamesNoStream)
+{
+    store.put(ServiceVersionTracker::rowKey(service), versionsRow("v1", "\"v2\"", 5).value);
+    BOOST_TEST(!find(std::nullopt).version);
+}
+
 // Guards against a service without any stream, since the store is away after its base version has gone.
 BOOST_AUTO_TEST_CASE(WithoutBaseAndStoreOtherVersionsBeginStreams)
 {
