Tell peers of a service's versions once a commit whose result was lost is known

Cause: a host told its peers of a change only if it got the result of its own commit. If the result was lost, it learned by the conflict of its next try that the change had been made, and told nobody; the others heard of it with the next reminder (10 s) or their own read of the fleet's table (up to 12 s).

Change: the row is told if it is the one that this host has tried to write.

Measured: ServiceVersionTrackerTest/ACommitWhoseResultWasLostIsToldOnceItIsKnown fails before (no row told within 3 s), passes now.

--- a/src/gateway/service_version_tracker.cc
+++ b/src/gateway/service_version_tracker.cc
@@ -243,8 +243,12 @@
         known.stored = RowVersion();
         known.storedRevision = VersionsRevision(0);
     }
-    for (const StoredRow& row : *result.current)
+    for (const StoredRow& row : *result.current) {
         apply(row);
+        // This host's commit, whose result was lost, or an equal one.
+        if (row.value == encode(versions))
+            m_handlers.tellPeers(row);
+    }
 }
 
 } // namespace lacewing::gateway
--- a/src/gateway/service_version_tracker_test.cc
+++ b/src/gateway/service_version_tracker_test.cc
@@ -157,6 +157,22 @@
     BOOST_TEST(!second.tracker.find(service)->beginsUnrecorded(v1));
 }
 
+// Guards against hosts that hear of a change only with the next reminder, since the result of its commit was lost.
+BOOST_AUTO_TEST_CASE(ACommitWhoseResultWasLostIsToldOnceItIsKnown)
+{
+    first.readTable(0);
+    second.readTable(0);
+    store.losesCommitResults = true;
+    scheduler.advance(50ms);
+    store.losesCommitResults = false;
+    BOOST_TEST(first.told.empty());
+    scheduler.advance(3s);
+    BOOST_REQUIRE(first.told.size() == 1u);
+    second.tracker.rowsChanged(first.told);
+    BOOST_REQUIRE(second.tracker.find(service));
+    BOOST_TEST(second.tracker.find(service)->base == v1);
+}
+
 // Guards against an upstream of the base version that is back, which starts its absence anew.
 BOOST_AUTO_TEST_CASE(AReturnOfTheBaseEndsItsAbsence)
 {
