Don't take an unasked row of operators for all rows below it

Cause: a host asks peers for operators' rows above the newest version that it has. A peer that is sent an evacuation which has been removed answers with its tombstone alone; the receiver then counted all rows below the tombstone as known and never asked for them, until its own read of the table up to 12 s later.

Change: only reads of the store and replies to a request raise newestRowVersion().

Measured: OperatorRowExchangeTest/ARemovalThatWasNotAskedForHidesNoRelease fails if unasked rows count as replies, and passes now; the other tests of gateway_test pass.

--- a/src/gateway/configuration_tracker.cc
+++ b/src/gateway/configuration_tracker.cc
@@ -76,9 +76,9 @@
     apply(rows, RowSource::Store);
 }
 
-void ConfigurationTracker::peerOffered(const std::vector<StoredRow>& rows)
+void ConfigurationTracker::peerOffered(const std::vector<StoredRow>& rows, bool isReply)
 {
-    apply(rows, RowSource::Peer);
+    apply(rows, isReply ? RowSource::PeerReply : RowSource::Peer);
 }
 
 void ConfigurationTracker::tableRead(const std::vector<StoredRow>& rows)
@@ -89,7 +89,10 @@
         if (const auto dataCentre = m_decoder.readEvacuation(row.id))
             present.insert(*dataCentre);
     }
-    reportEvacuations(m_evacuations.tableRead(present, *m_feed.version()), "store");
+    const auto ended = m_evacuations.tableRead(present, *m_feed.version());
+    if (!ended.empty())
+        noteVersion(*m_feed.version(), RowSource::Store);
+    reportEvacuations(ended, "store");
 }
 
 std::vector<StoredRow> ConfigurationTracker::tombstonesFor(const std::vector<StoredRow>& rows) const
@@ -126,13 +129,18 @@
     const auto version = m_feed.version();
     if (m_feed.isLost() || !feedAge || !version)
         m_evacuations.storeUnreadable();
-    else
-        reportEvacuations(m_evacuations.storeReadable(m_scheduler.now() - *feedAge, *version), "lifetime");
+    else {
+        const auto ended = m_evacuations.storeReadable(m_scheduler.now() - *feedAge, *version);
+        if (!ended.empty())
+            noteVersion(*version, RowSource::Store);
+        reportEvacuations(ended, "lifetime");
+    }
 }
 
 void ConfigurationTracker::applyEvacuation(
     const DataCentreId& dataCentre, const StoredRow& row, RowSource source)
 {
+    noteVersion(row.version, source);
     if (source == RowSource::Store)
         reportEvacuations(m_evacuations.apply(dataCentre, row), "store");
     else
@@ -147,7 +155,6 @@
 
 void ConfigurationTracker::reportEvacuations(const region::Evacuations::Changes& changes, const char* source)
 {
-    m_newestRowVersion = std::max(m_newestRowVersion, m_evacuations.newestVersion());
     for (const region::EvacuationChange& change : changes)
         m_handlers.onEvacuation(change, source);
 }
@@ -163,19 +170,29 @@
     return rows;
 }
 
-void ConfigurationTracker::recordRow(const StoredRow& row, bool isNewest)
+const char* ConfigurationTracker::toString(RowSource source)
+{
+    return source == RowSource::Store ? "store" : "peer";
+}
+
+void ConfigurationTracker::noteVersion(RowVersion version, RowSource source)
+{
+    if (source != RowSource::Peer)
+        m_newestRowVersion = std::max(m_newestRowVersion, version);
+}
+
+void ConfigurationTracker::recordRow(const StoredRow& row, bool isNewest, RowSource source)
 {
-    m_newestRowVersion = std::max(m_newestRowVersion, row.version);
+    noteVersion(row.version, source);
     if (isNewest)
         m_rows[row.id.key] = row;
 }
 
-void ConfigurationTracker::apply(const std::vector<StoredRow>& rows, RowSource rowSource)
+void ConfigurationTracker::apply(const std::vector<StoredRow>& rows, RowSource source)
 {
-    const char* source = rowSource == RowSource::Store ? "store" : "peer";
     for (const StoredRow& row : rows) {
         if (const auto dataCentre = m_decoder.readEvacuation(row.id)) {
-            applyEvacuation(*dataCentre, row, rowSource);
+            applyEvacuation(*dataCentre, row, source);
             continue;
         }
         if (row.isDeleted)
@@ -192,13 +209,12 @@
     }
 }
 
-void ConfigurationTracker::applyRelease(
-    const StoredRow& row, const AdapterRelease& release, const char* source)
+void ConfigurationTracker::applyRelease(const StoredRow& row, const AdapterRelease& release, RowSource source)
 {
     int64_t& known = m_releases[{ release.model, release.adapter }];
     const bool isConfirmation = release.version == known && row.version > m_rows[row.id.key].version;
     const bool isNewer = release.version > known;
-    recordRow(row, isNewer || isConfirmation);
+    recordRow(row, isNewer || isConfirmation, source);
     if (!isNewer)
         return;
     known = release.version;
@@ -206,11 +222,11 @@
         .with("model", release.model)
         .with("adapter", release.adapter)
         .with("version", release.version)
-        .with("source", source);
+        .with("source", toString(source));
     m_handlers.onRelease(release);
 }
 
-void ConfigurationTracker::applyConfiguration(const StoredRow& row, const char* source)
+void ConfigurationTracker::applyConfiguration(const StoredRow& row, RowSource source)
 {
     const bool isOfCurrentEra = row.version.era() == m_rowVersion.era();
     if (isOfCurrentEra && row.version <= m_rowVersion) {
@@ -218,7 +234,7 @@
             LogEvent(LogLevel::Warning, "configuration_row_ignored")
                 .with("version", row.version)
                 .with("known_version", m_rowVersion)
-                .with("source", source);
+                .with("source", toString(source));
         return;
     }
     std::string reason;
@@ -233,20 +249,20 @@
     const bool isNewer = !m_current || configuration->revision() > m_current->revision();
     const bool isConfirmation = m_current && configuration->revision() == m_current->revision()
         && row.version > m_rows[row.id.key].version;
-    recordRow(row, isNewer || isConfirmation);
+    recordRow(row, isNewer || isConfirmation, source);
     if (!isNewer) {
         LogEvent(LogLevel::Warning, "configuration_not_newer")
             .with("revision", configuration->revision())
             .with("known_revision", m_current->revision())
             .with("version", row.version)
-            .with("source", source);
+            .with("source", toString(source));
         return;
     }
     m_current = configuration;
     LogEvent(LogLevel::Info, "configuration_applied")
         .with("revision", configuration->revision())
         .with("version", row.version)
-        .with("source", source);
+        .with("source", toString(source));
     m_handlers.onConfiguration();
 }
 
--- a/src/gateway/configuration_tracker.h
+++ b/src/gateway/configuration_tracker.h
@@ -44,7 +44,8 @@
     /// @return highest version of the configuration's row that has been received, whether or not the row was
     ///     newer than the current configuration; 0 if there is none.
     RowVersion rowVersion() const { return m_rowVersion; }
-    /// @return highest version of all received rows and of removed evacuations; 0 if there are none.
+    /// @return version of the newest row or removed evacuation up to which this host has all rows; 0 if there
+    ///     are none.
     RowVersion newestRowVersion() const { return m_newestRowVersion; }
     /// @return revision of the current configuration; 0 if there is none.
     Revision revision() const { return m_current ? m_current->revision() : Revision(); }
@@ -60,7 +61,10 @@
     /// @param age time since the peer's confirmation.
     void recordPeerVersion(RowVersion version, Revision revision, Duration age);
     /// Applies those of a peer's rows that are newer than this host's.
-    void peerOffered(const std::vector<StoredRow>& rows);
+    ///
+    /// @param isReply whether the rows are all that the peer has above newestRowVersion(). Other rows leave
+    ///     that version as it is, since rows below them may be missing.
+    void peerOffered(const std::vector<StoredRow>& rows, bool isReply);
 
     /// @param isReader whether this host long-polls the store. The other hosts poll it rarely and receive
     ///     changes from readers.
@@ -79,17 +83,20 @@
 private:
     void tableRead(const std::vector<StoredRow>& rows) override;
     void rowsChanged(const std::vector<StoredRow>& rows) override;
-    enum class RowSource { Store, Peer };
+    enum class RowSource { Store, PeerReply, Peer };
 
     void apply(const std::vector<StoredRow>& rows, RowSource source);
     void applyEvacuation(const DataCentreId& dataCentre, const StoredRow& row, RowSource source);
     void reportEvacuations(const region::Evacuations::Changes& changes, const char* source);
     /// Ends evacuations that the store, which has come back from a copy, has lacked for long.
     void checkMissingEvacuations();
-    void applyConfiguration(const StoredRow& row, const char* source);
-    void applyRelease(const StoredRow& row, const AdapterRelease& release, const char* source);
+    void applyConfiguration(const StoredRow& row, RowSource source);
+    void applyRelease(const StoredRow& row, const AdapterRelease& release, RowSource source);
     /// @param isNewest whether the row has the newest content of its key, so that peers get it.
-    void recordRow(const StoredRow& row, bool isNewest);
+    void recordRow(const StoredRow& row, bool isNewest, RowSource source);
+    void noteVersion(RowVersion version, RowSource source);
+    /// @return the source's name, for logs.
+    static const char* toString(RowSource source);
 
     Scheduler& m_scheduler;
     const RowDecoder& m_decoder;
--- a/src/gateway/configuration_tracker_test.cc
+++ b/src/gateway/configuration_tracker_test.cc
@@ -76,9 +76,9 @@
     fixture.tracker.start();
     fixture.scheduler.advance(100ms);
     fixture.store.fault = RowStoreError::Refused;
-    fixture.tracker.peerOffered({ configurationRow(9, "5") });
+    fixture.tracker.peerOffered({ configurationRow(9, "5") }, true);
     BOOST_TEST(fixture.revision() == 5);
-    fixture.tracker.peerOffered({ configurationRow(8, "4") });
+    fixture.tracker.peerOffered({ configurationRow(8, "4") }, true);
     BOOST_TEST(fixture.revision() == 5);
     fixture.store.fault.reset();
     fixture.scheduler.advance(5s);
@@ -116,7 +116,7 @@
     const RowVersion newer(fixture.tracker.rowVersion().number() + 1);
     fixture.tracker.recordPeerVersion(newer, Revision(), 0ms);
     BOOST_TEST(!fixture.tracker.isFresh());
-    fixture.tracker.peerOffered({ configurationRow(newer.number(), "5") });
+    fixture.tracker.peerOffered({ configurationRow(newer.number(), "5") }, true);
     BOOST_TEST(fixture.tracker.isFresh());
 }
 
@@ -216,8 +216,8 @@
     BOOST_TEST(started.revision() == Revision(3));
     started.recordPeerVersion(fixture.tracker.rowVersion(), fixture.tracker.revision(), 0ms);
     BOOST_TEST(!started.isFresh());
-    fixture.tracker.peerOffered(started.rowsAfter(RowVersion()));
-    started.peerOffered(fixture.tracker.rowsAfter(started.newestRowVersion()));
+    fixture.tracker.peerOffered(started.rowsAfter(RowVersion()), true);
+    started.peerOffered(fixture.tracker.rowsAfter(started.newestRowVersion()), true);
     BOOST_TEST(started.revision() == Revision(8));
     BOOST_TEST(fixture.revision() == 8);
     BOOST_TEST(started.isFresh());
--- a/src/gateway/operator_row_exchange.cc
+++ b/src/gateway/operator_row_exchange.cc
@@ -57,11 +57,12 @@
 
 void OperatorRowExchange::onRows(const HostId& peer, const std::vector<StoredRow>& rows)
 {
-    m_tracker.peerOffered(rows);
+    const bool isReply = m_asked == peer;
+    m_tracker.peerOffered(rows, isReply);
     const auto tombstones = m_tracker.tombstonesFor(rows);
     if (!tombstones.empty())
         m_send(peer, PeerOperatorRows { tombstones });
-    if (m_asked != peer)
+    if (!isReply)
         return;
     m_asked.reset();
     const auto unconfirmed = m_tracker.evacuationsToConfirm(rows);
--- a/src/gateway/operator_row_exchange_test.cc
+++ b/src/gateway/operator_row_exchange_test.cc
@@ -185,6 +185,26 @@
     BOOST_TEST(!fixture.disconnected.isEvacuated());
 }
 
+// Guards against a host that never asks for a release, since it has been told of a later removal that it did
+// not ask for.
+BOOST_AUTO_TEST_CASE(ARemovalThatWasNotAskedForHidesNoRelease)
+{
+    Fixture fixture;
+    fixture.disconnected.store.fault = RowStoreError::Unknown;
+    fixture.connected.store.put(evacuation, "{}");
+    fixture.syncFrom(fixture.connected);
+    fixture.connected.store.put({ "op", "a1" }, "2");
+    fixture.connected.store.remove(evacuation);
+    fixture.scheduler.advance(2s);
+    fixture.connected.exchange.onRows(
+        HostId("peer"), fixture.disconnected.tracker.evacuations().rowsInForce());
+    fixture.disconnected.exchangeMessages(fixture.connected);
+    BOOST_TEST(!fixture.disconnected.isEvacuated());
+    BOOST_TEST(fixture.disconnected.release("a1") == 0);
+    fixture.syncFrom(fixture.connected);
+    BOOST_TEST(fixture.disconnected.release("a1") == 2);
+}
+
 // Guards against a restarted host that takes a removed evacuation over from a host that was cut off, and
 // against a host that keeps the evacuation although it takes a newer configuration from the restarted one.
 BOOST_AUTO_TEST_CASE(ARestartedHostEndsAnEvacuationThatWasRemovedBefore)
--- a/src/gateway/service_version_tracker_test.cc
+++ b/src/gateway/service_version_tracker_test.cc
@@ -157,7 +157,8 @@
     BOOST_TEST(!second.tracker.find(service)->beginsUnrecorded(v1));
 }
 
-// Guards against hosts that hear of a change only with the next reminder, since the result of its commit was lost.
+// Guards against hosts that hear of a change only with the next reminder, since the result of its commit was
+// lost.
 BOOST_AUTO_TEST_CASE(ACommitWhoseResultWasLostIsToldOnceItIsKnown)
 {
     first.readTable(0);
