Part the choice of readers and the list of hosts for callers from gateway.cc

Change: isReader() in src/table_sync with a test of its own, CallerDirectory in src/gateway. No change of what they do.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,7 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "base/log.h"
-#include "base/stable_hash.h"
+#include "table_sync/reader_election.h"
 
 #include <algorithm>
 #include <random>
@@ -44,23 +44,6 @@
     return Incarnation(static_cast<int64_t>(((high << 32) | device()) >> 1));
 }
 
-/// In a large fleet only some hosts, the readers, poll the rows of upstreams and operators at short
-/// intervals; they relay changes to the other hosts.
-constexpr size_t smallFleet = 12;
-constexpr size_t hostsPerReader = 12;
-constexpr size_t fewestReaders = 6;
-
-bool isReader(const HostId& self, const std::set<HostId>& peers)
-{
-    if (peers.size() < smallFleet)
-        return true;
-    const size_t readers = std::max(fewestReaders, (peers.size() + 1) / hostsPerReader);
-    const uint64_t own = stableHash(self.value());
-    const auto ahead = std::count_if(
-        peers.begin(), peers.end(), [own](const HostId& peer) { return stableHash(peer.value()) < own; });
-    return static_cast<size_t>(ahead) < readers;
-}
-
 HostRecord recordOf(const GatewaySettings& settings, Incarnation incarnation)
 {
     return { settings.host, incarnation, settings.peerAddress, settings.callerAddress, settings.dataCentre,
@@ -125,6 +108,7 @@
           { [this](const HostId& peer, const PeerMessage& message) { peerMessage(peer, message); },
               [this](const HostId& peer) { m_broker.peerLost(peer); },
               [this](HeartbeatAudience audience) { return heartbeat(audience); } })
+    , m_directory(m_settings, m_mesh, m_configuration)
     , m_operatorRows(loop, m_configuration, m_random,
           [this](const HostId& peer, const PeerMessage& message) { m_mesh.send(peer, message); })
     , m_upstreamRows(loop, m_upstreams, m_random, m_metrics,
@@ -316,7 +300,8 @@
         exchange.reply(statusNotFound, {}, "");
         return;
     }
-    const auto addresses = directoryAddresses(m_platform.surface.readDirectoryQuery(exchange.query()));
+    const auto addresses
+        = m_directory.addresses(m_platform.surface.readDirectoryQuery(exchange.query()), isReady());
     if (addresses.empty()) {
         exchange.reply(statusUnavailable, {}, "");
         return;
@@ -325,32 +310,6 @@
         m_platform.surface.directoryAnswer(addresses, toSeconds(m_settings.directoryLifetime)));
 }
 
-std::vector<SocketAddress> Gateway::directoryAddresses(const DirectoryQuery& query) const
-{
-    std::vector<SocketAddress> addresses;
-    std::vector<DataCentreId> dataCentres;
-    if (isReady()) {
-        addresses.push_back(m_settings.callerAddress);
-        dataCentres.push_back(m_settings.dataCentre);
-    }
-    for (const auto& [host, state] : m_mesh.peersInTouch()) {
-        const bool isListed = state->heartbeat.isReady && !state->heartbeat.isStopping;
-        if (!isListed || state->heartbeat.callerAddress.port == 0)
-            continue;
-        addresses.push_back(state->heartbeat.callerAddress);
-        const auto record = m_mesh.hosts().find(host);
-        dataCentres.push_back(record == m_mesh.hosts().end() ? DataCentreId() : record->second.dataCentre);
-    }
-    const auto configuration = m_configuration.current();
-    const std::set<RegionId> homes
-        = configuration ? configuration->homeRegions(query.hostName) : std::set<RegionId>();
-    std::vector<SocketAddress> selected;
-    for (const size_t index :
-        region::HostDirectory(m_settings.regions).select(dataCentres, homes, query.caller))
-        selected.push_back(addresses[index]);
-    return selected;
-}
-
 void Gateway::answerReadiness(HttpExchange& exchange)
 {
     if (!m_platform.surface.isReadinessPath(exchange.path()))
@@ -568,7 +527,7 @@
     }
     m_fleet.setInTouch(m_settings.enginesCheckFencing ? inTouch : reachingStore);
     m_peersInTouch = inTouch.size();
-    const bool reads = isReader(m_settings.host, reachingStore);
+    const bool reads = table_sync::isReader(m_settings.host, reachingStore);
     m_configuration.setReader(reads);
     m_upstreams.setReader(reads);
     m_usage.setMembers(members);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/call_services.h"
+#include "gateway/caller_directory.h"
 #include "gateway/endpoint_translator.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/operator_row_exchange.h"
@@ -61,8 +62,6 @@
     void acceptCall(std::shared_ptr<HttpExchange> exchange);
     void callFinished(ProxiedCall* call);
     void answerDirectory(HttpExchange& exchange);
-    /// @return the ready hosts that a caller is told.
-    std::vector<SocketAddress> directoryAddresses(const DirectoryQuery& query) const;
     void answerReadiness(HttpExchange& exchange);
     void answerMetrics(HttpExchange& exchange);
     bool isReady() const { return m_configuration.current() != nullptr && !m_isStopping; }
@@ -128,6 +127,7 @@
     RetryAllowance m_retries;
     FleetAgent m_fleet;
     PeerMesh m_mesh;
+    CallerDirectory m_directory;
     OperatorRowExchange m_operatorRows;
     UpstreamRowExchange m_upstreamRows;
     OwnedEngines m_owners;
