Name the sources of rows once, and part what a stream without a record or a name is given

Cause: two classes had an enumeration of sources each; one lambda decided four cases. Change: RowSource, StreamVersions::baseVersion() and withoutName(). Measured: gateway_test passes.

--- a/src/gateway/configuration_tracker.cc
+++ b/src/gateway/configuration_tracker.cc
@@ -170,11 +170,6 @@
     return rows;
 }
 
-const char* ConfigurationTracker::toString(RowSource source)
-{
-    return source == RowSource::Store ? "store" : "peer";
-}
-
 void ConfigurationTracker::noteVersion(RowVersion version, RowSource source)
 {
     if (source != RowSource::Peer)
--- a/src/gateway/configuration_tracker.h
+++ b/src/gateway/configuration_tracker.h
@@ -2,6 +2,7 @@
 
 #include "base/periodic_timer.h"
 #include "gateway/row_decoder.h"
+#include "gateway/row_source.h"
 #include "gateway/run_request.h"
 #include "gateway/store_feed.h"
 #include "region/evacuations.h"
@@ -83,8 +84,6 @@
 private:
     void tableRead(const std::vector<StoredRow>& rows) override;
     void rowsChanged(const std::vector<StoredRow>& rows) override;
-    enum class RowSource { Store, PeerReply, Peer };
-
     void apply(const std::vector<StoredRow>& rows, RowSource source);
     void applyEvacuation(const DataCentreId& dataCentre, const StoredRow& row, RowSource source);
     void reportEvacuations(const region::Evacuations::Changes& changes, const char* source);
@@ -95,8 +94,6 @@
     /// @param isNewest whether the row has the newest content of its key, so that peers get it.
     void recordRow(const StoredRow& row, bool isNewest, RowSource source);
     void noteVersion(RowVersion version, RowSource source);
-    /// @return the source's name, for logs.
-    static const char* toString(RowSource source);
 
     Scheduler& m_scheduler;
     const RowDecoder& m_decoder;
--- a/src/gateway/peer_mesh.cc
+++ b/src/gateway/peer_mesh.cc
@@ -180,7 +180,10 @@
     for (const auto& [host, record] : m_hosts) {
         if (m_connected.count(host) > 0)
             continue;
-        ++(m_ended.count(host) > 0 ? reach.ended : reach.unreachable);
+        if (m_ended.count(host) > 0)
+            ++reach.ended;
+        else
+            ++reach.unreachable;
     }
     return reach;
 }
--- a/src/gateway/peer_message_test.cc
+++ b/src/gateway/peer_message_test.cc
@@ -83,6 +83,8 @@
         PeerUpstreamRequest { RowVersion(StoreEra(2), 7) },
         PeerStreamQuery { StreamQueryId(3), ServiceId("chat"), StreamName { WorkspaceId("busy"), "r-1" } },
         PeerStreamQuery { StreamQueryId(4), ServiceId("chat"), std::nullopt },
+        // Callers choose ids of any bytes.
+        PeerStreamQuery { StreamQueryId(5), ServiceId("chat"), StreamName { WorkspaceId(), "\xff\x80" } },
         PeerStreamAnswer { StreamQueryId(3), { SoftwareVersion("v2"), std::nullopt } },
         PeerStreamAnswer { StreamQueryId(4), { std::nullopt, SoftwareVersion("v1") } },
         PeerRunRequest { UpstreamId("engine-1"), RunId(5), adapter, Tokens(10),
--- a/src/gateway/stream_versions.cc
+++ b/src/gateway/stream_versions.cc
@@ -99,19 +99,27 @@
 {
     // This host may have been out of step for long, in which another version may have become the base.
     m_tracker.reread(service, [this, service, name, callback = std::move(callback)](bool isRead) {
-        const ServiceVersions* versions = m_tracker.find(service);
-        if (!isRead)
-            findWithoutStore(service, name, callback);
-        else if (const auto version = onlyVersion(service); !name)
-            callback({ version ? VersionSource::Base : VersionSource::Unknown, version });
-        else if (versions)
-            callback({ VersionSource::Base, versions->base });
+        if (isRead)
+            callback(name ? baseVersion(service) : withoutName(service));
         else
-            // The host has just started.
-            callback({ VersionSource::Unreadable });
+            findWithoutStore(service, name, callback);
     });
 }
 
+StreamVersion StreamVersions::baseVersion(const ServiceId& service) const
+{
+    const ServiceVersions* versions = m_tracker.find(service);
+    // Without versions the host has just started.
+    return versions ? StreamVersion { VersionSource::Base, versions->base }
+                    : StreamVersion { VersionSource::Unreadable };
+}
+
+StreamVersion StreamVersions::withoutName(const ServiceId& service) const
+{
+    const auto version = onlyVersion(service);
+    return version ? StreamVersion { VersionSource::Base, version } : StreamVersion();
+}
+
 void StreamVersions::findWithoutStore(
     const ServiceId& service, const std::optional<StreamName>& name, const FindCallback& callback) const
 {
--- a/src/gateway/stream_versions.h
+++ b/src/gateway/stream_versions.h
@@ -92,6 +92,10 @@
     /// Asks the store for the versions of the service, and decides without a record of the stream.
     void findWithoutRecord(
         const ServiceId& service, const std::optional<StreamName>& name, FindCallback callback);
+    /// @return the version of a stream that has no record.
+    StreamVersion baseVersion(const ServiceId& service) const;
+    /// @return the version of a stream that its caller doesn't name.
+    StreamVersion withoutName(const ServiceId& service) const;
     /// Asks the peers, since the store can't tell.
     void findWithoutStore(
         const ServiceId& service, const std::optional<StreamName>& name, const FindCallback& callback) const;
--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -183,11 +183,6 @@
     return startTimes;
 }
 
-const char* UpstreamDirectory::toString(RowSource source)
-{
-    return source == RowSource::Store ? "store" : "peer";
-}
-
 bool UpstreamDirectory::handleRemoval(const UpstreamId& id, RowSource source)
 {
     const auto found = m_known.find(id);
--- a/src/gateway/upstream_directory.h
+++ b/src/gateway/upstream_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/row_decoder.h"
+#include "gateway/row_source.h"
 #include "gateway/store_feed.h"
 #include "gateway/upstream_availability.h"
 #include "gateway/upstream_filter.h"
@@ -119,8 +120,6 @@
     void rowsChanged(const std::vector<StoredRow>& rows) override;
     void feedResumed(Duration outage) override;
 
-    enum class RowSource { Store, Peer };
-
     /// @return whether the set of upstreams has changed.
     bool apply(const StoredRow& row, RowSource source);
     /// @param readVersion version of the table that the rows came with.
@@ -151,8 +150,6 @@
     /// @return whether the row of the entry's process was removed in an earlier era.
     bool wasRemoved(const StoredRow& row, const UpstreamEntry& entry) const;
     bool handleRemoval(const UpstreamId& id, RowSource source);
-    /// @return the source's name, for logs.
-    static const char* toString(RowSource source);
     bool isPresent(const KnownUpstream& known) const;
     bool accepts(const UpstreamFilter& filter, const UpstreamEntry& entry) const;
     /// @return whether the upstream's row or the upstream itself says that it is leaving.
