--- a/src/gateway/operator_row_exchange.cc
+++ b/src/gateway/operator_row_exchange.cc
@@ -1,6 +1,9 @@
 #include "gateway/operator_row_exchange.h"
 
+#include "base/log.h"
+
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace lacewing::gateway {
@@ -17,6 +20,12 @@
 /// Interval at which a peer is sent the evacuations that are missing from a copy of the store.
 constexpr Duration missingEvacuationInterval = std::chrono::seconds(2);
 
+size_t valueBytes(const std::vector<StoredRow>& rows)
+{
+    return std::accumulate(rows.begin(), rows.end(), size_t(0),
+        [](size_t bytes, const StoredRow& row) { return bytes + row.value.size(); });
+}
+
 } // namespace
 
 OperatorRowExchange::OperatorRowExchange(
@@ -52,6 +61,10 @@
 void OperatorRowExchange::request(const HostId& peer)
 {
     m_asked = peer;
+    m_askedAt = m_scheduler.now();
+    LogEvent(LogLevel::Info, "operator_rows_requested")
+        .with("peer", peer)
+        .with("after", m_tracker.newestRowVersion());
     m_send(peer, PeerOperatorRequest { m_tracker.newestRowVersion() });
 }
 
@@ -65,6 +78,11 @@
     if (!isReply)
         return;
     m_asked.reset();
+    LogEvent(LogLevel::Info, "operator_rows_received")
+        .with("peer", peer)
+        .with("rows", rows.size())
+        .with("bytes", valueBytes(rows))
+        .with("after_ms", toMilliseconds(m_scheduler.now() - m_askedAt));
     const auto unconfirmed = m_tracker.evacuationsToConfirm(rows);
     if (!unconfirmed.empty())
         m_send(peer, PeerOperatorRows { unconfirmed });
@@ -88,8 +106,13 @@
 void OperatorRowExchange::onRequest(const HostId& peer, const PeerOperatorRequest& request)
 {
     const auto rows = m_tracker.rowsAfter(request.after);
-    if (!rows.empty())
-        m_send(peer, PeerOperatorRows { rows });
+    if (rows.empty())
+        return;
+    LogEvent(LogLevel::Info, "operator_rows_sent")
+        .with("peer", peer)
+        .with("rows", rows.size())
+        .with("bytes", valueBytes(rows));
+    m_send(peer, PeerOperatorRows { rows });
 }
 
 } // namespace lacewing::gateway
--- a/src/gateway/operator_row_exchange.h
+++ b/src/gateway/operator_row_exchange.h
@@ -55,6 +55,8 @@
     table_sync::CatchUp<Offer> m_catchUp;
     /// The peer that was asked last and has not answered.
     std::optional<HostId> m_asked;
+    /// When that peer was asked.
+    MonotonicTime m_askedAt;
     /// When peers were last sent evacuations; empty unless some are missing from the store.
     std::map<HostId, MonotonicTime> m_evacuationsSent;
 };
