--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -106,7 +106,7 @@
               } })
     , m_mesh(loop, recordOf(m_settings, m_incarnation),
           { [this](const HostId& peer, const PeerMessage& message) { peerMessage(peer, message); },
-              [this](const HostId& peer) { m_broker.peerLost(peer); },
+              [this](const HostId& peer) { peerLost(peer); },
               [this](HeartbeatAudience audience) { return heartbeat(audience); } })
     , m_directory(m_settings, m_mesh, m_configuration)
     , m_operatorRows(loop, m_configuration, m_random,
@@ -404,7 +404,7 @@
         return;
     }
     if (const auto* news = std::get_if<PeerOperatorRows>(&message)) {
-        m_operatorRows.onRows(peer, news->rows);
+        m_operatorRows.onRows(peer, table_sync::RowPacker::unpack(news->rows));
         return;
     }
     if (const auto* news = std::get_if<PeerServiceVersions>(&message)) {
@@ -419,6 +419,13 @@
     m_broker.peerMessage(peer, message);
 }
 
+void Gateway::peerLost(const HostId& peer)
+{
+    m_broker.peerLost(peer);
+    m_operatorRows.peerLost(peer);
+    m_upstreamRows.peerLost(peer);
+}
+
 void Gateway::storeRestored()
 {
     m_storeRestoredAt = m_loop.now();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -82,6 +82,8 @@
     void requestRateChanged(const UpstreamId& upstream);
     void engineRequestSent(const UpstreamId& engine, const char* kind);
     void peerMessage(const HostId& peer, const PeerMessage& message);
+    /// The link to a peer has ended.
+    void peerLost(const HostId& peer);
     void fleetChanged();
     void updateMembers();
     void applyCallerLimits();
--- a/src/gateway/operator_row_exchange.cc
+++ b/src/gateway/operator_row_exchange.cc
@@ -3,7 +3,6 @@
 #include "base/log.h"
 
 #include <algorithm>
-#include <numeric>
 #include <utility>
 
 namespace lacewing::gateway {
@@ -20,12 +19,6 @@
 /// Interval at which a peer is sent the evacuations that are missing from a copy of the store.
 constexpr Duration missingEvacuationInterval = std::chrono::seconds(2);
 
-size_t valueBytes(const std::vector<StoredRow>& rows)
-{
-    return std::accumulate(rows.begin(), rows.end(), size_t(0),
-        [](size_t bytes, const StoredRow& row) { return bytes + row.value.size(); });
-}
-
 } // namespace
 
 OperatorRowExchange::OperatorRowExchange(
@@ -60,32 +53,33 @@
 
 void OperatorRowExchange::request(const HostId& peer)
 {
-    m_asked = peer;
-    m_askedAt = m_scheduler.now();
     LogEvent(LogLevel::Info, "operator_rows_requested")
         .with("peer", peer)
         .with("after", m_tracker.newestRowVersion());
     m_send(peer, PeerOperatorRequest { m_tracker.newestRowVersion() });
 }
 
+void OperatorRowExchange::sendRows(const HostId& peer, const std::vector<StoredRow>& rows)
+{
+    m_send(peer, PeerOperatorRows { m_packer.pack(rows) });
+}
+
 void OperatorRowExchange::onRows(const HostId& peer, const std::vector<StoredRow>& rows)
 {
-    const bool isReply = m_asked == peer;
-    m_tracker.peerOffered(rows, isReply);
+    const std::optional<Duration> replyTime = m_catchUp.answered(peer);
+    m_tracker.peerOffered(rows, replyTime.has_value());
     const auto tombstones = m_tracker.tombstonesFor(rows);
     if (!tombstones.empty())
-        m_send(peer, PeerOperatorRows { tombstones });
-    if (!isReply)
+        sendRows(peer, tombstones);
+    if (!replyTime)
         return;
-    m_asked.reset();
     LogEvent(LogLevel::Info, "operator_rows_received")
         .with("peer", peer)
         .with("rows", rows.size())
-        .with("bytes", valueBytes(rows))
-        .with("after_ms", toMilliseconds(m_scheduler.now() - m_askedAt));
+        .with("after_ms", toMilliseconds(*replyTime));
     const auto unconfirmed = m_tracker.evacuationsToConfirm(rows);
     if (!unconfirmed.empty())
-        m_send(peer, PeerOperatorRows { unconfirmed });
+        sendRows(peer, unconfirmed);
 }
 
 void OperatorRowExchange::sendMissingEvacuations(const HostId& peer)
@@ -100,19 +94,17 @@
     if (sent != m_evacuationsSent.end() && now < sent->second + missingEvacuationInterval)
         return;
     m_evacuationsSent[peer] = now;
-    m_send(peer, PeerOperatorRows { rows });
+    sendRows(peer, rows);
 }
 
 void OperatorRowExchange::onRequest(const HostId& peer, const PeerOperatorRequest& request)
 {
-    const auto rows = m_tracker.rowsAfter(request.after);
-    if (rows.empty())
-        return;
+    const PeerOperatorRows message { m_packer.pack(m_tracker.rowsAfter(request.after)) };
     LogEvent(LogLevel::Info, "operator_rows_sent")
         .with("peer", peer)
-        .with("rows", rows.size())
-        .with("bytes", valueBytes(rows));
-    m_send(peer, PeerOperatorRows { rows });
+        .with("rows", message.rows.size())
+        .with("bytes", table_sync::valueBytes(message.rows));
+    m_send(peer, message);
 }
 
 } // namespace lacewing::gateway
--- a/src/gateway/operator_row_exchange.h
+++ b/src/gateway/operator_row_exchange.h
@@ -36,6 +36,7 @@
     /// that this host has asked for, sends the peer the evacuations that were not among them, which the peer
     /// may know to be removed.
     void onRows(const HostId& peer, const std::vector<StoredRow>& rows);
+    void peerLost(const HostId& peer) { m_catchUp.peerLost(peer); }
 
 private:
     /// Revision of the configuration and highest version of the rows that a host has.
@@ -43,6 +44,7 @@
 
     Offer own() const;
     void request(const HostId& peer);
+    void sendRows(const HostId& peer, const std::vector<StoredRow>& rows);
     Duration requestDelay();
     /// Sends a peer the evacuations that a copy of the store lacks, since versions alone don't tell a host
     /// that has started since of them.
@@ -52,11 +54,8 @@
     ConfigurationTracker& m_tracker;
     Random& m_random;
     Send m_send;
+    table_sync::RowPacker m_packer;
     table_sync::CatchUp<Offer> m_catchUp;
-    /// The peer that was asked last and has not answered.
-    std::optional<HostId> m_asked;
-    /// When that peer was asked.
-    MonotonicTime m_askedAt;
     /// When peers were last sent evacuations; empty unless some are missing from the store.
     std::map<HostId, MonotonicTime> m_evacuationsSent;
 };
--- a/src/gateway/operator_row_exchange_test.cc
+++ b/src/gateway/operator_row_exchange_test.cc
@@ -56,7 +56,7 @@
             if (const auto* request = std::get_if<PeerOperatorRequest>(&message))
                 receiver.exchange.onRequest(HostId("peer"), *request);
             else if (const auto* rows = std::get_if<PeerOperatorRows>(&message))
-                receiver.exchange.onRows(HostId("peer"), rows->rows);
+                receiver.exchange.onRows(HostId("peer"), table_sync::RowPacker::unpack(rows->rows));
         }
     }
     bool isEvacuated() const { return tracker.evacuations().isEvacuated(DataCentreId("z-1")); }
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -374,6 +374,32 @@
     return rows;
 }
 
+Json encode(const std::vector<table_sync::PackedRow>& packed)
+{
+    Json rows = Json::array();
+    for (const table_sync::PackedRow& row : packed) {
+        const std::vector<uint8_t> value(row.value.begin(), row.value.end());
+        rows.push_back(Json::array({ row.id.key, Json::binary(value), row.version.number(), row.isDeleted,
+            row.version.era().value(), row.isCompressed }));
+    }
+    return rows;
+}
+
+std::vector<table_sync::PackedRow> decodePackedRows(const Json& json)
+{
+    constexpr size_t compressedIndex = 5;
+    const std::vector<StoredRow> rows = decodeRows(json);
+    std::vector<table_sync::PackedRow> packed;
+    for (size_t index = 0; index < rows.size(); ++index) {
+        const Json& item = json.at(index);
+        // Hosts of an earlier version send rows as they are.
+        const bool isCompressed = item.size() > compressedIndex && item.at(compressedIndex).get<bool>();
+        const StoredRow& row = rows[index];
+        packed.push_back({ row.id, row.value, row.version, row.isDeleted, isCompressed });
+    }
+    return packed;
+}
+
 Json encode(const table_sync::ChangeSpan& span)
 {
     return Json::array(
@@ -493,7 +519,9 @@
 
 Json encode(const PeerOperatorRows& message)
 {
-    return encode(FrameType::OperatorRows, message.rows);
+    Json json = frame(FrameType::OperatorRows);
+    json.push_back(encode(message.rows));
+    return json;
 }
 
 Json encode(const PeerUpstreamRows& message)
@@ -683,7 +711,7 @@
     case FrameType::OperatorRequest:
         return PeerOperatorRequest { decodeRequest(json) };
     case FrameType::OperatorRows:
-        return PeerOperatorRows { decodeRows(json.at(1)) };
+        return PeerOperatorRows { decodePackedRows(json.at(1)) };
     case FrameType::UpstreamRows:
         return decodeUpstreamRows(json);
     case FrameType::UpstreamRequest:
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -10,6 +10,7 @@
 #include "state/row_store.h"
 #include "stream_inquiry/stream_inquiry.h"
 #include "table_sync/change_log.h"
+#include "table_sync/row_packer.h"
 
 #include <optional>
 #include <string>
@@ -82,7 +83,7 @@
 
 /// Operators' rows, in response to PeerOperatorRequest.
 struct PeerOperatorRows {
-    std::vector<StoredRow> rows;
+    std::vector<table_sync::PackedRow> rows;
 };
 
 /// Changes of the table of upstreams: from a host that reads it, or in response to PeerUpstreamRequest.
--- a/src/gateway/peer_message_test.cc
+++ b/src/gateway/peer_message_test.cc
@@ -259,7 +259,7 @@
     auto frame = *fromCbor(encodePeerMessage(rows));
     BOOST_TEST(std::get<PeerOperatorRows>(*decodePeerMessage(toCbor(frame))).rows[0].version
         == RowVersion(StoreEra(2), 8));
-    frame[1][0].erase(frame[1][0].size() - 1);
+    truncate(frame[1][0], 4);
     BOOST_TEST(
         std::get<PeerOperatorRows>(*decodePeerMessage(toCbor(frame))).rows[0].version == RowVersion(8));
 }
--- a/src/gateway/upstream_row_exchange.cc
+++ b/src/gateway/upstream_row_exchange.cc
@@ -50,6 +50,7 @@
         if (quiet && !m_upstreams.confirmUnchanged(*quiet))
             m_catchUp.offered(peer, quiet->after);
     } else if (const auto* rows = std::get_if<PeerUpstreamRows>(&message)) {
+        m_catchUp.answered(peer);
         if (!m_upstreams.peerOffered(rows->changes))
             m_catchUp.offered(peer, rows->changes.span.after);
     } else if (const auto* request = std::get_if<PeerUpstreamRequest>(&message))
--- a/src/gateway/upstream_row_exchange.h
+++ b/src/gateway/upstream_row_exchange.h
@@ -25,6 +25,7 @@
 
     /// Handles the messages of peers that concern the table, and ignores the others.
     void onMessage(const HostId& peer, const PeerMessage& message);
+    void peerLost(const HostId& peer) { m_catchUp.peerLost(peer); }
 
 private:
     Duration requestDelay();
--- a/src/table_sync/catch_up.h
+++ b/src/table_sync/catch_up.h
@@ -17,7 +17,9 @@
 ///
 /// Load pattern: a change concerns all hosts at the same time, and no single peer may have to send it to all
 /// of them. A host that learns of it waits for a delay, within which the change usually arrives by itself and
-/// further peers receive it, and then asks one random peer of those that have the most.
+/// further peers receive it, and then asks one random peer of those that have the most. It asks no other one
+/// before that peer has answered, is lost or has been silent for long: answers may be large and links slow,
+/// and more requests would only slow them further.
 ///
 /// @tparam Offer what a host has, as an ordered value.
 template <typename Offer> class CatchUp {
@@ -41,6 +43,8 @@
     /// A peer has told what it has.
     void offered(const HostId& peer, const Offer& offer)
     {
+        if (isAwaitingAnswer())
+            return;
         if (offer <= m_handlers.own() || offer < m_best)
             return;
         if (offer > m_best) {
@@ -52,14 +56,40 @@
             m_scheduler.runAfter(m_handlers.delay(), m_lifetime.guard([this] { requestIfBehind(); }));
     }
 
+    /// Rows have come from a peer.
+    ///
+    /// @return the time since this host asked the peer; nothing if the rows are no answer.
+    std::optional<Duration> answered(const HostId& peer)
+    {
+        if (m_asked != peer)
+            return std::nullopt;
+        m_asked.reset();
+        return m_scheduler.now() - m_askedAt;
+    }
+
+    /// The link to a peer has ended.
+    void peerLost(const HostId& peer)
+    {
+        if (m_asked == peer)
+            m_asked.reset();
+    }
+
 private:
+    /// Time after which another peer is asked in place of one that hasn't answered.
+    static constexpr Duration answerTimeout = std::chrono::milliseconds(800);
+
+    bool isAwaitingAnswer() const { return m_asked && m_scheduler.now() - m_askedAt < answerTimeout; }
+
     void requestIfBehind()
     {
         m_isWaiting = false;
         const auto sources = std::exchange(m_sources, {});
         const Offer best = std::exchange(m_best, {});
-        if (!sources.empty() && best > m_handlers.own())
-            m_handlers.request(sources[m_random.below(sources.size())]);
+        if (sources.empty() || best <= m_handlers.own())
+            return;
+        m_asked = sources[m_random.below(sources.size())];
+        m_askedAt = m_scheduler.now();
+        m_handlers.request(*m_asked);
     }
 
     Scheduler& m_scheduler;
@@ -69,6 +99,9 @@
     /// The best offer of peers since the last request, and the peers that have made it.
     Offer m_best {};
     std::vector<HostId> m_sources;
+    /// The peer that was asked last and has not answered.
+    std::optional<HostId> m_asked;
+    MonotonicTime m_askedAt;
     Lifetime m_lifetime;
 };
 
--- a/src/table_sync/catch_up_test.cc
+++ b/src/table_sync/catch_up_test.cc
@@ -57,4 +57,32 @@
     BOOST_TEST(fixture.asked.size() == 2u);
 }
 
+// Load: a large answer that takes long on a slow link. Guards against more requests for what is on its way.
+BOOST_AUTO_TEST_CASE(AsksNoOtherPeerWhileAnAnswerIsAwaited)
+{
+    Fixture fixture;
+    for (int heartbeat = 0; heartbeat < 8; ++heartbeat) {
+        fixture.catchUp.offered(HostId("first"), 2);
+        fixture.catchUp.offered(HostId("second"), 2);
+        fixture.scheduler.advance(100ms);
+    }
+    BOOST_REQUIRE(fixture.asked.size() == 1u);
+    const HostId other = fixture.asked.front() == HostId("first") ? HostId("second") : HostId("first");
+    BOOST_TEST(!fixture.catchUp.answered(other).has_value());
+    BOOST_TEST(fixture.catchUp.answered(fixture.asked.front()).has_value());
+}
+
+// Guards against a host that waits for the answer of a peer that has gone.
+BOOST_AUTO_TEST_CASE(AsksAgainOnceThePeerIsLost)
+{
+    Fixture fixture;
+    fixture.catchUp.offered(HostId("lost"), 2);
+    fixture.scheduler.advance(100ms);
+    fixture.catchUp.peerLost(HostId("lost"));
+    fixture.catchUp.offered(HostId("other"), 2);
+    fixture.scheduler.advance(100ms);
+    BOOST_REQUIRE(fixture.asked.size() == 2u);
+    BOOST_TEST(fixture.asked.back() == HostId("other"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
