--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -11,6 +11,7 @@
 using RegionId = StrongId<struct RegionIdTag>;
 using WorkspaceId = StrongId<struct WorkspaceIdTag>;
 using UpstreamId = StrongId<struct UpstreamIdTag>;
+using ServiceId = StrongId<struct ServiceIdTag>;
 using AdapterId = StrongId<struct AdapterIdTag>;
 using AdapterVersion = StrongId<struct AdapterVersionTag>;
 using ModelId = StrongId<struct ModelIdTag>;
--- a/src/gateway/fleet_agent.cc
+++ b/src/gateway/fleet_agent.cc
@@ -123,7 +123,7 @@
         // The copy names this host, but another one has claimed the engine since and claims it again.
         const bool isOutdated = mayBeCopied(version) && m_owned.count(engine) == 0
             && reported.count(engine) == 0 && sinceCopy > m_leaseTime;
-        if (isOutdated || !isOfCurrentLease(version))
+        if (isOutdated || !isOfCurrentLease(version) || isHandedOver(engine))
             engines.push_back(engine);
     }
     for (const UpstreamId& engine : m_keptEngines) {
@@ -354,7 +354,10 @@
     const auto ineligible = m_handlers.ineligibleHosts();
     const std::set<UpstreamId> inUse = m_handlers.engines();
     const ReportedOwners reported = m_handlers.reportedOwners();
+    m_registry.setHostsWithoutEngines(m_handlers.hostsWithoutEngines());
     m_hasUnownedEngines = m_registry.hasUnownedEngines(inUse, reported, now);
+    if (ineligible.count(m_self.host) > 0)
+        return;
     auto engines = m_registry.enginesToClaim(inUse, reported, ineligible, now);
     const auto reclaims = enginesToReclaim(inUse, reported);
     engines.erase(std::remove_if(engines.begin(), engines.end(),
@@ -468,7 +471,7 @@
         const FencingNumber number = FleetRows::fencingNumber(version);
         const auto fenced = m_fenced.find(engine);
         const bool isFenced = fenced != m_fenced.end() && fenced->second == number;
-        if (!mayBeCopied(version) && isOfCurrentLease(version) && !isFenced)
+        if (!mayBeCopied(version) && isOfCurrentLease(version) && !isFenced && !isHandedOver(engine))
             owned[engine] = number;
     }
     return owned;
@@ -518,6 +521,37 @@
     m_handlers.onLost(engine);
 }
 
+bool FleetAgent::isHandedOver(const UpstreamId& engine) const
+{
+    const auto found = m_handedOver.find(engine);
+    return found != m_handedOver.end()
+        && found->second == FleetRows::fencingNumber(m_registry.ownerVersion(engine));
+}
+
+void FleetAgent::handOver()
+{
+    const auto owned = std::exchange(m_owned, {});
+    if (owned.empty())
+        return;
+    LogEvent(LogLevel::Warning, "engines_handed_over").with("count", owned.size());
+    RowTransaction transaction;
+    for (const auto& [engine, number] : owned) {
+        transaction.conditions.push_back({ FleetRows::ownerKey(engine), m_registry.ownerVersion(engine) });
+        transaction.writes.push_back({ FleetRows::ownerKey(engine), std::nullopt });
+        m_handedOver[engine] = FleetRows::fencingNumber(m_registry.ownerVersion(engine));
+        m_keptEngines.erase(engine);
+        m_handlers.onLost(engine);
+    }
+    // Without the store, peers learn from heartbeats that this host has given the engines up.
+    m_store.commit(std::move(transaction), m_lifetime.guard([this, owned](const CommitResult& result) {
+        LogEvent(LogLevel::Info, "owner_rows_removed").with("done", result.value.has_value());
+        if (!result.value)
+            return;
+        for (const auto& [engine, number] : owned)
+            m_registry.apply({ FleetRows::ownerKey(engine), "", *result.value, true }, m_scheduler.now());
+    }));
+}
+
 void FleetAgent::removeDeadHosts()
 {
     const MonotonicTime now = m_scheduler.now();
--- a/src/gateway/fleet_agent.h
+++ b/src/gateway/fleet_agent.h
@@ -60,6 +60,8 @@
         /// @param isWholeTable whether they are all rows of the table, and not changes only.
         std::function<void(const std::vector<StoredRow>& rows, bool isWholeTable)> onRows
             = [](const std::vector<StoredRow>&, bool) {};
+        /// @return hosts that have given up their engines, whatever the engines' rows say.
+        std::function<std::set<HostId>()> hostsWithoutEngines = [] { return std::set<HostId>(); };
     };
 
     FleetAgent(Scheduler& scheduler, RowStore& store, HostRecord self, Duration leaseTime, OwnershipRule rule,
@@ -80,6 +82,9 @@
     void claimUnownedEngines();
     /// Gives up an engine that has rejected an order because it knows a higher fencing number.
     void stepDown(const UpstreamId& engine);
+    /// Gives up all engines so that other hosts claim them, because this host can't reach them. It claims
+    /// none as long as it is among the ineligible hosts.
+    void handOver();
     /// Gives up all engines and removes this host's row, for a planned stop.
     void release();
     /// @return whether the store has confirmed this host's row recently enough for its lease to be valid, so
@@ -119,8 +124,11 @@
     /// @return the engines that this host owns: by their rows, or since before the store came back from a
     ///     copy.
     std::map<UpstreamId, FencingNumber> currentEngines() const;
+    /// @return whether this host has handed over an engine that its row still assigns to this host.
+    bool isHandedOver(const UpstreamId& engine) const;
     /// @return engines to claim again: their rows name this host but were written under an expired lease, or
-    ///     this host owns them and the store has come back from a copy that does not say so.
+    ///     before this host handed them over and no other one has claimed them, or this host owns them and
+    ///     the store has come back from a copy that does not say so.
     std::vector<UpstreamId> enginesToReclaim(
         const std::set<UpstreamId>& inUse, const ReportedOwners& reported) const;
     void updateOwnership();
@@ -161,6 +169,8 @@
     bool m_isReadDue = false;
     /// Fencing numbers that engines have rejected; they are not used again.
     std::map<UpstreamId, FencingNumber> m_fenced;
+    /// Fencing numbers of engines that this host has handed over, until their rows change.
+    std::map<UpstreamId, FencingNumber> m_handedOver;
     bool m_isRenewing = false;
     /// The last renewal of this host's row got no response.
     bool m_isRenewalLost = false;
--- a/src/gateway/fleet_agent_test.cc
+++ b/src/gateway/fleet_agent_test.cc
@@ -30,7 +30,9 @@
                 },
                 [this, engines] { return inUse ? *inUse : engines; }, [this] { return ineligible; },
                 [this] { return reported ? *reported : ReportedOwners(); },
-                [this](const UpstreamId& engine, FencingNumber number) { owned[engine] = number; } })
+                [this](const UpstreamId& engine, FencingNumber number) { owned[engine] = number; }, [] {},
+                [](const char*, size_t) {}, [](const std::vector<StoredRow>&, bool) {},
+                [this] { return withoutEngines; } })
     {
         agent.start();
     }
@@ -50,6 +52,7 @@
     /// Number of engines that this host has lost.
     int losses = 0;
     std::set<HostId> ineligible;
+    std::set<HostId> withoutEngines;
     /// The engines in use, for tests that change them.
     const std::set<UpstreamId>* inUse = nullptr;
     /// The owners that heartbeats report, for tests with heartbeats.
@@ -593,4 +596,48 @@
     }
 }
 
+// Guards against engines that keep an owner who has lost its links to them, also while the store can't tell
+// the others, and against engines without orders once the links are whole.
+BOOST_AUTO_TEST_CASE(AnOwnerWithoutLinksLeavesItsEnginesToOthers)
+{
+    for (const bool reachesStore : { true, false }) {
+        VirtualScheduler scheduler;
+        FakeRowStore store(scheduler);
+        HostStore ownStore(store);
+        const std::set<UpstreamId> engines { UpstreamId("e-1"), UpstreamId("e-2") };
+        Host cut(scheduler, ownStore, "host-1", 1, engines);
+        Host other(scheduler, store, "host-2", 2, engines);
+        scheduler.advance(3s);
+        BOOST_REQUIRE(!cut.owned.empty());
+        ownStore.refusesWrites = !reachesStore;
+        cut.ineligible = other.ineligible = other.withoutEngines = { HostId("host-1") };
+        cut.agent.handOver();
+        BOOST_TEST(cut.owned.empty());
+        scheduler.advance(1s);
+        BOOST_TEST(other.owned.size() == engines.size());
+        BOOST_TEST(cut.owned.empty());
+    }
+}
+
+// Guards against an engine that nobody owns since no other host has claimed it before the links were whole.
+BOOST_AUTO_TEST_CASE(AnEngineThatNobodyHasClaimedIsClaimedAgain)
+{
+    VirtualScheduler scheduler;
+    FakeRowStore store(scheduler);
+    HostStore ownStore(store);
+    Host cut(scheduler, ownStore, "host-1", 1, { UpstreamId("e-1") });
+    scheduler.advance(3s);
+    const FencingNumber before = cut.owned.at(UpstreamId("e-1"));
+    ownStore.refusesWrites = true;
+    cut.ineligible = { HostId("host-1") };
+    cut.agent.handOver();
+    scheduler.advance(1s);
+    BOOST_TEST(cut.owned.empty());
+    ownStore.refusesWrites = false;
+    cut.ineligible.clear();
+    scheduler.advance(3s);
+    BOOST_REQUIRE(cut.owned.size() == 1u);
+    BOOST_TEST(cut.owned.at(UpstreamId("e-1")).value() > before.value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/fleet_registry.cc
+++ b/src/gateway/fleet_registry.cc
@@ -231,7 +231,8 @@
     const auto host = m_hosts.find(record.host);
     const bool isSameIncarnation
         = host != m_hosts.end() && host->second.record.incarnation == record.incarnation;
-    if (!isSameIncarnation || !isAlive(record.host, now))
+    const bool hasGivenUp = m_hostsWithoutEngines.count(record.host) > 0;
+    if (!isSameIncarnation || hasGivenUp || !isAlive(record.host, now))
         return std::nullopt;
     return record;
 }
@@ -257,6 +258,8 @@
     const auto host = m_hosts.find(record.host);
     if (host != m_hosts.end() && host->second.record.incarnation != record.incarnation)
         return std::nullopt;
+    if (m_hostsWithoutEngines.count(record.host) > 0)
+        return std::nullopt;
     return record.host;
 }
 
--- a/src/gateway/fleet_registry.h
+++ b/src/gateway/fleet_registry.h
@@ -77,6 +77,8 @@
     /// Sets the hosts that are in touch. These are alive regardless of their rows; for the others the lease
     /// time counts from the last heartbeat or renewal, whichever is later.
     void setInTouch(const std::set<HostId>& hosts, MonotonicTime now);
+    /// Sets the hosts that have given up their engines, whatever the engines' rows say.
+    void setHostsWithoutEngines(std::set<HostId> hosts) { m_hostsWithoutEngines = std::move(hosts); }
     /// @return whether some live host is out of touch with this one.
     bool hasHostsOutOfTouch(MonotonicTime now) const;
     /// Restarts the lease time of all hosts after the table was unreadable, since renewals may have been
@@ -87,7 +89,7 @@
     size_t hostCount() const { return m_hosts.size(); }
     /// @return the hosts that are not known to be dead, including this one once its row is known.
     std::vector<HostRecord> liveHosts(MonotonicTime now) const;
-    /// @return the owner of an engine, unless it is known to be dead.
+    /// @return the owner of an engine, unless it is known to be dead or to have given the engine up.
     std::optional<OwnerRecord> owner(const UpstreamId& engine, MonotonicTime now) const;
     /// @return version of the engine's owner row; 0 if there is none.
     RowVersion ownerVersion(const UpstreamId& engine) const;
@@ -149,6 +151,7 @@
     Duration m_leaseTime;
     std::map<HostId, KnownHost> m_hosts;
     std::map<UpstreamId, KnownOwner> m_owners;
+    std::set<HostId> m_hostsWithoutEngines;
     std::optional<std::string> m_linkSecret;
     bool m_isSecretStored = false;
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -103,7 +103,8 @@
                       m_serviceVersions.tableRead(rows);
                   else
                       m_serviceVersions.rowsChanged(rows);
-              } })
+              },
+              [this] { return hostsWithoutEngines(); } })
     , m_mesh(loop, recordOf(m_settings, m_incarnation),
           { [this](const HostId& peer, const PeerMessage& message) { peerMessage(peer, message); },
               [this](const HostId& peer) { peerLost(peer); },
@@ -174,9 +175,11 @@
                   return m_engineView.ownerOf(upstream).has_value() || !m_warmUp.mayDecide(upstream);
               } })
     , m_plainSelector(m_upstreams, m_picker, m_limits, m_permits, m_settings.dataCentre)
-    , m_services { loop, client, platform.calls, m_configuration, m_upstreams, m_engineView, m_broker,
-        m_picker, m_limits, m_upstreams.availability(), m_permits, m_plainSelector, m_usage, m_admitter,
-        m_retries, m_quarantine, m_responseMemory, m_streamVersions, m_metrics, m_random,
+    , m_links(loop, client, platform.evidence, memory, m_metrics, m_random,
+          { m_settings.host, m_incarnation, m_settings.dataCentre }, linkHandlers())
+    , m_services { loop, m_links.client(), platform.calls, m_configuration, m_upstreams, m_engineView,
+        m_broker, m_picker, m_limits, m_upstreams.availability(), m_permits, m_plainSelector, m_usage,
+        m_admitter, m_retries, m_quarantine, m_responseMemory, m_streamVersions, m_metrics, m_random,
         [this] { reportUsage(); },
         [this](const LimitObservation& observation, const std::string& requestId) {
             m_limitExchange.observed(observation, requestId);
@@ -234,9 +237,12 @@
             [this](const std::shared_ptr<HttpExchange>& exchange) { answerMetrics(*exchange); }, error);
     if (!isListening)
         return false;
+    if (m_settings.relayAddress().port != 0)
+        m_links.listen(m_settings.relayAddress());
     m_configuration.start();
     m_upstreams.start();
     m_fleet.start();
+    m_links.start();
     m_quarantineRows.read([this](const Quarantine& quarantine) { m_quarantine.restore(quarantine); });
     m_memberTimer.start();
     m_serviceVersions.start();
@@ -364,6 +370,9 @@
     if (audience == HeartbeatAudience::AllPeers)
         m_owners.fetchLimiter().told();
     heartbeat.quietUpstreams = m_upstreams.quietSpan();
+    heartbeat.reachesUpstreams = m_links.monitor().reachesUpstreams();
+    heartbeat.upstreamsHeardAge = m_links.monitor().heardAge();
+    heartbeat.relayAddress = m_links.relayAddress();
     heartbeat.engines = m_owners.summaries();
     if (m_settings.promptAffinity)
         m_owners.addPrefixes(heartbeat.engines, audience == HeartbeatAudience::AllPeers);
@@ -397,6 +406,9 @@
             m_serviceVersions.rowsChanged(heartbeat->serviceVersions);
         m_owners.fetchLimiter().setPeersInFlight(m_mesh.fetchesInFlight(), m_peersInTouch);
         recordSpeeds(*heartbeat);
+        if (!heartbeat->reachesUpstreams)
+            m_links.confirmReach();
+        handOverIfCut();
         return;
     }
     if (const auto* request = std::get_if<PeerOperatorRequest>(&message)) {
@@ -426,6 +438,100 @@
     m_upstreamRows.peerLost(peer);
 }
 
+relay::UpstreamLinks::Handlers Gateway::linkHandlers()
+{
+    relay::UpstreamLinks::Handlers handlers;
+    handlers.upstreams = [this] { return m_upstreams.probeTargets(); };
+    handlers.peers = [this] { return peerReaches(); };
+    handlers.secret = [this] { return m_fleet.registry().linkSecret(); };
+    handlers.upstreamAt = [this](const SocketAddress& address) {
+        const UpstreamEntry* entry = m_upstreams.findUsableAt(address);
+        return entry ? std::make_optional(entry->id) : std::nullopt;
+    };
+    handlers.findTarget = [this](const UpstreamId& upstream) { return findRelayTarget(upstream); };
+    handlers.onAnswered
+        = [this](const UpstreamId& upstream, const HttpHeaders& request, int status,
+              const HttpHeaders& answer) { observeRelayedAnswer(upstream, request, status, answer); };
+    handlers.onChange = [this] { reachChanged(); };
+    return handlers;
+}
+
+std::optional<relay::RelayTarget> Gateway::findRelayTarget(const UpstreamId& upstream) const
+{
+    const UpstreamEntry* entry = m_upstreams.findUsable(upstream);
+    const bool mayGetRequest
+        = entry && m_upstreams.restLeft(*entry) == Duration::zero() && m_links.monitor().reachesUpstreams();
+    if (!mayGetRequest)
+        return std::nullopt;
+    return relay::RelayTarget { upstream, entry->address, m_picker.idleAge(upstream) };
+}
+
+void Gateway::observeRelayedAnswer(
+    const UpstreamId& upstream, const HttpHeaders& request, int status, const HttpHeaders& answer)
+{
+    const ResponseAttributes attributes = m_platform.calls.readResponse(status, answer);
+    const std::string requestId = m_platform.calls.readRequest(request).requestId;
+    const bool isOwnAnswer = attributes.requestId == requestId && !attributes.hasConflictingIds
+        && attributes.respondingUpstream.value_or(upstream) == upstream;
+    const UpstreamEntry* entry = m_upstreams.find(upstream);
+    if (entry && isOwnAnswer && !attributes.availability.isEmpty())
+        m_availability.observed(
+            { upstream, entry->startedAt, attributes.availability, std::nullopt }, requestId);
+}
+
+std::vector<reach::PeerReach> Gateway::peerReaches() const
+{
+    const MonotonicTime now = m_loop.now();
+    std::vector<reach::PeerReach> reaches;
+    for (const auto& [host, state] : m_mesh.peersInTouch()) {
+        const PeerHeartbeat& heartbeat = state->heartbeat;
+        const auto record = m_mesh.hosts().find(host);
+        reach::PeerReach reach;
+        reach.host = host;
+        reach.dataCentre = record == m_mesh.hosts().end() ? DataCentreId() : record->second.dataCentre;
+        reach.relayAddress = heartbeat.relayAddress;
+        reach.reachesUpstreams = heartbeat.reachesUpstreams;
+        reach.isStopping = heartbeat.isStopping;
+        if (heartbeat.upstreamsHeardAge)
+            reach.heardAge = *heartbeat.upstreamsHeardAge + (now - state->heard);
+        reaches.push_back(std::move(reach));
+    }
+    return reaches;
+}
+
+bool Gateway::isAnyReaching() const
+{
+    const auto peers = m_mesh.peersInTouch();
+    return m_links.monitor().reachesUpstreams()
+        || std::any_of(peers.begin(), peers.end(),
+            [](const auto& peer) { return peer.second->heartbeat.reachesUpstreams; });
+}
+
+std::set<HostId> Gateway::hostsWithoutEngines() const
+{
+    std::set<HostId> hosts;
+    for (const auto& [host, state] : m_mesh.peersInTouch()) {
+        if (!state->heartbeat.reachesUpstreams && state->heartbeat.engines.empty())
+            hosts.insert(host);
+    }
+    return hosts;
+}
+
+void Gateway::reachChanged()
+{
+    m_mesh.sendHeartbeats();
+}
+
+void Gateway::handOverIfCut()
+{
+    const auto cutFor = m_links.monitor().cutFor();
+    if (!cutFor || m_owners.summaries().empty() || m_owners.hasOutstandingOrders()
+        || !reach::shouldHandOver(*cutFor, peerReaches()))
+        return;
+    m_fleet.handOver();
+    m_mesh.sendHeartbeats();
+}
+
 void Gateway::storeRestored()
 {
     m_storeRestoredAt = m_loop.now();
@@ -637,7 +743,8 @@
 
 bool Gateway::mayOrder() const
 {
-    return !m_isStopping && (m_settings.enginesCheckFencing || m_fleet.isLeaseValid());
+    return !m_isStopping && m_links.monitor().reachesUpstreams()
+        && (m_settings.enginesCheckFencing || m_fleet.isLeaseValid());
 }
 
 std::set<UpstreamId> Gateway::engineIds() const
@@ -659,10 +766,14 @@
 std::set<HostId> Gateway::ineligibleHosts() const
 {
     std::set<HostId> closed;
+    const bool isReachNeeded = isAnyReaching();
     for (const auto& [host, state] : m_mesh.peersInTouch()) {
-        if (state->heartbeat.isStopping || !state->heartbeat.reachesStore)
+        const bool canReach = state->heartbeat.reachesUpstreams || !isReachNeeded;
+        if (state->heartbeat.isStopping || !state->heartbeat.reachesStore || !canReach)
             closed.insert(host);
     }
+    if (isReachNeeded && !m_links.monitor().reachesUpstreams())
+        closed.insert(m_settings.host);
     return closed;
 }
 
@@ -710,13 +821,15 @@
     m_services.acceptsStreams = false;
     m_callerServer->stopListening();
     m_callerServer->beginDrain();
+    m_links.beginDrain();
     finishIfIdle();
 }
 
 void Gateway::finishIfIdle()
 {
     const bool isOver = m_loop.now() >= m_stopDeadline;
-    if (!isOver && m_callerServer->openConnectionCount() > 0) {
+    const bool isBusy = m_callerServer->openConnectionCount() > 0 || m_links.openCount() > 0;
+    if (!isOver && isBusy) {
         m_loop.runAfter(idleCheckInterval, [this] { finishIfIdle(); });
         return;
     }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "gateway/upstream_limit_exchange.h"
 #include "gateway/upstream_row_exchange.h"
 #include "gateway/warm_up_control.h"
+#include "relay/upstream_links.h"
 #include "transport/http_server.h"
 
 #include <memory>
@@ -29,6 +30,8 @@
     const CallTranslator& calls;
     const EndpointTranslator& surface;
     EngineControl& engines;
+    /// What the calls to engines show about the links to them.
+    reach::ReachEvidence& evidence;
 };
 
 /// The gateway of one host: proxies callers' requests, serves the discovery, readiness and metrics endpoints,
@@ -82,6 +85,21 @@
     void requestRateChanged(const UpstreamId& upstream);
     void engineRequestSent(const UpstreamId& engine, const char* kind);
     void peerMessage(const HostId& peer, const PeerMessage& message);
+    /// @return what the peers in touch say of their links to upstreams.
+    std::vector<reach::PeerReach> peerReaches() const;
+    /// @return whether this host or a peer in touch reaches the upstreams.
+    bool isAnyReaching() const;
+    /// The links to the upstreams have been cut or are whole again.
+    void reachChanged();
+    /// Leaves the engines to other hosts if only these can reach them.
+    void handOverIfCut();
+    std::set<HostId> hostsWithoutEngines() const;
+    /// Handles what an upstream says of itself in an answer that is passed on to a peer.
+    void observeRelayedAnswer(
+        const UpstreamId& upstream, const HttpHeaders& request, int status, const HttpHeaders& answer);
+    /// @return where a peer's request to an upstream goes; nothing if this host must not send it any.
+    std::optional<relay::RelayTarget> findRelayTarget(const UpstreamId& upstream) const;
+    relay::UpstreamLinks::Handlers linkHandlers();
     /// The link to a peer has ended.
     void peerLost(const HostId& peer);
     void fleetChanged();
@@ -150,6 +168,7 @@
     ResponseMemory m_responseMemory;
     UpstreamPermits m_permits;
     PlainUpstreamSelector m_plainSelector;
+    relay::UpstreamLinks m_links;
     CallServices m_services;
     std::unique_ptr<HttpServer> m_callerServer;
     std::unique_ptr<HttpServer> m_directoryServer;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -2,9 +2,12 @@
 
 #include "protocol/yaml_document.h"
 
+#include <charconv>
 #include <cmath>
+#include <cstdlib>
 #include <fstream>
 #include <functional>
+#include <limits>
 #include <sstream>
 
 namespace lacewing::gateway {
@@ -93,6 +96,19 @@
     };
 }
 
+FieldReader offsetField(int& target)
+{
+    return [&target](const std::string& text) -> std::optional<FieldError> {
+        constexpr int largest = std::numeric_limits<uint16_t>::max();
+        const char* end = text.data() + text.size();
+        const auto parsed = std::from_chars(text.data(), end, target);
+        if (parsed.ec != std::errc() || parsed.ptr != end || std::abs(target) > largest)
+            return FieldError { "\"" + text + "\" is not a difference of ports",
+                "a whole number, or 0 for none" };
+        return std::nullopt;
+    };
+}
+
 FieldReader flagField(bool& target)
 {
     return [&target](const std::string& text) -> std::optional<FieldError> {
@@ -151,6 +167,7 @@
         { "directoryAddress", { addressField(settings.directoryAddress) } },
         { "peerAddress", { addressField(settings.peerAddress) } },
         { "metricsAddress", { addressField(settings.metricsAddress) } },
+        { "relayPortOffset", { offsetField(settings.relayPortOffset), false } },
         { "storeAddress", { addressField(settings.storeAddress) } },
         { "leaseMilliseconds", { durationField(settings.leaseTime, millisecond, millisecond), false } },
         { "enginesCheckFencing", { flagField(settings.enginesCheckFencing), false } },
@@ -203,6 +220,13 @@
 
 } // namespace
 
+SocketAddress GatewaySettings::relayAddress() const
+{
+    if (relayPortOffset == 0)
+        return {};
+    return { peerAddress.ip, static_cast<uint16_t>(peerAddress.port + relayPortOffset) };
+}
+
 std::optional<GatewaySettings> GatewaySettingsReader::read(const std::string& path)
 {
     m_lastError.clear();
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -32,6 +32,9 @@
     /// Listens for connections from peers.
     SocketAddress peerAddress;
     SocketAddress metricsAddress;
+    /// Port for requests that this host passes on to upstreams for its peers, counted from the port of
+    /// peerAddress; 0 if it passes on none.
+    int relayPortOffset = 0;
     /// The platform's row store.
     SocketAddress storeAddress;
     /// A host whose row has not changed for this long is considered dead.
@@ -56,6 +59,8 @@
     /// Whether the fleet starts for the first time, so that there is no earlier usage.
     bool isFirstStart = false;
 
+    /// @return where peers send requests that this host passes on; port 0 if it passes on none.
+    SocketAddress relayAddress() const;
     /// @return the part of the memory that messages may take, in bytes. The rest is for the program, its
     /// state, and copies while messages are passed on.
     size_t messageMemory() const { return memoryBytes / 5 * 2; }
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -443,9 +443,20 @@
     json.push_back(std::move(leaving));
     json.push_back(encode(message.serviceVersions));
     json.push_back(message.quietUpstreams ? encode(*message.quietUpstreams) : Json());
+    json.push_back(Json::array({ message.reachesUpstreams,
+        message.upstreamsHeardAge ? Json(microseconds(*message.upstreamsHeardAge)) : Json(),
+        message.relayAddress.port == 0 ? "" : message.relayAddress.text() }));
     return json;
 }
 
+void decodeReach(const Json& json, PeerHeartbeat& message)
+{
+    message.reachesUpstreams = json.at(0).get<bool>();
+    if (!json.at(1).is_null())
+        message.upstreamsHeardAge = duration(json.at(1));
+    message.relayAddress = SocketAddress::parse(json.at(2).get<std::string>()).value_or(SocketAddress());
+}
+
 PeerHeartbeat decodeHeartbeat(const Json& json)
 {
     PeerHeartbeat message;
@@ -488,6 +499,8 @@
         message.serviceVersions = decodeRows(json.at(17));
     if (json.size() > 18 && !json.at(18).is_null())
         message.quietUpstreams = decodeSpan(json.at(18));
+    if (json.size() > 19)
+        decodeReach(json.at(19), message);
     return message;
 }
 
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -67,6 +67,12 @@
     std::vector<StoredRow> serviceVersions;
     /// Versions between which the table of upstreams has no changes; stated by the hosts that read the table.
     std::optional<table_sync::ChangeSpan> quietUpstreams = std::nullopt;
+    /// The host can make connections to upstreams.
+    bool reachesUpstreams = true;
+    /// Time since the host last heard an upstream; nothing if it has heard none.
+    std::optional<Duration> upstreamsHeardAge = std::nullopt;
+    /// Where the host takes requests of peers that it passes on to upstreams; port 0 if it takes none.
+    SocketAddress relayAddress = {};
 };
 
 /// Usage on a host since its last report, sent between two heartbeats.
--- a/src/gateway/serving_configuration.h
+++ b/src/gateway/serving_configuration.h
@@ -15,8 +15,6 @@
 
 namespace lacewing::gateway {
 
-using ServiceId = StrongId<struct ServiceIdTag>;
-
 /// Whether and how a route's requests may be retried.
 enum class RouteKind {
     /// Requests may run more than once.
--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -137,6 +137,25 @@
     return isUsable ? entry : nullptr;
 }
 
+std::vector<reach::ProbeTarget> UpstreamDirectory::probeTargets() const
+{
+    std::vector<reach::ProbeTarget> targets;
+    for (const auto& [id, known] : m_known) {
+        if (findUsable(id))
+            targets.push_back({ known.entry.address, known.entry.service });
+    }
+    return targets;
+}
+
+const UpstreamEntry* UpstreamDirectory::findUsableAt(const SocketAddress& address) const
+{
+    for (const auto& [id, known] : m_known) {
+        if (known.entry.address == address && findUsable(id))
+            return &known.entry;
+    }
+    return nullptr;
+}
+
 std::map<ServiceId, std::map<SoftwareVersion, size_t>> UpstreamDirectory::softwareVersions() const
 {
     std::map<ServiceId, std::map<SoftwareVersion, size_t>> counts;
--- a/src/gateway/upstream_directory.h
+++ b/src/gateway/upstream_directory.h
@@ -5,6 +5,7 @@
 #include "gateway/store_feed.h"
 #include "gateway/upstream_availability.h"
 #include "gateway/upstream_filter.h"
+#include "reach/reach_monitor.h"
 #include "region/region_map.h"
 #include "table_sync/change_log.h"
 
@@ -73,6 +74,10 @@
     /// @return the upstream if it may get new requests, now or after a rest, or null.
     const UpstreamEntry* findUsable(
         const UpstreamId& id, const UpstreamFilter& filter = UpstreamFilter()) const;
+    /// @return the upstream at an address if it may get new requests, now or after a rest, or null.
+    const UpstreamEntry* findUsableAt(const SocketAddress& address) const;
+    /// @return the upstreams that may get new requests, as targets of tries to reach them.
+    std::vector<reach::ProbeTarget> probeTargets() const;
     /// @return time until an upstream that is usable may get a request from this host; zero without a rest.
     Duration restLeft(const UpstreamEntry& entry) const;
     /// @return the shortest time until a resting upstream of a service may get a request; nothing if none
