Pace requests to upstreams that fail on too many rejections (LIMIT)

What callers would see: at times the servers of a service bear few rejections a second and fall over beyond them (Server-Brittle). Each that falls leaves its load to the others, which then reject more. Cause: nothing read the statement, and each host went on sending to a full server until that had rejected the host's own requests. Class: a limit on the sum over all hosts that no host counts. Change: src/rejection. Each host that is rejected tells all others; each lowers its rate to the server by the same factor, and the rates grow steadily without rejections, so that these settle at a tenth of what the server bears. The pace is part of restLeft(), so selection, engines, relays and refusals with Retry-After follow it. A server that starts anew isn't paced; a malformed number says nothing. RequestRate moves to src/base, since two folders use it.

--- a/src/gateway/request_rate.h
+++ b/src/base/request_rate.h
@@ -4,7 +4,7 @@
 
 #include <chrono>
 
-namespace lacewing::gateway {
+namespace lacewing {
 
 /// A number of requests per second.
 class RequestRate {
@@ -33,4 +33,4 @@
     double m_perSecond;
 };
 
-} // namespace lacewing::gateway
+} // namespace lacewing
--- a/src/experiment/cold_simulation_test.cc
+++ b/src/experiment/cold_simulation_test.cc
@@ -18,7 +18,7 @@
 struct Fleet : LimitSimulation {
     Fleet(size_t hosts, uint64_t seed)
         : LimitSimulation(
-            { hosts, upstreams, 300, gateway::ColdStart { 20s, gateway::RequestRate(coldPerSecond) } }, seed)
+            { hosts, upstreams, 300, gateway::ColdStart { 20s, RequestRate(coldPerSecond) } }, seed)
     {
         advance(3s);
     }
--- a/src/experiment/fleet_simulation.cc
+++ b/src/experiment/fleet_simulation.cc
@@ -417,7 +417,7 @@
     m_scheduler.runAfter(Duration::zero(), [this, index] { carryOut(index); });
 }
 
-void FleetSimulation::stateLimits(std::optional<gateway::RequestRate> rate)
+void FleetSimulation::stateLimits(std::optional<RequestRate> rate)
 {
     for (size_t index = 0; index < m_engines.size(); index += failingPart)
         m_engines[index].limit.state(rate, m_scheduler.now());
@@ -567,9 +567,8 @@
         toggleSlowdown(index);
     }
     if (m_pattern == LoadPattern::LimitedEngines) {
-        m_scheduler.runAfter(patternStart, [this] { stateLimits(gateway::RequestRate(firstLimit)); });
-        m_scheduler.runAfter(
-            patternStart + limitLength, [this] { stateLimits(gateway::RequestRate(secondLimit)); });
+        m_scheduler.runAfter(patternStart, [this] { stateLimits(RequestRate(firstLimit)); });
+        m_scheduler.runAfter(patternStart + limitLength, [this] { stateLimits(RequestRate(secondLimit)); });
         m_scheduler.runAfter(patternStart + 2 * limitLength, [this] { stateLimits(std::nullopt); });
     }
     m_scheduler.runAfter(patternStart, [this] {
--- a/src/experiment/fleet_simulation.h
+++ b/src/experiment/fleet_simulation.h
@@ -121,7 +121,7 @@
     void killHost(size_t host);
     /// Counts a request, an order or a report request against the engine's limit.
     void requestArrived(size_t engine);
-    void stateLimits(std::optional<gateway::RequestRate> rate);
+    void stateLimits(std::optional<RequestRate> rate);
     /// Tells the engine's owner the limit that the engine states in a response.
     void limitTold(size_t engine);
 
--- a/src/experiment/limit_simulation.cc
+++ b/src/experiment/limit_simulation.cc
@@ -12,7 +12,6 @@
 using gateway::PeerMessage;
 using gateway::PeerUpstreamLimit;
 using gateway::PermitAnswer;
-using gateway::RequestRate;
 using gateway::UpstreamLimit;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
--- a/src/experiment/limit_simulation.h
+++ b/src/experiment/limit_simulation.h
@@ -112,8 +112,8 @@
     /// @param tried upstreams that have no start to offer.
     void choose(const HostId& id, size_t upstream, std::set<size_t> tried);
     void sendRequest(const HostId& id, size_t upstream);
-    void responded(const HostId& id, size_t upstream, MonotonicTime sent,
-        std::optional<gateway::RequestRate> rate, std::optional<Duration> coldFor);
+    void responded(const HostId& id, size_t upstream, MonotonicTime sent, std::optional<RequestRate> rate,
+        std::optional<Duration> coldFor);
 
     VirtualScheduler m_scheduler;
     Random m_random;
--- a/src/experiment/stated_limit.h
+++ b/src/experiment/stated_limit.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
-#include "gateway/request_rate.h"
+#include "base/request_rate.h"
 
 #include <optional>
 #include <utility>
@@ -13,11 +13,8 @@
 class StatedLimit {
 public:
     /// States another limit from now on, or none.
-    void state(std::optional<gateway::RequestRate> rate, MonotonicTime now)
-    {
-        m_history.emplace_back(now, rate);
-    }
-    std::optional<gateway::RequestRate> rate() const { return m_history.back().second; }
+    void state(std::optional<RequestRate> rate, MonotonicTime now) { m_history.emplace_back(now, rate); }
+    std::optional<RequestRate> rate() const { return m_history.back().second; }
     /// Records a request.
     void requestArrived(MonotonicTime now) { m_arrivals.push_back(now); }
     /// @return the largest number of requests in a window by the number that the limits allow there; at most
@@ -32,7 +29,7 @@
     std::optional<double> allowed(MonotonicTime begin, MonotonicTime end) const;
 
     /// Limits, each with the time from which it holds.
-    std::vector<std::pair<MonotonicTime, std::optional<gateway::RequestRate>>> m_history { { MonotonicTime(),
+    std::vector<std::pair<MonotonicTime, std::optional<RequestRate>>> m_history { { MonotonicTime(),
         std::nullopt } };
     std::vector<MonotonicTime> m_arrivals;
 };
--- a/src/experiment/stated_limit_test.cc
+++ b/src/experiment/stated_limit_test.cc
@@ -14,7 +14,7 @@
 StatedLimit withRequests(int count, Duration after)
 {
     StatedLimit limit;
-    limit.state(gateway::RequestRate(2), start);
+    limit.state(RequestRate(2), start);
     for (int request = 0; request < count; ++request)
         limit.requestArrived(start + after + request * 10ms);
     return limit;
@@ -41,7 +41,7 @@
 BOOST_AUTO_TEST_CASE(AddsUpTheLimitsThatHoldInAWindow)
 {
     StatedLimit limit = withRequests(0, 0s);
-    limit.state(gateway::RequestRate(10), start + 10s);
+    limit.state(RequestRate(10), start + 10s);
     for (int request = 0; request < 41; ++request)
         limit.requestArrived(start + 12s);
     // 2 s at 2 and 2 s at 10 a second permit 24, which allows 41.
--- a/src/gateway/call_attributes.h
+++ b/src/gateway/call_attributes.h
@@ -2,8 +2,8 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "base/request_rate.h"
 #include "gateway/event_format.h"
-#include "gateway/request_rate.h"
 #include "gateway/run_request.h"
 #include "gateway/upstream_availability.h"
 #include "transport/http_message.h"
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -83,7 +83,7 @@
               [this](const DataCentreId& dataCentre) {
                   return m_configuration.evacuations().isEvacuated(dataCentre);
               } },
-          m_settings.regions)
+          m_settings.regions, m_random.next())
     , m_picker(m_random.next())
     , m_limits(m_settings.host, &m_warmUpLimits)
     , m_usage(m_settings.usageWindow, m_settings.host,
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -36,7 +36,8 @@
     ServiceVersions,
     UpstreamRequest,
     StreamQuery,
-    StreamAnswer
+    StreamAnswer,
+    BrittleRejection
 };
 
 Json frame(FrameType type)
@@ -273,6 +274,25 @@
     return json;
 }
 
+Json encode(const PeerBrittleRejection& message)
+{
+    Json json = frame(FrameType::BrittleRejection);
+    json.push_back(message.rejection.upstream.value());
+    json.push_back(message.rejection.startedAt);
+    json.push_back(message.rejection.bearable.perSecond());
+    return json;
+}
+
+/// @return nothing if the number is not finite or negative.
+std::optional<PeerMessage> decodeBrittleRejection(const Json& json)
+{
+    const double bearable = json.at(3).get<double>();
+    if (!std::isfinite(bearable) || bearable < 0)
+        return std::nullopt;
+    return PeerBrittleRejection { { UpstreamId(json.at(1).get<std::string>()), json.at(2).get<int64_t>(),
+        RequestRate(bearable) } };
+}
+
 Json encode(const PeerQuarantines& message)
 {
     Json json = frame(FrameType::Quarantines);
@@ -733,6 +753,8 @@
         return PeerServiceVersions { decodeRows(json.at(1)) };
     case FrameType::StreamQuery:
         return decodeStreamQuery(json);
+    case FrameType::BrittleRejection:
+        return decodeBrittleRejection(json);
     case FrameType::StreamAnswer:
         return decodeStreamAnswer(json);
     case FrameType::RunRequest:
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -160,6 +160,11 @@
     LeavingStatement statement;
 };
 
+/// An upstream that bears few rejections has rejected a request of the sender.
+struct PeerBrittleRejection {
+    rejection::BrittleRejection rejection;
+};
+
 /// The software versions of services have changed.
 struct PeerServiceVersions {
     std::vector<StoredRow> rows;
@@ -213,7 +218,8 @@
 using PeerMessage = std::variant<PeerHeartbeat, PeerOperatorRequest, PeerOperatorRows, PeerUpstreamRows,
     PeerRunRequest, PeerRunGrant, PeerRunDenial, PeerRunProgress, PeerRunEnd, PeerUsage, PeerUpstreamLimit,
     PeerPermitRequest, PeerPermitAnswer, PeerCrashReports, PeerAnswerBegan, PeerQuarantines,
-    PeerUpstreamLeaving, PeerServiceVersions, PeerUpstreamRequest, PeerStreamQuery, PeerStreamAnswer>;
+    PeerUpstreamLeaving, PeerServiceVersions, PeerUpstreamRequest, PeerStreamQuery, PeerStreamAnswer,
+    PeerBrittleRejection>;
 
 /// @return the message as one CBOR frame.
 std::string encodePeerMessage(const PeerMessage& message);
--- a/src/gateway/peer_message_test.cc
+++ b/src/gateway/peer_message_test.cc
@@ -101,6 +101,7 @@
         PeerQuarantines {
             { quarantine(), { PartSet({ 3 }), QuarantineRevision(1), false, 0, std::nullopt } } },
         PeerUpstreamLeaving { { UpstreamId("u-1"), 1700000000000 } },
+        PeerBrittleRejection { { UpstreamId("u-1"), 1700000000000, RequestRate(7.5) } },
         PeerServiceVersions { { { { "", "versions:chat" }, "{}", RowVersion(StoreEra(2), 7), false } } } };
 }
 
--- a/src/gateway/request_pacer.h
+++ b/src/gateway/request_pacer.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
-#include "gateway/request_rate.h"
+#include "base/request_rate.h"
 
 #include <cstddef>
 #include <optional>
--- a/src/gateway/upstream_availability.cc
+++ b/src/gateway/upstream_availability.cc
@@ -68,6 +68,12 @@
 
 Duration UpstreamAvailability::restLeft(
     const UpstreamId& upstream, int64_t startedAt, MonotonicTime now) const
+{
+    return std::max(statedRestLeft(upstream, startedAt, now), m_pacing.waitFor(upstream, startedAt, now));
+}
+
+Duration UpstreamAvailability::statedRestLeft(
+    const UpstreamId& upstream, int64_t startedAt, MonotonicTime now) const
 {
     const auto found = m_rests.find(upstream);
     if (found == m_rests.end() || startedAt > found->second.startedAt || now >= found->second.end)
@@ -82,12 +88,13 @@
 std::optional<MonotonicTime> UpstreamAvailability::restEnd(
     const UpstreamId& upstream, int64_t startedAt, MonotonicTime now) const
 {
-    const bool isResting = restLeft(upstream, startedAt, now) > Duration::zero();
+    const bool isResting = statedRestLeft(upstream, startedAt, now) > Duration::zero();
     return isResting ? std::make_optional(m_rests.at(upstream).end) : std::nullopt;
 }
 
 void UpstreamAvailability::requestSent(const UpstreamId& upstream, MonotonicTime now)
 {
+    m_pacing.sent(upstream, now);
     const auto found = m_rests.find(upstream);
     if (found == m_rests.end() || now >= found->second.end)
         return;
@@ -127,6 +134,7 @@
         const bool isGone = known->second.absence.isGone(known->second.startedAt, presentStart, now);
         known = isGone ? m_leaving.erase(known) : std::next(known);
     }
+    m_pacing.retain(now);
     for (auto rest = m_rests.begin(); rest != m_rests.end();)
         rest = now >= rest->second.end ? m_rests.erase(rest) : std::next(rest);
 }
--- a/src/gateway/upstream_availability.h
+++ b/src/gateway/upstream_availability.h
@@ -2,7 +2,9 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "base/request_rate.h"
 #include "gateway/process_absence.h"
+#include "rejection/rejection_pacing.h"
 
 #include <map>
 #include <optional>
@@ -25,8 +27,11 @@
     std::optional<Duration> rest;
     /// The upstream states a rest that is no valid time.
     bool hasUnreadableRest = false;
+    /// Rejections that the upstream bears from all hosts together before it fails; stated with a rejection
+    /// only.
+    std::optional<RequestRate> bearableRejections;
 
-    bool isEmpty() const { return !isLeaving && !rest && !hasUnreadableRest; }
+    bool isEmpty() const { return !isLeaving && !rest && !hasUnreadableRest && !bearableRejections; }
 };
 
 /// A statement, and the process that has made it.
@@ -63,6 +68,12 @@
     /// Upper bound of a rest; upstreams that name a longer time are asked again after it.
     static constexpr Duration maximumRest = std::chrono::minutes(10);
 
+    /// @param seed should differ between hosts; see RejectionPacing.
+    explicit UpstreamAvailability(uint64_t seed = 1)
+        : m_pacing(seed)
+    {
+    }
+
     /// @return whether this host did not know it.
     bool learnLeaving(const LeavingStatement& statement, StatementOrigin origin, MonotonicTime now);
     /// @param stated time from now for which the upstream wants no requests.
@@ -75,6 +86,11 @@
     bool isLeaving(const UpstreamId& upstream, int64_t startedAt) const;
     /// @return time since this host has learned that the upstream is leaving; nothing if it isn't known.
     std::optional<Duration> leavingFor(const UpstreamId& upstream, MonotonicTime now) const;
+    /// An upstream that bears few rejections has rejected a request of this host or of another one.
+    void rejected(const rejection::BrittleRejection& rejection, MonotonicTime now)
+    {
+        m_pacing.rejected(rejection, now);
+    }
     /// @return time until the upstream may get a request from this host; zero if it may get one now.
     Duration restLeft(const UpstreamId& upstream, int64_t startedAt, MonotonicTime now) const;
 
@@ -101,6 +117,8 @@
     void retain(const std::map<UpstreamId, int64_t>& startedAt, MonotonicTime now);
 
 private:
+    Duration statedRestLeft(const UpstreamId& upstream, int64_t startedAt, MonotonicTime now) const;
+
     struct Leaving {
         int64_t startedAt = 0;
         StatementOrigin origin = StatementOrigin::Response;
@@ -121,6 +139,7 @@
 
     std::map<UpstreamId, Leaving> m_leaving;
     std::map<UpstreamId, Rest> m_rests;
+    rejection::RejectionPacing m_pacing;
 };
 
 } // namespace lacewing::gateway
--- a/src/gateway/upstream_availability_exchange.cc
+++ b/src/gateway/upstream_availability_exchange.cc
@@ -24,6 +24,22 @@
         learnLeaving({ observation.upstream, observation.startedAt }, StatementOrigin::Response, source);
     if (observation.statement.rest)
         learnRest(observation, source);
+    if (observation.statement.bearableRejections)
+        brittleRejected(observation, source);
+}
+
+void UpstreamAvailabilityExchange::brittleRejected(
+    const AvailabilityObservation& observation, const std::string& source)
+{
+    const rejection::BrittleRejection rejection { observation.upstream, observation.startedAt,
+        *observation.statement.bearableRejections };
+    ++m_metrics.counter("lacewing_brittle_rejections_total");
+    LogEvent(LogLevel::Info, "brittle_upstream_rejected")
+        .with("upstream", rejection.upstream)
+        .with("source", source)
+        .with("bearable_per_second", rejection.bearable.perSecond());
+    m_upstreams.availability().rejected(rejection, m_clock.now());
+    m_handlers.sendToAll(PeerBrittleRejection { rejection });
 }
 
 void UpstreamAvailabilityExchange::learnLeaving(
@@ -85,6 +101,8 @@
             learnLeaving(statement, StatementOrigin::Peer, peer.value());
     } else if (const auto* change = std::get_if<PeerUpstreamLeaving>(&message))
         learnLeaving(change->statement, StatementOrigin::Peer, peer.value());
+    else if (const auto* rejected = std::get_if<PeerBrittleRejection>(&message))
+        m_upstreams.availability().rejected(rejected->rejection, m_clock.now());
 }
 
 } // namespace lacewing::gateway
--- a/src/gateway/upstream_availability_exchange.h
+++ b/src/gateway/upstream_availability_exchange.h
@@ -13,7 +13,7 @@
 ///
 /// That an upstream is leaving is told to all peers at once and to each new peer, since it is true for all. A
 /// host that has heard it from a peer alone acts as if it had seen the response itself. A rest is asked of
-/// one host, so peers aren't told.
+/// one host, so peers aren't told, unless the upstream says how many rejections it bears from all of them.
 class UpstreamAvailabilityExchange {
 public:
     struct Handlers {
@@ -35,6 +35,8 @@
     /// @param source the request or the peer; for the log.
     void learnLeaving(const LeavingStatement& statement, StatementOrigin origin, const std::string& source);
     void learnRest(const AvailabilityObservation& observation, const std::string& source);
+    /// Lets all hosts slow down.
+    void brittleRejected(const AvailabilityObservation& observation, const std::string& source);
     void endRest(const AvailabilityObservation& observation, const std::string& source);
 
     const Clock& m_clock;
--- a/src/gateway/upstream_availability_exchange_test.cc
+++ b/src/gateway/upstream_availability_exchange_test.cc
@@ -110,4 +110,21 @@
     BOOST_TEST(sent.empty());
 }
 
+// Guards against an upstream that fails because each host goes on until the upstream has rejected it itself.
+BOOST_AUTO_TEST_CASE(ARejectionOfABrittleUpstreamSlowsAllHostsDown)
+{
+    AvailabilityStatement statement;
+    statement.bearableRejections = RequestRate(10);
+    exchange.observed({ upstream, 5, statement, std::nullopt }, "r-1");
+    BOOST_REQUIRE(sent.size() == 1u);
+    const PeerMessage told = sent[0];
+    exchange.onMessage(peer, told);
+    BOOST_TEST(sent.size() == 1u);
+    const UpstreamEntry* entry = upstreams.findUsable(upstream);
+    BOOST_TEST(toMilliseconds(upstreams.restLeft(*entry)) == 0);
+    for (int request = 0; request < 2; ++request)
+        upstreams.availability().requestSent(upstream, scheduler.now());
+    BOOST_TEST(toMilliseconds(upstreams.restLeft(*entry)) > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/upstream_directory.cc
+++ b/src/gateway/upstream_directory.cc
@@ -37,11 +37,12 @@
 } // namespace
 
 UpstreamDirectory::UpstreamDirectory(Scheduler& scheduler, RowStore& store, const RowDecoder& decoder,
-    Handlers handlers, region::RegionMap regions)
+    Handlers handlers, region::RegionMap regions, uint64_t seed)
     : m_scheduler(scheduler)
     , m_decoder(decoder)
     , m_handlers(std::move(handlers))
     , m_regions(std::move(regions))
+    , m_availability(seed)
     , m_feed(scheduler, store, *this,
           { decoder.upstreamTable(), [] { return longPollTimeout; },
               [this] { return m_isReader ? feedInterval : relayedFeedInterval; } })
--- a/src/gateway/upstream_directory.h
+++ b/src/gateway/upstream_directory.h
@@ -39,8 +39,9 @@
     };
 
     /// @param regions of the data centres; home regions have no effect without any.
+    /// @param seed see UpstreamAvailability.
     UpstreamDirectory(Scheduler& scheduler, RowStore& store, const RowDecoder& decoder, Handlers handlers,
-        region::RegionMap regions = region::RegionMap());
+        region::RegionMap regions = region::RegionMap(), uint64_t seed = 1);
 
     /// @param isReader whether this host polls the store at short intervals and relays changes to the others.
     void setReader(bool isReader);
--- a/src/gateway/upstream_limits.h
+++ b/src/gateway/upstream_limits.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "base/ids.h"
+#include "base/request_rate.h"
 #include "gateway/process_absence.h"
-#include "gateway/request_rate.h"
 #include "warmup/warm_up_limits.h"
 
 #include <map>
