--- a/src/gateway/engine_scheduler.cc
+++ b/src/gateway/engine_scheduler.cc
@@ -253,7 +253,9 @@
         } else
             decisions.reevaluateAfter = std::min(wait, modelReportInterval);
     }
-    const bool hasWork = !m_waiting.empty() || m_slots.loading() > 0 || m_deferredLoad;
+    // An engine that can't be reached gets no requests that would cause a further evaluation.
+    const bool isUnanswered = m_unansweredCalls > 0;
+    const bool hasWork = !m_waiting.empty() || m_slots.loading() > 0 || m_deferredLoad || isUnanswered;
     if (hasWork && !decisions.reevaluateAfter)
         decisions.reevaluateAfter = waitingPollInterval;
     return decisions;
--- a/src/gateway/engine_scheduler_test.cc
+++ b/src/gateway/engine_scheduler_test.cc
@@ -273,6 +273,36 @@
     BOOST_TEST(fixture.decide().denials.size() == 1);
 }
 
+// Guards against an engine that stays out of use after a cut, since its owner repeats an unanswered unload
+// only when something else happens.
+BOOST_AUTO_TEST_CASE(RepeatsAnUnansweredUnloadUntilTheEngineAnswers)
+{
+    Fixture fixture;
+    fixture.report({ { AdapterId("a1"), 1 }, { AdapterId("a2"), 1 } });
+    fixture.request("a3");
+    const auto unload = fixture.decide().order;
+    BOOST_REQUIRE(unload.has_value());
+    BOOST_REQUIRE((unload->action == AdapterOrder::Action::Unload));
+    // The owner evaluates the engine only when it has been asked to, as without requests.
+    int repetitions = 0;
+    auto decisions = SchedulerDecisions();
+    fixture.scheduler.orderAnswered(OrderOutcome::Unknown, fixture.now);
+    for (int evaluation = 0; evaluation < 200 && repetitions < 6; ++evaluation) {
+        decisions = fixture.decide();
+        if (decisions.order) {
+            ++repetitions;
+            fixture.now += 180ms;
+            fixture.scheduler.orderAnswered(OrderOutcome::Unknown, fixture.now);
+            continue;
+        }
+        if (!decisions.reevaluateAfter)
+            break;
+        fixture.now += *decisions.reevaluateAfter;
+    }
+    BOOST_TEST(repetitions == 6);
+    BOOST_TEST(!fixture.scheduler.summary(fixture.now).isUsable);
+}
+
 // Load: a burst on one adapter. Guards against queueing requests that can't start in time.
 BOOST_AUTO_TEST_CASE(DeniesOnArrivalWhatCannotStartInTime)
 {
