Part what hosts say of their reach from the gateway; one place for the delays of requests for rows

requestDelay() and its three constants stood in both exchanges of rows and are CatchUp's now; noteVersion() before reportEvacuations() stood twice in ConfigurationTracker. What peers say of their links is read by PeerMesh and decided on in src/reach. A gauge tells whether a host reaches the upstreams.

--- a/src/gateway/configuration_tracker.cc
+++ b/src/gateway/configuration_tracker.cc
@@ -89,10 +89,15 @@
         if (const auto dataCentre = m_decoder.readEvacuation(row.id))
             present.insert(*dataCentre);
     }
-    const auto ended = m_evacuations.tableRead(present, *m_feed.version());
-    if (!ended.empty())
-        noteVersion(*m_feed.version(), RowSource::Store);
-    reportEvacuations(ended, "store");
+    reportEnded(m_evacuations.tableRead(present, *m_feed.version()), "store");
+}
+
+void ConfigurationTracker::reportEnded(const region::Evacuations::Changes& ended, const char* source)
+{
+    if (ended.empty())
+        return;
+    noteVersion(*m_feed.version(), RowSource::Store);
+    reportEvacuations(ended, source);
 }
 
 std::vector<StoredRow> ConfigurationTracker::tombstonesFor(const std::vector<StoredRow>& rows) const
@@ -129,12 +134,8 @@
     const auto version = m_feed.version();
     if (m_feed.isLost() || !feedAge || !version)
         m_evacuations.storeUnreadable();
-    else {
-        const auto ended = m_evacuations.storeReadable(m_scheduler.now() - *feedAge, *version);
-        if (!ended.empty())
-            noteVersion(*version, RowSource::Store);
-        reportEvacuations(ended, "lifetime");
-    }
+    else
+        reportEnded(m_evacuations.storeReadable(m_scheduler.now() - *feedAge, *version), "lifetime");
 }
 
 void ConfigurationTracker::applyEvacuation(
--- a/src/gateway/configuration_tracker.h
+++ b/src/gateway/configuration_tracker.h
@@ -87,6 +87,8 @@
     void apply(const std::vector<StoredRow>& rows, RowSource source);
     void applyEvacuation(const DataCentreId& dataCentre, const StoredRow& row, RowSource source);
     void reportEvacuations(const region::Evacuations::Changes& changes, const char* source);
+    /// Reports evacuations that a read of the table has ended.
+    void reportEnded(const region::Evacuations::Changes& ended, const char* source);
     /// Ends evacuations that the store, which has come back from a copy, has lacked for long.
     void checkMissingEvacuations();
     void applyConfiguration(const StoredRow& row, RowSource source);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -104,7 +104,7 @@
                   else
                       m_serviceVersions.rowsChanged(rows);
               },
-              [this] { return hostsWithoutEngines(); } })
+              [this] { return reach::hostsWithoutEngines(m_mesh.reaches()); } })
     , m_mesh(loop, recordOf(m_settings, m_incarnation),
           { [this](const HostId& peer, const PeerMessage& message) { peerMessage(peer, message); },
               [this](const HostId& peer) { peerLost(peer); },
@@ -340,6 +340,7 @@
     m_metrics.gauge("lacewing_upstream_slowdown", { { "statistic", "maximum" } }) = slowdown.maximum;
     m_metrics.gauge("lacewing_evacuated_data_centres")
         = static_cast<double>(m_configuration.evacuations().count());
+    m_metrics.gauge("lacewing_reaches_upstreams") = m_links.monitor().reachesUpstreams() ? 1 : 0;
     m_metrics.gauge("lacewing_limited_upstreams") = static_cast<double>(m_limits.limitedCount());
     m_metrics.gauge("lacewing_cold_upstreams") = static_cast<double>(m_warmUpLimits.coldCount());
     m_metrics.gauge("lacewing_quarantined_prompts") = static_cast<double>(m_quarantine.activeCount());
@@ -442,7 +443,7 @@
 {
     relay::UpstreamLinks::Handlers handlers;
     handlers.upstreams = [this] { return m_upstreams.probeTargets(); };
-    handlers.peers = [this] { return peerReaches(); };
+    handlers.peers = [this] { return m_mesh.reaches(); };
     handlers.secret = [this] { return m_fleet.registry().linkSecret(); };
     handlers.upstreamAt = [this](const SocketAddress& address) {
         const UpstreamEntry* entry = m_upstreams.findUsableAt(address);
@@ -452,7 +453,7 @@
     handlers.onAnswered
         = [this](const UpstreamId& upstream, const HttpHeaders& request, int status,
               const HttpHeaders& answer) { observeRelayedAnswer(upstream, request, status, answer); };
-    handlers.onChange = [this] { reachChanged(); };
+    handlers.onChange = [this] { m_mesh.sendHeartbeats(); };
     return handlers;
 }
 
@@ -479,54 +480,11 @@
             { upstream, entry->startedAt, attributes.availability, std::nullopt }, requestId);
 }
 
-std::vector<reach::PeerReach> Gateway::peerReaches() const
-{
-    const MonotonicTime now = m_loop.now();
-    std::vector<reach::PeerReach> reaches;
-    for (const auto& [host, state] : m_mesh.peersInTouch()) {
-        const PeerHeartbeat& heartbeat = state->heartbeat;
-        const auto record = m_mesh.hosts().find(host);
-        reach::PeerReach reach;
-        reach.host = host;
-        reach.dataCentre = record == m_mesh.hosts().end() ? DataCentreId() : record->second.dataCentre;
-        reach.relayAddress = heartbeat.relayAddress;
-        reach.reachesUpstreams = heartbeat.reachesUpstreams;
-        reach.isStopping = heartbeat.isStopping;
-        if (heartbeat.upstreamsHeardAge)
-            reach.heardAge = *heartbeat.upstreamsHeardAge + (now - state->heard);
-        reaches.push_back(std::move(reach));
-    }
-    return reaches;
-}
-
-bool Gateway::isAnyReaching() const
-{
-    const auto peers = m_mesh.peersInTouch();
-    return m_links.monitor().reachesUpstreams()
-        || std::any_of(peers.begin(), peers.end(),
-            [](const auto& peer) { return peer.second->heartbeat.reachesUpstreams; });
-}
-
-std::set<HostId> Gateway::hostsWithoutEngines() const
-{
-    std::set<HostId> hosts;
-    for (const auto& [host, state] : m_mesh.peersInTouch()) {
-        if (!state->heartbeat.reachesUpstreams && state->heartbeat.engines.empty())
-            hosts.insert(host);
-    }
-    return hosts;
-}
-
-void Gateway::reachChanged()
-{
-    m_mesh.sendHeartbeats();
-}
-
 void Gateway::handOverIfCut()
 {
     const auto cutFor = m_links.monitor().cutFor();
     if (!cutFor || m_owners.summaries().empty() || m_owners.hasOutstandingOrders()
-        || !reach::shouldHandOver(*cutFor, peerReaches()))
+        || !reach::shouldHandOver(*cutFor, m_mesh.reaches()))
         return;
     m_fleet.handOver();
     m_mesh.sendHeartbeats();
@@ -766,7 +724,7 @@
 std::set<HostId> Gateway::ineligibleHosts() const
 {
     std::set<HostId> closed;
-    const bool isReachNeeded = isAnyReaching();
+    const bool isReachNeeded = reach::isAnyReaching(m_links.monitor().reachesUpstreams(), m_mesh.reaches());
     for (const auto& [host, state] : m_mesh.peersInTouch()) {
         const bool canReach = state->heartbeat.reachesUpstreams || !isReachNeeded;
         if (state->heartbeat.isStopping || !state->heartbeat.reachesStore || !canReach)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -85,15 +85,8 @@
     void requestRateChanged(const UpstreamId& upstream);
     void engineRequestSent(const UpstreamId& engine, const char* kind);
     void peerMessage(const HostId& peer, const PeerMessage& message);
-    /// @return what the peers in touch say of their links to upstreams.
-    std::vector<reach::PeerReach> peerReaches() const;
-    /// @return whether this host or a peer in touch reaches the upstreams.
-    bool isAnyReaching() const;
-    /// The links to the upstreams have been cut or are whole again.
-    void reachChanged();
     /// Leaves the engines to other hosts if only these can reach them.
     void handOverIfCut();
-    std::set<HostId> hostsWithoutEngines() const;
     /// Handles what an upstream says of itself in an answer that is passed on to a peer.
     void observeRelayedAnswer(
         const UpstreamId& upstream, const HttpHeaders& request, int status, const HttpHeaders& answer);
--- a/src/gateway/operator_row_exchange.cc
+++ b/src/gateway/operator_row_exchange.cc
@@ -9,12 +9,8 @@
 
 namespace {
 
-/// Delay of a reader's request, during which the store usually delivers the change itself.
-constexpr Duration readerRequestDelay = std::chrono::milliseconds(250);
-/// Requests of the other hosts are delayed by a random time between these bounds, during which more and more
-/// peers receive the rows and can serve them.
-constexpr Duration minimumRequestDelay = std::chrono::milliseconds(50);
-constexpr Duration maximumRequestDelay = std::chrono::milliseconds(1000);
+constexpr table_sync::CatchUpDelays requestDelays { std::chrono::milliseconds(250),
+    std::chrono::milliseconds(50), std::chrono::milliseconds(1000) };
 
 /// Interval at which a peer is sent the evacuations that are missing from a copy of the store.
 constexpr Duration missingEvacuationInterval = std::chrono::seconds(2);
@@ -27,8 +23,8 @@
     , m_tracker(tracker)
     , m_random(random)
     , m_send(std::move(send))
-    , m_catchUp(scheduler, random,
-          { [this] { return own(); }, [this] { return requestDelay(); },
+    , m_catchUp(scheduler, random, requestDelays,
+          { [this] { return own(); }, [this] { return m_tracker.isReader(); },
               [this](const HostId& peer) { request(peer); } })
 {
 }
@@ -44,13 +40,6 @@
     m_catchUp.offered(peer, { std::max(revision, m_tracker.revision()), newest });
 }
 
-Duration OperatorRowExchange::requestDelay()
-{
-    if (m_tracker.isReader())
-        return readerRequestDelay;
-    return table_sync::randomDelay(m_random, minimumRequestDelay, maximumRequestDelay);
-}
-
 void OperatorRowExchange::request(const HostId& peer)
 {
     LogEvent(LogLevel::Info, "operator_rows_requested")
--- a/src/gateway/operator_row_exchange.h
+++ b/src/gateway/operator_row_exchange.h
@@ -45,7 +45,6 @@
     Offer own() const;
     void request(const HostId& peer);
     void sendRows(const HostId& peer, const std::vector<StoredRow>& rows);
-    Duration requestDelay();
     /// Sends a peer the evacuations that a copy of the store lacks, since versions alone don't tell a host
     /// that has started since of them.
     void sendMissingEvacuations(const HostId& peer);
--- a/src/gateway/peer_mesh.cc
+++ b/src/gateway/peer_mesh.cc
@@ -188,6 +188,27 @@
     return reach;
 }
 
+std::vector<reach::PeerReach> PeerMesh::reaches() const
+{
+    const MonotonicTime now = m_loop.now();
+    std::vector<reach::PeerReach> reaches;
+    for (const auto& [host, state] : peersInTouch()) {
+        const PeerHeartbeat& heartbeat = state->heartbeat;
+        const auto record = m_hosts.find(host);
+        reach::PeerReach reach;
+        reach.host = host;
+        reach.dataCentre = record == m_hosts.end() ? DataCentreId() : record->second.dataCentre;
+        reach.relayAddress = heartbeat.relayAddress;
+        reach.reachesUpstreams = heartbeat.reachesUpstreams;
+        reach.ownsEngines = !heartbeat.engines.empty();
+        reach.isStopping = heartbeat.isStopping;
+        if (heartbeat.upstreamsHeardAge)
+            reach.heardAge = *heartbeat.upstreamsHeardAge + (now - state->heard);
+        reaches.push_back(std::move(reach));
+    }
+    return reaches;
+}
+
 bool PeerMesh::isInTouch(const HostId& peer) const
 {
     return m_states.isInTouch(peer, oldestHeartbeat());
--- a/src/gateway/peer_mesh.h
+++ b/src/gateway/peer_mesh.h
@@ -3,6 +3,7 @@
 #include "base/periodic_timer.h"
 #include "gateway/fleet_registry.h"
 #include "gateway/peer_states.h"
+#include "reach/peer_reach.h"
 #include "stream_inquiry/stream_inquiry.h"
 #include "transport/event_loop.h"
 #include "transport/peer_links.h"
@@ -53,6 +54,8 @@
         return m_states.hasCopy(engine, adapter);
     }
     bool isInTouch(const HostId& peer) const;
+    /// @return what the peers in touch say of their links to upstreams.
+    std::vector<reach::PeerReach> reaches() const;
     /// @return the live hosts except this one, by whether they can be asked.
     stream_inquiry::FleetReach reach() const;
     /// @return whether this incarnation of a peer is in touch.
--- a/src/gateway/upstream_row_exchange.cc
+++ b/src/gateway/upstream_row_exchange.cc
@@ -8,11 +8,8 @@
 
 namespace {
 
-/// Delay of a reader's request, in which its own reads of the store deliver the changes.
-constexpr Duration readerRequestDelay = std::chrono::milliseconds(1200);
-/// Requests of the other hosts are delayed by a random time between these bounds, in which relays arrive.
-constexpr Duration minimumRequestDelay = std::chrono::milliseconds(50);
-constexpr Duration maximumRequestDelay = std::chrono::milliseconds(500);
+constexpr table_sync::CatchUpDelays requestDelays { std::chrono::milliseconds(1200),
+    std::chrono::milliseconds(50), std::chrono::milliseconds(500) };
 
 } // namespace
 
@@ -22,19 +19,12 @@
     , m_random(random)
     , m_metrics(metrics)
     , m_send(std::move(send))
-    , m_catchUp(scheduler, random,
-          { [this] { return m_upstreams.knownUpTo(); }, [this] { return requestDelay(); },
+    , m_catchUp(scheduler, random, requestDelays,
+          { [this] { return m_upstreams.knownUpTo(); }, [this] { return m_upstreams.isReader(); },
               [this](const HostId& peer) { request(peer); } })
 {
 }
 
-Duration UpstreamRowExchange::requestDelay()
-{
-    return m_upstreams.isReader()
-        ? readerRequestDelay
-        : table_sync::randomDelay(m_random, minimumRequestDelay, maximumRequestDelay);
-}
-
 void UpstreamRowExchange::request(const HostId& peer)
 {
     const RowVersion after = m_upstreams.knownUpTo();
--- a/src/gateway/upstream_row_exchange.h
+++ b/src/gateway/upstream_row_exchange.h
@@ -28,7 +28,6 @@
     void peerLost(const HostId& peer) { m_catchUp.peerLost(peer); }
 
 private:
-    Duration requestDelay();
     void request(const HostId& peer);
 
     UpstreamDirectory& m_upstreams;
--- a/src/table_sync/catch_up.h
+++ b/src/table_sync/catch_up.h
@@ -5,7 +5,6 @@
 #include "base/random.h"
 #include "base/scheduler.h"
 
-#include <algorithm>
 #include <functional>
 #include <optional>
 #include <utility>
@@ -13,6 +12,21 @@
 
 namespace lacewing::table_sync {
 
+/// @return a random delay, evenly distributed between two bounds.
+inline Duration randomDelay(Random& random, Duration shortest, Duration longest)
+{
+    return shortest + std::chrono::duration_cast<Duration>(random.uniform() * (longest - shortest));
+}
+
+/// Delays between the news of a change and the request for it.
+struct CatchUpDelays {
+    /// Of a reader of the table, which usually gets the change from the store in this time.
+    Duration reader;
+    /// Bounds of the random delay of the other hosts, in which more and more peers get the change.
+    Duration shortest;
+    Duration longest;
+};
+
 /// Decides which peer a host asks for what it lacks, and when.
 ///
 /// Load pattern: a change concerns all hosts at the same time, and no single peer may have to send it to all
@@ -27,15 +41,16 @@
     struct Handlers {
         /// @return what this host has.
         std::function<Offer()> own;
-        /// @return the delay until the next request.
-        std::function<Duration()> delay;
+        /// @return whether this host reads the table.
+        std::function<bool()> isReader;
         std::function<void(const HostId& peer)> request;
     };
 
     /// @param scheduler, random must outlive this object.
-    CatchUp(Scheduler& scheduler, Random& random, Handlers handlers)
+    CatchUp(Scheduler& scheduler, Random& random, const CatchUpDelays& delays, Handlers handlers)
         : m_scheduler(scheduler)
         , m_random(random)
+        , m_delays(delays)
         , m_handlers(std::move(handlers))
     {
     }
@@ -53,7 +68,7 @@
         }
         m_sources.push_back(peer);
         if (!std::exchange(m_isWaiting, true))
-            m_scheduler.runAfter(m_handlers.delay(), m_lifetime.guard([this] { requestIfBehind(); }));
+            m_scheduler.runAfter(delay(), m_lifetime.guard([this] { requestIfBehind(); }));
     }
 
     /// Rows have come from a peer.
@@ -78,6 +93,12 @@
     /// Time after which another peer is asked in place of one that hasn't answered.
     static constexpr Duration answerTimeout = std::chrono::milliseconds(800);
 
+    Duration delay()
+    {
+        return m_handlers.isReader() ? m_delays.reader
+                                     : randomDelay(m_random, m_delays.shortest, m_delays.longest);
+    }
+
     bool isAwaitingAnswer() const { return m_asked && m_scheduler.now() - m_askedAt < answerTimeout; }
 
     void requestIfBehind()
@@ -94,6 +115,7 @@
 
     Scheduler& m_scheduler;
     Random& m_random;
+    CatchUpDelays m_delays;
     Handlers m_handlers;
     bool m_isWaiting = false;
     /// The best offer of peers since the last request, and the peers that have made it.
@@ -105,10 +127,4 @@
     Lifetime m_lifetime;
 };
 
-/// @return a random delay, evenly distributed between two bounds.
-inline Duration randomDelay(Random& random, Duration shortest, Duration longest)
-{
-    return shortest + std::chrono::duration_cast<Duration>(random.uniform() * (longest - shortest));
-}
-
 } // namespace lacewing::table_sync
--- a/src/table_sync/catch_up_test.cc
+++ b/src/table_sync/catch_up_test.cc
@@ -17,8 +17,8 @@
     Random random { 1 };
     int own = 1;
     std::vector<HostId> asked;
-    CatchUp<int> catchUp { scheduler, random,
-        { [this] { return own; }, [] { return Duration(100ms); },
+    CatchUp<int> catchUp { scheduler, random, { 100ms, 100ms, 100ms },
+        { [this] { return own; }, [] { return true; },
             [this](const HostId& peer) { asked.push_back(peer); } } };
 };
 
