Leave a relay alone only if it can't be reached, or takes nothing from this host

Cause: a relay that refused one request, because the upstream leaves, rests or can't be reached, was left alone for 0.5 s, so that a cut host with few peers could lose its way to all upstreams for one of them. Change: only a relay that can't be reached, or doesn't accept the fleet's token (403), pauses. Measured: RelayServerTest expects no failure after a refusal now, and one after a wrong token.

--- a/src/relay/relay_chooser.h
+++ b/src/relay/relay_chooser.h
@@ -28,7 +28,7 @@
     std::optional<reach::PeerReach> choose(const std::vector<reach::PeerReach>& peers, MonotonicTime now);
     void started(const HostId& relay) { ++m_inHand[relay]; }
     void ended(const HostId& relay);
-    /// The peer could not be reached, or took nothing.
+    /// The peer could not be reached, or takes no requests of this host.
     void failed(const HostId& relay, MonotonicTime now) { m_failedAt[relay] = now; }
 
 private:
--- a/src/relay/relay_fields.h
+++ b/src/relay/relay_fields.h
@@ -13,6 +13,10 @@
 constexpr const char* tokenField = "Relay-Token";
 /// Present if the request needs a new connection to the upstream.
 constexpr const char* newConnectionField = "Relay-New-Connection";
+/// Status of the relay's own answer to a sender that isn't a host of the fleet.
+constexpr int statusForbidden = 403;
+/// Status of the relay's own answer to a request that it hasn't passed on.
+constexpr int statusUnavailable = 503;
 /// Present in answers of the upstream. An answer without it is the relay's own: the upstream has got nothing.
 constexpr const char* answerField = "Relay-Answer";
 
--- a/src/relay/relay_server.cc
+++ b/src/relay/relay_server.cc
@@ -65,7 +65,7 @@
     if (target)
         relayed->start(*target);
     else
-        relayed->refuse();
+        relayed->refuse(isAuthorized ? statusUnavailable : statusForbidden);
 }
 
 } // namespace lacewing::relay
--- a/src/relay/relay_server_test.cc
+++ b/src/relay/relay_server_test.cc
@@ -137,7 +137,8 @@
     BOOST_TEST((result->error == HttpClientError::ConnectFailed));
     BOOST_TEST(!result->requestSent);
     BOOST_TEST(status == 0);
-    BOOST_TEST(failures == 1);
+    // The relay may still reach other upstreams.
+    BOOST_TEST(failures == 0);
 }
 
 // Guards against strangers that use a host as their proxy.
@@ -148,6 +149,7 @@
     awaitResult();
     BOOST_TEST(!result->requestSent);
     BOOST_TEST(raw.peers.empty());
+    BOOST_TEST(failures == 1);
 }
 
 // Guards against an upstream that works on for a caller who has left.
--- a/src/relay/relayed_exchange.cc
+++ b/src/relay/relayed_exchange.cc
@@ -9,7 +9,6 @@
 
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
-constexpr int statusUnavailable = 503;
 
 constexpr Duration connectTimeout = std::chrono::milliseconds(200);
 /// Reading of an answer is paused while more than this is buffered for the peer.
@@ -118,7 +117,7 @@
     // Fields outside of the head may contradict it, and can't be passed on.
     const bool isWhole = isAnswered && !result.error && !result.hasFieldsOutsideHead;
     if (!isAnswered && !result.requestSent) {
-        refuse();
+        refuse(statusUnavailable);
         return;
     }
     if (!isWhole)
@@ -130,9 +129,9 @@
     finish(isWhole ? "answered" : "broken");
 }
 
-void RelayedExchange::refuse()
+void RelayedExchange::refuse(int status)
 {
-    m_exchange->reply(statusUnavailable, {}, "");
+    m_exchange->reply(status, {}, "");
     finish("not_sent");
 }
 
--- a/src/relay/relayed_exchange.h
+++ b/src/relay/relayed_exchange.h
@@ -15,7 +15,7 @@
 
     void start(const RelayTarget& target);
     /// Tells the peer that the upstream has got nothing.
-    void refuse();
+    void refuse(int status);
 
 private:
     void headersArrived(int status, const HttpHeaders& headers);
--- a/src/relay/relaying_http_client.cc
+++ b/src/relay/relaying_http_client.cc
@@ -52,10 +52,13 @@
     std::function<void()> onFailed;
     /// The answer is the relay's own.
     bool isRelaysOwn = false;
+    /// The relay takes no request of this host.
+    bool isRejected = false;
 
     void headersArrived(int status, const HttpHeaders& headers)
     {
         isRelaysOwn = headers.count(answerField) == 0;
+        isRejected = isRelaysOwn && status == statusForbidden;
         if (!isRelaysOwn && handlers.onHeaders)
             handlers.onHeaders(status, withoutField(headers, answerField));
     }
@@ -66,10 +69,11 @@
     }
     void done(HttpClientResult result) const
     {
+        const bool isUnreachable = result.error && !result.requestSent;
+        if (isUnreachable || isRejected)
+            onFailed();
         if (isRelaysOwn)
             result = HttpClientResult { HttpClientError::ConnectFailed };
-        if (!result.requestSent)
-            onFailed();
         if (handlers.onDone)
             handlers.onDone(result);
     }
--- a/src/relay/relaying_http_client.h
+++ b/src/relay/relaying_http_client.h
@@ -29,7 +29,7 @@
         std::function<std::optional<Relay>(const SocketAddress& upstream)> chooseRelay;
         std::function<void(const HostId& relay)> onStarted;
         std::function<void(const HostId& relay)> onEnded;
-        /// The peer could not be reached, or has not passed a request on.
+        /// The peer could not be reached, or takes no requests of this host.
         std::function<void(const HostId& relay)> onFailed;
     };
 
