Count upstreams only if there is a sign of a cut, and forget old failures to connect

Cause: the monitor listed all upstreams ten times a second on hosts with 0.12 of a core, and kept the last failure of each address for good. Change: the list is made only after a first sign; failures are kept for the second in which they count.

--- a/src/reach/reach_evidence.cc
+++ b/src/reach/reach_evidence.cc
@@ -39,9 +39,11 @@
     found->second.lastActivity = now;
 }
 
-void ReachEvidence::reset()
+void ReachEvidence::connectFailed(const SocketAddress& server, MonotonicTime now)
 {
-    m_failures.clear();
+    for (auto failure = m_failures.begin(); failure != m_failures.end();)
+        failure = now - failure->second < failureTime ? std::next(failure) : m_failures.erase(failure);
+    m_failures[server] = now;
 }
 
 std::optional<Duration> ReachEvidence::heardAge(MonotonicTime now) const
--- a/src/reach/reach_evidence.h
+++ b/src/reach/reach_evidence.h
@@ -27,11 +27,11 @@
     /// The host has stopped or resumed reading the response, whose silence says nothing meanwhile.
     void setPaused(ExchangeNumber exchange, bool isPaused, MonotonicTime now);
     void ended(ExchangeNumber exchange) { m_exchanges.erase(exchange); }
-    void connectFailed(const SocketAddress& server, MonotonicTime now) { m_failures[server] = now; }
+    void connectFailed(const SocketAddress& server, MonotonicTime now);
     /// Some upstream has accepted a connection.
     void connected(MonotonicTime now) { m_lastHeard = now; }
-    /// Forgets failures, once it is known how the links are.
-    void reset();
+    /// Forgets failures, once the links are known to be whole.
+    void forgetFailures() { m_failures.clear(); }
 
     /// @param upstreams number of upstreams that the host knows.
     /// @return whether the links to all upstreams may be cut, so that it is worth trying them.
@@ -52,7 +52,7 @@
 
     ExchangeNumber m_next = 1;
     std::map<ExchangeNumber, Exchange> m_exchanges;
-    /// The last failure to connect to each server.
+    /// The last failure to connect to each server, of a short time.
     std::map<SocketAddress, MonotonicTime> m_failures;
     std::optional<MonotonicTime> m_lastHeard;
 };
--- a/src/reach/reach_monitor.cc
+++ b/src/reach/reach_monitor.cc
@@ -47,7 +47,9 @@
     const MonotonicTime now = m_scheduler.now();
     if (m_round || now < m_nextRound)
         return;
-    if (m_cutSince || m_evidence.isSuspicious(m_handlers.upstreams().size(), now))
+    // The upstreams are counted only if there is any sign.
+    const bool hasSign = m_evidence.isSuspicious(1, now);
+    if (m_cutSince || (hasSign && m_evidence.isSuspicious(m_handlers.upstreams().size(), now)))
         startRound();
 }
 
@@ -136,7 +138,7 @@
     LogEvent(LogLevel::Info, "upstreams_regained").with("after_ms", toMilliseconds(*cutFor()));
     m_cutSince.reset();
     m_falseAlarms = 0;
-    m_evidence.reset();
+    m_evidence.forgetFailures();
     m_handlers.onChange();
 }
 
