--- a/src/relay/relay_fields.h
+++ b/src/relay/relay_fields.h
@@ -25,7 +25,4 @@
 /// @return the token of requests to that host.
 std::string relayToken(std::string_view secret, std::string_view relayHost);
 
-/// Compares tokens in constant time.
-bool matchesToken(std::string_view token, std::string_view expected);
-
 } // namespace lacewing::relay
--- a/src/relay/relay_server_test.cc
+++ b/src/relay/relay_server_test.cc
@@ -1,5 +1,6 @@
 #include "relay/relay_server.h"
 
+#include "base/digest.h"
 #include "relay/relay_chooser.h"
 #include "relay/relay_fields.h"
 #include "relay/relaying_http_client.h"
@@ -58,7 +59,7 @@
     bool mayForward = true;
     std::string outcome;
     RelayServer server { loop, *relaysClient, memory,
-        { [](const std::string& stated) { return matchesToken(stated, relayToken(secret, "relay")); },
+        { [](const std::string& stated) { return equalInConstantTime(stated, relayToken(secret, "relay")); },
             [this](const UpstreamId& id) {
                 return mayForward && id == upstream
                     ? std::make_optional(RelayTarget { upstream, raw.address(), 1s })
--- a/src/relay/upstream_links.cc
+++ b/src/relay/upstream_links.cc
@@ -1,5 +1,6 @@
 #include "relay/upstream_links.h"
 
+#include "base/digest.h"
 #include "base/log.h"
 #include "relay/relay_fields.h"
 #include "transport/event_loop.h"
@@ -41,7 +42,7 @@
 bool UpstreamLinks::isAuthorized(const std::string& token) const
 {
     const auto secret = m_handlers.secret();
-    return secret && matchesToken(token, relayToken(*secret, m_self.value()));
+    return secret && equalInConstantTime(token, relayToken(*secret, m_self.value()));
 }
 
 std::optional<Relay> UpstreamLinks::chooseRelay(const SocketAddress& upstream)
