--- a/review/13/case.py
+++ b/review/13/case.py
@@ -18,13 +18,16 @@
 HEARTBEAT_SECONDS = 1.2
 CUT_SECONDS = 6.2
 # The server leaves this long after the link has healed.
-LEAVES_AFTER_SECONDS = 0.9
+LEAVES_AFTER_SECONDS = 1.1
 DRAIN_SECONDS = BOUNDS["drain_ms"] / 1000
 STABILITY_SECONDS = BOUNDS["stability_ms"] / 1000
-# The server serves on for drain_ms and a little longer.
-SERVES_ON_SECONDS = DRAIN_SECONDS + 3.0
-ROUNDS = 6
-REST_SECONDS = 4.5
+# The server serves on for drain_ms and a little longer, and then exits.
+SERVES_ON_SECONDS = DRAIN_SECONDS + 0.4
+# Time from the exit until the round ends.
+OBSERVED_SECONDS = 0.8
+WORK_SECONDS = 0.25
+ROUNDS = 8
+REST_SECONDS = 2.5
 REQUESTS_PER_SECOND = 40
 DEADLINE_SECONDS = 2.5
 
@@ -110,6 +113,7 @@
         self.record = record
         self.removed_at = None
         self.has_ended = False
+        self.connections = []
         super().__init__(store, "ledger", zone)
         threading.Thread(target=self.beat, daemon=True).start()
 
@@ -132,13 +136,27 @@
             self.removed_at = time.monotonic()
         threading.Timer(SERVES_ON_SECONDS, self.end).start()
 
+    def handle(self, handler):
+        self.connections.append(handler.connection)
+        if handler.headers.get("X-Lacewinglb-Request-Id"):
+            time.sleep(WORK_SECONDS)
+        if self.has_ended:
+            raise ConnectionAbortedError
+        super().handle(handler)
+
     def end(self):
+        """Exits; what it still works on gets no answer."""
         self.has_ended = True
         self.server.shutdown()
         self.server.server_close()
+        for connection in self.connections:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
 
     def requests(self):
-        return [(at, name) for at, name in list(self.arrivals) if name.startswith("check-")]
+        return [(at, name) for at, name in list(self.arrivals) if name.startswith("book-")]
 
 
 class Consumers:
@@ -156,14 +174,14 @@
         number = 0
         while not self.is_stopped:
             number += 1
-            threading.Thread(target=self.send, args=(f"check-{number}",), daemon=True).start()
+            threading.Thread(target=self.send, args=(f"book-{number}",), daemon=True).start()
             time.sleep(1 / REQUESTS_PER_SECOND)
 
     def send(self, request):
         self.sent[request] = time.monotonic()
         connection = http.client.HTTPConnection("127.0.0.1", self.gateway.front, timeout=DEADLINE_SECONDS)
         try:
-            connection.request("GET", "/check/1", None, {
+            connection.request("POST", "/book/1", "{}", {
                 "Host": HOST, "X-Lacewinglb-Request-Id": request, "Authorization": f"Bearer {KEY}",
                 "X-Lacewinglb-Deadline-Milliseconds": str(int(DEADLINE_SECONDS * 1000))})
             answer = connection.getresponse()
@@ -193,7 +211,7 @@
     time.sleep(LEAVES_AFTER_SECONDS)
     leaving.leave()
     record(f"round {number}: the store has acknowledged the removal of server {leaving.id}")
-    time.sleep(SERVES_ON_SECONDS)
+    time.sleep(SERVES_ON_SECONDS + OBSERVED_SECONDS)
     # The machine is in touch `stability_ms` after its link has healed. Only what a consumer has sent from then on counts.
     judged_from = max(leaving.removed_at + DRAIN_SECONDS, healed_at + STABILITY_SECONDS)
     late = [(at, name) for at, name in leaving.requests() if min(at, consumers.sent[name]) > judged_from]
@@ -233,6 +251,8 @@
         for outcome in consumers.outcomes.values():
             outcomes[str(outcome)] = outcomes.get(str(outcome), 0) + 1
         record(f"requests: {len(consumers.sent)}, outcomes: {outcomes}")
+        lost = [name for _, name in late if consumers.outcomes.get(name) != 200]
+        record(f"requests that came too late: {len(late)}, of which {len(lost)} got no answer of the server")
         for line in gateways[0].log_text().splitlines():
             if "upstream_gone" in line or "store" in line:
                 record(f"log of {gateways[0].name}: {line}")
